Add the port between entry hosts

Cause: idempotency claims and the spread of profiles both need questions and answers between entry hosts, and are built by different hands. Ruled out: pycapnp's RPC, which needs asyncio; it stays a codec. Change: Member, MemberState and PeerPort in core. Conclusion: claims can be written against a fake of this port.

--- a/radishfield/core/_data.py
+++ b/radishfield/core/_data.py
@@ -87,6 +87,26 @@
     state: HostState = HostState.LIVE
 
 
+class MemberState(enum.StrEnum):
+    """An entry host's state as its peers see it."""
+
+    LIVE = "live"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    DEAD = "dead"
+
+
+@dataclass(slots=True, frozen=True)
+class Member:
+    """An entry host as its peers know it; ``incarnation`` rises at each start."""
+
+    id: str
+    zone: str
+    address: str
+    incarnation: int
+    state: MemberState = MemberState.LIVE
+
+
 @dataclass(slots=True, frozen=True)
 class Target:
     """A back end: a model engine that holds a range of layers, or a service.
--- a/radishfield/core/_ports.py
+++ b/radishfield/core/_ports.py
@@ -5,7 +5,7 @@
 ``Result``; only cancellation passes through as an exception.
 """
 
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
 from typing import Protocol
@@ -17,6 +17,7 @@
     Host,
     KvState,
     LoadReport,
+    Member,
     Profile,
     Request,
     ServiceAnswer,
@@ -207,3 +208,28 @@
         self, request: ServiceRequest
     ) -> Result[ServiceAnswer, Fault]:
         """Run a plain call."""
+
+
+PeerHandler = Callable[[str, bytes], Awaitable[Result[bytes, Fault]]]
+
+
+class PeerPort(Protocol):
+    """Messages between entry hosts; payloads are Cap'n Proto, one schema a topic."""
+
+    def members(self) -> Sequence[Member]:
+        """Return every known entry host, this one included, with its state."""
+
+    async def ask(
+        self, member_id: str, topic: str, payload: bytes, timeout_s: float
+    ) -> Result[bytes, Fault]:
+        """Send one question and return its answer, or ``PEER_UNREACHABLE``.
+
+        After ``PEER_UNREACHABLE`` the question may or may not have been
+        handled; a handler has to bear being asked twice.
+        """
+
+    def answer(self, topic: str, handler: PeerHandler) -> None:
+        """Register the coroutine that answers a topic's questions.
+
+        It gets the asking member's id and the payload.
+        """
