Serve a request from end to end through separate processes

Cause: every other part grows on a path that already works. Ruled out: a single-process first version; it would have hidden the wire. Change: an ASGI caller edge under hypercorn, an httpcore client for engines, the dispatcher between scheduler and pipeline state, engine stand-ins whose hash model makes any skipped, doubled or reordered layer show in the words, a demo launcher, and one test of the whole path.

--- a/radishfield/edges/__init__.py
+++ b/radishfield/edges/__init__.py
@@ -1,1 +1,23 @@
 """The edges: callers, targets, the platform, operators and peers."""
+
+from radishfield.edges._asgi import (
+    BodyLimit,
+    read_body,
+    send_chunk,
+    send_json,
+    serve_lifespan,
+    start_answer,
+)
+from radishfield.edges._caller import CallerApp
+from radishfield.edges._target import EngineTargets
+
+__all__ = [
+    "BodyLimit",
+    "CallerApp",
+    "EngineTargets",
+    "read_body",
+    "send_chunk",
+    "send_json",
+    "serve_lifespan",
+    "start_answer",
+]
--- /dev/null
+++ b/radishfield/pipeline/__init__.py
@@ -0,0 +1,5 @@
+"""The pipeline's state machine: every layer once for each token, in order."""
+
+from radishfield.pipeline._state import PipelineState
+
+__all__ = ["PipelineState"]
--- /dev/null
+++ b/radishfield/scripts/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command line as ``python -m radishfield.scripts``."""
+
+from radishfield.scripts import main
+
+main()
