Read settings from INI into checked data classes

Cause: the daemon read its file with bare lookups; a wrong key was ignored and a wrong value ended in a traceback. Ruled out: pydantic (not on the hosts); msgspec alone (it stops at the first fault, and knows no units); raising (faults are values here). Change: radishfield.settings with a data class a section, units for durations and sizes, limits by msgspec.Meta, all faults of a file collected, one line each; a printer with defaults; sections of other packages registered by name; the wiring of run moved to scripts/_daemon.py. A target's line now has its zone. Conclusion: the daemon takes an EntrySettings and nothing else.

--- a/radishfield/scripts/_main.py
+++ b/radishfield/scripts/_main.py
@@ -1,44 +1,12 @@
 """The ``radishfield`` command."""
 
-import configparser
-
 import click
-import trio
-from expression import Error, Ok
-from hypercorn.config import Config
-from hypercorn.trio import serve
-
-from radishfield.core import (
-    LayerRange,
-    Profile,
-    ResultCode,
-    SystemClock,
-    Target,
-    fault,
-)
-from radishfield.decisions import Scheduler
-from radishfield.edges import CallerApp, EngineTargets
-from radishfield.serving import Dispatcher
-
-
-class StaticProfiles:
-    """Profiles from the settings file."""
+from expression import Result
 
-    __slots__ = ("_by_name",)
+from radishfield.scripts._daemon import run_entry_host
+from radishfield.settings import EntrySettings, settings_text
 
-    def __init__(self, profiles):
-        self._by_name = {profile.name: profile for profile in profiles}
-
-    def find(self, name):
-        """Return the profile in force, or why there is none."""
-        profile = self._by_name.get(name)
-        if profile is None:
-            return Error(fault(ResultCode.UNKNOWN_PROFILE, name))
-        return Ok(profile)
-
-    def names(self):
-        """Return the names of the profiles in force."""
-        return list(self._by_name)
+EXIT_USAGE = 2
 
 
 @click.group()
@@ -50,29 +18,35 @@
 @click.option("--settings", "path", required=True)
 def run(path):
     """Run an entry host."""
-    parser = configparser.ConfigParser()
-    parser.read(path)
-    clock = SystemClock()
-    dispatcher = Dispatcher(Scheduler(), EngineTargets(), clock)
-    targets = []
-    for name in parser["targets"]:
-        address, model, first, end, layers = parser["targets"][name].split()
-        layer_range = LayerRange(int(first), int(end))
-        targets.append(
-            Target(
-                name,
-                name,
-                "a",
-                address,
-                model=model,
-                layers=layer_range,
-                model_layers=int(layers),
-            )
-        )
-    dispatcher.set_targets(targets, "a")
-    profiles = StaticProfiles(
-        [Profile(name, parser["profiles"][name]) for name in parser["profiles"]]
-    )
-    config = Config()
-    config.bind = [parser["caller"]["bind"]]
-    trio.run(serve, CallerApp(dispatcher, profiles, clock), config)
+    run_entry_host(read_settings(path))
+
+
+@main.group()
+def settings():
+    """Check a settings file, or show it with every default."""
+
+
+@settings.command("check")
+@click.argument("path")
+def check_settings(path):
+    """Check a file; print each fault on a line of its own."""
+    read_settings(path)
+    click.echo(f"{path}: no faults")
+
+
+@settings.command("show")
+@click.argument("path")
+def show_settings(path):
+    """Print a file with every default, and what each key may be."""
+    click.echo(settings_text(read_settings(path)))
+
+
+def read_settings(path: str) -> EntrySettings:
+    """Return the settings, or print every fault and exit."""
+    match EntrySettings.from_file(path):
+        case Result(tag="ok", ok=value):
+            return value
+        case Result(tag="error", error=problems):
+            for problem in problems:
+                click.echo(f"{int(problem.code)} {problem.detail}", err=True)
+    raise SystemExit(EXIT_USAGE)
--- /dev/null
+++ b/radishfield/settings/__init__.py
@@ -0,0 +1,41 @@
+"""Settings: an INI file checked whole, read into typed data classes by section.
+
+Every fault is one line that names file, section, key and what is allowed; all
+of a file's faults come back together, as values.
+"""
+
+from radishfield.settings._printer import settings_text
+from radishfield.settings._reader import EntrySettings
+from radishfield.settings._sections import (
+    CallerSettings,
+    ClaimsSettings,
+    DrainSettings,
+    HostSettings,
+    LogLevel,
+    LogSettings,
+    LogStream,
+    MetricsExport,
+    MetricsSettings,
+    OperatorSettings,
+    PeersSettings,
+    PlatformSettings,
+)
+from radishfield.settings._units import PeerKey
+
+__all__ = [
+    "CallerSettings",
+    "ClaimsSettings",
+    "DrainSettings",
+    "EntrySettings",
+    "HostSettings",
+    "LogLevel",
+    "LogSettings",
+    "LogStream",
+    "MetricsExport",
+    "MetricsSettings",
+    "OperatorSettings",
+    "PeerKey",
+    "PeersSettings",
+    "PlatformSettings",
+    "settings_text",
+]
--- /dev/null
+++ b/radishfield/settings/_lists.py
@@ -0,0 +1,142 @@
+"""The two sections whose keys are names: [targets] and [profiles]."""
+
+from dataclasses import dataclass
+from typing import Annotated
+
+import msgspec
+from expression import Error, Ok, Result
+from msgspec import Meta
+
+from radishfield.core import (
+    Fault,
+    LayerRange,
+    Priority,
+    Profile,
+    ResultCode,
+    Target,
+    TargetKind,
+    fault,
+)
+from radishfield.settings._sections import DURATION, Name
+from radishfield.settings._units import parse_address, parse_duration
+
+TARGET_WORDS = (
+    "address",
+    "zone",
+    "model",
+    "first",
+    "end",
+    "model_layers",
+    "speed",
+    "slots",
+    "kind",
+)
+TARGET_WORDS_NEEDED = 3
+TARGET_ALLOWED = (
+    "ADDRESS ZONE MODEL [FIRST END MODEL_LAYERS [SPEED [SLOTS [KIND]]]], "
+    "KIND engine or service; an engine needs its layers"
+)
+PROFILE_ALLOWED = (
+    "MODEL [kind=engine|service] [priority=urgent|high|normal|low] "
+    "[deadline=DURATION] [idempotent=yes|no]"
+)
+PRIORITY_BY_WORD = {member.name.lower(): member for member in Priority}
+BOOLEAN_BY_WORD = {"yes": True, "no": False}
+Layer = Annotated[int, Meta(ge=0, le=100_000)]
+
+
+@dataclass(slots=True, frozen=True)
+class _TargetLine:
+    address: str
+    zone: Name
+    model: Name
+    first: Layer = 0
+    end: Layer = 0
+    model_layers: Layer = 0
+    speed: Annotated[float, Meta(ge=0, le=1e9)] = 0.0
+    slots: Annotated[int, Meta(ge=1, le=100_000)] = 8
+    kind: TargetKind = TargetKind.ENGINE
+
+
+@dataclass(slots=True, frozen=True)
+class _ProfileLine:
+    model: Name
+    kind: TargetKind = TargetKind.ENGINE
+    priority: Priority = Priority.NORMAL
+    deadline: Annotated[float, Meta(ge=0.01, le=86400, extra=DURATION)] = 30.0
+    idempotent: bool = True
+
+
+def read_target(name: str, text: str) -> Result[Target, Fault]:
+    """Read one line of [targets]."""
+    words = text.split()
+    if not TARGET_WORDS_NEEDED <= len(words) <= len(TARGET_WORDS):
+        return _refused(text, TARGET_ALLOWED)
+    try:
+        parse_address(words[0])
+        value_by_word = dict(zip(TARGET_WORDS, words, strict=False))
+        line = msgspec.convert(value_by_word, _TargetLine, strict=False)
+        msgspec.convert(name, Name)
+    except (ValueError, msgspec.ValidationError):
+        return _refused(text, TARGET_ALLOWED)
+    if line.kind is TargetKind.ENGINE and not line.first < line.end <= (
+        line.model_layers
+    ):
+        return _refused(text, TARGET_ALLOWED)
+    return Ok(
+        Target(
+            id=name,
+            host=name,
+            zone=line.zone,
+            address=line.address,
+            kind=line.kind,
+            model=line.model,
+            layers=LayerRange(line.first, line.end),
+            model_layers=line.model_layers,
+            speed_tps=line.speed,
+            slots=line.slots,
+        )
+    )
+
+
+def read_profile(name: str, text: str) -> Result[Profile, Fault]:
+    """Read one line of [profiles]."""
+    model, *pairs = text.split() or [""]
+    value_by_word: dict[str, object] = {"model": model}
+    try:
+        for pair in pairs:
+            word, _, value = pair.partition("=")
+            value_by_word[word] = _profile_value(word, value)
+        line = msgspec.convert(value_by_word, _ProfileLine, strict=False)
+        msgspec.convert(name, Name)
+    except (ValueError, KeyError, msgspec.ValidationError):
+        return _refused(text, PROFILE_ALLOWED)
+    return Ok(
+        Profile(
+            name,
+            line.model,
+            line.kind,
+            line.priority,
+            line.deadline,
+            line.idempotent,
+            version=1,
+        )
+    )
+
+
+def _profile_value(word: str, text: str) -> object:
+    match word:
+        case "kind":
+            return text
+        case "priority":
+            return PRIORITY_BY_WORD[text]
+        case "deadline":
+            return parse_duration(text)
+        case "idempotent":
+            return BOOLEAN_BY_WORD[text]
+    raise KeyError(word)
+
+
+def _refused(text: str, allowed: str) -> Result:
+    detail = f"{text[:60]!r} is not allowed; allowed: {allowed}"
+    return Error(fault(ResultCode.SETTING_TYPE, detail))
--- /dev/null
+++ b/radishfield/settings/_printer.py
@@ -0,0 +1,43 @@
+"""Prints settings as a file, with every default and what each key may be."""
+
+from radishfield.core import Profile, Target
+from radishfield.settings._fields import section_fields
+from radishfield.settings._reader import SECTION_TYPE_BY_NAME, EntrySettings
+from radishfield.settings._units import duration_text
+
+
+def settings_text(settings: EntrySettings) -> str:
+    """Return the settings as INI with defaults; secrets stay hidden."""
+    lines: list[str] = []
+    for name in SECTION_TYPE_BY_NAME:
+        lines += _section_lines(name, getattr(settings, name))
+    for name, value in settings.extra_by_section.items():
+        lines += _section_lines(name, value)
+    lines += ["[targets]", *map(_target_line, settings.targets), ""]
+    lines += ["[profiles]", *map(_profile_line, settings.profiles), ""]
+    return "\n".join(lines)
+
+
+def _section_lines(name: str, section: object) -> list[str]:
+    lines = [f"[{name}]"]
+    for item in section_fields(type(section)):
+        value = getattr(section, item.name)
+        lines.append(f"# {item.allowed()}")
+        lines.append(f"{item.key} = {item.text(value)}".rstrip())
+    return [*lines, ""]
+
+
+def _target_line(target: Target) -> str:
+    layers = f"{target.layers.first} {target.layers.end} {target.model_layers}"
+    load = f"{target.speed_tps:g} {target.slots} {target.kind}"
+    place = f"{target.address} {target.zone} {target.model}"
+    return f"{target.id} = {place} {layers} {load}"
+
+
+def _profile_line(profile: Profile) -> str:
+    idempotent = "yes" if profile.idempotent else "no"
+    return (
+        f"{profile.name} = {profile.model} kind={profile.kind} "
+        f"priority={profile.priority.name.lower()} "
+        f"deadline={duration_text(profile.deadline_s)} idempotent={idempotent}"
+    )
--- /dev/null
+++ b/radishfield/settings/_reader.py
@@ -0,0 +1,221 @@
+"""Reads a settings file: parse, check every key, check what keys mean together."""
+
+import configparser
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+from typing import TypeVar
+
+from expression import Error, Ok, Result
+
+from radishfield.core import Fault, Profile, ResultCode, Target, fault
+from radishfield.settings._fields import section_fields
+from radishfield.settings._lists import read_profile, read_target
+from radishfield.settings._sections import (
+    CallerSettings,
+    ClaimsSettings,
+    DrainSettings,
+    HostSettings,
+    LogSettings,
+    MetricsExport,
+    MetricsSettings,
+    OperatorSettings,
+    PeersSettings,
+    PlatformSettings,
+)
+
+T = TypeVar("T")
+
+SECTION_TYPE_BY_NAME = {
+    "host": HostSettings,
+    "caller": CallerSettings,
+    "operator": OperatorSettings,
+    "platform": PlatformSettings,
+    "peers": PeersSettings,
+    "claims": ClaimsSettings,
+    "log": LogSettings,
+    "metrics": MetricsSettings,
+    "drain": DrainSettings,
+}
+LINE_READER_BY_SECTION = {"targets": read_target, "profiles": read_profile}
+# Below this length a token can be guessed within a day over a network.
+MIN_TOKEN_LENGTH = 16
+
+
+@dataclass(slots=True, frozen=True)
+class EntrySettings:
+    """All settings of an entry host, by section.
+
+    Attributes
+    ----------
+    extra_by_section : mapping
+        Sections whose data class another package registered in `from_file`.
+    """
+
+    host: HostSettings = HostSettings()
+    caller: CallerSettings = CallerSettings()
+    operator: OperatorSettings = OperatorSettings()
+    platform: PlatformSettings = PlatformSettings()
+    peers: PeersSettings = PeersSettings()
+    claims: ClaimsSettings = ClaimsSettings()
+    log: LogSettings = LogSettings()
+    metrics: MetricsSettings = MetricsSettings()
+    drain: DrainSettings = DrainSettings()
+    targets: tuple[Target, ...] = ()
+    profiles: tuple[Profile, ...] = ()
+    extra_by_section: Mapping[str, object] = field(default_factory=dict)
+
+    @classmethod
+    def from_file(
+        cls, path: str, extra_types: Mapping[str, type] | None = None
+    ) -> Result["EntrySettings", list[Fault]]:
+        """Read and check a file.
+
+        Parameters
+        ----------
+        extra_types : mapping of str to type, optional
+            Data classes of further sections, by section name.  A field may use
+            ``Annotated[float, msgspec.Meta(ge=..., le=...)]`` for its limits.
+        """
+        return _Reading(path, dict(extra_types or {})).settings()
+
+    def section(self, name: str, kind: type[T]) -> T:
+        """Return a registered section; its defaults where the file has none."""
+        value = self.extra_by_section.get(name)
+        return value if isinstance(value, kind) else kind()
+
+
+class _Reading:
+    """One reading of one file; faults gather in ``faults``."""
+
+    __slots__ = ("path", "faults", "_extra_types")
+
+    def __init__(self, path: str, extra_types: dict[str, type]):
+        self.path = path
+        self.faults: list[Fault] = []
+        self._extra_types = extra_types
+
+    def settings(self) -> Result[EntrySettings, list[Fault]]:
+        parser = self._parse()
+        if parser is None:
+            return Error(self.faults)
+        self._check_section_names(parser)
+        value_by_section = {
+            name: self._section(parser, name, kind)
+            for name, kind in SECTION_TYPE_BY_NAME.items()
+        }
+        extra_by_section = {
+            name: self._section(parser, name, kind)
+            for name, kind in self._extra_types.items()
+        }
+        lines_by_section = {
+            name: self._lines(parser, name) for name in LINE_READER_BY_SECTION
+        }
+        settings = EntrySettings(
+            **value_by_section, **lines_by_section, extra_by_section=extra_by_section
+        )
+        if not self.faults:
+            self._check_together(settings)
+        if not self.faults:
+            settings = self._with_token_from_file(settings)
+        return Error(self.faults) if self.faults else Ok(settings)
+
+    def _parse(self) -> configparser.ConfigParser | None:
+        parser = configparser.ConfigParser(interpolation=None, default_section="")
+        # Names of targets and profiles keep their case.
+        parser.optionxform = str
+        try:
+            text = Path(self.path).read_text(encoding="utf-8")
+            parser.read_string(text, source=self.path)
+        except OSError as error:
+            reason = f"{error.strerror}; allowed: a file that can be read"
+            self._add("-", "-", fault(ResultCode.SETTING_FILE_MISSING, reason))
+            return None
+        except (configparser.Error, UnicodeDecodeError, ValueError) as error:
+            reason = " ".join(str(error).split())
+            detail = f"{reason}; allowed: INI, each section and key once, in UTF-8"
+            self._add("-", "-", fault(ResultCode.SETTING_TYPE, detail))
+            return None
+        return parser
+
+    def _check_section_names(self, parser: configparser.ConfigParser) -> None:
+        known = [*SECTION_TYPE_BY_NAME, *LINE_READER_BY_SECTION, *self._extra_types]
+        for name in parser.sections():
+            if name not in known:
+                detail = f"unknown section; allowed: {', '.join(known)}"
+                self._add(name, "-", fault(ResultCode.SETTING_UNKNOWN, detail))
+
+    def _section(
+        self, parser: configparser.ConfigParser, name: str, kind: type[T]
+    ) -> T:
+        field_by_key = {item.key: item for item in section_fields(kind)}
+        value_by_name: dict[str, object] = {}
+        for key, text in parser[name].items() if name in parser else ():
+            item = field_by_key.get(key)
+            if item is None:
+                detail = f"unknown key; allowed: {', '.join(field_by_key)}"
+                self._add(name, key, fault(ResultCode.SETTING_UNKNOWN, detail))
+                continue
+            match item.read(text):
+                case Result(tag="ok", ok=value):
+                    value_by_name[item.name] = value
+                case Result(tag="error", error=problem):
+                    self._add(name, key, problem)
+        return kind(**value_by_name)
+
+    def _lines(self, parser: configparser.ConfigParser, name: str) -> tuple:
+        values = []
+        for key, text in parser[name].items() if name in parser else ():
+            match LINE_READER_BY_SECTION[name](key, text):
+                case Result(tag="ok", ok=value):
+                    values.append(value)
+                case Result(tag="error", error=problem):
+                    self._add(name, key, problem)
+        return tuple(values)
+
+    def _check_together(self, settings: EntrySettings) -> None:
+        for name in ("caller", "operator"):
+            section = getattr(settings, name)
+            if bool(section.tls_cert) != bool(section.tls_key):
+                key = "tls_key" if section.tls_cert else "tls_cert"
+                self._missing(name, key, "tls_cert and tls_key both, or neither")
+        operator, peers = settings.operator, settings.peers
+        if operator.token and operator.token_file:
+            detail = "token is set too; allowed: token or token_file, not both"
+            problem = fault(ResultCode.SETTING_TYPE, detail)
+            self._add("operator", "token_file", problem)
+        if operator.bind and not (operator.token or operator.token_file):
+            self._missing("operator", "token", "token or token_file where bind is set")
+        if peers.bind and peers.active_key not in {key.id for key in peers.keys}:
+            self._missing("peers", "active_key", "the id of one of keys")
+        if (
+            settings.metrics.export is MetricsExport.SCRAPE
+            and settings.metrics.bind
+            and settings.metrics.bind in (settings.caller.bind, operator.bind)
+        ):
+            detail = "another listener has it; allowed: blank, or an address of its own"
+            problem = fault(ResultCode.SETTING_RANGE, detail)
+            self._add("metrics", "bind", problem)
+
+    def _with_token_from_file(self, settings: EntrySettings) -> EntrySettings:
+        operator, key = settings.operator, "token"
+        if operator.token_file:
+            key = "token_file"
+            try:
+                token = Path(operator.token_file).read_text(encoding="utf-8").strip()
+            except (OSError, UnicodeDecodeError):
+                token = ""
+            operator = replace(operator, token=token)
+        if operator.bind and len(operator.token) < MIN_TOKEN_LENGTH:
+            detail = f"too short; allowed: {MIN_TOKEN_LENGTH} characters or more"
+            self._add("operator", key, fault(ResultCode.SETTING_RANGE, detail))
+        return replace(settings, operator=operator)
+
+    def _missing(self, section: str, key: str, allowed: str) -> None:
+        detail = f"not set; allowed: {allowed}"
+        self._add(section, key, fault(ResultCode.SETTING_MISSING, detail))
+
+    def _add(self, section: str, key: str, problem: Fault) -> None:
+        detail = f"{self.path}: [{section}] {key}: {problem.detail}"
+        # One fault is one line, whatever the file's text holds.
+        self.faults.append(fault(problem.code, " ".join(detail.split())))
--- /dev/null
+++ b/radishfield/settings/_sections.py
@@ -0,0 +1,163 @@
+"""The sections of a settings file, as data classes with their limits.
+
+A field's ``Meta`` holds its limits and, under ``unit``, how its text is read.
+The key in the file is the field's name without its unit: ``body_timeout_s`` is
+written ``body_timeout = 10s``.
+"""
+
+import enum
+from dataclasses import dataclass, field
+from typing import Annotated
+
+from msgspec import Meta
+
+from radishfield.settings._units import PeerKey
+
+DURATION = {"unit": "duration"}
+SIZE = {"unit": "size"}
+
+Name = Annotated[
+    str,
+    Meta(
+        pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}\Z",
+        description="1 to 63 letters, digits, '.', '_' or '-'",
+    ),
+]
+Address = Annotated[str, Meta(extra={"unit": "address"})]
+Addresses = Annotated[tuple[str, ...], Meta(extra={"unit": "addresses"})]
+Keys = Annotated[tuple[PeerKey, ...], Meta(extra={"unit": "keys"})]
+FilePath = Annotated[str, Meta(extra={"unit": "file"})]
+Secret = Annotated[str, Meta(extra={"unit": "secret"})]
+ShortTime = Annotated[float, Meta(ge=0.001, le=60.0, extra=DURATION)]
+LongTime = Annotated[float, Meta(ge=0.0, le=86400.0, extra=DURATION)]
+Count = Annotated[int, Meta(ge=1, le=1_000_000)]
+
+
+class LogLevel(enum.StrEnum):
+    """The least urgent level that is written."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+class LogStream(enum.StrEnum):
+    """Where log lines go: hosts have no disks, so there are no log files."""
+
+    STDERR = "stderr"
+    STDOUT = "stdout"
+    OFF = "off"
+
+
+class MetricsExport(enum.StrEnum):
+    """How metrics leave the process."""
+
+    SCRAPE = "scrape"
+    OFF = "off"
+
+
+@dataclass(slots=True, frozen=True)
+class HostSettings:
+    """[host]: which entry host this is, and where it stands."""
+
+    id: Name = "host-1"
+    zone: Name = "a"
+
+
+@dataclass(slots=True, frozen=True)
+class CallerSettings:
+    """[caller]: the listener for callers and its limits.
+
+    Attributes
+    ----------
+    queue : int
+        Admitted requests that may wait for a target.
+    """
+
+    bind: Address = "127.0.0.1:8080"
+    tls_cert: FilePath = ""
+    tls_key: FilePath = ""
+    max_body_bytes: Annotated[int, Meta(ge=1 << 10, le=64 << 20, extra=SIZE)] = 1 << 20
+    body_timeout_s: ShortTime = 10.0
+    max_connections: Count = 4096
+    max_in_flight: Count = 1024
+    queue: Count = 2048
+
+
+@dataclass(slots=True, frozen=True)
+class OperatorSettings:
+    """[operator]: the listener for operators; a blank ``bind`` turns it off."""
+
+    bind: Address = ""
+    token: Secret = field(default="", repr=False)
+    token_file: FilePath = ""
+    tls_cert: FilePath = ""
+    tls_key: FilePath = ""
+
+
+@dataclass(slots=True, frozen=True)
+class PlatformSettings:
+    """[platform]: the object API; a blank ``address`` means none.
+
+    Attributes
+    ----------
+    max_calls_per_s : float
+        This host's budget; the platform counts each call, a watch as one.
+    """
+
+    address: Address = ""
+    call_timeout_s: ShortTime = 2.0
+    max_calls_per_s: Annotated[float, Meta(ge=0.1, le=1000.0)] = 5.0
+
+
+@dataclass(slots=True, frozen=True)
+class PeersSettings:
+    """[peers]: messages between entry hosts; a blank ``bind`` turns them off."""
+
+    bind: Address = ""
+    seeds: Addresses = ()
+    keys: Keys = field(default=(), repr=False)
+    active_key: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class ClaimsSettings:
+    """[claims]: idempotency claims, and how long answers are kept for repeats."""
+
+    keep_s: Annotated[float, Meta(ge=1.0, le=86400.0, extra=DURATION)] = 600.0
+    max_kept: Count = 10_000
+    ask_timeout_s: ShortTime = 0.5
+
+
+@dataclass(slots=True, frozen=True)
+class LogSettings:
+    """[log]: JSON lines, one event each."""
+
+    level: LogLevel = LogLevel.INFO
+    destination: LogStream = LogStream.STDERR
+
+
+@dataclass(slots=True, frozen=True)
+class MetricsSettings:
+    """[metrics]: a blank ``bind`` serves /metrics on the operators' listener."""
+
+    export: MetricsExport = MetricsExport.SCRAPE
+    bind: Address = ""
+
+
+@dataclass(slots=True, frozen=True)
+class DrainSettings:
+    """[drain]: the steps of a graceful shutdown.
+
+    Attributes
+    ----------
+    notice_s : float
+        Time in which new requests are still taken after readiness fails, so
+        that the balancer can notice.
+    timeout_s : float
+        Time after which requests still in flight are given up.
+    """
+
+    notice_s: LongTime = 3.0
+    timeout_s: LongTime = 600.0
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -56,7 +56,7 @@
                 f"--end={end}",
             )
             lines.append(
-                f"{name} = 127.0.0.1:{port} small {first} {end} {MODEL_LAYERS}"
+                f"{name} = 127.0.0.1:{port} a small {first} {end} {MODEL_LAYERS}"
             )
         port = free_port()
         self.entry_ports.append(port)
