Drive requests to an honest end: attempts, resumption, claims, cancels

Cause: the thin dispatcher had no deadline, no withdrawal, no claim and took a failure's last code for the outcome of the whole request. Ruled out: letting each failure's own outcome stand; a request that broke after its start and then failed to connect elsewhere would be told "not run". Conclusion: outcomes are decided in one place, RequestRun.honest.

--- a/radishfield/core/__init__.py
+++ b/radishfield/core/__init__.py
@@ -8,6 +8,7 @@
 from radishfield.core._codes import OUTCOME_BY_CODE, Outcome, ResultCode
 from radishfield.core._data import (
     CacheEvent,
+    Finished,
     Hop,
     Host,
     HostState,
@@ -55,6 +56,7 @@
     "CacheEvent",
     "Clock",
     "Fault",
+    "Finished",
     "Hop",
     "Host",
     "HostListing",
--- a/radishfield/core/_data.py
+++ b/radishfield/core/_data.py
@@ -9,6 +9,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from radishfield.core._codes import ResultCode
+
 
 class Priority(enum.IntEnum):
     """How urgent a profile's work is; a lower number goes first."""
@@ -228,6 +230,22 @@
     prompt_tokens: int = 0
 
 
+@dataclass(slots=True, frozen=True)
+class Finished:
+    """How a model request ended well.
+
+    Attributes
+    ----------
+    reason : str
+        The engine's finish reason, ``stop`` or ``length``.
+    code : ResultCode
+        ``FINISHED``, or ``REPLAYED`` where a repeat got the first run's answer.
+    """
+
+    reason: str
+    code: ResultCode = ResultCode.FINISHED
+
+
 @dataclass(slots=True, frozen=True)
 class ServiceRequest:
     """A call to a plain service, with method, path, body and safe headers."""
@@ -253,6 +271,7 @@
     status: int
     body: bytes
     headers: tuple[tuple[str, str], ...] = ()
+    code: ResultCode = ResultCode.FINISHED
 
 
 @dataclass(slots=True, frozen=True)
--- a/radishfield/core/_errors.py
+++ b/radishfield/core/_errors.py
@@ -18,15 +18,18 @@
     retry_after_s : float or None
         Seconds after which another try has a fair chance; None where another
         try would not help.
-    outcome : Outcome or None
+    proven_outcome : Outcome or None
         Set only where the place of the failure proves more than the code alone
         does, for example a broken connection before the first byte was sent.
+    target_id : str
+        The target held to be at fault, where it is known.
     """
 
     code: ResultCode
     detail: str = ""
     retry_after_s: float | None = None
     proven_outcome: Outcome | None = None
+    target_id: str = ""
 
     @property
     def outcome(self) -> Outcome:
--- a/radishfield/core/_ports.py
+++ b/radishfield/core/_ports.py
@@ -14,6 +14,7 @@
 
 from radishfield.core._data import (
     CacheEvent,
+    Finished,
     Host,
     KvState,
     LoadReport,
@@ -97,8 +98,14 @@
         requests that may not run twice.
         """
 
-    async def cancel(self, target: Target, request_id: str) -> Result[None, Fault]:
-        """Ask a target to forget a request's work and cache."""
+    async def cancel(
+        self, target: Target, request_id: str, attempt: int
+    ) -> Result[None, Fault]:
+        """Ask a target to forget a request's attempts up to this one.
+
+        A cancel may arrive late; without the attempt's number it would end a
+        newer attempt that has come back to the same target.
+        """
 
     async def call(
         self, target: Target, request: ServiceRequest
@@ -198,10 +205,13 @@
 class Serving(Protocol):
     """What the caller edge asks for: the way of a request through the system."""
 
-    async def generate(self, request: Request, sink: TokenSink) -> Result[str, Fault]:
+    async def generate(
+        self, request: Request, sink: TokenSink
+    ) -> Result[Finished, Fault]:
         """Run a model request; committed tokens go to the sink in order.
 
-        The result is the finish reason.
+        A fault's ``outcome`` is what the caller may be told.  Cancelling the
+        call cancels the request's work at its targets.
         """
 
     async def call_service(
--- a/radishfield/edges/_caller.py
+++ b/radishfield/edges/_caller.py
@@ -83,8 +83,8 @@
         match await self._serving.generate(request, sink):
             case Result(tag="error", error=problem):
                 await _refuse(send, problem)
-            case Result(tag="ok", ok=finish):
-                await sink.finish(send, request, finish)
+            case Result(tag="ok", ok=finished):
+                await sink.finish(send, request, finished.reason)
 
 
 class _WholeSink:
--- a/radishfield/scripts/_main.py
+++ b/radishfield/scripts/_main.py
@@ -75,4 +75,14 @@
     )
     config = Config()
     config.bind = [parser["caller"]["bind"]]
-    trio.run(serve, CallerApp(dispatcher, profiles, clock), config)
+    trio.run(
+        serve_until_signal, dispatcher, CallerApp(dispatcher, profiles, clock), config
+    )
+
+
+async def serve_until_signal(dispatcher, app, config):
+    """Run the dispatcher beside the caller edge."""
+    async with trio.open_nursery() as nursery:
+        await nursery.start(dispatcher.run)
+        await serve(app, config)
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/radishfield/serving/_attempt.py
@@ -0,0 +1,137 @@
+"""One attempt: open a stream, check each token's receipt, pass it on."""
+
+from dataclasses import dataclass
+
+from expression import Result
+
+from radishfield.core import (
+    Clock,
+    Fault,
+    Outcome,
+    Request,
+    StreamStart,
+    Target,
+    TargetPort,
+    TokenSink,
+    TokenStream,
+)
+from radishfield.core import ResultCode as Code
+from radishfield.decisions import Dispatch
+from radishfield.pipeline import PipelineState
+from radishfield.serving._observer import Observer
+
+# A connection that went silent, or was reset, is replaced by a new one to the
+# same first stage before the target itself is held to be at fault.  Two tries
+# outlive a path that loses track of one connection twice; a third would only
+# eat into the request's deadline.
+MAX_REOPENS = 2
+PATH_FAILURES = frozenset({Code.STREAM_SILENT, Code.STREAM_BROKEN})
+
+
+@dataclass(slots=True, frozen=True)
+class AttemptFailure:
+    """Why an attempt ended without the request's last token.
+
+    Attributes
+    ----------
+    started : bool
+        Whether any byte may have reached a target.
+    committed : int
+        Tokens committed so far, over all attempts.
+    """
+
+    problem: Fault
+    started: bool
+    committed: int = 0
+
+
+class Attempt:
+    """Runs one attempt of a request on one route."""
+
+    __slots__ = ("_request", "_state", "_sink", "_targets", "_clock", "_observer")
+
+    def __init__(
+        self,
+        request: Request,
+        state: PipelineState,
+        sink: TokenSink,
+        targets: TargetPort,
+        clock: Clock,
+        observer: Observer,
+    ):
+        self._request = request
+        self._state = state
+        self._sink = sink
+        self._targets = targets
+        self._clock = clock
+        self._observer = observer
+
+    async def run(self, head: Target, dispatch: Dispatch) -> AttemptFailure | None:
+        """Run to the last token; None means that the request has finished."""
+        match self._state.start_attempt(dispatch.attempt, dispatch.route):
+            case Result(tag="error", error=problem):
+                return self._failure(problem, started=False)
+        opening = self._targets.open_stream(head, self._start(dispatch))
+        failure = await self._pass_on(opening)
+        reopens = 0
+        while self._path_failed(failure) and reopens < MAX_REOPENS:
+            reopens += 1
+            position = self._state.next_position
+            self._observer.reopened(self._request, position)
+            opening = self._targets.reopen_stream(
+                head, self._request.id, dispatch.attempt, position
+            )
+            again = await self._pass_on(opening)
+            if again is None or self._path_failed(again):
+                failure = again
+            else:
+                # The first stage does not know the attempt any more, or cannot
+                # be reached: the request had been handed over all the same.
+                return self._failure(again.problem, started=True)
+        return failure
+
+    def _path_failed(self, failure: AttemptFailure | None) -> bool:
+        return (
+            failure is not None
+            and failure.started
+            and failure.problem.code in PATH_FAILURES
+        )
+
+    def _start(self, dispatch: Dispatch) -> StreamStart:
+        return StreamStart(
+            self._request.id,
+            dispatch.attempt,
+            dispatch.route,
+            self._request.prompt,
+            self._state.committed,
+            self._request.max_tokens,
+            self._request.deadline - self._clock.now(),
+            self._request.priority,
+        )
+
+    async def _pass_on(self, opening) -> AttemptFailure | None:
+        async with opening as opened:
+            match opened:
+                case Result(tag="error", error=problem):
+                    started = problem.outcome is not Outcome.NOT_RUN
+                    return self._failure(problem, started)
+                case Result(tag="ok", ok=stream):
+                    problem = await self._read(stream)
+        return None if problem is None else self._failure(problem, started=True)
+
+    def _failure(self, problem: Fault, started: bool) -> AttemptFailure:
+        return AttemptFailure(problem, started, self._state.next_position)
+
+    async def _read(self, stream: TokenStream) -> Fault | None:
+        while self._state.finish is None:
+            match await stream.next_token():
+                case Result(tag="error", error=problem):
+                    return problem
+                case Result(tag="ok", ok=token):
+                    pass
+            match self._state.commit(token):
+                case Result(tag="error", error=problem):
+                    return problem
+            self._observer.token(self._request, token)
+            await self._sink.push(token)
+        return None
--- /dev/null
+++ b/radishfield/serving/_canceller.py
@@ -0,0 +1,53 @@
+"""Tells targets, behind the caller's back, to forget work that was given up."""
+
+from dataclasses import dataclass
+
+import trio
+
+from radishfield.core import Target, TargetPort
+
+WORKERS = 4
+CANCEL_TIMEOUT_S = 1.0
+# A target stops by itself at the request's deadline, so a cancel that is dropped
+# here costs wasted work and no promise.  The bound keeps a mass failure from
+# filling the memory with cancels for targets that do not answer.
+MAX_WAITING = 1000
+
+
+@dataclass(slots=True, frozen=True)
+class _Cancel:
+    target: Target
+    request_id: str
+    attempt: int
+
+
+class Canceller:
+    """A service with a bounded queue of cancels and a few workers."""
+
+    __slots__ = ("_targets", "_send", "_receive", "dropped")
+
+    def __init__(self, targets: TargetPort):
+        self._targets = targets
+        self._send, self._receive = trio.open_memory_channel(MAX_WAITING)
+        self.dropped = 0
+
+    def cancel(self, target: Target, request_id: str, attempt: int) -> None:
+        """Queue a cancel of the request's attempts up to this one."""
+        try:
+            self._send.send_nowait(_Cancel(target, request_id, attempt))
+        except trio.WouldBlock:
+            self.dropped += 1
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        """Send queued cancels until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for _ in range(WORKERS):
+                nursery.start_soon(self._work)
+            task_status.started()
+
+    async def _work(self) -> None:
+        async for order in self._receive.clone():
+            with trio.move_on_after(CANCEL_TIMEOUT_S):
+                await self._targets.cancel(
+                    order.target, order.request_id, order.attempt
+                )
--- /dev/null
+++ b/radishfield/serving/_claiming.py
@@ -0,0 +1,57 @@
+"""The face of idempotency claims that the dispatcher works against."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from expression import Ok, Result
+
+from radishfield.core import Fault
+
+
+@dataclass(slots=True, frozen=True)
+class NoClaim:
+    """Stands for the claim of a request that needs none."""
+
+
+@dataclass(slots=True, frozen=True)
+class Replay:
+    """The whole answer of a first run that finished."""
+
+    answer: bytes
+
+
+class ClaimPort(Protocol):
+    """Claims an idempotency key before dispatch, and settles it afterwards."""
+
+    async def claim(
+        self, workspace: str, key: str, digest: str, request_id: str, expires_at: float
+    ) -> Result[object, Fault]:
+        """Return a claim, a replay of the first run's answer, or a fault."""
+
+    async def finish(self, claimed: object, answer: bytes | None) -> None:
+        """Settle: the request ran to its end."""
+
+    async def release(self, claimed: object) -> None:
+        """Settle: the request is proven not to have run."""
+
+    async def mark_unknown(self, claimed: object) -> None:
+        """Settle: the request may have run."""
+
+
+class NoClaims:
+    """For hosts that take no idempotency keys."""
+
+    __slots__ = ()
+
+    async def claim(self, workspace, key, digest, request_id, expires_at):
+        """Grant everything."""
+        return Ok(NoClaim())
+
+    async def finish(self, claimed, answer):
+        """Keep nothing."""
+
+    async def release(self, claimed):
+        """Keep nothing."""
+
+    async def mark_unknown(self, claimed):
+        """Keep nothing."""
--- a/radishfield/serving/_dispatcher.py
+++ b/radishfield/serving/_dispatcher.py
@@ -1,159 +1,321 @@
-"""Drives requests: asks the decisions, runs attempts, answers failures."""
+"""The service behind the caller edge: the way of a request through the system.
 
+A request is claimed (if it may not run twice), waits for its turn, runs its
+attempts, and its claim is settled with what is proven about it.
+"""
+
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import replace
+from typing import TypeVar
+
+import msgspec
 import trio
 from expression import Error, Ok, Result
 
 from radishfield.core import (
     Clock,
     Fault,
+    Finished,
+    Link,
+    LoadReport,
+    Outcome,
+    Receipt,
     Request,
     ResultCode,
-    StreamStart,
+    ServiceAnswer,
+    ServiceRequest,
     Target,
     TargetKind,
     TargetPort,
+    Token,
     TokenSink,
     fault,
 )
-from radishfield.decisions import (
-    Dispatch,
-    Expired,
-    Failure,
-    FailureKind,
-    GiveUp,
-    Refused,
-    Scheduler,
-    Work,
-)
+from radishfield.decisions import Dispatch, Retry, Scheduler, Work
 from radishfield.pipeline import PipelineState
+from radishfield.serving._attempt import Attempt, AttemptFailure
+from radishfield.serving._canceller import Canceller
+from radishfield.serving._claiming import ClaimPort, NoClaims, Replay
+from radishfield.serving._kv import move_kv
+from radishfield.serving._observer import AnyRequest, NullObserver, Observer
+from radishfield.serving._queue import DispatchQueue
+from radishfield.serving._run import RequestRun
 
-FAILURE_KIND_BY_CODE = {
-    ResultCode.TARGET_REFUSED: FailureKind.REFUSED,
-    ResultCode.CONNECT_FAILED: FailureKind.CONNECT,
-    ResultCode.STREAM_SILENT: FailureKind.SILENT,
-    ResultCode.BAD_RECEIPT: FailureKind.BAD_RECEIPT,
-    ResultCode.TARGET_ERROR: FailureKind.ERROR,
-}
+A = TypeVar("A")
 
+# Characters of the prompt whose digest stands for its cached prefix.
+PREFIX_CHARACTERS = 256
+# Settling a claim must outlive the caller's cancellation, but not hold a
+# shutdown for ever.
+SETTLE_TIMEOUT_S = 5.0
 
-class _Waiting:
-    """A queued request's caller, waiting to be dispatched or expired."""
 
-    __slots__ = ("event", "decision")
+class KeptAnswer(msgspec.Struct):
+    """A finished model answer, as a claim keeps it for a repeat."""
 
-    def __init__(self):
-        self.event = trio.Event()
-        self.decision: Dispatch | Expired | None = None
+    texts: list[str]
+    reason: str
 
 
 class Dispatcher:
-    """The service behind the caller edge."""
+    """Serves model requests and plain calls; see `radishfield.core.Serving`."""
 
-    __slots__ = ("_scheduler", "_targets", "_clock", "_waiting_by_request", "_by_id")
+    __slots__ = (
+        "_scheduler",
+        "_targets",
+        "_clock",
+        "_claims",
+        "_observer",
+        "_queue",
+        "_canceller",
+        "_targets_by_id",
+        "_in_flight",
+    )
 
-    def __init__(self, scheduler: Scheduler, targets: TargetPort, clock: Clock):
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        targets: TargetPort,
+        clock: Clock,
+        claims: ClaimPort | None = None,
+        observer: Observer | None = None,
+    ):
         self._scheduler = scheduler
         self._targets = targets
         self._clock = clock
-        self._waiting_by_request: dict[str, _Waiting] = {}
-        self._by_id: dict[str, Target] = {}
+        self._claims = claims or NoClaims()
+        self._observer = observer or NullObserver()
+        self._queue = DispatchQueue(scheduler, clock)
+        self._canceller = Canceller(targets)
+        self._targets_by_id: dict[str, Target] = {}
+        self._in_flight = 0
 
-    def set_targets(self, targets: list[Target], zone: str) -> None:
-        """Replace the view of targets."""
-        self._by_id = {target.id: target for target in targets}
-        self._scheduler.set_fleet(targets, [], zone, 1, self._clock.now())
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests on their way, waiting ones included."""
+        return self._in_flight
 
-    async def generate(self, request: Request, sink: TokenSink) -> Result[str, Fault]:
-        """Run a model request; committed tokens go to the sink in order."""
+    @property
+    def queued(self) -> int:
+        """Return the number of requests that wait for their turn."""
+        return len(self._queue)
+
+    def set_targets(
+        self,
+        targets: Sequence[Target],
+        zone: str,
+        links: Sequence[Link] = (),
+        entry_hosts: int = 1,
+    ) -> None:
+        """Replace the view of targets; requests in flight keep their routes."""
+        self._targets_by_id = {target.id: target for target in targets}
         now = self._clock.now()
-        admitted = self._scheduler.offer(_work_of(request), now)
-        if isinstance(admitted, Refused):
-            return Error(admitted.fault)
-        waiting = _Waiting()
-        self._waiting_by_request[request.id] = waiting
-        self._pump()
-        await waiting.event.wait()
-        if isinstance(waiting.decision, Expired):
-            return Error(waiting.decision.fault)
-        finished = False
-        try:
-            result = await self._run(request, waiting.decision, sink)
-            finished = result.is_ok()
-            return result
-        finally:
-            self._scheduler.ended(request.id, finished, self._clock.now())
-            self._pump()
-
-    def _pump(self) -> None:
-        for decision in self._scheduler.take(self._clock.now()):
-            waiting = self._waiting_by_request.pop(decision.work.request_id)
-            waiting.decision = decision
-            waiting.event.set()
-
-    async def _run(
-        self, request: Request, dispatch: Dispatch, sink: TokenSink
-    ) -> Result[str, Fault]:
+        self._scheduler.set_fleet(targets, links, zone, entry_hosts, now)
+        self._queue.pump()
+
+    def observe_load(self, report: LoadReport) -> None:
+        """Take in a target's load report."""
+        self._scheduler.observe_load(report, self._clock.now())
+        self._queue.pump()
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        """Keep the queue moving and send cancels until cancelled."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._canceller.run)
+            nursery.start_soon(self._queue.run_wakeups)
+            task_status.started()
+
+    async def generate(
+        self, request: Request, sink: TokenSink
+    ) -> Result[Finished, Fault]:
+        """Run a model request; committed tokens go to the sink in order."""
         state = PipelineState(request.id)
-        while True:
-            problem = await self._attempt(request, dispatch, state, sink)
-            if problem is None:
-                return Ok(state.finish or "stop")
-            failure = Failure(
+        attempt = Attempt(
+            request, state, sink, self._targets, self._clock, self._observer
+        )
+
+        async def one(dispatch: Dispatch) -> AttemptFailure | None:
+            return await self._attempt(attempt, request.id, dispatch)
+
+        async def prepare(retry: Retry) -> None:
+            await move_kv(
+                self._targets,
+                self._targets_by_id,
                 request.id,
-                dispatch.route.stages[0].target_id,
-                FAILURE_KIND_BY_CODE.get(problem.code, FailureKind.BROKEN),
-                problem.outcome != "not-run",
-                state.next_position,
+                retry.import_from,
+                retry.dispatch.route,
             )
-            decision = self._scheduler.failed(failure, self._clock.now())
-            if isinstance(decision, GiveUp):
-                return Error(decision.fault)
-            dispatch = decision.dispatch
-            await trio.sleep(decision.after_s)
+
+        async def replay(answer: bytes) -> Finished:
+            kept = msgspec.msgpack.decode(answer, type=KeptAnswer)
+            for token in _replayed_tokens(request.id, kept):
+                await sink.push(token)
+            return Finished(kept.reason, ResultCode.REPLAYED)
+
+        def answer() -> Finished:
+            return Finished(state.finish or "stop")
+
+        def keep() -> bytes:
+            kept = KeptAnswer(list(state.committed), state.finish or "stop")
+            return msgspec.msgpack.encode(kept)
+
+        run = self._new_run(request, _work_of(request))
+        return await self._serve(run, one, prepare, _Ending(answer, keep, replay))
+
+    async def call_service(
+        self, request: ServiceRequest
+    ) -> Result[ServiceAnswer, Fault]:
+        """Run a plain call and return the service's whole answer."""
+        answers: list[ServiceAnswer] = []
+
+        async def one(dispatch: Dispatch) -> AttemptFailure | None:
+            match await self._targets.call(dispatch.target, request):
+                case Result(tag="ok", ok=answer):
+                    answers.append(answer)
+                    return None
+                case Result(tag="error", error=problem):
+                    started = problem.outcome is not Outcome.NOT_RUN
+                    return AttemptFailure(problem, started)
+
+        async def prepare(retry: Retry) -> None:
+            """Move nothing: a plain service has no cache."""
+
+        async def replay(answer: bytes) -> ServiceAnswer:
+            kept = msgspec.msgpack.decode(answer, type=ServiceAnswer)
+            return replace(kept, code=ResultCode.REPLAYED)
+
+        def keep() -> bytes:
+            return msgspec.msgpack.encode(answers[0])
+
+        run = self._new_run(request, _work_of_call(request))
+        ending = _Ending(lambda: answers[0], keep, replay)
+        return await self._serve(run, one, prepare, ending)
+
+    def _new_run(self, request: AnyRequest, work: Work) -> RequestRun:
+        return RequestRun(
+            request, work, self._scheduler, self._queue, self._observer, self._clock
+        )
 
     async def _attempt(
-        self,
-        request: Request,
-        dispatch: Dispatch,
-        state: PipelineState,
-        sink: TokenSink,
-    ) -> Fault | None:
-        match state.start_attempt(dispatch.attempt, dispatch.route):
-            case Result(tag="error", error=problem):
-                return problem
-        start = StreamStart(
+        self, attempt: Attempt, request_id: str, dispatch: Dispatch
+    ) -> AttemptFailure | None:
+        stages = dispatch.route.stages
+        route = [self._targets_by_id.get(stage.target_id) for stage in stages]
+        if None in route:
+            detail = "a stage of the route has left"
+            return AttemptFailure(fault(ResultCode.CONNECT_FAILED, detail), False)
+        finished = False
+        try:
+            failure = await attempt.run(route[0], dispatch)
+            finished = failure is None
+            return failure
+        finally:
+            if not finished:
+                for target in route:
+                    self._canceller.cancel(target, request_id, dispatch.attempt)
+
+    async def _serve(self, run: RequestRun, one, prepare, ending: "_Ending[A]"):
+        request = run.request
+        self._observer.arrived(request)
+        self._in_flight += 1
+        problem: Fault | None = fault(ResultCode.CANCELLED)
+        try:
+            result = await self._serve_claimed(run, one, prepare, ending)
+            problem = result.error if result.is_error() else None
+            return result
+        except trio.Cancelled:
+            problem = run.honest(problem)
+            raise
+        finally:
+            self._in_flight -= 1
+            self._observer.ended(request, problem)
+
+    async def _serve_claimed(
+        self, run: RequestRun, one, prepare, ending: "_Ending[A]"
+    ) -> Result[A, Fault]:
+        request = run.request
+        if request.profile.idempotent or not request.idempotency_key:
+            return await self._run_in_time(run, one, prepare, ending)
+        granted = await self._claims.claim(
+            request.workspace,
+            request.idempotency_key,
+            request.body_digest,
             request.id,
-            dispatch.attempt,
-            dispatch.route,
-            request.prompt,
-            state.committed,
-            request.max_tokens,
-            request.deadline - self._clock.now(),
-            request.priority,
+            request.deadline,
         )
-        head = self._by_id[dispatch.route.stages[0].target_id]
-        async with self._targets.open_stream(head, start) as opened:
-            match opened:
-                case Result(tag="error", error=problem):
-                    return problem
-                case Result(tag="ok", ok=stream):
-                    return await self._pass_on(stream, state, sink)
-        return fault(ResultCode.INTERNAL)
-
-    async def _pass_on(self, stream, state: PipelineState, sink) -> Fault | None:
-        while state.finish is None:
-            match await stream.next_token():
-                case Result(tag="error", error=problem):
-                    return problem
-                case Result(tag="ok", ok=token):
-                    match state.commit(token):
-                        case Result(tag="error", error=problem):
-                            return problem
-                    self._scheduler.progressed(
-                        state.request_id, token.position, self._clock.now()
-                    )
-                    await sink.push(token)
-        return None
+        match granted:
+            case Result(tag="error", error=problem):
+                return Error(problem)
+            case Result(tag="ok", ok=Replay(answer=answer)):
+                return Ok(await ending.replay(answer))
+        claimed = granted.ok
+        result: Result[A, Fault] | None = None
+        try:
+            result = await self._run_in_time(run, one, prepare, ending)
+            return result
+        finally:
+            await self._settle(claimed, run, result, ending)
+
+    async def _run_in_time(
+        self, run: RequestRun, one, prepare, ending: "_Ending[A]"
+    ) -> Result[A, Fault]:
+        self._observer.admitted(run.request)
+        remaining = run.request.deadline - self._clock.now()
+        problem = fault(ResultCode.DEADLINE_PASSED)
+        with trio.move_on_after(max(0.0, remaining)):
+            problem = await run.run(one, prepare)
+        if problem is None:
+            return Ok(ending.answer())
+        if problem.code is ResultCode.DEADLINE_PASSED and not run.started:
+            problem = fault(ResultCode.EXPIRED_IN_QUEUE, "no target came free in time")
+        return Error(run.honest(problem))
+
+    async def _settle(
+        self, claimed, run: RequestRun, result: Result | None, ending: "_Ending"
+    ) -> None:
+        """Settle the claim with what is proven, whatever ended the request.
+
+        Without the shield a caller that disconnects would leave its claim
+        standing as in flight, and a repeat would be turned away until it
+        lapses although the first run is over.
+        """
+        with trio.move_on_after(SETTLE_TIMEOUT_S) as scope:
+            scope.shield = True
+            if result is not None and result.is_ok():
+                await self._claims.finish(claimed, ending.keep())
+            elif run.started:
+                await self._claims.mark_unknown(claimed)
+            else:
+                await self._claims.release(claimed)
+
+
+class _Ending:
+    """How a finished request of one kind is answered, kept and replayed."""
+
+    __slots__ = ("answer", "keep", "replay")
+
+    def __init__(
+        self,
+        answer: Callable[[], A],
+        keep: Callable[[], bytes],
+        replay: Callable[[bytes], Awaitable[A]],
+    ):
+        self.answer = answer
+        self.keep = keep
+        self.replay = replay
+
+
+def _replayed_tokens(request_id: str, kept: KeptAnswer) -> list[Token]:
+    last = len(kept.texts) - 1
+    return [
+        Token(
+            position,
+            text,
+            Receipt(request_id, 0, position, ()),
+            kept.reason if position == last else None,
+        )
+        for position, text in enumerate(kept.texts)
+    ]
 
 
 def _work_of(request: Request) -> Work:
@@ -168,4 +330,18 @@
         request.prompt_tokens,
         request.max_tokens,
         request.profile.idempotent,
+        prefix_key=request.prompt[:PREFIX_CHARACTERS],
+    )
+
+
+def _work_of_call(request: ServiceRequest) -> Work:
+    return Work(
+        request.id,
+        request.workspace,
+        request.profile.model,
+        TargetKind.SERVICE,
+        request.priority,
+        request.arrived,
+        request.deadline,
+        idempotent=request.profile.idempotent,
     )
