--- a/radishfield/serving/_run.py
+++ b/radishfield/serving/_run.py
@@ -73,7 +73,6 @@
         self,
         attempt: AttemptRunner,
         prepare: Callable[[Retry], Awaitable],
-        clock: Clock,
     ) -> Fault | None:
         """Return None once finished, or the fault to tell the caller."""
         turn = await self._queue.wait_turn(self.work)
@@ -98,7 +97,6 @@
         dispatch: Dispatch,
         attempt: AttemptRunner,
         prepare: RetryPreparer,
-        clock: Clock,
     ) -> Fault | None:
         while True:
             self._observer.dispatched(self.request, dispatch)
