--- a/radishfield/core/_data.py
+++ b/radishfield/core/_data.py
@@ -80,11 +80,16 @@
 
 @dataclass(slots=True, frozen=True)
 class Host:
-    """A machine in the platform's list of live and leaving hosts."""
+    """A machine in the platform's list of live and leaving hosts.
+
+    ``address`` is ``ip:port`` of an entry host's peer socket, empty elsewhere;
+    a new entry host finds its first peers by it.
+    """
 
     id: str
     zone: str
     state: HostState = HostState.LIVE
+    address: str = ""
 
 
 class MemberState(enum.StrEnum):
