--- a/radishfield/edges/__init__.py
+++ b/radishfield/edges/__init__.py
@@ -8,13 +8,23 @@
     serve_lifespan,
     start_answer,
 )
-from radishfield.edges._caller import CallerApp
-from radishfield.edges._target import EngineTargets
+from radishfield.edges._caller import (
+    CallerApp,
+)
+from radishfield.edges._platform import (
+    HttpPlatform,
+    PlatformSettings,
+)
+from radishfield.edges._target import (
+    EngineTargets,
+)
 
 __all__ = [
     "BodyLimit",
     "CallerApp",
     "EngineTargets",
+    "HttpPlatform",
+    "PlatformSettings",
     "read_body",
     "send_chunk",
     "send_json",
--- a/radishfield/scripts/_daemon.py
+++ b/radishfield/scripts/_daemon.py
@@ -40,4 +40,13 @@
     profiles = StaticProfiles(settings.profiles)
     config = Config()
     config.bind = [settings.caller.bind]
-    trio.run(serve, CallerApp(dispatcher, profiles, clock), config)
+    app = CallerApp(dispatcher, profiles, clock)
+    trio.run(serve_until_signal, dispatcher, app, config)
+
+
+async def serve_until_signal(dispatcher: Dispatcher, app, config: Config) -> None:
+    """Run the dispatcher beside the caller edge."""
+    async with trio.open_nursery() as nursery:
+        await nursery.start(dispatcher.run)
+        await serve(app, config)
+        nursery.cancel_scope.cancel()
