Complete the targets' edge with an honest outcome for each failure

Cause: the thin path had streams and load reports only; a cut stream, an engine's refusal and a silent connection could not be told apart, and a pooled connection could hold bytes of an earlier answer.

Ruled out: httpcore repeating a request by itself. Reading its pool shows that it tries again only on a connection taken away before the request was sent; a write error is swallowed and shows as a disconnect on the next read, so only the errors of connecting and of the pool's queue prove 'not run'. Also ruled out: reusing connections for streams and calls. A stale or silent one makes the outcome of a call that may not be repeated unknown for nothing.

Change: EngineTargets implements the whole TargetPort; streams and calls go on connections of their own, control calls are pooled and must echo an exchange number (bytes left over in the parser answered the next order without it). Separate limits before and after the first token, bounded lines and answers, protocols by name. Core: Fault.target_id (default empty) names the stage at fault; TokenStream.next_tokens returns all tokens that are ready.

--- a/radishfield/core/_errors.py
+++ b/radishfield/core/_errors.py
@@ -21,12 +21,16 @@
     outcome : Outcome or None
         Set only where the place of the failure proves more than the code alone
         does, for example a broken connection before the first byte was sent.
+    target_id : str
+        The target held to be at fault where somebody on the way named it, such
+        as the first stage that saw its successor die; empty where not known.
     """
 
     code: ResultCode
     detail: str = ""
     retry_after_s: float | None = None
     proven_outcome: Outcome | None = None
+    target_id: str = ""
 
     @property
     def outcome(self) -> Outcome:
--- a/radishfield/core/_ports.py
+++ b/radishfield/core/_ports.py
@@ -52,6 +52,13 @@
         After a token with ``finish`` set, the stream is not read again.
         """
 
+    async def next_tokens(self) -> Result[Sequence[Token], Fault]:
+        """Return every token that is ready now, at least one, in order.
+
+        Tokens that arrived together are decoded and can be passed on together.
+        A fault that follows good tokens is returned by the next call.
+        """
+
 
 @dataclass(slots=True, frozen=True)
 class TargetOrder:
--- a/radishfield/edges/__init__.py
+++ b/radishfield/edges/__init__.py
@@ -10,14 +10,19 @@
 )
 from radishfield.edges._caller import CallerApp
 from radishfield.edges._target import EngineTargets
+from radishfield.edges._target_http import TargetTimeouts
+from radishfield.edges._target_protocols import register_protocol, targets_for
 
 __all__ = [
     "BodyLimit",
     "CallerApp",
     "EngineTargets",
+    "TargetTimeouts",
     "read_body",
+    "register_protocol",
     "send_chunk",
     "send_json",
     "serve_lifespan",
     "start_answer",
+    "targets_for",
 ]
--- a/radishfield/edges/_target.py
+++ b/radishfield/edges/_target.py
@@ -1,88 +1,273 @@
 """The targets' edge: the engine's HTTP protocol behind `TargetPort`."""
 
-from contextlib import asynccontextmanager
+import itertools
+from collections.abc import Sequence
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import replace
+from typing import TypeVar
 
 import httpcore
 import msgspec
+import trio
 from expression import Error, Ok, Result
 
 from radishfield.core import (
+    CacheEvent,
+    Clock,
     Fault,
+    KvState,
     LoadReport,
     Outcome,
     ResultCode,
+    ServiceAnswer,
+    ServiceRequest,
     StreamStart,
+    SystemClock,
     Target,
-    Token,
+    TargetOrder,
+    TokenStream,
     fault,
 )
+from radishfield.edges import _target_wire as wire
+from radishfield.edges._target_answers import (
+    refusal_of,
+    service_answer,
+    service_headers,
+)
+from radishfield.edges._target_http import (
+    Exchange,
+    TargetConnections,
+    TargetTimeouts,
+    begin,
+    header_of,
+    read_whole,
+)
+from radishfield.edges._target_stream import TokenLines
+
+# A whole answer is held in memory until it is passed on.
+MAX_SERVICE_ANSWER_BYTES = 4 << 20
+MAX_CONTROL_ANSWER_BYTES = 1 << 20
+MAX_KV_BYTES = 64 << 20
 
-CONNECT_TIMEOUT_S = 1.0
-READ_TIMEOUT_S = 10.0
+T = TypeVar("T")
 
 
 class EngineTargets:
-    """Engines reached over pooled HTTP connections."""
+    """Engines and plain services reached over HTTP.
 
-    __slots__ = ("_pool",)
+    Nothing is ever sent twice here: whether another try is right depends on
+    the request, so it is the dispatcher's to decide.
+    """
 
-    def __init__(self):
-        self._pool = httpcore.AsyncConnectionPool(max_connections=256)
+    __slots__ = ("_connections", "_timeouts", "_clock", "_exchanges")
+
+    def __init__(
+        self,
+        timeouts: TargetTimeouts | None = None,
+        clock: Clock | None = None,
+    ):
+        self._connections = TargetConnections()
+        self._timeouts = timeouts or TargetTimeouts()
+        self._clock = clock or SystemClock()
+        self._exchanges = itertools.count(1)
 
     @asynccontextmanager
-    async def open_stream(self, target: Target, start: StreamStart):
-        """Start an attempt at the route's first stage."""
-        url = f"http://{target.address}/engine/v1/streams"
-        timeouts = {"connect": CONNECT_TIMEOUT_S, "read": READ_TIMEOUT_S}
-        try:
-            async with self._pool.stream(
-                "POST",
-                url,
-                content=msgspec.json.encode(start),
-                extensions={"timeout": timeouts},
-            ) as response:
-                yield Ok(_LineStream(response))
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
-            yield Error(
-                Fault(
-                    ResultCode.CONNECT_FAILED,
-                    str(error),
-                    proven_outcome=Outcome.NOT_RUN,
+    async def open_stream(
+        self, target: Target, start: StreamStart, idle_s: float | None = None
+    ):
+        """Start an attempt at the route's first stage.
+
+        ``idle_s`` overrides the setting where the caller knows the expected
+        time between tokens.
+        """
+        async with self._stream(target, wire.STREAMS_PATH, start, idle_s) as opened:
+            yield opened
+
+    @asynccontextmanager
+    async def reopen_stream(
+        self, target: Target, request_id: str, attempt: int, position: int
+    ):
+        """Attach again, on a new connection, to an attempt that still runs.
+
+        The attempt has been handed over before, so no failure here may say
+        "not run".
+        """
+        body = wire.Reopen(request_id, attempt, position)
+        async with self._stream(target, wire.REOPEN_PATH, body, None) as opened:
+            yield opened.map_error(_may_have_run)
+
+    async def cancel(self, target: Target, request_id: str) -> Result[None, Fault]:
+        """Ask a target to forget a request's work and cache."""
+        body = wire.Cancel(request_id)
+        answer = await self._control("POST", target, wire.CANCEL_PATH, body)
+        return answer.map(lambda _: None)
+
+    async def call(
+        self, target: Target, request: ServiceRequest
+    ) -> Result[ServiceAnswer, Fault]:
+        """Call a plain service and return its whole answer."""
+        remaining = request.deadline - self._clock.now()
+        if remaining <= 0:
+            detail = "the deadline passed before the call was sent"
+            passed = fault(ResultCode.DEADLINE_PASSED, detail)
+            return Error(replace(passed, proven_outcome=Outcome.NOT_RUN))
+        exchange = Exchange(
+            request.method,
+            f"http://{target.address}{request.path}",
+            request.body,
+            service_headers(request),
+        )
+        with trio.move_on_after(remaining):
+            async with AsyncExitStack() as stack:
+                opened = await begin(
+                    stack,
+                    self._connections.fresh,
+                    exchange,
+                    min(self._timeouts.connect_s, remaining),
+                    remaining,
                 )
-            )
+                match opened:
+                    case Result(tag="ok", ok=response):
+                        return await service_answer(response, MAX_SERVICE_ANSWER_BYTES)
+                    case Result(tag="error", error=problem):
+                        return Error(_late(problem))
+        return Error(fault(ResultCode.DEADLINE_PASSED, "no whole answer in time"))
 
     async def load(self, target: Target) -> Result[LoadReport, Fault]:
         """Return the target's load report."""
-        url = f"http://{target.address}/engine/v1/load"
-        try:
-            answer = await self._pool.request("GET", url)
-            return Ok(msgspec.json.decode(answer.content, type=LoadReport))
-        except (httpcore.NetworkError, httpcore.TimeoutException) as error:
-            return Error(fault(ResultCode.CONNECT_FAILED, str(error)))
-
-
-class _LineStream:
-    """One token a line of JSON."""
-
-    __slots__ = ("_chunks", "_buffer")
-
-    def __init__(self, response: httpcore.Response):
-        self._chunks = response.aiter_stream()
-        self._buffer = b""
-
-    async def next_token(self) -> Result[Token, Fault]:
-        """Return the next token, or the fault that ended the stream."""
-        try:
-            while b"\n" not in self._buffer:
-                self._buffer += await anext(self._chunks)
-        except StopAsyncIteration:
-            return Error(fault(ResultCode.ANSWER_TRUNCATED))
-        except httpcore.TimeoutException:
-            return Error(fault(ResultCode.STREAM_SILENT))
-        except (httpcore.NetworkError, httpcore.RemoteProtocolError) as error:
-            return Error(fault(ResultCode.STREAM_BROKEN, str(error)))
-        line, _, self._buffer = self._buffer.partition(b"\n")
-        try:
-            return Ok(msgspec.json.decode(line, type=Token))
-        except msgspec.MsgspecError as error:
-            return Error(fault(ResultCode.MALFORMED_ANSWER, str(error)))
+        answer = await self._control("GET", target, wire.LOAD_PATH)
+        return answer.bind(lambda body: _decoded(body, LoadReport))
+
+    async def cache_events(
+        self, target: Target, after: int
+    ) -> Result[Sequence[CacheEvent], Fault]:
+        """Return cache events with a sequence above ``after``; gaps happen."""
+        path = f"{wire.EVENTS_PATH}?after={after}"
+        answer = await self._control("GET", target, path)
+        decoded = answer.bind(lambda body: _decoded(body, wire.CacheEvents))
+        return decoded.map(lambda page: page.events)
+
+    async def order(self, target: Target, order: TargetOrder) -> Result[None, Fault]:
+        """Give an order; a fenced order is refused with ``ORDER_FENCED``.
+
+        A target that is asked again for an order it has carried out answers as
+        if it had just done so, but nothing is asked again here.
+        """
+        answer = await self._control("POST", target, wire.ORDERS_PATH, order)
+        done = answer.bind(lambda body: _decoded(body, wire.OrderDone))
+        return done.bind(lambda value: _same_fencing(value, order))
+
+    async def export_kv(
+        self, target: Target, request_id: str
+    ) -> Result[KvState, Fault]:
+        """Read a request's KV cache from a target that is still alive."""
+        path = f"{wire.KV_PATH}/{request_id}"
+        answer = await self._control("GET", target, path, max_bytes=MAX_KV_BYTES)
+        return answer.bind(lambda body: _decoded(body, KvState))
+
+    async def import_kv(self, target: Target, state: KvState) -> Result[None, Fault]:
+        """Hand a request's KV cache to a target before an attempt starts."""
+        answer = await self._control("PUT", target, wire.KV_PATH, state)
+        return answer.map(lambda _: None)
+
+    @asynccontextmanager
+    async def _stream(
+        self, target: Target, path: str, body: object, idle_s: float | None
+    ):
+        timeouts = self._timeouts
+        if idle_s is not None:
+            timeouts = replace(timeouts, idle_s=idle_s)
+        exchange = self._exchange("POST", target, path, body)
+        async with AsyncExitStack() as stack:
+            opened = await begin(
+                stack,
+                self._connections.fresh,
+                exchange,
+                timeouts.connect_s,
+                timeouts.first_token_s,
+            )
+            match opened:
+                case Result(tag="error", error=problem):
+                    yield Error(problem)
+                case Result(tag="ok", ok=response):
+                    with trio.move_on_after(timeouts.control_s) as scope:
+                        checked = await self._checked(response, exchange)
+                    if scope.cancelled_caught:
+                        checked = Error(fault(ResultCode.STREAM_SILENT))
+                    yield checked.map(lambda good: _lines(good, timeouts))
+
+    async def _control(
+        self,
+        method: str,
+        target: Target,
+        path: str,
+        body: object = None,
+        max_bytes: int = MAX_CONTROL_ANSWER_BYTES,
+    ) -> Result[bytes, Fault]:
+        exchange = self._exchange(method, target, path, body)
+        limit_s = self._timeouts.control_s
+        with trio.move_on_after(limit_s):
+            async with AsyncExitStack() as stack:
+                opened = await begin(
+                    stack,
+                    self._connections.pooled,
+                    exchange,
+                    self._timeouts.connect_s,
+                    limit_s,
+                )
+                match opened:
+                    case Result(tag="error"):
+                        return opened
+                    case Result(tag="ok", ok=response):
+                        match await self._checked(response, exchange):
+                            case Result(tag="error", error=problem):
+                                return Error(problem)
+                        return await read_whole(response, max_bytes)
+        return Error(fault(ResultCode.STREAM_SILENT, f"no answer within {limit_s} s"))
+
+    def _exchange(self, method: str, target: Target, path: str, body) -> Exchange:
+        content = b"" if body is None else msgspec.json.encode(body)
+        number = str(next(self._exchanges)).encode()
+        headers = (
+            (b"host", target.address.encode()),
+            (b"content-length", str(len(content)).encode()),
+            (wire.EXCHANGE_HEADER, number),
+        )
+        return Exchange(method, f"http://{target.address}{path}", content, headers)
+
+    async def _checked(
+        self, response: httpcore.Response, exchange: Exchange
+    ) -> Result[httpcore.Response, Fault]:
+        if header_of(response, wire.EXCHANGE_HEADER) != exchange.headers[-1][1]:
+            detail = "the answer belongs to another request"
+            return Error(fault(ResultCode.MALFORMED_ANSWER, detail))
+        if response.status == 200:
+            return Ok(response)
+        return Error(await refusal_of(response))
+
+
+def _lines(response: httpcore.Response, timeouts: TargetTimeouts) -> TokenStream:
+    return TokenLines(response, timeouts)
+
+
+def _may_have_run(problem: Fault) -> Fault:
+    return replace(problem, proven_outcome=Outcome.UNKNOWN)
+
+
+def _late(problem: Fault) -> Fault:
+    if problem.code == ResultCode.STREAM_SILENT:
+        return fault(ResultCode.DEADLINE_PASSED, problem.detail)
+    return problem
+
+
+def _decoded(body: bytes, kind: type[T]) -> Result[T, Fault]:
+    try:
+        return Ok(msgspec.json.decode(body, type=kind))
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        return Error(fault(ResultCode.MALFORMED_ANSWER, str(error)))
+
+
+def _same_fencing(done: wire.OrderDone, order: TargetOrder) -> Result[None, Fault]:
+    if done.fencing == order.fencing:
+        return Ok(None)
+    return Error(fault(ResultCode.MALFORMED_ANSWER, "answer to another order"))
--- /dev/null
+++ b/radishfield/edges/_target_http.py
@@ -0,0 +1,160 @@
+"""HTTP towards targets: which connection is used, and what a failure proves.
+
+Streams and calls go out on connections of their own, and only short control
+calls are pooled.  A pooled connection may have gone silent, may be closed by
+the target while the request is on its way, and may hold bytes of an earlier
+answer.  The first costs a caller the idle limit; the second makes the outcome
+of a request that may not be repeated unknown for nothing; the third hands one
+caller another's answer.  A connection costs one round trip for each request
+(docs/PIPELINE.md has the figure), which a stream of many tokens does not feel.
+
+httpcore itself repeats nothing once a byte was written: it tries again only
+where a connection was taken away before the request was sent on it.  A write
+error is swallowed there and shows as a disconnect on the following read, so
+"not run" is taken only from the errors of connecting and of the pool's queue.
+"""
+
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+
+import httpcore
+import trio
+from expression import Error, Ok, Result
+
+from radishfield.core import Fault, Outcome, ResultCode, fault
+
+# Streams of one entry host: about 90 at the size of the letter, so this is a
+# bound on a leak or a flood of callers, not on ordinary work.
+MAX_STREAM_CONNECTIONS = 1024
+MAX_CONTROL_CONNECTIONS = 256
+# Idle control connections are closed before a middlebox is likely to forget
+# them: load reports are fetched every second or so, and renew it.
+CONTROL_KEEPALIVE_S = 15.0
+
+
+@dataclass(slots=True, frozen=True)
+class TargetTimeouts:
+    """Limits on waiting for a target, in seconds.
+
+    Attributes
+    ----------
+    first_token_s : float
+        From the start of a stream to its first token.  A long prompt's prefill
+        takes seconds, and must not be taken for silence.
+    idle_s : float
+        Between tokens after the first: many times the expected 43 ms.
+    control_s : float
+        For a whole load report, order or other control call.
+    """
+
+    connect_s: float = 1.0
+    first_token_s: float = 10.0
+    idle_s: float = 2.0
+    control_s: float = 2.0
+
+
+class TargetConnections:
+    """The two ways to reach a target over HTTP."""
+
+    __slots__ = ("fresh", "pooled")
+
+    def __init__(self):
+        self.fresh = httpcore.AsyncConnectionPool(
+            max_connections=MAX_STREAM_CONNECTIONS, max_keepalive_connections=0
+        )
+        self.pooled = httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONTROL_CONNECTIONS,
+            keepalive_expiry=CONTROL_KEEPALIVE_S,
+        )
+
+
+@dataclass(slots=True, frozen=True)
+class Exchange:
+    """One request to a target."""
+
+    method: str
+    url: str
+    content: bytes = b""
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+
+
+async def begin(
+    stack: AsyncExitStack,
+    pool: httpcore.AsyncConnectionPool,
+    exchange: Exchange,
+    connect_s: float,
+    answer_s: float,
+) -> Result[httpcore.Response, Fault]:
+    """Send a request and wait for the head of its answer.
+
+    The answer is closed when the stack is; an answer that was not read to its
+    end takes its connection with it.
+    """
+    timeouts = {"connect": connect_s, "pool": connect_s, "write": answer_s}
+    with trio.move_on_after(answer_s):
+        try:
+            response = await stack.enter_async_context(
+                pool.stream(
+                    exchange.method,
+                    exchange.url,
+                    headers=list(exchange.headers),
+                    content=exchange.content,
+                    extensions={"timeout": timeouts},
+                )
+            )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            return Error(_not_run(ResultCode.CONNECT_FAILED, str(error)))
+        except httpcore.PoolTimeout:
+            return Error(_not_run(ResultCode.CONNECT_FAILED, "no free connection"))
+        except (httpcore.LocalProtocolError, httpcore.UnsupportedProtocol) as error:
+            return Error(_not_run(ResultCode.BAD_HEADER, str(error)))
+        except (httpcore.NetworkError, httpcore.TimeoutException) as error:
+            return Error(fault(ResultCode.STREAM_BROKEN, str(error)))
+        except httpcore.RemoteProtocolError as error:
+            return Error(broken_answer(error))
+        return Ok(response)
+    return Error(fault(ResultCode.STREAM_SILENT, f"no answer within {answer_s} s"))
+
+
+async def read_whole(
+    response: httpcore.Response, max_bytes: int
+) -> Result[bytes, Fault]:
+    """Read an answer's body, up to a number of bytes."""
+    chunks: list[bytes] = []
+    size = 0
+    try:
+        async for chunk in response.aiter_stream():
+            size += len(chunk)
+            if size > max_bytes:
+                detail = f"answer is over {max_bytes} bytes"
+                return Error(fault(ResultCode.ANSWER_TOO_LARGE, detail))
+            chunks.append(chunk)
+    except httpcore.NetworkError as error:
+        return Error(fault(ResultCode.STREAM_BROKEN, str(error)))
+    except httpcore.RemoteProtocolError as error:
+        return Error(broken_answer(error))
+    return Ok(b"".join(chunks))
+
+
+def header_of(response: httpcore.Response, name: bytes) -> bytes:
+    """Return a header's value, or nothing; the name is in lower case."""
+    for key, value in response.headers:
+        if key.lower() == name:
+            return value
+    return b""
+
+
+def broken_answer(error: httpcore.RemoteProtocolError) -> Fault:
+    """Tell a connection that was cut from an answer that is no HTTP.
+
+    h11 words both as protocol errors; only the first is worth another try at
+    the same target.
+    """
+    text = str(error)
+    if "disconnected" in text or "closed" in text or "incomplete" in text:
+        return fault(ResultCode.STREAM_BROKEN, text)
+    return fault(ResultCode.MALFORMED_ANSWER, text)
+
+
+def _not_run(code: ResultCode, detail: str) -> Fault:
+    return Fault(code, detail, proven_outcome=Outcome.NOT_RUN)
--- /dev/null
+++ b/radishfield/edges/_target_wire.py
@@ -0,0 +1,84 @@
+"""Messages of the engine's HTTP protocol, beside those that core defines.
+
+Both the targets' edge and the engine stand-in import these, so that neither
+spells a path or a field by itself.
+"""
+
+from dataclasses import dataclass
+
+from radishfield.core import CacheEvent
+
+STREAMS_PATH = "/engine/v1/streams"
+REOPEN_PATH = "/engine/v1/streams/reopen"
+CANCEL_PATH = "/engine/v1/cancel"
+LOAD_PATH = "/engine/v1/load"
+EVENTS_PATH = "/engine/v1/cache-events"
+ORDERS_PATH = "/engine/v1/orders"
+KV_PATH = "/engine/v1/kv"
+STEP_PATH = "/engine/v1/step"
+
+# An engine that refuses before it starts says so; without this header a refusal
+# proves nothing, because it may come from something between the two ends.
+NOT_STARTED_HEADER = b"x-not-started"
+
+# The engine repeats this header of the request in its answer.  Bytes left over
+# from an earlier answer on a pooled connection parse as a valid answer to the
+# next request; they carry the earlier number, so they are told apart.
+EXCHANGE_HEADER = b"x-exchange"
+
+
+@dataclass(slots=True, frozen=True)
+class ErrorLine:
+    """The last line of a stream that failed.
+
+    Attributes
+    ----------
+    error_code : int
+        A `ResultCode` number.
+    target_id : str
+        The stage at fault; empty where it is not known.
+    """
+
+    error_code: int
+    detail: str = ""
+    target_id: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Refusal:
+    """Body of an answer that refuses a request or an order."""
+
+    error_code: int
+    detail: str = ""
+    retry_after_s: float | None = None
+    target_id: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Reopen:
+    """Asks for an attempt's tokens from a position on."""
+
+    request_id: str
+    attempt: int
+    position: int
+
+
+@dataclass(slots=True, frozen=True)
+class Cancel:
+    """Asks an engine to forget a request."""
+
+    request_id: str
+
+
+@dataclass(slots=True, frozen=True)
+class CacheEvents:
+    """Cache events above the sequence number that was asked for."""
+
+    events: tuple[CacheEvent, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class OrderDone:
+    """An order was carried out under this fencing number."""
+
+    fencing: int
