--- a/standins/engine.py
+++ b/standins/engine.py
@@ -31,8 +31,11 @@
     serve_lifespan,
     start_answer,
 )
+from radishfield.edges._target_wire import EXCHANGE_HEADER
 from standins.model import first_hidden, run_layers, word_of
 
+NDJSON_TYPE = b"application/x-ndjson"
+
 
 @dataclass(slots=True, frozen=True)
 class Step:
@@ -66,12 +69,13 @@
             await serve_lifespan(receive, send)
             return
         path = scope["path"]
+        echo = [item for item in scope["headers"] if item[0] == EXCHANGE_HEADER]
         if path == "/engine/v1/load":
-            await send_json(send, 200, self._load())
+            await send_json(send, 200, self._load(), echo)
             return
         body = (await read_body(receive, BodyLimit())).ok
         if path == "/engine/v1/streams":
-            await self._stream(msgspec.json.decode(body, type=StreamStart), send)
+            await self._stream(msgspec.json.decode(body, type=StreamStart), send, echo)
         elif path == "/engine/v1/step":
             step = await self._step(msgspec.json.decode(body, type=Step))
             await send_json(send, 200, step)
@@ -83,8 +87,8 @@
             self.target_id, 1, self.layers, self.model, "1", self.in_flight, 0, 8, 0.0
         )
 
-    async def _stream(self, start: StreamStart, send) -> None:
-        await start_answer(send, 200, [(b"content-type", b"application/x-ndjson")])
+    async def _stream(self, start: StreamStart, send, echo) -> None:
+        await start_answer(send, 200, [(b"content-type", NDJSON_TYPE), *echo])
         committed = list(start.committed)
         self.in_flight += 1
         while len(committed) < start.max_tokens:
