--- a/radishfield/core/_errors.py
+++ b/radishfield/core/_errors.py
@@ -22,7 +22,8 @@
         Set only where the place of the failure proves more than the code alone
         does, for example a broken connection before the first byte was sent.
     target_id : str
-        The target held to be at fault, where it is known.
+        The target held to be at fault where somebody on the way named it, such
+        as the first stage that saw its successor die; empty where not known.
     """
 
     code: ResultCode
--- a/radishfield/edges/__init__.py
+++ b/radishfield/edges/__init__.py
@@ -18,6 +18,13 @@
 from radishfield.edges._target import (
     EngineTargets,
 )
+from radishfield.edges._target_http import (
+    TargetTimeouts,
+)
+from radishfield.edges._target_protocols import (
+    register_protocol,
+    targets_for,
+)
 
 __all__ = [
     "BodyLimit",
@@ -25,9 +32,12 @@
     "EngineTargets",
     "HttpPlatform",
     "PlatformSettings",
+    "TargetTimeouts",
     "read_body",
+    "register_protocol",
     "send_chunk",
     "send_json",
     "serve_lifespan",
     "start_answer",
+    "targets_for",
 ]
