Complete the callers' edge

Cause: the thin edge took one route, trusted its input and ended a failed stream like a whole one. Ruled out: one send for each token from the dispatcher's task: a caller that stops reading held the engine's stream, because the server's send cannot be cancelled. The name of a request as callers send it as its key inside: two callers with one id would have shared tokens. A block list of headers for plain services. HTTP/2, where a cut stream stays open. Change: both model interfaces, models, plain services, headers with limits, the errors' shape, draining, disconnects, sampling passed on to engines (core gains Sampling), tokens that are ready together in one event; ListenerConfig with a send timeout in the kernel. Conclusion: the public client streams and reads whole; every bad input has its number.

--- a/radishfield/core/_data.py
+++ b/radishfield/core/_data.py
@@ -209,6 +209,18 @@
     finish: str | None = None
 
 
+@dataclass(slots=True, frozen=True)
+class Sampling:
+    """How an engine picks each token; None leaves the engine's own default."""
+
+    temperature: float | None = None
+    top_p: float | None = None
+    seed: int | None = None
+    stop: tuple[str, ...] = ()
+    presence_penalty: float | None = None
+    frequency_penalty: float | None = None
+
+
 @dataclass(slots=True, frozen=True)
 class Request:
     """A model request, as the caller edge hands it on.
@@ -233,6 +245,7 @@
     idempotency_key: str = ""
     body_digest: str = ""
     prompt_tokens: int = 0
+    sampling: Sampling = Sampling()
 
 
 @dataclass(slots=True, frozen=True)
@@ -300,6 +313,7 @@
     max_tokens: int
     timeout_s: float
     priority: Priority = Priority.NORMAL
+    sampling: Sampling = Sampling()
 
 
 @dataclass(slots=True, frozen=True)
--- a/radishfield/edges/__init__.py
+++ b/radishfield/edges/__init__.py
@@ -11,6 +11,13 @@
 from radishfield.edges._caller import (
     CallerApp,
 )
+from radishfield.edges._caller_intake import (
+    CallerLimits,
+)
+from radishfield.edges._listener import (
+    ListenerConfig,
+    serve_app,
+)
 from radishfield.edges._platform import (
     HttpPlatform,
     PlatformSettings,
@@ -29,14 +36,17 @@
 __all__ = [
     "BodyLimit",
     "CallerApp",
+    "CallerLimits",
     "EngineTargets",
     "HttpPlatform",
+    "ListenerConfig",
     "PlatformSettings",
     "TargetTimeouts",
     "read_body",
     "register_protocol",
     "send_chunk",
     "send_json",
+    "serve_app",
     "serve_lifespan",
     "start_answer",
     "targets_for",
--- a/radishfield/edges/_asgi.py
+++ b/radishfield/edges/_asgi.py
@@ -9,6 +9,11 @@
 from radishfield.core import Fault, ResultCode, fault
 
 JSON_TYPE = b"application/json"
+# A body that is too large is read on for this long and this far before it is
+# refused.  Without it the connection would be reset while the caller still
+# sends, and the caller would see a network error in place of the answer.
+DISCARD_TIMEOUT_S = 2.0
+DISCARD_BYTES = 16 << 20
 
 
 @dataclass(slots=True, frozen=True)
@@ -23,7 +28,7 @@
     """Read a whole request body within the limit's bytes and seconds."""
     chunks: list[bytes] = []
     size = 0
-    with trio.move_on_after(limit.timeout_s) as scope:
+    with trio.move_on_after(limit.timeout_s):
         while True:
             message = await receive()
             if message["type"] == "http.disconnect":
@@ -31,15 +36,26 @@
             chunk = message.get("body", b"")
             size += len(chunk)
             if size > limit.max_bytes:
-                detail = f"body is over {limit.max_bytes} bytes"
-                return Error(fault(ResultCode.BODY_TOO_LARGE, detail))
+                break
             chunks.append(chunk)
             if not message.get("more_body", False):
                 return Ok(b"".join(chunks))
-    if scope.cancelled_caught:
-        detail = f"body took over {limit.timeout_s} s"
-        return Error(fault(ResultCode.BODY_TOO_SLOW, detail))
-    raise AssertionError("unreachable")
+    if size > limit.max_bytes:
+        await _discard_body(receive)
+        detail = f"body is over {limit.max_bytes} bytes"
+        return Error(fault(ResultCode.BODY_TOO_LARGE, detail))
+    detail = f"body took over {limit.timeout_s} s"
+    return Error(fault(ResultCode.BODY_TOO_SLOW, detail))
+
+
+async def _discard_body(receive) -> None:
+    discarded = 0
+    with trio.move_on_after(DISCARD_TIMEOUT_S):
+        while discarded < DISCARD_BYTES:
+            message = await receive()
+            discarded += len(message.get("body", b""))
+            if not message.get("more_body", False):
+                return
 
 
 async def start_answer(send, status: int, headers: list[tuple[bytes, bytes]]) -> None:
@@ -59,9 +75,19 @@
     headers: list[tuple[bytes, bytes]] | None = None,
 ) -> None:
     """Send a whole answer of one JSON value."""
-    body = msgspec.json.encode(value)
+    await send_bytes(send, status, msgspec.json.encode(value), JSON_TYPE, headers)
+
+
+async def send_bytes(
+    send,
+    status: int,
+    body: bytes,
+    content_type: bytes,
+    headers: list[tuple[bytes, bytes]] | None = None,
+) -> None:
+    """Send a whole answer."""
     fixed = [
-        (b"content-type", JSON_TYPE),
+        (b"content-type", content_type),
         (b"content-length", str(len(body)).encode()),
     ]
     await start_answer(send, status, fixed + (headers or []))
@@ -77,3 +103,22 @@
         elif message["type"] == "lifespan.shutdown":
             await send({"type": "lifespan.shutdown.complete"})
             return
+
+
+async def run_until_disconnect(receive, work) -> None:
+    """Run ``work`` and cancel it as soon as the other end has gone.
+
+    The messages are read on while the work runs.  Without that a caller that
+    has gone would hold its place at the targets until its deadline, and a full
+    queue of unread messages would keep the server from closing the connection.
+    """
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
+        await work()
+        nursery.cancel_scope.cancel()
+
+
+async def _cancel_on_disconnect(receive, scope: trio.CancelScope) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    scope.cancel()
--- a/radishfield/edges/_caller.py
+++ b/radishfield/edges/_caller.py
@@ -1,139 +1,313 @@
-"""The callers' edge: the chat-completions interface as an ASGI application."""
+"""The callers' edge: model requests and plain calls as an ASGI application.
 
-import time
-import uuid
+Here a request enters and leaves.  What it may ask for is checked in
+``_caller_headers``, ``_caller_bodies`` and ``_caller_services``; how its answer
+looks is in ``_caller_answers`` and ``_status``.
+"""
 
-import msgspec
+import trio
 from expression import Result
 
 from radishfield.core import (
     Clock,
     Fault,
+    Profile,
     ProfileSource,
     Request,
     ResultCode,
+    ServiceRequest,
     Serving,
-    Token,
+    TargetKind,
     fault,
 )
 from radishfield.edges._asgi import (
-    BodyLimit,
     read_body,
-    send_chunk,
-    send_json,
+    run_until_disconnect,
+    send_bytes,
     serve_lifespan,
-    start_answer,
+)
+from radishfield.edges._caller_answers import Answer, StreamSink, WholeSink
+from radishfield.edges._caller_bodies import ModelCall, Shape, read_model_call
+from radishfield.edges._caller_headers import CallerHeaders, new_headers, read_headers
+from radishfield.edges._caller_intake import CallerLimits, Intake
+from radishfield.edges._caller_requests import (
+    ModelEntry,
+    ModelList,
+    ModelWork,
+    model_request,
+    of_kind,
+    service_request,
+)
+from radishfield.edges._caller_services import (
+    METHODS,
+    SERVICES_PREFIX,
+    headers_to_caller,
+    read_service_path,
+)
+from radishfield.telemetry import (
+    NullTelemetry,
+    RequestKind,
+    RequestRecords,
+    Telemetry,
+    current_request_id,
+    log_event,
 )
 
-
-class ChatMessage(msgspec.Struct):
-    """One message of a chat."""
-
-    role: str
-    content: str
-
-
-class ChatBody(msgspec.Struct):
-    """The body of a chat-completions request."""
-
-    model: str
-    messages: list[ChatMessage]
-    stream: bool = False
-    max_tokens: int = 16
+SHAPE_BY_PATH = {
+    "/v1/chat/completions": Shape.CHAT,
+    "/v1/completions": Shape.COMPLETION,
+}
+MODELS_PATH = "/v1/models"
+# The dispatcher ends a request at its deadline.  Should it ever fail to, this
+# is the second line: the caller still gets an answer, and the place is freed.
+DEADLINE_GRACE_S = 1.0
 
 
 class CallerApp:
     """The ASGI application that callers speak to."""
 
-    __slots__ = ("_serving", "_profiles", "_clock")
+    __slots__ = (
+        "_serving",
+        "_profiles",
+        "_clock",
+        "_limits",
+        "_intake",
+        "_telemetry",
+        "_records",
+    )
 
-    def __init__(self, serving: Serving, profiles: ProfileSource, clock: Clock):
+    def __init__(
+        self,
+        serving: Serving,
+        profiles: ProfileSource,
+        clock: Clock,
+        limits: CallerLimits | None = None,
+        telemetry: Telemetry | None = None,
+        records: RequestRecords | None = None,
+    ):
         self._serving = serving
         self._profiles = profiles
         self._clock = clock
+        self._limits = limits or CallerLimits()
+        self._intake = Intake(self._limits, clock)
+        self._telemetry = telemetry or NullTelemetry()
+        self._records = records or RequestRecords()
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests that are being served."""
+        return self._intake.in_flight
+
+    @property
+    def is_draining(self) -> bool:
+        """Return whether `start_draining` has been called."""
+        return self._intake.is_draining
+
+    def start_draining(self) -> None:
+        """Fail readiness now, and refuse new requests after the notice time."""
+        self._intake.start_draining()
+
+    async def wait_idle(self) -> None:
+        """Wait until the notice time is over and nothing is in flight."""
+        await self._intake.wait_idle()
 
     async def __call__(self, scope, receive, send):
         """Answer one request."""
-        if scope["type"] == "lifespan":
-            await serve_lifespan(receive, send)
+        match scope["type"]:
+            case "lifespan":
+                await serve_lifespan(receive, send)
+            case "http":
+                await self._serve_safely(scope, receive, send)
+            case "websocket":
+                await receive()
+                await send({"type": "websocket.close", "code": 1003})
+
+    async def _serve_safely(self, scope, receive, send) -> None:
+        match read_headers(scope["headers"]):
+            case Result(tag="ok", ok=headers):
+                problem = None
+            case Result(tag="error", error=problem):
+                headers = new_headers()
+        answer = Answer(send, headers)
+        mark = current_request_id.set(headers.request_id)
+        try:
+            if problem is not None:
+                await self._refuse(answer, problem)
+            else:
+                await self._route(scope, receive, send, answer)
+        except Exception:
+            # A defect of ours must not show a traceback, nor end a stream as if
+            # it were whole: an answer that has started is cut instead.
+            log_event("request.defect", 40, defect=True)
+            if not answer.started:
+                await self._refuse(answer, fault(ResultCode.INTERNAL))
+        finally:
+            current_request_id.reset(mark)
+
+    async def _route(self, scope, receive, send, answer: Answer) -> None:
+        path, method = scope["path"], scope["method"]
+        if not scope["http_version"].startswith("1"):
+            # A stream that is cut over HTTP/2 would stay open for ever here.
+            problem = fault(ResultCode.UNKNOWN_ROUTE, "HTTP/1.1 only")
+            await self._refuse(answer, problem)
             return
-        if scope["path"] != "/v1/chat/completions":
-            await _refuse(send, fault(ResultCode.UNKNOWN_ROUTE, scope["path"]))
+        if path in SHAPE_BY_PATH:
+            if await self._allows(answer, method, "POST"):
+                shape = SHAPE_BY_PATH[path]
+                await self._enter(
+                    answer, lambda: self._serve_model(shape, receive, answer)
+                )
+        elif scope["raw_path"].startswith(SERVICES_PREFIX):
+            if await self._allows(answer, method, *METHODS):
+                await self._enter(
+                    answer, lambda: self._serve_call(scope, receive, answer)
+                )
+        elif path == MODELS_PATH or path.startswith(MODELS_PATH + "/"):
+            if await self._allows(answer, method, "GET", "HEAD"):
+                await self._list_models(answer, path.removeprefix(MODELS_PATH))
+        elif path in ("/healthz", "/readyz"):
+            await self._tell_health(path, send)
+        else:
+            await self._refuse(answer, fault(ResultCode.UNKNOWN_ROUTE, path[:100]))
+
+    async def _allows(self, answer: Answer, method: str, *allowed: str) -> bool:
+        if method in allowed:
+            return True
+        words = ", ".join(allowed)
+        problem = fault(ResultCode.METHOD_NOT_ALLOWED, f"allowed: {words}")
+        self._note_refusal(problem)
+        await answer.refuse(problem, [(b"allow", words.encode())])
+        return False
+
+    async def _enter(self, answer: Answer, serve) -> None:
+        """Serve one request and count it in flight, or refuse it."""
+        problem = self._intake.refusal()
+        if problem is not None:
+            await self._refuse(answer, problem)
             return
-        body = (await read_body(receive, BodyLimit())).ok
-        chat = msgspec.json.decode(body, type=ChatBody)
-        match self._profiles.find(chat.model):
-            case Result(tag="ok", ok=profile):
-                await self._generate(chat, profile, send)
+        with self._intake.count():
+            await serve()
+
+    async def _serve_model(self, shape: Shape, receive, answer: Answer) -> None:
+        arrived = self._clock.now()
+        body = await read_body(receive, self._limits.body)
+        match body.bind(lambda raw: read_model_call(shape, raw)).bind(
+            lambda call: self._model_work(call, answer.headers, arrived)
+        ):
             case Result(tag="error", error=problem):
-                await _refuse(send, problem)
-
-    async def _generate(self, chat: ChatBody, profile, send) -> None:
-        now = self._clock.now()
-        request = Request(
-            id=uuid.uuid4().hex,
-            workspace="default",
-            profile=profile,
-            prompt="\n".join(message.content for message in chat.messages),
-            max_tokens=chat.max_tokens,
-            arrived=now,
-            deadline=now + profile.deadline_s,
+                await self._refuse(answer, problem)
+            case Result(tag="ok", ok=ModelWork(call=call, request=request)):
+                self._open_record(answer.headers, request.profile)
+                await run_until_disconnect(
+                    receive, lambda: self._answer_model(call, request, answer)
+                )
+
+    def _model_work(
+        self, call: ModelCall, headers: CallerHeaders, arrived: float
+    ) -> Result[ModelWork, Fault]:
+        profile = self._find_profile(call.profile, TargetKind.ENGINE)
+        return profile.map(
+            lambda found: ModelWork(call, model_request(headers, call, found, arrived))
         )
-        sink = _StreamSink(send, chat.model) if chat.stream else _WholeSink()
-        match await self._serving.generate(request, sink):
+
+    async def _answer_model(
+        self, call: ModelCall, request: Request, answer: Answer
+    ) -> None:
+        if not call.is_streamed:
+            await self._generate(request, WholeSink(call, answer))
+            return
+        sink = StreamSink(call, answer)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(sink.write_out)
+            await self._generate(request, sink)
+
+    async def _generate(self, request: Request, sink: StreamSink | WholeSink) -> None:
+        problem = fault(ResultCode.DEADLINE_PASSED)
+        with self._time_limit(request):
+            match await self._serving.generate(request, sink):
+                case Result(tag="ok", ok=finished):
+                    problem = None
+                case Result(tag="error", error=problem):
+                    pass
+        if problem is None:
+            await sink.finish(finished)
+        else:
+            await sink.fail(problem)
+
+    async def _serve_call(self, scope, receive, answer: Answer) -> None:
+        arrived = self._clock.now()
+        called = read_service_path(scope["raw_path"], scope["query_string"])
+        found = called.bind(
+            lambda path: self._find_profile(path.profile, TargetKind.SERVICE)
+        )
+        if found.is_error():
+            await self._refuse(answer, found.error)
+            return
+        match await read_body(receive, self._limits.body):
             case Result(tag="error", error=problem):
-                await _refuse(send, problem)
-            case Result(tag="ok", ok=finished):
-                await sink.finish(send, request, finished.reason)
-
-
-class _WholeSink:
-    __slots__ = ("texts",)
-
-    def __init__(self):
-        self.texts: list[str] = []
-
-    async def push(self, token: Token) -> None:
-        self.texts.append(token.text)
-
-    async def finish(self, send, request: Request, reason: str) -> None:
-        message = {"role": "assistant", "content": " ".join(self.texts)}
-        choice = {"index": 0, "message": message, "finish_reason": reason}
-        value = {
-            "id": request.id,
-            "object": "chat.completion",
-            "created": int(time.time()),
-            "model": request.profile.name,
-            "choices": [choice],
-        }
-        await send_json(send, 200, value, [(b"x-request-id", request.id.encode())])
-
-
-class _StreamSink:
-    __slots__ = ("_send", "_model", "_started")
-
-    def __init__(self, send, model: str):
-        self._send = send
-        self._model = model
-        self._started = False
-
-    async def push(self, token: Token) -> None:
-        if not self._started:
-            self._started = True
-            await start_answer(
-                self._send, 200, [(b"content-type", b"text/event-stream")]
-            )
-        delta = {"index": 0, "delta": {"content": token.text + " "}}
-        delta["finish_reason"] = token.finish
-        value = {"id": "1", "object": "chat.completion.chunk", "created": 0}
-        value |= {"model": self._model, "choices": [delta]}
-        await send_chunk(self._send, b"data: " + msgspec.json.encode(value) + b"\n\n")
-
-    async def finish(self, send, request: Request, reason: str) -> None:
-        await send_chunk(send, b"data: [DONE]\n\n", more=False)
-
-
-async def _refuse(send, problem: Fault) -> None:
-    error = {"code": int(problem.code), "message": problem.detail}
-    error["outcome"] = problem.outcome
-    await send_json(send, 503, {"error": error})
+                await self._refuse(answer, problem)
+            case Result(tag="ok", ok=body):
+                request = service_request(
+                    answer.headers, scope, called.ok.path, found.ok, body, arrived
+                )
+                self._open_record(answer.headers, request.profile)
+                await run_until_disconnect(receive, lambda: self._call(request, answer))
+
+    async def _call(self, request: ServiceRequest, answer: Answer) -> None:
+        problem = fault(ResultCode.DEADLINE_PASSED)
+        with self._time_limit(request):
+            match await self._serving.call_service(request):
+                case Result(tag="ok", ok=served):
+                    problem = None
+                case Result(tag="error", error=problem):
+                    pass
+        if problem is not None:
+            await answer.refuse(problem)
+            return
+        content_type, headers = headers_to_caller(served)
+        await answer.raw(served.status, served.body, content_type, headers, served.code)
+
+    def _time_limit(self, request: Request | ServiceRequest) -> trio.CancelScope:
+        remaining = request.deadline - self._clock.now() + DEADLINE_GRACE_S
+        return trio.move_on_after(max(0.0, remaining))
+
+    def _find_profile(self, name: str, kind: TargetKind) -> Result[Profile, Fault]:
+        return self._profiles.find(name).bind(lambda found: of_kind(found, kind))
+
+    def _open_record(self, headers: CallerHeaders, profile: Profile) -> None:
+        self._records.open(
+            headers.request_id,
+            headers.caller_id,
+            headers.workspace,
+            profile.name,
+            self._clock.now(),
+        )
+
+    async def _list_models(self, answer: Answer, rest: str) -> None:
+        names = self._profiles.names()
+        name = rest.removeprefix("/")
+        if not rest:
+            models = ModelList(tuple(ModelEntry(name) for name in names))
+            await answer.json(models, ResultCode.FINISHED)
+        elif name in names:
+            await answer.json(ModelEntry(name), ResultCode.FINISHED)
+        else:
+            problem = fault(ResultCode.UNKNOWN_PROFILE, name[:100])
+            await self._refuse(answer, problem)
+
+    async def _tell_health(self, path: str, send) -> None:
+        is_up = path == "/healthz" or not self.is_draining
+        status, word = (200, b"ok\n") if is_up else (503, b"draining\n")
+        await send_bytes(send, status, word, b"text/plain")
+
+    async def _refuse(self, answer: Answer, problem: Fault) -> None:
+        self._note_refusal(problem)
+        await answer.refuse(problem)
+
+    def _note_refusal(self, problem: Fault) -> None:
+        """Count what never reached the dispatcher, which counts the rest."""
+        self._telemetry.refused(problem.code)
+        self._telemetry.ended(RequestKind.MODEL, problem.outcome, problem.code, 0.0)
+        log_event(
+            "request.refused", code=int(problem.code), reason=problem.code.name.lower()
+        )
--- /dev/null
+++ b/radishfield/edges/_caller_bodies.py
@@ -0,0 +1,194 @@
+"""The bodies of model requests, in the interface that clients already speak.
+
+A field that would change the answer and cannot be honoured is refused by name;
+fields that only label a request are taken and passed over.
+"""
+
+import enum
+import hashlib
+import re
+from dataclasses import dataclass
+from typing import Annotated, Literal
+
+import msgspec
+from expression import Error, Ok, Result
+from msgspec import Meta
+
+from radishfield.core import Fault, ResultCode, Sampling, fault
+
+# The interface's own default where a completion names no length.
+DEFAULT_MAX_TOKENS = 16
+MAX_MAX_TOKENS = 32_768
+# Admission needs a length before any tokenizer has run; English text has about
+# four bytes a token, and admission is corrected by what is measured.
+BYTES_PER_TOKEN = 4
+
+Count = Annotated[int, Meta(ge=1, le=MAX_MAX_TOKENS)]
+ModelName = Annotated[str, Meta(min_length=1, max_length=64)]
+StopText = Annotated[str, Meta(min_length=1, max_length=64)]
+Penalty = Annotated[float, Meta(ge=-2, le=2)]
+
+_UNKNOWN_FIELD = re.compile(r"unknown field `([^`]{1,60})`")
+
+
+class Shape(enum.Enum):
+    """Which of the two interfaces a request came by."""
+
+    CHAT = "chat.completion"
+    COMPLETION = "text_completion"
+
+
+class TextPart(msgspec.Struct, forbid_unknown_fields=True):
+    """A part of a message; only text is taken."""
+
+    type: Literal["text"]
+    text: str
+
+
+class ChatMessage(msgspec.Struct, forbid_unknown_fields=True):
+    """One message of a chat."""
+
+    role: Literal["system", "developer", "user", "assistant"]
+    content: str | list[TextPart]
+    name: str | None = None
+
+    def text(self) -> str:
+        """Return the message's text in one piece."""
+        if isinstance(self.content, str):
+            return self.content
+        return "".join(part.text for part in self.content)
+
+
+class StreamOptions(msgspec.Struct, forbid_unknown_fields=True):
+    """What a caller wants to see in its stream."""
+
+    include_usage: bool = False
+    include_obfuscation: bool = False
+
+
+class CommonBody(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """The fields that both interfaces share."""
+
+    model: ModelName
+    stream: bool | None = None
+    stream_options: StreamOptions | None = None
+    max_tokens: Count | None = None
+    n: Literal[1] | None = None
+    temperature: Annotated[float, Meta(ge=0, le=2)] | None = None
+    top_p: Annotated[float, Meta(gt=0, le=1)] | None = None
+    seed: int | None = None
+    stop: StopText | Annotated[list[StopText], Meta(max_length=4)] | None = None
+    presence_penalty: Penalty | None = None
+    frequency_penalty: Penalty | None = None
+    user: str | None = None
+
+    def sampling(self) -> Sampling:
+        """Return what the engine is told about picking tokens."""
+        stop = [self.stop] if isinstance(self.stop, str) else self.stop or []
+        return Sampling(
+            self.temperature,
+            self.top_p,
+            self.seed,
+            tuple(stop),
+            self.presence_penalty,
+            self.frequency_penalty,
+        )
+
+
+class ChatBody(CommonBody, kw_only=True, forbid_unknown_fields=True):
+    """The body of a chat-completions request."""
+
+    messages: Annotated[list[ChatMessage], Meta(min_length=1)]
+    max_completion_tokens: Count | None = None
+    metadata: dict[str, str] | None = None
+    store: Literal[False] | None = None
+    safety_identifier: str | None = None
+    prompt_cache_key: str | None = None
+
+    def prompt(self) -> str:
+        """Return the conversation as one text; a lone user message stays bare."""
+        if len(self.messages) == 1 and self.messages[0].role == "user":
+            return self.messages[0].text()
+        return "\n".join(f"{item.role}: {item.text()}" for item in self.messages)
+
+    def length(self) -> int:
+        """Return how many tokens may be generated."""
+        return self.max_completion_tokens or self.max_tokens or DEFAULT_MAX_TOKENS
+
+
+class CompletionBody(CommonBody, kw_only=True, forbid_unknown_fields=True):
+    """The body of a completions request."""
+
+    prompt_field: str | Annotated[list[str], Meta(min_length=1, max_length=1)] = (
+        msgspec.field(name="prompt")
+    )
+    echo: Literal[False] | None = None
+    best_of: Literal[1] | None = None
+
+    def prompt(self) -> str:
+        """Return the one prompt."""
+        if isinstance(self.prompt_field, str):
+            return self.prompt_field
+        return self.prompt_field[0]
+
+    def length(self) -> int:
+        """Return how many tokens may be generated."""
+        return self.max_tokens or DEFAULT_MAX_TOKENS
+
+
+@dataclass(slots=True, frozen=True)
+class ModelCall:
+    """A model request's body, checked and in one form for both interfaces.
+
+    Attributes
+    ----------
+    digest : str
+        Digest of all that decides the answer, the same for a streamed and a
+        whole answer and for any order of the body's fields.
+    """
+
+    shape: Shape
+    profile: str
+    prompt: str
+    max_tokens: int
+    prompt_tokens: int
+    is_streamed: bool
+    shows_usage: bool
+    sampling: Sampling
+    digest: str
+
+
+def read_model_call(shape: Shape, body: bytes) -> Result[ModelCall, Fault]:
+    """Check a body and return the call that it asks for."""
+    kind = ChatBody if shape is Shape.CHAT else CompletionBody
+    try:
+        decoded = msgspec.json.decode(body, type=kind)
+        return Ok(_model_call(shape, decoded))
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        return Error(_body_fault(str(error)))
+
+
+def _model_call(shape: Shape, body: ChatBody | CompletionBody) -> ModelCall:
+    prompt = body.prompt()
+    sampling = body.sampling()
+    decisive = (shape.value, body.model, prompt, body.length(), sampling)
+    options = body.stream_options or StreamOptions()
+    return ModelCall(
+        shape=shape,
+        profile=body.model,
+        prompt=prompt,
+        max_tokens=body.length(),
+        prompt_tokens=max(1, len(prompt.encode()) // BYTES_PER_TOKEN),
+        is_streamed=bool(body.stream),
+        shows_usage=options.include_usage,
+        sampling=sampling,
+        digest=hashlib.sha256(msgspec.json.encode(decisive)).hexdigest(),
+    )
+
+
+def _body_fault(reason: str) -> Fault:
+    unknown = _UNKNOWN_FIELD.search(reason)
+    if unknown:
+        return fault(ResultCode.UNSUPPORTED_FIELD, unknown[1])
+    # The reason names the place and the type, never the caller's text.
+    return fault(ResultCode.MALFORMED_BODY, reason[:200])
--- /dev/null
+++ b/radishfield/edges/caller_wire_test.py
@@ -0,0 +1,179 @@
+"""Tests of the caller edge over real connections, with the public client.
+
+The edge runs in a thread with a scripted `Serving`; the path through whole
+processes is played in standins/openai_client_test.py.
+"""
+
+import socket
+import threading
+from contextlib import contextmanager
+
+import httpcore
+import openai
+import pytest
+import trio
+from expression import Error, Ok
+
+from radishfield.core import Finished, Receipt, ResultCode, SystemClock, Token, fault
+from radishfield.edges import CallerApp, CallerLimits, ListenerConfig, serve_app
+from radishfield.edges.caller_test import CHAT, HELLO, Profiles, ScriptedServing
+
+MESSAGES = [{"role": "user", "content": "hello"}]
+
+
+@contextmanager
+def edge_over(serving):
+    """Serve in a thread; yield the address, then stop gracefully."""
+    config = ListenerConfig.from_settings("127.0.0.1:0", drain_s=5.0)
+    app = CallerApp(serving, Profiles(), SystemClock(), CallerLimits())
+    ready = threading.Event()
+    found = []
+
+    async def main():
+        stop = trio.Event()
+        found.extend([trio.lowlevel.current_trio_token(), stop])
+        async with trio.open_nursery() as nursery:
+            found.extend(await nursery.start(serve_app, app, config, stop))
+            ready.set()
+
+    thread = threading.Thread(target=trio.run, args=(main,))
+    thread.start()
+    try:
+        assert ready.wait(10)
+        token, stop, address = found
+        yield address
+    finally:
+        token.run_sync_soon(stop.set)
+        thread.join(20)
+        assert not thread.is_alive()
+
+
+def client_of(address):
+    return openai.OpenAI(
+        base_url=f"{address}/v1", api_key="not-checked", max_retries=0, timeout=10
+    )
+
+
+def test_public_client_reads_whole_streamed_and_listed_answers():
+    with edge_over(ScriptedServing(["one", "two", "three"])) as address:
+        client = client_of(address)
+        whole = client.chat.completions.create(model="review", messages=MESSAGES)
+        assert whole.choices[0].message.content == "one two three"
+        assert whole.usage.completion_tokens == 3
+        stream = client.chat.completions.create(
+            model="review",
+            messages=MESSAGES,
+            stream=True,
+            stream_options={"include_usage": True},
+        )
+        chunks = list(stream)
+        texts = [c.choices[0].delta.content or "" for c in chunks if c.choices]
+        assert "".join(texts) == "one two three"
+        assert chunks[-2].choices[0].finish_reason == "length"
+        assert chunks[-1].usage.completion_tokens == 3
+        text = client.completions.create(model="review", prompt="hello")
+        assert text.choices[0].text == "one two three"
+        assert [model.id for model in client.models.list()] == ["review", "portal"]
+        client.close()
+
+
+def test_public_client_sees_a_broken_stream_as_an_error():
+    """The caller's client raises; it never returns a part as if it were whole."""
+    broken = Error(fault(ResultCode.STREAM_BROKEN, "stage died"))
+    with edge_over(ScriptedServing(["one"], broken, pause_s=0.05)) as address:
+        client = client_of(address)
+        stream = client.chat.completions.create(
+            model="review", messages=MESSAGES, stream=True
+        )
+        with pytest.raises(openai.APIError) as caught:
+            list(stream)
+        assert caught.value.body["code"] == int(ResultCode.STREAM_BROKEN)
+        client.close()
+
+
+def test_connection_of_a_broken_stream_is_closed_without_the_last_chunk():
+    broken = Error(fault(ResultCode.STREAM_BROKEN, "stage died"))
+    with edge_over(ScriptedServing(["one"], broken, pause_s=0.05)) as address:
+        with httpcore.ConnectionPool() as pool:
+            content = b'{"model":"review","stream":true,"messages":'
+            content += b'[{"role":"user","content":"hello"}]}'
+            with pytest.raises(httpcore.RemoteProtocolError):
+                pool.request("POST", address + CHAT, content=content)
+
+
+def test_public_client_comes_back_when_it_was_told_to():
+    class FullOnce(ScriptedServing):
+        async def generate(self, request, sink):
+            if not self.requests:
+                self.requests.append(request)
+                return Error(fault(ResultCode.QUEUE_FULL, "full", retry_after_s=0.05))
+            return await super().generate(request, sink)
+
+    serving = FullOnce(["one"])
+    with edge_over(serving) as address:
+        client = client_of(address).with_options(max_retries=1)
+        whole = client.chat.completions.create(model="review", messages=MESSAGES)
+        assert whole.choices[0].message.content == "one"
+        client.close()
+    assert len(serving.requests) == 2
+
+
+def test_caller_that_closes_its_connection_frees_its_work():
+    """The caller closes in the middle of a stream; its work is cancelled."""
+    serving = ScriptedServing(["word"] * 10_000, Ok(Finished("length")), pause_s=0.01)
+    with edge_over(serving) as address:
+        client = client_of(address)
+        stream = client.chat.completions.create(
+            model="review", messages=MESSAGES, stream=True
+        )
+        next(iter(stream))
+        stream.close()
+        client.close()
+        for _ in range(200):
+            if serving.cancelled:
+                break
+            threading.Event().wait(0.02)
+        assert serving.cancelled == 1
+
+
+def test_oversized_body_gets_its_answer_and_no_broken_connection():
+    with edge_over(ScriptedServing()) as address:
+        with httpcore.ConnectionPool() as pool:
+            answer = pool.request("POST", address + CHAT, content=b" " * (3 << 20))
+    assert answer.status == 413
+
+
+def test_garbage_on_the_wire_gets_an_http_error_and_the_host_goes_on():
+    with edge_over(ScriptedServing(["one"])) as address:
+        host, _, port = address.removeprefix("http://").rpartition(":")
+        for garbage in (
+            b"\x00" * 64,
+            b"GET\r\n\r\n",
+            b"\x16\x03\x01" * 40 + b"\r\n\r\n",
+        ):
+            with socket.create_connection((host, int(port)), timeout=5) as raw:
+                raw.sendall(garbage)
+                raw.shutdown(socket.SHUT_WR)
+                assert raw.recv(1000)[:12] in (b"", b"HTTP/1.1 400")
+        client = client_of(address)
+        whole = client.chat.completions.create(**HELLO)
+        assert whole.choices[0].message.content == "one"
+        client.close()
+
+
+def test_tokens_reach_the_caller_without_waiting_for_the_end():
+    class TwoParts(ScriptedServing):
+        async def generate(self, request, sink):
+            await sink.push(Token(0, "one", Receipt(request.id, 1, 0, ())))
+            await trio.sleep(0.5)
+            return self.ending
+
+    with edge_over(TwoParts()) as address:
+        client = client_of(address)
+        stream = client.chat.completions.create(
+            model="review", messages=MESSAGES, stream=True
+        )
+        began = SystemClock().now()
+        next(iter(stream))
+        assert SystemClock().now() - began < 0.4
+        client.close()
--- a/radishfield/serving/_attempt.py
+++ b/radishfield/serving/_attempt.py
@@ -107,6 +107,7 @@
             self._request.max_tokens,
             self._request.deadline - self._clock.now(),
             self._request.priority,
+            sampling=self._request.sampling,
         )
 
     async def _pass_on(self, opening) -> AttemptFailure | None:
--- a/radishfield/settings/_sections.py
+++ b/radishfield/settings/_sections.py
@@ -80,7 +80,6 @@
     tls_key: FilePath = ""
     max_body_bytes: Annotated[int, Meta(ge=1 << 10, le=64 << 20, extra=SIZE)] = 1 << 20
     body_timeout_s: ShortTime = 10.0
-    max_connections: Count = 4096
     max_in_flight: Count = 1024
     queue: Count = 2048
 
