Measure what an entry host costs for each request and token

Cause: the target size asks 2,060 tokens/s of a node; nothing told what a token costs the real daemon. Ruled out: timing inside the process, which misses the kernel and the event loop; the kernel's own CPU count of the process is taken instead. Change: bench/entry_host.py, two answer lengths, the difference is the token.

--- /dev/null
+++ b/bench/entry_host.py
@@ -0,0 +1,117 @@
+"""What one entry host costs: CPU per request and per token, and its memory.
+
+Run with ``python -m bench.entry_host``.  It starts a small fleet, sends bounded
+load over loopback at two answer lengths, and reads the entry host's CPU time
+from the kernel.  The difference of the two lengths gives the cost of a token,
+the remainder the cost of a request.
+"""
+
+import os
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import click
+import httpcore
+import msgspec
+import trio
+
+from standins.launcher import SmallFleet
+
+CALLERS = 8
+REQUESTS = 120
+SHORT_TOKENS = 4
+LONG_TOKENS = 36
+STEP_MS = 1.0
+
+
+@dataclass(slots=True, frozen=True)
+class Sample:
+    """What one run of requests of one length cost the entry host."""
+
+    requests: int
+    tokens: int
+    cpu_s: float
+    wall_s: float
+
+
+def cpu_seconds(process_id: int) -> float:
+    """Return the user and system CPU time of a process in seconds."""
+    fields = Path(f"/proc/{process_id}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def resident_mb(process_id: int) -> float:
+    """Return the resident memory of a process in MB."""
+    pages = int(Path(f"/proc/{process_id}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+async def run_load(port: int, tokens: int, requests: int) -> int:
+    """Send the requests from a few callers; return how many did not finish."""
+    body = {
+        "model": "review",
+        "stream": True,
+        "max_tokens": tokens,
+        "messages": [{"role": "user", "content": "Check the delegation."}],
+    }
+    content = msgspec.json.encode(body)
+    url = f"http://127.0.0.1:{port}/v1/chat/completions"
+    failed = 0
+    left = requests
+
+    async def caller(pool):
+        nonlocal failed, left
+        while left > 0:
+            left -= 1
+            answer = await pool.request("POST", url, content=content)
+            if not answer.content.endswith(b"data: [DONE]\n\n"):
+                failed += 1
+
+    async with httpcore.AsyncConnectionPool(max_connections=CALLERS) as pool:
+        async with trio.open_nursery() as nursery:
+            for _ in range(CALLERS):
+                nursery.start_soon(caller, pool)
+    return failed
+
+
+def measure(fleet: SmallFleet, tokens: int, requests: int) -> Sample:
+    """Run the load against the fleet's first entry host."""
+    process_id = fleet.entry_process_ids[0]
+    cpu_before = cpu_seconds(process_id)
+    started = time.monotonic()
+    failed = trio.run(run_load, fleet.entry_ports[0], tokens, requests)
+    if failed:
+        raise SystemExit(f"{failed} of {requests} requests did not finish")
+    cpu_s = cpu_seconds(process_id) - cpu_before
+    return Sample(requests, requests * tokens, cpu_s, time.monotonic() - started)
+
+
+@click.command()
+def main():
+    """Measure and print one line."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = SmallFleet(Path(folder), step_ms=STEP_MS)
+        try:
+            fleet.start()
+            process_id = fleet.entry_process_ids[0]
+            idle_mb = resident_mb(process_id)
+            measure(fleet, SHORT_TOKENS, REQUESTS // 4)
+            short = measure(fleet, SHORT_TOKENS, REQUESTS)
+            long = measure(fleet, LONG_TOKENS, REQUESTS)
+            loaded_mb = resident_mb(process_id)
+        finally:
+            fleet.stop()
+    token_s = (long.cpu_s - short.cpu_s) / (long.tokens - short.tokens)
+    request_s = short.cpu_s / short.requests - token_s * SHORT_TOKENS
+    click.echo(
+        f"slope entry_host token_us={token_s * 1e6:.0f} "
+        f"request_us={request_s * 1e6:.0f} "
+        f"idle_mb={idle_mb:.1f} loaded_mb={loaded_mb:.1f} "
+        f"tokens_per_s={long.tokens / long.wall_s:.0f} callers={CALLERS}"
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -30,16 +30,26 @@
 class SmallFleet:
     """Processes started by `start`, ended by their ids in `stop`."""
 
-    __slots__ = ("_processes", "folder", "entry_ports")
+    __slots__ = (
+        "_processes",
+        "folder",
+        "step_ms",
+        "entry_ports",
+        "entry_process_ids",
+    )
 
-    def __init__(self, folder: Path):
+    def __init__(self, folder: Path, step_ms: float = 2.0):
         self.folder = folder
+        self.step_ms = step_ms
+        self.entry_process_ids: list[int] = []
         self._processes: list[subprocess.Popen] = []
         self.entry_ports: list[int] = []
 
-    def spawn(self, *arguments: str) -> None:
-        """Start one Python process of the fleet."""
-        self._processes.append(subprocess.Popen([sys.executable, *arguments]))
+    def spawn(self, *arguments: str) -> int:
+        """Start one Python process of the fleet and return its id."""
+        process = subprocess.Popen([sys.executable, *arguments])
+        self._processes.append(process)
+        return process.pid
 
     def start(self) -> None:
         """Start engines for four stages, and one entry host."""
@@ -54,6 +64,7 @@
                 f"--port={port}",
                 f"--first={first}",
                 f"--end={end}",
+                f"--step-ms={self.step_ms}",
             )
             lines.append(
                 f"{name} = 127.0.0.1:{port} a small {first} {end} {MODEL_LAYERS}"
@@ -68,7 +79,9 @@
         ]
         path = self.folder / "entry.ini"
         path.write_text("\n".join(lines))
-        self.spawn("-m", "radishfield.scripts", "run", "--settings", str(path))
+        self.entry_process_ids.append(
+            self.spawn("-m", "radishfield.scripts", "run", "--settings", str(path))
+        )
         self._wait_listening(port)
 
     def _wait_listening(self, port: int) -> None:
