--- a/radishfield/core/_data.py
+++ b/radishfield/core/_data.py
@@ -9,6 +9,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from radishfield.core._codes import ResultCode
+
 
 class Priority(enum.IntEnum):
     """How urgent a profile's work is; a lower number goes first."""
@@ -80,11 +82,16 @@
 
 @dataclass(slots=True, frozen=True)
 class Host:
-    """A machine in the platform's list of live and leaving hosts."""
+    """A machine in the platform's list of live and leaving hosts.
+
+    ``address`` is ``ip:port`` of an entry host's peer socket, empty elsewhere;
+    a new entry host finds its first peers by it.
+    """
 
     id: str
     zone: str
     state: HostState = HostState.LIVE
+    address: str = ""
 
 
 class MemberState(enum.StrEnum):
@@ -228,6 +235,22 @@
     prompt_tokens: int = 0
 
 
+@dataclass(slots=True, frozen=True)
+class Finished:
+    """How a model request ended well.
+
+    Attributes
+    ----------
+    reason : str
+        The engine's finish reason, ``stop`` or ``length``.
+    code : ResultCode
+        ``FINISHED``, or ``REPLAYED`` where a repeat got the first run's answer.
+    """
+
+    reason: str
+    code: ResultCode = ResultCode.FINISHED
+
+
 @dataclass(slots=True, frozen=True)
 class ServiceRequest:
     """A call to a plain service, with method, path, body and safe headers."""
@@ -253,6 +276,7 @@
     status: int
     body: bytes
     headers: tuple[tuple[str, str], ...] = ()
+    code: ResultCode = ResultCode.FINISHED
 
 
 @dataclass(slots=True, frozen=True)
--- a/radishfield/core/_errors.py
+++ b/radishfield/core/_errors.py
@@ -18,7 +18,7 @@
     retry_after_s : float or None
         Seconds after which another try has a fair chance; None where another
         try would not help.
-    outcome : Outcome or None
+    proven_outcome : Outcome or None
         Set only where the place of the failure proves more than the code alone
         does, for example a broken connection before the first byte was sent.
     target_id : str
--- a/radishfield/edges/__init__.py
+++ b/radishfield/edges/__init__.py
@@ -8,15 +8,30 @@
     serve_lifespan,
     start_answer,
 )
-from radishfield.edges._caller import CallerApp
-from radishfield.edges._target import EngineTargets
-from radishfield.edges._target_http import TargetTimeouts
-from radishfield.edges._target_protocols import register_protocol, targets_for
+from radishfield.edges._caller import (
+    CallerApp,
+)
+from radishfield.edges._platform import (
+    HttpPlatform,
+    PlatformSettings,
+)
+from radishfield.edges._target import (
+    EngineTargets,
+)
+from radishfield.edges._target_http import (
+    TargetTimeouts,
+)
+from radishfield.edges._target_protocols import (
+    register_protocol,
+    targets_for,
+)
 
 __all__ = [
     "BodyLimit",
     "CallerApp",
     "EngineTargets",
+    "HttpPlatform",
+    "PlatformSettings",
     "TargetTimeouts",
     "read_body",
     "register_protocol",
--- a/radishfield/edges/_target.py
+++ b/radishfield/edges/_target.py
@@ -96,9 +96,11 @@
         async with self._stream(target, wire.REOPEN_PATH, body, None) as opened:
             yield opened.map_error(_may_have_run)
 
-    async def cancel(self, target: Target, request_id: str) -> Result[None, Fault]:
-        """Ask a target to forget a request's work and cache."""
-        body = wire.Cancel(request_id)
+    async def cancel(
+        self, target: Target, request_id: str, attempt: int
+    ) -> Result[None, Fault]:
+        """Ask a target to forget a request's attempts up to this one."""
+        body = wire.Cancel(request_id, attempt)
         answer = await self._control("POST", target, wire.CANCEL_PATH, body)
         return answer.map(lambda _: None)
 
--- a/radishfield/edges/_target_wire.py
+++ b/radishfield/edges/_target_wire.py
@@ -65,9 +65,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Cancel:
-    """Asks an engine to forget a request."""
+    """Asks an engine to forget a request's attempts up to this one."""
 
     request_id: str
+    attempt: int
 
 
 @dataclass(slots=True, frozen=True)
