--- a/radishfield/pipeline/__init__.py
+++ b/radishfield/pipeline/__init__.py
@@ -1,5 +1,5 @@
 """The pipeline's state machine: every layer once for each token, in order."""
 
-from radishfield.pipeline._state import PipelineState
+from radishfield.pipeline._state import CommittedBatch, PipelineState
 
-__all__ = ["PipelineState"]
+__all__ = ["CommittedBatch", "PipelineState"]
