--- a/radishfield/fleet/__init__.py
+++ b/radishfield/fleet/__init__.py
@@ -1,5 +1,8 @@
 """The fleet: profiles, membership, targets that come and leave, leases, orders."""
 
+from radishfield.fleet._claims import Claims, ClaimTimes, KeeperStart
+from radishfield.fleet._claims_keepers import KnownHost
+from radishfield.fleet._claims_votes import Claimed, Replay
 from radishfield.fleet._operations import FleetOperations
 from radishfield.fleet._status import (
     Drain,
@@ -12,12 +15,18 @@
 )
 
 __all__ = [
+    "ClaimTimes",
+    "Claimed",
+    "Claims",
     "Drain",
     "DrainKind",
     "FleetOperations",
     "FleetStatus",
+    "KeeperStart",
+    "KnownHost",
     "LeaseStatus",
     "ProfileInZone",
+    "Replay",
     "ZoneReach",
     "ZoneStatus",
 ]
