Add the directory of targets and the polling of their load

Cause: a target that is leaving gets no new work within seconds, whatever says that it leaves, also when the platform is down or its list is old; and each host asking each target would put 750,000 requests a second on 2,200 targets. Ruled out: believing each copy of the host list (an older one brings a leaving target back); making an operator's drain sticky (it is taken back by hand). Change: TargetDirectory joins declared targets, drains, the host list, reports and facts heard from peers; leaving is sticky until a new incarnation. LoadPoller asks each target from two hosts of its zone and shares the reports.

--- a/radishfield/fleet/__init__.py
+++ b/radishfield/fleet/__init__.py
@@ -1,6 +1,8 @@
 """The fleet: profiles, membership, targets that come and leave, leases, orders."""
 
+from radishfield.fleet._directory import TargetDirectory, drain_name
 from radishfield.fleet._facts import FactTable, FactVersion
+from radishfield.fleet._load_poller import LoadPoller, PollerSettings, ZoneLoad
 from radishfield.fleet._membership import Membership, Update
 from radishfield.fleet._operations import FleetOperations
 from radishfield.fleet._ports import NewsHandler, PeerMessages
@@ -28,17 +30,22 @@
     "FleetOperations",
     "FleetStatus",
     "LeaseStatus",
+    "LoadPoller",
     "Membership",
     "NewsHandler",
     "PeerMessages",
     "PlatformWatcher",
+    "PollerSettings",
     "ProfileInZone",
     "ProfileStore",
     "SpreadSettings",
+    "TargetDirectory",
     "Update",
     "WatcherSettings",
+    "ZoneLoad",
     "ZoneReach",
     "ZoneStatus",
+    "drain_name",
     "ranked",
     "write_settled",
 ]
--- /dev/null
+++ b/radishfield/fleet/_directory.py
@@ -0,0 +1,269 @@
+"""The targets, and which of them may be given new work.
+
+A target leaves in one of several ways, and each is learnt on its own path: the
+platform's list names its host as leaving, an operator drains it, its host or
+its zone, or its own load report says so.  Any of them is enough.  What any host
+learns is told to the others as a "leaving" fact, so that it holds without the
+platform as well.
+
+Leaving is sticky until a new incarnation.  The platform's list lags: a copy of
+it that is older than the one before would otherwise bring a leaving target back
+for seconds, and work would be lost on it.  An operator's drain is not sticky;
+it ends when the operator takes it back.
+"""
+
+import dataclasses
+from collections.abc import Sequence
+
+import msgspec
+import trio
+
+from radishfield.core import (
+    Clock,
+    Host,
+    HostListing,
+    HostState,
+    LoadReport,
+    MemberState,
+    PeerPort,
+    StoredObject,
+    Target,
+    TargetState,
+)
+from radishfield.fleet._facts import FactTable
+from radishfield.fleet._status import Drain, DrainKind
+
+TARGET_KIND = "target"
+DRAIN_KIND = "drain"
+HOST_KIND = "host"
+
+LEAVING_KIND = "leaving"
+"""Facts between entry hosts: name is the target's id, version its incarnation."""
+
+LIST_LAG_S = 30.0
+"""A target that restarted on a host listed as leaving is taken for live so long:
+the list may still mean its former self.  After that the list is believed."""
+
+
+class TargetDirectory:
+    """What this host knows of all targets.
+
+    Attributes
+    ----------
+    version : int
+        Rises whenever `targets` returns something else.
+    malformed : int
+        Objects of the platform that could not be read.
+    """
+
+    __slots__ = (
+        "_changed",
+        "_clock",
+        "_declared_by_id",
+        "_facts",
+        "_listed_by_host",
+        "_peers",
+        "_report_by_id",
+        "_restarted_at_by_id",
+        "_target_by_id",
+        "_targets",
+        "_zone",
+        "malformed",
+        "version",
+    )
+
+    def __init__(self, zone: str, facts: FactTable, peers: PeerPort, clock: Clock):
+        self._zone = zone
+        self._facts = facts
+        self._peers = peers
+        self._clock = clock
+        self._declared_by_id: dict[str, Target] = {}
+        self._report_by_id: dict[str, LoadReport] = {}
+        self._target_by_id: dict[str, Target] = {}
+        self._targets: tuple[Target, ...] | None = None
+        self._restarted_at_by_id: dict[str, float] = {}
+        self._listed_by_host: dict[str, Host] = {}
+        self._changed = trio.Event()
+        self.version = 0
+        self.malformed = 0
+        for kind, listener in (
+            (TARGET_KIND, self._take_in_target),
+            (DRAIN_KIND, self._take_in_drain),
+            (LEAVING_KIND, self._take_in_leaving),
+        ):
+            facts.listen(kind, listener)
+            for fact in facts.all_of(kind):
+                listener(fact)
+
+    def targets(self) -> tuple[Target, ...]:
+        """Return all targets with the state that work is to be given by."""
+        if self._targets is None:
+            self._targets = tuple(self._target_by_id.values())
+        return self._targets
+
+    def find(self, target_id: str) -> Target | None:
+        """Return a target, or None."""
+        return self._target_by_id.get(target_id)
+
+    async def wait_changed(self, version: int) -> int:
+        """Wait until `version` is another one, and return it."""
+        while self.version == version:
+            await self._changed.wait()
+        return self.version
+
+    def entry_hosts_in_zone(self) -> int:
+        """Return how many entry hosts share this zone's targets, at least 1."""
+        live = sum(
+            member.zone == self._zone and member.state is MemberState.LIVE
+            for member in self._peers.members()
+        )
+        return max(1, live)
+
+    def mark_leaving(self, target_id: str, incarnation: int) -> None:
+        """Give a target no new work until a later incarnation, at any host."""
+        self._facts.learn(StoredObject(LEAVING_KIND, target_id, incarnation, b""))
+
+    def observe_report(self, report: LoadReport) -> None:
+        """Take in a target's own account of what it holds and whether it leaves."""
+        known = self._report_by_id.get(report.target_id)
+        if known is not None and known.incarnation > report.incarnation:
+            return
+        self._report_by_id[report.target_id] = report
+        if report.leaving:
+            self.mark_leaving(report.target_id, report.incarnation)
+        self._rebuild(report.target_id)
+
+    def see_hosts(self, listing: HostListing) -> None:
+        """Take in the platform's list of hosts, which lags.
+
+        A host that was listed and is not any more counts as leaving.  An empty
+        list after a filled one is a fault of the platform, and is ignored.
+        """
+        if not listing.hosts:
+            return
+        listed = {host.id: host for host in listing.hosts}
+        vanished = {
+            host_id: dataclasses.replace(host, state=HostState.LEAVING)
+            for host_id, host in self._listed_by_host.items()
+            if host_id not in listed
+        }
+        self._listed_by_host = {**vanished, **listed}
+        leaving = {
+            host.id
+            for host in self._listed_by_host.values()
+            if host.state is HostState.LEAVING
+        }
+        for target in self.targets():
+            if target.host in leaving and not self._has_just_restarted(target.id):
+                self.mark_leaving(target.id, target.incarnation)
+
+    def seed_addresses(self) -> Sequence[str]:
+        """Return the peer addresses of the entry hosts that the platform lists."""
+        hosts = list(self._listed_by_host.values())
+        for fact in self._facts.all_of(HOST_KIND):
+            try:
+                hosts.append(msgspec.json.decode(fact.value, type=Host))
+            except msgspec.DecodeError:
+                self.malformed += 1
+        return [host.address for host in hosts if host.address]
+
+    def drains(self) -> Sequence[Drain]:
+        """Return the drains in force."""
+        drains = []
+        for fact in self._facts.all_of(DRAIN_KIND):
+            try:
+                drain = msgspec.json.decode(fact.value, type=Drain)
+            except msgspec.DecodeError:
+                continue
+            if drain.active:
+                drains.append(drain)
+        return drains
+
+    def _take_in_target(self, fact: StoredObject) -> None:
+        try:
+            target = msgspec.json.decode(fact.value, type=Target)
+        except msgspec.DecodeError:
+            self.malformed += 1
+            return
+        self._declared_by_id[target.id] = target
+        self._rebuild(target.id)
+
+    def _take_in_drain(self, fact: StoredObject) -> None:
+        for target_id in self._declared_by_id:
+            self._rebuild(target_id)
+
+    def _take_in_leaving(self, fact: StoredObject) -> None:
+        self._rebuild(fact.name)
+
+    def _rebuild(self, target_id: str) -> None:
+        """Work out one target anew, and tell of it if it is another now."""
+        declared = self._declared_by_id.get(target_id)
+        if declared is None:
+            return
+        target = self._with_report(declared)
+        target = dataclasses.replace(target, state=self._state(target))
+        known = self._target_by_id.get(target_id)
+        if known == target:
+            return
+        if known is not None and target.incarnation > known.incarnation:
+            self._restarted_at_by_id[target_id] = self._clock.now()
+        self._target_by_id[target_id] = target
+        self._targets = None
+        self.version += 1
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def _with_report(self, declared: Target) -> Target:
+        """Return a target with what its own report of its newest start says."""
+        report = self._report_by_id.get(declared.id)
+        if report is None or report.incarnation < declared.incarnation:
+            return declared
+        return dataclasses.replace(
+            declared,
+            incarnation=report.incarnation,
+            layers=report.layers,
+            model=report.model or declared.model,
+            model_version=report.model_version or declared.model_version,
+            slots=report.slots or declared.slots,
+            checks_fencing=report.checks_fencing,
+        )
+
+    def _state(self, target: Target) -> TargetState:
+        if target.state is TargetState.GONE:
+            return TargetState.GONE
+        leaving = self._facts.find(LEAVING_KIND, target.id)
+        if leaving is not None and leaving.version >= target.incarnation:
+            return TargetState.LEAVING
+        if self._is_drained(target):
+            return TargetState.LEAVING
+        return target.state
+
+    def _is_drained(self, target: Target) -> bool:
+        for kind, name in (
+            (DrainKind.TARGET, target.id),
+            (DrainKind.HOST, target.host),
+            (DrainKind.ZONE, target.zone),
+        ):
+            fact = self._facts.find(DRAIN_KIND, drain_name(kind, name))
+            if fact is not None and _is_active(fact.value):
+                return True
+        return False
+
+    def _has_just_restarted(self, target_id: str) -> bool:
+        restarted_at = self._restarted_at_by_id.get(target_id)
+        if restarted_at is None:
+            return False
+        return self._clock.now() - restarted_at < LIST_LAG_S
+
+
+def drain_name(kind: DrainKind, id: str) -> str:
+    """Return the name of a drain's object in the platform."""
+    return f"{kind}:{id}"
+
+
+def _is_active(value: bytes) -> bool:
+    """Tell whether a drain holds; one that cannot be read holds to be safe."""
+    try:
+        return msgspec.json.decode(value, type=Drain).active
+    except msgspec.DecodeError:
+        return True
--- a/radishfield/fleet/_facts.py
+++ b/radishfield/fleet/_facts.py
@@ -23,6 +23,11 @@
 MAX_FRESH = 4_096
 """Facts waiting to be told on; what falls out is found by digests later."""
 
+ZONE_LOAD_KIND = "zone-load"
+
+VOLATILE_KINDS = frozenset({ZONE_LOAD_KIND})
+"""Facts that change so often that digests with them would never be equal."""
+
 FactListener = Callable[[StoredObject], None]
 
 
@@ -72,10 +77,8 @@
         if known is not None and known.version >= fact.version:
             return False
         self._fact_by_key[key] = fact
-        bucket = _bucket(key)
-        if known is not None:
-            self._bucket_digests[bucket] ^= _digest(known)
-        self._bucket_digests[bucket] ^= _digest(fact)
+        if fact.kind not in VOLATILE_KINDS:
+            self._count_in_digest(key, known, fact)
         if spread and len(self._fresh_by_key) < MAX_FRESH:
             self._fresh_by_key[key] = fact
         for kind in (fact.kind, ""):
@@ -83,6 +86,14 @@
                 listener(fact)
         return True
 
+    def _count_in_digest(
+        self, key: tuple[str, str], known: StoredObject | None, fact: StoredObject
+    ) -> None:
+        bucket = _bucket(key)
+        if known is not None:
+            self._bucket_digests[bucket] ^= _digest(known)
+        self._bucket_digests[bucket] ^= _digest(fact)
+
     def find(self, kind: str, name: str) -> StoredObject | None:
         """Return the newest known fact."""
         return self._fact_by_key.get((kind, name))
--- /dev/null
+++ b/radishfield/fleet/directory_test.py
@@ -0,0 +1,219 @@
+"""Tests of which targets get new work, and of who asks them for their load."""
+
+import random
+
+import msgspec
+import trio
+import trio.testing
+from expression import Error, Ok
+
+from radishfield.core import (
+    Fault,
+    Host,
+    HostListing,
+    HostState,
+    LayerRange,
+    LoadReport,
+    Member,
+    ResultCode,
+    StoredObject,
+    Target,
+    TargetState,
+)
+from radishfield.fleet import (
+    Drain,
+    DrainKind,
+    FactTable,
+    LoadPoller,
+    PollerSettings,
+    TargetDirectory,
+    drain_name,
+)
+
+
+class StillClock:
+    """A clock that a test moves."""
+
+    def __init__(self):
+        self.time = 0.0
+
+    def now(self):
+        return self.time
+
+
+class FakePeers:
+    """Members without a network; what is told goes to the other pollers."""
+
+    def __init__(self, members):
+        self._members = members
+        self.hearers = {}
+        self.peers_by_id = {}
+        self.told = []
+
+    def members(self):
+        return self._members
+
+    def hear(self, topic, handler):
+        self.hearers[topic] = handler
+
+    async def tell(self, member_ids, topic, payload):
+        self.told.append((tuple(member_ids), topic, payload))
+        for member_id in member_ids:
+            self.peers_by_id[member_id].hearers[topic]("", payload)
+
+
+def target(number=0, zone="z0", **fields):
+    return Target(f"t{number}", f"host{number}", zone, "127.0.0.1:1", **fields)
+
+
+def report(target_id="t0", incarnation=1, **fields):
+    return LoadReport(
+        target_id, incarnation, LayerRange(0, 4), "m", "1", 1, 2, 8, 0.02, **fields
+    )
+
+
+def stored(kind, name, value, version=1):
+    return StoredObject(kind, name, version, msgspec.json.encode(value))
+
+
+class Setup:
+    def __init__(self, targets=1):
+        self.clock = StillClock()
+        self.facts = FactTable()
+        self.peers = FakePeers([Member("h0", "z0", "", 1), Member("h1", "z0", "", 1)])
+        self.directory = TargetDirectory("z0", self.facts, self.peers, self.clock)
+        for number in range(targets):
+            self.facts.learn(stored("target", f"t{number}", target(number)))
+
+    def list_host(self, state):
+        self.directory.see_hosts(HostListing((Host("host0", "z0", state),)))
+
+    def state(self, target_id="t0"):
+        return self.directory.find(target_id).state
+
+
+def test_lagging_list_does_not_bring_a_leaving_target_back():
+    """The platform lists a host as leaving, then an older copy as live.
+
+    Callers' work must not go to the target again: it is about to vanish.  Only
+    a new incarnation, told by the target itself, ends its leaving.
+    """
+    setup = Setup()
+    setup.list_host(HostState.LEAVING)
+    assert setup.state() is TargetState.LEAVING
+    setup.list_host(HostState.LIVE)
+    assert setup.state() is TargetState.LEAVING
+    setup.clock.time = 5.0
+    setup.directory.observe_report(report(incarnation=2))
+    assert setup.state() is TargetState.LIVE
+    setup.list_host(HostState.LEAVING)
+    assert setup.state() is TargetState.LIVE
+    setup.clock.time = 60.0
+    setup.list_host(HostState.LEAVING)
+    assert setup.state() is TargetState.LEAVING
+
+
+def test_refusal_heard_from_a_peer_holds_without_the_platform():
+    """A target tells one host that it leaves; the platform is down.
+
+    Another host hears of it as a fact.  A stale fact of an earlier incarnation
+    must not hold back the target's later self.
+    """
+    one, other = Setup(), Setup()
+    one.directory.observe_report(report(leaving=True))
+    assert one.state() is TargetState.LEAVING
+    for fact in one.facts.take_fresh():
+        other.facts.learn(fact)
+    assert other.state() is TargetState.LEAVING
+    other.directory.observe_report(report(incarnation=2))
+    assert other.state() is TargetState.LIVE
+    other.directory.mark_leaving("t0", 1)
+    other.directory.observe_report(report(incarnation=1, leaving=True))
+    assert other.state() is TargetState.LIVE
+
+
+def test_operator_drains_target_host_or_zone_and_takes_it_back():
+    for kind, name in (
+        (DrainKind.TARGET, "t0"),
+        (DrainKind.HOST, "host0"),
+        (DrainKind.ZONE, "z0"),
+    ):
+        setup = Setup()
+        version = setup.directory.version
+        drain = Drain(kind, name)
+        setup.facts.learn(stored("drain", drain_name(kind, name), drain))
+        assert setup.state() is TargetState.LEAVING
+        assert setup.directory.drains() == [drain]
+        assert setup.directory.version > version
+        undrain = stored("drain", drain_name(kind, name), Drain(kind, name, False), 2)
+        setup.facts.learn(undrain)
+        assert setup.state() is TargetState.LIVE
+
+
+def test_vanished_host_is_leaving_and_an_empty_list_is_ignored():
+    setup = Setup(targets=2)
+    both = (Host("host0", "z0"), Host("host1", "z0"))
+    setup.directory.see_hosts(HostListing(both))
+    setup.directory.see_hosts(HostListing(()))
+    assert setup.state("t1") is TargetState.LIVE
+    setup.directory.see_hosts(HostListing(both[:1]))
+    assert setup.state("t1") is TargetState.LEAVING
+    assert setup.state("t0") is TargetState.LIVE
+
+
+def test_report_gives_layers_and_an_unchanged_one_wakes_nobody():
+    setup = Setup()
+    setup.directory.observe_report(report())
+    assert setup.directory.find("t0").layers == LayerRange(0, 4)
+    version = setup.directory.version
+    setup.directory.observe_report(report(measured_s_ago=3.0))
+    assert setup.directory.version == version
+    setup.facts.learn(StoredObject("target", "bad", 1, b"{"))
+    assert setup.directory.malformed == 1
+
+
+def test_each_target_is_asked_by_two_hosts_and_reports_are_shared():
+    """Five hosts of a zone share ten targets; one target answers nothing."""
+
+    class Targets:
+        async def load(self, a_target):
+            if a_target.id == "t3":
+                return Error(Fault(ResultCode.CONNECT_FAILED))
+            return Ok(report(a_target.id))
+
+    async def main():
+        setup = Setup(targets=10)
+        members = [Member(f"h{n}", "z0", "", 1) for n in range(5)]
+        peers_by_id = {member.id: FakePeers(members) for member in members}
+        for peers in peers_by_id.values():
+            peers.peers_by_id = peers_by_id
+        heard = []
+        pollers = [
+            LoadPoller(
+                PollerSettings(f"h{n}", "z0"),
+                Targets(),
+                setup.directory,
+                peers_by_id[f"h{n}"],
+                setup.facts,
+                setup.clock,
+                heard.append,
+                random.Random(n),
+            )
+            for n in range(5)
+        ]
+        asked = [a_target.id for poller in pollers for a_target in poller.own_targets()]
+        assert sorted(asked) == sorted([f"t{n}" for n in range(10)] * 2)
+        async with trio.open_nursery() as nursery:
+            for poller in pollers:
+                await nursery.start(poller.run)
+            await trio.sleep(0.5)
+            told = [item for poller in pollers for item in poller._peers.told]
+            assert all(len(receivers) == 4 for receivers, _, _ in told)
+            assert len(heard) == 5 * 2 * 9
+            await trio.sleep(15)
+            (load,) = pollers[0].zone_loads()
+            assert load.targets == 9 and load.slots == 72
+            nursery.cancel_scope.cancel()
+        assert sum(poller.failures for poller in pollers) > 0
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
