Add leases with fencing and the sending of orders

Cause: one holder per duty and zone; a holder that was paused past its lease wakes and believes it still holds it; some targets ignore fencing numbers; weights come from a rate-limited store. Ruled out: expiry times in the record (hosts' clocks are not compared); counting the lease from the answer (a slow answer would make it overlap the next holder's); a renewal without its answer counted as done. Change: LeaseKeeper counts from before the renewal on a clock that goes on in suspension; contenders watch a record unchanged for the lease's length and a tenth. OrderSender checks the lease right before each send, gives each order a timeout, waits out the former holder's longest order at targets that ignore the number, spreads loads and never takes the last replica. What stays open: a process paused between the check and the first byte, towards a target that ignores fencing numbers.

--- a/radishfield/fleet/__init__.py
+++ b/radishfield/fleet/__init__.py
@@ -2,9 +2,16 @@
 
 from radishfield.fleet._directory import TargetDirectory, drain_name
 from radishfield.fleet._facts import FactTable, FactVersion
+from radishfield.fleet._leases import HeldLease, LeaseKeeper, LeaseSettings
 from radishfield.fleet._load_poller import LoadPoller, PollerSettings, ZoneLoad
 from radishfield.fleet._membership import Membership, Update
 from radishfield.fleet._operations import FleetOperations
+from radishfield.fleet._orders import (
+    OrderOutcome,
+    OrderSender,
+    OrderSettings,
+    ProposedOrder,
+)
 from radishfield.fleet._ports import NewsHandler, PeerMessages
 from radishfield.fleet._profiles import ProfileStore
 from radishfield.fleet._rendezvous import ranked
@@ -29,15 +36,22 @@
     "FactVersion",
     "FleetOperations",
     "FleetStatus",
+    "HeldLease",
+    "LeaseKeeper",
+    "LeaseSettings",
     "LeaseStatus",
     "LoadPoller",
     "Membership",
     "NewsHandler",
+    "OrderOutcome",
+    "OrderSender",
+    "OrderSettings",
     "PeerMessages",
     "PlatformWatcher",
     "PollerSettings",
     "ProfileInZone",
     "ProfileStore",
+    "ProposedOrder",
     "SpreadSettings",
     "TargetDirectory",
     "Update",
--- a/radishfield/fleet/_settled_write.py
+++ b/radishfield/fleet/_settled_write.py
@@ -31,7 +31,10 @@
 
 
 async def write_settled(
-    platform: PlatformPort, wanted: StoredObject, carries: Carries
+    platform: PlatformPort,
+    wanted: StoredObject,
+    carries: Carries,
+    steps: int = SETTLE_STEPS,
 ) -> Result[StoredObject, Fault]:
     """Write and find out whether it took effect.
 
@@ -42,6 +45,8 @@
     carries : callable
         Tells from a stored value whether the change went into it, also as one
         of the changes before the newest.
+    steps : int
+        Writes at the most; fewer where the caller has its own next time.
 
     Returns
     -------
@@ -51,7 +56,7 @@
         proves that nothing was written.
     """
     in_doubt = False
-    for step in range(SETTLE_STEPS):
+    for step in range(steps):
         written = await platform.write(
             wanted.kind, wanted.name, wanted.value, wanted.version
         )
@@ -69,7 +74,7 @@
             settled = await _settle(platform, wanted, carries)
             if settled is not None:
                 return settled
-        if step < len(STEP_WAITS_S):
+        if step < min(steps - 1, len(STEP_WAITS_S)):
             await trio.sleep(STEP_WAITS_S[step])
     return Error(fault(ResultCode.PLATFORM_AMBIGUOUS, "could not be read back"))
 
