--- a/radishfield/fleet/__init__.py
+++ b/radishfield/fleet/__init__.py
@@ -1,9 +1,65 @@
 """The fleet: profiles, membership, targets that come and leave, leases, orders."""
 
-from radishfield.fleet._claims import Claims, ClaimTimes, KeeperStart
-from radishfield.fleet._claims_keepers import KnownHost
-from radishfield.fleet._claims_votes import Claimed, Replay
-from radishfield.fleet._operations import FleetOperations
+from radishfield.fleet._claims import (
+    Claims,
+    ClaimTimes,
+    KeeperStart,
+)
+from radishfield.fleet._claims_keepers import (
+    KnownHost,
+)
+from radishfield.fleet._claims_votes import (
+    Claimed,
+    Replay,
+)
+from radishfield.fleet._directory import (
+    TargetDirectory,
+    drain_name,
+)
+from radishfield.fleet._facts import (
+    FactTable,
+    FactVersion,
+)
+from radishfield.fleet._leases import (
+    HeldLease,
+    LeaseKeeper,
+    LeaseSettings,
+)
+from radishfield.fleet._load_poller import (
+    LoadPoller,
+    PollerSettings,
+    ZoneLoad,
+)
+from radishfield.fleet._membership import (
+    Membership,
+    Update,
+)
+from radishfield.fleet._operations import (
+    FleetOperations,
+)
+from radishfield.fleet._orders import (
+    OrderOutcome,
+    OrderSender,
+    OrderSettings,
+    ProposedOrder,
+)
+from radishfield.fleet._ports import (
+    NewsHandler,
+    PeerMessages,
+)
+from radishfield.fleet._profiles import (
+    ProfileStore,
+)
+from radishfield.fleet._rendezvous import (
+    ranked,
+)
+from radishfield.fleet._settled_write import (
+    write_settled,
+)
+from radishfield.fleet._spread import (
+    FactSpreader,
+    SpreadSettings,
+)
 from radishfield.fleet._status import (
     Drain,
     DrainKind,
@@ -13,6 +69,10 @@
     ZoneReach,
     ZoneStatus,
 )
+from radishfield.fleet._watcher import (
+    PlatformWatcher,
+    WatcherSettings,
+)
 
 __all__ = [
     "ClaimTimes",
@@ -20,13 +80,38 @@
     "Claims",
     "Drain",
     "DrainKind",
+    "FactSpreader",
+    "FactTable",
+    "FactVersion",
     "FleetOperations",
     "FleetStatus",
+    "HeldLease",
     "KeeperStart",
     "KnownHost",
+    "LeaseKeeper",
+    "LeaseSettings",
     "LeaseStatus",
+    "LoadPoller",
+    "Membership",
+    "NewsHandler",
+    "OrderOutcome",
+    "OrderSender",
+    "OrderSettings",
+    "PeerMessages",
+    "PlatformWatcher",
+    "PollerSettings",
     "ProfileInZone",
+    "ProfileStore",
+    "ProposedOrder",
     "Replay",
+    "SpreadSettings",
+    "TargetDirectory",
+    "Update",
+    "WatcherSettings",
+    "ZoneLoad",
     "ZoneReach",
     "ZoneStatus",
+    "drain_name",
+    "ranked",
+    "write_settled",
 ]
