--- a/radishfield/edges/__init__.py
+++ b/radishfield/edges/__init__.py
@@ -18,6 +18,17 @@
     ListenerConfig,
     serve_app,
 )
+from radishfield.edges._peer import (
+    PeerNetwork,
+    PeerSettings,
+)
+from radishfield.edges._peer_seal import (
+    PeerKey,
+)
+from radishfield.edges._peer_transport import (
+    PeerTransport,
+    SocketTransport,
+)
 from radishfield.edges._platform import (
     HttpPlatform,
     PlatformSettings,
@@ -40,7 +51,12 @@
     "EngineTargets",
     "HttpPlatform",
     "ListenerConfig",
+    "PeerKey",
+    "PeerNetwork",
+    "PeerSettings",
+    "PeerTransport",
     "PlatformSettings",
+    "SocketTransport",
     "TargetTimeouts",
     "read_body",
     "register_protocol",
