Observe each step of a request for metrics, records and logs

Cause: the dispatcher tells an observer what it does, and nobody listened. Ruled out: counting in the callers' edge alone, which sees neither attempts nor what a cancelled request had proven. Change: TelemetryObserver; retries are counted by the result code that failed.

--- a/radishfield/telemetry/__init__.py
+++ b/radishfield/telemetry/__init__.py
@@ -7,6 +7,7 @@
     log_event,
 )
 from radishfield.telemetry._metrics import NullTelemetry, RequestKind, Telemetry
+from radishfield.telemetry._observer import TelemetryObserver
 from radishfield.telemetry._records import (
     RecordedEvent,
     RecordKind,
@@ -23,6 +24,7 @@
     "RequestRecord",
     "RequestRecords",
     "Telemetry",
+    "TelemetryObserver",
     "configure_logs",
     "current_request_id",
     "log_event",
--- a/radishfield/telemetry/_metrics.py
+++ b/radishfield/telemetry/_metrics.py
@@ -27,7 +27,7 @@
 REQUEST_BOUNDS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 300.0)
 
 REFUSAL_CODES = tuple(code for code in ResultCode if 2000 < code < 4000)
-RETRY_REASONS = ("refused", "connect", "broken", "silent", "bad-receipt", "error")
+RETRY_CODES = tuple(code for code in ResultCode if 4000 < code < 5000)
 
 
 class RequestKind(enum.StrEnum):
@@ -92,9 +92,9 @@
         """Count a request that was refused, whatever the reason."""
         self._refusals.add(1, _code_labels(code))
 
-    def retried(self, reason: str, code: ResultCode) -> None:
-        """Count an attempt after the first; ``reason`` is what failed before."""
-        self._retries.add(1, {"code": str(int(code)), "reason": reason})
+    def retried(self, code: ResultCode) -> None:
+        """Count an attempt after the first, by what failed before."""
+        self._retries.add(1, _code_labels(code))
 
     def ended(
         self, kind: RequestKind, outcome: Outcome, code: ResultCode, seconds: float
@@ -144,8 +144,8 @@
         """Start each reason at zero, so that an alert sees its first rise."""
         for code in REFUSAL_CODES:
             self._refusals.add(0, _code_labels(code))
-        for reason in RETRY_REASONS:
-            self._retries.add(0, {"code": "0", "reason": reason})
+        for code in RETRY_CODES:
+            self._retries.add(0, _code_labels(code))
 
 
 class NullTelemetry(Telemetry):
@@ -159,7 +159,7 @@
     def refused(self, code):
         """Do nothing."""
 
-    def retried(self, reason, code):
+    def retried(self, code):
         """Do nothing."""
 
     def ended(self, kind, outcome, code, seconds):
--- a/radishfield/telemetry/telemetry_test.py
+++ b/radishfield/telemetry/telemetry_test.py
@@ -3,13 +3,27 @@
 import json
 import logging
 
-from radishfield.core import Outcome, ResultCode
+from radishfield.core import (
+    LayerRange,
+    Outcome,
+    Profile,
+    Receipt,
+    Request,
+    ResultCode,
+    Route,
+    Stage,
+    SystemClock,
+    Token,
+    fault,
+)
+from radishfield.decisions import Dispatch, Failure, FailureKind, Retry
 from radishfield.telemetry import (
     LogSetup,
     RecordKind,
     RequestKind,
     RequestRecords,
     Telemetry,
+    TelemetryObserver,
     configure_logs,
     current_request_id,
     log_event,
@@ -41,11 +55,11 @@
 def test_every_refusal_reason_has_a_counter_from_the_start():
     telemetry = Telemetry()
     telemetry.refused(ResultCode.QUEUE_FULL)
-    telemetry.retried("silent", ResultCode.STREAM_SILENT)
+    telemetry.retried(ResultCode.STREAM_SILENT)
     text = telemetry.exposition().decode()
     assert 'radishfield_refusals_total{code="3002",reason="queue-full"} 1.0' in text
     assert 'radishfield_refusals_total{code="3005",reason="draining"} 0.0' in text
-    assert 'radishfield_retries_total{code="4004",reason="silent"} 1.0' in text
+    assert 'radishfield_retries_total{code="4004",reason="stream-silent"} 1.0' in text
 
 
 def test_requests_tokens_and_gauges_are_scraped():
@@ -78,3 +92,35 @@
     assert record.events_left_out == MAX_EVENTS + 2
     assert record.events[1].target_ids == ("a", "b")
     assert record.events[-1].after_s == 2.5
+
+
+def test_the_observer_records_a_retried_request_from_dispatch_to_end():
+    telemetry, records = Telemetry(), RequestRecords()
+    observer = TelemetryObserver(telemetry, records, SystemClock())
+    now = SystemClock().now()
+    request = Request("r", "w", Profile("p", "m"), "secret", 4, now, now + 9)
+    records.open("r", "mine", "w", "p", now)
+    stage = Stage("engine-0", "127.0.0.1:1", LayerRange(0, 4))
+    dispatch = Dispatch(None, 1, Route((stage,)), reason="fullest stage first")
+    observer.admitted(request)
+    observer.dispatched(request, dispatch)
+    for position in range(2):
+        observer.token(request, Token(position, "x", Receipt("r", 1, position, ())))
+    problem = fault(ResultCode.STAGE_FAILED, "stage died")
+    failure = Failure("r", "engine-0", FailureKind.BROKEN, True, 2)
+    observer.attempt_failed(request, failure, problem)
+    observer.retried(request, Retry(dispatch), problem)
+    observer.ended(request, None)
+    events = records.find("mine").events
+    assert [event.kind for event in events] == [
+        RecordKind.RECEIVED,
+        RecordKind.QUEUED,
+        RecordKind.DISPATCHED,
+        RecordKind.ATTEMPT_FAILED,
+        RecordKind.ENDED,
+    ]
+    assert events[2].target_ids == ("engine-0",)
+    text = telemetry.exposition().decode()
+    assert 'radishfield_retries_total{code="4006",reason="stage-failed"} 1.0' in text
+    assert "radishfield_first_token_seconds_count 1.0" in text
+    assert "radishfield_tokens_total 2.0" in text
