--- /dev/null
+++ b/bench/_events.py
@@ -0,0 +1,28 @@
+"""A small loop of timed calls in virtual time."""
+
+import heapq
+import itertools
+from collections.abc import Callable
+
+
+class Events:
+    """Calls ordered by time, then by the order in which they were asked for."""
+
+    __slots__ = ("now", "_heap", "_sequence")
+
+    def __init__(self):
+        self.now = 0.0
+        self._heap: list[tuple[float, int, Callable, tuple]] = []
+        self._sequence = itertools.count()
+
+    def at(self, when: float, call: Callable, *args) -> None:
+        """Ask for a call at a time, in seconds."""
+        heapq.heappush(self._heap, (when, next(self._sequence), call, args))
+
+    def run(self, until: float) -> None:
+        """Make the calls due before a time."""
+        heap = self._heap
+        while heap and heap[0][0] < until:
+            self.now, _, call, args = heapq.heappop(heap)
+            call(*args)
+        self.now = until
--- /dev/null
+++ b/bench/_fakes.py
@@ -0,0 +1,191 @@
+"""Fakes of targets and links: batches, steps and queues, nothing more."""
+
+from collections import deque
+from collections.abc import Callable
+
+from bench._events import Events
+from radishfield.core import Link, LoadReport, Route, Target
+
+BASE_PART = 0.5
+"""Part of a full batch's step that an empty one would take as well."""
+
+PREFILL_PART = 0.1
+"""Cost of a prompt token in generated tokens."""
+
+
+class Stream:
+    """One attempt on its way through a route, token by token."""
+
+    __slots__ = (
+        "request_id",
+        "attempt",
+        "stages",
+        "parts",
+        "links",
+        "stage",
+        "work",
+        "position",
+        "last",
+        "alive",
+        "on_token",
+    )
+
+    def __init__(
+        self,
+        request_id: str,
+        attempt: int,
+        position: int,
+        last: int,
+        prefill: float,
+        on_token: Callable,
+    ):
+        self.request_id = request_id
+        self.attempt = attempt
+        self.stages: list[FakeTarget] = []
+        self.parts: list[float] = []
+        self.links: list[FakeLink] = []
+        self.stage = 0
+        self.work = 1.0 + prefill
+        self.position = position
+        self.last = last
+        self.alive = True
+        self.on_token = on_token
+
+
+class FakeLink:
+    """A link that carries one token's state after the other."""
+
+    __slots__ = ("latency_s", "seconds_per_token", "_free_at")
+
+    def __init__(self, link: Link):
+        self.latency_s = link.latency_s
+        self.seconds_per_token = 1.0 / link.tokens_per_s
+        self._free_at = 0.0
+
+    def arrival(self, now: float) -> float:
+        """Return when a token's state that leaves now arrives."""
+        self._free_at = max(now, self._free_at) + self.seconds_per_token
+        return self._free_at + self.latency_s
+
+
+class FakeTarget:
+    """An engine that runs its waiting tokens in batches."""
+
+    __slots__ = (
+        "target",
+        "slowdown",
+        "alive",
+        "streams",
+        "_events",
+        "_waiting",
+        "_busy",
+        "_base_s",
+        "_token_s",
+    )
+
+    def __init__(self, target: Target, events: Events, slowdown: float = 1.0):
+        self.target = target
+        self.slowdown = slowdown
+        self.alive = True
+        self.streams = 0
+        self._events = events
+        self._waiting: deque[Stream] = deque()
+        self._busy = False
+        full_s = target.slots / target.speed_tps
+        self._base_s = full_s * BASE_PART
+        self._token_s = full_s * (1 - BASE_PART) / target.slots
+
+    def arrive(self, stream: Stream) -> None:
+        """Take a token's state in."""
+        if not self.alive or not stream.alive:
+            return
+        self._waiting.append(stream)
+        if not self._busy:
+            self._start()
+
+    def report(self) -> LoadReport:
+        """Return its own account; the step time is the declared one."""
+        target = self.target
+        return LoadReport(
+            target.id,
+            target.incarnation,
+            target.layers,
+            target.model,
+            target.model_version,
+            self.streams,
+            len(self._waiting),
+            target.slots,
+            target.slots / target.speed_tps,
+        )
+
+    def _start(self) -> None:
+        batch = []
+        work = 0.0
+        while self._waiting and len(batch) < self.target.slots:
+            stream = self._waiting.popleft()
+            if stream.alive:
+                batch.append(stream)
+                work += stream.work * stream.parts[stream.stage]
+        if not batch:
+            return
+        self._busy = True
+        step_s = (self._base_s + self._token_s * work) * self.slowdown
+        self._events.at(self._events.now + step_s, self._end, batch)
+
+    def _end(self, batch: list[Stream]) -> None:
+        self._busy = False
+        if not self.alive:
+            return
+        for stream in batch:
+            if stream.alive:
+                _move_on(stream, self._events)
+        if self._waiting:
+            self._start()
+
+
+def _move_on(stream: Stream, events: Events) -> None:
+    link = stream.links[stream.stage]
+    stream.stage += 1
+    if stream.stage == len(stream.stages):
+        stream.stage = 0
+        stream.work = 1.0
+        stream.position += 1
+        stream.on_token(stream)
+        if not stream.alive:
+            return
+    following = stream.stages[stream.stage]
+    events.at(link.arrival(events.now), following.arrive, stream)
+
+
+class FakeFleet:
+    """All targets and links of one run."""
+
+    __slots__ = ("events", "targets_by_id", "_links_by_pair")
+
+    def __init__(self, targets: list[Target], links: list[Link], events: Events):
+        self.events = events
+        self.targets_by_id = {t.id: FakeTarget(t, events) for t in targets}
+        self._links_by_pair = {(k.from_zone, k.to_zone): FakeLink(k) for k in links}
+
+    def start(self, stream: Stream, route: Route) -> None:
+        """Send an attempt on its way."""
+        for stage in route.stages:
+            fake = self.targets_by_id[stage.target_id]
+            held = fake.target.layers.end - fake.target.layers.first
+            stream.stages.append(fake)
+            stream.parts.append((stage.layers.end - stage.layers.first) / held)
+            fake.streams += 1
+        zones = [fake.target.zone for fake in stream.stages]
+        for here, there in zip(zones, zones[1:], strict=False):
+            stream.links.append(self._links_by_pair[here, there])
+        # The token itself goes back, not a state: any link carries it at once.
+        stream.links.append(self._links_by_pair[zones[0], zones[0]])
+        first = stream.stages[0]
+        self.events.at(self.events.now + 0.0005, first.arrive, stream)
+
+    def stop(self, stream: Stream) -> None:
+        """Forget an attempt, wherever it is."""
+        if stream.alive:
+            stream.alive = False
+            for fake in stream.stages:
+                fake.streams -= 1
--- a/radishfield/decisions/_data.py
+++ b/radishfield/decisions/_data.py
@@ -3,7 +3,7 @@
 import enum
 from dataclasses import dataclass
 
-from radishfield.core import Fault, Priority, Route, Target, TargetKind
+from radishfield.core import Fault, Priority, ResultCode, Route, Target, TargetKind
 
 
 @dataclass(slots=True, frozen=True)
@@ -44,6 +44,11 @@
 
     fault: Fault
 
+    @property
+    def reason(self) -> str:
+        """Return the reason as a metric label."""
+        return reason_label(self.fault.code)
+
 
 @dataclass(slots=True, frozen=True)
 class Dispatch:
@@ -63,6 +68,11 @@
     work: Work
     fault: Fault
 
+    @property
+    def reason(self) -> str:
+        """Return the reason as a metric label."""
+        return reason_label(self.fault.code)
+
 
 class FailureKind(enum.StrEnum):
     """How an attempt failed, as far as the entry host can tell."""
@@ -102,6 +112,10 @@
 
     Attributes
     ----------
+    code : ResultCode
+        What ended the attempt before.
+    reason : str
+        Failure and the way of resuming, as a metric label.
     import_from : tuple of str
         Targets from which KV caches are to be exported for the new route;
         empty where rebuilding is expected to be sooner.
@@ -110,6 +124,12 @@
     dispatch: Dispatch
     after_s: float = 0.0
     import_from: tuple[str, ...] = ()
+    code: ResultCode = ResultCode.STREAM_BROKEN
+
+    @property
+    def reason(self) -> str:
+        """Return why and how the request goes on, as a metric label."""
+        return self.dispatch.reason
 
 
 @dataclass(slots=True, frozen=True)
@@ -117,3 +137,13 @@
     """End the request with this fault now."""
 
     fault: Fault
+
+    @property
+    def reason(self) -> str:
+        """Return the reason as a metric label."""
+        return reason_label(self.fault.code)
+
+
+def reason_label(code: ResultCode) -> str:
+    """Return a result code as a metric label, such as ``queue-full``."""
+    return code.name.lower().replace("_", "-")
--- /dev/null
+++ b/radishfield/decisions/_journal.py
@@ -0,0 +1,40 @@
+"""What was decided on recent requests, for an operator who asks why."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+MAX_REQUESTS = 5000
+"""Requests remembered: minutes at the target size, in about 3 MB."""
+
+MAX_NOTES = 16
+"""Notes on one request; four attempts need nine."""
+
+
+@dataclass(slots=True, frozen=True)
+class Note:
+    """One decision; ``at`` is a clock reading in seconds."""
+
+    at: float
+    step: str
+    detail: str = ""
+
+
+class Journal:
+    """Notes by request, the oldest request forgotten first."""
+
+    __slots__ = ("_notes_by_request",)
+
+    def __init__(self):
+        self._notes_by_request: OrderedDict[str, list[Note]] = OrderedDict()
+
+    def note(self, request_id: str, note: Note) -> None:
+        """Add a note."""
+        notes = self._notes_by_request.setdefault(request_id, [])
+        if len(notes) < MAX_NOTES:
+            notes.append(note)
+        if len(self._notes_by_request) > MAX_REQUESTS:
+            self._notes_by_request.popitem(last=False)
+
+    def notes(self, request_id: str) -> tuple[Note, ...]:
+        """Return a request's notes, or nothing if it is forgotten."""
+        return tuple(self._notes_by_request.get(request_id, ()))
--- /dev/null
+++ b/radishfield/decisions/_pool.py
@@ -0,0 +1,278 @@
+"""The targets of one model, or one kind of service, with their work in flight."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from radishfield.core import Link, Route, Target, TargetKind, TargetState
+from radishfield.decisions._affinity import LOAD_BOUND
+from radishfield.decisions._ejection import Ejector
+from radishfield.decisions._flow import FlowPlan, plan_flow, speed_of
+from radishfield.decisions._limits import TargetLoad, full_step_s, little_limit
+from radishfield.decisions._pace import DrainRate, Pace
+from radishfield.decisions._routes import Chooser, Crossing
+
+FIRST_PACE_S = 0.1
+"""Seconds for a token before any plan or answer says better."""
+
+
+@dataclass(slots=True, frozen=True)
+class Claim:
+    """Places in flight that one attempt holds.
+
+    Attributes
+    ----------
+    token_s : float
+        Seconds that a token should take on the route with full batches.
+    """
+
+    loads: tuple[TargetLoad, ...]
+    crossings: tuple[Crossing, ...]
+    long: bool
+    token_s: float
+    route: Route | None = None
+    target: Target | None = None
+
+
+class Pool:
+    """Targets that can serve the same work, and what is learned about them."""
+
+    __slots__ = (
+        "kind",
+        "pace",
+        "drain",
+        "ejector",
+        "bound_tps",
+        "loads_by_id",
+        "mean_use",
+        "_choosers",
+        "_crossings_by_pair",
+        "_hosts",
+        "_links",
+        "_zone",
+        "_running_by_version",
+    )
+
+    def __init__(self, kind: TargetKind):
+        self.kind = kind
+        self.pace = Pace(FIRST_PACE_S)
+        self.drain = DrainRate()
+        self.ejector = Ejector()
+        self.bound_tps = 0.0
+        self.loads_by_id: dict[str, TargetLoad] = {}
+        self.mean_use = 0.0
+        self._choosers: list[Chooser] = []
+        self._crossings_by_pair: dict[tuple[str, str], Crossing] = {}
+        self._hosts = 1
+        self._links: Sequence[Link] = ()
+        self._zone = ""
+        self._running_by_version: dict[str, int] = {}
+
+    @property
+    def host_tps(self) -> float:
+        """Return this host's even part of the bound, in tokens per second."""
+        return self.bound_tps / self._hosts
+
+    @property
+    def drain_tps(self) -> float:
+        """Return the tokens per second that leave this host's queue."""
+        return self.drain.tps(self.host_tps)
+
+    def set_targets(
+        self, targets: Sequence[Target], links: Sequence[Link], zone: str, hosts: int
+    ) -> None:
+        """Replace the targets; what is known of those that stay is kept."""
+        self._links, self._zone, self._hosts = links, zone, max(1, hosts)
+        known = self.loads_by_id
+        self.loads_by_id = {}
+        newcomers = []
+        for target in targets:
+            load = known.get(target.id)
+            if load is None or load.target.incarnation != target.incarnation:
+                load = TargetLoad(target)
+                newcomers.append(load)
+            load.target = target
+            load.usable = target.state is TargetState.LIVE
+            self.loads_by_id[target.id] = load
+        self.ejector.keep_only(set(self.loads_by_id))
+        self.replan()
+        for load in newcomers:
+            if known:
+                load.start_low()
+            else:
+                load.weight = load.goal
+
+    def replan(self) -> None:
+        """Work out flow, weights and limits anew; on fleet changes only."""
+        active = [
+            load
+            for load in self.loads_by_id.values()
+            if load.usable and not load.ejected
+        ]
+        if self.kind is TargetKind.SERVICE:
+            self._replan_service(active)
+        else:
+            self._replan_engine(active)
+        zones = len({load.target.zone for load in active}) or 1
+        for load in self.loads_by_id.values():
+            load.shared_by(self._hosts, self._hosts / zones)
+
+    def pick(
+        self,
+        long: bool,
+        excluded: frozenset[str] = frozenset(),
+        preferred: frozenset[str] = frozenset(),
+        forced: bool = False,
+    ) -> Claim | None:
+        """Return places for one attempt, or None if there is no room."""
+        if self.kind is TargetKind.SERVICE:
+            return self._pick_service(long, excluded, forced)
+        running = self._running_by_version
+        choosers = sorted(
+            self._choosers,
+            key=lambda c: (running.get(c.model_version, 0) + 1) / c.bound_tps,
+        )
+        for chooser in choosers:
+            chain = chooser.choose(long, excluded, preferred, forced)
+            if chain is not None:
+                return Claim(
+                    tuple(chain),
+                    tuple(chooser.crossings_of(chain)),
+                    long,
+                    sum(full_step_s(load.target) for load in chain),
+                    route=chooser.route(chain),
+                )
+        return None
+
+    def begin(self, claim: Claim) -> None:
+        """Count a claim's places as in flight."""
+        self._count(claim, 1)
+        for load in claim.loads:
+            load.begin(claim.long)
+
+    def end(self, claim: Claim) -> None:
+        """Give a claim's places back."""
+        self._count(claim, -1)
+        for load in claim.loads:
+            load.end(claim.long)
+
+    def covered(self, excluded: frozenset[str] = frozenset()) -> bool:
+        """Tell whether live targets can serve the work at all, full or not."""
+        if self.kind is TargetKind.SERVICE:
+            return any(
+                load.usable and load.target.id not in excluded
+                for load in self.loads_by_id.values()
+            )
+        return any(chooser.covered(excluded) for chooser in self._choosers)
+
+    def eject(self, target_id: str) -> bool:
+        """Leave a target out, unless no other can take its part."""
+        load = self.loads_by_id.get(target_id)
+        if load is None or not self.covered(self._ejected() | {target_id}):
+            return False
+        load.ejected = True
+        self.replan()
+        return True
+
+    def readmit(self, target_ids: list[str]) -> None:
+        """Take targets back in, with a small weight."""
+        returned = [self.loads_by_id[i] for i in target_ids if i in self.loads_by_id]
+        for load in returned:
+            load.ejected = False
+        if returned:
+            self.replan()
+        for load in returned:
+            load.start_low()
+
+    def tick(self, elapsed_s: float, now: float) -> None:
+        """Move weights and forget stale reports; once a second is enough."""
+        uses = []
+        for load in self.loads_by_id.values():
+            load.shift_weight(elapsed_s)
+            load.forget_stale_report(now)
+            uses.append(load.use())
+        self.mean_use = sum(uses) / len(uses) if uses else 0.0
+
+    def within_load_bound(self, target_ids: Sequence[str]) -> frozenset[str]:
+        """Return those targets that affinity may prefer at their present load."""
+        bound = LOAD_BOUND * self.mean_use
+        fitting = set()
+        for target_id in target_ids:
+            load = self.loads_by_id.get(target_id)
+            if load is not None and load.has_room(False):
+                if load.own <= bound * load.share + 1:
+                    fitting.add(target_id)
+        return frozenset(fitting)
+
+    def _ejected(self) -> frozenset[str]:
+        return frozenset(i for i, load in self.loads_by_id.items() if load.ejected)
+
+    def _count(self, claim: Claim, change: int) -> None:
+        if claim.route is not None:
+            version = claim.route.model_version
+            counts = self._running_by_version
+            counts[version] = counts.get(version, 0) + change
+        for crossing in claim.crossings:
+            crossing.own += change
+
+    def _replan_service(self, active: list[TargetLoad]) -> None:
+        for load in active:
+            load.goal = speed_of(load.target)
+        self.bound_tps = sum(load.goal for load in active)
+
+    def _replan_engine(self, active: list[TargetLoad]) -> None:
+        by_version: dict[str, list[TargetLoad]] = {}
+        for load in active:
+            by_version.setdefault(load.target.model_version, []).append(load)
+        self._choosers = []
+        self.bound_tps = 0.0
+        for loads in by_version.values():
+            plan = plan_flow(
+                [load.target for load in loads], self._links, self._zone, {}
+            )
+            if plan.bound_tps > 0:
+                self._adopt(plan, loads)
+
+    def _adopt(self, plan: FlowPlan, loads: list[TargetLoad]) -> None:
+        cycle_s = _cycle_s(plan, loads)
+        self.bound_tps += plan.bound_tps
+        self.pace.reset_guess(cycle_s)
+        for load in loads:
+            load.goal = plan.weight_by_target[load.target.id]
+            load.resize(little_limit(load.goal, cycle_s))
+        self._set_crossings(cycle_s)
+        self._choosers.append(
+            Chooser(
+                loads, self._links, self._zone, plan.bound_tps, self._crossings_by_pair
+            )
+        )
+
+    def _set_crossings(self, cycle_s: float) -> None:
+        for link in self._links:
+            if link.from_zone == link.to_zone:
+                continue
+            pair = link.from_zone, link.to_zone
+            crossing = self._crossings_by_pair.setdefault(pair, Crossing(0.0))
+            crossing.limit = little_limit(link.tokens_per_s, cycle_s) / self._hosts
+
+    def _pick_service(
+        self, long: bool, excluded: frozenset[str], forced: bool
+    ) -> Claim | None:
+        fitting = [
+            load
+            for load in self.loads_by_id.values()
+            if load.target.id not in excluded
+            and (load.has_room(False) or (forced and load.usable))
+        ]
+        if not fitting:
+            return None
+        load = min(fitting, key=TargetLoad.score)
+        return Claim((load,), (), long, full_step_s(load.target), target=load.target)
+
+
+def _cycle_s(plan: FlowPlan, loads: list[TargetLoad]) -> float:
+    """Return the mean seconds that a token needs through all stages."""
+    passed = sum(
+        plan.weight_by_target[load.target.id] * full_step_s(load.target)
+        for load in loads
+    )
+    return passed / plan.bound_tps
--- /dev/null
+++ b/radishfield/decisions/_queues.py
@@ -0,0 +1,268 @@
+"""What waits, and in which order it leaves.
+
+Load pattern: two workspaces send nine tenths of the load; one request in twenty
+is fifty times longer.  In one queue by arrival, everyone waits behind the
+largest sender and the longest work.  Here:
+
+- priorities are strict; within one, short and long work wait in lanes of their
+  own, and the short lane gets four tokens for each one of the long lane while
+  both have work, so that neither starves;
+- within a lane, workspaces share tokens evenly (start-time fair queueing), and
+  within a workspace the earliest deadline goes first.
+
+State is kept for workspaces that have work waiting.  A workspace that fell idle
+is remembered only while its used share lies ahead of the others', and at most
+`MAX_IDLE_WORKSPACES` of them: 42,000 idle workspaces cost nothing.
+"""
+
+import enum
+import heapq
+import itertools
+from dataclasses import dataclass
+
+from radishfield.core import Priority
+from radishfield.decisions._data import Work
+
+LONG_TOKENS = 400.0
+"""Expected cost from which work goes to the long lane: several times a notice
+or a summary, well under a full review."""
+
+LANE_WEIGHT = (4.0, 1.0)
+"""Tokens for the short and the long lane while both wait.  A fifth keeps long
+work moving; four fifths keep short work's wait near that without long work."""
+
+MAX_IDLE_WORKSPACES = 4096
+"""Idle workspaces remembered at most; forgetting one gives it back at most one
+request's worth of share."""
+
+
+class Lane(enum.IntEnum):
+    """Short work and long work wait apart."""
+
+    SHORT = 0
+    LONG = 1
+
+
+@dataclass(slots=True, frozen=True)
+class Entry:
+    """Work that waits.
+
+    Attributes
+    ----------
+    cost : float
+        Expected tokens.
+    latest_start : float
+        Clock reading after which it can no longer finish on time.
+    """
+
+    work: Work
+    cost: float
+    latest_start: float
+    lane: Lane
+
+
+def lane_for(cost: float) -> Lane:
+    """Return the lane for work of an expected cost."""
+    return Lane.LONG if cost >= LONG_TOKENS else Lane.SHORT
+
+
+class FairQueue:
+    """Start-time fair queueing among workspaces, earliest deadline within one."""
+
+    __slots__ = (
+        "backlog",
+        "_alive",
+        "_backlog_by_workspace",
+        "_entries_by_workspace",
+        "_order",
+        "_sequence",
+        "_tag_by_workspace",
+        "_virtual",
+    )
+
+    def __init__(self, sequence: itertools.count):
+        self.backlog = 0.0
+        self._alive: set[str] = set()
+        self._backlog_by_workspace: dict[str, float] = {}
+        self._entries_by_workspace: dict[str, list[tuple[float, int, Entry]]] = {}
+        self._order: list[tuple[float, int, str]] = []
+        self._sequence = sequence
+        self._tag_by_workspace: dict[str, float] = {}
+        self._virtual = 0.0
+
+    def __len__(self):
+        return len(self._alive)
+
+    @property
+    def workspaces(self) -> int:
+        """Return how many workspaces have work waiting."""
+        return len(self._backlog_by_workspace)
+
+    def backlog_of(self, workspace: str) -> float:
+        """Return the tokens that a workspace has waiting."""
+        return self._backlog_by_workspace.get(workspace, 0.0)
+
+    def push(self, entry: Entry) -> None:
+        """Add an entry."""
+        name = entry.work.workspace
+        waiting = self._entries_by_workspace.get(name)
+        if waiting is None:
+            waiting = self._entries_by_workspace[name] = []
+            tag = max(self._virtual, self._tag_by_workspace.pop(name, 0.0))
+            heapq.heappush(self._order, (tag, next(self._sequence), name))
+        heapq.heappush(waiting, (entry.work.deadline, next(self._sequence), entry))
+        self._alive.add(entry.work.request_id)
+        self.backlog += entry.cost
+        self._backlog_by_workspace[name] = self.backlog_of(name) + entry.cost
+
+    def peek(self) -> Entry | None:
+        """Return the entry that goes next, or None."""
+        while self._order:
+            tag, _, name = self._order[0]
+            waiting = self._entries_by_workspace[name]
+            while waiting and waiting[0][2].work.request_id not in self._alive:
+                heapq.heappop(waiting)
+            if waiting:
+                return waiting[0][2]
+            heapq.heappop(self._order)
+            self._fall_idle(name, tag)
+        return None
+
+    def pop(self) -> Entry:
+        """Remove and return the entry that `peek` returned."""
+        tag, _, name = self._order[0]
+        _, _, entry = heapq.heappop(self._entries_by_workspace[name])
+        self._virtual = max(self._virtual, tag)
+        heapq.heapreplace(self._order, (tag + entry.cost, next(self._sequence), name))
+        self._forget(entry)
+        return entry
+
+    def discard(self, entry: Entry) -> None:
+        """Remove an entry from wherever it stands."""
+        self._forget(entry)
+        waiting = self._entries_by_workspace[entry.work.workspace]
+        if len(waiting) > 64 and len(waiting) > 2 * len(self._alive):
+            waiting[:] = [
+                item for item in waiting if item[2].work.request_id in self._alive
+            ]
+            heapq.heapify(waiting)
+
+    def _forget(self, entry: Entry) -> None:
+        self._alive.discard(entry.work.request_id)
+        self.backlog = max(0.0, self.backlog - entry.cost)
+        name = entry.work.workspace
+        left = self._backlog_by_workspace[name] - entry.cost
+        if left > 1e-6:
+            self._backlog_by_workspace[name] = left
+        else:
+            del self._backlog_by_workspace[name]
+
+    def _fall_idle(self, name: str, tag: float) -> None:
+        del self._entries_by_workspace[name]
+        if tag <= self._virtual:
+            return
+        self._tag_by_workspace[name] = tag
+        if len(self._tag_by_workspace) <= MAX_IDLE_WORKSPACES:
+            return
+        ahead = {k: v for k, v in self._tag_by_workspace.items() if v > self._virtual}
+        heaviest = heapq.nlargest(
+            MAX_IDLE_WORKSPACES // 2, ahead.items(), key=lambda item: item[1]
+        )
+        self._tag_by_workspace = dict(heaviest)
+
+
+class WorkQueue:
+    """All that waits for one model or one kind of service."""
+
+    __slots__ = ("_entries_by_request", "_queues", "_served", "_expiry")
+
+    def __init__(self):
+        sequence = itertools.count()
+        self._entries_by_request: dict[str, Entry] = {}
+        self._queues = [[FairQueue(sequence) for _ in Lane] for _ in Priority]
+        self._served = [[0.0 for _ in Lane] for _ in Priority]
+        self._expiry: list[tuple[float, str]] = []
+
+    def __len__(self):
+        return len(self._entries_by_request)
+
+    def __contains__(self, request_id: str):
+        return request_id in self._entries_by_request
+
+    def push(self, entry: Entry) -> None:
+        """Add an entry; its request must not be waiting already."""
+        self._entries_by_request[entry.work.request_id] = entry
+        lanes = self._queues[entry.work.priority]
+        if not lanes[entry.lane]:
+            # A lane that was empty has no claim on the time it did not use.
+            served = self._served[entry.work.priority]
+            served[entry.lane] = max(served[entry.lane], served[1 - entry.lane])
+        lanes[entry.lane].push(entry)
+        heapq.heappush(self._expiry, (entry.latest_start, entry.work.request_id))
+
+    def heads(self, priority: Priority) -> list[Entry]:
+        """Return the next entry of each lane, the lane that is due first."""
+        served = self._served[priority]
+        order = sorted(Lane, key=lambda lane: served[lane])
+        heads = [self._queues[priority][lane].peek() for lane in order]
+        return [head for head in heads if head is not None]
+
+    def pop(self, entry: Entry) -> None:
+        """Remove an entry that `heads` returned, to be dispatched."""
+        priority, lane = entry.work.priority, entry.lane
+        self._queues[priority][lane].pop()
+        self._served[priority][lane] += entry.cost / LANE_WEIGHT[lane]
+        del self._entries_by_request[entry.work.request_id]
+
+    def withdraw(self, request_id: str) -> Entry | None:
+        """Remove and return an entry, or None if it is not waiting."""
+        entry = self._entries_by_request.pop(request_id, None)
+        if entry is not None:
+            self._queues[entry.work.priority][entry.lane].discard(entry)
+        return entry
+
+    def expire(self, now: float) -> list[Entry]:
+        """Remove and return what can no longer finish on time."""
+        expired = []
+        while self._expiry and self._expiry[0][0] <= now:
+            _, request_id = heapq.heappop(self._expiry)
+            entry = self._entries_by_request.get(request_id)
+            if entry is not None and entry.latest_start <= now:
+                self.withdraw(request_id)
+                expired.append(entry)
+        return expired
+
+    def next_expiry(self) -> float | None:
+        """Return when the next entry leaves by itself."""
+        while self._expiry and self._expiry[0][1] not in self._entries_by_request:
+            heapq.heappop(self._expiry)
+        return self._expiry[0][0] if self._expiry else None
+
+    def backlog(self) -> float:
+        """Return all tokens that wait."""
+        return sum(queue.backlog for lanes in self._queues for queue in lanes)
+
+    def ahead_of(self, work: Work, cost: float, lane: Lane) -> float:
+        """Return the tokens that leave before new work would.
+
+        Higher priorities go first.  Within its own priority and lane the
+        workspace waits for its own backlog and as much of each other one's;
+        the other lane gets its weight meanwhile.
+        """
+        higher = sum(
+            queue.backlog for lanes in self._queues[: work.priority] for queue in lanes
+        )
+        own_lane = self._queues[work.priority][lane]
+        own = own_lane.backlog_of(work.workspace) + cost
+        fair = min(own_lane.backlog, own * max(1, own_lane.workspaces))
+        other = self._queues[work.priority][1 - lane]
+        meanwhile = fair * LANE_WEIGHT[1 - lane] / LANE_WEIGHT[lane]
+        return higher + fair + min(other.backlog, meanwhile)
+
+    def over_share(self, work: Work) -> bool:
+        """Tell whether a workspace has more waiting than an even share."""
+        lanes = self._queues[work.priority]
+        own = sum(queue.backlog_of(work.workspace) for queue in lanes)
+        total = sum(queue.backlog for queue in lanes)
+        workspaces = max(queue.workspaces for queue in lanes)
+        return workspaces > 1 and own > total / workspaces
--- /dev/null
+++ b/radishfield/decisions/_routes.py
@@ -0,0 +1,245 @@
+"""Which chain of targets runs a request.
+
+Load pattern: mixed accelerators in three zones, joined by links that differ a
+hundredfold.  A chain picked without regard to the links queues on the slowest;
+one picked by an idle-looking report sends every entry host the same way.
+
+The walk goes from layer 0 to the last.  At each boundary it takes, among the
+targets that hold the next layer and have room, the one with the least work in
+flight for its weight; the entry host's present zone first, another zone when
+the local ones are nearly full, and only over links with room.  A range that
+begins earlier is used in part, so ranges may overlap.  One walk stays in one
+model version.  A dead end is stepped back from, within `MAX_STEPS`.
+"""
+
+from collections import defaultdict
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from radishfield.core import LayerRange, Link, Route, Stage
+from radishfield.decisions._limits import TargetLoad
+
+MAX_STEPS = 64
+"""Targets tried in one walk; a model has some 4 to 16 stages."""
+
+SAMPLE = 12
+"""Targets compared at one boundary.  The best of a dozen is within a few
+percent of the best of all, at a cost that does not grow with the fleet."""
+
+SPILL_USE = 0.85
+"""Use of the local share from which other zones are compared as well: before
+it, a hop over a link costs more than a fuller batch."""
+
+CROSSING_USE = 0.15
+"""Use added to another zone's target: the price of the hop."""
+
+
+@dataclass(slots=True)
+class Crossing:
+    """A directed link between zones with its work in flight.
+
+    It has no answers of its own to learn from, so its limit is the rate of the
+    link times the time a token needs.
+    """
+
+    limit: float
+    own: int = 0
+
+    def has_room(self) -> bool:
+        """Tell whether one more request may use the link."""
+        return self.own < self.limit
+
+
+@dataclass(slots=True, frozen=True)
+class _Wanted:
+    """What one walk looks for."""
+
+    long: bool
+    excluded: frozenset[str]
+    preferred: frozenset[str]
+    forced: bool
+
+    def fits(self, load: TargetLoad) -> bool:
+        """Tell whether a target may be taken."""
+        if load.target.id in self.excluded:
+            return False
+        if self.forced:
+            return load.usable and not load.ejected
+        return load.has_room(self.long)
+
+
+class Chooser:
+    """Chains for one model version."""
+
+    __slots__ = (
+        "model",
+        "model_version",
+        "model_layers",
+        "bound_tps",
+        "_zone",
+        "_loads_by_zone_layer",
+        "_crossings_by_pair",
+        "_zones",
+        "_turn",
+    )
+
+    def __init__(
+        self,
+        loads: Sequence[TargetLoad],
+        links: Sequence[Link],
+        zone: str,
+        bound_tps: float,
+        crossings_by_pair: dict[tuple[str, str], Crossing],
+    ):
+        first = loads[0].target
+        self.model = first.model
+        self.model_version = first.model_version
+        self.model_layers = first.model_layers
+        self.bound_tps = bound_tps
+        self._zone = zone
+        self._turn = 0
+        self._loads_by_zone_layer = _by_boundary(loads)
+        self._crossings_by_pair = crossings_by_pair
+        self._zones = _nearest_zones(loads, links, zone)
+
+    def choose(
+        self,
+        long: bool,
+        excluded: frozenset[str] = frozenset(),
+        preferred: frozenset[str] = frozenset(),
+        forced: bool = False,
+    ) -> list[TargetLoad] | None:
+        """Return a chain whose every target and link has room, or None.
+
+        Parameters
+        ----------
+        preferred : frozenset of str
+            Targets to take where they can be, because they hold a cache.
+        forced : bool
+            Whether to ignore limits: work that was cut must not lose its turn.
+        """
+        wanted = _Wanted(long, excluded, preferred, forced)
+        self._turn += 1
+        steps_left = MAX_STEPS
+        chain: list[TargetLoad] = []
+        options = [self._options(self._zone, 0, wanted)]
+        while options and steps_left > 0:
+            if not options[-1]:
+                options.pop()
+                if chain:
+                    chain.pop()
+                continue
+            steps_left -= 1
+            load = options[-1].pop()
+            end = load.target.layers.end
+            chain.append(load)
+            if end == self.model_layers:
+                return chain
+            options.append(self._options(load.target.zone, end, wanted))
+        return None
+
+    def covered(self, excluded: frozenset[str] = frozenset()) -> bool:
+        """Tell whether live targets cover the model, full or not."""
+        reached, todo = {0}, [0]
+        while todo:
+            layer = todo.pop()
+            for (_, boundary), loads in self._loads_by_zone_layer.items():
+                if boundary != layer:
+                    continue
+                for load in loads:
+                    end = load.target.layers.end
+                    fits = load.usable and load.target.id not in excluded
+                    if fits and end not in reached:
+                        reached.add(end)
+                        todo.append(end)
+        return self.model_layers in reached
+
+    def crossings_of(self, chain: Sequence[TargetLoad]) -> list[Crossing]:
+        """Return the links between zones that a chain uses."""
+        zones = [load.target.zone for load in chain]
+        pairs = zip(zones, zones[1:], strict=False)
+        found = (self._crossings_by_pair.get(pair) for pair in pairs)
+        return [crossing for crossing in found if crossing is not None]
+
+    def _options(self, zone: str, layer: int, wanted: _Wanted) -> list[TargetLoad]:
+        """Return targets to try, the best one last."""
+        local = self._with_room(zone, layer, wanted)
+        if wanted.preferred:
+            kept = self._preferred(layer, wanted)
+            if kept:
+                local.sort(key=TargetLoad.score, reverse=True)
+                return local + kept
+        best_use = min((load.use() for load in local), default=1.0)
+        if best_use < SPILL_USE:
+            local.sort(key=TargetLoad.score, reverse=True)
+            return local
+        others = []
+        for name in self._zones:
+            if name != zone and self._may_cross(zone, name, layer):
+                others += self._with_room(name, layer, wanted)
+        nearer = [load for load in others if load.use() + CROSSING_USE < best_use]
+        farther = [load for load in others if load.use() + CROSSING_USE >= best_use]
+        for loads in (farther, local, nearer):
+            loads.sort(key=TargetLoad.score, reverse=True)
+        return farther + local + nearer
+
+    def _preferred(self, layer: int, wanted: _Wanted) -> list[TargetLoad]:
+        """Return preferred targets of any zone: they hold the request's cache."""
+        return [
+            load
+            for zone in self._zones
+            for load in self._loads_by_zone_layer.get((zone, layer), ())
+            if load.target.id in wanted.preferred
+            and load.target.id not in wanted.excluded
+            and load.usable
+            and not load.ejected
+        ]
+
+    def _with_room(self, zone: str, layer: int, wanted: _Wanted) -> list[TargetLoad]:
+        loads = self._loads_by_zone_layer.get((zone, layer), ())
+        if len(loads) > SAMPLE:
+            start = self._turn * SAMPLE % len(loads)
+            sample = loads[start : start + SAMPLE]
+            sample += loads[: SAMPLE - len(sample)]
+            found = [load for load in sample if wanted.fits(load)]
+            if found:
+                return found
+        return [load for load in loads if wanted.fits(load)]
+
+    def _may_cross(self, from_zone: str, to_zone: str, layer: int) -> bool:
+        """Tell whether a link has room; the prompt itself may start anywhere."""
+        if layer == 0:
+            return True
+        crossing = self._crossings_by_pair.get((from_zone, to_zone))
+        return crossing is not None and crossing.has_room()
+
+    def route(self, chain: Sequence[TargetLoad]) -> Route:
+        """Return a chain as the route that the stages are told."""
+        stages = []
+        next_layer = 0
+        for load in chain:
+            end = load.target.layers.end
+            layers = LayerRange(next_layer, end)
+            stages.append(Stage(load.target.id, load.target.address, layers))
+            next_layer = end
+        return Route(tuple(stages), self.model, self.model_version, self.model_layers)
+
+
+def _by_boundary(
+    loads: Sequence[TargetLoad],
+) -> dict[tuple[str, int], list[TargetLoad]]:
+    boundaries = {0} | {load.target.layers.end for load in loads}
+    held = defaultdict(list)
+    for load in loads:
+        for layer in boundaries:
+            if load.target.layers.first <= layer < load.target.layers.end:
+                held[load.target.zone, layer].append(load)
+    return dict(held)
+
+
+def _nearest_zones(
+    loads: Sequence[TargetLoad], links: Sequence[Link], zone: str
+) -> list[str]:
+    rate = {link.to_zone: link.tokens_per_s for link in links if link.from_zone == zone}
+    names = {load.target.zone for load in loads}
+    return sorted(names, key=lambda name: (-rate.get(name, 0.0), name))
--- /dev/null
+++ b/radishfield/decisions/_running.py
@@ -0,0 +1,79 @@
+"""One dispatched request: the places it holds and how it moves on."""
+
+from radishfield.decisions._data import Dispatch
+from radishfield.decisions._lengths import PROMPT_TOKEN_COST
+from radishfield.decisions._pool import Claim, Pool
+
+SAMPLE_TOKENS = 8
+"""Tokens after which a stream's pace is judged: a slow target shows within a
+few tokens, not at the end of a long answer."""
+
+
+class Running:
+    """A request in flight, over all its attempts."""
+
+    __slots__ = (
+        "pool",
+        "dispatch",
+        "claim",
+        "started_at",
+        "cost",
+        "position",
+        "ever_started",
+        "_held",
+        "_sample_at",
+        "_sample_position",
+        "_last_at",
+    )
+
+    def __init__(
+        self, pool: Pool, dispatch: Dispatch, claim: Claim, now: float, cost: float
+    ):
+        self.pool = pool
+        self.dispatch = dispatch
+        self.claim = claim
+        self.started_at = now
+        self.cost = cost
+        self.position = 0
+        self.ever_started = False
+        self._held = True
+        self._sample_at: float | None = None
+        self._sample_position = 0
+        self._last_at = now
+
+    def advance(self, position: int, now: float) -> int:
+        """Note the latest committed position; return the tokens that were new."""
+        new = max(0, position - self.position)
+        self.position = max(self.position, position)
+        self._last_at = now
+        if self._sample_at is None:
+            self._sample_at, self._sample_position = now, self.position
+        return new
+
+    def sample_ratio(self) -> float | None:
+        """Return time per token over the expected one, every few tokens."""
+        tokens = self.position - self._sample_position
+        if tokens < SAMPLE_TOKENS or self._sample_at is None:
+            return None
+        token_s = (self._last_at - self._sample_at) / tokens
+        self._sample_at, self._sample_position = self._last_at, self.position
+        return token_s / max(self.claim.token_s, 1e-9)
+
+    def cost_so_far(self) -> float:
+        """Return the prompt and the committed tokens, as a cost."""
+        prompt = self.dispatch.work.prompt_tokens * PROMPT_TOKEN_COST
+        return prompt + self.position + 1
+
+    def release(self) -> None:
+        """Give the held places back, once."""
+        if self._held:
+            self.pool.end(self.claim)
+            self._held = False
+
+    def restart(self, dispatch: Dispatch, claim: Claim, at: float) -> None:
+        """Go on with the next attempt; its places are counted by the caller."""
+        self.dispatch = dispatch
+        self.claim = claim
+        self._held = True
+        self._sample_at = None
+        self._last_at = at
--- a/radishfield/decisions/_scheduler.py
+++ b/radishfield/decisions/_scheduler.py
@@ -1,36 +1,56 @@
-"""The decisions composed: one object that a dispatcher or a bench drives.
+"""The decisions composed: one object that a dispatcher or a bench drives."""
 
-This first version admits everything, keeps one queue in order of arrival and
-takes the first chain of live targets that covers the model.
-"""
-
-from collections import OrderedDict
 from collections.abc import Sequence
 
 from radishfield.core import (
-    LayerRange,
+    CacheEvent,
     Link,
     LoadReport,
+    Priority,
     ResultCode,
-    Route,
-    Stage,
     Target,
     TargetKind,
-    TargetState,
     fault,
 )
+from radishfield.decisions._admission import Forecast, judge, spread_retry
+from radishfield.decisions._affinity import PrefixIndex
 from radishfield.decisions._data import (
     Dispatch,
     Expired,
     Failure,
+    FailureKind,
     GiveUp,
     Queued,
     Refused,
     Retry,
     Work,
 )
+from radishfield.decisions._journal import Journal, Note
+from radishfield.decisions._lengths import LengthEstimate
+from radishfield.decisions._pool import Claim, Pool
+from radishfield.decisions._queues import Entry, Lane, WorkQueue, lane_for
+from radishfield.decisions._recovery import (
+    RebuildPacer,
+    choose_resumption,
+    rebuild_cost,
+)
+from radishfield.decisions._retries import (
+    CODE_BY_KIND,
+    RetryBudget,
+    end_fault,
+    forbids,
+    is_recovery,
+)
+from radishfield.decisions._running import Running
+from radishfield.decisions._snapshot import Snapshot, view_of
+
+TICK_S = 1.0
+"""Weights, stale reports and ejections are looked at once a second."""
+
+NO_TARGET_RETRY_S = 2.0
+"""A fleet that covers no model now may do so after a restart or a placement."""
 
-MAX_ATTEMPTS = 4
+PoolKey = tuple[TargetKind, str]
 
 
 class Scheduler:
@@ -42,17 +62,29 @@
     """
 
     __slots__ = (
-        "_queue_by_request",
-        "_targets_by_id",
+        "_budget",
+        "_fleet",
+        "_journal",
+        "_lengths",
+        "_pacer",
+        "_pools_by_key",
+        "_prefixes",
+        "_queues_by_key",
         "_running_by_request",
-        "_turn",
+        "_ticked_at",
     )
 
     def __init__(self):
-        self._queue_by_request: OrderedDict[str, Work] = OrderedDict()
-        self._targets_by_id: dict[str, Target] = {}
-        self._running_by_request: dict[str, Dispatch] = {}
-        self._turn = 0
+        self._budget = RetryBudget()
+        self._fleet: tuple | None = None
+        self._journal = Journal()
+        self._lengths = LengthEstimate()
+        self._pacer = RebuildPacer()
+        self._pools_by_key: dict[PoolKey, Pool] = {}
+        self._prefixes = PrefixIndex()
+        self._queues_by_key: dict[PoolKey, WorkQueue] = {}
+        self._running_by_request: dict[str, Running] = {}
+        self._ticked_at: float | None = None
 
     def set_fleet(
         self,
@@ -62,106 +94,289 @@
         entry_hosts: int,
         now: float,
     ) -> None:
-        """Replace the view of targets and links; ``entry_hosts`` share them."""
-        self._targets_by_id = {target.id: target for target in targets}
+        """Replace the view of targets and links; ``entry_hosts`` share them.
+
+        A fleet equal to the present one costs a comparison only.
+        """
+        fleet = tuple(targets), tuple(links), zone, entry_hosts
+        if fleet == self._fleet:
+            return
+        self._fleet = fleet
+        members: dict[PoolKey, list[Target]] = {key: [] for key in self._pools_by_key}
+        for target in targets:
+            members.setdefault((target.kind, target.model), []).append(target)
+        for key, held in members.items():
+            pool = self._pools_by_key.setdefault(key, Pool(key[0]))
+            pool.set_targets(held, links, zone, entry_hosts)
+        self._prefixes.keep_only({target.id for target in targets})
 
     def observe_load(self, report: LoadReport, now: float) -> None:
         """Take in a target's lagging load report."""
+        for pool in self._pools_by_key.values():
+            load = pool.loads_by_id.get(report.target_id)
+            if load is None or report.incarnation != load.target.incarnation:
+                continue
+            load.observe(report, now)
+            if report.leaving:
+                load.usable = False
+
+    def observe_cache(self, event: CacheEvent, now: float) -> None:
+        """Take in a target's late cache event."""
+        self._prefixes.observe(event, now)
+
+    def target_leaving(self, target_id: str, now: float) -> None:
+        """Give a target no new work until it comes back as a new incarnation."""
+        for pool in self._pools_by_key.values():
+            load = pool.loads_by_id.get(target_id)
+            if load is not None and load.usable:
+                load.usable = False
+                pool.replan()
 
     def offer(self, work: Work, now: float) -> Queued | Refused:
         """Admit or refuse new work."""
-        if work.deadline <= now:
-            return Refused(fault(ResultCode.DEADLINE_UNREACHABLE, "deadline is past"))
-        if self._choose(work) is None:
-            return Refused(fault(ResultCode.NO_TARGET, work.model, retry_after_s=1.0))
-        self._queue_by_request[work.request_id] = work
+        key = work.kind, work.model
+        pool = self._pools_by_key.get(key)
+        if pool is None or not pool.covered():
+            retry = spread_retry(work, NO_TARGET_RETRY_S)
+            return self._refuse(
+                work, fault(ResultCode.NO_TARGET, work.model, retry), now
+            )
+        queue = self._queues_by_key.setdefault(key, WorkQueue())
+        cost = self._lengths.expected_cost(work)
+        lane = lane_for(cost)
+        cautious = pool.pace.cautious_s(self._lengths.cautious_cost(work))
+        ahead = queue.ahead_of(work, cost, lane) if len(queue) else 0.0
+        forecast = Forecast(
+            ahead / pool.drain_tps, cautious, len(queue), queue.over_share(work)
+        )
+        problem = judge(work, forecast, now)
+        if problem is not None:
+            return self._refuse(work, problem, now)
+        latest_start = work.deadline - pool.pace.expected_s(cost)
+        queue.push(Entry(work, cost, latest_start, lane))
+        self._journal.note(work.request_id, Note(now, "queued", f"{ahead:.0f} ahead"))
         return Queued(work.request_id)
 
     def withdraw(self, request_id: str, now: float) -> bool:
         """Take work out of the queue; False if it is not in it (any more)."""
-        return self._queue_by_request.pop(request_id, None) is not None
+        for queue in self._queues_by_key.values():
+            if queue.withdraw(request_id) is not None:
+                self._journal.note(request_id, Note(now, "withdrawn"))
+                return True
+        return False
 
     def take(self, now: float) -> list[Dispatch | Expired]:
         """Return the work to start or to end now; each entry comes once."""
+        self._tick(now)
         taken: list[Dispatch | Expired] = []
-        while self._queue_by_request:
-            _, work = self._queue_by_request.popitem(last=False)
-            taken.append(self._start(work, now))
+        for key, queue in self._queues_by_key.items():
+            if not len(queue):
+                continue
+            for entry in queue.expire(now):
+                taken.append(self._expire(entry, now))
+            self._start_waiting(self._pools_by_key[key], queue, taken, now)
         return taken
 
     def next_wakeup(self, now: float) -> float | None:
         """Return when `take` should be called again at the latest."""
-        return None
+        times = [pool.ejector.next_return() for pool in self._pools_by_key.values()]
+        for queue in self._queues_by_key.values():
+            if len(queue):
+                times += [queue.next_expiry(), now + TICK_S]
+        return min((at for at in times if at is not None), default=None)
 
     def progressed(self, request_id: str, position: int, now: float) -> None:
         """Note that a token of running work was committed."""
+        running = self._running_by_request.get(request_id)
+        if running is None:
+            return
+        running.pool.drain.passed(running.advance(position, now))
+        ratio = running.sample_ratio()
+        if ratio is not None:
+            for load in running.claim.loads:
+                running.pool.ejector.answered(load.target.id, ratio)
 
     def ended(self, request_id: str, finished: bool, now: float) -> None:
         """Note that running work has ended and frees what it held."""
-        self._running_by_request.pop(request_id, None)
+        running = self._running_by_request.pop(request_id, None)
+        if running is None:
+            return
+        running.release()
+        self._journal.note(request_id, Note(now, "finished" if finished else "ended"))
+        if not finished:
+            return
+        work, pool = running.dispatch.work, running.pool
+        self._lengths.learn(work, running.position)
+        if running.dispatch.attempt == 1:
+            pool.pace.learn(now - running.started_at, running.cost_so_far())
+        for load in running.claim.loads:
+            pool.ejector.succeeded(load.target.id)
 
     def failed(self, failure: Failure, now: float) -> Retry | GiveUp:
         """Decide what follows an attempt's failure; does not end the work."""
-        dispatch = self._running_by_request[failure.request_id]
-        work = dispatch.work
-        if failure.started and not work.idempotent:
-            return GiveUp(fault(ResultCode.STREAM_BROKEN, failure.kind))
-        if dispatch.attempt >= MAX_ATTEMPTS or work.deadline <= now:
-            return GiveUp(fault(ResultCode.RETRIES_EXHAUSTED, failure.kind))
-        chosen = self._choose(work, excluded=failure.target_id)
-        if chosen is None:
-            return GiveUp(fault(ResultCode.NO_TARGET, work.model))
-        retry = Dispatch(work, dispatch.attempt + 1, *chosen)
-        self._running_by_request[work.request_id] = retry
-        return Retry(retry)
-
-    def _start(self, work: Work, now: float) -> Dispatch | Expired:
-        if work.deadline <= now:
-            return Expired(work, fault(ResultCode.EXPIRED_IN_QUEUE))
-        chosen = self._choose(work)
-        if chosen is None:
-            return Expired(work, fault(ResultCode.NO_TARGET, work.model))
-        dispatch = Dispatch(work, 1, *chosen)
-        self._running_by_request[work.request_id] = dispatch
+        running = self._running_by_request[failure.request_id]
+        running.ever_started |= failure.started
+        work, pool = running.dispatch.work, running.pool
+        self._blame(pool, failure, now)
+        problem = forbids(
+            work, failure, running.dispatch.attempt, running.ever_started, now
+        )
+        recovering = is_recovery(failure)
+        if problem is None and not recovering and not self._budget.spend(now):
+            problem = end_fault(
+                failure, ResultCode.RETRY_BUDGET_SPENT, running.ever_started
+            )
+        if problem is not None:
+            return self._give_up(work, problem, now)
+        claim = self._next_claim(running, failure)
+        if claim is None:
+            problem = end_fault(failure, ResultCode.NO_TARGET, running.ever_started)
+            return self._give_up(work, problem, now)
+        return self._retry(running, claim, failure, recovering, now)
+
+    def explain(self, request_id: str) -> tuple[Note, ...]:
+        """Return what was decided on a recent request, in order."""
+        return self._journal.notes(request_id)
+
+    def snapshot(self, now: float) -> Snapshot:
+        """Return the present state for status pages and metrics."""
+        return view_of(
+            self._pools_by_key, self._queues_by_key, len(self._running_by_request)
+        )
+
+    def _refuse(self, work: Work, problem, now: float) -> Refused:
+        refused = Refused(problem)
+        self._journal.note(work.request_id, Note(now, "refused", problem.detail))
+        return refused
+
+    def _expire(self, entry: Entry, now: float) -> Expired:
+        problem = fault(
+            ResultCode.EXPIRED_IN_QUEUE,
+            "can no longer finish on time",
+            spread_retry(entry.work, entry.work.deadline - entry.latest_start),
+        )
+        self._journal.note(entry.work.request_id, Note(now, "expired"))
+        return Expired(entry.work, problem)
+
+    def _start_waiting(
+        self,
+        pool: Pool,
+        queue: WorkQueue,
+        taken: list[Dispatch | Expired],
+        now: float,
+    ) -> None:
+        """Dispatch what has room, the highest priority first.
+
+        Once short work of a priority finds no room, nothing below it is tried:
+        it would take the next place that frees.
+        """
+        for priority in Priority:
+            blocked: set[Lane] = set()
+            while True:
+                heads = [e for e in queue.heads(priority) if e.lane not in blocked]
+                if not heads:
+                    break
+                entry = heads[0]
+                claim = self._claim_first(pool, entry, now)
+                if claim is None:
+                    blocked.add(entry.lane)
+                    continue
+                queue.pop(entry)
+                taken.append(self._start(pool, entry, claim, now))
+            if Lane.SHORT in blocked:
+                return
+
+    def _claim_first(self, pool: Pool, entry: Entry, now: float) -> Claim | None:
+        preferred: frozenset[str] = frozenset()
+        if entry.work.prefix_key:
+            holders = self._prefixes.holders(entry.work.prefix_key, now)
+            preferred = pool.within_load_bound(holders)
+        return pool.pick(entry.lane is Lane.LONG, preferred=preferred)
+
+    def _start(self, pool: Pool, entry: Entry, claim: Claim, now: float) -> Dispatch:
+        work = entry.work
+        dispatch = Dispatch(work, 1, claim.route, claim.target, "least loaded")
+        pool.begin(claim)
+        self._running_by_request[work.request_id] = Running(
+            pool, dispatch, claim, now, entry.cost
+        )
+        self._budget.count_request(now)
+        held = [load.target.id for load in claim.loads]
+        if work.prefix_key:
+            self._prefixes.note_sent(work.prefix_key, held, now)
+        self._journal.note(work.request_id, Note(now, "dispatched", " ".join(held)))
         return dispatch
 
-    def _choose(
-        self, work: Work, excluded: str = ""
-    ) -> tuple[Route | None, Target | None] | None:
-        fitting = [
-            target
-            for target in self._targets_by_id.values()
-            if target.model == work.model
-            and target.kind is work.kind
-            and target.state is TargetState.LIVE
-            and target.id != excluded
-        ]
-        self._turn += 1
-        if not fitting:
-            return None
-        if work.kind is TargetKind.SERVICE:
-            return None, fitting[self._turn % len(fitting)]
-        route = _cover(fitting, self._turn)
-        return None if route is None else (route, None)
-
-
-def _cover(targets: list[Target], turn: int) -> Route | None:
-    """Return a chain of whole targets of one model version, or None."""
-    version = targets[0].model_version
-    model_layers = targets[0].model_layers
-    stages: list[Stage] = []
-    next_layer = 0
-    while next_layer < model_layers:
-        heads = [
-            target
-            for target in targets
-            if target.layers.first == next_layer and target.model_version == version
-        ]
-        if not heads:
-            return None
-        head = heads[turn % len(heads)]
-        stages.append(
-            Stage(head.id, head.address, LayerRange(next_layer, head.layers.end))
+    def _blame(self, pool: Pool, failure: Failure, now: float) -> None:
+        if failure.kind is FailureKind.REFUSED:
+            return
+        if pool.ejector.failed(failure.target_id, failure.kind, now):
+            pool.eject(failure.target_id)
+
+    def _next_claim(self, running: Running, failure: Failure) -> Claim | None:
+        """Return places for the next attempt, on the surviving stages if it can.
+
+        The old places are given back first: the next attempt takes them over.
+        """
+        running.release()
+        survivors = frozenset(
+            load.target.id
+            for load in running.claim.loads
+            if load.target.id != failure.target_id
+        )
+        kept = survivors if failure.committed else frozenset()
+        pool, long = running.pool, running.claim.long
+        excluded = frozenset((failure.target_id,))
+        for choice in (excluded, frozenset()):
+            claim = pool.pick(long, choice, kept, forced=True)
+            if claim is not None:
+                return claim
+        return None
+
+    def _retry(
+        self,
+        running: Running,
+        claim: Claim,
+        failure: Failure,
+        recovering: bool,
+        now: float,
+    ) -> Retry:
+        pool, work = running.pool, running.dispatch.work
+        alive = failure.kind in (FailureKind.SILENT, FailureKind.BAD_RECEIPT)
+        resumption = choose_resumption(
+            work.prompt_tokens, failure.committed, claim.token_s, alive
         )
-        next_layer = head.layers.end
-    return Route(tuple(stages), targets[0].model, version, model_layers)
+        after_s = 0.0
+        if recovering and not resumption.by_import:
+            cost = rebuild_cost(work.prompt_tokens, failure.committed)
+            left_s = work.deadline - now
+            after_s = self._pacer.reserve(cost, pool.host_tps, left_s, now)
+        way = "import" if resumption.by_import else "rebuild"
+        reason = f"{failure.kind}-{way}" if recovering else str(failure.kind)
+        attempt = running.dispatch.attempt + 1
+        dispatch = Dispatch(work, attempt, claim.route, claim.target, reason)
+        old = tuple(load.target.id for load in running.claim.loads)
+        running.restart(dispatch, claim, now + after_s)
+        pool.begin(claim)
+        self._journal.note(work.request_id, Note(now, "retried", reason))
+        imports = old if resumption.by_import else ()
+        return Retry(dispatch, after_s, imports, CODE_BY_KIND[failure.kind])
+
+    def _give_up(self, work: Work, problem, now: float) -> GiveUp:
+        self._journal.note(work.request_id, Note(now, "given up", problem.detail))
+        return GiveUp(problem)
+
+    def _tick(self, now: float) -> None:
+        if self._ticked_at is None:
+            self._ticked_at = now
+        elapsed = now - self._ticked_at
+        if elapsed < TICK_S:
+            return
+        self._ticked_at = now
+        for key, pool in self._pools_by_key.items():
+            pool.tick(elapsed, now)
+            queue = self._queues_by_key.get(key, ())
+            pool.drain.tick(now, len(queue) > 0, pool.host_tps)
+            pool.readmit(pool.ejector.readmit(now))
+            for target_id in pool.ejector.eject_slow(list(pool.loads_by_id), now):
+                pool.eject(target_id)
