--- a/radishfield/edges/__init__.py
+++ b/radishfield/edges/__init__.py
@@ -11,6 +11,13 @@
 from radishfield.edges._caller import (
     CallerApp,
 )
+from radishfield.edges._caller_intake import (
+    CallerLimits,
+)
+from radishfield.edges._listener import (
+    ListenerConfig,
+    serve_app,
+)
 from radishfield.edges._peer import (
     PeerNetwork,
     PeerSettings,
@@ -40,8 +47,10 @@
 __all__ = [
     "BodyLimit",
     "CallerApp",
+    "CallerLimits",
     "EngineTargets",
     "HttpPlatform",
+    "ListenerConfig",
     "PeerKey",
     "PeerNetwork",
     "PeerSettings",
@@ -53,6 +62,7 @@
     "register_protocol",
     "send_chunk",
     "send_json",
+    "serve_app",
     "serve_lifespan",
     "start_answer",
     "targets_for",
