Add the operators' edge

Cause: profiles, draining, status and explanations had no way in. Ruled out: routes beside the callers' (a mistake of the balancer would open them to callers); comparing tokens as text (its time tells how far they agree). Change: OperatorApp over FleetOperations with a bearer token, MetricsApp for a listener of its own, typed messages shared with the command line. Conclusion: the command line can be written against it.

--- /dev/null
+++ b/radishfield/edges/_operator.py
@@ -0,0 +1,309 @@
+"""The operators' edge: profiles, draining, status and explanations, as JSON.
+
+It has a listener of its own, so that callers can never reach it, and it asks
+every request for the token from the settings.
+"""
+
+import hashlib
+import hmac
+import re
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import TypeVar
+
+import msgspec
+from expression import Error, Ok, Result
+
+from radishfield.core import Fault, Profile, ResultCode, fault
+from radishfield.edges._asgi import BodyLimit, read_body, send_bytes, serve_lifespan
+from radishfield.edges._caller_answers import Answer
+from radishfield.edges._caller_headers import new_headers
+from radishfield.edges._operator_messages import (
+    Explanation,
+    HostBody,
+    ProfileBody,
+    ProfileList,
+    ProfileView,
+    RetireBody,
+    TargetBody,
+    TargetList,
+)
+from radishfield.fleet import DrainKind, FleetOperations, ProfileInZone
+from radishfield.telemetry import RequestRecords, Telemetry, log_event
+
+T = TypeVar("T")
+
+BODY_LIMIT = BodyLimit(max_bytes=64 << 10, timeout_s=5.0)
+METRICS_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
+SEGMENT = r"([A-Za-z0-9][A-Za-z0-9._:-]{0,63})"
+KINDS = "(target|host|zone)"
+
+
+@dataclass(slots=True, frozen=True)
+class OperatorRequest:
+    """One request, its path's variable parts and its body."""
+
+    parts: tuple[str, ...]
+    body: bytes
+
+    def decode(self, kind: type[T]) -> Result[T, Fault]:
+        """Return the body as a message of the type, or what is wrong with it."""
+        try:
+            return Ok(msgspec.json.decode(self.body or b"{}", type=kind))
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+            return Error(fault(ResultCode.CHANGE_INVALID, str(error)[:200]))
+
+
+Handler = Callable[[OperatorRequest], Awaitable[Result[object, Fault]]]
+
+
+@dataclass(slots=True, frozen=True)
+class OperatorRoute:
+    """A method and path, and what answers them."""
+
+    method: str
+    path: re.Pattern
+    handler: Handler
+
+
+class OperatorApp:
+    """The ASGI application that operators speak to."""
+
+    __slots__ = (
+        "_operations",
+        "_records",
+        "_telemetry",
+        "_token_digest",
+        "_host",
+        "_routes",
+    )
+
+    def __init__(
+        self,
+        operations: FleetOperations,
+        records: RequestRecords,
+        telemetry: Telemetry,
+        token: str,
+        host: str,
+    ):
+        self._operations = operations
+        self._records = records
+        self._telemetry = telemetry
+        self._token_digest = _digest(token.encode())
+        self._host = host
+        self._routes = self._build_routes()
+
+    async def __call__(self, scope, receive, send):
+        """Answer one request."""
+        match scope["type"]:
+            case "lifespan":
+                await serve_lifespan(receive, send)
+            case "http":
+                await self._serve_safely(scope, receive, send)
+            case "websocket":
+                await receive()
+                await send({"type": "websocket.close", "code": 1003})
+
+    async def _serve_safely(self, scope, receive, send) -> None:
+        answer = Answer(send, new_headers())
+        try:
+            await self._serve(scope, receive, send, answer)
+        except Exception:
+            log_event("operator.defect", 40, defect=True)
+            if not answer.started:
+                await answer.refuse(fault(ResultCode.INTERNAL))
+
+    async def _serve(self, scope, receive, send, answer: Answer) -> None:
+        if scope["path"] == "/healthz":
+            await send_bytes(send, 200, b"ok\n", b"text/plain")
+        elif not self._is_authorized(scope["headers"]):
+            problem = fault(ResultCode.UNAUTHORIZED, "the operators' token is needed")
+            log_event("operator.unauthorized", 30, path=scope["path"])
+            await answer.refuse(problem, [(b"www-authenticate", b"Bearer")])
+        elif scope["path"] == "/metrics":
+            await send_bytes(send, 200, self._telemetry.exposition(), METRICS_TYPE)
+        else:
+            await self._serve_route(scope, receive, answer)
+
+    def _is_authorized(self, headers) -> bool:
+        sent = [value for name, value in headers if name.lower() == b"authorization"]
+        if len(sent) != 1:
+            return False
+        scheme, _, token = sent[0].partition(b" ")
+        # Digests have one length, so that the time taken tells nothing of the
+        # token, not even its length.
+        is_right = hmac.compare_digest(_digest(token.strip()), self._token_digest)
+        return scheme.lower() == b"bearer" and is_right
+
+    async def _serve_route(self, scope, receive, answer: Answer) -> None:
+        match self._find_route(scope["method"], scope["path"]):
+            case Result(tag="error", error=problem):
+                await answer.refuse(problem)
+                return
+            case Result(tag="ok", ok=route):
+                pass
+        parts = route.path.fullmatch(scope["path"]).groups()
+        match await read_body(receive, BODY_LIMIT):
+            case Result(tag="error", error=problem):
+                await answer.refuse(problem)
+                return
+            case Result(tag="ok", ok=body):
+                result = await route.handler(OperatorRequest(parts, body))
+        match result:
+            case Result(tag="error", error=problem):
+                await answer.refuse(problem)
+            case Result(tag="ok", ok=value):
+                await answer.json(value, ResultCode.FINISHED)
+        if scope["method"] != "GET":
+            code = result.error.code if result.is_error() else ResultCode.FINISHED
+            log_event(
+                "operator.change",
+                method=scope["method"],
+                path=scope["path"],
+                code=int(code),
+            )
+
+    def _find_route(self, method: str, path: str) -> Result[OperatorRoute, Fault]:
+        fitting = [route for route in self._routes if route.path.fullmatch(path)]
+        for route in fitting:
+            if route.method == method:
+                return Ok(route)
+        if fitting:
+            allowed = ", ".join(route.method for route in fitting)
+            return Error(fault(ResultCode.METHOD_NOT_ALLOWED, f"allowed: {allowed}"))
+        return Error(fault(ResultCode.UNKNOWN_ROUTE, path[:100]))
+
+    def _build_routes(self) -> tuple[OperatorRoute, ...]:
+        table = (
+            ("GET", "/v1/profiles", self._list_profiles),
+            ("POST", "/v1/profiles", self._publish),
+            ("GET", f"/v1/profiles/{SEGMENT}", self._show_profile),
+            ("PUT", f"/v1/profiles/{SEGMENT}", self._change),
+            ("DELETE", f"/v1/profiles/{SEGMENT}", self._retire),
+            ("PUT", f"/v1/drains/{KINDS}/{SEGMENT}", self._drain),
+            ("DELETE", f"/v1/drains/{KINDS}/{SEGMENT}", self._undrain),
+            ("GET", "/v1/targets", self._list_targets),
+            ("POST", "/v1/targets", self._add_target),
+            ("POST", "/v1/hosts", self._add_host),
+            ("GET", "/v1/status", self._status),
+            ("GET", f"/v1/explain/{SEGMENT}", self._explain),
+        )
+        return tuple(
+            OperatorRoute(method, re.compile(path, re.ASCII), handler)
+            for method, path, handler in table
+        )
+
+    async def _list_profiles(self, request: OperatorRequest):
+        profiles = self._operations.list_profiles()
+        return Ok(ProfileList(tuple(map(ProfileView.from_profile, profiles))))
+
+    async def _show_profile(self, request: OperatorRequest):
+        shown = self._operations.show_profile(request.parts[0])
+        return await self._with_zones(shown)
+
+    async def _publish(self, request: OperatorRequest):
+        match request.decode(ProfileBody):
+            case Result(tag="ok", ok=body):
+                published = await self._operations.publish_profile(body.profile())
+                return await self._with_zones(published)
+            case refused:
+                return refused
+
+    async def _change(self, request: OperatorRequest):
+        match request.decode(ProfileBody):
+            case Result(tag="ok", ok=body) if body.name == request.parts[0]:
+                changed = await self._operations.change_profile(
+                    body.profile(), body.expected_version
+                )
+                return await self._with_zones(changed)
+            case Result(tag="ok"):
+                detail = "the name in the path and the one in the body differ"
+                return Error(fault(ResultCode.CHANGE_INVALID, detail))
+            case refused:
+                return refused
+
+    async def _retire(self, request: OperatorRequest):
+        match request.decode(RetireBody):
+            case Result(tag="ok", ok=body):
+                retired = await self._operations.retire_profile(
+                    request.parts[0], body.expected_version
+                )
+                return await self._with_zones(retired)
+            case refused:
+                return refused
+
+    async def _with_zones(self, result: Result[Profile, Fault]):
+        """Add where which version is in force, as far as zones can be asked."""
+        if result.is_error():
+            return result
+        profile = result.ok
+        zones: tuple[ProfileInZone, ...] = ()
+        match await self._operations.status():
+            case Result(tag="ok", ok=status):
+                zones = tuple(
+                    entry
+                    for entry in status.profiles_in_zones
+                    if entry.name == profile.name
+                )
+        return Ok(ProfileView.from_profile(profile, zones))
+
+    async def _drain(self, request: OperatorRequest):
+        kind, id = request.parts
+        return await self._operations.drain(DrainKind(kind), id)
+
+    async def _undrain(self, request: OperatorRequest):
+        kind, id = request.parts
+        return await self._operations.undrain(DrainKind(kind), id)
+
+    async def _list_targets(self, request: OperatorRequest):
+        status = await self._operations.status()
+        return status.map(lambda known: TargetList(known.targets))
+
+    async def _add_target(self, request: OperatorRequest):
+        match request.decode(TargetBody):
+            case Result(tag="ok", ok=body):
+                return await self._operations.add_target(body.target())
+            case refused:
+                return refused
+
+    async def _add_host(self, request: OperatorRequest):
+        match request.decode(HostBody):
+            case Result(tag="ok", ok=body):
+                return await self._operations.add_host(body.host())
+            case refused:
+                return refused
+
+    async def _status(self, request: OperatorRequest):
+        return await self._operations.status()
+
+    async def _explain(self, request: OperatorRequest):
+        record = self._records.find(request.parts[0])
+        if record is None:
+            detail = f"{self._host} has no record of {request.parts[0]}"
+            return Error(fault(ResultCode.OBJECT_NOT_FOUND, detail))
+        return Ok(Explanation(self._host, record))
+
+
+class MetricsApp:
+    """The metrics alone, for a listener of their own that asks for no token."""
+
+    __slots__ = ("_telemetry",)
+
+    def __init__(self, telemetry: Telemetry):
+        self._telemetry = telemetry
+
+    async def __call__(self, scope, receive, send):
+        """Answer one scrape."""
+        if scope["type"] == "lifespan":
+            await serve_lifespan(receive, send)
+        elif scope["type"] != "http":
+            await receive()
+            await send({"type": "websocket.close", "code": 1003})
+        elif scope["path"] == "/metrics":
+            await send_bytes(send, 200, self._telemetry.exposition(), METRICS_TYPE)
+        else:
+            await send_bytes(send, 404, b"", b"text/plain")
+
+
+def _digest(token: bytes) -> bytes:
+    return hashlib.sha256(token).digest()
