Let the engine stand-in fail in every way that engines do

Cause: the first stand-in ran tokens for as long as its connection lived, could not be resumed, kept no cache and never failed. Change: attempts live apart from connections and may be attached to again; steps run in batches with slots and priorities; each stage keeps a cache by request and attempt that refuses a repeated, skipped or cancelled step; prefix cache with late events and gaps, lagging load report, KV export and import, orders with fencing and deadline, leaving, drain on SIGTERM. /control/faults makes it die, hang, go silent, truncate, corrupt a receipt, slow down or refuse; /control/record is the oracle of what ran. Ruled out: a timeout of the same length at each hop; the first stage's fires with the last's and names the wrong one, so each gets longer by the stages left.

--- a/radishfield/edges/_target_wire.py
+++ b/radishfield/edges/_target_wire.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass
 
-from radishfield.core import CacheEvent
+from radishfield.core import CacheEvent, Hop, Route
 
 STREAMS_PATH = "/engine/v1/streams"
 REOPEN_PATH = "/engine/v1/streams/reopen"
@@ -83,3 +83,36 @@
     """An order was carried out under this fencing number."""
 
     fencing: int
+
+
+@dataclass(slots=True, frozen=True)
+class Step:
+    """One token's step as it is handed from stage to stage.
+
+    Attributes
+    ----------
+    index : int
+        The stage of the route that is to run next.
+    hidden : str
+        What the layers so far made of the token; the engine's own matter.
+    prefix_tokens : int
+        Tokens before this one in the attempt's first step, where a stage has
+        to build its cache; 0 in all later steps.
+    hand_on : bool
+        Whether a stage calls its successor itself; otherwise each stage is
+        called by the entry host.
+    """
+
+    request_id: str
+    attempt: int
+    position: int
+    index: int
+    route: Route
+    hidden: str
+    hops: tuple[Hop, ...] = ()
+    is_first: bool = False
+    is_last: bool = False
+    prefix_tokens: int = 0
+    prompt: str = ""
+    priority: int = 2
+    hand_on: bool = True
--- /dev/null
+++ b/standins/daemon.py
@@ -0,0 +1,33 @@
+"""Serves a stand-in as a process until it is told to stop."""
+
+import signal
+
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+
+# Time for the last answers to leave once nothing is in flight any more.
+CLOSE_S = 2.0
+KEEP_ALIVE_S = 60.0
+
+
+async def serve_until_signal(app, port: int) -> None:
+    """Serve until SIGTERM, then until the application's ``drain`` has ended."""
+    config = Config()
+    config.bind = [f"127.0.0.1:{port}"]
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.loglevel = "WARNING"
+    stop = trio.Event()
+
+    async def run() -> None:
+        await serve(app, config, shutdown_trigger=stop.wait)
+
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+            if hasattr(app, "run"):
+                await nursery.start(app.run)
+            nursery.start_soon(run)
+            await anext(signals)
+            await app.drain()
+            stop.set()
+            nursery.cancel_scope.deadline = trio.current_time() + CLOSE_S
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -1,155 +1,267 @@
 """A stand-in for a model engine that holds a range of layers.
 
-The first stage of a route drives the tokens: each step is handed on from stage
+The first stage of a route makes the tokens: each step is handed on from stage
 to stage along the route that the entry host chose, and the word comes back with
-the hops it passed.
+the hops it passed.  For comparison an entry host may also call each stage by
+itself.  ``/control`` orders faults and reads what was really run.
 """
 
-from dataclasses import dataclass
+from dataclasses import replace
 
 import click
-import httpcore
 import msgspec
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve
 
 from radishfield.core import (
-    Hop,
+    KvState,
     LayerRange,
     LoadReport,
-    Receipt,
-    Route,
+    ResultCode,
     StreamStart,
-    Token,
+    TargetOrder,
 )
 from radishfield.edges import (
     BodyLimit,
     read_body,
-    send_chunk,
     send_json,
     serve_lifespan,
     start_answer,
 )
-from radishfield.edges._target_wire import EXCHANGE_HEADER
-from standins.model import first_hidden, run_layers, word_of
+from radishfield.edges import _target_wire as wire
+from standins.daemon import serve_until_signal
+from standins.engine_batch import Batcher
+from standins.engine_control import Controls, EngineFaults
+from standins.engine_orders import Orders
+from standins.engine_steps import Holding, Steps
+from standins.engine_streams import Streams
 
-NDJSON_TYPE = b"application/x-ndjson"
+NDJSON = (b"content-type", b"application/x-ndjson")
+NOT_STARTED = (wire.NOT_STARTED_HEADER, b"true")
+BODY_LIMIT = BodyLimit(max_bytes=64 << 20)
+REPORT_LAG_S = 0.5
+# Streams beyond this many times the slots are refused before they start.
+QUEUE_FACTOR = 4
+DRAIN_S = 30.0
+RETRY_AFTER_S = 0.5
 
 
-@dataclass(slots=True, frozen=True)
-class Step:
-    """One token's step as it is handed from stage to stage."""
-
-    request_id: str
-    attempt: int
-    position: int
-    index: int
-    route: Route
-    hidden: str
-    hops: tuple[Hop, ...]
+class EngineApp:
+    """The ASGI application of one engine; `run` is its background work."""
 
+    __slots__ = (
+        "holding",
+        "controls",
+        "steps",
+        "streams",
+        "orders",
+        "incarnation",
+        "checks_fencing",
+        "_report",
+        "_reported_at",
+    )
 
-class EngineApp:
-    """The ASGI application of one engine."""
+    def __init__(
+        self,
+        holding: Holding,
+        step_s: float = 0.002,
+        slots: int = 8,
+        checks_fencing: bool = True,
+        incarnation: int = 1,
+    ):
+        self.holding = holding
+        self.controls = Controls()
+        self.incarnation = incarnation
+        self.checks_fencing = checks_fencing
+        self.steps = Steps(holding, self.controls, Batcher(step_s, slots))
+        self.orders = Orders(holding, self.steps.kv, self.controls, checks_fencing)
+        self.streams: Streams | None = None
 
-    __slots__ = ("target_id", "layers", "model", "step_s", "_pool", "in_flight")
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        """Make tokens, run batches and take load reports until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self.streams = Streams(self.steps, nursery)
+            await nursery.start(self.steps.batcher.run)
+            self._take_report()
+            task_status.started()
+            while True:
+                await trio.sleep(REPORT_LAG_S)
+                self._take_report()
+                self.streams.cancel_orphans()
+                self.steps.kv.drop_idle(trio.current_time())
 
-    def __init__(self, target_id: str, layers: LayerRange, model: str, step_s: float):
-        self.target_id = target_id
-        self.layers = layers
-        self.model = model
-        self.step_s = step_s
-        self.in_flight = 0
-        self._pool = httpcore.AsyncConnectionPool(max_connections=64)
+    async def drain(self) -> None:
+        """Refuse new work, and wait until what is in flight has ended."""
+        self.holding.is_leaving = True
+        with trio.move_on_after(DRAIN_S):
+            while self.streams.running or self.steps.kv.active(trio.current_time()):
+                await trio.sleep(0.05)
 
     async def __call__(self, scope, receive, send):
         """Answer one request."""
         if scope["type"] == "lifespan":
             await serve_lifespan(receive, send)
             return
-        path = scope["path"]
-        echo = [item for item in scope["headers"] if item[0] == EXCHANGE_HEADER]
-        if path == "/engine/v1/load":
-            await send_json(send, 200, self._load(), echo)
-            return
-        body = (await read_body(receive, BodyLimit())).ok
-        if path == "/engine/v1/streams":
-            await self._stream(msgspec.json.decode(body, type=StreamStart), send, echo)
-        elif path == "/engine/v1/step":
-            step = await self._step(msgspec.json.decode(body, type=Step))
-            await send_json(send, 200, step)
-        else:
-            await send_json(send, 404, {"error": "unknown path"})
+        echo = [item for item in scope["headers"] if item[0] == wire.EXCHANGE_HEADER]
+        body = (await read_body(receive, BODY_LIMIT)).default_value(b"")
+        try:
+            await self._answer(scope, body, send, echo)
+        except msgspec.MsgspecError as error:
+            refusal = wire.Refusal(int(ResultCode.MALFORMED_BODY), str(error))
+            await send_json(send, 400, refusal, echo)
 
-    def _load(self) -> LoadReport:
-        return LoadReport(
-            self.target_id, 1, self.layers, self.model, "1", self.in_flight, 0, 8, 0.0
-        )
-
-    async def _stream(self, start: StreamStart, send, echo) -> None:
-        await start_answer(send, 200, [(b"content-type", NDJSON_TYPE), *echo])
-        committed = list(start.committed)
-        self.in_flight += 1
-        while len(committed) < start.max_tokens:
-            position = len(committed)
-            hidden = first_hidden(start.route.model, start.prompt, committed)
-            step = await self._step(
-                Step(
-                    start.request_id,
-                    start.attempt,
-                    position,
-                    0,
-                    start.route,
-                    hidden,
-                    (),
+    async def _answer(self, scope, body: bytes, send, echo) -> None:
+        match (scope["method"], scope["path"]):
+            case ("POST", wire.STREAMS_PATH):
+                await self._open(
+                    msgspec.json.decode(body, type=StreamStart), send, echo
                 )
+            case ("POST", wire.REOPEN_PATH):
+                again = msgspec.json.decode(body, type=wire.Reopen)
+                await self._reopen(again, send, echo)
+            case ("POST", wire.STEP_PATH):
+                await self._step(msgspec.json.decode(body, type=wire.Step), send)
+            case ("POST", wire.CANCEL_PATH):
+                cancel = msgspec.json.decode(body, type=wire.Cancel)
+                self.streams.cancel(cancel.request_id, cancel.attempt)
+                self.steps.kv.end(cancel.request_id, cancel.attempt)
+                await send_json(send, 200, cancel, echo)
+            case ("POST", wire.ORDERS_PATH):
+                order = msgspec.json.decode(body, type=TargetOrder)
+                await self._order(order, send, echo)
+            case ("GET", wire.LOAD_PATH):
+                await send_json(send, 200, self._lagging_report(), echo)
+            case ("GET", wire.EVENTS_PATH):
+                after = int(scope["query_string"].rpartition(b"=")[2] or 0)
+                events = self.steps.prefixes.events(after, trio.current_time())
+                await send_json(send, 200, wire.CacheEvents(events), echo)
+            case ("PUT", wire.KV_PATH):
+                self.steps.kv.take(msgspec.json.decode(body, type=KvState))
+                await send_json(send, 200, {}, echo)
+            case ("GET", path) if path.startswith(wire.KV_PATH + "/"):
+                await self._export(path.rpartition("/")[2], send, echo)
+            case ("POST", "/control/faults"):
+                self.controls.faults = msgspec.json.decode(body, type=EngineFaults)
+                await send_json(send, 200, self.controls.faults)
+            case ("GET", "/control/record"):
+                await send_json(send, 200, self.controls.record)
+            case _:
+                unknown = wire.Refusal(int(ResultCode.UNKNOWN_ROUTE), scope["path"])
+                await send_json(send, 404, unknown, echo)
+
+    async def _open(self, start: StreamStart, send, echo) -> None:
+        reason = self._refusal()
+        if reason:
+            refusal = wire.Refusal(
+                int(ResultCode.TARGET_REFUSED),
+                reason,
+                RETRY_AFTER_S,
+                self.holding.target_id,
             )
-            committed.append(word_of(step.hidden))
-            receipt = Receipt(start.request_id, start.attempt, position, step.hops)
-            finish = "length" if len(committed) == start.max_tokens else None
-            token = Token(position, committed[-1], receipt, finish)
-            await send_chunk(send, msgspec.json.encode(token) + b"\n")
-        self.in_flight -= 1
-        await send_chunk(send, b"", more=False)
-
-    async def _step(self, step: Step) -> Step:
-        stage = step.route.stages[step.index]
-        await trio.sleep(self.step_s)
-        hidden = run_layers(step.hidden, stage.layers.first, stage.layers.end)
-        passed = Step(
-            step.request_id,
-            step.attempt,
-            step.position,
-            step.index + 1,
-            step.route,
-            hidden,
-            (*step.hops, Hop(self.target_id, stage.layers)),
+            await send_json(send, 503, refusal, [*echo, NOT_STARTED])
+            return
+        attempt = self.streams.begin(start)
+        if attempt is None:
+            refusal = wire.Refusal(int(ResultCode.TARGET_ERROR), "attempt is known")
+            await send_json(send, 409, refusal, echo)
+            return
+        await start_answer(send, 200, [NDJSON, *echo])
+        await self.streams.send(attempt, attempt.first_position, send)
+
+    def _refusal(self) -> str:
+        if self.holding.is_leaving:
+            return "leaving"
+        if self.controls.faults.refuse:
+            return "told to refuse"
+        if self.streams.running >= self.steps.batcher.slots * QUEUE_FACTOR:
+            return "full"
+        return ""
+
+    async def _reopen(self, again: wire.Reopen, send, echo) -> None:
+        attempt = self.streams.find(again.request_id, again.attempt)
+        if attempt is None or again.position < attempt.first_position:
+            refusal = wire.Refusal(int(ResultCode.TARGET_REFUSED), "no such attempt")
+            await send_json(send, 503, refusal, [*echo, NOT_STARTED])
+            return
+        await start_answer(send, 200, [NDJSON, *echo])
+        await self.streams.send(attempt, again.position, send)
+
+    async def _step(self, step: wire.Step, send) -> None:
+        done = await self.steps.run(step)
+        if done.is_ok():
+            await send_json(send, 200, done.ok)
+            return
+        problem = done.error
+        refusal = wire.Refusal(
+            int(problem.code), problem.detail, target_id=problem.target_id
         )
-        if passed.index == len(step.route.stages):
-            return passed
-        address = step.route.stages[passed.index].address
-        answer = await self._pool.request(
-            "POST",
-            f"http://{address}/engine/v1/step",
-            content=msgspec.json.encode(passed),
+        await send_json(send, 502, refusal)
+
+    async def _order(self, order: TargetOrder, send, echo) -> None:
+        code = await self.orders.carry_out(order)
+        if code is ResultCode.FINISHED:
+            await send_json(send, 200, wire.OrderDone(order.fencing), echo)
+        else:
+            refusal = wire.Refusal(int(code), target_id=self.holding.target_id)
+            await send_json(send, 409, refusal, echo)
+
+    async def _export(self, request_id: str, send, echo) -> None:
+        state = self.steps.kv.export(request_id, self.holding.target_id)
+        if state is None:
+            refusal = wire.Refusal(int(ResultCode.TARGET_REFUSED), "no such request")
+            await send_json(send, 404, refusal, echo)
+        else:
+            await send_json(send, 200, state, echo)
+
+    def _take_report(self) -> None:
+        held, batcher = self.holding, self.steps.batcher
+        self._reported_at = trio.current_time()
+        self._report = LoadReport(
+            held.target_id,
+            self.incarnation,
+            held.layers,
+            held.model,
+            held.model_version,
+            self.steps.kv.active(self._reported_at),
+            batcher.waiting,
+            batcher.slots,
+            batcher.mean_s,
+            checks_fencing=self.checks_fencing,
         )
-        return msgspec.json.decode(answer.content, type=Step)
+
+    def _lagging_report(self) -> LoadReport:
+        """Return figures of a while ago, but the leaving state at once."""
+        age = trio.current_time() - self._reported_at
+        leaving = self.holding.is_leaving
+        return replace(self._report, leaving=leaving, measured_s_ago=age)
 
 
 @click.command()
 @click.option("--id", "target_id", required=True)
 @click.option("--port", type=int, required=True)
 @click.option("--model", default="small")
+@click.option("--model-version", default="1")
 @click.option("--first", type=int, required=True)
 @click.option("--end", type=int, required=True)
 @click.option("--step-ms", type=float, default=2.0)
-def main(target_id, port, model, first, end, step_ms):
+@click.option("--slots", type=int, default=8)
+@click.option("--incarnation", type=int, default=1)
+@click.option("--checks-fencing/--ignores-fencing", default=True)
+def main(
+    target_id,
+    port,
+    model,
+    model_version,
+    first,
+    end,
+    step_ms,
+    slots,
+    incarnation,
+    checks_fencing,
+):
     """Run one engine stand-in."""
-    config = Config()
-    config.bind = [f"127.0.0.1:{port}"]
-    app = EngineApp(target_id, LayerRange(first, end), model, step_ms / 1000)
-    trio.run(serve, app, config)
+    holding = Holding(target_id, model, model_version, LayerRange(first, end))
+    app = EngineApp(holding, step_ms / 1000, slots, checks_fencing, incarnation)
+    trio.run(serve_until_signal, app, port)
 
 
 if __name__ == "__main__":
