--- a/radishfield/edges/__init__.py
+++ b/radishfield/edges/__init__.py
@@ -11,6 +11,17 @@
 from radishfield.edges._caller import (
     CallerApp,
 )
+from radishfield.edges._peer import (
+    PeerNetwork,
+    PeerSettings,
+)
+from radishfield.edges._peer_seal import (
+    PeerKey,
+)
+from radishfield.edges._peer_transport import (
+    PeerTransport,
+    SocketTransport,
+)
 from radishfield.edges._platform import (
     HttpPlatform,
     PlatformSettings,
@@ -31,7 +42,12 @@
     "CallerApp",
     "EngineTargets",
     "HttpPlatform",
+    "PeerKey",
+    "PeerNetwork",
+    "PeerSettings",
+    "PeerTransport",
     "PlatformSettings",
+    "SocketTransport",
     "TargetTimeouts",
     "read_body",
     "register_protocol",
