--- /dev/null
+++ b/radishfield/scripts/_wiring.py
@@ -0,0 +1,196 @@
+"""Which services an entry host consists of, and how they know each other."""
+
+import msgspec
+import trio
+
+from radishfield.core import (
+    Clock,
+    LoadReport,
+    Member,
+    StoredObject,
+    SystemClock,
+)
+from radishfield.decisions import Scheduler
+from radishfield.edges import (
+    AbsentPlatform,
+    CallerApp,
+    CallerLimits,
+    EngineTargets,
+    HttpListener,
+    HttpPlatform,
+    ListenerConfig,
+    LonePeer,
+    PeerNetwork,
+    PeerSettings,
+)
+from radishfield.edges import PlatformSettings as CallSettings
+from radishfield.fleet import (
+    FactSpreader,
+    FactTable,
+    LoadPoller,
+    PlatformWatcher,
+    PollerSettings,
+    ProfileStore,
+    SpreadSettings,
+    TargetDirectory,
+    WatcherSettings,
+)
+from radishfield.kernel import Kernel
+from radishfield.serving import Dispatcher, FleetView
+from radishfield.settings import EntrySettings
+from radishfield.telemetry import RequestRecords, Telemetry
+
+# An object from the settings file is older than any that the platform holds.
+SETTINGS_VERSION = 1
+LONE_INCARNATION = 1
+
+
+class EntryHost:
+    """The services of one entry host, registered by name in a kernel.
+
+    The order of registration is the order of start: what a service needs
+    stands before it, and the callers' listener opens last.
+    """
+
+    __slots__ = ("kernel", "_settings", "_clock")
+
+    def __init__(self, settings: EntrySettings, clock: Clock | None = None):
+        self.kernel = Kernel()
+        self._settings = settings
+        self._clock = clock or SystemClock()
+        self._add_fleet()
+        self._add_serving()
+        self._add_listeners()
+
+    @property
+    def caller_app(self) -> CallerApp:
+        """Return the callers' application."""
+        return self.kernel.find("caller-app", CallerApp)
+
+    async def run(self, stop: trio.Event) -> None:
+        """Serve until ``stop`` is set, then leave gracefully."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.kernel.run)
+            await stop.wait()
+            await self._leave()
+            nursery.cancel_scope.cancel()
+
+    async def _leave(self) -> None:
+        """Announce, let the balancer notice, end what is in flight.
+
+        Peers hear of it first: they take this host's share of the targets and
+        its duties while it still ends its own requests.
+        """
+        self.caller_app.start_draining()
+        await self.kernel.find("peers", object).announce_leaving()
+        with trio.move_on_after(self._settings.drain.timeout_s):
+            await self.caller_app.wait_idle()
+        await self.kernel.drain()
+
+    def _add_fleet(self) -> None:
+        settings, kernel, clock = self._settings, self.kernel, self._clock
+        host, zone = settings.host.id, settings.host.zone
+        kernel.register("platform", self._platform())
+        kernel.register("peers", self._peers())
+        kernel.register("facts", self._facts())
+        platform = kernel.find("platform", object)
+        peers = kernel.find("peers", object)
+        facts = kernel.find("facts", FactTable)
+        directory = TargetDirectory(zone, facts, peers, clock)
+        kernel.register("profiles", ProfileStore(platform, facts))
+        kernel.register("directory", directory)
+        kernel.register(
+            "spreader", FactSpreader(SpreadSettings(host, zone), peers, facts, clock)
+        )
+        if settings.platform.address:
+            watcher_settings = WatcherSettings(host, zone)
+            kernel.register(
+                "watcher",
+                PlatformWatcher(
+                    watcher_settings,
+                    platform,
+                    peers,
+                    facts,
+                    clock,
+                    on_hosts=directory.see_hosts,
+                ),
+            )
+
+    def _platform(self) -> HttpPlatform | AbsentPlatform:
+        platform = self._settings.platform
+        if not platform.address:
+            return AbsentPlatform()
+        calls = CallSettings(
+            platform.address,
+            self._settings.host.id,
+            platform.call_timeout_s,
+            calls_per_s=platform.max_calls_per_s,
+        )
+        return HttpPlatform(calls, self._clock)
+
+    def _peers(self) -> PeerNetwork | LonePeer:
+        host, peers = self._settings.host, self._settings.peers
+        if not peers.bind:
+            return LonePeer(Member(host.id, host.zone, "", LONE_INCARNATION))
+        keys = sorted(peers.keys, key=lambda key: key.id != peers.active_key)
+        settings = PeerSettings(
+            host.id, host.zone, peers.bind, tuple(keys), peers.seeds
+        )
+        return PeerNetwork(settings, self._clock)
+
+    def _facts(self) -> FactTable:
+        facts = FactTable()
+        for target in self._settings.targets:
+            value = msgspec.json.encode(target)
+            facts.learn(StoredObject("target", target.id, SETTINGS_VERSION, value))
+        for profile in self._settings.profiles:
+            value = msgspec.json.encode(profile)
+            facts.learn(StoredObject("profile", profile.name, SETTINGS_VERSION, value))
+        facts.is_known = not self._settings.platform.address
+        return facts
+
+    def _add_serving(self) -> None:
+        settings, kernel, clock = self._settings, self.kernel, self._clock
+        directory = kernel.find("directory", TargetDirectory)
+        targets = EngineTargets()
+        dispatcher = Dispatcher(Scheduler(), targets, clock)
+
+        def take_in(report: LoadReport) -> None:
+            directory.observe_report(report)
+            dispatcher.observe_load(report)
+
+        kernel.register("telemetry", Telemetry())
+        kernel.register("records", RequestRecords())
+        kernel.register("dispatcher", dispatcher)
+        kernel.register(
+            "fleet-view", FleetView(directory, dispatcher, settings.host.zone)
+        )
+        kernel.register(
+            "poller",
+            LoadPoller(
+                PollerSettings(settings.host.id, settings.host.zone),
+                targets,
+                directory,
+                kernel.find("peers", object),
+                kernel.find("facts", FactTable),
+                clock,
+                take_in,
+            ),
+        )
+
+    def _add_listeners(self) -> None:
+        settings, kernel = self._settings, self.kernel
+        caller = settings.caller
+        app = CallerApp(
+            kernel.find("dispatcher", Dispatcher),
+            kernel.find("profiles", ProfileStore),
+            self._clock,
+            CallerLimits.from_settings(settings),
+            kernel.find("telemetry", Telemetry),
+            kernel.find("records", RequestRecords),
+        )
+        kernel.register("caller-app", app)
+        config = ListenerConfig.from_settings(
+            caller.bind, caller.tls_cert, caller.tls_key, settings.drain.timeout_s
+        )
+        kernel.register("caller-listener", HttpListener(app, config))
