--- a/radishfield/edges/__init__.py
+++ b/radishfield/edges/__init__.py
@@ -47,6 +47,10 @@
     HttpPlatform,
     PlatformSettings,
 )
+from radishfield.edges._status import (
+    ErrorBody,
+    http_status,
+)
 from radishfield.edges._target import (
     EngineTargets,
 )
@@ -63,6 +67,7 @@
     "CallerApp",
     "CallerLimits",
     "EngineTargets",
+    "ErrorBody",
     "Explanation",
     "HostBody",
     "HttpPlatform",
@@ -82,6 +87,7 @@
     "TargetBody",
     "TargetList",
     "TargetTimeouts",
+    "http_status",
     "read_body",
     "register_protocol",
     "send_chunk",
--- a/radishfield/settings/_sections.py
+++ b/radishfield/settings/_sections.py
@@ -103,11 +103,20 @@
     ----------
     max_calls_per_s : float
         This host's budget; the platform counts each call, a watch as one.
+    watch_s : float
+        Longest wait of one watch.
+    list_period_s : float
+        Time between whole listings, which make up for skipped events.
+    hosts_period_s : float
+        Time between readings of the list of live and leaving hosts.
     """
 
     address: Address = ""
     call_timeout_s: ShortTime = 2.0
     max_calls_per_s: Annotated[float, Meta(ge=0.1, le=1000.0)] = 5.0
+    watch_s: ShortTime = 4.0
+    list_period_s: ShortTime = 4.0
+    hosts_period_s: ShortTime = 2.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -129,6 +138,38 @@
     ask_timeout_s: ShortTime = 0.5
 
 
+@dataclass(slots=True, frozen=True)
+class LeasesSettings:
+    """[leases]: one holder a duty and zone, in the platform's service.
+
+    Attributes
+    ----------
+    longest_order_s : float
+        A new holder waits this long for targets that ignore fencing numbers.
+    """
+
+    duration_s: ShortTime = 12.0
+    renew_s: ShortTime = 3.0
+    longest_order_s: ShortTime = 5.0
+
+
+@dataclass(slots=True, frozen=True)
+class OrdersSettings:
+    """[orders]: orders to targets.
+
+    Attributes
+    ----------
+    load_interval_s : float
+        Least time between two orders that load weights from the limited store.
+    load_s : float
+        Time that a load of weights is expected to take.
+    """
+
+    timeout_s: ShortTime = 5.0
+    load_interval_s: LongTime = 5.0
+    load_s: LongTime = 120.0
+
+
 @dataclass(slots=True, frozen=True)
 class LogSettings:
     """[log]: JSON lines, one event each."""
