Wire the entry host from its services, and start three zones in the demo

Cause: platform, peers, profiles, directory, poller and callers' edge stood beside each other; the daemon still ran the thin path from static settings. Ruled out: one long main; the kernel's registry keeps the order of start and lets services find each other by name. A host name in place of an absent platform or peers would need a branch at each use: small absent ports instead. Conclusion: the whole path runs on the real fleet services; claims, operators' edge, leases and telemetry are wired next.

--- a/bench/entry_host.py
+++ b/bench/entry_host.py
@@ -17,7 +17,7 @@
 import msgspec
 import trio
 
-from standins.launcher import SmallFleet
+from standins.fleet import SmallFleet
 
 CALLERS = 8
 REQUESTS = 120
--- a/radishfield/edges/__init__.py
+++ b/radishfield/edges/__init__.py
@@ -1,5 +1,9 @@
 """The edges: callers, targets, the platform, operators and peers."""
 
+from radishfield.edges._absent import (
+    AbsentPlatform,
+    LonePeer,
+)
 from radishfield.edges._asgi import (
     BodyLimit,
     read_body,
@@ -15,6 +19,7 @@
     CallerLimits,
 )
 from radishfield.edges._listener import (
+    HttpListener,
     ListenerConfig,
     serve_app,
 )
@@ -45,12 +50,15 @@
 )
 
 __all__ = [
+    "AbsentPlatform",
     "BodyLimit",
     "CallerApp",
     "CallerLimits",
     "EngineTargets",
+    "HttpListener",
     "HttpPlatform",
     "ListenerConfig",
+    "LonePeer",
     "PeerKey",
     "PeerNetwork",
     "PeerSettings",
--- a/radishfield/edges/_peer_seal.py
+++ b/radishfield/edges/_peer_seal.py
@@ -43,6 +43,8 @@
             raise ValueError("peers need keys of at least 16 bytes")
         self._first = keys[0]
         self._secret_by_id = {key.id: key.secret for key in keys}
+        if len(self._secret_by_id) < len(keys):
+            raise ValueError("two peer keys have the same number")
 
     def seal(self, frame: bytes, context: bytes) -> bytes:
         """Return the frame behind its key id and its code."""
--- a/radishfield/scripts/_daemon.py
+++ b/radishfield/scripts/_daemon.py
@@ -1,52 +1,41 @@
-"""The wiring of ``radishfield run``: which services an entry host consists of."""
+"""The daemon behind ``radishfield run``: signals, and an orderly end."""
+
+import signal
 
 import trio
-from expression import Error, Ok
-from hypercorn.config import Config
-from hypercorn.trio import serve
-
-from radishfield.core import ResultCode, SystemClock, fault
-from radishfield.decisions import Scheduler
-from radishfield.edges import CallerApp, EngineTargets
-from radishfield.serving import Dispatcher
+
+from radishfield.scripts._wiring import EntryHost
 from radishfield.settings import EntrySettings
+from radishfield.telemetry import LogSetup, configure_logs, log_event
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
-class StaticProfiles:
-    """Profiles from the settings file."""
 
-    __slots__ = ("_by_name",)
+def run_entry_host(settings: EntrySettings) -> None:
+    """Run an entry host until a signal ends it gracefully."""
+    log = settings.log
+    configure_logs(LogSetup(log.level, log.destination, settings.host.id))
+    trio.run(_run_until_signal, settings)
 
-    def __init__(self, profiles):
-        self._by_name = {profile.name: profile for profile in profiles}
 
-    def find(self, name):
-        """Return the profile in force, or why there is none."""
-        profile = self._by_name.get(name)
-        if profile is None:
-            return Error(fault(ResultCode.UNKNOWN_PROFILE, name))
-        return Ok(profile)
+async def _run_until_signal(settings: EntrySettings) -> None:
+    stop = trio.Event()
+    host = EntryHost(settings)
+    log_event("host.starting")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_wait_signals, stop)
+        await host.run(stop)
+        nursery.cancel_scope.cancel()
+    log_event("host.stopped")
 
-    def names(self):
-        """Return the names of the profiles in force."""
-        return list(self._by_name)
 
+async def _wait_signals(stop: trio.Event) -> None:
+    """Set ``stop`` at the first signal; a later one changes nothing.
 
-def run_entry_host(settings: EntrySettings) -> None:
-    """Run an entry host until it is told to stop."""
-    clock = SystemClock()
-    dispatcher = Dispatcher(Scheduler(), EngineTargets(), clock)
-    dispatcher.set_targets(list(settings.targets), settings.host.zone)
-    profiles = StaticProfiles(settings.profiles)
-    config = Config()
-    config.bind = [settings.caller.bind]
-    app = CallerApp(dispatcher, profiles, clock)
-    trio.run(serve_until_signal, dispatcher, app, config)
-
-
-async def serve_until_signal(dispatcher: Dispatcher, app, config: Config) -> None:
-    """Run the dispatcher beside the caller edge."""
-    async with trio.open_nursery() as nursery:
-        await nursery.start(dispatcher.run)
-        await serve(app, config)
-        nursery.cancel_scope.cancel()
+    A supervisor that repeats its SIGTERM must not cut the requests that the
+    first one lets finish; SIGKILL remains for a host that hangs.
+    """
+    with trio.open_signal_receiver(*STOP_SIGNALS) as signals:
+        async for number in signals:
+            log_event("host.leaving", signal=int(number))
+            stop.set()
--- a/radishfield/scripts/_wiring.py
+++ b/radishfield/scripts/_wiring.py
@@ -2,6 +2,7 @@
 
 import msgspec
 import trio
+import xxhash
 
 from radishfield.core import (
     Clock,
@@ -20,6 +21,7 @@
     HttpPlatform,
     ListenerConfig,
     LonePeer,
+    PeerKey,
     PeerNetwork,
     PeerSettings,
 )
@@ -43,6 +45,8 @@
 # An object from the settings file is older than any that the platform holds.
 SETTINGS_VERSION = 1
 LONE_INCARNATION = 1
+# A frame names its key in one byte.
+KEY_NUMBERS = 256
 
 
 class EntryHost:
@@ -132,10 +136,9 @@
         host, peers = self._settings.host, self._settings.peers
         if not peers.bind:
             return LonePeer(Member(host.id, host.zone, "", LONE_INCARNATION))
-        keys = sorted(peers.keys, key=lambda key: key.id != peers.active_key)
-        settings = PeerSettings(
-            host.id, host.zone, peers.bind, tuple(keys), peers.seeds
-        )
+        ordered = sorted(peers.keys, key=lambda key: key.id != peers.active_key)
+        keys = tuple(PeerKey(key_number(key.id), key.secret) for key in ordered)
+        settings = PeerSettings(host.id, host.zone, peers.bind, keys, peers.seeds)
         return PeerNetwork(settings, self._clock)
 
     def _facts(self) -> FactTable:
@@ -194,3 +197,12 @@
             caller.bind, caller.tls_cert, caller.tls_key, settings.drain.timeout_s
         )
         kernel.register("caller-listener", HttpListener(app, config))
+
+
+def key_number(key_id: str) -> int:
+    """Return the number by which frames name a key of the settings.
+
+    Two keys whose numbers collide are refused at the start by the sealer; the
+    operator then gives one of them another id.
+    """
+    return xxhash.xxh32_intdigest(key_id.encode()) % KEY_NUMBERS
--- a/radishfield/serving/__init__.py
+++ b/radishfield/serving/__init__.py
@@ -1,5 +1,13 @@
 """The way of one request through the system, from admission to its end."""
 
-from radishfield.serving._dispatcher import Dispatcher
+from radishfield.serving._dispatcher import (
+    Dispatcher,
+)
+from radishfield.serving._fleet_view import (
+    FleetView,
+)
 
-__all__ = ["Dispatcher"]
+__all__ = [
+    "Dispatcher",
+    "FleetView",
+]
--- a/radishfield/serving/_attempt.py
+++ b/radishfield/serving/_attempt.py
@@ -16,7 +16,7 @@
     TokenStream,
 )
 from radishfield.core import ResultCode as Code
-from radishfield.decisions import Dispatch
+from radishfield.decisions import Dispatch, Scheduler
 from radishfield.pipeline import PipelineState
 from radishfield.serving._observer import Observer
 
@@ -48,7 +48,15 @@
 class Attempt:
     """Runs one attempt of a request on one route."""
 
-    __slots__ = ("_request", "_state", "_sink", "_targets", "_clock", "_observer")
+    __slots__ = (
+        "_request",
+        "_state",
+        "_sink",
+        "_targets",
+        "_clock",
+        "_observer",
+        "_scheduler",
+    )
 
     def __init__(
         self,
@@ -58,6 +66,7 @@
         targets: TargetPort,
         clock: Clock,
         observer: Observer,
+        scheduler: Scheduler,
     ):
         self._request = request
         self._state = state
@@ -65,6 +74,7 @@
         self._targets = targets
         self._clock = clock
         self._observer = observer
+        self._scheduler = scheduler
 
     async def run(self, head: Target, dispatch: Dispatch) -> AttemptFailure | None:
         """Run to the last token; None means that the request has finished."""
@@ -133,6 +143,8 @@
             match self._state.commit(token):
                 case Result(tag="error", error=problem):
                     return problem
+            now = self._clock.now()
+            self._scheduler.progressed(self._request.id, token.position, now)
             self._observer.token(self._request, token)
             await self._sink.push(token)
         return None
--- a/radishfield/serving/_claiming.py
+++ b/radishfield/serving/_claiming.py
@@ -6,6 +6,7 @@
 from expression import Ok, Result
 
 from radishfield.core import Fault
+from radishfield.fleet import Claimed, Replay
 
 
 @dataclass(slots=True, frozen=True)
@@ -13,28 +14,21 @@
     """Stands for the claim of a request that needs none."""
 
 
-@dataclass(slots=True, frozen=True)
-class Replay:
-    """The whole answer of a first run that finished."""
-
-    answer: bytes
-
-
 class ClaimPort(Protocol):
     """Claims an idempotency key before dispatch, and settles it afterwards."""
 
     async def claim(
         self, workspace: str, key: str, digest: str, request_id: str, expires_at: float
-    ) -> Result[object, Fault]:
+    ) -> Result[Claimed | NoClaim | Replay, Fault]:
         """Return a claim, a replay of the first run's answer, or a fault."""
 
-    async def finish(self, claimed: object, answer: bytes | None) -> None:
+    async def finish(self, claimed: Claimed | NoClaim, answer: bytes | None) -> None:
         """Settle: the request ran to its end."""
 
-    async def release(self, claimed: object) -> None:
+    async def release(self, claimed: Claimed | NoClaim) -> None:
         """Settle: the request is proven not to have run."""
 
-    async def mark_unknown(self, claimed: object) -> None:
+    async def mark_unknown(self, claimed: Claimed | NoClaim) -> None:
         """Settle: the request may have run."""
 
 
--- a/radishfield/serving/_dispatcher.py
+++ b/radishfield/serving/_dispatcher.py
@@ -32,10 +32,11 @@
     fault,
 )
 from radishfield.decisions import Dispatch, Retry, Scheduler, Work
+from radishfield.fleet import Replay
 from radishfield.pipeline import PipelineState
 from radishfield.serving._attempt import Attempt, AttemptFailure
 from radishfield.serving._canceller import Canceller
-from radishfield.serving._claiming import ClaimPort, NoClaims, Replay
+from radishfield.serving._claiming import ClaimPort, NoClaims
 from radishfield.serving._kv import move_kv
 from radishfield.serving._observer import AnyRequest, NullObserver, Observer
 from radishfield.serving._queue import DispatchQueue
@@ -48,6 +49,10 @@
 # Settling a claim must outlive the caller's cancellation, but not hold a
 # shutdown for ever.
 SETTLE_TIMEOUT_S = 5.0
+# How long a key stays claimed.  A caller that heard "unknown" at its deadline
+# repeats the key after that: a claim that ended with the deadline would let the
+# repeat run again.  Ten minutes cover a caller's own retries with room.
+CLAIM_S = 600.0
 
 
 class KeptAnswer(msgspec.Struct):
@@ -131,7 +136,13 @@
         """Run a model request; committed tokens go to the sink in order."""
         state = PipelineState(request.id)
         attempt = Attempt(
-            request, state, sink, self._targets, self._clock, self._observer
+            request,
+            state,
+            sink,
+            self._targets,
+            self._clock,
+            self._observer,
+            self._scheduler,
         )
 
         async def one(dispatch: Dispatch) -> AttemptFailure | None:
@@ -241,7 +252,7 @@
             request.idempotency_key,
             request.body_digest,
             request.id,
-            request.deadline,
+            self._clock.now() + CLAIM_S,
         )
         match granted:
             case Result(tag="error", error=problem):
--- a/standins/engine_test.py
+++ b/standins/engine_test.py
@@ -26,7 +26,7 @@
 from standins.engine import EngineApp
 from standins.engine_control import EngineFaults
 from standins.engine_steps import Holding
-from standins.launcher import free_port
+from standins.fleet import free_port
 from standins.model import expected_words
 
 QUICK = TargetTimeouts(first_token_s=3.0, idle_s=0.3, control_s=1.0)
--- a/standins/launcher_test.py
+++ b/standins/launcher_test.py
@@ -1,12 +1,26 @@
-"""The thin path as separate processes: one request from end to end."""
+"""The whole path as separate processes, from the settings file to the answer."""
 
-from standins.launcher import SmallFleet, ask
+import pytest
 
+from standins.fleet import THREE_ZONES, SmallFleet
+from standins.launcher import ask, chat
 
-def test_a_request_passes_four_engines_and_comes_back_whole(tmp_path):
-    fleet = SmallFleet(tmp_path)
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    small = SmallFleet(tmp_path_factory.mktemp("fleet"), THREE_ZONES)
     try:
-        fleet.start()
-        ask(fleet.entry_ports[0])
+        small.start()
+        yield small
     finally:
-        fleet.stop()
+        small.stop()
+
+
+def test_every_zone_serves_a_whole_answer(fleet):
+    for port in fleet.entry_ports:
+        ask(port)
+
+
+def test_unknown_profile_is_refused_with_its_number(fleet):
+    told = chat(fleet.entry_ports[0], "nobody", "hello", 4)
+    assert (told.status, told.code, told.outcome) == (404, "2003", "not-run")
--- a/standins/openai_client_test.py
+++ b/standins/openai_client_test.py
@@ -2,7 +2,8 @@
 
 import openai
 
-from standins.launcher import MODEL_LAYERS, PROMPT, SmallFleet
+from standins.fleet import MODEL_LAYERS, SmallFleet
+from standins.launcher import PROMPT
 from standins.model import expected_words
 
 
