--- a/radishfield/fleet/__init__.py
+++ b/radishfield/fleet/__init__.py
@@ -5,7 +5,7 @@
 from radishfield.fleet._leases import HeldLease, LeaseKeeper, LeaseSettings
 from radishfield.fleet._load_poller import LoadPoller, PollerSettings, ZoneLoad
 from radishfield.fleet._membership import Membership, Update
-from radishfield.fleet._operations import FleetOperations
+from radishfield.fleet._operations import FleetOperations, FleetParts
 from radishfield.fleet._orders import (
     OrderOutcome,
     OrderSender,
@@ -35,6 +35,7 @@
     "FactTable",
     "FactVersion",
     "FleetOperations",
+    "FleetParts",
     "FleetStatus",
     "HeldLease",
     "LeaseKeeper",
--- a/radishfield/fleet/spread_test.py
+++ b/radishfield/fleet/spread_test.py
@@ -5,97 +5,22 @@
 import trio
 import trio.testing
 
-from radishfield.core import Host, Profile, ResultCode, StoredObject, TrioClock
-from radishfield.edges import PeerKey, PeerNetwork, PeerSettings
-from radishfield.fleet import (
-    FactSpreader,
-    FactTable,
-    PlatformWatcher,
-    ProfileStore,
-    SpreadSettings,
-    WatcherSettings,
-)
+from radishfield.core import Host, Profile, ResultCode, StoredObject
+from radishfield.fleet import FactTable, ProfileStore, SpreadSettings
 from radishfield.fleet._spread import choose_fan_out
-from standins.fakes import FakePlatform
-from standins.peer_network import MemoryNetwork
-
-KEYS = (PeerKey(1, b"a secret of 16 bytes"),)
-
-
-class FleetHost:
-    """One entry host's services for profiles, on in-memory edges."""
-
-    def __init__(self, network, platform, number, zones=3):
-        self.id, self.zone = f"h{number}", f"z{number % zones}"
-        self.address = f"{self.id}:1"
-        clock, chance = TrioClock(), random.Random(number)
-        settings = PeerSettings(
-            self.id, self.zone, self.address, KEYS, ("h0:1", "h1:1", "h2:1"), 0.5, 1
-        )
-        transport = network.transport(self.address)
-        self.peers = PeerNetwork(settings, clock, transport, chance)
-        self.facts = FactTable()
-        port = platform.as_caller(self.id)
-        self.store = ProfileStore(port, self.facts)
-        self.spreader = FactSpreader(
-            SpreadSettings(self.id, self.zone), self.peers, self.facts, clock, chance
-        )
-        self.hosts_seen = None
-        self.watcher = PlatformWatcher(
-            WatcherSettings(self.id, self.zone),
-            port,
-            self.peers,
-            self.facts,
-            clock,
-            self.see_hosts,
-            chance,
-        )
-
-    def see_hosts(self, listing):
-        self.hosts_seen = listing
-
-    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
-        async with trio.open_nursery() as nursery:
-            for service in (self.peers, self.spreader, self.watcher):
-                await nursery.start(service.run)
-            task_status.started()
-
-
-class Fleet:
-    def __init__(self, nursery, seed=1):
-        self.nursery = nursery
-        self.network = MemoryNetwork(seed)
-        self.platform = FakePlatform(TrioClock())
-        self.hosts = []
-
-    async def add(self, count):
-        for number in range(len(self.hosts), len(self.hosts) + count):
-            a_host = FleetHost(self.network, self.platform, number)
-            self.hosts.append(a_host)
-            await self.nursery.start(a_host.run)
-
-    def cut_zone(self, zone, from_platform=True):
-        cut = {a_host.address for a_host in self.hosts if a_host.zone == zone}
-        self.network.faults.is_cut = lambda one, other: (one in cut) != (other in cut)
-        if from_platform:
-            self.platform.faults.cut_off.update(
-                a_host.id for a_host in self.hosts if a_host.zone == zone
-            )
-
-    def heal(self):
-        self.network.faults.is_cut = lambda one, other: False
-        self.platform.faults.cut_off.clear()
-
-    async def wait_in_force(self, hosts, version, within_s):
-        with trio.fail_after(within_s):
-            for a_host in hosts:
-                await a_host.store.wait_version("review", version)
+from standins.entry_host import MemoryFleet, MemoryHost
+
+
+async def wait_in_force(hosts, version, within_s):
+    with trio.fail_after(within_s):
+        for a_host in hosts:
+            await a_host.store.wait_version("review", version)
 
 
 def run(main):
     async def with_fleet():
         async with trio.open_nursery() as nursery:
-            await main(Fleet(nursery))
+            await main(MemoryFleet(nursery))
             nursery.cancel_scope.cancel()
 
     trio.run(with_fleet, clock=trio.testing.MockClock(autojump_threshold=0))
@@ -115,7 +40,7 @@
         await fleet.add(6)
         await trio.sleep(20)
         await fleet.hosts[0].store.publish(review())
-        await fleet.wait_in_force(fleet.hosts, 1, 5)
+        await wait_in_force(fleet.hosts, 1, 5)
         before = fleet.platform.calls()
         await trio.sleep(30)
         with_six = fleet.platform.calls() - before
@@ -138,7 +63,7 @@
         fleet.platform.faults.skipped_events = 1
         writer = ProfileStore(fleet.platform.as_caller("other"), FactTable())
         await writer.publish(review())
-        await fleet.wait_in_force(fleet.hosts, 1, 8)
+        await wait_in_force(fleet.hosts, 1, 8)
 
     run(main)
 
@@ -154,7 +79,7 @@
         await fleet.add(9)
         await trio.sleep(10)
         await fleet.hosts[0].store.publish(review())
-        await fleet.wait_in_force(fleet.hosts, 1, 5)
+        await wait_in_force(fleet.hosts, 1, 5)
         fleet.cut_zone("z2")
         await trio.sleep(20)
         await fleet.hosts[0].store.retire("review")
@@ -162,7 +87,7 @@
         cut = [a_host for a_host in fleet.hosts if a_host.zone == "z2"]
         assert {a_host.store.find("review").ok.version for a_host in cut} == {1}
         fleet.heal()
-        await fleet.wait_in_force(fleet.hosts, 2, 30)
+        await wait_in_force(fleet.hosts, 2, 30)
         await trio.sleep(20)
         for a_host in fleet.hosts:
             problem = a_host.store.find("review").error
@@ -182,20 +107,25 @@
         await fleet.add(5)
         await trio.sleep(10)
         await fleet.hosts[0].store.publish(review())
-        await fleet.wait_in_force(fleet.hosts, 1, 5)
-        newcomer = FleetHost(fleet.network, fleet.platform, 5)
+        await wait_in_force(fleet.hosts, 1, 5)
+        newcomer = MemoryHost(fleet, 5)
         fleet.hosts.append(newcomer)
         fleet.cut_zone("z2")
-        await fleet.nursery.start(newcomer.run)
+        fleet.nursery.start_soon(newcomer.run)
+        await trio.sleep(0.1)
         unheard = newcomer.store.find("review").error
         assert unheard.code is ResultCode.PROFILES_UNKNOWN
-        await fleet.wait_in_force([newcomer], 1, 10)
+        await wait_in_force([newcomer], 1, 10)
+        with trio.fail_after(5):
+            while not newcomer.facts.is_known:
+                await trio.sleep(0.1)
         unknown = newcomer.store.find("none").error
         assert unknown.code is ResultCode.UNKNOWN_PROFILE
-        alone = FleetHost(fleet.network, fleet.platform, 6)
+        alone = MemoryHost(fleet, 6)
         fleet.platform.faults.cut_off.add("h6")
         fleet.network.faults.silent.add("h6:1")
-        await fleet.nursery.start(alone.run)
+        fleet.nursery.start_soon(alone.run)
+        await trio.sleep(0.1)
         await trio.sleep(30)
         assert alone.store.find("review").error.code is ResultCode.PROFILES_UNKNOWN
 
@@ -210,7 +140,7 @@
 
     async def main(fleet):
         await fleet.add(9)
-        fleet.platform.set_hosts([Host("h0", "z0")])
+        fleet.platform.set_hosts([Host("h0", "z0", address="h0:1")])
         await trio.sleep(10)
         chosen = fleet.hosts[0].watcher.watchers()
         assert len(chosen) == 2
@@ -219,7 +149,7 @@
         rest = {"h0", "h3", "h6"} - set(chosen)
         assert rest <= set(fleet.hosts[0].watcher.watchers())
         (third,) = (a_host for a_host in fleet.hosts if a_host.id in rest)
-        assert third.hosts_seen.hosts == (Host("h0", "z0"),)
+        assert third.directory.seed_addresses() == ["h0:1"]
         fleet.heal()
         await trio.sleep(40)
         assert fleet.hosts[0].watcher.watchers() == chosen
