Read a member's whole list after a start and now and then

Cause: updates are told a bounded number of times, six a frame; a host that joins 340 others would hear of them over minutes, and an update lost each time it is told would stay unknown.

--- a/radishfield/edges/__init__.py
+++ b/radishfield/edges/__init__.py
@@ -1,7 +1,8 @@
 """The edges: callers, targets, the platform, operators and peers."""
 
-from radishfield.edges._peer import PeerNetwork, PeerSettings
+from radishfield.edges._peer import PeerNetwork
 from radishfield.edges._peer_seal import PeerKey
+from radishfield.edges._peer_settings import PeerSettings
 from radishfield.edges._peer_transport import PeerTransport, SocketTransport
 from radishfield.edges._platform import HttpPlatform, PlatformSettings
 
--- a/radishfield/edges/_peer_frames.py
+++ b/radishfield/edges/_peer_frames.py
@@ -1,5 +1,6 @@
 """Frames between entry hosts, as typed values and as packed Cap'n Proto."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -193,6 +194,27 @@
     return Ok(answer)
 
 
+def encode_updates(updates: Sequence[Update]) -> bytes:
+    """Return the packed form of a whole list of members."""
+    message = _schema.Updates.new_message()
+    entries = message.init("updates", len(updates))
+    for entry, update in zip(entries, updates, strict=True):
+        _fill_update(entry, update)
+    return message.to_bytes_packed()
+
+
+def decode_updates(data: bytes) -> Result[Sequence[Update], Fault]:
+    """Return a whole list of members, or why it is dropped."""
+    try:
+        reader = _schema.Updates.from_bytes_packed(
+            data, traversal_limit_in_words=_MESSAGE_WORDS
+        )
+        updates = [_update(entry) for entry in reader.updates]
+    except (capnp.KjException, ValueError) as problem:
+        return Error(_bad_frame(problem))
+    return Ok(updates)
+
+
 def _bad_frame(problem: Exception) -> Fault:
     detail = str(problem).splitlines()[0][:120] if str(problem) else "undecodable"
     return fault(ResultCode.BAD_FRAME, detail)
--- a/radishfield/edges/peer.capnp
+++ b/radishfield/edges/peer.capnp
@@ -58,3 +58,7 @@
   faultDetail @3 :Text;
   retryAfterMs @4 :UInt32;
 }
+
+struct Updates {
+  updates @0 :List(Update);
+}
--- a/radishfield/fleet/_membership.py
+++ b/radishfield/fleet/_membership.py
@@ -123,6 +123,10 @@
         """Return all members, dead ones included, this host first."""
         return [_member(entry.update) for entry in self._entry_by_id.values()]
 
+    def all_updates(self) -> Sequence[Update]:
+        """Return what is known of every member, this host included."""
+        return [entry.update for entry in self._entry_by_id.values()]
+
     def find(self, member_id: str) -> Update | None:
         """Return what is known of a member."""
         entry = self._entry_by_id.get(member_id)
