--- a/radishfield/fleet/_membership.py
+++ b/radishfield/fleet/_membership.py
@@ -95,9 +95,11 @@
         "_chance",
         "_entry_by_id",
         "_last_tick",
+        "_members",
         "_own_id",
         "_period_s",
         "_rounds",
+        "_to_tell_by_id",
         "_turn",
         "false_accusations",
         "health_penalty",
@@ -109,6 +111,8 @@
         self._chance = chance
         self._entry_by_id: dict[str, _Entry] = {own.id: _Entry(own)}
         self._rounds: dict[str, list[str]] = {"near": [], "far": [], "dead": []}
+        self._to_tell_by_id: dict[str, _Entry] = {}
+        self._members: Sequence[Member] | None = None
         self._turn = 0
         self._last_tick: float | None = None
         self.health_penalty = 0
@@ -121,7 +125,11 @@
 
     def members(self) -> Sequence[Member]:
         """Return all members, dead ones included, this host first."""
-        return [_member(entry.update) for entry in self._entry_by_id.values()]
+        if self._members is None:
+            self._members = tuple(
+                _member(entry.update) for entry in self._entry_by_id.values()
+            )
+        return self._members
 
     def all_updates(self) -> Sequence[Update]:
         """Return what is known of every member, this host included."""
@@ -143,8 +151,10 @@
             return
         entry = self._entry_by_id.get(update.id)
         if entry is None:
-            self._entry_by_id[update.id] = _Entry(update, None, now)
-            entry = self._entry_by_id[update.id]
+            entry = _Entry(update, None, now)
+            self._entry_by_id[update.id] = entry
+            self._to_tell_by_id[update.id] = entry
+            self._members = None
         elif update.order > entry.update.order:
             self._replace(entry, update, now)
         if update.order == entry.update.order and update.accuser:
@@ -187,6 +197,8 @@
                 dead.append(_member(update))
             elif self._is_forgotten(entry, now):
                 del self._entry_by_id[entry.update.id]
+                self._to_tell_by_id.pop(entry.update.id, None)
+                self._members = None
         return dead
 
     def next_probe(self) -> Update | None:
@@ -228,12 +240,9 @@
         What the recipient is accused of goes first, so that it can refute.
         """
         told_enough = 3 * math.ceil(math.log2(len(self._entry_by_id) + 2))
-        waiting = [
-            entry
-            for entry in self._entry_by_id.values()
-            if entry.times_told < told_enough and entry.update.id != self._own_id
-        ]
-        waiting.sort(key=lambda entry: entry.times_told)
+        waiting = sorted(
+            self._to_tell_by_id.values(), key=lambda entry: entry.times_told
+        )
         about = self._entry_by_id.get(recipient)
         if about is not None and about.update.state in (
             MemberState.SUSPECT,
@@ -243,6 +252,8 @@
         chosen = waiting[:limit]
         for entry in chosen:
             entry.times_told += 1
+            if entry.times_told >= told_enough:
+                self._to_tell_by_id.pop(entry.update.id, None)
         return [entry.update for entry in chosen]
 
     def suspicion_s(self, accusers: int) -> float:
@@ -279,14 +290,20 @@
 
     def _set_own(self, update: Update) -> None:
         self._entry_by_id[self._own_id].update = update
+        self._members = None
 
     def _replace(self, entry: _Entry, update: Update, now: float) -> None:
         entry.update = update
         entry.changed_at = now
-        entry.times_told = 0
+        self._tell_anew(entry)
+        self._members = None
         entry.accusers.clear()
         entry.suspected_at = None
 
+    def _tell_anew(self, entry: _Entry) -> None:
+        entry.times_told = 0
+        self._to_tell_by_id[entry.update.id] = entry
+
     def _accuse(self, entry: _Entry, accuser: str, now: float) -> None:
         if entry.update.state is MemberState.DEAD:
             return
@@ -295,7 +312,7 @@
         if accuser not in entry.accusers and len(entry.accusers) <= CONFIRMATIONS:
             entry.accusers.add(accuser)
             entry.update = dataclasses.replace(entry.update, accuser=accuser)
-            entry.times_told = 0
+            self._tell_anew(entry)
 
     def _is_overdue(self, entry: _Entry, now: float) -> bool:
         if entry.suspected_at is None:
