--- a/radishfield/edges/__init__.py
+++ b/radishfield/edges/__init__.py
@@ -30,6 +30,9 @@
 from radishfield.edges._peer_seal import (
     PeerKey,
 )
+from radishfield.edges._peer_settings import (
+    PeerSettings,
+)
 from radishfield.edges._peer_transport import (
     PeerTransport,
     SocketTransport,
--- a/radishfield/fleet/__init__.py
+++ b/radishfield/fleet/__init__.py
@@ -1,8 +1,8 @@
 """The fleet: profiles, membership, targets that come and leave, leases, orders."""
 
 from radishfield.fleet._claims import (
-    Claims,
     ClaimTimes,
+    Claims,
     KeeperStart,
 )
 from radishfield.fleet._claims_keepers import (
@@ -36,6 +36,7 @@
 )
 from radishfield.fleet._operations import (
     FleetOperations,
+    FleetParts,
 )
 from radishfield.fleet._orders import (
     OrderOutcome,
@@ -84,6 +85,7 @@
     "FactTable",
     "FactVersion",
     "FleetOperations",
+    "FleetParts",
     "FleetStatus",
     "HeldLease",
     "KeeperStart",
