Size limits by the flow, forecast with caution, test each decision

Cause: limits that followed each load report swung; kingston's last stages held 20 to 30 waiting tokens while a 100 tokens/s target ran half-empty batches. Work was dispatched at the last moment that a mean forecast allowed, so half of it ended late under overload; work cut at its deadline taught the pace nothing. Change: limits start from flow times cycle (headroom 1.6) and move little; forecasts add two mean deviations; late work is learned from; ties are taken in turn; a walk that dead-ends locally tries other zones.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,7 +1,7 @@
-"""Run the benches: ``python -m bench``."""
+"""Run the benches: ``python -m bench [NAME ...]``."""
 
 import sys
 
-from bench._runs import main
+from bench._cli import main
 
-sys.exit(main())
+sys.exit(main(sys.argv[1:]))
--- a/bench/_fakes.py
+++ b/bench/_fakes.py
@@ -73,8 +73,8 @@
 
     __slots__ = (
         "target",
-        "slowdown",
         "alive",
+        "started_at",
         "streams",
         "_events",
         "_waiting",
@@ -83,10 +83,10 @@
         "_token_s",
     )
 
-    def __init__(self, target: Target, events: Events, slowdown: float = 1.0):
+    def __init__(self, target: Target, events: Events):
         self.target = target
-        self.slowdown = slowdown
         self.alive = True
+        self.started_at: list[float] = []
         self.streams = 0
         self._events = events
         self._waiting: deque[Stream] = deque()
@@ -103,6 +103,11 @@
         if not self._busy:
             self._start()
 
+    def slow_down(self, factor: float) -> None:
+        """Take longer for each step from now on."""
+        self._base_s *= factor
+        self._token_s *= factor
+
     def report(self) -> LoadReport:
         """Return its own account; the step time is the declared one."""
         target = self.target
@@ -129,7 +134,7 @@
         if not batch:
             return
         self._busy = True
-        step_s = (self._base_s + self._token_s * work) * self.slowdown
+        step_s = self._base_s + self._token_s * work
         self._events.at(self._events.now + step_s, self._end, batch)
 
     def _end(self, batch: list[Stream]) -> None:
@@ -175,6 +180,7 @@
             stream.stages.append(fake)
             stream.parts.append((stage.layers.end - stage.layers.first) / held)
             fake.streams += 1
+            fake.started_at.append(self.events.now)
         zones = [fake.target.zone for fake in stream.stages]
         for here, there in zip(zones, zones[1:], strict=False):
             stream.links.append(self._links_by_pair[here, there])
--- /dev/null
+++ b/bench/_faults.py
@@ -0,0 +1,155 @@
+"""The scenarios of faults, each played for every policy."""
+
+from collections.abc import Sequence
+
+from bench._fleets import ZONES, even_targets, mixed_targets, uneven_links
+from bench._hosts import DETECTION_S, World
+from bench._load import Pattern, draw
+from bench._runs import (
+    OURS,
+    POLICIES,
+    Result,
+    bound_tps,
+    goodput,
+    new_world,
+    part_on_time,
+    percentile,
+)
+from radishfield.core import Target
+
+LOAD_SEED = 7
+FAULT_AT_S = 60.0
+FLEET_DETECTION_S = 1.0
+REBUILD_S = 0.5
+"""A prefill of the prompt and the committed tokens through four full stages."""
+
+
+def slow_target(until_s: float = 120.0, policies: Sequence[str] = tuple(POLICIES)):
+    """Play a target that turns ten times slower and declares its old speed."""
+    targets, links = mixed_targets(), uneven_links()
+    slow = max(targets, key=lambda t: (t.layers.first == 20, t.speed_tps))
+    without = [t for t in targets if t.id != slow.id]
+    bound = bound_tps(without, links)
+    parts = {}
+    shifted = 0.0
+    for policy in policies:
+        world = new_world(targets, links, policy)
+        fake = world.fleet.targets_by_id[slow.id]
+        world.events.at(FAULT_AT_S, fake.slow_down, 10.0)
+        asks = draw(Pattern(bound * 1.05, until_s=until_s), LOAD_SEED)
+        records = world.play(asks, until_s)
+        parts[policy] = goodput(records, FAULT_AT_S, until_s) / bound
+        if policy == OURS:
+            shifted = _seconds_until_shifted(fake.started_at, until_s)
+    details = {"seconds_until_shifted": shifted}
+    return Result("slow_target", parts[OURS], parts, 0.90, details=details)
+
+
+def stage_dies(until_s: float = 100.0, policies: Sequence[str] = tuple(POLICIES)):
+    """Play a stage's death in the middle of a token, at 80% load."""
+    targets, links = mixed_targets(), uneven_links()
+    bound = bound_tps(targets, links)
+    victim = next(t for t in targets if t.layers.first == 20 and t.speed_tps == 200)
+    gaps = {}
+    details = {}
+    for policy in policies:
+        world = new_world(targets, links, policy)
+        watch = _GapWatch(world)
+        world.events.at(FAULT_AT_S, watch.kill, [victim])
+        gone = [t for t in targets if t.id != victim.id]
+        world.events.at(FAULT_AT_S + FLEET_DETECTION_S, _lose, world, gone)
+        asks = draw(Pattern(bound * 0.8, until_s=until_s - 40.0), LOAD_SEED)
+        records = world.play(asks, until_s)
+        gaps[policy] = percentile(watch.gaps, 0.99)
+        if policy == OURS:
+            hit = [r for r in records if r.ask.work.request_id in watch.hit]
+            details = {
+                "p50_s": percentile(watch.gaps, 0.5),
+                "hit": len(hit),
+                "hit_on_time": part_on_time(hit),
+                "on_time": part_on_time([r for r in records if r.outcome != "open"]),
+            }
+    aim = 2 * (DETECTION_S + REBUILD_S)
+    return Result("stage_dies", gaps[OURS], gaps, aim, False, details)
+
+
+def zone_lost(until_s: float = 90.0, policies: Sequence[str] = tuple(POLICIES)):
+    """Play the loss of one zone of three, hosts and targets, at 60% load."""
+    targets, links = even_targets(), uneven_links()
+    rest = [t for t in targets if t.zone != ZONES[2]]
+    full, left = bound_tps(targets, links), bound_tps(rest, links)
+    dead = [t.id for t in targets if t.zone == ZONES[2]]
+    seconds = {}
+    details = {}
+    for policy in policies:
+        world = new_world(targets, links, policy)
+        world.events.at(FAULT_AT_S, world.kill, dead)
+        world.events.at(FAULT_AT_S, world.kill_hosts, ZONES[2])
+        world.events.at(FAULT_AT_S + FLEET_DETECTION_S, _lose, world, rest)
+        asks = draw(Pattern(full * 0.6, until_s=until_s), LOAD_SEED)
+        records = world.play(asks, until_s)
+        wanted = 0.95 * min(left, full * 0.6)
+        detected = FAULT_AT_S + FLEET_DETECTION_S
+        seconds[policy] = _seconds_to_rate(world, detected, wanted, until_s)
+        if policy == OURS:
+            ended = [r for r in records if r.outcome not in ("open", "host-lost")]
+            details = {"on_time": part_on_time(ended)}
+    return Result("zone_lost", seconds[OURS], seconds, 2.0, False, details)
+
+
+class _GapWatch:
+    """Time from a death to the next token of each stream that it cut."""
+
+    __slots__ = ("hit", "gaps", "_world")
+
+    def __init__(self, world: World):
+        self.hit: set[str] = set()
+        self.gaps: list[float] = []
+        self._world = world
+
+    def kill(self, victims: Sequence[Target]) -> None:
+        """End the targets and start to watch."""
+        ids = {target.id for target in victims}
+        for host in self._world.hosts:
+            for stream in host.streams_by_request.values():
+                if any(fake.target.id in ids for fake in stream.stages):
+                    self.hit.add(stream.request_id)
+        waiting = set(self.hit)
+        self._world.on_token = lambda stream, now: self._token(stream, now, waiting)
+        self._world.kill(sorted(ids))
+
+    def _token(self, stream, now: float, waiting: set[str]) -> None:
+        if stream.request_id in waiting and stream.attempt > 1:
+            waiting.discard(stream.request_id)
+            self.gaps.append(now - FAULT_AT_S)
+
+
+def _lose(world: World, rest: Sequence[Target]) -> None:
+    world.targets = list(rest)
+    world.tell_fleet()
+
+
+def _seconds_until_shifted(started_at: Sequence[float], until_s: float) -> float:
+    """Return when new work for a target fell under a fifth of what it was."""
+    window = 5.0
+    before = sum(FAULT_AT_S - 20 <= at < FAULT_AT_S for at in started_at) / 20.0
+    at = FAULT_AT_S
+    while at < until_s - window:
+        rate = sum(at <= moment < at + window for moment in started_at) / window
+        if rate <= 0.2 * before:
+            return at - FAULT_AT_S
+        at += 0.25
+    return until_s - FAULT_AT_S
+
+
+def _seconds_to_rate(
+    world: World, detected: float, wanted_tps: float, until_s: float
+) -> float:
+    """Return when a second's tokens first reached a rate again."""
+    index = int(detected * 4)
+    while index < (until_s - 1) * 4:
+        passed = sum(world.tokens_by_slice.get(index + i, 0) for i in range(4))
+        if passed >= wanted_tps:
+            return index / 4 - detected
+        index += 1
+    return until_s - detected
--- a/bench/_hosts.py
+++ b/bench/_hosts.py
@@ -7,7 +7,7 @@
 from bench._events import Events
 from bench._fakes import PREFILL_PART, FakeFleet, Stream
 from bench._load import Ask
-from radishfield.core import Link, Target
+from radishfield.core import Fault, Link, Target
 from radishfield.decisions import (
     Dispatch,
     Expired,
@@ -34,7 +34,7 @@
     ended_at: float = 0.0
     tokens: int = 0
     attempts: int = 0
-    retry_after_s: float | None = None
+    refusals: int = 0
 
     @property
     def on_time(self) -> bool:
@@ -72,8 +72,7 @@
         now = self._world.events.now
         decision = self.policy.offer(ask.work, now)
         if isinstance(decision, Refused):
-            record = self._world.end(ask.work.request_id, decision.fault.code.name, 0)
-            record.retry_after_s = decision.fault.retry_after_s
+            self._world.refused(ask, decision.fault)
             return
         self._world.events.at(ask.work.deadline, self._deadline, ask.work.request_id)
         self.pump()
@@ -178,6 +177,7 @@
         "hosts",
         "records_by_request",
         "tokens_by_slice",
+        "asks_again",
         "on_token",
         "targets",
         "links",
@@ -200,6 +200,7 @@
         ]
         self.records_by_request: dict[str, Record] = {}
         self.tokens_by_slice: dict[int, int] = {}
+        self.asks_again = 0
         self.on_token: Callable | None = None
         self._balancer = random.Random(seed)
         self.tell_fleet()
@@ -230,6 +231,18 @@
         record.ended_at = self.events.now
         return record
 
+    def refused(self, ask: Ask, problem: Fault) -> None:
+        """Let the caller ask again when told to, as often as callers do here."""
+        record = self.end(ask.work.request_id, problem.code.name, 0)
+        record.refusals += 1
+        if record.refusals > self.asks_again or problem.retry_after_s is None:
+            return
+        now = self.events.now + problem.retry_after_s
+        patience_s = ask.work.deadline - ask.work.arrived
+        work = replace(ask.work, arrived=now, deadline=now + patience_s)
+        record.outcome, record.ask = "open", replace(ask, work=work)
+        self.events.at(now, self._arrive, record.ask)
+
     def count_token(self, stream: Stream) -> None:
         """Count a committed token in its quarter of a second."""
         index = int(self.events.now * 4)
--- a/bench/_load.py
+++ b/bench/_load.py
@@ -1,7 +1,7 @@
 """Seeded load: who asks for how much, and when."""
 
 import random
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from radishfield.core import Priority, TargetKind
 from radishfield.decisions import Work
@@ -15,7 +15,6 @@
 
     work: Work
     tokens: int
-    kind: str = "short"
 
 
 @dataclass(slots=True, frozen=True)
@@ -28,8 +27,8 @@
         Tokens asked for per second, on average.
     shares : tuple of float
         Part of the requests of each workspace.
-    long_part, long_factor : float
-        Part of the requests that are longer, and how many times.
+    who : str
+        Beginning of the workspaces' names.
     """
 
     tps: float
@@ -38,11 +37,9 @@
     mean_tokens: int = 60
     deadline_s: float = 40.0
     shares: tuple[float, ...] = (0.1,) * 10
-    long_part: float = 0.0
-    long_factor: int = 50
-    long_deadline_s: float = 2000.0
     prompt_tokens: int = 40
     name: str = "r"
+    who: str = "workspace"
 
 
 def draw(pattern: Pattern, seed: int) -> list[Ask]:
@@ -51,7 +48,7 @@
     asks = []
     now = pattern.from_s
     per_second = pattern.tps / pattern.mean_tokens
-    names = [f"workspace-{index}" for index in range(len(pattern.shares))]
+    names = [f"{pattern.who}-{index}" for index in range(len(pattern.shares))]
     while True:
         now += chance.expovariate(per_second)
         if now >= pattern.until_s:
@@ -60,7 +57,6 @@
         allowed = round(tokens / chance.uniform(0.6, 1.0))
         workspace = chance.choices(names, pattern.shares)[0]
         prompt = round(pattern.prompt_tokens * chance.uniform(0.5, 1.5))
-        long = chance.random() < pattern.long_part
         work = Work(
             f"{pattern.name}-{len(asks)}",
             workspace,
@@ -72,12 +68,4 @@
             prompt,
             allowed,
         )
-        if long:
-            work = replace(
-                work,
-                max_tokens=allowed * pattern.long_factor,
-                deadline=now + pattern.long_deadline_s,
-            )
-            asks.append(Ask(work, tokens * pattern.long_factor, "long"))
-        else:
-            asks.append(Ask(work, tokens))
+        asks.append(Ask(work, tokens))
--- a/bench/_runs.py
+++ b/bench/_runs.py
@@ -1,21 +1,76 @@
 """Runs of one policy on one fleet, and the figures taken from them."""
 
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
 
 from bench._baselines import LeastInFlight, RandomOfTwo, RoundRobin
-from bench._fleets import ZONES, mixed_targets, uneven_links
+from bench._fleets import ZONES
 from bench._hosts import Record, World
-from bench._load import Pattern, draw
+from radishfield.core import Link, Target
 from radishfield.decisions import Scheduler
 from radishfield.decisions._flow import plan_flow
 
+OURS = "scheduler"
 POLICIES: dict[str, Callable] = {
-    "scheduler": lambda seed: Scheduler(),
+    OURS: lambda seed: Scheduler(),
     "round-robin": RoundRobin,
     "least-in-flight": LeastInFlight,
     "random-of-two": RandomOfTwo,
 }
 HOST_ZONES = ZONES * 3
+SEED = 1
+
+
+@dataclass(slots=True)
+class Result:
+    """One scenario's figures.
+
+    Attributes
+    ----------
+    metric : float
+        The scheduler's figure.
+    by_policy : dict
+        The same figure for every policy of the run.
+    aim : float
+        What the figure is held against.
+    higher_is_better : bool
+        Which way the figure improves.
+    details : dict
+        Further figures by name.
+    """
+
+    name: str
+    metric: float
+    by_policy: dict[str, float]
+    aim: float
+    higher_is_better: bool = True
+    details: dict[str, float] = field(default_factory=dict)
+
+    @property
+    def baseline(self) -> float:
+        """Return the best baseline's figure."""
+        others = [v for name, v in self.by_policy.items() if name != OURS]
+        if not others:
+            return float("nan")
+        return max(others) if self.higher_is_better else min(others)
+
+    def line(self) -> str:
+        """Return the scenario's line."""
+        more = "".join(f" {name}={value:.4g}" for name, value in self.details.items())
+        return (
+            f"bench {self.name} metric={self.metric:.4g} "
+            f"baseline={self.baseline:.4g} bound={self.aim:.4g}{more}"
+        )
+
+
+def bound_tps(targets: Sequence[Target], links: Sequence[Link]) -> float:
+    """Return the maximum flow of a fleet in tokens per second."""
+    return plan_flow(targets, links, ZONES[0], {}).bound_tps
+
+
+def new_world(targets: Sequence[Target], links: Sequence[Link], policy: str) -> World:
+    """Return a run with nine entry hosts."""
+    return World(targets, links, HOST_ZONES, POLICIES[policy], SEED)
 
 
 def goodput(records: Sequence[Record], from_s: float, until_s: float) -> float:
@@ -28,18 +83,19 @@
     return tokens / (until_s - from_s)
 
 
-def main() -> int:
-    """Play saturation and print its line."""
-    targets, links = mixed_targets(), uneven_links()
-    bound = plan_flow(targets, links, ZONES[0], {}).bound_tps
-    parts = {}
-    for name, make in POLICIES.items():
-        world = World(targets, links, HOST_ZONES, make, 1)
-        asks = draw(Pattern(bound * 1.1, until_s=120.0), 7)
-        parts[name] = goodput(world.play(asks, 120.0), 60.0, 120.0) / bound
-    ours = parts.pop("scheduler")
-    print(
-        f"bench saturation metric={ours:.3f} baseline={max(parts.values()):.3f} "
-        "bound=0.900"
-    )
-    return 0
+def admitted(records: Sequence[Record]) -> list[Record]:
+    """Return the requests that were dispatched and have ended."""
+    return [r for r in records if r.attempts and r.outcome != "open"]
+
+
+def part_on_time(records: Sequence[Record]) -> float:
+    """Return the part of requests that finished on time."""
+    return sum(r.on_time for r in records) / max(1, len(records))
+
+
+def percentile(values: Sequence[float], part: float) -> float:
+    """Return the value that a part of the values do not exceed."""
+    ordered = sorted(values)
+    if not ordered:
+        return float("nan")
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
--- /dev/null
+++ b/bench/_scenarios.py
@@ -0,0 +1,137 @@
+"""The scenarios of load, each played for every policy."""
+
+from collections.abc import Sequence
+
+from bench._fleets import even_targets, mixed_targets, uneven_links
+from bench._hosts import Record
+from bench._load import Ask, Pattern, draw
+from bench._runs import (
+    OURS,
+    POLICIES,
+    Result,
+    admitted,
+    bound_tps,
+    goodput,
+    new_world,
+    part_on_time,
+    percentile,
+)
+
+LOAD_SEED = 7
+WAVE_S = 20.0
+
+
+def saturation(until_s: float = 120.0, policies: Sequence[str] = tuple(POLICIES)):
+    """Play a tenth more load than mixed accelerators and uneven links carry."""
+    targets, links = mixed_targets(), uneven_links()
+    bound = bound_tps(targets, links)
+    parts = {}
+    for policy in policies:
+        asks = draw(Pattern(bound * 1.1, until_s=until_s), LOAD_SEED)
+        records = new_world(targets, links, policy).play(asks, until_s)
+        parts[policy] = goodput(records, until_s / 2, until_s) / bound
+    return Result("saturation", parts[OURS], parts, 0.90, details={"bound_tps": bound})
+
+
+def overload(
+    factor: float, until_s: float = 120.0, policies: Sequence[str] = tuple(POLICIES)
+):
+    """Play waves of several times the bound, between waves of just as much."""
+    targets, links = mixed_targets(), uneven_links()
+    bound = bound_tps(targets, links)
+    parts = {}
+    late = 0.0
+    for policy in policies:
+        plain = _waves(bound, 1.0, until_s)
+        base = new_world(targets, links, policy).play(plain, until_s)
+        world = new_world(targets, links, policy)
+        world.asks_again = 2
+        records = world.play(_waves(bound, factor, until_s), until_s)
+        window = until_s / 3, until_s
+        parts[policy] = goodput(records, *window) / goodput(base, *window)
+        if policy == OURS:
+            late = _p95_of_deadline(records)
+            on_time = part_on_time(admitted(records))
+    details = {"p95_of_deadline": late, "admitted_on_time": on_time}
+    return Result(f"overload_{factor:.0f}x", parts[OURS], parts, 0.95, details=details)
+
+
+def heavy_workspaces(until_s: float = 120.0, policies: Sequence[str] = tuple(POLICIES)):
+    """Play two workspaces that send nine tenths of 1.5 times the bound."""
+    targets, links = mixed_targets(), uneven_links()
+    bound = bound_tps(targets, links)
+    few = Pattern(bound * 0.15, until_s=until_s, name="few")
+    many = Pattern(
+        bound * 1.35, until_s=until_s, shares=(0.5, 0.5), name="many", who="heavy"
+    )
+    ratios = {}
+    even_p95 = 0.0
+    for policy in policies:
+        alone = new_world(targets, links, policy).play(draw(few, 3), until_s)
+        both = draw(few, 3) + draw(many, 4)
+        mixed = new_world(targets, links, policy).play(both, until_s)
+        others = [r for r in mixed if r.ask.work.request_id.startswith("few")]
+        ratios[policy] = _p95(others) / _p95(alone)
+        if policy == OURS:
+            even_p95 = part_on_time([r for r in others if r.outcome != "open"])
+    return Result(
+        "heavy_workspaces",
+        ratios[OURS],
+        ratios,
+        1.2,
+        higher_is_better=False,
+        details={"others_on_time": even_p95},
+    )
+
+
+def long_among_short(until_s: float = 400.0, policies: Sequence[str] = tuple(POLICIES)):
+    """Play one request in twenty fifty times longer, at 70% load."""
+    targets, links = even_targets(per_stage=1), uneven_links()
+    bound = bound_tps(targets, links)
+    short_tps = bound * 0.7 * 19 / (19 + 50)
+    short = Pattern(short_tps, until_s=until_s, mean_tokens=20, deadline_s=30.0)
+    long = Pattern(
+        bound * 0.7 * 50 / (19 + 50),
+        until_s=until_s,
+        mean_tokens=1000,
+        deadline_s=600.0,
+        name="long",
+    )
+    ratios = {}
+    for policy in policies:
+        alone = new_world(targets, links, policy).play(draw(short, 3), until_s)
+        both = draw(short, 3) + draw(long, 4)
+        mixed = new_world(targets, links, policy).play(both, until_s)
+        others = [r for r in mixed if r.ask.work.request_id.startswith("r")]
+        ratios[policy] = _p95(_late_half(others, until_s)) / _p95(
+            _late_half(alone, until_s)
+        )
+    return Result("long_among_short", ratios[OURS], ratios, 1.3, higher_is_better=False)
+
+
+def _waves(bound: float, factor: float, until_s: float) -> list[Ask]:
+    asks: list[Ask] = []
+    start, index = 0.0, 0
+    while start < until_s:
+        tps = bound * (factor if index % 2 == 0 else 1.0)
+        wave = Pattern(tps, start, start + WAVE_S, name=f"w{index}")
+        asks += draw(wave, LOAD_SEED + index)
+        start += WAVE_S
+        index += 1
+    return asks
+
+
+def _p95(records: Sequence[Record]) -> float:
+    return percentile([r.seconds for r in records if r.outcome == "finished"], 0.95)
+
+
+def _late_half(records: Sequence[Record], until_s: float) -> list[Record]:
+    return [r for r in records if r.ask.work.arrived >= until_s / 2]
+
+
+def _p95_of_deadline(records: Sequence[Record]) -> float:
+    parts = [
+        record.seconds / (record.ask.work.deadline - record.ask.work.arrived)
+        for record in admitted(records)
+    ]
+    return percentile(parts, 0.95)
--- a/radishfield/decisions/_admission.py
+++ b/radishfield/decisions/_admission.py
@@ -17,6 +17,10 @@
 """Entries that one entry host holds: about 10 MB, and minutes of work at the
 target size, so that it is reached only if forecasts fail."""
 
+WAIT_CAUTION = 1.3
+"""Work of other workspaces that arrives later may go first, and a dead target
+slows the queue; a third more covers both."""
+
 MIN_RETRY_AFTER_S = 0.5
 MAX_RETRY_AFTER_S = 60.0
 """A minute bounds the error of a forecast made under a passing peak."""
@@ -54,7 +58,7 @@
         retry = spread_retry(work, forecast.wait_s)
         return fault(ResultCode.QUEUE_FULL, "too much work is waiting", retry)
     left_s = work.deadline - now
-    late_s = forecast.wait_s + forecast.run_s - left_s
+    late_s = forecast.wait_s * WAIT_CAUTION + forecast.run_s - left_s
     if late_s <= 0:
         return None
     if forecast.run_s > left_s:
--- /dev/null
+++ b/radishfield/decisions/_failures.py
@@ -0,0 +1,110 @@
+"""What follows a failed attempt, put together from the rules that apply."""
+
+from radishfield.core import ResultCode
+from radishfield.decisions._data import (
+    Dispatch,
+    Failure,
+    FailureKind,
+    GiveUp,
+    Retry,
+)
+from radishfield.decisions._pool import Claim
+from radishfield.decisions._recovery import (
+    RebuildPacer,
+    choose_resumption,
+    rebuild_cost,
+)
+from radishfield.decisions._retries import (
+    CODE_BY_KIND,
+    RetryBudget,
+    end_fault,
+    forbids,
+    is_recovery,
+)
+from radishfield.decisions._running import Running
+
+
+class FailureDecider:
+    """Ejection, retry rules, budget and paced recovery, in that order."""
+
+    __slots__ = ("_budget", "_pacer")
+
+    def __init__(self):
+        self._budget = RetryBudget()
+        self._pacer = RebuildPacer()
+
+    def count_request(self, now: float) -> None:
+        """Count a dispatched request towards the budget of repeats."""
+        self._budget.count_request(now)
+
+    def decide(self, running: Running, failure: Failure, now: float) -> Retry | GiveUp:
+        """Return the next attempt, already counted in flight, or the end."""
+        running.ever_started |= failure.started
+        self._blame(running, failure, now)
+        work, attempt = running.dispatch.work, running.dispatch.attempt
+        problem = forbids(work, failure, attempt, running.ever_started, now)
+        recovering = is_recovery(failure)
+        if problem is None and not recovering and not self._budget.spend(now):
+            code = ResultCode.RETRY_BUDGET_SPENT
+            problem = end_fault(failure, code, running.ever_started)
+        if problem is not None:
+            return GiveUp(problem)
+        claim = _next_claim(running, failure)
+        if claim is None:
+            code = ResultCode.NO_TARGET
+            return GiveUp(end_fault(failure, code, running.ever_started))
+        return self._retry(running, claim, failure, recovering, now)
+
+    def _blame(self, running: Running, failure: Failure, now: float) -> None:
+        pool = running.pool
+        if pool.ejector.failed(failure.target_id, failure.kind, now):
+            pool.eject(failure.target_id)
+
+    def _retry(
+        self,
+        running: Running,
+        claim: Claim,
+        failure: Failure,
+        recovering: bool,
+        now: float,
+    ) -> Retry:
+        pool, work = running.pool, running.dispatch.work
+        alive = failure.kind in (FailureKind.SILENT, FailureKind.BAD_RECEIPT)
+        resumption = choose_resumption(
+            work.prompt_tokens, failure.committed, claim.token_s, alive
+        )
+        after_s = 0.0
+        if recovering and not resumption.by_import:
+            cost = rebuild_cost(work.prompt_tokens, failure.committed)
+            left_s = work.deadline - now
+            after_s = self._pacer.reserve(cost, pool.host_tps, left_s, now)
+        way = "import" if resumption.by_import else "rebuild"
+        reason = f"{failure.kind}-{way}" if recovering else str(failure.kind)
+        attempt = running.dispatch.attempt + 1
+        dispatch = Dispatch(work, attempt, claim.route, claim.target, reason)
+        old = tuple(load.target.id for load in running.claim.loads)
+        imports = old if resumption.by_import else ()
+        running.restart(dispatch, claim, now + after_s)
+        pool.begin(claim)
+        return Retry(dispatch, after_s, imports, CODE_BY_KIND[failure.kind])
+
+
+def _next_claim(running: Running, failure: Failure) -> Claim | None:
+    """Return places for the next attempt, on the surviving stages if it can.
+
+    The old places are given back first: the next attempt takes them over.
+    """
+    running.release()
+    survivors = frozenset(
+        load.target.id
+        for load in running.claim.loads
+        if load.target.id != failure.target_id
+    )
+    kept = survivors if failure.committed else frozenset()
+    pool, long = running.pool, running.claim.long
+    excluded = frozenset((failure.target_id,))
+    for choice in (excluded, frozenset()):
+        claim = pool.pick(long, choice, kept, forced=True)
+        if claim is not None:
+            return claim
+    return None
--- a/radishfield/decisions/_limits.py
+++ b/radishfield/decisions/_limits.py
@@ -19,18 +19,22 @@
 from radishfield.core import LoadReport, Target, TargetState
 from radishfield.decisions._flow import speed_of
 
-HEADROOM = 1.5
+HEADROOM = 1.6
 """Work in flight above the exact product: steps vary, and a batch that runs
 empty for a moment is lost for good."""
 
-QUEUE_HIGH = 2.0
+QUEUE_HIGH = 6.0
 """Batches waiting inside the target above which the limit falls."""
 
-QUEUE_LOW = 0.5
+QUEUE_LOW = 0.1
 """Batches waiting below which the limit rises, if it is in use."""
 
-FALL = 0.93
-RISE = 1.08
+QUEUE_SMOOTHING = 0.5
+"""A report shows one instant of a queue that fills and empties with each batch;
+two or three reports show its level."""
+
+FALL = 0.96
+RISE = 1.02
 """A tenth each report: two reports' lag cannot carry it far past the goal."""
 
 MAX_GROWTH = 8.0
@@ -69,6 +73,7 @@
         "reported",
         "others",
         "_own_at_report",
+        "_queued",
         "_reported_at",
         "_hosts",
         "_peers",
@@ -88,6 +93,7 @@
         self.reported = 0
         self.others = 0.0
         self._own_at_report = 0
+        self._queued = 0.0
         self._reported_at: float | None = None
         self._hosts = 1
         self._peers = 1.0
@@ -138,9 +144,10 @@
         self._own_at_report = self.own
         self.others = max(0.0, report.in_flight - self.own)
         slots = max(1, report.slots)
-        if report.queued > QUEUE_HIGH * slots:
+        self._queued += QUEUE_SMOOTHING * (report.queued - self._queued)
+        if self._queued > QUEUE_HIGH * slots:
             self.limit = max(float(slots), self.limit * FALL)
-        elif report.queued < QUEUE_LOW * slots and self._in_use(report.in_flight):
+        elif self._queued < QUEUE_LOW * slots and self._in_use(report.in_flight):
             self.limit = min(self.limit * RISE, self.first_limit * MAX_GROWTH)
         self._divide()
 
--- a/radishfield/decisions/_pace.py
+++ b/radishfield/decisions/_pace.py
@@ -10,6 +10,10 @@
 SMOOTHING = 0.05
 """About the last twenty answers: a batch that fills shows within seconds."""
 
+CAUTION = 2.0
+"""Mean deviations added: under overload each admitted request is dispatched as
+late as its forecast allows, so whatever the forecast leaves out ends late."""
+
 WINDOW_S = 1.0
 """Throughput is judged over a second; shorter windows see single steps."""
 
@@ -48,8 +52,8 @@
         return self.mean_s * cost
 
     def cautious_s(self, cost: float) -> float:
-        """Return a run that about five in six stay under."""
-        return (self.mean_s + self.spread_s) * cost
+        """Return a run that about nineteen in twenty stay under."""
+        return (self.mean_s + CAUTION * self.spread_s) * cost
 
 
 class DrainRate:
--- a/radishfield/decisions/_pool.py
+++ b/radishfield/decisions/_pool.py
@@ -7,7 +7,12 @@
 from radishfield.decisions._affinity import LOAD_BOUND
 from radishfield.decisions._ejection import Ejector
 from radishfield.decisions._flow import FlowPlan, plan_flow, speed_of
-from radishfield.decisions._limits import TargetLoad, full_step_s, little_limit
+from radishfield.decisions._limits import (
+    HEADROOM,
+    TargetLoad,
+    full_step_s,
+    little_limit,
+)
 from radishfield.decisions._pace import DrainRate, Pace
 from radishfield.decisions._routes import Chooser, Crossing
 
@@ -235,7 +240,7 @@
     def _adopt(self, plan: FlowPlan, loads: list[TargetLoad]) -> None:
         cycle_s = _cycle_s(plan, loads)
         self.bound_tps += plan.bound_tps
-        self.pace.reset_guess(cycle_s)
+        self.pace.reset_guess(cycle_s * HEADROOM)
         for load in loads:
             load.goal = plan.weight_by_target[load.target.id]
             load.resize(little_limit(load.goal, cycle_s))
--- a/radishfield/decisions/_routes.py
+++ b/radishfield/decisions/_routes.py
@@ -52,12 +52,20 @@
 
 @dataclass(slots=True, frozen=True)
 class _Wanted:
-    """What one walk looks for."""
+    """What one walk looks for.
+
+    Attributes
+    ----------
+    anywhere : bool
+        Whether other zones are tried though the local one is not full: the
+        second walk, after the first met a dead end.
+    """
 
     long: bool
     excluded: frozenset[str]
     preferred: frozenset[str]
     forced: bool
+    anywhere: bool
 
     def fits(self, load: TargetLoad) -> bool:
         """Tell whether a target may be taken."""
@@ -118,8 +126,16 @@
         forced : bool
             Whether to ignore limits: work that was cut must not lose its turn.
         """
-        wanted = _Wanted(long, excluded, preferred, forced)
         self._turn += 1
+        for anywhere in (False, True):
+            wanted = _Wanted(long, excluded, preferred, forced, anywhere)
+            chain = self._walk(wanted)
+            if chain is not None:
+                return chain
+        return None
+
+    def _walk(self, wanted: _Wanted) -> list[TargetLoad] | None:
+        """Return the first whole chain, stepping back from dead ends."""
         steps_left = MAX_STEPS
         chain: list[TargetLoad] = []
         options = [self._options(self._zone, 0, wanted)]
@@ -170,7 +186,7 @@
                 local.sort(key=TargetLoad.score, reverse=True)
                 return local + kept
         best_use = min((load.use() for load in local), default=1.0)
-        if best_use < SPILL_USE:
+        if best_use < SPILL_USE and not wanted.anywhere:
             local.sort(key=TargetLoad.score, reverse=True)
             return local
         others = []
@@ -204,7 +220,9 @@
             found = [load for load in sample if wanted.fits(load)]
             if found:
                 return found
-        return [load for load in loads if wanted.fits(load)]
+        # Equals are taken in turn: else every idle entry host picks the same one.
+        start = self._turn % len(loads) if loads else 0
+        return [load for load in (*loads[start:], *loads[:start]) if wanted.fits(load)]
 
     def _may_cross(self, from_zone: str, to_zone: str, layer: int) -> bool:
         """Tell whether a link has room; the prompt itself may start anywhere."""
--- a/radishfield/decisions/_running.py
+++ b/radishfield/decisions/_running.py
@@ -64,6 +64,11 @@
         prompt = self.dispatch.work.prompt_tokens * PROMPT_TOKEN_COST
         return prompt + self.position + 1
 
+    def tells_pace(self) -> bool:
+        """Tell whether its time from start to now says how fast work runs."""
+        plain = self.claim.route is None
+        return self.dispatch.attempt == 1 and (plain or self.position > 0)
+
     def release(self) -> None:
         """Give the held places back, once."""
         if self._held:
--- a/radishfield/decisions/_scheduler.py
+++ b/radishfield/decisions/_scheduler.py
@@ -18,29 +18,17 @@
     Dispatch,
     Expired,
     Failure,
-    FailureKind,
     GiveUp,
     Queued,
     Refused,
     Retry,
     Work,
 )
+from radishfield.decisions._failures import FailureDecider
 from radishfield.decisions._journal import Journal, Note
 from radishfield.decisions._lengths import LengthEstimate
 from radishfield.decisions._pool import Claim, Pool
 from radishfield.decisions._queues import Entry, Lane, WorkQueue, lane_for
-from radishfield.decisions._recovery import (
-    RebuildPacer,
-    choose_resumption,
-    rebuild_cost,
-)
-from radishfield.decisions._retries import (
-    CODE_BY_KIND,
-    RetryBudget,
-    end_fault,
-    forbids,
-    is_recovery,
-)
 from radishfield.decisions._running import Running
 from radishfield.decisions._snapshot import Snapshot, view_of
 
@@ -62,11 +50,10 @@
     """
 
     __slots__ = (
-        "_budget",
+        "_failures",
         "_fleet",
         "_journal",
         "_lengths",
-        "_pacer",
         "_pools_by_key",
         "_prefixes",
         "_queues_by_key",
@@ -75,11 +62,10 @@
     )
 
     def __init__(self):
-        self._budget = RetryBudget()
+        self._failures = FailureDecider()
         self._fleet: tuple | None = None
         self._journal = Journal()
         self._lengths = LengthEstimate()
-        self._pacer = RebuildPacer()
         self._pools_by_key: dict[PoolKey, Pool] = {}
         self._prefixes = PrefixIndex()
         self._queues_by_key: dict[PoolKey, WorkQueue] = {}
@@ -152,7 +138,7 @@
         problem = judge(work, forecast, now)
         if problem is not None:
             return self._refuse(work, problem, now)
-        latest_start = work.deadline - pool.pace.expected_s(cost)
+        latest_start = work.deadline - pool.pace.cautious_s(cost)
         queue.push(Entry(work, cost, latest_start, lane))
         self._journal.note(work.request_id, Note(now, "queued", f"{ahead:.0f} ahead"))
         return Queued(work.request_id)
@@ -203,36 +189,25 @@
             return
         running.release()
         self._journal.note(request_id, Note(now, "finished" if finished else "ended"))
+        work, pool = running.dispatch.work, running.pool
+        if work.kind is TargetKind.SERVICE:
+            running.pool.drain.passed(1)
+        if running.tells_pace():
+            # Work cut at its deadline counts too: it is the slow part.
+            pool.pace.learn(now - running.started_at, running.cost_so_far())
         if not finished:
             return
-        work, pool = running.dispatch.work, running.pool
         self._lengths.learn(work, running.position)
-        if running.dispatch.attempt == 1:
-            pool.pace.learn(now - running.started_at, running.cost_so_far())
         for load in running.claim.loads:
             pool.ejector.succeeded(load.target.id)
 
     def failed(self, failure: Failure, now: float) -> Retry | GiveUp:
         """Decide what follows an attempt's failure; does not end the work."""
         running = self._running_by_request[failure.request_id]
-        running.ever_started |= failure.started
-        work, pool = running.dispatch.work, running.pool
-        self._blame(pool, failure, now)
-        problem = forbids(
-            work, failure, running.dispatch.attempt, running.ever_started, now
-        )
-        recovering = is_recovery(failure)
-        if problem is None and not recovering and not self._budget.spend(now):
-            problem = end_fault(
-                failure, ResultCode.RETRY_BUDGET_SPENT, running.ever_started
-            )
-        if problem is not None:
-            return self._give_up(work, problem, now)
-        claim = self._next_claim(running, failure)
-        if claim is None:
-            problem = end_fault(failure, ResultCode.NO_TARGET, running.ever_started)
-            return self._give_up(work, problem, now)
-        return self._retry(running, claim, failure, recovering, now)
+        decision = self._failures.decide(running, failure, now)
+        step = "retried" if isinstance(decision, Retry) else "given up"
+        self._journal.note(failure.request_id, Note(now, step, decision.reason))
+        return decision
 
     def explain(self, request_id: str) -> tuple[Note, ...]:
         """Return what was decided on a recent request, in order."""
@@ -300,72 +275,13 @@
         self._running_by_request[work.request_id] = Running(
             pool, dispatch, claim, now, entry.cost
         )
-        self._budget.count_request(now)
+        self._failures.count_request(now)
         held = [load.target.id for load in claim.loads]
         if work.prefix_key:
             self._prefixes.note_sent(work.prefix_key, held, now)
         self._journal.note(work.request_id, Note(now, "dispatched", " ".join(held)))
         return dispatch
 
-    def _blame(self, pool: Pool, failure: Failure, now: float) -> None:
-        if failure.kind is FailureKind.REFUSED:
-            return
-        if pool.ejector.failed(failure.target_id, failure.kind, now):
-            pool.eject(failure.target_id)
-
-    def _next_claim(self, running: Running, failure: Failure) -> Claim | None:
-        """Return places for the next attempt, on the surviving stages if it can.
-
-        The old places are given back first: the next attempt takes them over.
-        """
-        running.release()
-        survivors = frozenset(
-            load.target.id
-            for load in running.claim.loads
-            if load.target.id != failure.target_id
-        )
-        kept = survivors if failure.committed else frozenset()
-        pool, long = running.pool, running.claim.long
-        excluded = frozenset((failure.target_id,))
-        for choice in (excluded, frozenset()):
-            claim = pool.pick(long, choice, kept, forced=True)
-            if claim is not None:
-                return claim
-        return None
-
-    def _retry(
-        self,
-        running: Running,
-        claim: Claim,
-        failure: Failure,
-        recovering: bool,
-        now: float,
-    ) -> Retry:
-        pool, work = running.pool, running.dispatch.work
-        alive = failure.kind in (FailureKind.SILENT, FailureKind.BAD_RECEIPT)
-        resumption = choose_resumption(
-            work.prompt_tokens, failure.committed, claim.token_s, alive
-        )
-        after_s = 0.0
-        if recovering and not resumption.by_import:
-            cost = rebuild_cost(work.prompt_tokens, failure.committed)
-            left_s = work.deadline - now
-            after_s = self._pacer.reserve(cost, pool.host_tps, left_s, now)
-        way = "import" if resumption.by_import else "rebuild"
-        reason = f"{failure.kind}-{way}" if recovering else str(failure.kind)
-        attempt = running.dispatch.attempt + 1
-        dispatch = Dispatch(work, attempt, claim.route, claim.target, reason)
-        old = tuple(load.target.id for load in running.claim.loads)
-        running.restart(dispatch, claim, now + after_s)
-        pool.begin(claim)
-        self._journal.note(work.request_id, Note(now, "retried", reason))
-        imports = old if resumption.by_import else ()
-        return Retry(dispatch, after_s, imports, CODE_BY_KIND[failure.kind])
-
-    def _give_up(self, work: Work, problem, now: float) -> GiveUp:
-        self._journal.note(work.request_id, Note(now, "given up", problem.detail))
-        return GiveUp(problem)
-
     def _tick(self, now: float) -> None:
         if self._ticked_at is None:
             self._ticked_at = now
--- /dev/null
+++ b/radishfield/decisions/retries_test.py
@@ -0,0 +1,135 @@
+"""Retries, ejection and recovery: what follows a failure."""
+
+import pytest
+
+from radishfield.core import Outcome, ResultCode
+from radishfield.decisions import Failure, FailureKind
+from radishfield.decisions._ejection import Ejector
+from radishfield.decisions._recovery import RebuildPacer, choose_resumption
+from radishfield.decisions._retries import (
+    BUDGET_BURST,
+    MAX_ATTEMPTS,
+    RetryBudget,
+    end_fault,
+    forbids,
+    is_recovery,
+)
+
+
+def failure(kind=FailureKind.BROKEN, started=True, committed=3):
+    return Failure("r", "t", kind, started, committed)
+
+
+@pytest.mark.parametrize("kind", FailureKind)
+def test_work_that_may_not_repeat_is_never_sent_again_once_started(make_work, kind):
+    work = make_work("r", idempotent=False)
+    problem = forbids(work, failure(kind), 1, True, 1.0)
+    assert problem.outcome is Outcome.UNKNOWN
+    assert forbids(work, failure(kind, started=False), 1, False, 1.0) is None
+
+
+def test_no_attempt_after_the_deadline_or_the_last_attempt(make_work):
+    work = make_work("r", deadline=10.0)
+    late = forbids(work, failure(), 1, True, 10.0)
+    spent = forbids(work, failure(), MAX_ATTEMPTS, False, 1.0)
+    assert late.code is ResultCode.DEADLINE_PASSED
+    assert (spent.code, spent.outcome) == (
+        ResultCode.RETRIES_EXHAUSTED,
+        Outcome.NOT_RUN,
+    )
+
+
+def test_not_run_is_said_only_if_no_attempt_ever_started():
+    code = ResultCode.CONNECT_FAILED
+    assert end_fault(failure(), code, True).outcome is Outcome.UNKNOWN
+    assert end_fault(failure(), code, False).outcome is Outcome.NOT_RUN
+
+
+def test_repeats_stay_a_few_in_a_hundred():
+    """Every one of a thousand requests fails and asks for a repeat."""
+    budget = RetryBudget()
+    allowed = 0
+    for index in range(1000):
+        budget.count_request(index * 0.005)
+        allowed += budget.spend(index * 0.005)
+    assert allowed <= 0.05 * 1000 + BUDGET_BURST + 1
+
+
+def test_a_cut_stream_is_recovery_and_a_refusal_is_a_repeat():
+    assert is_recovery(failure(FailureKind.BROKEN))
+    assert not is_recovery(failure(FailureKind.REFUSED, started=False))
+    assert not is_recovery(failure(FailureKind.ERROR))
+
+
+def test_a_mass_failure_does_not_start_all_rebuilds_at_once():
+    """A zone dies; 200 streams of one host need their cache in one instant.
+
+    The first few go on at once, the others one after the other at the pace of
+    the part that rebuilds may take, none beyond half of its time left.
+    """
+    pacer = RebuildPacer()
+    waits = [pacer.reserve(20.0, 100.0, 60.0, 0.0) for _ in range(200)]
+    assert waits[0] == 0 and waits == sorted(waits)
+    assert sum(wait < 1.0 for wait in waits) <= 6
+    assert max(waits) <= 30.0
+    assert pacer.reserve(20.0, 100.0, 60.0, 200.0) == 0
+
+
+def test_the_way_that_is_sooner_is_taken():
+    assert choose_resumption(5000, 300, 0.05, True).by_import
+    assert not choose_resumption(5000, 300, 0.05, False).by_import
+    assert not choose_resumption(1, 1, 0.05, True).by_import
+
+
+def test_a_failing_target_is_out_for_longer_each_time():
+    ejector = Ejector()
+    assert not ejector.failed("t", FailureKind.CONNECT, 0.0)
+    assert ejector.failed("t", FailureKind.CONNECT, 0.0)
+    first = ejector.next_return()
+    assert ejector.readmit(first) == ["t"]
+    assert ejector.failed("t", FailureKind.CONNECT, first)
+    assert ejector.next_return() - first == 2 * first
+
+
+def test_a_whole_answer_restores_trust():
+    ejector = Ejector()
+    for _ in range(5):
+        ejector.failed("t", FailureKind.SILENT, 0.0)
+        ejector.succeeded("t")
+    assert ejector.next_return() is None
+
+
+def test_a_refusal_says_nothing_about_a_targets_health():
+    ejector = Ejector()
+    assert not any(ejector.failed("t", FailureKind.REFUSED, 0.0) for _ in range(9))
+
+
+def test_the_slow_target_is_found_among_those_that_share_its_routes():
+    """Answers through s are slow; a and b each share some of them.
+
+    Both also have fast answers, so only s is held to be slow.
+    """
+    ejector = Ejector()
+    for _ in range(10):
+        for pair, ratio in ((("a", "s"), 3.2), (("b", "s"), 3.2), (("a", "b"), 1.0)):
+            for target_id in pair:
+                ejector.answered(target_id, ratio)
+    assert ejector.eject_slow(["a", "b", "s"], 1.0) == ["s"]
+
+
+def test_a_fleet_that_is_slow_as_a_whole_keeps_its_targets():
+    ejector = Ejector()
+    names = [f"t{i}" for i in range(10)]
+    for _ in range(10):
+        for name in names:
+            ejector.answered(name, 5.0)
+    assert ejector.eject_slow(names, 1.0) == []
+
+
+def test_only_a_part_is_ejected_for_slowness():
+    ejector = Ejector()
+    names = [f"t{i}" for i in range(10)]
+    for _ in range(10):
+        for index, name in enumerate(names):
+            ejector.answered(name, 9.0 if index < 4 else 1.0)
+    assert len(ejector.eject_slow(names, 1.0)) == 2
--- /dev/null
+++ b/radishfield/decisions/scheduler_test.py
@@ -0,0 +1,194 @@
+"""The decisions together, as a dispatcher sees them."""
+
+import random
+
+import pytest
+
+from radishfield.core import CacheEvent, Outcome, ResultCode, TargetKind
+from radishfield.decisions import (
+    Dispatch,
+    Expired,
+    Failure,
+    FailureKind,
+    GiveUp,
+    Queued,
+    Refused,
+    Retry,
+    Scheduler,
+)
+
+
+@pytest.fixture
+def scheduler(two_stages, links):
+    made = Scheduler()
+    made.set_fleet(two_stages, links, "a", 1, 0.0)
+    return made
+
+
+def start(scheduler, work, now=0.0):
+    assert isinstance(scheduler.offer(work, now), Queued)
+    (dispatch,) = scheduler.take(now)
+    return dispatch
+
+
+def stage_ids(dispatch):
+    return [stage.target_id for stage in dispatch.route.stages]
+
+
+def test_a_burst_is_admitted_up_to_what_can_finish_and_the_rest_is_told_when(
+    scheduler, make_work
+):
+    """Five hundred requests arrive in one instant at two targets a stage.
+
+    Some start, some wait, and from some point on each is refused at once with
+    a time to come back; nothing is admitted that the forecast says ends late.
+    """
+    results = [
+        scheduler.offer(make_work(f"r{i}", deadline=30.0), 0.0) for i in range(500)
+    ]
+    refused = [r for r in results if isinstance(r, Refused)]
+    assert isinstance(results[0], Queued) and refused
+    assert all(r.fault.retry_after_s > 0 for r in refused)
+    assert {r.fault.outcome for r in refused} == {Outcome.NOT_RUN}
+    assert {r.reason for r in refused} <= {
+        "deadline-unreachable",
+        "workspace-over-share",
+    }
+    assert 0 < len(scheduler.take(0.0)) < len(results) - len(refused)
+
+
+def test_every_entry_ends_in_exactly_one_way(scheduler, make_work):
+    """Work is offered, withdrawn, started, ended and left to expire at random.
+
+    Each request must be seen exactly once: refused, withdrawn, dispatched or
+    expired, and nothing may remain held afterwards.
+    """
+    chance = random.Random(11)
+    ends: dict[str, list[str]] = {}
+    running: list[str] = []
+    now = 0.0
+    for index in range(2000):
+        now += chance.random() * 0.2
+        name = f"r{index}"
+        ends[name] = []
+        work = make_work(name, arrived=now, deadline=now + chance.uniform(5, 40))
+        if isinstance(scheduler.offer(work, now), Refused):
+            ends[name].append("refused")
+        victim = f"r{chance.randrange(index + 1)}"
+        if scheduler.withdraw(victim, now):
+            ends[victim].append("withdrawn")
+        for item in scheduler.take(now):
+            name = item.work.request_id
+            ends[name].append("expired" if isinstance(item, Expired) else "started")
+            if isinstance(item, Dispatch):
+                running.append(name)
+        while len(running) > 30 or (running and chance.random() < 0.3):
+            scheduler.ended(running.pop(0), True, now)
+    for name in running:
+        scheduler.ended(name, True, now)
+    for item in scheduler.take(now + 100):
+        ends[item.work.request_id].append("last")
+    assert {len(seen) for seen in ends.values()} == {1}
+    targets = scheduler.snapshot(now).pools[0].targets
+    assert all(target.in_flight == 0 for target in targets)
+
+
+def test_plain_lookups_do_not_wait_behind_reviews(scheduler, make_target, make_work):
+    """The model's queue is full of reviews when a lookup arrives.
+
+    It goes to its own service at once.
+    """
+    lookup = make_target("s", 0, 0, kind=TargetKind.SERVICE, model="lookup")
+    fleet, links, zone, hosts = scheduler._fleet
+    scheduler.set_fleet([*fleet, lookup], links, zone, hosts, 0.0)
+    for index in range(300):
+        scheduler.offer(make_work(f"r{index}"), 0.0)
+    scheduler.take(0.0)
+    work = make_work("l", kind=TargetKind.SERVICE, model="lookup", max_tokens=0)
+    assert start(scheduler, work).target == lookup
+
+
+def test_a_dead_stage_is_replaced_and_the_others_kept(scheduler, make_work):
+    """A stage dies in the middle of a token after seven committed ones.
+
+    The next attempt keeps the surviving stage, which still holds its cache, and
+    takes the other replica of the dead one.
+    """
+    dispatch = start(scheduler, make_work("r"))
+    first, dead = stage_ids(dispatch)
+    failure = Failure("r", dead, FailureKind.BROKEN, True, 7)
+    retry = scheduler.failed(failure, 1.0)
+    assert isinstance(retry, Retry) and retry.dispatch.attempt == 2
+    assert stage_ids(retry.dispatch)[0] == first
+    assert stage_ids(retry.dispatch)[1] != dead
+    assert retry.reason == "broken-rebuild"
+    scheduler.ended("r", True, 2.0)
+    assert all(t.in_flight == 0 for t in scheduler.snapshot(2.0).pools[0].targets)
+
+
+def test_a_started_request_that_may_not_repeat_ends_unknown(scheduler, make_work):
+    dispatch = start(scheduler, make_work("r", idempotent=False))
+    failure = Failure("r", stage_ids(dispatch)[0], FailureKind.BROKEN, True, 0)
+    decision = scheduler.failed(failure, 1.0)
+    assert isinstance(decision, GiveUp)
+    assert decision.fault.outcome is Outcome.UNKNOWN
+
+
+def test_a_leaving_target_gets_nothing_more_and_no_target_is_its_own_refusal(
+    scheduler, make_work
+):
+    scheduler.target_leaving("a1", 0.0)
+    for index in range(10):
+        assert "a1" not in stage_ids(start(scheduler, make_work(f"r{index}")))
+    scheduler.target_leaving("a2", 0.0)
+    refused = scheduler.offer(make_work("x"), 0.0)
+    assert refused.fault.code is ResultCode.NO_TARGET
+    assert refused.reason == "no-target" and refused.fault.retry_after_s
+
+
+def test_a_target_that_fails_fast_is_not_refilled(scheduler, make_work):
+    """Target a1 refuses connections, so it always looks idle.
+
+    After two failures it is left out, and two seconds later it is tried again.
+    """
+    hit = []
+    for index in range(40):
+        dispatch = start(scheduler, make_work(f"r{index}"), index * 0.01)
+        while stage_ids(dispatch)[0] == "a1":
+            hit.append(index)
+            failure = Failure(f"r{index}", "a1", FailureKind.CONNECT, False)
+            dispatch = scheduler.failed(failure, index * 0.01).dispatch
+        scheduler.ended(f"r{index}", True, index * 0.01)
+    assert len(hit) == 2
+    scheduler.take(3.0)
+    view = {t.target_id: t for t in scheduler.snapshot(3.0).pools[0].targets}
+    assert not view["a1"].ejected
+
+
+def test_a_prefix_returns_to_its_target_until_that_is_loaded(scheduler, make_work):
+    """A popular prefix first keeps to the targets that hold it.
+
+    Under a crowd it spreads, so that its holder does not become the bottleneck.
+    """
+    scheduler.observe_cache(CacheEvent("a2", 1, "p", True), 0.0)
+    assert stage_ids(start(scheduler, make_work("r0", prefix_key="p")))[0] == "a2"
+    seen = [
+        stage_ids(start(scheduler, make_work(f"s{i}", prefix_key="p")))[0]
+        for i in range(8)
+    ]
+    assert seen.count("a1") >= 2
+
+
+def test_explains_what_was_decided(scheduler, make_work):
+    start(scheduler, make_work("r"))
+    scheduler.ended("r", True, 1.0)
+    steps = [note.step for note in scheduler.explain("r")]
+    assert steps == ["queued", "dispatched", "finished"]
+
+
+def test_an_unchanged_fleet_keeps_what_was_learned(scheduler, make_work, two_stages):
+    start(scheduler, make_work("r"))
+    fleet, links, zone, hosts = scheduler._fleet
+    scheduler.set_fleet(list(two_stages), list(links), zone, hosts, 1.0)
+    scheduler.set_fleet(list(two_stages), list(links), zone, 2, 1.0)
+    assert sum(t.in_flight for t in scheduler.snapshot(1.0).pools[0].targets) == 2
