--- a/radishfield/decisions/_pace.py
+++ b/radishfield/decisions/_pace.py
@@ -7,9 +7,15 @@
 waiting.
 """
 
+import math
+
 SMOOTHING = 0.05
 """About the last twenty answers: a batch that fills shows within seconds."""
 
+CAUTION = 2.0
+"""Mean deviations added: under overload each admitted request is dispatched as
+late as its forecast allows, so whatever the forecast leaves out ends late."""
+
 WINDOW_S = 1.0
 """Throughput is judged over a second; shorter windows see single steps."""
 
@@ -47,9 +53,20 @@
         """Return the expected run of work of a cost."""
         return self.mean_s * cost
 
-    def cautious_s(self, cost: float) -> float:
-        """Return a run that about five in six stay under."""
-        return (self.mean_s + self.spread_s) * cost
+    def cautious_s(self, cost: float, cost_spread: float = 0.0) -> float:
+        """Return a run that about nineteen in twenty stay under.
+
+        The pace and the length err apart from each other, so their deviations
+        add as squares.
+
+        Parameters
+        ----------
+        cost_spread : float
+            Mean deviation of the cost, as a part of the cost.
+        """
+        pace_spread = self.spread_s / max(self.mean_s, 1e-9)
+        part = CAUTION * math.hypot(pace_spread, cost_spread)
+        return self.mean_s * cost * (1 + part)
 
 
 class DrainRate:
--- a/radishfield/decisions/_routes.py
+++ b/radishfield/decisions/_routes.py
@@ -12,6 +12,7 @@
 model version.  A dead end is stepped back from, within `MAX_STEPS`.
 """
 
+import math
 from collections import defaultdict
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -52,12 +53,25 @@
 
 @dataclass(slots=True, frozen=True)
 class _Wanted:
-    """What one walk looks for."""
+    """What one walk looks for.
+
+    Attributes
+    ----------
+    anywhere : bool
+        Whether other zones are tried though the local one is not full: the
+        second walk, after the first met a dead end.
+    """
 
     long: bool
     excluded: frozenset[str]
     preferred: frozenset[str]
     forced: bool
+    fast: bool
+    anywhere: bool
+
+    def order(self, load: TargetLoad) -> float:
+        """Return a target's place in the order to try; the lowest goes first."""
+        return load.stage_s if self.fast else load.score()
 
     def fits(self, load: TargetLoad) -> bool:
         """Tell whether a target may be taken."""
@@ -108,6 +122,7 @@
         excluded: frozenset[str] = frozenset(),
         preferred: frozenset[str] = frozenset(),
         forced: bool = False,
+        fast: bool = False,
     ) -> list[TargetLoad] | None:
         """Return a chain whose every target and link has room, or None.
 
@@ -117,9 +132,19 @@
             Targets to take where they can be, because they hold a cache.
         forced : bool
             Whether to ignore limits: work that was cut must not lose its turn.
+        fast : bool
+            Whether to take the quickest targets with room, not the least loaded.
         """
-        wanted = _Wanted(long, excluded, preferred, forced)
         self._turn += 1
+        for anywhere in (False, True):
+            wanted = _Wanted(long, excluded, preferred, forced, fast, anywhere)
+            chain = self._walk(wanted)
+            if chain is not None:
+                return chain
+        return None
+
+    def _walk(self, wanted: _Wanted) -> list[TargetLoad] | None:
+        """Return the first whole chain, stepping back from dead ends."""
         steps_left = MAX_STEPS
         chain: list[TargetLoad] = []
         options = [self._options(self._zone, 0, wanted)]
@@ -154,6 +179,20 @@
                         todo.append(end)
         return self.model_layers in reached
 
+    def quickest_s(self) -> float:
+        """Return the least expected seconds of a token over any whole chain."""
+        best_s = {0: 0.0}
+        for layer in sorted({layer for _, layer in self._loads_by_zone_layer}):
+            if layer not in best_s:
+                continue
+            for zone in self._zones:
+                for load in self._loads_by_zone_layer.get((zone, layer), ()):
+                    end = load.target.layers.end
+                    time_s = best_s[layer] + load.stage_s
+                    if load.usable and time_s < best_s.get(end, math.inf):
+                        best_s[end] = time_s
+        return best_s.get(self.model_layers, math.inf)
+
     def crossings_of(self, chain: Sequence[TargetLoad]) -> list[Crossing]:
         """Return the links between zones that a chain uses."""
         zones = [load.target.zone for load in chain]
@@ -167,11 +206,11 @@
         if wanted.preferred:
             kept = self._preferred(layer, wanted)
             if kept:
-                local.sort(key=TargetLoad.score, reverse=True)
+                local.sort(key=wanted.order, reverse=True)
                 return local + kept
         best_use = min((load.use() for load in local), default=1.0)
-        if best_use < SPILL_USE:
-            local.sort(key=TargetLoad.score, reverse=True)
+        if best_use < SPILL_USE and not wanted.anywhere:
+            local.sort(key=wanted.order, reverse=True)
             return local
         others = []
         for name in self._zones:
@@ -180,7 +219,7 @@
         nearer = [load for load in others if load.use() + CROSSING_USE < best_use]
         farther = [load for load in others if load.use() + CROSSING_USE >= best_use]
         for loads in (farther, local, nearer):
-            loads.sort(key=TargetLoad.score, reverse=True)
+            loads.sort(key=wanted.order, reverse=True)
         return farther + local + nearer
 
     def _preferred(self, layer: int, wanted: _Wanted) -> list[TargetLoad]:
@@ -204,7 +243,9 @@
             found = [load for load in sample if wanted.fits(load)]
             if found:
                 return found
-        return [load for load in loads if wanted.fits(load)]
+        # Equals are taken in turn: else every idle entry host picks the same one.
+        start = self._turn % len(loads) if loads else 0
+        return [load for load in (*loads[start:], *loads[:start]) if wanted.fits(load)]
 
     def _may_cross(self, from_zone: str, to_zone: str, layer: int) -> bool:
         """Tell whether a link has room; the prompt itself may start anywhere."""
--- a/radishfield/fleet/__init__.py
+++ b/radishfield/fleet/__init__.py
@@ -36,6 +36,7 @@
 )
 from radishfield.fleet._operations import (
     FleetOperations,
+    FleetParts,
 )
 from radishfield.fleet._orders import (
     OrderOutcome,
@@ -84,6 +85,7 @@
     "FactTable",
     "FactVersion",
     "FleetOperations",
+    "FleetParts",
     "FleetStatus",
     "HeldLease",
     "KeeperStart",
