--- a/radishfield/scripts/_main.py
+++ b/radishfield/scripts/_main.py
@@ -7,7 +7,7 @@
 from radishfield.scripts._exits import ExitCode, print_fault
 from radishfield.scripts._fleet import drain, explain, hosts, status, targets, undrain
 from radishfield.scripts._profiles import profiles
-from radishfield.settings import EntrySettings, settings_text
+from radishfield.settings import EntrySettings, settings_table, settings_text
 
 
 @click.group()
@@ -74,6 +74,18 @@
     click.echo(settings_text(read_settings(path)))
 
 
+@settings_group.command("table")
+def print_settings_table():
+    """Print docs/OPERATIONS.md's table of every key, its default and limits.
+
+    \b
+    Example: all that a listener can be told:
+      radishfield settings table | grep caller
+    """
+    defaults = {name: kind() for name, kind in EXTRA_SECTIONS.items()}
+    click.echo(settings_table(EntrySettings(extra_by_section=defaults)))
+
+
 def read_settings(path: str) -> EntrySettings:
     """Return the settings, or print every fault and exit."""
     match EntrySettings.from_file(path, EXTRA_SECTIONS):
--- a/radishfield/scripts/commands_test.py
+++ b/radishfield/scripts/commands_test.py
@@ -137,6 +137,12 @@
     assert markdown_table() in page, "put in what `radishfield codes --markdown` prints"
 
 
+def test_the_operators_page_holds_every_setting():
+    table = CliRunner().invoke(main, ["settings", "table"]).output.strip()
+    page = (DOCS / "OPERATIONS.md").read_text()
+    assert table in page, "put in what `radishfield settings table` prints"
+
+
 def test_every_command_teaches_with_an_example():
     def leaves(command, path):
         for name, inner in getattr(command, "commands", {}).items():
--- a/radishfield/settings/__init__.py
+++ b/radishfield/settings/__init__.py
@@ -4,7 +4,7 @@
 of a file's faults come back together, as values.
 """
 
-from radishfield.settings._printer import settings_text
+from radishfield.settings._printer import settings_table, settings_text
 from radishfield.settings._reader import EntrySettings
 from radishfield.settings._sections import (
     CallerSettings,
@@ -41,5 +41,6 @@
     "PeerKey",
     "PeersSettings",
     "PlatformSettings",
+    "settings_table",
     "settings_text",
 ]
--- a/radishfield/settings/_fields.py
+++ b/radishfield/settings/_fields.py
@@ -30,10 +30,10 @@
     "keys": parse_keys,
 }
 ALLOWED_BY_UNIT = {
-    "address": "an IP number with a port, such as 127.0.0.1:8080",
-    "addresses": "IP numbers with ports, with commas between",
+    "address": "an IP number with a port, such as 127.0.0.1:8080; blank: none",
+    "addresses": "IP numbers with ports, with commas between; blank: none",
     "keys": f"id:hex with at least {MIN_KEY_BYTES} bytes each, with commas between",
-    "file": "the path of a file that can be read",
+    "file": "the path of a file that can be read; blank: none",
     "secret": "any text without line breaks",
 }
 NUMBER_WORD_BY_TYPE = {int: "a whole number", float: "a number"}
--- a/radishfield/settings/_printer.py
+++ b/radishfield/settings/_printer.py
@@ -18,6 +18,17 @@
     return "\n".join(lines)
 
 
+def settings_table(settings: EntrySettings) -> str:
+    """Return a Markdown table of every key with its default and what it may be."""
+    lines = ["| section | key | default | allowed |", "| --- " * 4 + "|"]
+    sections = {name: getattr(settings, name) for name in SECTION_TYPE_BY_NAME}
+    for name, section in (sections | dict(settings.extra_by_section)).items():
+        for item in section_fields(type(section)):
+            default = item.text(getattr(section, item.name)) or "blank"
+            lines.append(f"| {name} | {item.key} | {default} | {item.allowed()} |")
+    return "\n".join(lines)
+
+
 def _section_lines(name: str, section: object) -> list[str]:
     lines = [f"[{name}]"]
     for item in section_fields(type(section)):
--- a/radishfield/settings/_reader.py
+++ b/radishfield/settings/_reader.py
@@ -186,6 +186,8 @@
                 key = "tls_key" if section.tls_cert else "tls_cert"
                 self._missing(name, key, "tls_cert and tls_key both, or neither")
         operator, peers = settings.operator, settings.peers
+        if not settings.caller.bind:
+            self._missing("caller", "bind", "an IP number with a port")
         if operator.token and operator.token_file:
             detail = "token is set too; allowed: token or token_file, not both"
             problem = fault(ResultCode.SETTING_TYPE, detail)
--- a/radishfield/settings/settings_test.py
+++ b/radishfield/settings/settings_test.py
@@ -78,6 +78,7 @@
         ("[caller]\nbody_timeout = 5m", ResultCode.SETTING_RANGE, "from 1ms to 1m"),
         ("[caller]\nmax_body = 1B", ResultCode.SETTING_RANGE, "from 1KiB to 64MiB"),
         ("[caller]\nbind = localhost:80", ResultCode.SETTING_TYPE, "IP number"),
+        ("[caller]\nbind =", ResultCode.SETTING_MISSING, "IP number"),
         ("[caller]\nqueue = many", ResultCode.SETTING_TYPE, "whole number"),
         ("[caller]\nqueue = 0", ResultCode.SETTING_RANGE, "from 1 to 1000000"),
         ("[platform]\nmax_calls_per_s = nan", ResultCode.SETTING_RANGE, "from 0.1"),
