--- a/radishfield/edges/__init__.py
+++ b/radishfield/edges/__init__.py
@@ -23,9 +23,22 @@
     ListenerConfig,
     serve_app,
 )
+from radishfield.edges._operator import (
+    MetricsApp,
+    OperatorApp,
+)
+from radishfield.edges._operator_messages import (
+    Explanation,
+    HostBody,
+    ProfileBody,
+    ProfileList,
+    ProfileView,
+    RetireBody,
+    TargetBody,
+    TargetList,
+)
 from radishfield.edges._peer import (
     PeerNetwork,
-    PeerSettings,
 )
 from radishfield.edges._peer_seal import (
     PeerKey,
@@ -58,16 +71,26 @@
     "CallerApp",
     "CallerLimits",
     "EngineTargets",
+    "Explanation",
+    "HostBody",
     "HttpListener",
     "HttpPlatform",
     "ListenerConfig",
     "LonePeer",
+    "MetricsApp",
+    "OperatorApp",
     "PeerKey",
     "PeerNetwork",
     "PeerSettings",
     "PeerTransport",
     "PlatformSettings",
+    "ProfileBody",
+    "ProfileList",
+    "ProfileView",
+    "RetireBody",
     "SocketTransport",
+    "TargetBody",
+    "TargetList",
     "TargetTimeouts",
     "read_body",
     "register_protocol",
--- a/radishfield/fleet/__init__.py
+++ b/radishfield/fleet/__init__.py
@@ -1,8 +1,8 @@
 """The fleet: profiles, membership, targets that come and leave, leases, orders."""
 
 from radishfield.fleet._claims import (
-    ClaimTimes,
     Claims,
+    ClaimTimes,
     KeeperStart,
 )
 from radishfield.fleet._claims_keepers import (
