Wire operators' edge, telemetry, records and the placement lease

Cause: these services stood green but no daemon ran them. Change: EntryHost registers them; the dispatcher reports through the observer.

--- a/radishfield/scripts/_wiring.py
+++ b/radishfield/scripts/_wiring.py
@@ -21,6 +21,7 @@
     HttpPlatform,
     ListenerConfig,
     LonePeer,
+    OperatorApp,
     PeerKey,
     PeerNetwork,
     PeerSettings,
@@ -29,6 +30,10 @@
 from radishfield.fleet import (
     FactSpreader,
     FactTable,
+    FleetOperations,
+    FleetParts,
+    LeaseKeeper,
+    LeaseSettings,
     LoadPoller,
     PlatformWatcher,
     PollerSettings,
@@ -40,13 +45,14 @@
 from radishfield.kernel import Kernel
 from radishfield.serving import Dispatcher, FleetView
 from radishfield.settings import EntrySettings
-from radishfield.telemetry import RequestRecords, Telemetry
+from radishfield.telemetry import RequestRecords, Telemetry, TelemetryObserver
 
 # An object from the settings file is older than any that the platform holds.
 SETTINGS_VERSION = 1
 LONE_INCARNATION = 1
 # A frame names its key in one byte.
 KEY_NUMBERS = 256
+PLACEMENT_DUTY = "placement"
 
 
 class EntryHost:
@@ -106,19 +112,32 @@
         kernel.register(
             "spreader", FactSpreader(SpreadSettings(host, zone), peers, facts, clock)
         )
-        if settings.platform.address:
-            watcher_settings = WatcherSettings(host, zone)
-            kernel.register(
-                "watcher",
-                PlatformWatcher(
-                    watcher_settings,
-                    platform,
-                    peers,
-                    facts,
-                    clock,
-                    on_hosts=directory.see_hosts,
-                ),
-            )
+        watcher = PlatformWatcher(
+            WatcherSettings(host, zone),
+            platform,
+            peers,
+            facts,
+            clock,
+            on_hosts=directory.see_hosts,
+        )
+        kernel.register("watcher", watcher)
+        lease = LeaseKeeper(
+            LeaseSettings(PLACEMENT_DUTY, zone, host), platform, peers, clock
+        )
+        kernel.register("placement-lease", lease)
+        parts = FleetParts(
+            host,
+            zone,
+            platform,
+            facts,
+            kernel.find("profiles", ProfileStore),
+            directory,
+            peers,
+            watcher,
+            clock,
+            (lease,),
+        )
+        kernel.register("operations", FleetOperations(parts))
 
     def _platform(self) -> HttpPlatform | AbsentPlatform:
         platform = self._settings.platform
@@ -155,15 +174,21 @@
     def _add_serving(self) -> None:
         settings, kernel, clock = self._settings, self.kernel, self._clock
         directory = kernel.find("directory", TargetDirectory)
+        telemetry, records = Telemetry(), RequestRecords()
+        kernel.register("telemetry", telemetry)
+        kernel.register("records", records)
         targets = EngineTargets()
-        dispatcher = Dispatcher(Scheduler(), targets, clock)
+        dispatcher = Dispatcher(
+            Scheduler(),
+            targets,
+            clock,
+            observer=TelemetryObserver(telemetry, records, clock),
+        )
 
         def take_in(report: LoadReport) -> None:
             directory.observe_report(report)
             dispatcher.observe_load(report)
 
-        kernel.register("telemetry", Telemetry())
-        kernel.register("records", RequestRecords())
         kernel.register("dispatcher", dispatcher)
         kernel.register(
             "fleet-view", FleetView(directory, dispatcher, settings.host.zone)
@@ -196,8 +221,25 @@
         config = ListenerConfig.from_settings(
             caller.bind, caller.tls_cert, caller.tls_key, settings.drain.timeout_s
         )
+        if settings.operator.bind:
+            self._add_operator_listener()
         kernel.register("caller-listener", HttpListener(app, config))
 
+    def _add_operator_listener(self) -> None:
+        settings, kernel = self._settings, self.kernel
+        operator = settings.operator
+        app = OperatorApp(
+            kernel.find("operations", FleetOperations),
+            kernel.find("records", RequestRecords),
+            kernel.find("telemetry", Telemetry),
+            operator.token,
+            settings.host.id,
+        )
+        config = ListenerConfig.from_settings(
+            operator.bind, operator.tls_cert, operator.tls_key
+        )
+        kernel.register("operator-listener", HttpListener(app, config))
+
 
 def key_number(key_id: str) -> int:
     """Return the number by which frames name a key of the settings.
