--- a/radishfield/core/__init__.py
+++ b/radishfield/core/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from radishfield.core._clock import SystemClock, TrioClock
+from radishfield.core._code_help import HELP_BY_CODE, CodeHelp
 from radishfield.core._codes import OUTCOME_BY_CODE, Outcome, ResultCode
 from radishfield.core._data import (
     CacheEvent,
@@ -53,9 +54,11 @@
 )
 
 __all__ = [
+    "HELP_BY_CODE",
     "OUTCOME_BY_CODE",
     "CacheEvent",
     "Clock",
+    "CodeHelp",
     "Fault",
     "Finished",
     "Hop",
--- a/radishfield/edges/__init__.py
+++ b/radishfield/edges/__init__.py
@@ -54,6 +54,10 @@
     HttpPlatform,
     PlatformSettings,
 )
+from radishfield.edges._status import (
+    ErrorBody,
+    http_status,
+)
 from radishfield.edges._target import (
     EngineTargets,
 )
@@ -71,6 +75,7 @@
     "CallerApp",
     "CallerLimits",
     "EngineTargets",
+    "ErrorBody",
     "Explanation",
     "HostBody",
     "HttpListener",
@@ -92,6 +97,7 @@
     "TargetBody",
     "TargetList",
     "TargetTimeouts",
+    "http_status",
     "read_body",
     "register_protocol",
     "send_chunk",
--- a/radishfield/edges/_asgi.py
+++ b/radishfield/edges/_asgi.py
@@ -14,6 +14,7 @@
 # sends, and the caller would see a network error in place of the answer.
 DISCARD_TIMEOUT_S = 2.0
 DISCARD_BYTES = 16 << 20
+WEBSOCKET_UNSUPPORTED = 1003
 
 
 @dataclass(slots=True, frozen=True)
@@ -105,6 +106,18 @@
             return
 
 
+async def serve_scope(scope, receive, send, serve_http) -> None:
+    """Answer a scope of any type; requests go to ``serve_http``."""
+    match scope["type"]:
+        case "lifespan":
+            await serve_lifespan(receive, send)
+        case "http":
+            await serve_http(scope, receive, send)
+        case "websocket":
+            await receive()
+            await send({"type": "websocket.close", "code": WEBSOCKET_UNSUPPORTED})
+
+
 async def run_until_disconnect(receive, work) -> None:
     """Run ``work`` and cancel it as soon as the other end has gone.
 
--- a/radishfield/edges/_caller_intake.py
+++ b/radishfield/edges/_caller_intake.py
@@ -45,11 +45,19 @@
     healthy fleet; so they are taken for the notice time, and then refused.
     """
 
-    __slots__ = ("_limits", "_clock", "_draining_since", "in_flight", "_idle")
+    __slots__ = (
+        "_limits",
+        "_clock",
+        "_notice_s",
+        "_draining_since",
+        "in_flight",
+        "_idle",
+    )
 
     def __init__(self, limits: CallerLimits, clock: Clock):
         self._limits = limits
         self._clock = clock
+        self._notice_s = limits.notice_s
         self._draining_since: float | None = None
         self.in_flight = 0
         self._idle = trio.Event()
@@ -59,10 +67,11 @@
         """Return whether the host has begun to leave."""
         return self._draining_since is not None
 
-    def start_draining(self) -> None:
+    def start_draining(self, notice_s: float | None = None) -> None:
         """Begin to leave; a second call changes nothing."""
         if self._draining_since is None:
             self._draining_since = self._clock.now()
+            self._notice_s = self._limits.notice_s if notice_s is None else notice_s
 
     def refusal(self) -> Fault | None:
         """Return why a new request is refused; None where it is taken."""
@@ -99,5 +108,5 @@
 
     def _notice_left(self) -> float:
         if self._draining_since is None:
-            return self._limits.notice_s
-        return self._draining_since + self._limits.notice_s - self._clock.now()
+            return self._notice_s
+        return self._draining_since + self._notice_s - self._clock.now()
--- a/radishfield/edges/_operator.py
+++ b/radishfield/edges/_operator.py
@@ -15,7 +15,7 @@
 from expression import Error, Ok, Result
 
 from radishfield.core import Fault, Profile, ResultCode, fault
-from radishfield.edges._asgi import BodyLimit, read_body, send_bytes, serve_lifespan
+from radishfield.edges._asgi import BodyLimit, read_body, send_bytes, serve_scope
 from radishfield.edges._caller_answers import Answer
 from radishfield.edges._caller_headers import new_headers
 from radishfield.edges._operator_messages import (
@@ -95,14 +95,7 @@
 
     async def __call__(self, scope, receive, send):
         """Answer one request."""
-        match scope["type"]:
-            case "lifespan":
-                await serve_lifespan(receive, send)
-            case "http":
-                await self._serve_safely(scope, receive, send)
-            case "websocket":
-                await receive()
-                await send({"type": "websocket.close", "code": 1003})
+        await serve_scope(scope, receive, send, self._serve_safely)
 
     async def _serve_safely(self, scope, receive, send) -> None:
         answer = Answer(send, new_headers())
@@ -293,13 +286,11 @@
         self._telemetry = telemetry
 
     async def __call__(self, scope, receive, send):
-        """Answer one scrape."""
-        if scope["type"] == "lifespan":
-            await serve_lifespan(receive, send)
-        elif scope["type"] != "http":
-            await receive()
-            await send({"type": "websocket.close", "code": 1003})
-        elif scope["path"] == "/metrics":
+        """Answer one request."""
+        await serve_scope(scope, receive, send, self._serve)
+
+    async def _serve(self, scope, receive, send) -> None:
+        if scope["path"] == "/metrics":
             await send_bytes(send, 200, self._telemetry.exposition(), METRICS_TYPE)
         else:
             await send_bytes(send, 404, b"", b"text/plain")
--- a/radishfield/settings/_reader.py
+++ b/radishfield/settings/_reader.py
@@ -16,10 +16,12 @@
     ClaimsSettings,
     DrainSettings,
     HostSettings,
+    LeasesSettings,
     LogSettings,
     MetricsExport,
     MetricsSettings,
     OperatorSettings,
+    OrdersSettings,
     PeersSettings,
     PlatformSettings,
 )
@@ -33,6 +35,8 @@
     "platform": PlatformSettings,
     "peers": PeersSettings,
     "claims": ClaimsSettings,
+    "leases": LeasesSettings,
+    "orders": OrdersSettings,
     "log": LogSettings,
     "metrics": MetricsSettings,
     "drain": DrainSettings,
@@ -58,6 +62,8 @@
     platform: PlatformSettings = PlatformSettings()
     peers: PeersSettings = PeersSettings()
     claims: ClaimsSettings = ClaimsSettings()
+    leases: LeasesSettings = LeasesSettings()
+    orders: OrdersSettings = OrdersSettings()
     log: LogSettings = LogSettings()
     metrics: MetricsSettings = MetricsSettings()
     drain: DrainSettings = DrainSettings()
@@ -188,6 +194,10 @@
             self._missing("operator", "token", "token or token_file where bind is set")
         if peers.bind and peers.active_key not in {key.id for key in peers.keys}:
             self._missing("peers", "active_key", "the id of one of keys")
+        if settings.leases.renew_s * 2 > settings.leases.duration_s:
+            # A renewal that is lost once must not cost the lease.
+            detail = "too long; allowed: at most half of duration"
+            self._add("leases", "renew", fault(ResultCode.SETTING_RANGE, detail))
         if (
             settings.metrics.export is MetricsExport.SCRAPE
             and settings.metrics.bind
--- a/radishfield/settings/settings_test.py
+++ b/radishfield/settings/settings_test.py
@@ -84,6 +84,7 @@
         ("[log]\nlevel = loud", ResultCode.SETTING_TYPE, "debug, info"),
         ("[caller]\ntls_cert = /no/file", ResultCode.SETTING_FILE_MISSING, "/no/file"),
         ("[peers]\nkeys = a:00", ResultCode.SETTING_TYPE, "id:hex"),
+        ("[leases]\nrenew = 9s", ResultCode.SETTING_RANGE, "half of duration"),
         ("[peers]\nbind = 127.0.0.1:1", ResultCode.SETTING_MISSING, "active_key"),
         ("[operator]\nbind = 127.0.0.1:1", ResultCode.SETTING_MISSING, "token"),
         ("[targets]\nx = 127.0.0.1:1 a m 4 2 8", ResultCode.SETTING_TYPE, "ADDRESS"),
