Measure hand-on forms, chunkings and claims at the targets' edge

Cause: the choice between stages that hand on and stages that the entry host calls was to be measured, and no figure existed for a token at this edge. Change: python -m bench.slopes_target hand-on|chunks|claims|memory.

--- /dev/null
+++ b/bench/slopes_target.py
@@ -0,0 +1,150 @@
+"""Slopes of the targets' edge and of idempotency claims, one line a figure.
+
+``python -m bench.slopes_target PART`` with one of ``hand-on``, ``chunks``,
+``claims``, ``memory``.
+"""
+
+import subprocess
+import sys
+import time
+
+import click
+import httpcore
+import trio
+
+from bench._claim_costs import book_bytes, keepers_cost, owner_cost, store_cost
+from bench._stage_driving import (
+    EngineProcesses,
+    Sample,
+    drive_each,
+    hand_on,
+    measure,
+)
+from bench._token_feed import cpu_per_answer
+from radishfield.edges import EngineTargets
+from standins.launcher import free_port
+
+SHORT, LONG = 8, 72
+REQUESTS = 64
+FEED_TOKENS = 240
+FEED_ANSWERS = 48
+CHUNKINGS = (1, 2, 4, 8)
+IMPORTS = (
+    "trio, msgspec, expression",
+    "trio, msgspec, expression, httpcore",
+    "trio, msgspec, expression, httpcore, radishfield.edges._target",
+    "trio, msgspec, expression, httpcore, radishfield.edges._target, "
+    "radishfield.fleet._claims",
+)
+
+
+@click.group()
+def main():
+    """Measure one part."""
+
+
+@main.command("hand-on")
+@click.option("--step-ms", default=1.0)
+def hand_on_command(step_ms):
+    """Compare stages that hand on with stages that the entry host calls."""
+    trio.run(_hand_on, step_ms)
+
+
+async def _hand_on(step_ms: float) -> None:
+    engines = EngineProcesses(step_ms)
+    try:
+        await engines.wait_ready()
+        targets = EngineTargets()
+        pool = httpcore.AsyncConnectionPool(max_connections=64)
+
+        async def handed(name: str, count: int) -> None:
+            await hand_on(targets, engines, name, count)
+
+        async def driven(name: str, count: int) -> None:
+            await drive_each(pool, engines, name, count)
+
+        for label, run in (("handed-on", handed), ("entry-driven", driven)):
+            await measure(run, f"{label}-warm", 8, SHORT)
+            short = await measure(run, label, REQUESTS, SHORT)
+            long = await measure(run, label, REQUESTS, LONG)
+            _print_slope(label, short, long)
+    finally:
+        engines.stop()
+
+
+def _print_slope(label: str, short: Sample, long: Sample) -> None:
+    token_s = (long.cpu_s - short.cpu_s) / (long.tokens - short.tokens)
+    request_s = short.cpu_s / short.requests - token_s * SHORT
+    click.echo(
+        f"slope {label} token_us={token_s * 1e6:.0f} request_us={request_s * 1e6:.0f} "
+        f"token_latency_ms={long.token_s * 1e3:.2f}"
+    )
+
+
+@main.command()
+def chunks():
+    """Measure the cost of a token by how many arrive in one chunk."""
+    for per_chunk in CHUNKINGS:
+        for batched in (False, True):
+            token_us = _token_us(per_chunk, batched)
+            form = "next_tokens" if batched else "next_token"
+            click.echo(f"slope chunk per_chunk={per_chunk} {form} {token_us:.1f} us")
+
+
+def _token_us(per_chunk: int, batched: bool) -> float:
+    port = free_port()
+    command = [sys.executable, "-m", "bench._token_feed", f"--port={port}"]
+    command += [f"--count={FEED_TOKENS}", f"--per-chunk={per_chunk}"]
+    process = subprocess.Popen(command)
+    try:
+        _wait_listening(port)
+        return cpu_per_answer(port, FEED_ANSWERS, 8, batched) / FEED_TOKENS * 1e6
+    finally:
+        process.terminate()
+        process.wait(timeout=10)
+
+
+def _wait_listening(port: int) -> None:
+    for _ in range(200):
+        try:
+            httpcore.request("GET", f"http://127.0.0.1:{port}/")
+            return
+        except httpcore.ConnectError:
+            time.sleep(0.05)
+    raise SystemExit("the feed did not start")
+
+
+@main.command()
+def claims():
+    """Compare the ways to claim a key, and size a keeper's book."""
+    rows = [("store", store_cost()), ("owner", owner_cost())]
+    rows += [(f"keepers-of-{size}", keepers_cost(size)) for size in (3, 9, 85, 340)]
+    for label, cost in rows:
+        click.echo(
+            f"slope claims {label} peer_asks={cost.peer_asks:.1f} "
+            f"platform_writes={cost.platform_writes:.1f} "
+            f"claim_ms={cost.claim_ms:.2f} end_ms={cost.end_ms:.2f} "
+            f"cpu_us_all_hosts={cost.cpu_us:.0f}"
+        )
+    click.echo(f"slope claims record_bytes={book_bytes(20_000):.0f}")
+
+
+@main.command()
+def memory():
+    """Measure the resident memory that imports of the edge and claims add."""
+    before = 0.0
+    for names in IMPORTS:
+        code = f"import {names}; print(open('/proc/self/statm').read().split()[1])"
+        pages = subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, check=True, text=True
+        )
+        megabytes = int(pages.stdout) * 4096 / 1e6
+        last = names.rpartition(", ")[2]
+        click.echo(
+            f"slope memory {last} mb={megabytes:.1f} more={megabytes - before:.1f}"
+        )
+        before = megabytes
+
+
+if __name__ == "__main__":
+    main()
