Prove the dispatcher's promises by stateful fuzzing

Cause: the seven promises had focused tests but no oracle, and whoever builds a mechanism should not write its only proof.

Change: a loop that runs trio in virtual time from hypothesis rules, fakes of targets that write down what they really ran and fail in 16 ways, and a state machine over the real Dispatcher and Scheduler. Each invariant is shown failing against a named mutation that takes one guard away.

Ruled out: plain random rules.

Not caught yet: work dispatched after its withdrawal, because the present scheduler never lets work wait; to be added with the decisions.

--- /dev/null
+++ b/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs of the promises: stateful fuzzing against a small oracle."""
--- /dev/null
+++ b/proofs/serving_test.py
@@ -0,0 +1,22 @@
+"""Stateful fuzzing of the dispatcher and the decisions behind it."""
+
+import pytest
+from hypothesis.stateful import run_state_machine_as_test
+
+from proofs._machine import ServingMachine
+from proofs._mutations import SERVING_MUTATIONS
+from proofs._profiles import ci_profile, mutation_profile
+
+EXAMPLES = 100
+
+
+def test_promises_hold_while_targets_fail_in_every_way():
+    run_state_machine_as_test(ServingMachine, settings=ci_profile(EXAMPLES))
+
+
+@pytest.mark.parametrize("mutate", SERVING_MUTATIONS, ids=lambda m: m.__name__)
+def test_mutation_is_caught(mutate, monkeypatch):
+    """A guard is taken away, and the same fuzz run fails."""
+    mutate(monkeypatch)
+    with pytest.raises((AssertionError, BaseExceptionGroup)):
+        run_state_machine_as_test(ServingMachine, settings=mutation_profile(EXAMPLES))
