--- a/radishfield/edges/__init__.py
+++ b/radishfield/edges/__init__.py
@@ -11,6 +11,24 @@
 from radishfield.edges._caller import (
     CallerApp,
 )
+from radishfield.edges._caller_intake import (
+    CallerLimits,
+)
+from radishfield.edges._listener import (
+    ListenerConfig,
+    serve_app,
+)
+from radishfield.edges._peer import (
+    PeerNetwork,
+    PeerSettings,
+)
+from radishfield.edges._peer_seal import (
+    PeerKey,
+)
+from radishfield.edges._peer_transport import (
+    PeerTransport,
+    SocketTransport,
+)
 from radishfield.edges._platform import (
     HttpPlatform,
     PlatformSettings,
@@ -29,14 +47,22 @@
 __all__ = [
     "BodyLimit",
     "CallerApp",
+    "CallerLimits",
     "EngineTargets",
     "HttpPlatform",
+    "ListenerConfig",
+    "PeerKey",
+    "PeerNetwork",
+    "PeerSettings",
+    "PeerTransport",
     "PlatformSettings",
+    "SocketTransport",
     "TargetTimeouts",
     "read_body",
     "register_protocol",
     "send_chunk",
     "send_json",
+    "serve_app",
     "serve_lifespan",
     "start_answer",
     "targets_for",
