--- a/bench/_hosts.py
+++ b/bench/_hosts.py
@@ -7,7 +7,7 @@
 from bench._events import Events
 from bench._fakes import PREFILL_PART, FakeFleet, Stream
 from bench._load import Ask
-from radishfield.core import Link, Target
+from radishfield.core import Fault, Link, Target
 from radishfield.decisions import (
     Dispatch,
     Expired,
@@ -21,6 +21,9 @@
 DETECTION_S = 0.5
 """Seconds until the entry host learns that a stage of a stream died."""
 
+RECONNECT_S = 0.5
+"""Seconds after which a caller of a lost entry host asks another one."""
+
 REPORT_EVERY_S = 1.0
 REPORT_LAG_S = 1.0
 
@@ -34,7 +37,8 @@
     ended_at: float = 0.0
     tokens: int = 0
     attempts: int = 0
-    retry_after_s: float | None = None
+    started_at: float = 0.0
+    refusals: int = 0
 
     @property
     def on_time(self) -> bool:
@@ -72,8 +76,7 @@
         now = self._world.events.now
         decision = self.policy.offer(ask.work, now)
         if isinstance(decision, Refused):
-            record = self._world.end(ask.work.request_id, decision.fault.code.name, 0)
-            record.retry_after_s = decision.fault.retry_after_s
+            self._world.refused(ask, decision.fault)
             return
         self._world.events.at(ask.work.deadline, self._deadline, ask.work.request_id)
         self.pump()
@@ -126,6 +129,8 @@
         record = self._world.records_by_request[dispatch.work.request_id]
         if record.outcome != "open" or not self.alive:
             return
+        if not record.attempts:
+            record.started_at = self._world.events.now
         record.attempts += 1
         prefill = (dispatch.work.prompt_tokens + committed) * PREFILL_PART
         stream = Stream(
@@ -178,6 +183,7 @@
         "hosts",
         "records_by_request",
         "tokens_by_slice",
+        "asks_again",
         "on_token",
         "targets",
         "links",
@@ -200,6 +206,7 @@
         ]
         self.records_by_request: dict[str, Record] = {}
         self.tokens_by_slice: dict[int, int] = {}
+        self.asks_again = 0
         self.on_token: Callable | None = None
         self._balancer = random.Random(seed)
         self.tell_fleet()
@@ -230,6 +237,18 @@
         record.ended_at = self.events.now
         return record
 
+    def refused(self, ask: Ask, problem: Fault) -> None:
+        """Let the caller ask again when told to, as often as callers do here."""
+        record = self.end(ask.work.request_id, problem.code.name, 0)
+        record.refusals += 1
+        if record.refusals > self.asks_again or problem.retry_after_s is None:
+            return
+        now = self.events.now + problem.retry_after_s
+        patience_s = ask.work.deadline - ask.work.arrived
+        work = replace(ask.work, arrived=now, deadline=now + patience_s)
+        record.outcome, record.ask = "open", replace(ask, work=work)
+        self.events.at(now, self._arrive, record.ask)
+
     def count_token(self, stream: Stream) -> None:
         """Count a committed token in its quarter of a second."""
         index = int(self.events.now * 4)
@@ -256,7 +275,18 @@
                 host.alive = False
                 for stream in list(host.streams_by_request.values()):
                     self.fleet.stop(stream)
-                    self.end(stream.request_id, "host-lost", stream.position)
+                    self._ask_elsewhere(stream.request_id)
+
+    def _ask_elsewhere(self, request_id: str) -> None:
+        """Let a caller whose connection broke ask again, within its deadline."""
+        record = self.records_by_request[request_id]
+        again = self.events.now + RECONNECT_S
+        record.ask = replace(
+            record.ask, work=replace(record.ask.work, request_id=f"{request_id}-again")
+        )
+        self.records_by_request[record.ask.work.request_id] = record
+        del self.records_by_request[request_id]
+        self.events.at(again, self._arrive, record.ask)
 
     def _arrive(self, ask: Ask) -> None:
         live = [host for host in self.hosts if host.alive]
