Prove claims over several hosts and profiles over a fleet by fuzzing

Cause: at most once and never reverts are promises of many hosts; the focused tests play one failure each.

Change: a machine of several dispatchers with their claims over shared services, and one of entry hosts with peers, facts, watchers and profile stores over a fake platform, with operators that race.

Found (all reported): a finished key's replay was taken for a grant and ran the request again, because two classes bore the name Replay; a key was forgotten at its first copy's deadline and ran again 11.5 s later.

--- /dev/null
+++ b/proofs/_keyed_machine.py
@@ -0,0 +1,135 @@
+"""The state machine that plays repeats of keys against several entry hosts."""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from proofs._keyed import ZONES, KeyedWorld
+
+HOST_INDEX = st.integers(0, 8)
+KEYS = st.sampled_from(("key-a", "key-a", "key-b"))
+DEADLINES_S = st.sampled_from((0.5, 3.0, 8.0))
+
+
+class KeyedMachine(RuleBasedStateMachine):
+    """Callers that repeat, hosts that restart, zones that are cut off."""
+
+    faults_by_kind: dict[str, int] = {}
+    steps = 0
+
+    def __init__(self):
+        super().__init__()
+        self.world: KeyedWorld | None = None
+
+    @initialize(
+        seed=st.integers(0, 9),
+        hosts=st.sampled_from((3, 6, 9)),
+        replicas=st.integers(1, 2),
+    )
+    def begin(self, seed, hosts, replicas):
+        """Build the fleet."""
+        self.world = KeyedWorld(seed, hosts, replicas)
+
+    @rule(host=HOST_INDEX, key=KEYS, deadline_s=DEADLINES_S)
+    def send(self, host, key, deadline_s):
+        """Send a call, or a repeat of an earlier one, through any host."""
+        self.world.send(host, key, deadline_s)
+
+    @rule(host=HOST_INDEX, other=HOST_INDEX, key=KEYS)
+    def race(self, host, other, key):
+        """Send two copies at the same moment through two hosts."""
+        self._count("race")
+        self.world.send(host, key, 3.0)
+        self.world.send(other, key, 3.0)
+
+    @rule(host=HOST_INDEX, other=HOST_INDEX, key=KEYS, after_s=DEADLINES_S)
+    def lose_answer_and_repeat(self, host, other, key, after_s):
+        """Lose a run's answer, and repeat the call through another host."""
+        self._count("lost-answer")
+        for engine in self.world.targets.by_id.values():
+            engine.lost += 1
+        self.world.send(host, key, 3.0)
+        self.world.loop.pass_time(after_s)
+        self.world.send(other, key, 3.0)
+
+    @rule(host=HOST_INDEX, key=KEYS, after_s=st.sampled_from((0.0004, 0.0012, 0.005)))
+    def restart_in_claim(self, host, key, after_s):
+        """Kill a host in the middle of its claim or its run."""
+        self._count("restart")
+        self.world.send(host, key, 3.0)
+        self.world.loop.pass_time(after_s)
+        self.world.restart(host)
+
+    @rule(host=HOST_INDEX)
+    def restart(self, host):
+        """Replace a host by one without memory."""
+        self._count("restart")
+        self.world.restart(host)
+
+    @rule(index=st.integers(0, 20))
+    def cancel(self, index):
+        """Hang up on a request."""
+        waiting = [caller for caller in self.world.callers if not caller.ended_at]
+        if waiting:
+            self._count("cancel")
+            self.world.cancel(waiting[index % len(waiting)])
+
+    @rule(zone=st.sampled_from(ZONES))
+    def cut(self, zone):
+        """Cut a zone off from the others."""
+        self._count("cut")
+        self.world.net.cut_zones = {zone}
+
+    @rule()
+    def heal(self):
+        """End cuts and losses."""
+        self.world.net.cut_zones = set()
+        self.world.net.losing_answers_to.clear()
+
+    @rule(host=HOST_INDEX)
+    def lose_peer_answers(self, host):
+        """Lose the answers that other hosts send to one."""
+        self._count("lost-peer-answers")
+        self.world.net.losing_answers_to.add(f"h{host}")
+
+    @rule(index=st.integers(0, 1), refusing=st.booleans(), frozen=st.booleans())
+    def trouble_a_service(self, index, refusing, frozen):
+        """Let a service refuse, hang, or work again."""
+        self._count("service")
+        engine = list(self.world.targets.by_id.values())[index % len(self.targets)]
+        engine.refusing = refusing
+        engine.frozen = frozen
+
+    @rule(seconds=st.sampled_from((0.0008, 0.02, 0.5, 4.0, 12.0)))
+    def wait(self, seconds):
+        """Let time pass."""
+        self.world.loop.pass_time(seconds)
+
+    @property
+    def targets(self):
+        """Return the services."""
+        return self.world.targets.by_id
+
+    @invariant()
+    def holds(self):
+        """Check each promise that holds at any moment."""
+        if self.world is not None:
+            type(self).steps += 1
+            self.world.check()
+
+    def teardown(self):
+        """Check that, after all faults end, everything has ended."""
+        if self.world is None or self.world.loop.has_crashed:
+            return
+        try:
+            self.world.check_end()
+        finally:
+            self.world.loop.close()
+
+    def _count(self, kind: str) -> None:
+        counts = self.faults_by_kind
+        counts[kind] = counts.get(kind, 0) + 1
--- a/proofs/_loop.py
+++ b/proofs/_loop.py
@@ -80,11 +80,17 @@
         self.run(sleep)
         self.settle()
 
+    @property
+    def has_crashed(self) -> bool:
+        """Return whether a task's exception has ended the loop."""
+        return bool(self._outcome)
+
     def close(self) -> None:
-        """Cancel what still runs, and raise what any task raised."""
-        if not self._outcome:
-            self._nursery.cancel_scope.cancel()
-            self._pump(lambda: self._outcome, through_end=True)
+        """Cancel what still runs, and raise what a task raises on its way out."""
+        if self.has_crashed:
+            return
+        self._nursery.cancel_scope.cancel()
+        self._pump(lambda: self._outcome, through_end=True)
         self._outcome[0].unwrap()
 
     async def _main(self) -> None:
--- a/proofs/_machine.py
+++ b/proofs/_machine.py
@@ -169,7 +169,7 @@
 
     def teardown(self):
         """Check that, after all faults end, everything has ended and is forgotten."""
-        if self.world is None:
+        if self.world is None or self.world.loop.has_crashed:
             return
         try:
             self.world.heal()
--- a/proofs/_record.py
+++ b/proofs/_record.py
@@ -1,5 +1,6 @@
 """What the fakes of targets write down: the ground truth of every oracle."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 from radishfield.core import LayerRange
@@ -17,11 +18,8 @@
 
 @dataclass(slots=True, frozen=True)
 class LayersRun:
-    """A stage that ran its layers for one token of one attempt."""
+    """A stage that ran its layers for one token."""
 
-    request_id: str
-    attempt: int
-    position: int
     target_id: str
     layers: LayerRange
 
@@ -35,29 +33,36 @@
     at: float
 
 
+TokenKey = tuple[str, int, int]
+
+
 @dataclass(slots=True)
 class Record:
-    """Everything that targets really ran, in order."""
+    """Everything that targets really ran, in order.
+
+    Attributes
+    ----------
+    layers_by_token : dict
+        Stages that ran, by request, attempt and position.
+    """
 
     starts: list[Start] = field(default_factory=list)
-    layers: list[LayersRun] = field(default_factory=list)
+    layers_by_token: dict[TokenKey, list[LayersRun]] = field(default_factory=dict)
     calls: list[ServiceCall] = field(default_factory=list)
+    runs_by_request: Counter[str] = field(default_factory=Counter)
     open_streams: int = 0
     faults_played: int = 0
 
-    def runs_of(self, request_id: str) -> int:
-        """Return how often a request was begun, by any target."""
-        starts = sum(start.request_id == request_id for start in self.starts)
-        calls = sum(call.request_id == request_id for call in self.calls)
-        return starts + calls
-
-    def layers_of(
-        self, request_id: str, attempt: int, position: int
-    ) -> tuple[LayersRun, ...]:
-        """Return the stages that ran for one token of one attempt, in order."""
-        return tuple(
-            run
-            for run in self.layers
-            if (run.request_id, run.attempt, run.position)
-            == (request_id, attempt, position)
-        )
+    def note_start(self, start: Start) -> None:
+        """Write down an attempt that began."""
+        self.starts.append(start)
+        self.runs_by_request[start.request_id] += 1
+
+    def note_layers(self, token: TokenKey, run: LayersRun) -> None:
+        """Write down a stage that ran its layers for a token."""
+        self.layers_by_token.setdefault(token, []).append(run)
+
+    def note_call(self, call: ServiceCall) -> None:
+        """Write down a plain call that ran."""
+        self.calls.append(call)
+        self.runs_by_request[call.request_id] += 1
--- a/proofs/_serving.py
+++ b/proofs/_serving.py
@@ -265,9 +265,8 @@
             assert token.position == position, "a hole, or a token passed on twice"
             receipt = token.receipt
             assert receipt.request_id == caller.request.id, "another caller's token"
-            runs = self.targets.record.layers_of(
-                receipt.request_id, receipt.attempt, position
-            )
+            token_key = (receipt.request_id, receipt.attempt, position)
+            runs = self.targets.record.layers_by_token.get(token_key, ())
             layers = [
                 layer
                 for run in runs
@@ -298,7 +297,7 @@
 
     def _check_refusal(self, caller: Caller, problem: Fault) -> None:
         request = caller.request
-        runs = self.targets.record.runs_of(request.id)
+        runs = self.targets.record.runs_by_request[request.id]
         if problem.outcome is Outcome.NOT_RUN:
             assert runs == 0, f"told not run ({problem}), but it ran {runs} times"
         assert problem.outcome is not Outcome.FINISHED, "a fault that says finished"
@@ -309,7 +308,7 @@
 
     def _check_runs(self, caller: Caller) -> None:
         if not caller.request.profile.idempotent:
-            runs = self.targets.record.runs_of(caller.request.id)
+            runs = self.targets.record.runs_by_request[caller.request.id]
             assert runs <= 1, f"a request that may run once ran {runs} times"
 
     def _check_leaving(self) -> None:
@@ -363,6 +362,11 @@
                 model_layers=MODEL_LAYERS,
                 speed_tps=100.0,
             )
+    yield from service_targets(replicas)
+
+
+def service_targets(replicas: int) -> Iterator[Target]:
+    """Return the plain services of a small fleet."""
     for replica in range(replicas):
         name = f"service-{replica}"
         yield Target(
--- a/proofs/_targets.py
+++ b/proofs/_targets.py
@@ -186,9 +186,7 @@
         refusal = await self._reach(engine)
         if refusal is not None:
             return Error(refusal)
-        self.record.calls.append(
-            ServiceCall(request.id, target.id, trio.current_time())
-        )
+        self.record.note_call(ServiceCall(request.id, target.id, trio.current_time()))
         await trio.sleep(engine.step_s)
         if not engine.alive or engine.lost > 0:
             engine.lost = max(0, engine.lost - 1)
@@ -273,7 +271,7 @@
         self._attempts[start.request_id, start.attempt] = attempt
         ids = tuple(stage.target_id for stage in start.route.stages)
         now = trio.current_time()
-        self.record.starts.append(Start(start.request_id, start.attempt, ids, now))
+        self.record.note_start(Start(start.request_id, start.attempt, ids, now))
         self._nursery.start_soon(self._run_attempt, attempt)
         return attempt
 
@@ -310,14 +308,9 @@
                 return None
             hidden = run_layers(hidden, stage.layers.first, stage.layers.end)
             hops.append(Hop(stage.target_id, stage.layers))
-            self.record.layers.append(
-                LayersRun(
-                    start.request_id,
-                    start.attempt,
-                    position,
-                    stage.target_id,
-                    stage.layers,
-                )
+            self.record.note_layers(
+                (start.request_id, start.attempt, position),
+                LayersRun(stage.target_id, stage.layers),
             )
         finish = "length" if position + 1 == start.max_tokens else None
         receipt = Receipt(start.request_id, start.attempt, position, tuple(hops))
