Play the command line against a running entry host, and TLS

Cause: the operators' edge, the command line, the records and the metrics had met only in fakes. Ruled out: a certificate made in the test (no library here makes one); the key in standins/tls is public and protects nothing.

--- a/radishfield/edges/caller_wire_test.py
+++ b/radishfield/edges/caller_wire_test.py
@@ -22,9 +22,9 @@
 
 
 @contextmanager
-def served(app):
+def served(app, tls_cert="", tls_key=""):
     """Serve an application in a thread; yield its address, then stop gracefully."""
-    config = ListenerConfig.from_settings("127.0.0.1:0", drain_s=5.0)
+    config = ListenerConfig.from_settings("127.0.0.1:0", tls_cert, tls_key, drain_s=5.0)
     ready = threading.Event()
     found = []
 
--- a/radishfield/scripts/_wiring.py
+++ b/radishfield/scripts/_wiring.py
@@ -21,6 +21,7 @@
     HttpPlatform,
     ListenerConfig,
     LonePeer,
+    MetricsApp,
     OperatorApp,
     PeerKey,
     PeerNetwork,
@@ -44,8 +45,13 @@
 )
 from radishfield.kernel import Kernel
 from radishfield.serving import Dispatcher, FleetView
-from radishfield.settings import EntrySettings
-from radishfield.telemetry import RequestRecords, Telemetry, TelemetryObserver
+from radishfield.settings import EntrySettings, MetricsExport
+from radishfield.telemetry import (
+    NullTelemetry,
+    RequestRecords,
+    Telemetry,
+    TelemetryObserver,
+)
 
 # An object from the settings file is older than any that the platform holds.
 SETTINGS_VERSION = 1
@@ -171,10 +177,15 @@
         facts.is_known = not self._settings.platform.address
         return facts
 
+    def _telemetry(self) -> Telemetry:
+        if self._settings.metrics.export is MetricsExport.OFF:
+            return NullTelemetry()
+        return Telemetry()
+
     def _add_serving(self) -> None:
         settings, kernel, clock = self._settings, self.kernel, self._clock
         directory = kernel.find("directory", TargetDirectory)
-        telemetry, records = Telemetry(), RequestRecords()
+        telemetry, records = self._telemetry(), RequestRecords()
         kernel.register("telemetry", telemetry)
         kernel.register("records", records)
         targets = EngineTargets()
@@ -218,11 +229,17 @@
             kernel.find("records", RequestRecords),
         )
         kernel.register("caller-app", app)
+        telemetry = kernel.find("telemetry", Telemetry)
+        telemetry.watch("in_flight", "Requests being served.", lambda: app.in_flight)
+        dispatcher = kernel.find("dispatcher", Dispatcher)
+        telemetry.watch("queue", "Requests that wait.", lambda: dispatcher.queued)
         config = ListenerConfig.from_settings(
             caller.bind, caller.tls_cert, caller.tls_key, settings.drain.timeout_s
         )
         if settings.operator.bind:
             self._add_operator_listener()
+        if settings.metrics.bind and settings.metrics.export is MetricsExport.SCRAPE:
+            self._add_metrics_listener()
         kernel.register("caller-listener", HttpListener(app, config))
 
     def _add_operator_listener(self) -> None:
@@ -240,6 +257,11 @@
         )
         kernel.register("operator-listener", HttpListener(app, config))
 
+    def _add_metrics_listener(self) -> None:
+        app = MetricsApp(self.kernel.find("telemetry", Telemetry))
+        config = ListenerConfig.from_settings(self._settings.metrics.bind)
+        self.kernel.register("metrics-listener", HttpListener(app, config))
+
 
 def key_number(key_id: str) -> int:
     """Return the number by which frames name a key of the settings.
--- a/radishfield/scripts/commands_test.py
+++ b/radishfield/scripts/commands_test.py
@@ -15,7 +15,10 @@
 from radishfield.scripts._codes import markdown_table
 from radishfield.telemetry import RecordKind, RequestRecords
 
-DOCS = Path(__file__).parents[2] / "docs"
+ROOT = Path(__file__).parents[2]
+DOCS = ROOT / "docs"
+# A key that protects nothing: it is public, and only tests trust it.
+TLS = ROOT / "standins" / "tls"
 
 
 def strip_scheme(address):
@@ -119,6 +122,16 @@
     assert "7010 CHANGE_AMBIGUOUS" in done.output
 
 
+def test_operators_speak_over_tls_and_trust_nothing_else(token_file):
+    cert, key = str(TLS / "cert.pem"), str(TLS / "key.pem")
+    with served(make_app(), cert, key) as url:
+        assert url.startswith("https://")
+        address = url.removeprefix("https://")
+        trusted = run(address, token_file, "status", "--tls-ca", cert)
+        assert trusted.exit_code == 0, trusted.output
+        assert run(address, token_file, "status").exit_code == 4
+
+
 def test_settings_are_checked_and_shown(tmp_path):
     path = tmp_path / "entry.ini"
     path.write_text("[host]\nidd = a\n[caller]\nqueue = 0\n")
