--- a/radishfield/edges/_caller.py
+++ b/radishfield/edges/_caller.py
@@ -300,7 +300,7 @@
     def _note_refusal(self, problem: Fault) -> None:
         """Count what never reached the dispatcher, which counts the rest."""
         self._telemetry.refused(problem.code)
-        self._telemetry.ended(RequestKind.MODEL, problem.outcome, problem.code, 0.0)
+        self._telemetry.ended(RequestKind.UNREAD, problem.outcome, problem.code, 0.0)
         log_event(
             "request.refused", code=int(problem.code), reason=problem.code.name.lower()
         )
--- a/radishfield/telemetry/_metrics.py
+++ b/radishfield/telemetry/_metrics.py
@@ -31,10 +31,11 @@
 
 
 class RequestKind(enum.StrEnum):
-    """What was asked for."""
+    """What was asked for; ``UNREAD`` was refused before that was known."""
 
     MODEL = "model"
     SERVICE = "service"
+    UNREAD = "unread"
 
 
 class Telemetry:
