Send the last tokens and the end of a stream in one piece

Cause: a stream's last tokens and its end left as two sends also when both were ready. Change: the writer takes all that is ready, tokens and ending, into one send.

--- a/radishfield/edges/_caller_answers.py
+++ b/radishfield/edges/_caller_answers.py
@@ -186,11 +186,23 @@
         while True:
             await self._ready.wait()
             self._ready = trio.Event()
-            if self._pending:
-                await self._send_pending()
-            elif self._ending is not None:
-                await self._send_ending(self._ending)
-                return
+            events = self._take_events()
+            match self._ending:
+                case None:
+                    await self._send(events)
+                case Finished() as finished:
+                    await self._send(events + self._last_events(finished), more=False)
+                    return
+                case Fault() as problem if not (events or self._answer.started):
+                    await self._answer.refuse(problem)
+                    return
+                case Fault() as problem:
+                    # The closing chunk is left out on purpose: the server then
+                    # cuts the connection, and no client can take the part for a
+                    # whole.
+                    body = error_body(problem, self._answer.headers.caller_id)
+                    await self._send(events + _event(body))
+                    return
 
     def _put(self, text: str) -> None:
         self._pending.append(SEPARATOR + text if self._count else text)
@@ -198,31 +210,20 @@
         self._count += 1
         self._ready.set()
 
-    async def _send_pending(self) -> None:
+    def _take_events(self) -> bytes:
+        """Return all that is pending as one event; empty if nothing is."""
+        if not self._pending:
+            return b""
         text = "".join(self._pending)
         self._pending.clear()
         self._pending_characters = 0
         self._room.set()
+        return self._before + msgspec.json.encode(text) + self._after
+
+    async def _send(self, events: bytes, more: bool = True) -> None:
         if not self._answer.started:
             await self._answer.start_events()
-        event = self._before + msgspec.json.encode(text) + self._after
-        await self._answer.events(event)
-        if self._ending is not None:
-            self._ready.set()
-
-    async def _send_ending(self, ending: Finished | Fault) -> None:
-        match ending:
-            case Finished():
-                if not self._answer.started:
-                    await self._answer.start_events()
-                await self._answer.events(self._last_events(ending), more=False)
-            case Fault() if not self._answer.started:
-                await self._answer.refuse(ending)
-            case Fault():
-                # The closing chunk is left out on purpose: the server then cuts
-                # the connection, and no client can take the part for a whole.
-                body = error_body(ending, self._answer.headers.caller_id)
-                await self._answer.events(_event(body))
+        await self._answer.events(events, more)
 
     def _last_events(self, finished: Finished) -> bytes:
         choice = _last_choice(self._call.shape, finished.reason)
