Keep a target that says it is leaving out of the way of a lagging list

Cause: Pool.set_targets took the list's word for each target; a target that had reported to be leaving came back as soon as any other entry of the list changed. Found by fuzzing in proofs/serving_test.py. Ruled out: ignoring the list for reported targets altogether; an operator's drain that is taken back must bring its targets back in the same incarnation. Change: TargetLoad keeps apart what the target itself said; only another incarnation ends it. A report of leaving replans as `target_leaving` does. Conclusion: leaving is sticky at every layer that can hear of it.

--- a/radishfield/decisions/_limits.py
+++ b/radishfield/decisions/_limits.py
@@ -77,6 +77,7 @@
         "goal",
         "stage_s",
         "usable",
+        "left",
         "ejected",
         "reported",
         "others",
@@ -98,6 +99,7 @@
         self.goal = 0.0
         self.stage_s = full_step_s(target) * HEADROOM
         self.usable = target.state is TargetState.LIVE
+        self.left = False
         self.ejected = False
         self.reported = 0
         self.others = 0.0
@@ -107,6 +109,22 @@
         self._hosts = 1
         self._peers = 1.0
 
+    def see(self, target: Target) -> None:
+        """Take in the target as the fleet's list has it now.
+
+        A list lags: it may call a target live that has itself reported to be
+        leaving.  Believed, it would bring the target back, and new work would
+        be lost on it.  Only another incarnation, which is another object, ends
+        what the target itself has said.
+        """
+        self.target = target
+        self.usable = target.state is TargetState.LIVE and not self.left
+
+    def leave(self) -> None:
+        """Note that the target itself says that it is leaving."""
+        self.left = True
+        self.usable = False
+
     def resize(self, limit: float) -> None:
         """Set the first value of the limit, keeping what was learned about it."""
         learned = self.limit / self.first_limit
--- a/radishfield/decisions/_pool.py
+++ b/radishfield/decisions/_pool.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from radishfield.core import Link, Route, Target, TargetKind, TargetState
+from radishfield.core import Link, Route, Target, TargetKind
 from radishfield.decisions._affinity import LOAD_BOUND
 from radishfield.decisions._ejection import Ejector
 from radishfield.decisions._flow import FlowPlan, plan_flow, speed_of
@@ -100,8 +100,7 @@
             if load is None or load.target.incarnation != target.incarnation:
                 load = TargetLoad(target)
                 newcomers.append(load)
-            load.target = target
-            load.usable = target.state is TargetState.LIVE
+            load.see(target)
             self.loads_by_id[target.id] = load
         self.ejector.keep_only(set(self.loads_by_id))
         self.replan()
--- a/radishfield/decisions/_scheduler.py
+++ b/radishfield/decisions/_scheduler.py
@@ -108,7 +108,7 @@
                 continue
             load.observe(report, now)
             if report.leaving:
-                load.usable = False
+                self.target_leaving(report.target_id, now)
 
     def observe_cache(self, event: CacheEvent, now: float) -> None:
         """Take in a target's late cache event."""
@@ -118,8 +118,8 @@
         """Give a target no new work until it comes back as a new incarnation."""
         for pool in self._pools_by_key.values():
             load = pool.loads_by_id.get(target_id)
-            if load is not None and load.usable:
-                load.usable = False
+            if load is not None and not load.left:
+                load.leave()
                 pool.replan()
 
     def offer(self, work: Work, now: float) -> Queued | Refused:
--- a/radishfield/decisions/scheduler_test.py
+++ b/radishfield/decisions/scheduler_test.py
@@ -1,10 +1,11 @@
 """The decisions together, as a dispatcher sees them."""
 
 import random
+from dataclasses import replace
 
 import pytest
 
-from radishfield.core import CacheEvent, Outcome, ResultCode, TargetKind
+from radishfield.core import CacheEvent, Outcome, ResultCode, TargetKind, TargetState
 from radishfield.decisions import (
     Dispatch,
     Expired,
@@ -192,3 +193,25 @@
     scheduler.set_fleet(list(two_stages), list(links), zone, hosts, 1.0)
     scheduler.set_fleet(list(two_stages), list(links), zone, 2, 1.0)
     assert sum(t.in_flight for t in scheduler.snapshot(1.0).pools[0].targets) == 2
+
+
+def test_a_target_that_says_it_leaves_stays_away_when_the_list_calls_it_live(
+    make_target, make_work, make_report, links
+):
+    """No caller's request is lost on a target that is about to stop.
+
+    The target reports that it is leaving.  Then the lagging list changes for
+    another target and still calls this one live, with the same incarnation.  It
+    gets no new work until it comes back as another incarnation.
+    """
+    leaving, other = make_target("leaving", 0, 20), make_target("other", 0, 20)
+    scheduler = Scheduler()
+    scheduler.set_fleet([leaving, other], links, "a", 1, 0.0)
+    scheduler.observe_load(make_report(leaving, 0, leaving=True), 1.0)
+    scheduler.set_fleet([leaving, replace(other, slots=9)], links, "a", 1, 2.0)
+    for index in range(4):
+        dispatch = start(scheduler, make_work(f"r{index}"), 3.0)
+        assert stage_ids(dispatch) == ["other"]
+    restarted = replace(leaving, incarnation=2, state=TargetState.LIVE)
+    scheduler.set_fleet([restarted], links, "a", 1, 4.0)
+    assert stage_ids(start(scheduler, make_work("last"), 5.0)) == ["leaving"]
