Let the lease holder of a zone plan placement and send its orders

Cause: the decision, the lease and the sender stood, and nothing joined them. Ruled out: planning at every host (the orders would race), and on the event loop (a plan may solve 400 flows, seconds during which no stream moves). Conclusion: orders go out under the lease; whether a plan pays on a real fleet is not measured.

--- a/radishfield/decisions/__init__.py
+++ b/radishfield/decisions/__init__.py
@@ -15,7 +15,14 @@
     Retry,
     Work,
 )
-from radishfield.decisions._scheduler import Scheduler
+from radishfield.decisions._placement import (
+    Move,
+    Store,
+    propose_moves,
+)
+from radishfield.decisions._scheduler import (
+    Scheduler,
+)
 
 __all__ = [
     "Dispatch",
@@ -23,9 +30,12 @@
     "Failure",
     "FailureKind",
     "GiveUp",
+    "Move",
     "Queued",
     "Refused",
     "Retry",
     "Scheduler",
+    "Store",
     "Work",
+    "propose_moves",
 ]
--- a/radishfield/fleet/__init__.py
+++ b/radishfield/fleet/__init__.py
@@ -44,6 +44,10 @@
     OrderSettings,
     ProposedOrder,
 )
+from radishfield.fleet._placement import (
+    PlacementPlanner,
+    PlacementSettings,
+)
 from radishfield.fleet._ports import (
     NewsHandler,
     PeerMessages,
@@ -100,6 +104,8 @@
     "OrderSender",
     "OrderSettings",
     "PeerMessages",
+    "PlacementPlanner",
+    "PlacementSettings",
     "PlatformWatcher",
     "PollerSettings",
     "ProfileInZone",
--- a/radishfield/scripts/_wiring.py
+++ b/radishfield/scripts/_wiring.py
@@ -35,6 +35,10 @@
     LeaseKeeper,
     LeaseSettings,
     LoadPoller,
+    OrderSender,
+    OrderSettings,
+    PlacementPlanner,
+    PlacementSettings,
     PlatformWatcher,
     PollerSettings,
     ProfileStore,
@@ -113,7 +117,13 @@
             "spreader", FactSpreader(SpreadSettings(host, zone), peers, facts, clock)
         )
         watcher = PlatformWatcher(
-            WatcherSettings(host, zone),
+            WatcherSettings(
+                host,
+                zone,
+                settings.platform.watch_s,
+                settings.platform.list_period_s,
+                settings.platform.hosts_period_s,
+            ),
             platform,
             peers,
             facts,
@@ -121,9 +131,16 @@
             on_hosts=directory.see_hosts,
         )
         kernel.register("watcher", watcher)
-        lease = LeaseKeeper(
-            LeaseSettings(PLACEMENT_DUTY, zone, host), platform, peers, clock
+        leases = settings.leases
+        lease_settings = LeaseSettings(
+            PLACEMENT_DUTY,
+            zone,
+            host,
+            leases.duration_s,
+            leases.renew_s,
+            leases.longest_order_s,
         )
+        lease = LeaseKeeper(lease_settings, platform, peers, clock)
         kernel.register("placement-lease", lease)
         parts = FleetParts(
             host,
@@ -185,6 +202,20 @@
             observer=TelemetryObserver(telemetry, records, clock),
         )
 
+        lease = kernel.find("placement-lease", LeaseKeeper)
+        orders = settings.orders
+        order_settings = OrderSettings(
+            orders.timeout_s, orders.load_interval_s, orders.load_s
+        )
+        sender = OrderSender(order_settings, lease, targets, directory, clock)
+        kernel.register("order-sender", sender)
+        kernel.register(
+            "placement",
+            PlacementPlanner(
+                PlacementSettings(settings.host.zone), lease, directory, sender
+            ),
+        )
+
         def take_in(report: LoadReport) -> None:
             directory.observe_report(report)
             dispatcher.observe_load(report)
