Read tokens without a cancel scope for each read

Cause: a token alone in its chunk cost 183 us of CPU to read, check and commit; the profile showed a cancel scope and an exception map of httpcore's backend for each read, and result values that say nothing. Ruled out: giving next_tokens its own reading task (a task switch costs what it saves unless several tokens are ready); decoding chunks ourselves beside httpcore (a second parser). Change: a network backend of ours for httpcore, by its public interface, that opens no scope where no timeout is asked for; one shared result for 'committed'.

--- a/radishfield/edges/_target_http.py
+++ b/radishfield/edges/_target_http.py
@@ -22,6 +22,7 @@
 from expression import Error, Ok, Result
 
 from radishfield.core import Fault, Outcome, ResultCode, fault
+from radishfield.edges._target_network import TargetNetwork
 
 # Streams of one entry host: about 90 at the size of the letter, so this is a
 # bound on a leak or a flood of callers, not on ordinary work.
@@ -59,12 +60,16 @@
     __slots__ = ("fresh", "pooled")
 
     def __init__(self):
+        network = TargetNetwork()
         self.fresh = httpcore.AsyncConnectionPool(
-            max_connections=MAX_STREAM_CONNECTIONS, max_keepalive_connections=0
+            max_connections=MAX_STREAM_CONNECTIONS,
+            max_keepalive_connections=0,
+            network_backend=network,
         )
         self.pooled = httpcore.AsyncConnectionPool(
             max_connections=MAX_CONTROL_CONNECTIONS,
             keepalive_expiry=CONTROL_KEEPALIVE_S,
+            network_backend=network,
         )
 
 
--- /dev/null
+++ b/radishfield/edges/_target_network.py
@@ -0,0 +1,90 @@
+"""TCP connections to targets for httpcore, without a timeout for each read.
+
+httpcore's own backend opens a cancel scope and an exception map for each read,
+also where no timeout is asked for.  A token costs one read, and these took a
+sixth of it.  Here a read without a timeout has neither; whoever waits for a
+token bounds the whole wait, so that a target that drips single bytes does not
+start the limit anew with each.
+"""
+
+import trio
+from httpcore import (
+    AsyncNetworkBackend,
+    AsyncNetworkStream,
+    ConnectError,
+    ConnectTimeout,
+    ReadError,
+    ReadTimeout,
+    WriteError,
+    WriteTimeout,
+)
+
+_LOST = (trio.BrokenResourceError, trio.ClosedResourceError)
+
+
+class TargetNetwork(AsyncNetworkBackend):
+    """Opens connections by IP number."""
+
+    async def connect_tcp(
+        self, host, port, timeout=None, local_address=None, socket_options=None
+    ) -> AsyncNetworkStream:
+        """Open a connection, or raise httpcore's error for why not."""
+        try:
+            with trio.fail_after(_or_forever(timeout)):
+                stream = await trio.open_tcp_stream(host, port)
+        except trio.TooSlowError as error:
+            raise ConnectTimeout(f"no connection within {timeout} s") from error
+        except (OSError, trio.BrokenResourceError) as error:
+            raise ConnectError(str(error)) from error
+        return TargetConnection(stream)
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait."""
+        await trio.sleep(seconds)
+
+
+class TargetConnection(AsyncNetworkStream):
+    """One open connection."""
+
+    __slots__ = ("_stream",)
+
+    def __init__(self, stream: trio.SocketStream):
+        self._stream = stream
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Return what has arrived, or nothing at the end."""
+        try:
+            if timeout is None:
+                return await self._stream.receive_some(max_bytes)
+            with trio.fail_after(timeout):
+                return await self._stream.receive_some(max_bytes)
+        except trio.TooSlowError as error:
+            raise ReadTimeout(f"nothing within {timeout} s") from error
+        except _LOST as error:
+            raise ReadError(str(error)) from error
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Send all of the buffer."""
+        if not buffer:
+            return
+        try:
+            with trio.fail_after(_or_forever(timeout)):
+                await self._stream.send_all(buffer)
+        except trio.TooSlowError as error:
+            raise WriteTimeout(f"not sent within {timeout} s") from error
+        except _LOST as error:
+            raise WriteError(str(error)) from error
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
+
+    def get_extra_info(self, info: str):
+        """Tell the pool whether an idle connection was closed by the target."""
+        if info == "is_readable":
+            return self._stream.socket.is_readable()
+        return None
+
+
+def _or_forever(timeout: float | None) -> float:
+    return float("inf") if timeout is None else timeout
--- a/radishfield/pipeline/_state.py
+++ b/radishfield/pipeline/_state.py
@@ -28,6 +28,10 @@
 # The finish reason where the caller's own limit ends the answer.
 LENGTH = "length"
 
+# Making a result value takes as long as the checks of a token; this one says
+# nothing of its own, so one is enough.
+_COMMITTED: Result[None, Fault] = Ok(None)
+
 
 @dataclass(slots=True, frozen=True)
 class CommittedBatch:
@@ -112,7 +116,7 @@
         self.finish = token.finish
         if self.finish is None and self.next_position == self._max_tokens:
             self.finish = LENGTH
-        return Ok(None)
+        return _COMMITTED
 
     def commit_batch(self, tokens: Sequence[Token]) -> CommittedBatch:
         """Commit tokens that arrived together, up to the first bad one."""
