Let the kernel drain only services that run

Cause: an entry host that left gracefully ended with a TypeError: the kernel took FleetOperations.drain, an operator's action on targets, for its own hook. Ruled out: renaming the operators' action (drain is their word). Change: only registered objects that have `run` are drained; a test registers an object with such an action.

--- a/radishfield/kernel/_kernel.py
+++ b/radishfield/kernel/_kernel.py
@@ -58,7 +58,11 @@
             await trio.sleep_forever()
 
     async def drain(self) -> None:
-        """Drain every service that has a ``drain``, the latest one first."""
+        """Drain every running service that has a ``drain``, the latest first.
+
+        Registered objects without ``run`` are no services; a ``drain`` of theirs
+        is an action of another kind, such as an operator's on a target.
+        """
         for service in reversed(self._services_by_name.values()):
-            if hasattr(service, "drain"):
+            if hasattr(service, "run") and hasattr(service, "drain"):
                 await service.drain()
--- a/radishfield/kernel/kernel_test.py
+++ b/radishfield/kernel/kernel_test.py
@@ -25,11 +25,21 @@
         self.events.append(f"drain {self.name}")
 
 
+class DrainAction:
+    """No service: its ``drain`` is an operator's action and takes arguments."""
+
+    __slots__ = ()
+
+    async def drain(self, kind, name):
+        raise AssertionError("called by the kernel")
+
+
 def test_services_start_in_order_and_are_found_by_name():
     events = []
     kernel = Kernel()
     kernel.register("first", Recorder("first", events))
     kernel.register("second", Recorder("second", events))
+    kernel.register("operations", DrainAction())
 
     async def main():
         async with trio.open_nursery() as nursery:
