Fail a run whose entry host does not leave gracefully

Cause: a traceback at the end of an entry host stood only in the log; nothing failed. Ruled out: searching logs for tracebacks (format-bound). Change: the fleet tool checks exit status 0 after SIGTERM, at a single end and at stop.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -212,24 +212,30 @@
         process = self.processes_by_id[name]
         process.send_signal(number)
         if wait:
-            process.wait(timeout=STOP_TIMEOUT_S)
+            code = process.wait(timeout=STOP_TIMEOUT_S)
             self.processes_by_id.pop(name)
             self.entries_by_id.pop(name, None)
+            if number == signal.SIGTERM:
+                _check_left_well(name, code)
 
     def stop(self) -> None:
-        """End every process that still runs, by its id."""
-        processes = list(self.processes_by_id.values())
+        """End every process that still runs, by its id.
+
+        An entry host that does not leave well fails the run: what broke in its
+        graceful end would otherwise only stand in a log that nobody reads.
+        """
+        running = {
+            name: process
+            for name, process in self.processes_by_id.items()
+            if process.poll() is None
+        }
         self.processes_by_id.clear()
-        for process in processes:
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-                process.terminate()
-        for process in processes:
-            try:
-                process.wait(timeout=STOP_TIMEOUT_S)
-            except subprocess.TimeoutExpired:
-                process.kill()
-                process.wait()
+        for process in running.values():
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        codes = {name: _end_code(process) for name, process in running.items()}
+        for entry_id in self.entries_by_id.keys() & codes.keys():
+            _check_left_well(entry_id, codes[entry_id])
 
     def wait_serving(self, entry: EntryProcess) -> None:
         """Wait until an entry host has its profiles and a whole model to serve."""
@@ -329,3 +335,16 @@
     except (httpcore.NetworkError, httpcore.ProtocolError):
         return False
     return answer.status == 200
+
+
+def _end_code(process: subprocess.Popen) -> int:
+    try:
+        return process.wait(timeout=STOP_TIMEOUT_S)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        return process.wait()
+
+
+def _check_left_well(name: str, code: int) -> None:
+    if code != 0:
+        raise SystemExit(f"{name} did not leave gracefully: exit status {code}")
