Read links and placement from the settings

Cause: the decisions weigh links that differ a hundredfold, and no operator could state them; placement had no switch. Ruled out: links as objects of the platform for now (they change with the cabling, not with the load); measuring them from peers' heartbeats (latency only, no rate). Change: [links] FROM>TO = LATENCY TOKENS_PER_S, [placement], passed to the dispatcher's view and the planner. Conclusion: a fleet without [links] is planned as if its links were no bound.

--- a/radishfield/fleet/_placement.py
+++ b/radishfield/fleet/_placement.py
@@ -41,7 +41,15 @@
 class PlacementPlanner:
     """A service that proposes orders while this host holds the zone's lease."""
 
-    __slots__ = ("_settings", "_lease", "_directory", "_sender", "_moves_of", "plans")
+    __slots__ = (
+        "_settings",
+        "_lease",
+        "_directory",
+        "_sender",
+        "_links",
+        "_moves_of",
+        "plans",
+    )
 
     def __init__(
         self,
@@ -49,12 +57,14 @@
         lease: LeaseKeeper,
         directory: TargetDirectory,
         sender: OrderSender,
+        links: Sequence[Link] = (),
         moves_of: MovesOf = propose_moves,
     ):
         self._settings = settings
         self._lease = lease
         self._directory = directory
         self._sender = sender
+        self._links = links
         self._moves_of = moves_of
         self.plans = 0
 
@@ -74,7 +84,7 @@
             # Solving flows takes up to seconds; on the event loop every stream
             # of this host would stand still for as long.
             moves = await trio.to_thread.run_sync(
-                self._moves_of, targets, (), self._settings.zone, store
+                self._moves_of, targets, self._links, self._settings.zone, store
             )
             orders += [_order_for(move) for move in moves]
         self.plans += 1
--- a/radishfield/fleet/placement_test.py
+++ b/radishfield/fleet/placement_test.py
@@ -31,7 +31,7 @@
         SimpleNamespace(check=lambda: answers.pop(0)),
         SimpleNamespace(targets=lambda: targets),
         SimpleNamespace(propose=proposed.append),
-        moves_of,
+        moves_of=moves_of,
     )
 
     async def main():
--- a/radishfield/scripts/_wiring.py
+++ b/radishfield/scripts/_wiring.py
@@ -220,12 +220,15 @@
         )
         sender = OrderSender(order_settings, lease, targets, directory, clock)
         kernel.register("order-sender", sender)
-        kernel.register(
-            "placement",
-            PlacementPlanner(
-                PlacementSettings(settings.host.zone), lease, directory, sender
-            ),
-        )
+        if settings.placement.enabled:
+            plan = PlacementSettings(
+                settings.host.zone,
+                settings.placement.period_s,
+                settings.placement.layers_per_s,
+                settings.placement.concurrent_loads,
+            )
+            planner = PlacementPlanner(plan, lease, directory, sender, settings.links)
+            kernel.register("placement", planner)
 
         def take_in(report: LoadReport) -> None:
             directory.observe_report(report)
@@ -233,7 +236,8 @@
 
         kernel.register("dispatcher", dispatcher)
         kernel.register(
-            "fleet-view", FleetView(directory, dispatcher, settings.host.zone)
+            "fleet-view",
+            FleetView(directory, dispatcher, settings.host.zone, settings.links),
         )
         kernel.register(
             "poller",
--- a/radishfield/serving/_fleet_view.py
+++ b/radishfield/serving/_fleet_view.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from radishfield.core import Link
 from radishfield.fleet import TargetDirectory
 from radishfield.serving._dispatcher import Dispatcher
 
@@ -13,12 +14,19 @@
 class FleetView:
     """A service that passes the directory's changes on to the dispatcher."""
 
-    __slots__ = ("_directory", "_dispatcher", "_zone")
+    __slots__ = ("_directory", "_dispatcher", "_zone", "_links")
 
-    def __init__(self, directory: TargetDirectory, dispatcher: Dispatcher, zone: str):
+    def __init__(
+        self,
+        directory: TargetDirectory,
+        dispatcher: Dispatcher,
+        zone: str,
+        links: tuple[Link, ...] = (),
+    ):
         self._directory = directory
         self._dispatcher = dispatcher
         self._zone = zone
+        self._links = links
 
     async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED):
         """Pass the first view on, then every change, until cancelled."""
@@ -34,5 +42,6 @@
         self._dispatcher.set_targets(
             self._directory.targets(),
             self._zone,
+            self._links,
             entry_hosts=self._directory.entry_hosts_in_zone(),
         )
--- a/radishfield/settings/_lists.py
+++ b/radishfield/settings/_lists.py
@@ -1,4 +1,4 @@
-"""The two sections whose keys are names: [targets] and [profiles]."""
+"""The sections whose keys are names: [targets], [profiles] and [links]."""
 
 from dataclasses import dataclass
 from typing import Annotated
@@ -10,6 +10,7 @@
 from radishfield.core import (
     Fault,
     LayerRange,
+    Link,
     Priority,
     Profile,
     ResultCode,
@@ -40,6 +41,10 @@
     "MODEL [kind=engine|service] [priority=urgent|high|normal|low] "
     "[deadline=DURATION] [idempotent=yes|no]"
 )
+LINK_ALLOWED = (
+    "FROM>TO = LATENCY TOKENS_PER_S, such as a>b = 0.5ms 20000, 10s at the most"
+)
+LINK_SEPARATOR = ">"
 PRIORITY_BY_WORD = {member.name.lower(): member for member in Priority}
 BOOLEAN_BY_WORD = {"yes": True, "no": False}
 Layer = Annotated[int, Meta(ge=0, le=100_000)]
@@ -67,6 +72,14 @@
     idempotent: bool = True
 
 
+@dataclass(slots=True, frozen=True)
+class _LinkLine:
+    from_zone: Name
+    to_zone: Name
+    latency: Annotated[float, Meta(ge=0, le=10)]
+    tokens_per_s: Annotated[float, Meta(gt=0, le=1e9)]
+
+
 def read_target(name: str, text: str) -> Result[Target, Fault]:
     """Read one line of [targets]."""
     words = text.split()
@@ -124,6 +137,25 @@
     )
 
 
+def read_link(name: str, text: str) -> Result[Link, Fault]:
+    """Read one line of [links]: a directed link between two zones."""
+    words = text.split()
+    from_zone, separator, to_zone = name.partition(LINK_SEPARATOR)
+    if not separator or len(words) != len(("latency", "tokens_per_s")):
+        return _refused(text, LINK_ALLOWED)
+    try:
+        value_by_word = {
+            "from_zone": from_zone.strip(),
+            "to_zone": to_zone.strip(),
+            "latency": parse_duration(words[0]),
+            "tokens_per_s": words[1],
+        }
+        line = msgspec.convert(value_by_word, _LinkLine, strict=False)
+    except (ValueError, msgspec.ValidationError):
+        return _refused(text, LINK_ALLOWED)
+    return Ok(Link(line.from_zone, line.to_zone, line.latency, line.tokens_per_s))
+
+
 def _profile_value(word: str, text: str) -> object:
     match word:
         case "kind":
--- a/radishfield/settings/_printer.py
+++ b/radishfield/settings/_printer.py
@@ -1,6 +1,6 @@
 """Prints settings as a file, with every default and what each key may be."""
 
-from radishfield.core import Profile, Target
+from radishfield.core import Link, Profile, Target
 from radishfield.settings._fields import section_fields
 from radishfield.settings._reader import SECTION_TYPE_BY_NAME, EntrySettings
 from radishfield.settings._units import duration_text
@@ -15,6 +15,7 @@
         lines += _section_lines(name, value)
     lines += ["[targets]", *map(_target_line, settings.targets), ""]
     lines += ["[profiles]", *map(_profile_line, settings.profiles), ""]
+    lines += ["[links]", *map(_link_line, settings.links), ""]
     return "\n".join(lines)
 
 
@@ -52,3 +53,8 @@
         f"priority={profile.priority.name.lower()} "
         f"deadline={duration_text(profile.deadline_s)} idempotent={idempotent}"
     )
+
+
+def _link_line(link: Link) -> str:
+    latency = duration_text(link.latency_s)
+    return f"{link.from_zone}>{link.to_zone} = {latency} {link.tokens_per_s:g}"
--- a/radishfield/settings/_reader.py
+++ b/radishfield/settings/_reader.py
@@ -8,9 +8,9 @@
 
 from expression import Error, Ok, Result
 
-from radishfield.core import Fault, Profile, ResultCode, Target, fault
+from radishfield.core import Fault, Link, Profile, ResultCode, Target, fault
 from radishfield.settings._fields import section_fields
-from radishfield.settings._lists import read_profile, read_target
+from radishfield.settings._lists import read_link, read_profile, read_target
 from radishfield.settings._sections import (
     CallerSettings,
     ClaimsSettings,
@@ -23,6 +23,7 @@
     OperatorSettings,
     OrdersSettings,
     PeersSettings,
+    PlacementSection,
     PlatformSettings,
 )
 
@@ -37,11 +38,16 @@
     "claims": ClaimsSettings,
     "leases": LeasesSettings,
     "orders": OrdersSettings,
+    "placement": PlacementSection,
     "log": LogSettings,
     "metrics": MetricsSettings,
     "drain": DrainSettings,
 }
-LINE_READER_BY_SECTION = {"targets": read_target, "profiles": read_profile}
+LINE_READER_BY_SECTION = {
+    "targets": read_target,
+    "profiles": read_profile,
+    "links": read_link,
+}
 # Below this length a token can be guessed within a day over a network.
 MIN_TOKEN_LENGTH = 16
 
@@ -64,11 +70,13 @@
     claims: ClaimsSettings = ClaimsSettings()
     leases: LeasesSettings = LeasesSettings()
     orders: OrdersSettings = OrdersSettings()
+    placement: PlacementSection = PlacementSection()
     log: LogSettings = LogSettings()
     metrics: MetricsSettings = MetricsSettings()
     drain: DrainSettings = DrainSettings()
     targets: tuple[Target, ...] = ()
     profiles: tuple[Profile, ...] = ()
+    links: tuple[Link, ...] = ()
     extra_by_section: Mapping[str, object] = field(default_factory=dict)
 
     @classmethod
--- a/radishfield/settings/_sections.py
+++ b/radishfield/settings/_sections.py
@@ -170,6 +170,24 @@
     load_s: LongTime = 120.0
 
 
+@dataclass(slots=True, frozen=True)
+class PlacementSection:
+    """[placement]: plans of which target holds which layers, by the lease holder.
+
+    Attributes
+    ----------
+    enabled : bool
+        Off means that layers move by the operators' hand only.
+    layers_per_s : float
+        Rate of one load from the store of weights.
+    """
+
+    enabled: bool = True
+    period_s: Annotated[float, Meta(ge=10.0, le=86400.0, extra=DURATION)] = 300.0
+    layers_per_s: Annotated[float, Meta(ge=0.001, le=10000.0)] = 1.0
+    concurrent_loads: Annotated[int, Meta(ge=1, le=100)] = 1
+
+
 @dataclass(slots=True, frozen=True)
 class LogSettings:
     """[log]: JSON lines, one event each."""
--- a/radishfield/settings/settings_test.py
+++ b/radishfield/settings/settings_test.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from msgspec import Meta
 
-from radishfield.core import Priority, ResultCode, TargetKind
+from radishfield.core import Link, Priority, ResultCode, TargetKind
 from radishfield.settings import EntrySettings, settings_text
 
 WHOLE = """
@@ -32,6 +32,8 @@
 portal = 127.0.0.1:9002 duluth-hall portal 0 0 0 0 4 service
 [profiles]
 review = small priority=high deadline=90s idempotent=no
+[links]
+duluth-hall>toledo-hall = 0.5ms 20000
 """
 
 
@@ -52,6 +54,7 @@
     assert settings.profiles[0].priority is Priority.HIGH
     assert settings.profiles[0].deadline_s == 90
     assert not settings.profiles[0].idempotent
+    assert settings.links == (Link("duluth-hall", "toledo-hall", 0.0005, 20000.0),)
 
 
 def test_what_is_printed_reads_back_the_same_and_hides_secrets(tmp_path):
@@ -89,6 +92,8 @@
         ("[peers]\nbind = 127.0.0.1:1", ResultCode.SETTING_MISSING, "active_key"),
         ("[operator]\nbind = 127.0.0.1:1", ResultCode.SETTING_MISSING, "token"),
         ("[targets]\nx = 127.0.0.1:1 a m 4 2 8", ResultCode.SETTING_TYPE, "ADDRESS"),
+        ("[links]\na-b = 1ms 20", ResultCode.SETTING_TYPE, "FROM>TO"),
+        ("[links]\na>b = 1 20", ResultCode.SETTING_TYPE, "FROM>TO"),
         ("[profiles]\nx = m priority=top", ResultCode.SETTING_TYPE, "priority="),
         ("no section", ResultCode.SETTING_TYPE, "INI"),
         ("[host]\nid = a\nid = b", ResultCode.SETTING_TYPE, "once"),
