--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,7 @@
+"""Run the benches: ``python -m bench [NAME ...]``."""
+
+import sys
+
+from bench._cli import main
+
+sys.exit(main(sys.argv[1:]))
--- a/radishfield/core/_data.py
+++ b/radishfield/core/_data.py
@@ -9,6 +9,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from radishfield.core._codes import ResultCode
+
 
 class Priority(enum.IntEnum):
     """How urgent a profile's work is; a lower number goes first."""
@@ -207,6 +209,18 @@
     finish: str | None = None
 
 
+@dataclass(slots=True, frozen=True)
+class Sampling:
+    """How an engine picks each token; None leaves the engine's own default."""
+
+    temperature: float | None = None
+    top_p: float | None = None
+    seed: int | None = None
+    stop: tuple[str, ...] = ()
+    presence_penalty: float | None = None
+    frequency_penalty: float | None = None
+
+
 @dataclass(slots=True, frozen=True)
 class Request:
     """A model request, as the caller edge hands it on.
@@ -231,6 +245,23 @@
     idempotency_key: str = ""
     body_digest: str = ""
     prompt_tokens: int = 0
+    sampling: Sampling = Sampling()
+
+
+@dataclass(slots=True, frozen=True)
+class Finished:
+    """How a model request ended well.
+
+    Attributes
+    ----------
+    reason : str
+        The engine's finish reason, ``stop`` or ``length``.
+    code : ResultCode
+        ``FINISHED``, or ``REPLAYED`` where a repeat got the first run's answer.
+    """
+
+    reason: str
+    code: ResultCode = ResultCode.FINISHED
 
 
 @dataclass(slots=True, frozen=True)
@@ -258,6 +289,7 @@
     status: int
     body: bytes
     headers: tuple[tuple[str, str], ...] = ()
+    code: ResultCode = ResultCode.FINISHED
 
 
 @dataclass(slots=True, frozen=True)
@@ -281,6 +313,7 @@
     max_tokens: int
     timeout_s: float
     priority: Priority = Priority.NORMAL
+    sampling: Sampling = Sampling()
 
 
 @dataclass(slots=True, frozen=True)
