Judge a target that does not answer a new connection at once

Cause: with the first stage stopped (SIGSTOP) in mid stream, the caller got no token for over 20 s: 2 s idle, then two reopened connections that the stopped process's kernel accepted, each waited on for the 10 s of a first token. Ruled out: one reopening in all (a path may lose track twice); a shorter first token limit (a slow prefill would be taken for silence). Change: a reopening waits for its answer's head as long as for a control call and for tokens as long as between tokens; one that is not answered ends the attempt. Figures: by the limits 2 + 2 s until the next attempt instead of 2 + 10 + 10.

--- a/radishfield/edges/_target.py
+++ b/radishfield/edges/_target.py
@@ -80,7 +80,10 @@
         ``idle_s`` overrides the setting where the caller knows the expected
         time between tokens.
         """
-        async with self._stream(target, wire.STREAMS_PATH, start, idle_s) as opened:
+        timeouts = self._timeouts
+        if idle_s is not None:
+            timeouts = replace(timeouts, idle_s=idle_s)
+        async with self._stream(target, wire.STREAMS_PATH, start, timeouts) as opened:
             yield opened
 
     @asynccontextmanager
@@ -90,10 +93,20 @@
         """Attach again, on a new connection, to an attempt that still runs.
 
         The attempt has been handed over before, so no failure here may say
-        "not run".
+        "not run".  It has had its time for a first token too: a target that is
+        stopped takes the new connection into its kernel's backlog and would
+        hold the caller for that long again.  One that runs answers at once.
         """
         body = wire.Reopen(request_id, attempt, position)
-        async with self._stream(target, wire.REOPEN_PATH, body, None) as opened:
+        first_token_s = self._timeouts.idle_s
+        if position == 0:
+            first_token_s = self._timeouts.first_token_s
+        timeouts = replace(
+            self._timeouts,
+            answer_s=self._timeouts.control_s,
+            first_token_s=first_token_s,
+        )
+        async with self._stream(target, wire.REOPEN_PATH, body, timeouts) as opened:
             yield opened.map_error(_may_have_run)
 
     async def cancel(
@@ -174,11 +187,8 @@
 
     @asynccontextmanager
     async def _stream(
-        self, target: Target, path: str, body: object, idle_s: float | None
+        self, target: Target, path: str, body: object, timeouts: TargetTimeouts
     ):
-        timeouts = self._timeouts
-        if idle_s is not None:
-            timeouts = replace(timeouts, idle_s=idle_s)
         exchange = self._exchange("POST", target, path, body)
         async with AsyncExitStack() as stack:
             opened = await begin(
@@ -186,7 +196,7 @@
                 self._connections.fresh,
                 exchange,
                 timeouts.connect_s,
-                timeouts.first_token_s,
+                timeouts.answer_s,
             )
             match opened:
                 case Result(tag="error", error=problem):
--- a/radishfield/edges/_target_http.py
+++ b/radishfield/edges/_target_http.py
@@ -39,6 +39,9 @@
 
     Attributes
     ----------
+    answer_s : float
+        From the start of a stream to the head of its answer, which some engines
+        send only with the first token.
     first_token_s : float
         From the start of a stream to its first token.  A long prompt's prefill
         takes seconds, and must not be taken for silence.
@@ -49,6 +52,7 @@
     """
 
     connect_s: float = 1.0
+    answer_s: float = 10.0
     first_token_s: float = 10.0
     idle_s: float = 2.0
     control_s: float = 2.0
--- a/radishfield/serving/_attempt.py
+++ b/radishfield/serving/_attempt.py
@@ -23,7 +23,7 @@
 # A connection that went silent, or was reset, is replaced by a new one to the
 # same first stage before the target itself is held to be at fault.  Two tries
 # outlive a path that loses track of one connection twice; a third would only
-# eat into the request's deadline.
+# eat into the request's deadline.  A try that is not answered ends them.
 MAX_REOPENS = 2
 PATH_FAILURES = frozenset({Code.STREAM_SILENT, Code.STREAM_BROKEN})
 
@@ -38,11 +38,14 @@
         Whether any byte may have reached a target.
     committed : int
         Tokens committed so far, over all attempts.
+    answered : bool
+        Whether the target answered the opening of its last connection.
     """
 
     problem: Fault
     started: bool
     committed: int = 0
+    answered: bool = True
 
 
 class Attempt:
@@ -92,12 +95,12 @@
                 head, self._request.id, dispatch.attempt, position
             )
             again = await self._pass_on(opening)
-            if again is None or self._path_failed(again):
-                failure = again
-            else:
-                # The first stage does not know the attempt any more, or cannot
-                # be reached: the request had been handed over all the same.
+            if again is not None and not again.answered:
+                # The first stage does not know the attempt any more, or gives no
+                # answer on a new connection either: it is not the path, and a
+                # further try would only cost the caller the same wait again.
                 return self._failure(again.problem, started=True)
+            failure = again
         return failure
 
     def _path_failed(self, failure: AttemptFailure | None) -> bool:
@@ -125,13 +128,15 @@
             match opened:
                 case Result(tag="error", error=problem):
                     started = problem.outcome is not Outcome.NOT_RUN
-                    return self._failure(problem, started)
+                    return self._failure(problem, started, answered=False)
                 case Result(tag="ok", ok=stream):
                     problem = await self._read(stream)
         return None if problem is None else self._failure(problem, started=True)
 
-    def _failure(self, problem: Fault, started: bool) -> AttemptFailure:
-        return AttemptFailure(problem, started, self._state.next_position)
+    def _failure(
+        self, problem: Fault, started: bool, answered: bool = True
+    ) -> AttemptFailure:
+        return AttemptFailure(problem, started, self._state.next_position, answered)
 
     async def _read(self, stream: TokenStream) -> Fault | None:
         while self._state.finish is None:
--- a/radishfield/serving/dispatcher_test.py
+++ b/radishfield/serving/dispatcher_test.py
@@ -133,6 +133,21 @@
     assert [kind for kind, _, _ in targets.opened] == ["start", "reopen"]
 
 
+def test_target_that_does_not_answer_a_new_connection_is_judged_at_once():
+    """The caller's answer goes on elsewhere after one silent reopening.
+
+    The first stage is stopped: its connection goes silent, and so does the new
+    one.  It is the target, not the path; a second reopening would only make the
+    caller wait as long again.
+    """
+    silent = fault(ResultCode.STREAM_SILENT)
+    targets = ScriptedTargets([0, silent], silent, [1, 2])
+    result, texts, _ = run_one(targets)
+    assert result.is_ok()
+    assert texts == ["w0", "w1", "w2"]
+    assert [kind for kind, _, _ in targets.opened] == ["start", "reopen", "start"]
+
+
 def test_idempotent_request_resumes_elsewhere_after_a_stage_died():
     """The caller sees one whole answer.
 
