Take the queue's length out of [caller]

Cause: the key was read and used by nobody; an operator who set it was misled. Ruled out: a second bound beside the scheduler's, whose forecast knows when a place comes free; max_in_flight bounds those that wait as well. Change: the key is gone; its tests use max_in_flight, no less strict.

--- a/radishfield/scripts/commands_test.py
+++ b/radishfield/scripts/commands_test.py
@@ -134,7 +134,7 @@
 
 def test_settings_are_checked_and_shown(tmp_path):
     path = tmp_path / "entry.ini"
-    path.write_text("[host]\nidd = a\n[caller]\nqueue = 0\n")
+    path.write_text("[host]\nidd = a\n[caller]\nmax_in_flight = 0\n")
     checked = CliRunner().invoke(main, ["settings", "check", str(path)])
     assert checked.exit_code == 2
     assert [line[:4] for line in checked.output.splitlines()] == ["7001", "7002"]
--- a/radishfield/settings/_sections.py
+++ b/radishfield/settings/_sections.py
@@ -71,8 +71,8 @@
 
     Attributes
     ----------
-    queue : int
-        Admitted requests that may wait for a target.
+    max_in_flight : int
+        Requests served at a time, those that wait for a target included.
     """
 
     bind: Address = "127.0.0.1:8080"
@@ -81,7 +81,6 @@
     max_body_bytes: Annotated[int, Meta(ge=1 << 10, le=64 << 20, extra=SIZE)] = 1 << 20
     body_timeout_s: ShortTime = 10.0
     max_in_flight: Count = 1024
-    queue: Count = 2048
 
 
 @dataclass(slots=True, frozen=True)
--- a/radishfield/settings/settings_test.py
+++ b/radishfield/settings/settings_test.py
@@ -82,8 +82,8 @@
         ("[caller]\nmax_body = 1B", ResultCode.SETTING_RANGE, "from 1KiB to 64MiB"),
         ("[caller]\nbind = localhost:80", ResultCode.SETTING_TYPE, "IP number"),
         ("[caller]\nbind =", ResultCode.SETTING_MISSING, "IP number"),
-        ("[caller]\nqueue = many", ResultCode.SETTING_TYPE, "whole number"),
-        ("[caller]\nqueue = 0", ResultCode.SETTING_RANGE, "from 1 to 1000000"),
+        ("[caller]\nmax_in_flight = many", ResultCode.SETTING_TYPE, "whole number"),
+        ("[caller]\nmax_in_flight = 0", ResultCode.SETTING_RANGE, "from 1 to 1000000"),
         ("[platform]\nmax_calls_per_s = nan", ResultCode.SETTING_RANGE, "from 0.1"),
         ("[log]\nlevel = loud", ResultCode.SETTING_TYPE, "debug, info"),
         ("[caller]\ntls_cert = /no/file", ResultCode.SETTING_FILE_MISSING, "/no/file"),
@@ -112,7 +112,7 @@
 
 
 def test_all_faults_come_back_together(tmp_path):
-    text = "[host]\nidd = a\n[caller]\nqueue = x\nmax_body = 1\n[nope]\n"
+    text = "[host]\nidd = a\n[caller]\nmax_in_flight = x\nmax_body = 1\n[nope]\n"
     assert len(read(tmp_path, text).error) == 4
 
 
