--- a/radishfield/edges/_caller_bodies.py
+++ b/radishfield/edges/_caller_bodies.py
@@ -26,6 +26,8 @@
 Count = Annotated[int, Meta(ge=1, le=MAX_MAX_TOKENS)]
 ModelName = Annotated[str, Meta(min_length=1, max_length=64)]
 StopText = Annotated[str, Meta(min_length=1, max_length=64)]
+# Engines hold a seed in 64 bits.
+Seed = Annotated[int, Meta(ge=-(1 << 63), le=(1 << 63) - 1)]
 Penalty = Annotated[float, Meta(ge=-2, le=2)]
 
 _UNKNOWN_FIELD = re.compile(r"unknown field `([^`]{1,60})`")
@@ -76,7 +78,7 @@
     n: Literal[1] | None = None
     temperature: Annotated[float, Meta(ge=0, le=2)] | None = None
     top_p: Annotated[float, Meta(gt=0, le=1)] | None = None
-    seed: int | None = None
+    seed: Seed | None = None
     stop: StopText | Annotated[list[StopText], Meta(max_length=4)] | None = None
     presence_penalty: Penalty | None = None
     frequency_penalty: Penalty | None = None
@@ -190,5 +192,5 @@
     unknown = _UNKNOWN_FIELD.search(reason)
     if unknown:
         return fault(ResultCode.UNSUPPORTED_FIELD, unknown[1])
-    # The reason names the place and the type, never the caller's text.
+    # The reason names the place and what was expected there.
     return fault(ResultCode.MALFORMED_BODY, reason[:200])
--- a/radishfield/edges/caller_test.py
+++ b/radishfield/edges/caller_test.py
@@ -275,6 +275,7 @@
         (CHAT, b"\xff\xfe", {}, 400, ResultCode.MALFORMED_BODY),
         (CHAT, b'{"messages":' + b"[" * 9000, {}, 400, ResultCode.MALFORMED_BODY),
         (CHAT, HELLO | {"max_tokens": 0}, {}, 400, ResultCode.MALFORMED_BODY),
+        (CHAT, HELLO | {"seed": 1 << 63}, {}, 400, ResultCode.MALFORMED_BODY),
         (CHAT, HELLO | {"messages": []}, {}, 400, ResultCode.MALFORMED_BODY),
         (CHAT, HELLO | {"tools": []}, {}, 400, ResultCode.UNSUPPORTED_FIELD),
         (CHAT, HELLO | {"model": "no"}, {}, 404, ResultCode.UNKNOWN_PROFILE),
