Measure the control plane of nine real processes

Cause: figures in virtual time leave out HTTP, sockets and the daemons' wiring. Change: python -m bench.slopes_fleet processes starts nine entry hosts, their engines and the platform stand-in and reads delays at the operators' endpoint.

--- a/bench/slopes_fleet.py
+++ b/bench/slopes_fleet.py
@@ -19,6 +19,7 @@
 import trio
 import trio.testing
 
+from bench._fleet_processes import measure_processes
 from radishfield.core import (
     LayerRange,
     MemberState,
@@ -364,15 +365,39 @@
     )
 
 
-def say_quantiles(name: str, delays: Sequence[float], command: str) -> None:
+@main.command()
+@click.argument("hosts_a_zone", default=3)
+def processes(hosts_a_zone: int) -> None:
+    """Print the same of a fleet of real processes, at the operators' endpoint."""
+    figures = trio.run(measure_processes, hosts_a_zone)
+    hosts, command = 3 * hosts_a_zone, f"processes {hosts_a_zone}"
+    say(
+        f"processes: {hosts} quiet hosts, 12 engines",
+        f"{figures.platform_calls_per_s:.2f} platform calls/s a zone, "
+        f"{100 * figures.cpu_share:.1f} % of a core a host, "
+        f"{figures.resident_bytes / 1e6:.0f} MB resident at the most",
+        "real",
+        command,
+    )
+    for name, delays in (
+        ("spread of a profile change", figures.spread_s),
+        ("drained target left out", figures.drain_s),
+        ("killed host held for dead", figures.detection_s),
+    ):
+        say_quantiles(f"processes: {hosts} hosts, {name}", delays, command, "real")
+
+
+def say_quantiles(
+    name: str, delays: Sequence[float], command: str, mode: str = "virtual"
+) -> None:
     """Print the median, the 99th percentile and the longest of some delays."""
     ordered = sorted(delays)
     p99 = ordered[min(len(ordered) - 1, int(len(ordered) * 0.99))]
     say(
         name,
-        f"p50 {statistics.median(ordered):.2f} s, p99 {p99:.2f} s, "
-        f"longest {ordered[-1]:.2f} s",
-        "virtual",
+        f"p50 {statistics.median(ordered):.3f} s, p99 {p99:.3f} s, "
+        f"longest {ordered[-1]:.3f} s of {len(ordered)}",
+        mode,
         command,
     )
 
--- a/radishfield/edges/_peer_seal.py
+++ b/radishfield/edges/_peer_seal.py
@@ -45,6 +45,8 @@
         self._secret_by_id = {key.id: key.secret for key in keys}
         if len(self._secret_by_id) < len(keys):
             raise ValueError("two peer keys have the same number")
+        if len(self._secret_by_id) < len(keys):
+            raise ValueError("two peer keys have the same number")
 
     def seal(self, frame: bytes, context: bytes) -> bytes:
         """Return the frame behind its key id and its code."""
--- a/radishfield/edges/peer_test.py
+++ b/radishfield/edges/peer_test.py
@@ -96,6 +96,8 @@
     assert third.unseal(third.seal(b"f", b"one"), b"other").is_error()
     with pytest.raises(ValueError):
         Sealer([PeerKey(1, b"short")])
+    with pytest.raises(ValueError):
+        Sealer([OLD_KEY, PeerKey(OLD_KEY.id, NEW_KEY.secret)])
 
 
 def test_replay_guard_takes_each_frame_once_also_out_of_order():
