Try the entry hosts that the platform lists as first peers

Cause: the list's addresses were read and given to nobody, so a host whose settings name no seed found no peer. Change: TargetDirectory hands them to PeerMessages.add_seeds as they come. Conclusion: the settings' seeds and the platform's are tried alike.

--- a/radishfield/edges/_absent.py
+++ b/radishfield/edges/_absent.py
@@ -80,6 +80,9 @@
     def hear(self, topic: str, handler: Callable[[str, bytes], None]) -> None:
         """Keep nothing; nobody tells."""
 
+    def add_seeds(self, addresses: Sequence[str]) -> None:
+        """Look for nobody."""
+
     def compare_state(
         self, digest: Callable[[], int], differs: Callable[[str], None]
     ) -> None:
--- a/radishfield/fleet/_directory.py
+++ b/radishfield/fleet/_directory.py
@@ -25,12 +25,12 @@
     HostState,
     LoadReport,
     MemberState,
-    PeerPort,
     StoredObject,
     Target,
     TargetState,
 )
 from radishfield.fleet._facts import FactTable
+from radishfield.fleet._ports import PeerMessages
 from radishfield.fleet._status import Drain, DrainKind
 
 TARGET_KIND = "target"
@@ -72,7 +72,7 @@
         "version",
     )
 
-    def __init__(self, zone: str, facts: FactTable, peers: PeerPort, clock: Clock):
+    def __init__(self, zone: str, facts: FactTable, peers: PeerMessages, clock: Clock):
         self._zone = zone
         self._facts = facts
         self._peers = peers
@@ -90,6 +90,7 @@
             (TARGET_KIND, self._take_in_target),
             (DRAIN_KIND, self._take_in_drain),
             (LEAVING_KIND, self._take_in_leaving),
+            (HOST_KIND, self._take_in_host),
         ):
             facts.listen(kind, listener)
             for fact in facts.all_of(kind):
@@ -148,6 +149,7 @@
             if host_id not in listed
         }
         self._listed_by_host = {**vanished, **listed}
+        self._peers.add_seeds(self.seed_addresses())
         leaving = {
             host.id
             for host in self._listed_by_host.values()
@@ -195,6 +197,9 @@
     def _take_in_leaving(self, fact: StoredObject) -> None:
         self._rebuild(fact.name)
 
+    def _take_in_host(self, fact: StoredObject) -> None:
+        self._peers.add_seeds(self.seed_addresses())
+
     def _rebuild(self, target_id: str) -> None:
         """Work out one target anew, and tell of it if it is another now."""
         declared = self._declared_by_id.get(target_id)
--- a/radishfield/fleet/_ports.py
+++ b/radishfield/fleet/_ports.py
@@ -17,6 +17,9 @@
     def hear(self, topic: str, handler: NewsHandler) -> None:
         """Register what takes in a topic's datagrams, with the sender's id."""
 
+    def add_seeds(self, addresses: Sequence[str]) -> None:
+        """Try these addresses too when members are looked for."""
+
     def compare_state(
         self, digest: Callable[[], int], differs: Callable[[str], None]
     ) -> None:
--- a/radishfield/fleet/directory_test.py
+++ b/radishfield/fleet/directory_test.py
@@ -55,6 +55,9 @@
     def members(self):
         return self._members
 
+    def add_seeds(self, addresses):
+        self.seeds = list(addresses)
+
     def hear(self, topic, handler):
         self.hearers[topic] = handler
 
@@ -154,8 +157,9 @@
 
 def test_vanished_host_is_leaving_and_an_empty_list_is_ignored():
     setup = Setup(targets=2)
-    both = (Host("host0", "z0"), Host("host1", "z0"))
+    both = (Host("host0", "z0", address="10.0.0.1:7"), Host("host1", "z0"))
     setup.directory.see_hosts(HostListing(both))
+    assert setup.peers.seeds == ["10.0.0.1:7"]
     setup.directory.see_hosts(HostListing(()))
     assert setup.state("t1") is TargetState.LIVE
     setup.directory.see_hosts(HostListing(both[:1]))
