Bring the cost of a request's decisions down, and the memory of withdrawn work

Change: cover is kept until the fleet changes; a pool remembers that it is full until a place is freed; a boundary that led nowhere is not tried twice in a walk; scores are kept; heaps are compacted once most of them is withdrawn. Ruled out: sampling alone (12 of 16 at a boundary saves little).

--- a/radishfield/decisions/_limits.py
+++ b/radishfield/decisions/_limits.py
@@ -64,7 +64,24 @@
 
 
 class TargetLoad:
-    """One target's work in flight, limit and weight, as this host sees them."""
+    """One target's work in flight, limit and weight, as this host sees them.
+
+    Attributes
+    ----------
+    own, own_long : int
+        This host's requests in flight there, and the long ones among them.
+    limit, share, room : float
+        Requests that all hosts together may have in flight, this host's part of
+        them, and the part that is open to new work now.
+    weight, goal : float
+        Tokens per second that it is to pass now, and in the end.
+    stage_s : float
+        Seconds that a token spends there, learned from answers.
+    score : float
+        How loaded it would be with one more; the lowest is best.
+    use : float
+        Part of this host's share that is in use.
+    """
 
     __slots__ = (
         "target",
@@ -76,6 +93,9 @@
         "weight",
         "goal",
         "stage_s",
+        "room",
+        "score",
+        "use",
         "usable",
         "ejected",
         "reported",
@@ -97,6 +117,7 @@
         self.weight = 0.0
         self.goal = 0.0
         self.stage_s = full_step_s(target) * HEADROOM
+        self.room = self.limit
         self.usable = target.state is TargetState.LIVE
         self.ejected = False
         self.reported = 0
@@ -106,6 +127,7 @@
         self._reported_at: float | None = None
         self._hosts = 1
         self._peers = 1.0
+        self._rate()
 
     def resize(self, limit: float) -> None:
         """Set the first value of the limit, keeping what was learned about it."""
@@ -122,35 +144,21 @@
 
     def has_room(self, long: bool) -> bool:
         """Tell whether one more may be sent."""
-        if not self.usable or self.ejected:
-            return False
-        if self.own >= self.share:
+        if self.own >= self.room:
             return False
         return not long or self.own_long < max(1.0, self.share * LONG_PART)
 
-    def score(self) -> float:
-        """Return how loaded it would be with one more; the lowest is best.
-
-        What this host sent since the report counts once for each of its peers:
-        they read the same report and do the same, and the target that it showed
-        idle would get all of their work until the next one.
-        """
-        sent = max(0, self.own - self._own_at_report) * (self._hosts - 1)
-        return (self.own + self.others + sent + 1) / (self.weight + 1e-9)
-
-    def use(self) -> float:
-        """Return the part of this host's share that is in use."""
-        return self.own / max(self.share, 1e-9)
-
     def begin(self, long: bool) -> None:
         """Count one more in flight."""
         self.own += 1
         self.own_long += long
+        self._rate()
 
     def end(self, long: bool) -> None:
         """Count one less in flight."""
         self.own -= 1
         self.own_long -= long
+        self._rate()
 
     def observe(self, report: LoadReport, now: float) -> None:
         """Learn from the target's own account."""
@@ -181,13 +189,17 @@
 
     def shift_weight(self, elapsed_s: float) -> None:
         """Move the weight towards its goal, up at a bounded pace."""
-        if self.weight >= self.goal:
-            self.weight = self.goal
+        if self.weight == self.goal:
             return
         rise = self.goal * WEIGHT_RISE_PER_S * elapsed_s
         self.weight = min(self.goal, self.weight + rise)
         self._divide()
 
+    def allow(self, usable: bool, ejected: bool) -> None:
+        """State whether it may be given new work."""
+        self.usable, self.ejected = usable, ejected
+        self._divide()
+
     def start_full(self) -> None:
         """Begin with the whole weight: the fleet is new as a whole."""
         self.weight = self.goal
@@ -210,9 +222,27 @@
         even = limit / self._hosts
         if self._reported_at is None:
             self.share = max(1.0, even)
-            return
-        free = limit - self.reported
-        self.share = max(1.0, even, self._own_at_report + free / self._peers)
+        else:
+            free = limit - self.reported
+            part = self._own_at_report + free / self._peers
+            self.share = max(1.0, even, part)
+        self.room = self.share if self.usable and not self.ejected else 0.0
+        self._rate()
+
+    def _rate(self) -> None:
+        """Work out score and use, which are read far more often than they change.
+
+        What this host sent since the report counts once for each of its peers:
+        they read the same report and do the same, and the target that it showed
+        idle would get all of their work until the next one.
+        """
+        own = self.own
+        sent = own - self._own_at_report
+        total = own + self.others + 1
+        if sent > 0:
+            total += sent * (self._hosts - 1)
+        self.score = total / (self.weight + 1e-9)
+        self.use = own / self.share
 
 
 def little_limit(rate_tps: float, cycle_s: float) -> float:
--- a/radishfield/decisions/_pool.py
+++ b/radishfield/decisions/_pool.py
@@ -2,8 +2,17 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
-
-from radishfield.core import Link, Priority, Route, Target, TargetKind, TargetState
+from operator import attrgetter
+
+from radishfield.core import (
+    Link,
+    LoadReport,
+    Priority,
+    Route,
+    Target,
+    TargetKind,
+    TargetState,
+)
 from radishfield.decisions._affinity import LOAD_BOUND
 from radishfield.decisions._ejection import Ejector
 from radishfield.decisions._flow import FlowPlan, plan_flow, speed_of
@@ -42,7 +51,15 @@
 
 
 class Pool:
-    """Targets that can serve the same work, and what is learned about them."""
+    """Targets that can serve the same work, and what is learned about them.
+
+    Attributes
+    ----------
+    full : bool
+        Whether the last short work found no place and none was freed since.
+    served : bool
+        Whether live targets cover the work at all.
+    """
 
     __slots__ = (
         "kind",
@@ -51,8 +68,10 @@
         "ejector",
         "bound_tps",
         "loads_by_id",
+        "full",
         "mean_use",
         "quickest_s",
+        "served",
         "_choosers",
         "_crossings_by_pair",
         "_hosts",
@@ -68,7 +87,9 @@
         self.ejector = Ejector()
         self.bound_tps = 0.0
         self.loads_by_id: dict[str, TargetLoad] = {}
+        self.full = False
         self.mean_use = 0.0
+        self.served = False
         self.quickest_s = FIRST_PACE_S
         self._choosers: list[Chooser] = []
         self._crossings_by_pair: dict[tuple[str, str], Crossing] = {}
@@ -101,7 +122,7 @@
                 load = TargetLoad(target)
                 newcomers.append(load)
             load.target = target
-            load.usable = target.state is TargetState.LIVE
+            load.allow(target.state is TargetState.LIVE, load.ejected)
             self.loads_by_id[target.id] = load
         self.ejector.keep_only(set(self.loads_by_id))
         self.replan()
@@ -113,6 +134,7 @@
 
     def replan(self) -> None:
         """Work out flow, weights and limits anew; on fleet changes only."""
+        self.full = False
         active = [
             load
             for load in self.loads_by_id.values()
@@ -125,6 +147,7 @@
         zones = len({load.target.zone for load in active}) or 1
         for load in self.loads_by_id.values():
             load.shared_by(self._hosts, self._hosts / zones)
+        self.served = self.covered()
 
     def pick(
         self,
@@ -135,8 +158,23 @@
         fast: bool = False,
     ) -> Claim | None:
         """Return places for one attempt, or None if there is no room."""
+        if self.full and not forced:
+            return None
         if self.kind is TargetKind.SERVICE:
-            return self._pick_service(long, excluded, forced)
+            claim = self._pick_service(long, excluded, forced)
+        else:
+            claim = self._pick_route(long, excluded, preferred, forced, fast)
+        self.full = claim is None and not long and not excluded
+        return claim
+
+    def _pick_route(
+        self,
+        long: bool,
+        excluded: frozenset[str],
+        preferred: frozenset[str],
+        forced: bool,
+        fast: bool,
+    ) -> Claim | None:
         running = self._running_by_version
         choosers = sorted(
             self._choosers,
@@ -163,6 +201,7 @@
 
     def end(self, claim: Claim) -> None:
         """Give a claim's places back."""
+        self.full = False
         self._count(claim, -1)
         for load in claim.loads:
             load.end(claim.long)
@@ -177,6 +216,23 @@
             load.learn_stage(error)
             self.ejector.answered(load.target.id, ratio)
 
+    def leave(self, target_id: str) -> None:
+        """Give a target no new work until it comes back."""
+        load = self.loads_by_id.get(target_id)
+        if load is not None and load.usable:
+            load.allow(False, load.ejected)
+            self.replan()
+
+    def observe(self, report: LoadReport, now: float) -> None:
+        """Take in a load report, if it is of the present incarnation."""
+        load = self.loads_by_id.get(report.target_id)
+        if load is None or report.incarnation != load.target.incarnation:
+            return
+        self.full = False
+        load.observe(report, now)
+        if report.leaving:
+            self.leave(report.target_id)
+
     def covered(self, excluded: frozenset[str] = frozenset()) -> bool:
         """Tell whether live targets can serve the work at all, full or not."""
         if self.kind is TargetKind.SERVICE:
@@ -191,7 +247,7 @@
         load = self.loads_by_id.get(target_id)
         if load is None or not self.covered(self._ejected() | {target_id}):
             return False
-        load.ejected = True
+        load.allow(load.usable, True)
         self.replan()
         return True
 
@@ -199,7 +255,7 @@
         """Take targets back in, with a small weight."""
         returned = [self.loads_by_id[i] for i in target_ids if i in self.loads_by_id]
         for load in returned:
-            load.ejected = False
+            load.allow(load.usable, False)
         if returned:
             self.replan()
         for load in returned:
@@ -207,11 +263,12 @@
 
     def tick(self, elapsed_s: float, now: float) -> None:
         """Move weights and forget stale reports; once a second is enough."""
+        self.full = False
         uses = []
         for load in self.loads_by_id.values():
             load.shift_weight(elapsed_s)
             load.forget_stale_report(now)
-            uses.append(load.use())
+            uses.append(load.use)
         self.mean_use = sum(uses) / len(uses) if uses else 0.0
         self._note_quickest()
 
@@ -295,7 +352,7 @@
         ]
         if not fitting:
             return None
-        load = min(fitting, key=TargetLoad.score)
+        load = min(fitting, key=attrgetter("score"))
         return Claim(
             (load,),
             (),
--- a/radishfield/decisions/_queues.py
+++ b/radishfield/decisions/_queues.py
@@ -36,6 +36,10 @@
 request's worth of share."""
 
 
+MIN_DEAD = 256
+"""Withdrawn entries kept at the least, so that dropping them is rare."""
+
+
 class Lane(enum.IntEnum):
     """Short work and long work wait apart."""
 
@@ -74,6 +78,7 @@
         "_alive",
         "_backlog_by_workspace",
         "_entries_by_workspace",
+        "_held",
         "_order",
         "_sequence",
         "_tag_by_workspace",
@@ -85,6 +90,7 @@
         self._alive: set[str] = set()
         self._backlog_by_workspace: dict[str, float] = {}
         self._entries_by_workspace: dict[str, list[tuple[float, int, Entry]]] = {}
+        self._held = 0
         self._order: list[tuple[float, int, str]] = []
         self._sequence = sequence
         self._tag_by_workspace: dict[str, float] = {}
@@ -112,6 +118,7 @@
             heapq.heappush(self._order, (tag, next(self._sequence), name))
         heapq.heappush(waiting, (entry.work.deadline, next(self._sequence), entry))
         self._alive.add(entry.work.request_id)
+        self._held += 1
         self.backlog += entry.cost
         self._backlog_by_workspace[name] = self.backlog_of(name) + entry.cost
 
@@ -122,6 +129,7 @@
             waiting = self._entries_by_workspace[name]
             while waiting and waiting[0][2].work.request_id not in self._alive:
                 heapq.heappop(waiting)
+                self._held -= 1
             if waiting:
                 return waiting[0][2]
             heapq.heappop(self._order)
@@ -132,6 +140,7 @@
         """Remove and return the entry that `peek` returned."""
         tag, _, name = self._order[0]
         _, _, entry = heapq.heappop(self._entries_by_workspace[name])
+        self._held -= 1
         self._virtual = max(self._virtual, tag)
         heapq.heapreplace(self._order, (tag + entry.cost, next(self._sequence), name))
         self._forget(entry)
@@ -140,12 +149,23 @@
     def discard(self, entry: Entry) -> None:
         """Remove an entry from wherever it stands."""
         self._forget(entry)
-        waiting = self._entries_by_workspace[entry.work.workspace]
-        if len(waiting) > 64 and len(waiting) > 2 * len(self._alive):
+        dead = self._held - len(self._alive)
+        if dead > MIN_DEAD and dead > len(self._alive):
+            self._compact()
+
+    def _compact(self) -> None:
+        """Drop withdrawn entries where they stand, once they are the most."""
+        tags = {name: tag for tag, _, name in self._order}
+        for name, waiting in list(self._entries_by_workspace.items()):
             waiting[:] = [
                 item for item in waiting if item[2].work.request_id in self._alive
             ]
             heapq.heapify(waiting)
+            if not waiting:
+                self._fall_idle(name, tags[name])
+        self._order = [i for i in self._order if i[2] in self._entries_by_workspace]
+        heapq.heapify(self._order)
+        self._held = len(self._alive)
 
     def _forget(self, entry: Entry) -> None:
         self._alive.discard(entry.work.request_id)
@@ -202,15 +222,23 @@
 
     def heads(self, priority: Priority) -> list[Entry]:
         """Return the next entry of each lane, the lane that is due first."""
+        lanes = self._queues[priority]
         served = self._served[priority]
-        order = sorted(Lane, key=lambda lane: served[lane])
-        heads = [self._queues[priority][lane].peek() for lane in order]
+        first = Lane.SHORT if served[Lane.SHORT] <= served[Lane.LONG] else Lane.LONG
+        heads = (lanes[first].peek(), lanes[1 - first].peek())
         return [head for head in heads if head is not None]
 
+    def waiting_at(self, priority: Priority) -> int:
+        """Return how many entries of a priority wait."""
+        return sum(map(len, self._queues[priority]))
+
     def pop(self, entry: Entry) -> None:
         """Remove an entry that `heads` returned, to be dispatched."""
         priority, lane = entry.work.priority, entry.lane
-        self._queues[priority][lane].pop()
+        queue = self._queues[priority][lane]
+        queue.pop()
+        if not len(queue):
+            queue.peek()  # Lets go of the last workspace's state.
         self._served[priority][lane] += entry.cost / LANE_WEIGHT[lane]
         del self._entries_by_request[entry.work.request_id]
 
@@ -219,6 +247,9 @@
         entry = self._entries_by_request.pop(request_id, None)
         if entry is not None:
             self._queues[entry.work.priority][entry.lane].discard(entry)
+        if len(self._expiry) > MIN_DEAD + 2 * len(self._entries_by_request):
+            self._expiry = [i for i in self._expiry if i[1] in self._entries_by_request]
+            heapq.heapify(self._expiry)
         return entry
 
     def expire(self, now: float) -> list[Entry]:
--- a/radishfield/decisions/_routes.py
+++ b/radishfield/decisions/_routes.py
@@ -14,8 +14,9 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
+from operator import attrgetter
 
 from radishfield.core import LayerRange, Link, Route, Stage
 from radishfield.decisions._limits import TargetLoad
@@ -35,6 +36,10 @@
 """Use added to another zone's target: the price of the hop."""
 
 
+BY_SCORE = attrgetter("score")
+BY_STAGE_TIME = attrgetter("stage_s")
+
+
 @dataclass(slots=True)
 class Crossing:
     """A directed link between zones with its work in flight.
@@ -69,9 +74,10 @@
     fast: bool
     anywhere: bool
 
-    def order(self, load: TargetLoad) -> float:
-        """Return a target's place in the order to try; the lowest goes first."""
-        return load.stage_s if self.fast else load.score()
+    @property
+    def order(self) -> Callable[[TargetLoad], float]:
+        """Return what targets are ordered by; the lowest goes first."""
+        return BY_STAGE_TIME if self.fast else BY_SCORE
 
     def fits(self, load: TargetLoad) -> bool:
         """Tell whether a target may be taken."""
@@ -94,6 +100,7 @@
         "_loads_by_zone_layer",
         "_crossings_by_pair",
         "_zones",
+        "_stayed_local",
         "_turn",
     )
 
@@ -112,6 +119,7 @@
         self.bound_tps = bound_tps
         self._zone = zone
         self._turn = 0
+        self._stayed_local = False
         self._loads_by_zone_layer = _by_boundary(loads)
         self._crossings_by_pair = crossings_by_pair
         self._zones = _nearest_zones(loads, links, zone)
@@ -136,17 +144,20 @@
             Whether to take the quickest targets with room, not the least loaded.
         """
         self._turn += 1
-        for anywhere in (False, True):
-            wanted = _Wanted(long, excluded, preferred, forced, fast, anywhere)
-            chain = self._walk(wanted)
-            if chain is not None:
-                return chain
-        return None
+        self._stayed_local = False
+        wanted = _Wanted(long, excluded, preferred, forced, fast, False)
+        chain = self._walk(wanted)
+        if chain is None and self._stayed_local:
+            chain = self._walk(replace(wanted, anywhere=True))
+        return chain
 
     def _walk(self, wanted: _Wanted) -> list[TargetLoad] | None:
         """Return the first whole chain, stepping back from dead ends."""
         steps_left = MAX_STEPS
         chain: list[TargetLoad] = []
+        # What lies behind a boundary does not depend on the way to it: one that
+        # led nowhere once is not tried again, or a full fleet costs every walk.
+        seen: set[tuple[str, int]] = set()
         options = [self._options(self._zone, 0, wanted)]
         while options and steps_left > 0:
             if not options[-1]:
@@ -157,9 +168,13 @@
             steps_left -= 1
             load = options[-1].pop()
             end = load.target.layers.end
-            chain.append(load)
             if end == self.model_layers:
-                return chain
+                return [*chain, load]
+            place = load.target.zone, end
+            if place in seen:
+                continue
+            seen.add(place)
+            chain.append(load)
             options.append(self._options(load.target.zone, end, wanted))
         return None
 
@@ -168,10 +183,8 @@
         reached, todo = {0}, [0]
         while todo:
             layer = todo.pop()
-            for (_, boundary), loads in self._loads_by_zone_layer.items():
-                if boundary != layer:
-                    continue
-                for load in loads:
+            for zone in self._zones:
+                for load in self._loads_by_zone_layer.get((zone, layer), ()):
                     end = load.target.layers.end
                     fits = load.usable and load.target.id not in excluded
                     if fits and end not in reached:
@@ -208,16 +221,19 @@
             if kept:
                 local.sort(key=wanted.order, reverse=True)
                 return local + kept
-        best_use = min((load.use() for load in local), default=1.0)
+        best_use = min((load.use for load in local), default=1.0)
         if best_use < SPILL_USE and not wanted.anywhere:
+            self._stayed_local = True
             local.sort(key=wanted.order, reverse=True)
             return local
         others = []
         for name in self._zones:
             if name != zone and self._may_cross(zone, name, layer):
                 others += self._with_room(name, layer, wanted)
-        nearer = [load for load in others if load.use() + CROSSING_USE < best_use]
-        farther = [load for load in others if load.use() + CROSSING_USE >= best_use]
+                if len(others) >= SAMPLE:
+                    break
+        nearer = [load for load in others if load.use + CROSSING_USE < best_use]
+        farther = [load for load in others if load.use + CROSSING_USE >= best_use]
         for loads in (farther, local, nearer):
             loads.sort(key=wanted.order, reverse=True)
         return farther + local + nearer
@@ -235,17 +251,15 @@
         ]
 
     def _with_room(self, zone: str, layer: int, wanted: _Wanted) -> list[TargetLoad]:
-        loads = self._loads_by_zone_layer.get((zone, layer), ())
-        if len(loads) > SAMPLE:
-            start = self._turn * SAMPLE % len(loads)
-            sample = loads[start : start + SAMPLE]
-            sample += loads[: SAMPLE - len(sample)]
-            found = [load for load in sample if wanted.fits(load)]
-            if found:
-                return found
+        loads = self._loads_by_zone_layer.get((zone, layer))
+        if not loads:
+            return []
         # Equals are taken in turn: else every idle entry host picks the same one.
-        start = self._turn % len(loads) if loads else 0
-        return [load for load in (*loads[start:], *loads[:start]) if wanted.fits(load)]
+        start = self._turn * SAMPLE % len(loads) if len(loads) > SAMPLE else 0
+        start = start or self._turn % len(loads)
+        turned = loads[start:] + loads[:start]
+        found = _roomy(turned[:SAMPLE], wanted)
+        return found or _roomy(turned[SAMPLE:], wanted)
 
     def _may_cross(self, from_zone: str, to_zone: str, layer: int) -> bool:
         """Tell whether a link has room; the prompt itself may start anywhere."""
@@ -266,6 +280,12 @@
         return Route(tuple(stages), self.model, self.model_version, self.model_layers)
 
 
+def _roomy(loads: list[TargetLoad], wanted: _Wanted) -> list[TargetLoad]:
+    if wanted.excluded or wanted.forced or wanted.long:
+        return [load for load in loads if wanted.fits(load)]
+    return [load for load in loads if load.own < load.room]
+
+
 def _by_boundary(
     loads: Sequence[TargetLoad],
 ) -> dict[tuple[str, int], list[TargetLoad]]:
--- a/radishfield/decisions/_scheduler.py
+++ b/radishfield/decisions/_scheduler.py
@@ -110,12 +110,7 @@
     def observe_load(self, report: LoadReport, now: float) -> None:
         """Take in a target's lagging load report."""
         for pool in self._pools_by_key.values():
-            load = pool.loads_by_id.get(report.target_id)
-            if load is None or report.incarnation != load.target.incarnation:
-                continue
-            load.observe(report, now)
-            if report.leaving:
-                load.usable = False
+            pool.observe(report, now)
 
     def observe_cache(self, event: CacheEvent, now: float) -> None:
         """Take in a target's late cache event."""
@@ -124,21 +119,20 @@
     def target_leaving(self, target_id: str, now: float) -> None:
         """Give a target no new work until it comes back as a new incarnation."""
         for pool in self._pools_by_key.values():
-            load = pool.loads_by_id.get(target_id)
-            if load is not None and load.usable:
-                load.usable = False
-                pool.replan()
+            pool.leave(target_id)
 
     def offer(self, work: Work, now: float) -> Queued | Refused:
         """Admit or refuse new work."""
         key = work.kind, work.model
         pool = self._pools_by_key.get(key)
-        if pool is None or not pool.covered():
+        if pool is None or not pool.served:
             retry = spread_retry(work, NO_TARGET_RETRY_S)
             return self._refuse(
                 work, fault(ResultCode.NO_TARGET, work.model, retry), now
             )
-        queue = self._queues_by_key.setdefault(key, WorkQueue())
+        queue = self._queues_by_key.get(key)
+        if queue is None:
+            queue = self._queues_by_key[key] = WorkQueue()
         cost = self._lengths.expected_cost(work)
         lane = lane_for(cost)
         light = self._shares.is_light(work.workspace, cost)
@@ -275,44 +269,48 @@
         Once short work of a priority finds no room, nothing below it is tried:
         it would take the next place that frees.
         """
+        if pool.full:
+            return
         for priority in Priority:
             blocked: set[Lane] = set()
-            while True:
+            while queue.waiting_at(priority):
                 heads = [e for e in queue.heads(priority) if e.lane not in blocked]
                 if not heads:
                     break
                 entry = heads[0]
-                claim = self._claim_first(pool, entry, now)
+                told = self._told(entry)
+                claim = self._claim_first(pool, entry, told, now)
                 if claim is None:
                     blocked.add(entry.lane)
                     continue
                 queue.pop(entry)
-                factor = pool.paces.factor(self._told(entry))
-                if _too_late(claim, entry, factor, now):
+                if _too_late(claim, entry, pool.paces.factor(told), now):
                     taken.append(self._expire(entry, now))
                 else:
-                    taken.append(self._start(pool, entry, claim, now))
+                    taken.append(self._start(pool, entry, claim, told, now))
             if Lane.SHORT in blocked:
                 return
 
-    def _claim_first(self, pool: Pool, entry: Entry, now: float) -> Claim | None:
+    def _claim_first(
+        self, pool: Pool, entry: Entry, told: Priority, now: float
+    ) -> Claim | None:
         preferred: frozenset[str] = frozenset()
         if entry.work.prefix_key:
             holders = self._prefixes.holders(entry.work.prefix_key, now)
             preferred = pool.within_load_bound(holders)
         # Work that is short of time gets the quickest targets with room.
         left_s = entry.work.deadline - now
-        pace = pool.paces.at(self._told(entry))
-        fast = left_s < pace.cautious_s(entry.cost)
+        fast = left_s < pool.paces.at(told).cautious_s(entry.cost)
         return pool.pick(entry.lane is Lane.LONG, preferred=preferred, fast=fast)
 
     def _told(self, entry: Entry) -> Priority:
         light = self._shares.is_light(entry.work.workspace)
         return engine_priority(entry.work.priority, entry.lane, light)
 
-    def _start(self, pool: Pool, entry: Entry, claim: Claim, now: float) -> Dispatch:
+    def _start(
+        self, pool: Pool, entry: Entry, claim: Claim, told: Priority, now: float
+    ) -> Dispatch:
         work = entry.work
-        told = self._told(entry)
         dispatch = Dispatch(work, 1, claim.route, claim.target, "least loaded", told)
         pool.begin(claim)
         self._running_by_request[work.request_id] = Running(
