Show each invariant of claims and profiles failing against a mutation

Cause: a proof that never failed proves little.

Change: five mutations of claims and six of profiles, each patching one guard; compound rules for what random ones missed (a change after a retirement through another host, a host restarted where only peers can fill it, lost datagrams); the platform's history must have no gap and nothing after a tombstone.

--- a/proofs/_fleet_machine.py
+++ b/proofs/_fleet_machine.py
@@ -65,6 +65,30 @@
         self.change(host, name)
         self.world.loop.pass_time(1.0)
 
+    @rule(host=HOST_INDEX, other=HOST_INDEX, name=NAMES)
+    def retire_and_change(self, host, other, name):
+        """Change a profile through another host after it was retired."""
+        self.retire(host, name)
+        self.world.loop.pass_time(0.3)
+        self.change(other, name)
+
+    @rule(host=HOST_INDEX, name=NAMES)
+    def restart_without_platform(self, host, name):
+        """Replace a host whose zone is cut from the platform; peers must fill it."""
+        self._count("restart-cut-off")
+        self.world.heal()
+        self.change(host, name)
+        self.world.loop.pass_time(2.0)
+        self.world.cut_platform(self._seat(host).zone)
+        self.world.start(self._seat(host))
+        self.world.loop.pass_time(41.0)
+
+    @rule(share=st.sampled_from((0.0, 0.3)))
+    def lose_datagrams(self, share):
+        """Lose a part of the datagrams between hosts."""
+        self._count("lost-datagrams")
+        self.world.network.faults.lost_share = share
+
     @rule(lost=st.integers(1, 2))
     def lose_writes(self, lost):
         """Lose writes on their way to the platform."""
--- /dev/null
+++ b/proofs/fleet_test.py
@@ -0,0 +1,22 @@
+"""Stateful fuzzing of profiles over entry hosts in three zones."""
+
+import pytest
+from hypothesis.stateful import run_state_machine_as_test
+
+from proofs._fleet_machine import FleetMachine
+from proofs._fleet_mutations import FLEET_MUTATIONS
+from proofs._profiles import ci_profile
+
+EXAMPLES = 10
+
+
+def test_changes_reach_every_connected_zone_and_never_revert():
+    run_state_machine_as_test(FleetMachine, settings=ci_profile(EXAMPLES))
+
+
+@pytest.mark.parametrize("mutate", FLEET_MUTATIONS, ids=lambda m: m.__name__)
+def test_mutation_is_caught(mutate, monkeypatch):
+    """A guard is taken away, and the same fuzz run fails."""
+    mutate(monkeypatch)
+    with pytest.raises((AssertionError, BaseExceptionGroup)):
+        run_state_machine_as_test(FleetMachine, settings=ci_profile(EXAMPLES))
--- /dev/null
+++ b/proofs/keyed_test.py
@@ -0,0 +1,22 @@
+"""Stateful fuzzing of idempotency keys over several entry hosts."""
+
+import pytest
+from hypothesis.stateful import run_state_machine_as_test
+
+from proofs._keyed_machine import KeyedMachine
+from proofs._keyed_mutations import KEYED_MUTATIONS
+from proofs._profiles import ci_profile
+
+EXAMPLES = 60
+
+
+def test_no_key_runs_twice_whatever_host_its_copies_reach():
+    run_state_machine_as_test(KeyedMachine, settings=ci_profile(EXAMPLES))
+
+
+@pytest.mark.parametrize("mutate", KEYED_MUTATIONS, ids=lambda m: m.__name__)
+def test_mutation_is_caught(mutate, monkeypatch):
+    """A guard is taken away, and the same fuzz run fails."""
+    mutate(monkeypatch)
+    with pytest.raises((AssertionError, BaseExceptionGroup)):
+        run_state_machine_as_test(KeyedMachine, settings=ci_profile(EXAMPLES))
--- a/proofs/serving_test.py
+++ b/proofs/serving_test.py
@@ -4,8 +4,8 @@
 from hypothesis.stateful import run_state_machine_as_test
 
 from proofs._machine import ServingMachine
-from proofs._mutations import SERVING_MUTATIONS
 from proofs._profiles import ci_profile
+from proofs._serving_mutations import SERVING_MUTATIONS
 
 EXAMPLES = 100
 
