--- a/radishfield/edges/__init__.py
+++ b/radishfield/edges/__init__.py
@@ -23,9 +23,22 @@
     ListenerConfig,
     serve_app,
 )
+from radishfield.edges._operator import (
+    MetricsApp,
+    OperatorApp,
+)
+from radishfield.edges._operator_messages import (
+    Explanation,
+    HostBody,
+    ProfileBody,
+    ProfileList,
+    ProfileView,
+    RetireBody,
+    TargetBody,
+    TargetList,
+)
 from radishfield.edges._peer import (
     PeerNetwork,
-    PeerSettings,
 )
 from radishfield.edges._peer_seal import (
     PeerKey,
@@ -41,6 +54,10 @@
     HttpPlatform,
     PlatformSettings,
 )
+from radishfield.edges._status import (
+    ErrorBody,
+    http_status,
+)
 from radishfield.edges._target import (
     EngineTargets,
 )
@@ -58,17 +75,29 @@
     "CallerApp",
     "CallerLimits",
     "EngineTargets",
+    "ErrorBody",
+    "Explanation",
+    "HostBody",
     "HttpListener",
     "HttpPlatform",
     "ListenerConfig",
     "LonePeer",
+    "MetricsApp",
+    "OperatorApp",
     "PeerKey",
     "PeerNetwork",
     "PeerSettings",
     "PeerTransport",
     "PlatformSettings",
+    "ProfileBody",
+    "ProfileList",
+    "ProfileView",
+    "RetireBody",
     "SocketTransport",
+    "TargetBody",
+    "TargetList",
     "TargetTimeouts",
+    "http_status",
     "read_body",
     "register_protocol",
     "send_chunk",
--- a/radishfield/edges/_caller.py
+++ b/radishfield/edges/_caller.py
@@ -24,7 +24,7 @@
     read_body,
     run_until_disconnect,
     send_bytes,
-    serve_lifespan,
+    serve_scope,
 )
 from radishfield.edges._caller_answers import Answer, StreamSink, WholeSink
 from radishfield.edges._caller_bodies import ModelCall, Shape, read_model_call
@@ -103,9 +103,9 @@
         """Return whether `start_draining` has been called."""
         return self._intake.is_draining
 
-    def start_draining(self) -> None:
+    def start_draining(self, notice_s: float | None = None) -> None:
         """Fail readiness now, and refuse new requests after the notice time."""
-        self._intake.start_draining()
+        self._intake.start_draining(notice_s)
 
     async def wait_idle(self) -> None:
         """Wait until the notice time is over and nothing is in flight."""
@@ -113,14 +113,7 @@
 
     async def __call__(self, scope, receive, send):
         """Answer one request."""
-        match scope["type"]:
-            case "lifespan":
-                await serve_lifespan(receive, send)
-            case "http":
-                await self._serve_safely(scope, receive, send)
-            case "websocket":
-                await receive()
-                await send({"type": "websocket.close", "code": 1003})
+        await serve_scope(scope, receive, send, self._serve_safely)
 
     async def _serve_safely(self, scope, receive, send) -> None:
         match read_headers(scope["headers"]):
--- a/radishfield/edges/caller_wire_test.py
+++ b/radishfield/edges/caller_wire_test.py
@@ -22,10 +22,9 @@
 
 
 @contextmanager
-def edge_over(serving):
-    """Serve in a thread; yield the address, then stop gracefully."""
+def served(app):
+    """Serve an application in a thread; yield its address, then stop gracefully."""
     config = ListenerConfig.from_settings("127.0.0.1:0", drain_s=5.0)
-    app = CallerApp(serving, Profiles(), SystemClock(), CallerLimits())
     ready = threading.Event()
     found = []
 
@@ -38,9 +37,9 @@
 
     thread = threading.Thread(target=trio.run, args=(main,))
     thread.start()
+    assert ready.wait(10)
+    token, stop, address = found
     try:
-        assert ready.wait(10)
-        token, stop, address = found
         yield address
     finally:
         token.run_sync_soon(stop.set)
@@ -48,6 +47,11 @@
         assert not thread.is_alive()
 
 
+def edge_over(serving):
+    """Serve the callers' edge over a scripted `Serving`."""
+    return served(CallerApp(serving, Profiles(), SystemClock(), CallerLimits()))
+
+
 def client_of(address):
     return openai.OpenAI(
         base_url=f"{address}/v1", api_key="not-checked", max_retries=0, timeout=10
