--- a/radishfield/scripts/_wiring.py
+++ b/radishfield/scripts/_wiring.py
@@ -21,6 +21,7 @@
     HttpPlatform,
     ListenerConfig,
     LonePeer,
+    MetricsApp,
     OperatorApp,
     PeerKey,
     PeerNetwork,
@@ -35,6 +36,10 @@
     LeaseKeeper,
     LeaseSettings,
     LoadPoller,
+    OrderSender,
+    OrderSettings,
+    PlacementPlanner,
+    PlacementSettings,
     PlatformWatcher,
     PollerSettings,
     ProfileStore,
@@ -44,8 +49,13 @@
 )
 from radishfield.kernel import Kernel
 from radishfield.serving import Dispatcher, FleetView
-from radishfield.settings import EntrySettings
-from radishfield.telemetry import RequestRecords, Telemetry, TelemetryObserver
+from radishfield.settings import EntrySettings, MetricsExport
+from radishfield.telemetry import (
+    NullTelemetry,
+    RequestRecords,
+    Telemetry,
+    TelemetryObserver,
+)
 
 # An object from the settings file is older than any that the platform holds.
 SETTINGS_VERSION = 1
@@ -113,7 +123,13 @@
             "spreader", FactSpreader(SpreadSettings(host, zone), peers, facts, clock)
         )
         watcher = PlatformWatcher(
-            WatcherSettings(host, zone),
+            WatcherSettings(
+                host,
+                zone,
+                settings.platform.watch_s,
+                settings.platform.list_period_s,
+                settings.platform.hosts_period_s,
+            ),
             platform,
             peers,
             facts,
@@ -121,9 +137,16 @@
             on_hosts=directory.see_hosts,
         )
         kernel.register("watcher", watcher)
-        lease = LeaseKeeper(
-            LeaseSettings(PLACEMENT_DUTY, zone, host), platform, peers, clock
+        leases = settings.leases
+        lease_settings = LeaseSettings(
+            PLACEMENT_DUTY,
+            zone,
+            host,
+            leases.duration_s,
+            leases.renew_s,
+            leases.longest_order_s,
         )
+        lease = LeaseKeeper(lease_settings, platform, peers, clock)
         kernel.register("placement-lease", lease)
         parts = FleetParts(
             host,
@@ -171,10 +194,15 @@
         facts.is_known = not self._settings.platform.address
         return facts
 
+    def _telemetry(self) -> Telemetry:
+        if self._settings.metrics.export is MetricsExport.OFF:
+            return NullTelemetry()
+        return Telemetry()
+
     def _add_serving(self) -> None:
         settings, kernel, clock = self._settings, self.kernel, self._clock
         directory = kernel.find("directory", TargetDirectory)
-        telemetry, records = Telemetry(), RequestRecords()
+        telemetry, records = self._telemetry(), RequestRecords()
         kernel.register("telemetry", telemetry)
         kernel.register("records", records)
         targets = EngineTargets()
@@ -185,6 +213,20 @@
             observer=TelemetryObserver(telemetry, records, clock),
         )
 
+        lease = kernel.find("placement-lease", LeaseKeeper)
+        orders = settings.orders
+        order_settings = OrderSettings(
+            orders.timeout_s, orders.load_interval_s, orders.load_s
+        )
+        sender = OrderSender(order_settings, lease, targets, directory, clock)
+        kernel.register("order-sender", sender)
+        kernel.register(
+            "placement",
+            PlacementPlanner(
+                PlacementSettings(settings.host.zone), lease, directory, sender
+            ),
+        )
+
         def take_in(report: LoadReport) -> None:
             directory.observe_report(report)
             dispatcher.observe_load(report)
@@ -218,11 +260,17 @@
             kernel.find("records", RequestRecords),
         )
         kernel.register("caller-app", app)
+        telemetry = kernel.find("telemetry", Telemetry)
+        telemetry.watch("in_flight", "Requests being served.", lambda: app.in_flight)
+        dispatcher = kernel.find("dispatcher", Dispatcher)
+        telemetry.watch("queue", "Requests that wait.", lambda: dispatcher.queued)
         config = ListenerConfig.from_settings(
             caller.bind, caller.tls_cert, caller.tls_key, settings.drain.timeout_s
         )
         if settings.operator.bind:
             self._add_operator_listener()
+        if settings.metrics.bind and settings.metrics.export is MetricsExport.SCRAPE:
+            self._add_metrics_listener()
         kernel.register("caller-listener", HttpListener(app, config))
 
     def _add_operator_listener(self) -> None:
@@ -240,6 +288,11 @@
         )
         kernel.register("operator-listener", HttpListener(app, config))
 
+    def _add_metrics_listener(self) -> None:
+        app = MetricsApp(self.kernel.find("telemetry", Telemetry))
+        config = ListenerConfig.from_settings(self._settings.metrics.bind)
+        self.kernel.register("metrics-listener", HttpListener(app, config))
+
 
 def key_number(key_id: str) -> int:
     """Return the number by which frames name a key of the settings.
--- a/radishfield/scripts/commands_test.py
+++ b/radishfield/scripts/commands_test.py
@@ -15,7 +15,10 @@
 from radishfield.scripts._codes import markdown_table
 from radishfield.telemetry import RecordKind, RequestRecords
 
-DOCS = Path(__file__).parents[2] / "docs"
+ROOT = Path(__file__).parents[2]
+DOCS = ROOT / "docs"
+# A key that protects nothing: it is public, and only tests trust it.
+TLS = ROOT / "standins" / "tls"
 
 
 def strip_scheme(address):
@@ -119,6 +122,16 @@
     assert "7010 CHANGE_AMBIGUOUS" in done.output
 
 
+def test_operators_speak_over_tls_and_trust_nothing_else(token_file):
+    cert, key = str(TLS / "cert.pem"), str(TLS / "key.pem")
+    with served(make_app(), cert, key) as url:
+        assert url.startswith("https://")
+        address = url.removeprefix("https://")
+        trusted = run(address, token_file, "status", "--tls-ca", cert)
+        assert trusted.exit_code == 0, trusted.output
+        assert run(address, token_file, "status").exit_code == 4
+
+
 def test_settings_are_checked_and_shown(tmp_path):
     path = tmp_path / "entry.ini"
     path.write_text("[host]\nidd = a\n[caller]\nqueue = 0\n")
@@ -137,6 +150,12 @@
     assert markdown_table() in page, "put in what `radishfield codes --markdown` prints"
 
 
+def test_the_operators_page_holds_every_setting():
+    table = CliRunner().invoke(main, ["settings", "table"]).output.strip()
+    page = (DOCS / "OPERATIONS.md").read_text()
+    assert table in page, "put in what `radishfield settings table` prints"
+
+
 def test_every_command_teaches_with_an_example():
     def leaves(command, path):
         for name, inner in getattr(command, "commands", {}).items():
