--- a/proofs/_serving.py
+++ b/proofs/_serving.py
@@ -29,6 +29,9 @@
 MODEL = "small"
 SERVICE_MODEL = "lookup"
 MODEL_LAYERS = 8
+# Replicas stand in turn in two zones, with no known link between them: a route
+# crosses nowhere, and a dead stage sends the request to the other zone's chain.
+ZONES = ("a", "b")
 # The promise is "after a few seconds": a retry that was decided just before may
 # still wait out its pause and the limit on moving a cache.
 LEAVING_BOUND_S = 3.0
@@ -355,7 +358,7 @@
             yield Target(
                 name,
                 name,
-                "a",
+                ZONES[replica % len(ZONES)],
                 f"10.0.{stage}.{replica}:1",
                 model=MODEL,
                 layers=layers,
--- a/proofs/_targets.py
+++ b/proofs/_targets.py
@@ -37,6 +37,8 @@
 # As the real port: a connection without a byte for this long is silent.
 IDLE_LIMIT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
+STEP_TIMEOUT_S = 1.5
+FROZEN_POLL_S = 0.05
 
 
 class Trouble(enum.StrEnum):
@@ -301,10 +303,17 @@
             engine = self.by_id[stage.target_id]
             incarnation = engine.target.incarnation
             await trio.sleep(engine.step_s)
+            waited_s = 0.0
             while engine.frozen:
-                await trio.sleep(STEP_S)
+                await trio.sleep(FROZEN_POLL_S)
+                waited_s += FROZEN_POLL_S
+                # The stage before names the one that does not answer; a first
+                # stage that stands still itself names nobody.
+                if waited_s >= STEP_TIMEOUT_S and hops:
+                    attempt.fail(_stage_failed(stage.target_id))
+                    return None
             if not engine.alive or engine.target.incarnation != incarnation:
-                attempt.fail(fault(ResultCode.STAGE_FAILED, stage.target_id))
+                attempt.fail(_stage_failed(stage.target_id))
                 return None
             hidden = run_layers(hidden, stage.layers.first, stage.layers.end)
             hops.append(Hop(stage.target_id, stage.layers))
@@ -339,13 +348,13 @@
         attempt = self._attempt
         while self._silent or self._index >= len(attempt.tokens):
             if self._silent or attempt.head.frozen:
-                await trio.sleep(STEP_S)
+                await trio.sleep(FROZEN_POLL_S)
             elif attempt.problem is not None:
                 return Error(attempt.problem)
             else:
                 await attempt.news()
         while attempt.head.frozen:
-            await trio.sleep(STEP_S)
+            await trio.sleep(FROZEN_POLL_S)
         await trio.lowlevel.checkpoint()
         if not attempt.head.alive:
             return Error(fault(ResultCode.STREAM_BROKEN))
@@ -401,6 +410,10 @@
     return b"answer to " + request.path.encode() + b" " + request.body
 
 
+def _stage_failed(target_id: str) -> Fault:
+    return Fault(ResultCode.STAGE_FAILED, "stage does not answer", target_id=target_id)
+
+
 def _unreached(detail: str) -> Fault:
     return Fault(ResultCode.CONNECT_FAILED, detail, proven_outcome=Outcome.NOT_RUN)
 
--- /dev/null
+++ b/proofs/recovery_test.py
@@ -0,0 +1,89 @@
+"""One failure in mid token is survived, and soon enough to be of use."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from proofs._profiles import ci_profile
+from proofs._serving import ServingWorld
+from proofs._targets import CONNECT_TIMEOUT_S, IDLE_LIMIT_S, Trouble
+
+TOKENS = 6
+# A target that is gone says so at once; a silent one is waited for as long as
+# its connection may be idle, once for each connection that is tried.
+GONE_BOUND_S = 1.0
+SILENT_BOUND_S = 3 * (IDLE_LIMIT_S + CONNECT_TIMEOUT_S)
+AFTER_S = st.sampled_from((0.005, 0.015, 0.025, 0.035, 0.055))
+
+
+def play(seed, stages, after_s, fail):
+    """Send one request, play a failure in mid token, return when it ended."""
+    world = ServingWorld(seed, stages, 2)
+    caller = world.send(True, TOKENS, 30.0, 0.0)
+    world.loop.pass_time(after_s)
+    failed_at = world.loop.now
+    route = world.targets.record.starts[0].target_ids
+    fail(world, route)
+    world.loop.pass_time(29.0)
+    world.check()
+    answer, ended_at = caller.answer, caller.ended_at
+    world.close()
+    assert answer is not None and answer.is_ok(), answer
+    return ended_at - failed_at
+
+
+@ci_profile(30)
+@given(
+    seed=st.integers(0, 9),
+    stages=st.sampled_from((1, 2, 4)),
+    index=st.integers(0, 3),
+    after_s=AFTER_S,
+)
+def test_stage_that_dies_is_replaced_at_once(seed, stages, index, after_s):
+    """The caller sees one whole answer, with a pause of under a second.
+
+    Any stage of the route dies at any moment of the answer.  The other zone has
+    a whole chain, and no link between the zones is known.
+    """
+
+    def fail(world, route):
+        world.targets.kill(route[index % len(route)])
+
+    assert play(seed, stages, after_s, fail) <= GONE_BOUND_S
+
+
+@ci_profile(30)
+@given(
+    seed=st.integers(0, 9),
+    stages=st.sampled_from((1, 2, 4)),
+    index=st.integers(0, 3),
+    after_s=AFTER_S,
+)
+def test_stage_that_stands_still_is_given_up_in_bounded_time(
+    seed, stages, index, after_s
+):
+    """The caller sees one whole answer, with a pause of some seconds.
+
+    A stage stops without closing anything: its connections accept and say
+    nothing.  It is waited for, then another chain goes on.
+    """
+
+    def fail(world, route):
+        world.targets.by_id[route[index % len(route)]].frozen = True
+
+    assert play(seed, stages, after_s, fail) <= SILENT_BOUND_S
+
+
+@ci_profile(60)
+@given(
+    seed=st.integers(0, 9),
+    stages=st.sampled_from((1, 2, 4)),
+    trouble=st.sampled_from(Trouble),
+    after_s=AFTER_S,
+)
+def test_one_bad_token_costs_no_request(seed, stages, trouble, after_s):
+    """The caller sees one whole answer whatever one token's way does to it."""
+
+    def fail(world, route):
+        world.targets.by_id[route[0]].troubles.append(trouble)
+
+    assert play(seed, stages, after_s, fail) <= SILENT_BOUND_S
