--- a/proofs/_keyed.py
+++ b/proofs/_keyed.py
@@ -21,14 +21,24 @@
     fault,
 )
 from radishfield.decisions import Scheduler
-from radishfield.fleet import Claims, KeeperStart, KnownHost
+from radishfield.fleet import Claims, ClaimSettings
 from radishfield.serving import Dispatcher
+from standins.fakes import FakePlatform
 
 ZONES = ("duluth-hall", "toledo-hall", "kingston-hall")
 # A key may run again once it is no longer remembered: ten minutes after its
 # claim, of which a run may take up to its deadline.
 KEY_MEMORY_S = 580.0
 PEER_DELAY_S = 0.0005
+PLATFORM_DELAY_S = 0.001
+
+
+@dataclass(slots=True, frozen=True)
+class SeatHost:
+    """An entry host's name and zone, which outlive its restarts."""
+
+    id: str
+    zone: str
 
 
 class PeerNet:
@@ -49,7 +59,7 @@
 class FakePeers:
     """A `PeerPort` of one host in one incarnation."""
 
-    def __init__(self, net: PeerNet, host: KnownHost, incarnation: int):
+    def __init__(self, net: PeerNet, host: SeatHost, incarnation: int):
         self.net = net
         self.host = host
         self.incarnation = incarnation
@@ -91,7 +101,7 @@
 class Seat:
     """One entry host in its present incarnation."""
 
-    host: KnownHost
+    host: SeatHost
     incarnation: int = 0
     dispatcher: Dispatcher | None = None
     scopes: list[trio.CancelScope] = field(default_factory=list)
@@ -113,11 +123,12 @@
         self.loop.start(self.targets.run)
         self.callers: list[Caller] = []
         self.seats = [
-            Seat(KnownHost(f"h{number}", ZONES[number % 3])) for number in range(hosts)
+            Seat(SeatHost(f"h{number}", ZONES[number % 3])) for number in range(hosts)
         ]
-        founders = [seat.host for seat in self.seats]
+        self.platform = FakePlatform(TrioClock())
+        self.platform.faults.delay_s = PLATFORM_DELAY_S
         for seat in self.seats:
-            self.loop.run(lambda seat=seat: self._start(seat, founders))
+            self.loop.run(lambda seat=seat: self._start(seat))
         self.loop.settle()
 
     def send(self, host_index: int, key: str, deadline_s: float) -> None:
@@ -163,7 +174,7 @@
             scope.cancel()
         seat.scopes.clear()
         self.loop.settle()
-        self.loop.run(lambda: self._start(seat, None))
+        self.loop.run(lambda: self._start(seat))
 
     def check(self) -> None:
         """Check that no key ran twice and that every caller heard the truth."""
@@ -180,8 +191,7 @@
 
     def check_end(self) -> None:
         """Check that everything ended, once all faults are over."""
-        self.net.cut_zones.clear()
-        self.net.losing_answers_to.clear()
+        self.heal()
         for engine in self.targets.by_id.values():
             engine.frozen = False
         self.loop.pass_time(10.0 + END_BOUND_S)
@@ -206,21 +216,43 @@
                     ]
                     assert not recent, f"told not run ({problem}), but the key ran"
 
-    async def _start(self, seat: Seat, founders: list[KnownHost] | None) -> None:
+    def cut(self, zones: set[str]) -> None:
+        """Cut zones off from the others and from the platform."""
+        self.net.cut_zones = zones
+        self.platform.faults.cut_off = {
+            seat.host.id for seat in self.seats if seat.host.zone in zones
+        }
+
+    def heal(self) -> None:
+        """End cuts, losses and the platform's troubles."""
+        self.cut(set())
+        self.net.losing_answers_to.clear()
+        self.platform.faults.lost_answers = 0
+        self.platform.faults.lost_writes = 0
+        self.platform.faults.stale_reads = 0
+        self.platform.faults.delay_s = PLATFORM_DELAY_S
+        self.platform.set_down(False)
+
+    async def _start(self, seat: Seat) -> None:
         seat.incarnation += 1
         clock = TrioClock()
         peers = FakePeers(self.net, seat.host, seat.incarnation)
-        start = KeeperStart(seat.host, seat.incarnation, clock.now())
-        claims = Claims(peers, clock, start)
-        if founders is not None:
-            claims.become_founder(founders)
+        claims = Claims(
+            self.platform.as_caller(seat.host.id),
+            peers,
+            clock,
+            ClaimSettings(seat.host.id, seat.host.zone),
+            unix_now=clock.now,
+        )
         seat.dispatcher = Dispatcher(Scheduler(), self.targets, clock, claims)
         seat.dispatcher.set_targets(self.listed, seat.host.zone)
         scope = seat.new_scope()
 
         async def run() -> None:
             with scope:
-                await dispatcher.run()
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(dispatcher.run)
+                    nursery.start_soon(claims.run)
 
         dispatcher = seat.dispatcher
         self.loop.start(run)
--- a/proofs/_keyed_machine.py
+++ b/proofs/_keyed_machine.py
@@ -56,6 +56,14 @@
         self.world.loop.pass_time(after_s)
         self.world.send(other, key, 3.0)
 
+    @rule(host=HOST_INDEX, other=HOST_INDEX, key=KEYS)
+    def repeat_after_a_while(self, host, other, key):
+        """Repeat a call long after its deadline, while its key is remembered."""
+        self._count("late-repeat")
+        self.world.send(host, key, 3.0)
+        self.world.loop.pass_time(70.0)
+        self.world.send(other, key, 3.0)
+
     @rule(host=HOST_INDEX, key=KEYS, after_s=st.sampled_from((0.0004, 0.0012, 0.005)))
     def restart_in_claim(self, host, key, after_s):
         """Kill a host in the middle of its claim or its run."""
@@ -80,15 +88,34 @@
 
     @rule(zone=st.sampled_from(ZONES))
     def cut(self, zone):
-        """Cut a zone off from the others."""
+        """Cut a zone off from the others and from the platform."""
         self._count("cut")
-        self.world.net.cut_zones = {zone}
+        self.world.cut({zone})
 
     @rule()
     def heal(self):
-        """End cuts and losses."""
-        self.world.net.cut_zones = set()
-        self.world.net.losing_answers_to.clear()
+        """End cuts, losses and the platform's troubles."""
+        self.world.heal()
+
+    @rule(
+        lost_answers=st.integers(0, 3),
+        lost_writes=st.integers(0, 2),
+        stale_reads=st.integers(0, 2),
+    )
+    def lose_platform_answers(self, lost_answers, lost_writes, stale_reads):
+        """Lose writes, or only their answers, and give out old reads."""
+        self._count("platform-answers")
+        faults = self.world.platform.faults
+        faults.lost_answers = lost_answers
+        faults.lost_writes = lost_writes
+        faults.stale_reads = stale_reads
+
+    @rule(down=st.booleans(), delay_s=st.sampled_from((0.001, 0.4, 4.0)))
+    def trouble_the_platform(self, down, delay_s):
+        """Take the platform down, or make it slow."""
+        self._count("platform")
+        self.world.platform.faults.delay_s = delay_s
+        self.world.platform.set_down(down)
 
     @rule(host=HOST_INDEX)
     def lose_peer_answers(self, host):
--- a/proofs/_keyed_mutations.py
+++ b/proofs/_keyed_mutations.py
@@ -4,21 +4,41 @@
 
 import pytest
 import trio
+from expression import Ok
 
 import radishfield.fleet._claims as claims_module
 from radishfield.core import Outcome
 from radishfield.fleet import Claims
+from radishfield.fleet._claims_book import ClaimState
 from radishfield.serving import Dispatcher
 
 
-def grant_without_a_majority(patch: pytest.MonkeyPatch) -> None:
-    """Run as soon as any keeper, or none, has recorded the claim."""
-    patch.setattr(claims_module, "is_won", lambda keepers, votes: True)
+def grant_without_the_platform(patch: pytest.MonkeyPatch) -> None:
+    """Run as soon as the claim is on its way to the platform."""
 
+    async def write(self, slot, record):
+        return Ok(None)
 
-def vouch_after_a_restart(patch: pytest.MonkeyPatch) -> None:
-    """Let a keeper that has lost its memory say that a key is free."""
-    patch.setattr(Claims, "_vouches", lambda self, now: True)
+    patch.setattr(Claims, "_write_claim", write)
+
+
+def take_a_lost_claim_for_released(patch: pytest.MonkeyPatch) -> None:
+    """Take a claim of which nobody can say how it went for one that never ran."""
+    real = claims_module._unknown
+    patch.setattr(
+        claims_module,
+        "_unknown",
+        lambda rival: replace(real(rival), state=ClaimState.RELEASED),
+    )
+    patch.setattr(Claims, "_state_of", _state_or_released(Claims._state_of))
+
+
+def _state_or_released(real):
+    async def state_of(self, rival):
+        state = await real(self, rival)
+        return state or claims_module._unknown(rival)
+
+    return state_of
 
 
 def forget_at_the_deadline(patch: pytest.MonkeyPatch) -> None:
@@ -49,8 +69,8 @@
 
 
 KEYED_MUTATIONS = (
-    grant_without_a_majority,
-    vouch_after_a_restart,
+    grant_without_the_platform,
+    take_a_lost_claim_for_released,
     forget_at_the_deadline,
     release_after_a_start,
     tell_a_repeat_not_run,
--- a/radishfield/fleet/__init__.py
+++ b/radishfield/fleet/__init__.py
@@ -1,17 +1,6 @@
 """The fleet: profiles, membership, targets that come and leave, leases, orders."""
 
-from radishfield.fleet._claims import (
-    Claims,
-    ClaimTimes,
-    KeeperStart,
-)
-from radishfield.fleet._claims_keepers import (
-    KnownHost,
-)
-from radishfield.fleet._claims_votes import (
-    Claimed,
-    Replay,
-)
+from radishfield.fleet._claims import Claimed, Claims, ClaimSettings, Replay
 from radishfield.fleet._directory import (
     TargetDirectory,
     drain_name,
@@ -80,7 +69,7 @@
 )
 
 __all__ = [
-    "ClaimTimes",
+    "ClaimSettings",
     "Claimed",
     "Claims",
     "Drain",
@@ -92,8 +81,6 @@
     "FleetParts",
     "FleetStatus",
     "HeldLease",
-    "KeeperStart",
-    "KnownHost",
     "LeaseKeeper",
     "LeaseSettings",
     "LeaseStatus",
--- a/radishfield/fleet/_claims.py
+++ b/radishfield/fleet/_claims.py
@@ -1,369 +1,470 @@
 """Idempotency claims: a request that may not be repeated runs at most once.
 
 A caller's repeat carries the key of the first copy and may reach any entry
-host.  Before a request is dispatched its key is claimed at keepers among the
-entry hosts (`Keepers` says why a majority of them proves that the key is free).
-The claiming host alone knows how the run goes; keepers only know whom to ask.
-docs/CLAIMS.md weighs this against claims in the platform's store and tokens.
+host.  Before a request is dispatched, its key is claimed by a conditional write
+to the platform's store, which lets one claim of a key stand.  The claiming host
+alone knows how the run goes, and keeps the answer; a repeat elsewhere finds the
+claim and asks that host.  Copies of the answer at other hosts are a cache:
+nothing is agreed by them.  docs/CLAIMS.md weighs this against other ways.
 """
 
-import itertools
-from collections.abc import Sequence
+import time
+import uuid
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 
+import msgspec
 import trio
 from expression import Error, Ok, Result
 
-from radishfield.core import Clock, Fault, PeerPort, PlatformPort, ResultCode, fault
+from radishfield.core import (
+    Clock,
+    Fault,
+    MemberState,
+    Outcome,
+    PeerPort,
+    PlatformPort,
+    ResultCode,
+    StoredObject,
+    fault,
+)
 from radishfield.fleet._claims_book import ClaimBook, ClaimRecord, ClaimState
-from radishfield.fleet._claims_founding import Founder, join_founding
-from radishfield.fleet._claims_keepers import KnownHost, Universe
-from radishfield.fleet._claims_votes import (
-    Claimed,
-    Replay,
-    answer_to_repeat,
-    as_unknown,
-    gives_way,
-    is_won,
-    rivals_of,
-    unproven,
-    why_not,
+from radishfield.fleet._claims_slots import (
+    SLOT_KIND,
+    Slot,
+    StoredClaim,
+    carries,
+    place_of,
+    read_slot,
+    slot_name,
 )
 from radishfield.fleet._claims_wire import (
-    RecordAnswer,
-    RecordAsk,
-    decode_answer,
+    StateAsk,
     decode_ask,
     decode_record,
     decode_state,
-    encode_answer,
     encode_ask,
     encode_record,
     encode_state,
 )
+from radishfield.fleet._rendezvous import ranked
+from radishfield.fleet._settled_write import write_settled
+
+STATE_TOPIC = "claims.state"
+COPY_TOPIC = "claims.copy"
 
-RECORD_TOPIC = "claims-record"
-SETTLE_TOPIC = "claims-settle"
-STATE_TOPIC = "claims-state"
-
-# Many round trips between zones, and short beside the deadline of a request.
-ASK_TIMEOUT_S = 0.3
-# Each round either ends the claim or learns of a host or of a claim that was
-# given up; more than a few mean that the view of the fleet is still moving.
-MAX_ROUNDS = 4
-# Answers are kept at two hosts beside the one that ran the request, in other
-# zones where possible: a host and a zone may go, and a repeat is still answered.
+# Each step reads or writes the slot anew after somebody else changed it; more
+# than a few mean that the key itself is fought over.
+MAX_STEPS = 4
+WRITE_STEPS = 2
+# One beside the host that ran the request may go with its zone.
 ANSWER_COPIES = 2
+RETRY_IN_FLIGHT_S = 1.0
+RETRY_UNAVAILABLE_S = 2.0
+MAX_CACHED_SLOTS = 4_096
+MAX_ERRANDS = 1_000
+DRAIN_S = 2.0
+DRAIN_PAUSE_S = 0.02
+ERRAND_WORKERS = 4
 
 
 @dataclass(slots=True, frozen=True)
-class ClaimTimes:
-    """How long claims live, in seconds.
+class ClaimSettings:
+    """Who claims, and how patiently.
 
     Attributes
     ----------
-    lifetime_s : float
-        The longest that a key is remembered.  All hosts must agree on it.
-    margin_s : float
-        Added where one host counts another's time: the spread of news about
-        hosts, and pauses of a process.
+    patience_s : float
+        Seconds after which a claim that the platform does not settle is refused.
+    ask_timeout_s : float
+        Seconds for a question to another host: many round trips between zones.
     """
 
-    lifetime_s: float = 600.0
-    margin_s: float = 30.0
+    host: str
+    zone: str
+    patience_s: float = 3.0
+    ask_timeout_s: float = 0.5
+    max_kept: int = 10_000
+
 
-    @property
-    def memory_s(self) -> float:
-        """Return how long a keeper must have been up to vouch."""
-        return self.lifetime_s + self.margin_s
+@dataclass(slots=True, frozen=True)
+class Claimed:
+    """A granted claim; its holder settles it once the run has ended."""
+
+    record: ClaimRecord
 
 
 @dataclass(slots=True, frozen=True)
-class KeeperStart:
-    """Which host this is, and since when it keeps claims."""
+class Replay:
+    """The whole answer of the first run."""
 
-    host: KnownHost
-    incarnation: int
-    started: float
+    answer: bytes
 
 
 class Claims:
-    """Claims keys for this host's requests, and keeps claims for other hosts."""
+    """A service that claims keys, and answers for the claims of this host.
+
+    Attributes
+    ----------
+    dropped_errands : int
+        Copies and releases that were not sent for want of room.
+    """
 
     __slots__ = (
+        "_platform",
         "_peers",
         "_clock",
-        "_start",
-        "_times",
-        "_universe",
+        "_settings",
+        "_unix_now",
         "_own",
-        "_kept",
-        "_is_founder",
-        "_numbers",
+        "_copies",
+        "_slots_by_name",
+        "_send_errand",
+        "_errands",
+        "dropped_errands",
     )
 
     def __init__(
         self,
+        platform: PlatformPort,
         peers: PeerPort,
         clock: Clock,
-        start: KeeperStart,
-        times: ClaimTimes | None = None,
+        settings: ClaimSettings,
+        unix_now: Callable[[], float] = time.time,
     ):
+        self._platform = platform
         self._peers = peers
         self._clock = clock
-        self._start = start
-        self._times = times or ClaimTimes()
-        self._universe = Universe(self._times.memory_s)
-        self._universe.add([start.host])
-        self._own = ClaimBook()
-        self._kept = ClaimBook()
-        self._is_founder = False
-        self._numbers = itertools.count(1)
-        peers.answer(RECORD_TOPIC, self._on_record)
-        peers.answer(SETTLE_TOPIC, self._on_settle)
-        peers.answer(STATE_TOPIC, self._on_state)
-
-    async def run(
-        self, platform: PlatformPort, *, task_status=trio.TASK_STATUS_IGNORED
-    ) -> None:
-        """Take part in the founding of the fleet, if it is only starting."""
-        task_status.started()
-        founder = Founder(self._start.host, self._start.incarnation)
-        founders = await join_founding(platform, founder)
-        if founders:
-            self.become_founder(founders)
-
-    def become_founder(self, founders: Sequence[KnownHost]) -> None:
-        """Vouch from now on: no claim was granted before all founders stood."""
-        self._universe.add(founders)
-        self._is_founder = True
-
-    def mark_gone(self, host_id: str) -> None:
-        """Note that the platform's list of hosts no longer has a host.
-
-        Without it a host that is gone for good counts for ever among those
-        whose majority is needed.
-        """
-        self._universe.mark_gone(host_id, self._clock.now())
+        self._settings = settings
+        self._unix_now = unix_now
+        self._own = ClaimBook(settings.max_kept)
+        self._copies = ClaimBook(settings.max_kept)
+        self._slots_by_name: dict[str, Slot] = {}
+        self._send_errand, self._errands = trio.open_memory_channel(MAX_ERRANDS)
+        self.dropped_errands = 0
+        peers.answer(STATE_TOPIC, self._answer_state)
+        peers.answer(COPY_TOPIC, self._take_copy)
+
+    async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED):
+        """Send copies of answers and take back released claims, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for _ in range(ERRAND_WORKERS):
+                nursery.start_soon(self._run_errands)
+            task_status.started()
 
     async def claim(
         self, workspace: str, key: str, digest: str, request_id: str, expires_at: float
     ) -> Result[Claimed | Replay, Fault]:
-        """Claim a key, or say what became of the request that holds it.
+        """Claim a key until ``expires_at``, or say what its first copy came to.
 
-        Granted at most once while the key is remembered, whatever hosts its
-        copies reach.
+        ``CLAIM_UNAVAILABLE`` says that this copy did not run and another may
+        have: its outcome is unknown.
         """
         now = self._clock.now()
-        record = ClaimRecord(
-            workspace,
-            key,
-            digest,
-            self._claim_id(request_id),
-            self._start.host.id,
-            self._start.incarnation,
-            min(expires_at, now + self._times.lifetime_s),
-        )
-        earlier = self._own.find(record.place, now)
-        if earlier is not None and earlier.state is not ClaimState.RELEASED:
-            return answer_to_repeat(earlier, digest)
+        place = place_of(workspace, key)
+        held = self._own.find(place, now)
+        if held is not None and held.state is not ClaimState.RELEASED:
+            return answer_to_repeat(held, digest)
+        claim_id = f"{request_id}.{uuid.uuid4().hex}"
+        record = ClaimRecord(place, digest, claim_id, self._settings.host, expires_at)
+        # Noted before the platform is asked: whoever finds the claim there must
+        # find this host able to say how it went.
         if not self._own.put(record, now):
-            return Error(unproven("too many claims are open at this host"))
-        granted = False
+            return Error(_unavailable("this host keeps as many claims as it may"))
+        released = {held.claim_id} if held is not None else set()
+        granted: Result[Claimed | Replay, Fault] = Error(
+            _unavailable("the platform did not answer in time")
+        )
         try:
-            result = await self._win(record)
-            granted = result.is_ok() and isinstance(result.ok, Claimed)
-            return result
+            with trio.move_on_after(self._settings.patience_s):
+                granted = await self._contend(record, released)
         finally:
-            if not granted:
-                self._note(record, ClaimState.RELEASED, None)
+            if granted.is_error():
+                self._give_up(record, granted.error)
+            elif isinstance(granted.ok, Replay):
+                self._own.settle(record, ClaimState.RELEASED, None, now)
+        return granted
 
     async def finish(self, claimed: Claimed, answer: bytes | None) -> None:
-        """Note that the request ran to its end, with its answer if small."""
-        await self._settle(claimed.record, ClaimState.FINISHED, answer, ANSWER_COPIES)
+        """Note that the run ended well, and copy its answer to other hosts."""
+        settled = self._settle(claimed, ClaimState.FINISHED, answer)
+        if settled is not None and settled.answer is not None:
+            for host_id in self._copy_hosts(settled.place):
+                self._add_errand(_Copy(host_id, settled))
 
     async def release(self, claimed: Claimed) -> None:
-        """Note that the request is proven not to have run; the key is free."""
-        everyone = len(self._asked(claimed.record))
-        await self._settle(claimed.record, ClaimState.RELEASED, None, everyone)
+        """Note that nothing ran: the key may be claimed again."""
+        self._give_up(claimed.record)
+
+    async def drain(self) -> None:
+        """Let the last copies and releases leave before the host does."""
+        with trio.move_on_after(DRAIN_S):
+            while self._errands.statistics().current_buffer_used:
+                await trio.sleep(DRAIN_PAUSE_S)
 
     async def mark_unknown(self, claimed: Claimed) -> None:
-        """Note that the request may have run; a repeat is told so."""
-        await self._settle(claimed.record, ClaimState.UNKNOWN, None, ANSWER_COPIES)
-
-    async def _win(self, record: ClaimRecord) -> Result[Claimed | Replay, Fault]:
-        superseded: set[str] = set()
-        for _ in range(MAX_ROUNDS):
-            self._learn_members()
-            voters = self._keepers(record).voters
-            votes = await self._poll(record, tuple(superseded))
-            if self._keepers(record).voters != voters:
-                continue
-            if is_won(self._keepers(record), votes):
-                return Ok(Claimed(record))
-            rivals = rivals_of(votes)
-            if not rivals:
-                return Error(why_not(self._keepers(record), votes))
-            for rival in rivals:
+        """Note that the request may have run; a repeat never runs it."""
+        self._settle(claimed, ClaimState.UNKNOWN, None)
+
+    def _settle(
+        self, claimed: Claimed, state: ClaimState, answer: bytes | None
+    ) -> ClaimRecord | None:
+        return self._own.settle(claimed.record, state, answer, self._clock.now())
+
+    def _give_up(self, record: ClaimRecord, why: Fault | None = None) -> None:
+        """Free the key here at once, and in the store behind the caller's back.
+
+        Until the store is written, a repeat that finds the claim asks this host
+        and hears that it was released.  A claim that met another one was never
+        written.
+        """
+        self._own.settle(record, ClaimState.RELEASED, None, self._clock.now())
+        if why is None or why.code is ResultCode.CLAIM_UNAVAILABLE:
+            self._add_errand(_Release(record))
+
+    async def _contend(
+        self, record: ClaimRecord, released: set[str]
+    ) -> Result[Claimed | Replay, Fault]:
+        """Write the claim, or find out about the one that stands in its way.
+
+        ``released`` holds ids of claims that are known never to have run.
+        """
+        for _ in range(MAX_STEPS):
+            match await self._slot(record.place):
+                case Result(tag="error", error=problem):
+                    return Error(_unavailable(problem.detail))
+                case Result(tag="ok", ok=slot):
+                    rival = slot.find(record.place, self._unix_now())
+            if rival is not None and rival.claim_id not in released:
                 state = await self._state_of(rival)
-                if state.state is not ClaimState.RELEASED:
-                    return answer_to_repeat(state, record.digest)
-                superseded.add(rival.claim_id)
-        return Error(unproven("the view of the fleet is still changing"))
-
-    async def _poll(
-        self, record: ClaimRecord, superseded: tuple[str, ...]
-    ) -> dict[str, RecordAnswer]:
-        votes: dict[str, RecordAnswer] = {}
-        ask = RecordAsk(record, self._universe.digest, superseded)
-        with trio.move_on_after(ASK_TIMEOUT_S) as scope:
-            async with trio.open_nursery() as nursery:
-                for host_id in self._asked(record):
-                    nursery.start_soon(self._ask_one, host_id, ask, votes, scope)
-        return votes
-
-    async def _ask_one(self, host_id: str, ask: RecordAsk, votes, scope) -> None:
-        vote = await self._vote_of(host_id, ask)
-        if vote is None:
-            return
-        self._universe.add(vote.known)
-        votes[host_id] = vote
-        if is_won(self._keepers(ask.record), votes):
-            scope.cancel()
-
-    async def _vote_of(self, host_id: str, ask: RecordAsk) -> RecordAnswer | None:
-        now = self._clock.now()
-        if host_id == self._start.host.id:
-            return self._vote(ask, now)
-        answer = await self._peers.ask(
-            host_id, RECORD_TOPIC, encode_ask(ask, now), ASK_TIMEOUT_S
+                if state is not None and state.claim_id != rival.claim_id:
+                    # The host has claimed the key anew: this slot is an old one.
+                    self._forget_slot(record.place)
+                    continue
+                if state is None or state.state is not ClaimState.RELEASED:
+                    return answer_to_repeat(state or _unknown(rival), record.digest)
+                released.add(rival.claim_id)
+            written = await self._write_claim(slot, record)
+            if written.is_ok():
+                return Ok(Claimed(record))
+            if written.error.code is not ResultCode.PLATFORM_CONFLICT:
+                return Error(_unavailable(written.error.detail))
+        return Error(_unavailable("others kept changing the same claims"))
+
+    async def _write_claim(
+        self, slot: Slot, record: ClaimRecord
+    ) -> Result[StoredObject, Fault]:
+        unix_now = self._unix_now()
+        lifetime_s = record.expires_at - self._clock.now()
+        claim = StoredClaim(
+            record.place,
+            record.digest,
+            record.claim_id,
+            record.host_id,
+            unix_now + lifetime_s,
+        )
+        value = slot.with_claim(claim, unix_now)
+        if value is None:
+            return Error(fault(ResultCode.VALUE_TOO_LARGE, "the key's slot is full"))
+        return await self._write_slot(slot, record, value)
+
+    async def _write_slot(
+        self, slot: Slot, record: ClaimRecord, value: bytes
+    ) -> Result[StoredObject, Fault]:
+        name = slot_name(record.place)
+        wanted = StoredObject(SLOT_KIND, name, slot.version, value)
+        self._slots_by_name.pop(name, None)
+        written = await write_settled(
+            self._platform,
+            wanted,
+            lambda stored: carries(stored, record.claim_id)
+            == carries(value, record.claim_id),
+            WRITE_STEPS,
         )
-        decoded = answer.bind(lambda payload: decode_answer(payload, now))
-        match decoded:
-            case Result(tag="ok", ok=vote):
-                return vote
+        if written.is_ok():
+            self._keep_slot(name, read_slot(written.ok.value, written.ok.version))
+        return written
+
+    async def _slot(self, place: str) -> Result[Slot, Fault]:
+        """Return the slot of a place as last seen; a write proves it current."""
+        name = slot_name(place)
+        known = self._slots_by_name.get(name)
+        if known is not None:
+            return Ok(known)
+        read = await self._platform.read(SLOT_KIND, name)
+        match read:
+            case Result(tag="ok", ok=stored):
+                try:
+                    slot = read_slot(stored.value, stored.version)
+                except msgspec.MsgspecError as error:
+                    return Error(fault(ResultCode.PLATFORM_MALFORMED, str(error)))
+            case Result(tag="error", error=problem):
+                if problem.code is not ResultCode.OBJECT_NOT_FOUND:
+                    return Error(problem)
+                slot = Slot()
+        self._keep_slot(name, slot)
+        return Ok(slot)
+
+    def _keep_slot(self, name: str, slot: Slot) -> None:
+        if len(self._slots_by_name) >= MAX_CACHED_SLOTS:
+            self._slots_by_name.pop(next(iter(self._slots_by_name)))
+        self._slots_by_name[name] = slot
+
+    def _forget_slot(self, place: str) -> None:
+        self._slots_by_name.pop(slot_name(place), None)
+
+    async def _state_of(self, rival: StoredClaim) -> ClaimRecord | None:
+        """Return how a claim's run went; None where nobody can say."""
+        copy = self._copies.find(rival.place, self._clock.now())
+        if copy is not None and copy.claim_id == rival.claim_id:
+            return copy
+        ask = StateAsk(rival.place, rival.claim_id)
+        # A claim of this host that it does not know is from before its restart.
+        if rival.host_id != self._settings.host:
+            state = await self._ask_state(rival.host_id, ask)
+            if state is not None:
+                return state
+        for host_id in self._copy_hosts(rival.place):
+            copy = await self._ask_state(host_id, ask)
+            if copy is not None and copy.claim_id == rival.claim_id:
+                return copy
         return None
 
-    def _vote(self, ask: RecordAsk, now: float) -> RecordAnswer:
-        known = ()
-        if ask.known_digest != self._universe.digest:
-            known = tuple(self._universe.hosts())
-        held = self._kept.find(ask.record.place, now)
-        if held is not None and not gives_way(held, ask):
-            return RecordAnswer(False, self._vouches(now), held, known)
-        is_recorded = self._kept.put(ask.record, now)
-        return RecordAnswer(is_recorded, self._vouches(now), None, known)
-
-    def _claim_id(self, request_id: str) -> str:
-        start = self._start
-        number = next(self._numbers)
-        return f"{request_id}@{start.host.id}.{start.incarnation}.{number}"
-
-    def _vouches(self, now: float) -> bool:
-        is_old = now - self._start.started >= self._times.memory_s
-        return self._is_founder or is_old
-
-    async def _state_of(self, rival: ClaimRecord) -> ClaimRecord:
-        """Return what became of a claim that a keeper holds.
-
-        A claimant that cannot be reached, or that restarted and forgot, leaves
-        it unknown: its run may have begun.
-        """
-        if rival.state is not ClaimState.CLAIMED:
-            return rival
+    async def _ask_state(self, host_id: str, ask: StateAsk) -> ClaimRecord | None:
         now = self._clock.now()
-        if rival.host_id == self._start.host.id:
-            return self._own_state(rival, now) or as_unknown(rival)
-        answer = await self._peers.ask(
-            rival.host_id, STATE_TOPIC, encode_record(rival, now), ASK_TIMEOUT_S
+        asked = await self._peers.ask(
+            host_id, STATE_TOPIC, encode_ask(ask), self._settings.ask_timeout_s
         )
-        match answer.bind(lambda payload: decode_state(payload, now)):
-            case Result(tag="ok", ok=ClaimRecord() as state):
-                return state
-        return as_unknown(rival)
-
-    def _own_state(self, asked: ClaimRecord, now: float) -> ClaimRecord | None:
-        own = self._own.find(asked.place, now)
-        if own is None or asked.incarnation != self._start.incarnation:
-            return None
-        # A later claim may stand in this place, because the one asked about was
-        # released; the later one is then what a repeat has to hear of.
-        return own
-
-    async def _settle(
-        self, record: ClaimRecord, state: ClaimState, answer: bytes | None, copies: int
-    ) -> None:
-        settled = self._note(record, state, answer)
-        if settled is None:
-            return
-        others = [
-            host_id for host_id in self._asked(record) if host_id != self._start.host.id
-        ]
-        others.sort(key=self._is_own_zone)
-        payload = encode_record(settled, self._clock.now())
-        with trio.move_on_after(ASK_TIMEOUT_S):
-            async with trio.open_nursery() as nursery:
-                for host_id in others[:copies]:
-                    nursery.start_soon(
-                        self._peers.ask, host_id, SETTLE_TOPIC, payload, ASK_TIMEOUT_S
-                    )
-
-    def _note(
-        self, record: ClaimRecord, state: ClaimState, answer: bytes | None
-    ) -> ClaimRecord | None:
-        now = self._clock.now()
-        self._kept.settle(record.place, record.claim_id, state, None, now)
-        return self._own.settle(record.place, record.claim_id, state, answer, now)
+        state = asked.bind(lambda payload: decode_state(payload, now))
+        return state.ok if state.is_ok() else None
 
-    async def _on_record(self, member_id: str, payload: bytes) -> Result[bytes, Fault]:
-        now = self._clock.now()
-        asked = decode_ask(payload, now).bind(lambda ask: _from(member_id, ask))
-        return asked.map(lambda ask: encode_answer(self._vote(ask, now), now))
+    def _known(self, ask: StateAsk, now: float) -> ClaimRecord | None:
+        """Return the claim asked for; else this host's newer one of the key.
 
-    async def _on_settle(self, member_id: str, payload: bytes) -> Result[bytes, Fault]:
+        A released one proves nothing of the claim asked for: this host may have
+        lost its memory of that one, and then been refused the key itself.
+        """
+        own = self._own.find(ask.place, now)
+        copy = self._copies.find(ask.place, now)
+        for record in (own, copy):
+            if record is not None and record.claim_id == ask.claim_id:
+                return record
+        return own if own is not None and own.state is not ClaimState.RELEASED else None
+
+    async def _answer_state(
+        self, member_id: str, payload: bytes
+    ) -> Result[bytes, Fault]:
         now = self._clock.now()
-        match decode_record(payload, now):
-            case Result(tag="error", error=problem):
-                return Error(problem)
-            case Result(ok=record):
-                if record.host_id == member_id:
-                    self._keep_settled(record, now)
-                return Ok(b"")
-
-    def _keep_settled(self, record: ClaimRecord, now: float) -> None:
-        # A claim that ran was granted, so another one in its place was not.
-        if record.state is not ClaimState.RELEASED:
-            self._kept.put(replace(record, answer=None), now)
-        self._kept.settle(
-            record.place, record.claim_id, record.state, record.answer, now
-        )
+        asked = decode_ask(payload)
+        return asked.map(lambda ask: encode_state(self._known(ask, now), now))
 
-    async def _on_state(self, member_id: str, payload: bytes) -> Result[bytes, Fault]:
+    async def _take_copy(self, member_id: str, payload: bytes) -> Result[bytes, Fault]:
         now = self._clock.now()
-        asked = decode_record(payload, now)
-        return asked.map(lambda record: encode_state(self._own_state(record, now), now))
+        decoded = decode_record(payload, now)
+        if decoded.is_error():
+            return Error(decoded.error)
+        self._copies.put(decoded.ok, now)
+        return Ok(b"")
+
+    def _copy_hosts(self, place: str) -> Sequence[str]:
+        """Return the hosts that keep copies for a place, other zones first."""
+        zones = {
+            member.id: member.zone
+            for member in self._peers.members()
+            if member.state is not MemberState.DEAD and member.id != self._settings.host
+        }
+        in_order = ranked(zones, f"claim {place}")
+        in_order.sort(key=lambda host_id: zones[host_id] == self._settings.zone)
+        return in_order[:ANSWER_COPIES]
+
+    def _add_errand(self, errand: "_Copy | _Release") -> None:
+        try:
+            self._send_errand.send_nowait(errand)
+        except trio.WouldBlock:
+            self.dropped_errands += 1
+
+    async def _run_errands(self) -> None:
+        async for errand in self._errands.clone():
+            match errand:
+                case _Copy(host_id, record):
+                    payload = encode_record(record, self._clock.now())
+                    timeout_s = self._settings.ask_timeout_s
+                    await self._peers.ask(host_id, COPY_TOPIC, payload, timeout_s)
+                case _Release(record):
+                    await self._write_release(record)
+
+    async def _write_release(self, record: ClaimRecord) -> None:
+        for _ in range(MAX_STEPS):
+            self._forget_slot(record.place)
+            slot = await self._slot(record.place)
+            if slot.is_error():
+                return
+            value = slot.ok.without(record.place, record.claim_id, self._unix_now())
+            if value is None:
+                return
+            written = await self._write_slot(slot.ok, record, value)
+            if written.is_ok():
+                return
 
-    def _learn_members(self) -> None:
-        self._universe.add(
-            KnownHost(member.id, member.zone) for member in self._peers.members()
-        )
 
-    def _keepers(self, record: ClaimRecord):
-        return self._universe.keepers(record.place, self._clock.now())
+@dataclass(slots=True, frozen=True)
+class _Copy:
+    """A finished claim's answer is to be kept at another host as well."""
 
-    def _asked(self, record: ClaimRecord) -> tuple[str, ...]:
-        keepers = self._keepers(record)
-        return keepers.voters + keepers.witnesses
+    host_id: str
+    record: ClaimRecord
 
-    def _is_own_zone(self, host_id: str) -> bool:
-        return any(
-            host.zone == self._start.host.zone
-            for host in self._universe.hosts()
-            if host.id == host_id
-        )
 
+@dataclass(slots=True, frozen=True)
+class _Release:
+    """A claim is to be taken out of the store."""
+
+    record: ClaimRecord
+
+
+def answer_to_repeat(
+    earlier: ClaimRecord, digest: str
+) -> Result[Claimed | Replay, Fault]:
+    """Return what a repeat is told about the copy that holds its key."""
+    if earlier.digest != digest:
+        detail = "the key was used with another body"
+        return Error(fault(ResultCode.IDEMPOTENCY_KEY_REUSED, detail))
+    if earlier.answer is not None:
+        return Ok(Replay(earlier.answer))
+    match earlier.state:
+        case ClaimState.CLAIMED:
+            detail = "the first copy is still running"
+            code = ResultCode.DUPLICATE_IN_FLIGHT
+            return Error(fault(code, detail, RETRY_IN_FLIGHT_S))
+        case ClaimState.FINISHED:
+            detail = "the first copy finished; its answer is no longer kept"
+            gone = fault(ResultCode.DUPLICATE_UNKNOWN, detail)
+            return Error(replace(gone, proven_outcome=Outcome.FINISHED))
+    detail = "the first copy may have run; it is not run again"
+    return Error(fault(ResultCode.DUPLICATE_UNKNOWN, detail))
+
+
+def _unknown(rival: StoredClaim) -> ClaimRecord:
+    """Return the record of a claim of which nobody can say how it went."""
+    return ClaimRecord(
+        rival.place,
+        rival.digest,
+        rival.claim_id,
+        rival.host_id,
+        0.0,
+        ClaimState.UNKNOWN,
+    )
+
+
+def _unavailable(detail: str) -> Fault:
+    """Return a refusal of this copy that says nothing of an earlier one.
 
-def _from(member_id: str, ask: RecordAsk) -> Result[RecordAsk, Fault]:
-    if ask.record.host_id == member_id:
-        return Ok(ask)
-    return Error(fault(ResultCode.BAD_FRAME, "a claim on behalf of another host"))
+    Told "not run", a caller would take its request for one that never ran; an
+    earlier copy with the same key may have, where this host can't see it.
+    """
+    return Fault(
+        ResultCode.CLAIM_UNAVAILABLE,
+        detail,
+        RETRY_UNAVAILABLE_S,
+        proven_outcome=Outcome.UNKNOWN,
+    )
--- a/radishfield/fleet/_claims_book.py
+++ b/radishfield/fleet/_claims_book.py
@@ -1,18 +1,18 @@
 """What one host remembers of idempotency claims, bounded in count and bytes.
 
-No I/O here.  A record is never dropped before its time to make room: a keeper
-that forgot a claim would vouch that the key is free, and the work would run a
-second time.  A full book refuses new records instead, which the caller sees as
-a refusal with a time to come back.  Kept answers may be dropped; a repeat is
-then told that the first run finished, without the answer.
+No I/O here.  A record is never dropped before its time to make room: the host
+could no longer say how the run behind it went.  A full book refuses new records
+instead, which the caller sees as a refusal with a time to come back.  Kept
+answers may be dropped; a repeat is then told that the first run finished,
+without the answer.
 """
 
 import enum
 from collections import OrderedDict
 from dataclasses import dataclass, replace
 
-# 9 keepers for 0.5 keyed requests a second and host, remembered for 10 minutes,
-# come to 2,900 records of about 600 bytes at the size of the letter.
+# 0.5 keyed requests a second and host, remembered for 11 minutes, are 330
+# records at the size of the letter; the rest is room for a wave.
 MAX_RECORDS = 20_000
 # An answer of 400 tokens is about 3 KB; larger ones are rarely worth a share.
 MAX_ANSWER_BYTES = 64 * 1024
@@ -33,28 +33,26 @@
 class ClaimRecord:
     """One claim; ``expires_at`` is on the clock of the host that holds it.
 
-    ``claim_id`` names one try to claim, never two: a caller may send the same
-    request id with both copies.
+    Attributes
+    ----------
+    place : str
+        Digest of workspace and key: what no two claims in force may share.
+    claim_id : str
+        Names one try to claim, never two: a caller may send the same request
+        id with both copies.
     """
 
-    workspace: str
-    key: str
+    place: str
     digest: str
     claim_id: str
     host_id: str
-    incarnation: int
     expires_at: float
     state: ClaimState = ClaimState.CLAIMED
     answer: bytes | None = None
 
-    @property
-    def place(self) -> tuple[str, str]:
-        """Return what no two claims in force may share."""
-        return self.workspace, self.key
-
 
 class ClaimBook:
-    """Claims in force by workspace and key."""
+    """Claims in force by place."""
 
     __slots__ = (
         "_records_by_place",
@@ -65,8 +63,8 @@
     )
 
     def __init__(self, max_records: int = MAX_RECORDS):
-        self._records_by_place: dict[tuple[str, str], ClaimRecord] = {}
-        self._answer_sizes_by_place: OrderedDict[tuple[str, str], int] = OrderedDict()
+        self._records_by_place: dict[str, ClaimRecord] = {}
+        self._answer_sizes_by_place: OrderedDict[str, int] = OrderedDict()
         self._answers_bytes = 0
         self._next_purge = 0.0
         self._max_records = max_records
@@ -74,7 +72,7 @@
     def __len__(self) -> int:
         return len(self._records_by_place)
 
-    def find(self, place: tuple[str, str], now: float) -> ClaimRecord | None:
+    def find(self, place: str, now: float) -> ClaimRecord | None:
         """Return the claim in force, if there is one."""
         record = self._records_by_place.get(place)
         if record is None or record.expires_at <= now:
@@ -88,38 +86,37 @@
         if is_new and len(self._records_by_place) >= self._max_records:
             return False
         self._drop_answer(record.place)
-        self._records_by_place[record.place] = record
+        self._records_by_place[record.place] = replace(record, answer=None)
+        self._keep_answer(record.place, record.answer)
         return True
 
     def settle(
         self,
-        place: tuple[str, str],
-        claim_id: str,
+        record: ClaimRecord,
         state: ClaimState,
         answer: bytes | None,
         now: float,
     ) -> ClaimRecord | None:
         """Note how a claim's run ended; None if the claim is not in force."""
-        record = self.find(place, now)
-        if record is None or record.claim_id != claim_id:
+        held = self.find(record.place, now)
+        if held is None or held.claim_id != record.claim_id:
             return None
-        if answer is not None and len(answer) > MAX_ANSWER_BYTES:
-            answer = None
-        self._drop_answer(place)
-        record = replace(record, state=state, answer=answer)
-        self._records_by_place[place] = record
-        if answer is not None:
-            self._count_answer(place, len(answer))
-        return record
+        self._drop_answer(record.place)
+        self._records_by_place[record.place] = replace(held, state=state, answer=None)
+        self._keep_answer(record.place, answer)
+        return self._records_by_place[record.place]
 
-    def _count_answer(self, place: tuple[str, str], size: int) -> None:
-        self._answer_sizes_by_place[place] = size
-        self._answers_bytes += size
+    def _keep_answer(self, place: str, answer: bytes | None) -> None:
+        if answer is None or len(answer) > MAX_ANSWER_BYTES:
+            return
+        record = self._records_by_place[place]
+        self._records_by_place[place] = replace(record, answer=answer)
+        self._answer_sizes_by_place[place] = len(answer)
+        self._answers_bytes += len(answer)
         while self._answers_bytes > MAX_ANSWERS_BYTES:
-            oldest = next(iter(self._answer_sizes_by_place))
-            self._drop_answer(oldest)
+            self._drop_answer(next(iter(self._answer_sizes_by_place)))
 
-    def _drop_answer(self, place: tuple[str, str]) -> None:
+    def _drop_answer(self, place: str) -> None:
         size = self._answer_sizes_by_place.pop(place, None)
         if size is None:
             return
--- a/radishfield/fleet/_claims_wire.py
+++ b/radishfield/fleet/_claims_wire.py
@@ -1,6 +1,6 @@
 """Messages about claims as Cap'n Proto bytes; pycapnp serves as codec only."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from pathlib import Path
 
 import capnp
@@ -8,94 +8,39 @@
 
 from radishfield.core import Fault, ResultCode, fault
 from radishfield.fleet._claims_book import MAX_ANSWER_BYTES, ClaimRecord, ClaimState
-from radishfield.fleet._claims_keepers import KnownHost
 
 _schema = capnp.load(str(Path(__file__).with_name("claims.capnp")))
 
-# Largest message: an answer and a record, or the ids of a thousand hosts.
-MAX_MESSAGE_BYTES = MAX_ANSWER_BYTES + 64 * 1024
+MAX_MESSAGE_BYTES = MAX_ANSWER_BYTES + 4 * 1024
 MAX_LIFETIME_S = 24 * 3600.0
 _TRAVERSAL_WORDS = 64 * 1024
 
 
 @dataclass(slots=True, frozen=True)
-class RecordAsk:
-    """Asks a keeper to record a claim."""
+class StateAsk:
+    """Asks a host how the run behind a claim went."""
 
-    record: ClaimRecord
-    known_digest: int
-    superseded: tuple[str, ...] = ()
+    place: str
+    claim_id: str
 
 
-@dataclass(slots=True, frozen=True)
-class RecordAnswer:
-    """A keeper's vote.
-
-    Attributes
-    ----------
-    vouches : bool
-        Whether the keeper remembers every claim that may still be in force.
-    held : ClaimRecord or None
-        The claim that stands in the way.
-    """
-
-    is_recorded: bool
-    vouches: bool
-    held: ClaimRecord | None = None
-    known: tuple[KnownHost, ...] = ()
-
-
-def encode_ask(ask: RecordAsk, now: float) -> bytes:
-    """Return the bytes of a question to a keeper."""
-    message = _schema.RecordAsk.new_message(
-        knownDigest=ask.known_digest, superseded=list(ask.superseded)
-    )
-    _fill(message.record, ask.record, now)
+def encode_ask(ask: StateAsk) -> bytes:
+    """Return the bytes of a question."""
+    message = _schema.StateAsk.new_message(place=ask.place, claimId=ask.claim_id)
     return message.to_bytes_packed()
 
 
-def decode_ask(payload: bytes, now: float) -> Result[RecordAsk, Fault]:
+def decode_ask(payload: bytes) -> Result[StateAsk, Fault]:
     """Return the question, or what is wrong with the bytes."""
     return _decoded(
-        _schema.RecordAsk,
-        payload,
-        lambda message: RecordAsk(
-            _record(message.record, now),
-            message.knownDigest,
-            tuple(message.superseded),
-        ),
-    )
-
-
-def encode_answer(answer: RecordAnswer, now: float) -> bytes:
-    """Return the bytes of a keeper's vote."""
-    message = _schema.RecordAnswer.new_message(
-        isRecorded=answer.is_recorded,
-        vouches=answer.vouches,
-        isHeld=answer.held is not None,
-        known=[{"id": host.id, "zone": host.zone} for host in answer.known],
-    )
-    if answer.held is not None:
-        _fill(message.held, answer.held, now)
-    return message.to_bytes_packed()
-
-
-def decode_answer(payload: bytes, now: float) -> Result[RecordAnswer, Fault]:
-    """Return the keeper's vote, or what is wrong with the bytes."""
-    return _decoded(
-        _schema.RecordAnswer,
+        _schema.StateAsk,
         payload,
-        lambda message: RecordAnswer(
-            message.isRecorded,
-            message.vouches,
-            _record(message.held, now) if message.isHeld else None,
-            tuple(KnownHost(host.id, host.zone) for host in message.known),
-        ),
+        lambda message: StateAsk(message.place, message.claimId),
     )
 
 
 def encode_record(record: ClaimRecord, now: float) -> bytes:
-    """Return the bytes of a record, to settle it or to ask for its state."""
+    """Return the bytes of a record, for a copy of its answer."""
     message = _schema.Record.new_message()
     _fill(message, record, now)
     return message.to_bytes_packed()
@@ -107,7 +52,7 @@
 
 
 def encode_state(record: ClaimRecord | None, now: float) -> bytes:
-    """Return the bytes of a claimant's account of a claim of its own."""
+    """Return the bytes of a host's account of a claim."""
     message = _schema.StateAnswer.new_message(isFound=record is not None)
     if record is not None:
         _fill(message.record, record, now)
@@ -115,7 +60,7 @@
 
 
 def decode_state(payload: bytes, now: float) -> Result[ClaimRecord | None, Fault]:
-    """Return the claimant's account, or what is wrong with the bytes."""
+    """Return the host's account, or what is wrong with the bytes."""
     return _decoded(
         _schema.StateAnswer,
         payload,
@@ -124,36 +69,27 @@
 
 
 def _fill(message, record: ClaimRecord, now: float) -> None:
-    message.workspace = record.workspace
-    message.key = record.key
+    message.place = record.place
     message.digest = record.digest
     message.claimId = record.claim_id
     message.hostId = record.host_id
-    message.incarnation = record.incarnation
-    # Hosts share no clock; what is left of the lifetime is the same everywhere.
-    message.lifetimeSeconds = record.expires_at - now
+    message.lifetimeSeconds = max(0.0, record.expires_at - now)
     message.state = record.state.value
     message.hasAnswer = record.answer is not None
     message.answer = record.answer or b""
 
 
 def _record(message, now: float) -> ClaimRecord:
-    # A lifetime that is not a number never expires and would fill the book.
-    if not 0 <= message.lifetimeSeconds <= MAX_LIFETIME_S:
-        raise ValueError("lifetime out of range")
-    record = ClaimRecord(
-        message.workspace,
-        message.key,
+    lifetime_s = min(max(0.0, message.lifetimeSeconds), MAX_LIFETIME_S)
+    return ClaimRecord(
+        message.place,
         message.digest,
         message.claimId,
         message.hostId,
-        message.incarnation,
-        now + message.lifetimeSeconds,
+        now + lifetime_s,
         ClaimState(str(message.state)),
+        bytes(message.answer) if message.hasAnswer else None,
     )
-    if message.hasAnswer:
-        return replace(record, answer=bytes(message.answer))
-    return record
 
 
 def _decoded(kind, payload: bytes, read) -> Result:
@@ -164,5 +100,5 @@
             payload, traversal_limit_in_words=_TRAVERSAL_WORDS
         )
         return Ok(read(message))
-    except (capnp.KjException, ValueError, UnicodeDecodeError) as problem:
-        return Error(fault(ResultCode.BAD_FRAME, str(problem).splitlines()[0]))
+    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
+        return Error(fault(ResultCode.BAD_FRAME, str(error)[:200]))
--- a/radishfield/fleet/claims.capnp
+++ b/radishfield/fleet/claims.capnp
@@ -11,39 +11,20 @@
 }
 
 struct Record {
-  workspace @0 :Text;
-  key @1 :Text;
-  digest @2 :Text;
-  claimId @3 :Text;
-  hostId @4 :Text;
-  incarnation @5 :UInt64;
-  lifetimeSeconds @6 :Float64;
-  state @7 :State;
-  hasAnswer @8 :Bool;
-  answer @9 :Data;
+  # Digest of workspace and key; the key itself stays with its host.
+  place @0 :Text;
+  digest @1 :Text;
+  claimId @2 :Text;
+  hostId @3 :Text;
+  lifetimeSeconds @4 :Float64;
+  state @5 :State;
+  hasAnswer @6 :Bool;
+  answer @7 :Data;
 }
 
-struct Known {
-  id @0 :Text;
-  zone @1 :Text;
-}
-
-struct RecordAsk {
-  record @0 :Record;
-  # Digest of the asking host's list of entry hosts.
-  knownDigest @1 :UInt64;
-  # Requests proven not to run under this key; their records give way.
-  superseded @2 :List(Text);
-}
-
-struct RecordAnswer {
-  isRecorded @0 :Bool;
-  # Whether the keeper remembers every claim that may still be in force.
-  vouches @1 :Bool;
-  isHeld @2 :Bool;
-  held @3 :Record;
-  # The keeper's entry hosts, only where the digests differ.
-  known @4 :List(Known);
+struct StateAsk {
+  place @0 :Text;
+  claimId @1 :Text;
 }
 
 struct StateAnswer {
--- a/radishfield/scripts/_wiring.py
+++ b/radishfield/scripts/_wiring.py
@@ -29,6 +29,8 @@
 )
 from radishfield.edges import PlatformSettings as CallSettings
 from radishfield.fleet import (
+    Claims,
+    ClaimSettings,
     FactSpreader,
     FactTable,
     FleetOperations,
@@ -110,7 +112,7 @@
     def _add_fleet(self) -> None:
         settings, kernel, clock = self._settings, self.kernel, self._clock
         host, zone = settings.host.id, settings.host.zone
-        kernel.register("platform", self._platform())
+        kernel.register("platform", self._platform(settings.platform.max_calls_per_s))
         kernel.register("peers", self._peers())
         kernel.register("facts", self._facts())
         platform = kernel.find("platform", object)
@@ -162,7 +164,12 @@
         )
         kernel.register("operations", FleetOperations(parts))
 
-    def _platform(self) -> HttpPlatform | AbsentPlatform:
+    def _platform(self, calls_per_s: float) -> HttpPlatform | AbsentPlatform:
+        """Return a client with a budget of calls of its own.
+
+        Claims have one: a claim that waits behind lists and watches delays a
+        caller, and a wave of claims must not keep profiles from arriving.
+        """
         platform = self._settings.platform
         if not platform.address:
             return AbsentPlatform()
@@ -170,7 +177,7 @@
             platform.address,
             self._settings.host.id,
             platform.call_timeout_s,
-            calls_per_s=platform.max_calls_per_s,
+            calls_per_s=calls_per_s,
         )
         return HttpPlatform(calls, self._clock)
 
@@ -206,10 +213,24 @@
         kernel.register("telemetry", telemetry)
         kernel.register("records", records)
         targets = EngineTargets()
+        claims = Claims(
+            self._platform(self._settings.claims.max_calls_per_s),
+            kernel.find("peers", object),
+            clock,
+            ClaimSettings(
+                settings.host.id,
+                settings.host.zone,
+                ask_timeout_s=settings.claims.ask_timeout_s,
+                max_kept=settings.claims.max_kept,
+            ),
+        )
+        kernel.register("claims", claims)
         dispatcher = Dispatcher(
             Scheduler(),
             targets,
             clock,
+            claims,
+            claim_s=settings.claims.keep_s,
             observer=TelemetryObserver(telemetry, records, clock),
         )
 
--- a/radishfield/serving/_dispatcher.py
+++ b/radishfield/serving/_dispatcher.py
@@ -71,6 +71,7 @@
         "_clock",
         "_claims",
         "_observer",
+        "_claim_s",
         "_queue",
         "_canceller",
         "_targets_by_id",
@@ -84,12 +85,14 @@
         clock: Clock,
         claims: ClaimPort | None = None,
         observer: Observer | None = None,
+        claim_s: float = CLAIM_S,
     ):
         self._scheduler = scheduler
         self._targets = targets
         self._clock = clock
         self._claims = claims or NoClaims()
         self._observer = observer or NullObserver()
+        self._claim_s = claim_s
         self._queue = DispatchQueue(scheduler, clock)
         self._canceller = Canceller(targets)
         self._targets_by_id: dict[str, Target] = {}
@@ -252,7 +255,7 @@
             request.idempotency_key,
             request.body_digest,
             request.id,
-            self._clock.now() + CLAIM_S,
+            self._clock.now() + self._claim_s,
         )
         match granted:
             case Result(tag="error", error=problem):
--- a/radishfield/serving/_queue.py
+++ b/radishfield/serving/_queue.py
@@ -1,13 +1,15 @@
 """Where admitted requests wait for the scheduler's word."""
 
+import math
+
 import trio
 from expression import Error, Ok, Result
 
 from radishfield.core import Clock, Fault
 from radishfield.decisions import Dispatch, Expired, Refused, Scheduler, Work
 
-# The scheduler is asked at least this often, so that an entry whose time passes
-# leaves the queue although nothing else happens.
+# While requests wait, the scheduler is asked at least this often, so that one
+# whose time passes leaves the queue although nothing else happens.
 LONGEST_PAUSE_S = 0.25
 
 
@@ -71,15 +73,18 @@
     async def run_wakeups(self) -> None:
         """Call `pump` whenever the scheduler asks to be woken."""
         while True:
-            now = self._clock.now()
-            wakeup = self._scheduler.next_wakeup(now)
-            pause = LONGEST_PAUSE_S if wakeup is None else max(0.001, wakeup - now)
             self._changed = trio.Event()
-            with trio.move_on_after(min(pause, LONGEST_PAUSE_S)) as scope:
+            with trio.move_on_after(self._pause_s()) as scope:
                 await self._changed.wait()
             if scope.cancelled_caught:
                 self.pump()
 
+    def _pause_s(self) -> float:
+        now = self._clock.now()
+        wakeup = self._scheduler.next_wakeup(now)
+        longest = LONGEST_PAUSE_S if self._waiting_by_request else math.inf
+        return longest if wakeup is None else min(longest, max(0.001, wakeup - now))
+
     def _abandon(self, work: Work, waiting: _Waiting) -> None:
         self._waiting_by_request.pop(work.request_id, None)
         now = self._clock.now()
--- a/radishfield/settings/_sections.py
+++ b/radishfield/settings/_sections.py
@@ -130,11 +130,20 @@
 
 @dataclass(slots=True, frozen=True)
 class ClaimsSettings:
-    """[claims]: idempotency claims, and how long answers are kept for repeats."""
+    """[claims]: idempotency claims, and how long answers are kept for repeats.
+
+    Attributes
+    ----------
+    keep_s : float
+        How long a key is remembered, from its claim on.
+    max_calls_per_s : float
+        This host's budget of calls to the platform for claims alone.
+    """
 
     keep_s: Annotated[float, Meta(ge=1.0, le=86400.0, extra=DURATION)] = 600.0
     max_kept: Count = 10_000
     ask_timeout_s: ShortTime = 0.5
+    max_calls_per_s: Annotated[float, Meta(ge=0.1, le=1000.0)] = 50.0
 
 
 @dataclass(slots=True, frozen=True)
