Fail readiness until the profiles are known

Cause: a host that had just started told the balancer to send, and then refused with 3006 while its neighbours could serve. Ruled out: a callback for readiness; the lookup of profiles knows it already.

--- a/radishfield/edges/_caller.py
+++ b/radishfield/edges/_caller.py
@@ -58,6 +58,8 @@
     "/v1/completions": Shape.COMPLETION,
 }
 MODELS_PATH = "/v1/models"
+# No profile has this name; asked for, it tells whether profiles are known.
+NO_PROFILE = ""
 # The dispatcher ends a request at its deadline.  Should it ever fail to, this
 # is the second line: the caller still gets an answer, and the place is freed.
 DEADLINE_GRACE_S = 1.0
@@ -289,9 +291,23 @@
             await self._refuse(answer, problem)
 
     async def _tell_health(self, path: str, send) -> None:
-        is_up = path == "/healthz" or not self.is_draining
-        status, word = (200, b"ok\n") if is_up else (503, b"draining\n")
-        await send_bytes(send, status, word, b"text/plain")
+        if path == "/readyz" and self.is_draining:
+            await send_bytes(send, 503, b"draining\n", b"text/plain")
+        elif path == "/readyz" and not self._knows_profiles():
+            await send_bytes(send, 503, b"profiles not known yet\n", b"text/plain")
+        else:
+            await send_bytes(send, 200, b"ok\n", b"text/plain")
+
+    def _knows_profiles(self) -> bool:
+        """Tell whether the host has learnt the profiles since it started.
+
+        Sent here before, requests would be refused by a host that is about to
+        be able to serve them, while its neighbours already can.
+        """
+        match self._profiles.find(NO_PROFILE):
+            case Result(tag="error", error=problem):
+                return problem.code is not ResultCode.PROFILES_UNKNOWN
+        return True
 
     async def _refuse(self, answer: Answer, problem: Fault) -> None:
         self._note_refusal(problem)
--- a/radishfield/edges/caller_test.py
+++ b/radishfield/edges/caller_test.py
@@ -384,6 +384,18 @@
     assert got["late"].headers["retry-after"] == "1"
 
 
+def test_host_that_knows_no_profiles_yet_is_alive_and_not_ready():
+    class Blind(Profiles):
+        def find(self, name):
+            return Error(fault(ResultCode.PROFILES_UNKNOWN, retry_after_s=1.0))
+
+    app = CallerApp(ScriptedServing(), Blind(), TrioClock())
+    assert ask(None, "/readyz", b"", app, method="GET").status == 503
+    assert ask(None, "/healthz", b"", app, method="GET").status == 200
+    app = CallerApp(ScriptedServing(), Profiles(), TrioClock())
+    assert ask(None, "/readyz", b"", app, method="GET").status == 200
+
+
 def test_more_requests_than_the_host_takes_are_refused():
     serving = ScriptedServing(["word"], pause_s=1.0)
     limits = CallerLimits(max_in_flight=1)
