Take a host for vanished only after the list's lag

Cause: read again, the directory marked a host's targets as leaving, for good, as soon as one copy of the lagging list lacked the host. A copy from before a host was added would have kept a new host's targets out until they restart. Ruled out: ignoring missing hosts, whose targets nothing else would end when neither their reports nor peers are heard. Change: a host counts as leaving when it is missing for 30 s. Kept connections to a dead peer are closed, not dropped.

--- a/radishfield/edges/_peer_probe.py
+++ b/radishfield/edges/_peer_probe.py
@@ -117,7 +117,7 @@
             if member is not None:
                 await self._probe(member, period_s)
             for dead in self._membership.tick(self._clock.now()):
-                self._streams.forget(dead.address)
+                await self._streams.forget(dead.address)
             rest_s = period_s - (self._clock.now() - started)
             await trio.sleep(max(0.0, rest_s))
 
--- a/radishfield/edges/_peer_seal.py
+++ b/radishfield/edges/_peer_seal.py
@@ -108,11 +108,6 @@
         seen.bits |= 1 << age
         return True
 
-    def forget(self, senders: Sequence[str]) -> None:
-        """Drop what is kept of members that are forgotten."""
-        for sender in senders:
-            self._seen_by_sender.pop(sender, None)
-
 
 def _code(secret: bytes, context: bytes, frame: bytes) -> bytes:
     return hmac.digest(secret, context + frame, hashlib.sha256)[:MAC_BYTES]
--- a/radishfield/edges/_peer_streams.py
+++ b/radishfield/edges/_peer_streams.py
@@ -171,9 +171,10 @@
             self._open -= 1
             await trio.aclose_forcefully(stream)
 
-    def forget(self, address: str) -> None:
-        """Drop kept connections to a peer that is gone."""
-        self._idle_by_address.pop(address, None)
+    async def forget(self, address: str) -> None:
+        """Close the kept connections to a peer that is gone."""
+        for connection in self._idle_by_address.pop(address, []):
+            await connection.close()
 
     async def _connect(self, address: str) -> Connection | None:
         try:
--- a/radishfield/fleet/_directory.py
+++ b/radishfield/fleet/_directory.py
@@ -41,8 +41,10 @@
 """Facts between entry hosts: name is the target's id, version its incarnation."""
 
 LIST_LAG_S = 30.0
-"""A target that restarted on a host listed as leaving is taken for live so long:
-the list may still mean its former self.  After that the list is believed."""
+"""How old a copy of the platform's list may be.  For so long a target that
+restarted on a host listed as leaving is taken for live, since the list may mean
+its former self; and so long a host may be missing from the list, since a copy
+from before the host was added lacks it.  After that the list is believed."""
 
 
 class TargetDirectory:
@@ -61,6 +63,7 @@
         "_clock",
         "_declared_by_id",
         "_facts",
+        "_last_listed_by_host",
         "_listed_by_host",
         "_peers",
         "_report_by_id",
@@ -83,6 +86,7 @@
         self._targets: tuple[Target, ...] | None = None
         self._restarted_at_by_id: dict[str, float] = {}
         self._listed_by_host: dict[str, Host] = {}
+        self._last_listed_by_host: dict[str, float] = {}
         self._changed = trio.Event()
         self.version = 0
         self.malformed = 0
@@ -137,23 +141,22 @@
     def see_hosts(self, listing: HostListing) -> None:
         """Take in the platform's list of hosts, which lags.
 
-        A host that was listed and is not any more counts as leaving.  An empty
-        list after a filled one is a fault of the platform, and is ignored.
+        A host that was listed, and is missing for longer than the list lags,
+        counts as leaving.  An empty list after a filled one is a fault of the
+        platform, and is ignored.
         """
         if not listing.hosts:
             return
-        listed = {host.id: host for host in listing.hosts}
-        vanished = {
-            host_id: dataclasses.replace(host, state=HostState.LEAVING)
-            for host_id, host in self._listed_by_host.items()
-            if host_id not in listed
-        }
-        self._listed_by_host = {**vanished, **listed}
+        now = self._clock.now()
+        for host in listing.hosts:
+            self._listed_by_host[host.id] = host
+            self._last_listed_by_host[host.id] = now
         self._peers.add_seeds(self.seed_addresses())
         leaving = {
             host.id
             for host in self._listed_by_host.values()
             if host.state is HostState.LEAVING
+            or now - self._last_listed_by_host[host.id] > LIST_LAG_S
         }
         for target in self.targets():
             if target.host in leaving and not self._has_just_restarted(target.id):
