Bound the bytes of the updates in a heartbeat

Cause: six updates with names as long as settings allow exceed a datagram; the frame was counted as too large and not sent, so a host with long names would have fallen silent as soon as it had news.

--- a/radishfield/edges/peer_test.py
+++ b/radishfield/edges/peer_test.py
@@ -1,6 +1,7 @@
 """Tests of the frames, their authentication, and the network between hosts."""
 
 import random
+from dataclasses import replace
 
 import pytest
 import trio
@@ -205,6 +206,30 @@
     run(main)
 
 
+def test_long_names_do_not_make_a_heartbeat_too_large_to_send():
+    """All names are as long as settings allow, and there is news of many hosts.
+
+    A heartbeat with six updates would not fit a datagram; left unsent, the host
+    would fall silent and be held for dead.
+    """
+
+    async def main():
+        network = MemoryNetwork()
+        async with trio.open_nursery() as nursery:
+            (target,) = await start(nursery, network, 1)
+            for number in range(20):
+                name = f"{number:063}"
+                update = Update(name, "z" * 63, "255.255.255.255:65535", 1)
+                accused = replace(update, state=MemberState.SUSPECT, accuser="a" * 63)
+                target.membership.observe(accused, 0.0)
+            await trio.sleep(5)
+            nursery.cancel_scope.cancel()
+        assert target.frames_sent["ping"] > 5
+        assert ResultCode.FRAME_TOO_LARGE not in target.dropped_by_code
+
+    run(main)
+
+
 def test_question_passes_and_a_silent_kept_connection_is_replaced():
     """A kept connection goes silent for good while new ones work.
 
--- a/radishfield/fleet/__init__.py
+++ b/radishfield/fleet/__init__.py
@@ -30,10 +30,7 @@
     PollerSettings,
     ZoneLoad,
 )
-from radishfield.fleet._membership import (
-    Membership,
-    Update,
-)
+from radishfield.fleet._membership import Membership
 from radishfield.fleet._operations import (
     FleetOperations,
     FleetParts,
@@ -74,6 +71,7 @@
     ZoneReach,
     ZoneStatus,
 )
+from radishfield.fleet._updates import Update
 from radishfield.fleet._watcher import (
     PlatformWatcher,
     WatcherSettings,
--- a/radishfield/fleet/_membership.py
+++ b/radishfield/fleet/_membership.py
@@ -14,21 +14,13 @@
 """
 
 import dataclasses
-import math
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from radishfield.core import Member, MemberState
-
-SUSPICION_FACTOR = 3.0
-"""Times log10 of the size, in probe periods: SWIM's usual range is 3 to 5."""
-
-LONG_SUSPICION = 3.0
-"""An accusation that nobody shares gets three times as long to be refuted."""
-
-CONFIRMATIONS = 3
-"""Independent accusers after which the shortest timeout holds (Lifeguard's k)."""
+from radishfield.fleet._suspicion import CONFIRMATIONS, suspicion_s
+from radishfield.fleet._updates import Update, UpdateQueue
 
 MAX_HEALTH_PENALTY = 8
 """A host that misses every answer waits up to nine times as long (Lifeguard)."""
@@ -49,31 +41,6 @@
 PAUSE_S = 3.0
 """A gap between ticks that only a pause of this process explains."""
 
-_RANK = {
-    MemberState.LIVE: 0,
-    MemberState.SUSPECT: 1,
-    MemberState.LEAVING: 2,
-    MemberState.DEAD: 3,
-}
-
-
-@dataclass(slots=True, frozen=True)
-class Update:
-    """What is told of a member; newer by incarnation, refutation, then state."""
-
-    id: str
-    zone: str
-    address: str
-    incarnation: int
-    refutation: int = 0
-    state: MemberState = MemberState.LIVE
-    accuser: str = ""
-
-    @property
-    def order(self) -> tuple[int, int, int]:
-        """Return what decides which of two updates is the newer one."""
-        return self.incarnation, self.refutation, _RANK[self.state]
-
 
 @dataclass(slots=True)
 class _Entry:
@@ -81,7 +48,6 @@
     suspected_at: float | None = None
     changed_at: float = 0.0
     accusers: set[str] = field(default_factory=set)
-    times_told: int = 0
     is_checked: bool = False
 
 
@@ -105,7 +71,7 @@
         "_period_s",
         "_rounds",
         "_suspect_ids",
-        "_to_tell_by_id",
+        "_to_tell",
         "_turn",
         "false_accusations",
         "health_penalty",
@@ -117,7 +83,7 @@
         self._chance = chance
         self._entry_by_id: dict[str, _Entry] = {own.id: _Entry(own)}
         self._rounds: dict[str, list[str]] = {"near": [], "far": [], "dead": []}
-        self._to_tell_by_id: dict[str, _Entry] = {}
+        self._to_tell = UpdateQueue()
         self._suspect_ids: dict[str, None] = {}
         self._members: Sequence[Member] | None = None
         self._turn = 0
@@ -165,7 +131,7 @@
             entry = _Entry(update, None, now)
             self._entry_by_id[update.id] = entry
             if spread:
-                self._to_tell_by_id[update.id] = entry
+                self._to_tell.add(update)
             self._members = None
         elif update.order > entry.update.order:
             self._replace(entry, update, now)
@@ -209,7 +175,7 @@
                 dead.append(_member(update))
             elif self._is_forgotten(entry, now):
                 del self._entry_by_id[entry.update.id]
-                self._to_tell_by_id.pop(entry.update.id, None)
+                self._to_tell.discard(entry.update.id)
                 self._members = None
         return dead
 
@@ -259,22 +225,14 @@
 
         What the recipient is accused of goes first, so that it can refute.
         """
-        told_enough = 3 * math.ceil(math.log2(len(self._entry_by_id) + 2))
-        waiting = sorted(
-            self._to_tell_by_id.values(), key=lambda entry: entry.times_told
-        )
-        about = self._entry_by_id.get(recipient)
-        if about is not None and about.update.state in (
+        entry = self._entry_by_id.get(recipient)
+        first = None
+        if entry is not None and entry.update.state in (
             MemberState.SUSPECT,
             MemberState.DEAD,
         ):
-            waiting = [about] + [entry for entry in waiting if entry is not about]
-        chosen = waiting[:limit]
-        for entry in chosen:
-            entry.times_told += 1
-            if entry.times_told >= told_enough:
-                self._to_tell_by_id.pop(entry.update.id, None)
-        return [entry.update for entry in chosen]
+            first = entry.update
+        return self._to_tell.take(first, limit, len(self._entry_by_id))
 
     def suspicion_s(self, accusers: int) -> float:
         """Return how long a suspicion lasts that so many share."""
@@ -282,14 +240,7 @@
             entry.update.state is not MemberState.DEAD
             for entry in self._entry_by_id.values()
         )
-        shortest = SUSPICION_FACTOR * max(1.0, math.log10(size)) * self._period_s
-        longest = shortest * LONG_SUSPICION
-        # In a fleet too small for so many accusers, fewer have to do.
-        needed = min(CONFIRMATIONS, size - 2)
-        if needed < 1:
-            return shortest
-        shared = math.log(max(1, accusers)) / math.log(needed + 1)
-        return max(shortest, longest - (longest - shortest) * shared)
+        return suspicion_s(size, accusers, self._period_s)
 
     def _refute(self, update: Update) -> None:
         own = self.own
@@ -315,17 +266,13 @@
     def _replace(self, entry: _Entry, update: Update, now: float) -> None:
         entry.update = update
         entry.changed_at = now
-        self._tell_anew(entry)
+        self._to_tell.add(update)
         self._members = None
         entry.accusers.clear()
         entry.suspected_at = None
         entry.is_checked = False
         self._suspect_ids.pop(update.id, None)
 
-    def _tell_anew(self, entry: _Entry) -> None:
-        entry.times_told = 0
-        self._to_tell_by_id[entry.update.id] = entry
-
     def _accuse(self, entry: _Entry, accuser: str, now: float) -> None:
         if entry.update.state is MemberState.DEAD:
             return
@@ -336,7 +283,7 @@
         if accuser not in entry.accusers and len(entry.accusers) <= CONFIRMATIONS:
             entry.accusers.add(accuser)
             entry.update = dataclasses.replace(entry.update, accuser=accuser)
-            self._tell_anew(entry)
+            self._to_tell.add(entry.update)
 
     def _is_overdue(self, entry: _Entry, now: float) -> bool:
         if entry.suspected_at is None:
