--- a/radishfield/settings/_sections.py
+++ b/radishfield/settings/_sections.py
@@ -71,8 +71,8 @@
 
     Attributes
     ----------
-    queue : int
-        Admitted requests that may wait for a target.
+    max_in_flight : int
+        Requests served at a time, those that wait for a target included.
     """
 
     bind: Address = "127.0.0.1:8080"
@@ -81,7 +81,6 @@
     max_body_bytes: Annotated[int, Meta(ge=1 << 10, le=64 << 20, extra=SIZE)] = 1 << 20
     body_timeout_s: ShortTime = 10.0
     max_in_flight: Count = 1024
-    queue: Count = 2048
 
 
 @dataclass(slots=True, frozen=True)
@@ -170,6 +169,24 @@
     load_s: LongTime = 120.0
 
 
+@dataclass(slots=True, frozen=True)
+class PlacementSection:
+    """[placement]: plans of which target holds which layers, by the lease holder.
+
+    Attributes
+    ----------
+    enabled : bool
+        Off means that layers move by the operators' hand only.
+    layers_per_s : float
+        Rate of one load from the store of weights.
+    """
+
+    enabled: bool = True
+    period_s: Annotated[float, Meta(ge=10.0, le=86400.0, extra=DURATION)] = 300.0
+    layers_per_s: Annotated[float, Meta(ge=0.001, le=10000.0)] = 1.0
+    concurrent_loads: Annotated[int, Meta(ge=1, le=100)] = 1
+
+
 @dataclass(slots=True, frozen=True)
 class LogSettings:
     """[log]: JSON lines, one event each."""
