Read member lists in growing pauses after a start

Cause: 80 hosts started together over sockets did not all know each other after 30 s; each had read one list, as short as its own, and the next was 30 s off. Ruled out: more updates a heartbeat (bytes for all time); a list each second. Change: pauses between reads grow from 0.25 s, each twice the one before, to the steady period.

--- a/radishfield/edges/_peer_probe.py
+++ b/radishfield/edges/_peer_probe.py
@@ -122,14 +122,18 @@
             await trio.sleep(max(0.0, rest_s))
 
     async def read_member_lists(self) -> None:
-        """Read the whole list of a member: soon after the start, then rarely."""
-        while not await self._read_a_list():
-            await trio.sleep(JOIN_PAUSE_S)
+        """Read the whole list of a member: soon after the start, then rarely.
+
+        Hosts that start together read lists that are as short as their own; so
+        the pauses grow from a fraction of a second, each twice the one before.
+        """
+        pause_s = JOIN_PAUSE_S
         while True:
-            size = len(self._membership.members())
-            period_s = max(MEMBERS_PERIOD_S, size * MEMBERS_PERIOD_PER_MEMBER_S)
-            await trio.sleep(period_s * self._chance.uniform(0.8, 1.2))
-            await self._read_a_list()
+            if await self._read_a_list():
+                size = len(self._membership.members())
+                period_s = max(MEMBERS_PERIOD_S, size * MEMBERS_PERIOD_PER_MEMBER_S)
+                pause_s = min(2 * pause_s, period_s)
+            await trio.sleep(pause_s * self._chance.uniform(0.8, 1.2))
 
     async def answer_members(self, sender: str, payload: bytes) -> Result[bytes, Fault]:
         """Answer a question for the whole list."""
