--- a/radishfield/fleet/_membership.py
+++ b/radishfield/fleet/_membership.py
@@ -14,21 +14,13 @@
 """
 
 import dataclasses
-import math
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from radishfield.core import Member, MemberState
-
-SUSPICION_FACTOR = 3.0
-"""Times log10 of the size, in probe periods: SWIM's usual range is 3 to 5."""
-
-LONG_SUSPICION = 3.0
-"""An accusation that nobody shares gets three times as long to be refuted."""
-
-CONFIRMATIONS = 3
-"""Independent accusers after which the shortest timeout holds (Lifeguard's k)."""
+from radishfield.fleet._suspicion import CONFIRMATIONS, suspicion_s
+from radishfield.fleet._updates import Update, UpdateQueue
 
 MAX_HEALTH_PENALTY = 8
 """A host that misses every answer waits up to nine times as long (Lifeguard)."""
@@ -42,34 +34,13 @@
 DEAD_KEPT_S = 7_200.0
 """Regions lose each other for an hour; their hosts are still known after it."""
 
+CHECKED_BY_ALL = 20
+"""In a fleet of up to so many, every host checks a suspect at once; above, those
+of its zone do.  More would put hundreds of probes on a host that is busy."""
+
 PAUSE_S = 3.0
 """A gap between ticks that only a pause of this process explains."""
 
-_RANK = {
-    MemberState.LIVE: 0,
-    MemberState.SUSPECT: 1,
-    MemberState.LEAVING: 2,
-    MemberState.DEAD: 3,
-}
-
-
-@dataclass(slots=True, frozen=True)
-class Update:
-    """What is told of a member; newer by incarnation, refutation, then state."""
-
-    id: str
-    zone: str
-    address: str
-    incarnation: int
-    refutation: int = 0
-    state: MemberState = MemberState.LIVE
-    accuser: str = ""
-
-    @property
-    def order(self) -> tuple[int, int, int]:
-        """Return what decides which of two updates is the newer one."""
-        return self.incarnation, self.refutation, _RANK[self.state]
-
 
 @dataclass(slots=True)
 class _Entry:
@@ -77,7 +48,7 @@
     suspected_at: float | None = None
     changed_at: float = 0.0
     accusers: set[str] = field(default_factory=set)
-    times_told: int = 0
+    is_checked: bool = False
 
 
 class Membership:
@@ -99,7 +70,8 @@
         "_own_id",
         "_period_s",
         "_rounds",
-        "_to_tell_by_id",
+        "_suspect_ids",
+        "_to_tell",
         "_turn",
         "false_accusations",
         "health_penalty",
@@ -111,7 +83,8 @@
         self._chance = chance
         self._entry_by_id: dict[str, _Entry] = {own.id: _Entry(own)}
         self._rounds: dict[str, list[str]] = {"near": [], "far": [], "dead": []}
-        self._to_tell_by_id: dict[str, _Entry] = {}
+        self._to_tell = UpdateQueue()
+        self._suspect_ids: dict[str, None] = {}
         self._members: Sequence[Member] | None = None
         self._turn = 0
         self._last_tick: float | None = None
@@ -158,7 +131,7 @@
             entry = _Entry(update, None, now)
             self._entry_by_id[update.id] = entry
             if spread:
-                self._to_tell_by_id[update.id] = entry
+                self._to_tell.add(update)
             self._members = None
         elif update.order > entry.update.order:
             self._replace(entry, update, now)
@@ -202,12 +175,20 @@
                 dead.append(_member(update))
             elif self._is_forgotten(entry, now):
                 del self._entry_by_id[entry.update.id]
-                self._to_tell_by_id.pop(entry.update.id, None)
+                self._to_tell.discard(entry.update.id)
                 self._members = None
         return dead
 
     def next_probe(self) -> Update | None:
-        """Return the member to probe next: each in turn, in random order."""
+        """Return the member to probe next: each in turn, in random order.
+
+        A suspect that this host has not checked goes first: it is cleared
+        sooner if it lives, and has more accusers, so a shorter wait, if not.
+        """
+        suspect = self._unchecked_suspect()
+        if suspect is not None:
+            suspect.is_checked = True
+            return suspect.update
         self._turn += 1
         if self._turn % DEAD_TURN == 0:
             order = ("dead", "near", "far")
@@ -244,22 +225,14 @@
 
         What the recipient is accused of goes first, so that it can refute.
         """
-        told_enough = 3 * math.ceil(math.log2(len(self._entry_by_id) + 2))
-        waiting = sorted(
-            self._to_tell_by_id.values(), key=lambda entry: entry.times_told
-        )
-        about = self._entry_by_id.get(recipient)
-        if about is not None and about.update.state in (
+        entry = self._entry_by_id.get(recipient)
+        first = None
+        if entry is not None and entry.update.state in (
             MemberState.SUSPECT,
             MemberState.DEAD,
         ):
-            waiting = [about] + [entry for entry in waiting if entry is not about]
-        chosen = waiting[:limit]
-        for entry in chosen:
-            entry.times_told += 1
-            if entry.times_told >= told_enough:
-                self._to_tell_by_id.pop(entry.update.id, None)
-        return [entry.update for entry in chosen]
+            first = entry.update
+        return self._to_tell.take(first, limit, len(self._entry_by_id))
 
     def suspicion_s(self, accusers: int) -> float:
         """Return how long a suspicion lasts that so many share."""
@@ -267,14 +240,7 @@
             entry.update.state is not MemberState.DEAD
             for entry in self._entry_by_id.values()
         )
-        shortest = SUSPICION_FACTOR * max(1.0, math.log10(size)) * self._period_s
-        longest = shortest * LONG_SUSPICION
-        # In a fleet too small for so many accusers, fewer have to do.
-        needed = min(CONFIRMATIONS, size - 2)
-        if needed < 1:
-            return shortest
-        shared = math.log(max(1, accusers)) / math.log(needed + 1)
-        return max(shortest, longest - (longest - shortest) * shared)
+        return suspicion_s(size, accusers, self._period_s)
 
     def _refute(self, update: Update) -> None:
         own = self.own
@@ -300,24 +266,24 @@
     def _replace(self, entry: _Entry, update: Update, now: float) -> None:
         entry.update = update
         entry.changed_at = now
-        self._tell_anew(entry)
+        self._to_tell.add(update)
         self._members = None
         entry.accusers.clear()
         entry.suspected_at = None
-
-    def _tell_anew(self, entry: _Entry) -> None:
-        entry.times_told = 0
-        self._to_tell_by_id[entry.update.id] = entry
+        entry.is_checked = False
+        self._suspect_ids.pop(update.id, None)
 
     def _accuse(self, entry: _Entry, accuser: str, now: float) -> None:
         if entry.update.state is MemberState.DEAD:
             return
         if entry.suspected_at is None:
             entry.suspected_at = now
+            self._suspect_ids[entry.update.id] = None
+        entry.is_checked |= accuser == self._own_id
         if accuser not in entry.accusers and len(entry.accusers) <= CONFIRMATIONS:
             entry.accusers.add(accuser)
             entry.update = dataclasses.replace(entry.update, accuser=accuser)
-            self._tell_anew(entry)
+            self._to_tell.add(entry.update)
 
     def _is_overdue(self, entry: _Entry, now: float) -> bool:
         if entry.suspected_at is None:
@@ -335,6 +301,17 @@
             if entry.suspected_at is not None:
                 entry.suspected_at += pause_s
 
+    def _unchecked_suspect(self) -> _Entry | None:
+        if not self._suspect_ids:
+            return None
+        checks_all = len(self._entry_by_id) <= CHECKED_BY_ALL
+        for member_id in self._suspect_ids:
+            entry = self._entry_by_id[member_id]
+            is_near = entry.update.zone == self.own.zone
+            if not entry.is_checked and (checks_all or is_near):
+                return entry
+        return None
+
     def _next_in(self, group: str) -> Update | None:
         for is_new_round in (False, True):
             if is_new_round:
