--- a/bench/_cli.py
+++ b/bench/_cli.py
@@ -1,10 +1,9 @@
 """Which scenarios there are, and the run over all or some of them."""
 
 import functools
-import time
 from collections.abc import Callable, Sequence
 
-from bench import _faults, _scenarios
+from bench import _cost, _faults, _report, _scenarios
 from bench._runs import Result
 
 SCENARIOS: dict[str, Callable[[], Result]] = {
@@ -16,14 +15,19 @@
     "long_among_short": _scenarios.long_among_short,
     "stage_dies": _faults.stage_dies,
     "zone_lost": _faults.zone_lost,
+    "cost": _cost.cost_per_decision,
 }
 
 
 def main(names: Sequence[str]) -> int:
-    """Play the named scenarios, or all of them, and print a line each."""
+    """Play the named scenarios, or all; print a line each and keep the figures."""
+    unknown = [name for name in names if name not in SCENARIOS]
+    if unknown:
+        print(f"no scenario {unknown[0]}; there are {', '.join(SCENARIOS)}")
+        return 2
     for name in names or SCENARIOS:
-        started = time.monotonic()
         result = SCENARIOS[name]()
         print(result.line(), flush=True)
-        print(f"# {name} took {time.monotonic() - started:.0f} s", flush=True)
+        _report.keep(result)
+    _report.draw(_report.kept())
     return 0
--- a/bench/_faults.py
+++ b/bench/_faults.py
@@ -17,6 +17,7 @@
 )
 from radishfield.core import Target
 
+ALL = tuple(POLICIES)
 LOAD_SEED = 7
 LOAD_SEEDS = (7, 8, 9)
 FAULT_AT_S = 60.0
@@ -25,7 +26,7 @@
 """A prefill of the prompt and the committed tokens through four full stages."""
 
 
-def slow_target(until_s: float = 120.0, policies: Sequence[str] = tuple(POLICIES)):
+def slow_target(until_s: float = 120.0, policies: Sequence[str] = ALL) -> Result:
     """Play a target that turns ten times slower and declares its old speed."""
     targets, links = mixed_targets(), uneven_links()
     slow = max(targets, key=lambda t: (t.layers.first == 20, t.speed_tps))
@@ -46,7 +47,11 @@
     return Result("slow_target", parts[OURS], parts, 0.90, details=details)
 
 
-def stage_dies(until_s: float = 100.0, policies: Sequence[str] = tuple(POLICIES)):
+def stage_dies(
+    until_s: float = 100.0,
+    policies: Sequence[str] = ALL,
+    seeds: Sequence[int] = LOAD_SEEDS,
+) -> Result:
     """Play a stage's death in the middle of a token, at 80% load."""
     targets, links = mixed_targets(), uneven_links()
     bound = bound_tps(targets, links)
@@ -55,7 +60,7 @@
     details = {}
     for policy in policies:
         gaps, hit, ended = [], [], []
-        for seed in LOAD_SEEDS:
+        for seed in seeds:
             world = new_world(targets, links, policy)
             watch = _GapWatch(world)
             world.events.at(FAULT_AT_S, watch.kill, [victim])
@@ -78,7 +83,7 @@
     return Result("stage_dies", p99s[OURS], p99s, aim, False, details)
 
 
-def zone_lost(until_s: float = 90.0, policies: Sequence[str] = tuple(POLICIES)):
+def zone_lost(until_s: float = 90.0, policies: Sequence[str] = ALL) -> Result:
     """Play the loss of one zone of three, hosts and targets, at 60% load."""
     targets, links = even_targets(), uneven_links()
     rest = [t for t in targets if t.zone != ZONES[2]]
--- a/bench/_scenarios.py
+++ b/bench/_scenarios.py
@@ -17,20 +17,25 @@
     percentile,
 )
 
+ALL = tuple(POLICIES)
 LOAD_SEED = 7
 LOAD_SEEDS = (7, 8, 9)
 """One seed's figure scatters by 0.02 under saturation; three's mean by half."""
 WAVE_S = 20.0
 
 
-def saturation(until_s: float = 120.0, policies: Sequence[str] = tuple(POLICIES)):
+def saturation(
+    until_s: float = 120.0,
+    policies: Sequence[str] = ALL,
+    seeds: Sequence[int] = LOAD_SEEDS,
+) -> Result:
     """Play a tenth more load than mixed accelerators and uneven links carry."""
     targets, links = mixed_targets(), uneven_links()
     bound = bound_tps(targets, links)
     parts = {}
     for policy in policies:
         rates = []
-        for seed in LOAD_SEEDS:
+        for seed in seeds:
             asks = draw(Pattern(bound * 1.1, until_s=until_s), seed)
             records = new_world(targets, links, policy).play(asks, until_s)
             rates.append(goodput(records, until_s / 2, until_s))
@@ -39,8 +44,8 @@
 
 
 def overload(
-    factor: float, until_s: float = 120.0, policies: Sequence[str] = tuple(POLICIES)
-):
+    factor: float, until_s: float = 120.0, policies: Sequence[str] = ALL
+) -> Result:
     """Play waves of several times the bound, between waves of just as much."""
     targets, links = mixed_targets(), uneven_links()
     bound = bound_tps(targets, links)
@@ -61,7 +66,7 @@
     return Result(f"overload_{factor:.0f}x", parts[OURS], parts, 0.95, details=details)
 
 
-def heavy_workspaces(until_s: float = 120.0, policies: Sequence[str] = tuple(POLICIES)):
+def heavy_workspaces(until_s: float = 120.0, policies: Sequence[str] = ALL) -> Result:
     """Play two workspaces that send nine tenths of 1.5 times the bound.
 
     Every policy is held against the others' work alone under the scheduler.
@@ -88,7 +93,7 @@
     return Result("heavy_workspaces", p95s[OURS], p95s, 1.2, False, details)
 
 
-def long_among_short(until_s: float = 400.0, policies: Sequence[str] = tuple(POLICIES)):
+def long_among_short(until_s: float = 400.0, policies: Sequence[str] = ALL) -> Result:
     """Play one request in twenty fifty times longer, at 70% load.
 
     ``same_load_all_short`` is the scheduler's figure when the long work is
--- a/radishfield/decisions/_failures.py
+++ b/radishfield/decisions/_failures.py
@@ -1,6 +1,7 @@
 """What follows a failed attempt, put together from the rules that apply."""
 
 from radishfield.core import ResultCode
+from radishfield.decisions._claims import Claim
 from radishfield.decisions._data import (
     Dispatch,
     Failure,
@@ -8,7 +9,6 @@
     GiveUp,
     Retry,
 )
-from radishfield.decisions._pool import Claim
 from radishfield.decisions._precedence import raised
 from radishfield.decisions._recovery import (
     RebuildPacer,
--- a/radishfield/decisions/_flow.py
+++ b/radishfield/decisions/_flow.py
@@ -125,7 +125,7 @@
     groups: list[Group], links: Sequence[Link], model_layers: int
 ) -> networkx.DiGraph:
     graph = networkx.DiGraph()
-    boundaries = {0} | {group.end for group in groups}
+    boundaries = sorted({0} | {group.end for group in groups})
     for index, group in enumerate(groups):
         graph.add_edge(
             ("in", index), ("out", index), capacity=round(group.speed_tps * SCALE)
@@ -134,11 +134,11 @@
             if group.first <= layer < group.end:
                 graph.add_edge((group.zone, layer), ("in", index))
         graph.add_edge(("out", index), (group.zone, group.end))
-    zones = {group.zone for group in groups}
+    zones = list(dict.fromkeys(group.zone for group in groups))
     for name in zones:
         graph.add_edge("source", (name, 0))
         graph.add_edge((name, model_layers), "sink")
-    inner = boundaries - {0, model_layers}
+    inner = [layer for layer in boundaries if 0 < layer < model_layers]
     for link in links:
         if link.from_zone == link.to_zone:
             continue
@@ -153,15 +153,21 @@
 
 
 def _solve(graph: networkx.DiGraph) -> dict:
-    residual = preflow_push(graph, "source", "sink")
-    return {
-        node: {
-            after: residual[node][after]["flow"]
+    # Numbers in place of names: networkx keeps nodes in sets, and the order of
+    # names in a set changes with each process, and with it which of several
+    # maximum flows is found.
+    number_by_node = {node: number for number, node in enumerate(graph)}
+    numbered = networkx.relabel_nodes(graph, number_by_node)
+    residual = preflow_push(numbered, number_by_node["source"], number_by_node["sink"])
+    flow = {}
+    for node, number in number_by_node.items():
+        passed = residual[number]
+        flow[node] = {
+            after: passed[number_by_node[after]]["flow"]
             for after in graph.successors(node)
-            if residual[node][after]["flow"] > 0
+            if passed[number_by_node[after]]["flow"] > 0
         }
-        for node in graph
-    }
+    return flow
 
 
 def _weights(
--- a/radishfield/decisions/_pool.py
+++ b/radishfield/decisions/_pool.py
@@ -1,19 +1,18 @@
 """The targets of one model, or one kind of service, with their work in flight."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from operator import attrgetter
 
 from radishfield.core import (
     Link,
     LoadReport,
     Priority,
-    Route,
     Target,
     TargetKind,
     TargetState,
 )
 from radishfield.decisions._affinity import LOAD_BOUND
+from radishfield.decisions._claims import Claim
 from radishfield.decisions._ejection import Ejector
 from radishfield.decisions._flow import FlowPlan, plan_flow, speed_of
 from radishfield.decisions._limits import (
@@ -29,27 +28,6 @@
 """Seconds for a token before any plan or answer says better."""
 
 
-@dataclass(slots=True, frozen=True)
-class Claim:
-    """Places in flight that one attempt holds.
-
-    Attributes
-    ----------
-    token_s : float
-        Seconds that a token should take on the route with full batches.
-    expected_s : float
-        Seconds that a token is expected to take, queues included.
-    """
-
-    loads: tuple[TargetLoad, ...]
-    crossings: tuple[Crossing, ...]
-    long: bool
-    token_s: float
-    expected_s: float
-    route: Route | None = None
-    target: Target | None = None
-
-
 class Pool:
     """Targets that can serve the same work, and what is learned about them.
 
--- a/radishfield/decisions/_running.py
+++ b/radishfield/decisions/_running.py
@@ -1,8 +1,9 @@
 """One dispatched request: the places it holds and how it moves on."""
 
+from radishfield.decisions._claims import Claim
 from radishfield.decisions._data import Dispatch
 from radishfield.decisions._lengths import PROMPT_TOKEN_COST
-from radishfield.decisions._pool import Claim, Pool
+from radishfield.decisions._pool import Pool
 
 SAMPLE_TOKENS = 8
 """Tokens after which a stream's pace is judged, or the time that they should
--- a/radishfield/decisions/_scheduler.py
+++ b/radishfield/decisions/_scheduler.py
@@ -14,6 +14,7 @@
 )
 from radishfield.decisions._admission import Forecast, judge, spread_retry
 from radishfield.decisions._affinity import PrefixIndex
+from radishfield.decisions._claims import Claim
 from radishfield.decisions._data import (
     Dispatch,
     Expired,
@@ -27,7 +28,7 @@
 from radishfield.decisions._failures import FailureDecider
 from radishfield.decisions._journal import Journal, Note
 from radishfield.decisions._lengths import LengthEstimate
-from radishfield.decisions._pool import Claim, Pool
+from radishfield.decisions._pool import Pool
 from radishfield.decisions._precedence import HeldShares, engine_priority
 from radishfield.decisions._queues import Entry, Lane, WorkQueue, lane_for
 from radishfield.decisions._running import Running
