Lower a target's share by its answers alone; tell ended work when to come back

Cause: the limit followed load reports only; a target that sends none kept its first limit however long its answers took. Work that ended without running was not told when to come back. Change: a stay at a stage of over twice the planned one lowers its share in proportion; 'not run' ends carry a time; expired work is told the time in which the present backlog leaves.

--- a/radishfield/decisions/_failures.py
+++ b/radishfield/decisions/_failures.py
@@ -1,6 +1,9 @@
 """What follows a failed attempt, put together from the rules that apply."""
 
-from radishfield.core import ResultCode
+from dataclasses import replace
+
+from radishfield.core import Fault, Outcome, ResultCode
+from radishfield.decisions._admission import spread_retry
 from radishfield.decisions._claims import Claim
 from radishfield.decisions._data import (
     Dispatch,
@@ -8,6 +11,7 @@
     FailureKind,
     GiveUp,
     Retry,
+    Work,
 )
 from radishfield.decisions._precedence import raised
 from radishfield.decisions._recovery import (
@@ -24,6 +28,10 @@
 )
 from radishfield.decisions._running import Running
 
+RETRY_AFTER_S = 2.0
+"""As long as a target's first ejection: by then others have its work, or it is
+back."""
+
 
 class FailureDecider:
     """Ejection, retry rules, budget and paced recovery, in that order."""
@@ -49,11 +57,11 @@
             code = ResultCode.RETRY_BUDGET_SPENT
             problem = end_fault(failure, code, running.ever_started)
         if problem is not None:
-            return GiveUp(problem)
+            return _give_up(work, problem)
         claim = _next_claim(running, failure)
         if claim is None:
             code = ResultCode.NO_TARGET
-            return GiveUp(end_fault(failure, code, running.ever_started))
+            return _give_up(work, end_fault(failure, code, running.ever_started))
         return self._retry(running, claim, failure, recovering, now)
 
     def _blame(self, running: Running, failure: Failure, now: float) -> None:
@@ -97,6 +105,13 @@
         return Retry(dispatch, after_s, imports, CODE_BY_KIND[failure.kind])
 
 
+def _give_up(work: Work, problem: Fault) -> GiveUp:
+    """End a request; one that never ran is told when to come back."""
+    if problem.outcome is Outcome.NOT_RUN:
+        problem = replace(problem, retry_after_s=spread_retry(work, RETRY_AFTER_S))
+    return GiveUp(problem)
+
+
 def _next_claim(running: Running, failure: Failure) -> Claim | None:
     """Return places for the next attempt.
 
--- a/radishfield/decisions/_limits.py
+++ b/radishfield/decisions/_limits.py
@@ -59,6 +59,11 @@
 MIN_STAGE_PART = 0.3
 """Part of a full batch's step that a token takes at the least."""
 
+STAGE_HIGH = 2.0
+"""Times the planned stay at a stage above which less is sent there.  Uneven
+batches reach one and a half; past two the target is slower than declared, and
+by Little's law the excess only waits."""
+
 FIRST_WEIGHT = 0.1
 """Part of its goal at which a new or returning target starts."""
 
@@ -185,12 +190,11 @@
     def learn_stage(self, relative_error: float) -> None:
         """Correct the time that a token spends here, queue and step."""
         low = full_step_s(self.target) * MIN_STAGE_PART
+        # The share follows within a second, when the weight is shifted.
         self.stage_s = max(low, self.stage_s * (1 + STAGE_SMOOTHING * relative_error))
 
     def shift_weight(self, elapsed_s: float) -> None:
         """Move the weight towards its goal, up at a bounded pace."""
-        if self.weight == self.goal:
-            return
         rise = self.goal * WEIGHT_RISE_PER_S * elapsed_s
         self.weight = min(self.goal, self.weight + rise)
         self._divide()
@@ -219,6 +223,9 @@
             # A target on trial or just added may be slow: had it a full share
             # at once, every host's next requests would be stuck on it.
             limit *= self.weight / self.goal
+        planned_s = full_step_s(self.target) * HEADROOM * STAGE_HIGH
+        if self.stage_s > planned_s:
+            limit *= planned_s / self.stage_s
         even = limit / self._hosts
         if self._reported_at is None:
             self.share = max(1.0, even)
--- a/radishfield/decisions/_scheduler.py
+++ b/radishfield/decisions/_scheduler.py
@@ -169,9 +169,10 @@
         for key, queue in self._queues_by_key.items():
             if not len(queue):
                 continue
+            pool = self._pools_by_key[key]
             for entry in queue.expire(now):
-                taken.append(self._expire(entry, now))
-            self._start_waiting(self._pools_by_key[key], queue, taken, now)
+                taken.append(self._expire(pool, queue, entry, now))
+            self._start_waiting(pool, queue, taken, now)
         return taken
 
     def next_wakeup(self, now: float) -> float | None:
@@ -248,12 +249,13 @@
         self._journal.note(work.request_id, Note(now, "refused", problem.detail))
         return refused
 
-    def _expire(self, entry: Entry, now: float) -> Expired:
-        problem = fault(
-            ResultCode.EXPIRED_IN_QUEUE,
-            "can no longer finish on time",
-            spread_retry(entry.work, entry.work.deadline - entry.latest_start),
-        )
+    def _expire(
+        self, pool: Pool, queue: WorkQueue, entry: Entry, now: float
+    ) -> Expired:
+        # What waits now has to leave before a new try would start.
+        retry = spread_retry(entry.work, queue.backlog() / pool.drain_tps)
+        detail = "can no longer finish on time"
+        problem = fault(ResultCode.EXPIRED_IN_QUEUE, detail, retry)
         self._shares.end(entry.work.workspace, entry.cost)
         self._journal.note(entry.work.request_id, Note(now, "expired"))
         return Expired(entry.work, problem)
@@ -286,7 +288,7 @@
                     continue
                 queue.pop(entry)
                 if _too_late(claim, entry, pool.paces.factor(told), now):
-                    taken.append(self._expire(entry, now))
+                    taken.append(self._expire(pool, queue, entry, now))
                 else:
                     taken.append(self._start(pool, entry, claim, told, now))
             if Lane.SHORT in blocked:
--- a/radishfield/decisions/limits_test.py
+++ b/radishfield/decisions/limits_test.py
@@ -59,6 +59,22 @@
     assert load.limit > fallen
 
 
+def test_answers_that_stay_too_long_lower_the_share_without_any_report(load):
+    """A target turns slower than declared and sends no reports.
+
+    Its answers alone must cut what is sent there, and restore it afterwards.
+    """
+    before = load.share
+    for _ in range(60):
+        load.learn_stage(1.0)
+    load.shift_weight(1.0)
+    assert load.share < before / 2
+    for _ in range(200):
+        load.learn_stage(-0.5)
+    load.shift_weight(1.0)
+    assert load.share == before
+
+
 def test_a_report_that_went_stale_is_dropped(load, make_report):
     load.observe(make_report(load.target, 0), 0.0)
     wide = load.share
--- a/radishfield/decisions/scheduler_test.py
+++ b/radishfield/decisions/scheduler_test.py
@@ -133,6 +133,41 @@
     assert decision.fault.outcome is Outcome.UNKNOWN
 
 
+def test_a_request_that_never_ran_ends_so_with_a_time_to_come_back(
+    scheduler, make_work
+):
+    """No target accepts a connection until the attempts are used up.
+
+    The caller is told "not run", at once, and when to come back.
+    """
+    dispatch = start(scheduler, make_work("r", idempotent=False))
+    decision = None
+    while not isinstance(decision, GiveUp):
+        failure = Failure("r", stage_ids(dispatch)[0], FailureKind.CONNECT, False)
+        decision = scheduler.failed(failure, 1.0)
+        dispatch = getattr(decision, "dispatch", dispatch)
+    assert decision.fault.outcome is Outcome.NOT_RUN
+    assert decision.fault.retry_after_s >= 2.0
+
+
+def test_work_that_can_no_longer_finish_leaves_at_once(scheduler, make_work):
+    """Reviews wait for a full fleet that ends nothing.
+
+    Each leaves the queue when its last moment to start has passed, not at its
+    deadline, and is told when to come back.
+    """
+    for index in range(60):
+        scheduler.offer(make_work(f"r{index}", deadline=60.0), 0.0)
+    scheduler.take(0.0)
+    wakeup = scheduler.next_wakeup(0.0)
+    assert wakeup is not None and wakeup <= 60.0
+    ended = [i for at in range(1, 60) for i in scheduler.take(float(at))]
+    assert ended and all(isinstance(item, Expired) for item in ended)
+    assert {item.reason for item in ended} == {"expired-in-queue"}
+    assert all(item.fault.retry_after_s > 0 for item in ended)
+    assert scheduler.snapshot(60.0).pools[0].queued == 0
+
+
 def test_a_leaving_target_gets_nothing_more_and_no_target_is_its_own_refusal(
     scheduler, make_work
 ):
