Notice a full fleet before walking it

Cause: at 30 targets, where the fleet is full, each arrival met one walk that finds places and one that fails after trying each way to the full layer. Change: a layer that all routes pass and that has no place ends the search.

--- a/radishfield/decisions/_routes.py
+++ b/radishfield/decisions/_routes.py
@@ -99,6 +99,7 @@
         "_zone",
         "_loads_by_zone_layer",
         "_crossings_by_pair",
+        "_cuts",
         "_zones",
         "_stayed_local",
         "_turn",
@@ -123,6 +124,7 @@
         self._loads_by_zone_layer = _by_boundary(loads)
         self._crossings_by_pair = crossings_by_pair
         self._zones = _nearest_zones(loads, links, zone)
+        self._cuts = _cuts(loads)
 
     def choose(
         self,
@@ -145,6 +147,8 @@
         """
         self._turn += 1
         self._stayed_local = False
+        if not forced and self._is_full():
+            return None
         wanted = _Wanted(long, excluded, preferred, forced, fast, False)
         chain = self._walk(wanted)
         if chain is None and self._stayed_local:
@@ -178,6 +182,20 @@
             options.append(self._options(load.target.zone, end, wanted))
         return None
 
+    def _is_full(self) -> bool:
+        """Tell cheaply whether some layer has no place left, so no walk can end.
+
+        Under overload every second walk would fail, after trying each way to
+        the layer that is full.
+        """
+        for loads in self._cuts:
+            for load in loads:
+                if load.own < load.room:
+                    break
+            else:
+                return True
+        return False
+
     def covered(self, excluded: frozenset[str] = frozenset()) -> bool:
         """Tell whether live targets cover the model, full or not."""
         reached, todo = {0}, [0]
@@ -298,6 +316,17 @@
     return dict(held)
 
 
+def _cuts(loads: Sequence[TargetLoad]) -> list[list[TargetLoad]]:
+    """Return, for each boundary that no range spans, the targets that go on there."""
+    ranges = [load.target.layers for load in loads]
+    boundaries = sorted({0} | {layers.end for layers in ranges})
+    return [
+        [load for load in loads if load.target.layers.first == layer]
+        for layer in boundaries[:-1]
+        if not any(layers.first < layer < layers.end for layers in ranges)
+    ]
+
+
 def _nearest_zones(
     loads: Sequence[TargetLoad], links: Sequence[Link], zone: str
 ) -> list[str]:
