--- a/bench/_runs.py
+++ b/bench/_runs.py
@@ -47,19 +47,20 @@
     details: dict[str, float] = field(default_factory=dict)
 
     @property
-    def baseline(self) -> float:
-        """Return the best baseline's figure."""
+    def baseline(self) -> float | None:
+        """Return the best baseline's figure, if the scenario has any."""
         others = [v for name, v in self.by_policy.items() if name != OURS]
         if not others:
-            return float("nan")
+            return None
         return max(others) if self.higher_is_better else min(others)
 
     def line(self) -> str:
         """Return the scenario's line."""
         more = "".join(f" {name}={value:.4g}" for name, value in self.details.items())
+        baseline = "none" if self.baseline is None else f"{self.baseline:.4g}"
         return (
             f"bench {self.name} metric={self.metric:.4g} "
-            f"baseline={self.baseline:.4g} bound={self.aim:.4g}{more}"
+            f"baseline={baseline} bound={self.aim:.4g}{more}"
         )
 
 
