--- a/radishfield/decisions/_limits.py
+++ b/radishfield/decisions/_limits.py
@@ -102,6 +102,7 @@
         "score",
         "use",
         "usable",
+        "left",
         "ejected",
         "reported",
         "others",
@@ -124,6 +125,7 @@
         self.stage_s = full_step_s(target) * HEADROOM
         self.room = self.limit
         self.usable = target.state is TargetState.LIVE
+        self.left = False
         self.ejected = False
         self.reported = 0
         self.others = 0.0
@@ -134,6 +136,23 @@
         self._peers = 1.0
         self._rate()
 
+    def see(self, target: Target) -> None:
+        """Take in the target as the fleet's list has it now.
+
+        A list lags: it may call a target live that has itself reported to be
+        leaving.  Believed, it would bring the target back, and new work would
+        be lost on it.  Only another incarnation, which is another object, ends
+        what the target itself has said.
+        """
+        self.target = target
+        usable = target.state is TargetState.LIVE and not self.left
+        self.allow(usable, self.ejected)
+
+    def leave(self) -> None:
+        """Note that the target itself says that it is leaving."""
+        self.left = True
+        self.allow(False, self.ejected)
+
     def resize(self, limit: float) -> None:
         """Set the first value of the limit, keeping what was learned about it."""
         learned = self.limit / self.first_limit
--- a/radishfield/decisions/_pool.py
+++ b/radishfield/decisions/_pool.py
@@ -9,7 +9,6 @@
     Priority,
     Target,
     TargetKind,
-    TargetState,
 )
 from radishfield.decisions._affinity import LOAD_BOUND
 from radishfield.decisions._claims import Claim
@@ -99,8 +98,7 @@
             if load is None or load.target.incarnation != target.incarnation:
                 load = TargetLoad(target)
                 newcomers.append(load)
-            load.target = target
-            load.allow(target.state is TargetState.LIVE, load.ejected)
+            load.see(target)
             self.loads_by_id[target.id] = load
         self.ejector.keep_only(set(self.loads_by_id))
         self.replan()
@@ -197,8 +195,8 @@
     def leave(self, target_id: str) -> None:
         """Give a target no new work until it comes back."""
         load = self.loads_by_id.get(target_id)
-        if load is not None and load.usable:
-            load.allow(False, load.ejected)
+        if load is not None and not load.left:
+            load.leave()
             self.replan()
 
     def observe(self, report: LoadReport, now: float) -> None:
--- /dev/null
+++ b/radishfield/edges/_asgi.py
@@ -0,0 +1,137 @@
+"""Small pieces shared by every ASGI application of the project."""
+
+from dataclasses import dataclass
+
+import msgspec
+import trio
+from expression import Error, Ok, Result
+
+from radishfield.core import Fault, ResultCode, fault
+
+JSON_TYPE = b"application/json"
+# A body that is too large is read on for this long and this far before it is
+# refused.  Without it the connection would be reset while the caller still
+# sends, and the caller would see a network error in place of the answer.
+DISCARD_TIMEOUT_S = 2.0
+DISCARD_BYTES = 16 << 20
+WEBSOCKET_UNSUPPORTED = 1003
+
+
+@dataclass(slots=True, frozen=True)
+class BodyLimit:
+    """How large a body may be, and how long it may take to arrive."""
+
+    max_bytes: int = 1 << 20
+    timeout_s: float = 10.0
+
+
+async def read_body(receive, limit: BodyLimit) -> Result[bytes, Fault]:
+    """Read a whole request body within the limit's bytes and seconds."""
+    chunks: list[bytes] = []
+    size = 0
+    with trio.move_on_after(limit.timeout_s):
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                return Error(fault(ResultCode.CANCELLED_BEFORE_START, "disconnected"))
+            chunk = message.get("body", b"")
+            size += len(chunk)
+            if size > limit.max_bytes:
+                break
+            chunks.append(chunk)
+            if not message.get("more_body", False):
+                return Ok(b"".join(chunks))
+    if size > limit.max_bytes:
+        await _discard_body(receive)
+        detail = f"body is over {limit.max_bytes} bytes"
+        return Error(fault(ResultCode.BODY_TOO_LARGE, detail))
+    detail = f"body took over {limit.timeout_s} s"
+    return Error(fault(ResultCode.BODY_TOO_SLOW, detail))
+
+
+async def _discard_body(receive) -> None:
+    discarded = 0
+    with trio.move_on_after(DISCARD_TIMEOUT_S):
+        while discarded < DISCARD_BYTES:
+            message = await receive()
+            discarded += len(message.get("body", b""))
+            if not message.get("more_body", False):
+                return
+
+
+async def start_answer(send, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+    """Send the status line and headers."""
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+
+
+async def send_chunk(send, chunk: bytes, more: bool = True) -> None:
+    """Send a part of the body; ``more=False`` ends the answer."""
+    await send({"type": "http.response.body", "body": chunk, "more_body": more})
+
+
+async def send_json(
+    send,
+    status: int,
+    value: object,
+    headers: list[tuple[bytes, bytes]] | None = None,
+) -> None:
+    """Send a whole answer of one JSON value."""
+    await send_bytes(send, status, msgspec.json.encode(value), JSON_TYPE, headers)
+
+
+async def send_bytes(
+    send,
+    status: int,
+    body: bytes,
+    content_type: bytes,
+    headers: list[tuple[bytes, bytes]] | None = None,
+) -> None:
+    """Send a whole answer."""
+    fixed = [
+        (b"content-type", content_type),
+        (b"content-length", str(len(body)).encode()),
+    ]
+    await start_answer(send, status, fixed + (headers or []))
+    await send_chunk(send, body, more=False)
+
+
+async def serve_lifespan(receive, send) -> None:
+    """Answer the ASGI lifespan messages; nothing is started or stopped there."""
+    while True:
+        message = await receive()
+        if message["type"] == "lifespan.startup":
+            await send({"type": "lifespan.startup.complete"})
+        elif message["type"] == "lifespan.shutdown":
+            await send({"type": "lifespan.shutdown.complete"})
+            return
+
+
+async def serve_scope(scope, receive, send, serve_http) -> None:
+    """Answer a scope of any type; requests go to ``serve_http``."""
+    match scope["type"]:
+        case "lifespan":
+            await serve_lifespan(receive, send)
+        case "http":
+            await serve_http(scope, receive, send)
+        case "websocket":
+            await receive()
+            await send({"type": "websocket.close", "code": WEBSOCKET_UNSUPPORTED})
+
+
+async def run_until_disconnect(receive, work) -> None:
+    """Run ``work`` and cancel it as soon as the other end has gone.
+
+    The messages are read on while the work runs.  Without that a caller that
+    has gone would hold its place at the targets until its deadline, and a full
+    queue of unread messages would keep the server from closing the connection.
+    """
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
+        await work()
+        nursery.cancel_scope.cancel()
+
+
+async def _cancel_on_disconnect(receive, scope: trio.CancelScope) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    scope.cancel()
