Prove leases and orders by fuzzing, with pauses between check and send

Cause: one holder, and no old order after a new one, hang on instants that focused tests pick by hand.

--- /dev/null
+++ b/proofs/_leases.py
@@ -0,0 +1,258 @@
+"""Hosts that contend for a lease, and targets that take orders under it."""
+
+import random
+from dataclasses import dataclass
+
+import msgspec
+import trio
+from expression import Error, Ok, Result
+
+from proofs._loop import Loop
+from radishfield.core import (
+    Fault,
+    LayerRange,
+    Member,
+    MemberState,
+    ResultCode,
+    StoredObject,
+    Target,
+    TargetOrder,
+    TrioClock,
+    fault,
+)
+from radishfield.fleet import (
+    FactTable,
+    LeaseKeeper,
+    LeaseSettings,
+    OrderSender,
+    OrderSettings,
+    ProposedOrder,
+    TargetDirectory,
+)
+from standins.fakes import FakePlatform
+
+HOSTS = ("h0", "h1", "h2")
+# All hold the same layers, so that no order is refused for the last replica.
+TARGETS = 4
+# After the last fault: the old lease (12 s and a tenth), the pauses between
+# tries (3.3 s), and the settling of a write.
+ACQUIRED_S = 40.0
+
+
+class Pause:
+    """Stands a host still: whatever it sends waits until it goes on."""
+
+    def __init__(self):
+        self._goes_on = trio.Event()
+        self._goes_on.set()
+        self.lost_s = 0.0
+        self._since: float | None = None
+
+    @property
+    def is_paused(self) -> bool:
+        """Return whether the host stands still."""
+        return self._since is not None
+
+    def begin(self, now: float) -> None:
+        """Stop."""
+        if not self.is_paused:
+            self._since = now
+            self._goes_on = trio.Event()
+
+    def end(self, now: float) -> None:
+        """Go on."""
+        if self.is_paused:
+            self.lost_s += now - self._since
+            self._since = None
+            self._goes_on.set()
+
+    async def passed(self) -> None:
+        """Wait until the host runs."""
+        await self._goes_on.wait()
+
+
+class HostClock:
+    """The host's clock, which counts while the host stands still."""
+
+    def __init__(self, pause: Pause):
+        self.pause = pause
+
+    def now(self) -> float:
+        """Return trio's time."""
+        return trio.current_time()
+
+
+class PausedPort:
+    """A port whose calls and answers wait while the host stands still."""
+
+    def __init__(self, port: object, pause: Pause):
+        self._port = port
+        self._pause = pause
+
+    def __getattr__(self, name: str):
+        """Return a call of the port behind."""
+        call = getattr(self._port, name)
+
+        async def paused(*arguments):
+            await self._pause.passed()
+            answer = await call(*arguments)
+            await self._pause.passed()
+            return answer
+
+        return paused
+
+
+@dataclass(slots=True, frozen=True)
+class OrderStart:
+    """An order that a target started."""
+
+    target_id: str
+    fencing: int
+    at: float
+
+
+class OrderTargets:
+    """Targets that start orders late, but within the order's timeout."""
+
+    def __init__(self):
+        self.starts: list[OrderStart] = []
+        self.highest_by_target: dict[str, int] = {}
+        self.lag_s = 0.0
+
+    async def order(self, target: Target, order: TargetOrder) -> Result[None, Fault]:
+        """Start an order after the lag, unless it is fenced or too late.
+
+        The target works on when its caller has given up waiting.
+        """
+        highest = self.highest_by_target.get(target.id, 0)
+        if target.checks_fencing and order.fencing < highest:
+            return Error(fault(ResultCode.ORDER_FENCED))
+        self.highest_by_target[target.id] = max(highest, order.fencing)
+        with trio.CancelScope(shield=True):
+            await trio.sleep(min(self.lag_s, order.timeout_s * 0.98))
+        if target.checks_fencing:
+            if order.fencing < self.highest_by_target[target.id]:
+                return Error(fault(ResultCode.ORDER_FENCED))
+        self.starts.append(OrderStart(target.id, order.fencing, trio.current_time()))
+        return Ok(None)
+
+
+class Zone:
+    """A `PeerPort` of which only the members are asked."""
+
+    def __init__(self):
+        self.leaving: set[str] = set()
+
+    def members(self) -> list[Member]:
+        """Return the zone's hosts."""
+        return [
+            Member(
+                host,
+                "z",
+                "",
+                1,
+                MemberState.LEAVING if host in self.leaving else MemberState.LIVE,
+            )
+            for host in HOSTS
+        ]
+
+
+class LeaseHost:
+    """One host: its lease keeper and its sender of orders."""
+
+    def __init__(self, host_id: str, world: "LeaseWorld"):
+        self.id = host_id
+        self.pause = Pause()
+        clock = HostClock(self.pause)
+        platform = PausedPort(world.platform.as_caller(host_id), self.pause)
+        self.keeper = LeaseKeeper(
+            LeaseSettings("placement", "z", host_id),
+            platform,
+            world.zone,
+            clock,
+            chance=random.Random(host_id),
+        )
+        facts = FactTable()
+        for number in range(TARGETS):
+            target = _target(number)
+            value = msgspec.json.encode(target)
+            facts.learn(StoredObject("target", target.id, 1, value))
+        directory = TargetDirectory("z", facts, world.zone, clock)
+        port = PausedPort(world.targets, self.pause)
+        self.sender = OrderSender(OrderSettings(), self.keeper, port, directory, clock)
+
+
+class LeaseWorld:
+    """Three contenders, the platform, and targets of both kinds."""
+
+    def __init__(self, seed: int):
+        self.loop = Loop(seed)
+        self.platform = FakePlatform(TrioClock())
+        self.targets = OrderTargets()
+        self.zone = Zone()
+        self.hosts = [LeaseHost(host_id, self) for host_id in HOSTS]
+        for host in self.hosts:
+            self.loop.start(host.keeper.run)
+        self.loop.pass_time(5.0)
+
+    def send(self, host_index: int, target_index: int) -> None:
+        """Let a host give an order, if it thinks that it may."""
+        host = self.hosts[host_index]
+        order = ProposedOrder(f"target-{target_index}", "set-role", "prefill")
+        self.loop.start(lambda: host.sender.send(order))
+        self.loop.settle()
+
+    def give_back(self, host_index: int) -> None:
+        """Let a host leave, unless it is the last one."""
+        host = self.hosts[host_index]
+        if len(self.zone.leaving | {host.id}) < len(HOSTS):
+            self.zone.leaving.add(host.id)
+            self.loop.start(host.keeper.drain)
+            self.loop.settle()
+
+    def holders(self) -> list[str]:
+        """Return the hosts that hold the lease by their own count."""
+
+        async def ask() -> list[str]:
+            return [host.id for host in self.hosts if host.keeper.check().is_ok()]
+
+        return self.loop.run(ask)
+
+    def check(self) -> None:
+        """Check that there is one holder, and that no old order follows a new."""
+        holders = self.holders()
+        assert len(holders) <= 1, f"{holders} all hold the lease"
+        highest_by_target: dict[str, int] = {}
+        for start in self.targets.starts:
+            highest = highest_by_target.get(start.target_id, 0)
+            assert start.fencing >= highest, f"{start} after fencing number {highest}"
+            highest_by_target[start.target_id] = start.fencing
+
+    def check_end(self) -> None:
+        """Check that somebody gets the lease once all faults are over."""
+        faults = self.platform.faults
+        faults.delay_s = 0.0
+        faults.lost_answers = faults.lost_writes = faults.stale_reads = 0
+        faults.cut_off.clear()
+        self.loop.run(self._platform_up)
+        for host in self.hosts:
+            host.pause.end(self.loop.now)
+        self.loop.pass_time(ACQUIRED_S)
+        self.check()
+        assert len(self.holders()) == 1, "nobody got the lease"
+
+    async def _platform_up(self) -> None:
+        self.platform.set_down(False)
+
+
+def _target(number: int) -> Target:
+    return Target(
+        f"target-{number}",
+        f"machine-{number}",
+        "z",
+        f"10.0.0.{number}:1",
+        model="small",
+        layers=LayerRange(0, 8),
+        model_layers=8,
+        checks_fencing=number < TARGETS // 2,
+    )
