--- a/Makefile
+++ b/Makefile
@@ -34,5 +34,9 @@
 bench: install
 	$(RUN) -m bench
 
+# The long fuzz profile; FUZZ_MINUTES and FUZZ_SEED change it.
+fuzz: install
+	$(RUN) -m proofs
+
 clean:
 	rm -rf $(VENV) .pytest_cache .ruff_cache .hypothesis
