--- a/bench/_fakes.py
+++ b/bench/_fakes.py
@@ -1,6 +1,6 @@
 """Fakes of targets and links: batches, steps and queues, nothing more."""
 
-from collections import deque
+import heapq
 from collections.abc import Callable
 
 from bench._events import Events
@@ -28,6 +28,7 @@
         "last",
         "alive",
         "on_token",
+        "priority",
     )
 
     def __init__(
@@ -38,6 +39,7 @@
         last: int,
         prefill: float,
         on_token: Callable,
+        priority: int,
     ):
         self.request_id = request_id
         self.attempt = attempt
@@ -50,6 +52,7 @@
         self.last = last
         self.alive = True
         self.on_token = on_token
+        self.priority = priority
 
 
 class FakeLink:
@@ -69,27 +72,29 @@
 
 
 class FakeTarget:
-    """An engine that runs its waiting tokens in batches."""
+    """An engine that runs its waiting tokens in batches, by priority."""
 
     __slots__ = (
         "target",
-        "slowdown",
         "alive",
+        "started_at",
         "streams",
         "_events",
         "_waiting",
+        "_sequence",
         "_busy",
         "_base_s",
         "_token_s",
     )
 
-    def __init__(self, target: Target, events: Events, slowdown: float = 1.0):
+    def __init__(self, target: Target, events: Events):
         self.target = target
-        self.slowdown = slowdown
         self.alive = True
+        self.started_at: list[float] = []
         self.streams = 0
         self._events = events
-        self._waiting: deque[Stream] = deque()
+        self._waiting: list[tuple[int, int, Stream]] = []
+        self._sequence = 0
         self._busy = False
         full_s = target.slots / target.speed_tps
         self._base_s = full_s * BASE_PART
@@ -99,10 +104,16 @@
         """Take a token's state in."""
         if not self.alive or not stream.alive:
             return
-        self._waiting.append(stream)
+        self._sequence += 1
+        heapq.heappush(self._waiting, (stream.priority, self._sequence, stream))
         if not self._busy:
             self._start()
 
+    def slow_down(self, factor: float) -> None:
+        """Take longer for each step from now on."""
+        self._base_s *= factor
+        self._token_s *= factor
+
     def report(self) -> LoadReport:
         """Return its own account; the step time is the declared one."""
         target = self.target
@@ -122,14 +133,14 @@
         batch = []
         work = 0.0
         while self._waiting and len(batch) < self.target.slots:
-            stream = self._waiting.popleft()
+            _, _, stream = heapq.heappop(self._waiting)
             if stream.alive:
                 batch.append(stream)
                 work += stream.work * stream.parts[stream.stage]
         if not batch:
             return
         self._busy = True
-        step_s = (self._base_s + self._token_s * work) * self.slowdown
+        step_s = self._base_s + self._token_s * work
         self._events.at(self._events.now + step_s, self._end, batch)
 
     def _end(self, batch: list[Stream]) -> None:
@@ -175,6 +186,7 @@
             stream.stages.append(fake)
             stream.parts.append((stage.layers.end - stage.layers.first) / held)
             fake.streams += 1
+            fake.started_at.append(self.events.now)
         zones = [fake.target.zone for fake in stream.stages]
         for here, there in zip(zones, zones[1:], strict=False):
             stream.links.append(self._links_by_pair[here, there])
--- a/radishfield/core/__init__.py
+++ b/radishfield/core/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from radishfield.core._clock import SystemClock, TrioClock
+from radishfield.core._code_help import HELP_BY_CODE, CodeHelp
 from radishfield.core._codes import OUTCOME_BY_CODE, Outcome, ResultCode
 from radishfield.core._data import (
     CacheEvent,
@@ -23,6 +24,7 @@
     Receipt,
     Request,
     Route,
+    Sampling,
     ServiceAnswer,
     ServiceRequest,
     Stage,
@@ -52,9 +54,11 @@
 )
 
 __all__ = [
+    "HELP_BY_CODE",
     "OUTCOME_BY_CODE",
     "CacheEvent",
     "Clock",
+    "CodeHelp",
     "Fault",
     "Finished",
     "Hop",
@@ -78,6 +82,7 @@
     "Request",
     "ResultCode",
     "Route",
+    "Sampling",
     "ServiceAnswer",
     "ServiceRequest",
     "Serving",
--- a/radishfield/decisions/_pool.py
+++ b/radishfield/decisions/_pool.py
@@ -2,13 +2,26 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
-
-from radishfield.core import Link, Route, Target, TargetKind, TargetState
+from operator import attrgetter
+
+from radishfield.core import (
+    Link,
+    LoadReport,
+    Priority,
+    Route,
+    Target,
+    TargetKind,
+)
 from radishfield.decisions._affinity import LOAD_BOUND
 from radishfield.decisions._ejection import Ejector
 from radishfield.decisions._flow import FlowPlan, plan_flow, speed_of
-from radishfield.decisions._limits import TargetLoad, full_step_s, little_limit
-from radishfield.decisions._pace import DrainRate, Pace
+from radishfield.decisions._limits import (
+    HEADROOM,
+    TargetLoad,
+    full_step_s,
+    little_limit,
+)
+from radishfield.decisions._pace import DrainRate, Paces
 from radishfield.decisions._routes import Chooser, Crossing
 
 FIRST_PACE_S = 0.1
@@ -23,27 +36,41 @@
     ----------
     token_s : float
         Seconds that a token should take on the route with full batches.
+    expected_s : float
+        Seconds that a token is expected to take, queues included.
     """
 
     loads: tuple[TargetLoad, ...]
     crossings: tuple[Crossing, ...]
     long: bool
     token_s: float
+    expected_s: float
     route: Route | None = None
     target: Target | None = None
 
 
 class Pool:
-    """Targets that can serve the same work, and what is learned about them."""
+    """Targets that can serve the same work, and what is learned about them.
+
+    Attributes
+    ----------
+    full : bool
+        Whether the last short work found no place and none was freed since.
+    served : bool
+        Whether live targets cover the work at all.
+    """
 
     __slots__ = (
         "kind",
-        "pace",
+        "paces",
         "drain",
         "ejector",
         "bound_tps",
         "loads_by_id",
+        "full",
         "mean_use",
+        "quickest_s",
+        "served",
         "_choosers",
         "_crossings_by_pair",
         "_hosts",
@@ -54,12 +81,15 @@
 
     def __init__(self, kind: TargetKind):
         self.kind = kind
-        self.pace = Pace(FIRST_PACE_S)
+        self.paces = Paces(FIRST_PACE_S)
         self.drain = DrainRate()
         self.ejector = Ejector()
         self.bound_tps = 0.0
         self.loads_by_id: dict[str, TargetLoad] = {}
+        self.full = False
         self.mean_use = 0.0
+        self.served = False
+        self.quickest_s = FIRST_PACE_S
         self._choosers: list[Chooser] = []
         self._crossings_by_pair: dict[tuple[str, str], Crossing] = {}
         self._hosts = 1
@@ -90,8 +120,7 @@
             if load is None or load.target.incarnation != target.incarnation:
                 load = TargetLoad(target)
                 newcomers.append(load)
-            load.target = target
-            load.usable = target.state is TargetState.LIVE
+            load.see(target)
             self.loads_by_id[target.id] = load
         self.ejector.keep_only(set(self.loads_by_id))
         self.replan()
@@ -99,10 +128,11 @@
             if known:
                 load.start_low()
             else:
-                load.weight = load.goal
+                load.start_full()
 
     def replan(self) -> None:
         """Work out flow, weights and limits anew; on fleet changes only."""
+        self.full = False
         active = [
             load
             for load in self.loads_by_id.values()
@@ -115,6 +145,7 @@
         zones = len({load.target.zone for load in active}) or 1
         for load in self.loads_by_id.values():
             load.shared_by(self._hosts, self._hosts / zones)
+        self.served = self.covered()
 
     def pick(
         self,
@@ -122,23 +153,40 @@
         excluded: frozenset[str] = frozenset(),
         preferred: frozenset[str] = frozenset(),
         forced: bool = False,
+        fast: bool = False,
     ) -> Claim | None:
         """Return places for one attempt, or None if there is no room."""
+        if self.full and not forced:
+            return None
         if self.kind is TargetKind.SERVICE:
-            return self._pick_service(long, excluded, forced)
+            claim = self._pick_service(long, excluded, forced)
+        else:
+            claim = self._pick_route(long, excluded, preferred, forced, fast)
+        self.full = claim is None and not long and not excluded
+        return claim
+
+    def _pick_route(
+        self,
+        long: bool,
+        excluded: frozenset[str],
+        preferred: frozenset[str],
+        forced: bool,
+        fast: bool,
+    ) -> Claim | None:
         running = self._running_by_version
         choosers = sorted(
             self._choosers,
             key=lambda c: (running.get(c.model_version, 0) + 1) / c.bound_tps,
         )
         for chooser in choosers:
-            chain = chooser.choose(long, excluded, preferred, forced)
+            chain = chooser.choose(long, excluded, preferred, forced, fast)
             if chain is not None:
                 return Claim(
                     tuple(chain),
                     tuple(chooser.crossings_of(chain)),
                     long,
                     sum(full_step_s(load.target) for load in chain),
+                    sum(load.stage_s for load in chain),
                     route=chooser.route(chain),
                 )
         return None
@@ -151,10 +199,38 @@
 
     def end(self, claim: Claim) -> None:
         """Give a claim's places back."""
+        self.full = False
         self._count(claim, -1)
         for load in claim.loads:
             load.end(claim.long)
 
+    def learn_token(self, claim: Claim, priority: Priority, token_s: float) -> None:
+        """Take in the seconds that a token of an attempt took."""
+        expected_s = sum(load.stage_s for load in claim.loads)
+        expected_s *= self.paces.factor(priority)
+        error = token_s / max(expected_s, 1e-9) - 1
+        ratio = token_s / max(claim.token_s, 1e-9)
+        for load in claim.loads:
+            load.learn_stage(error)
+            self.ejector.answered(load.target.id, ratio)
+
+    def leave(self, target_id: str) -> None:
+        """Give a target no new work until it comes back."""
+        load = self.loads_by_id.get(target_id)
+        if load is not None and not load.left:
+            load.leave()
+            self.replan()
+
+    def observe(self, report: LoadReport, now: float) -> None:
+        """Take in a load report, if it is of the present incarnation."""
+        load = self.loads_by_id.get(report.target_id)
+        if load is None or report.incarnation != load.target.incarnation:
+            return
+        self.full = False
+        load.observe(report, now)
+        if report.leaving:
+            self.leave(report.target_id)
+
     def covered(self, excluded: frozenset[str] = frozenset()) -> bool:
         """Tell whether live targets can serve the work at all, full or not."""
         if self.kind is TargetKind.SERVICE:
@@ -169,7 +245,7 @@
         load = self.loads_by_id.get(target_id)
         if load is None or not self.covered(self._ejected() | {target_id}):
             return False
-        load.ejected = True
+        load.allow(load.usable, True)
         self.replan()
         return True
 
@@ -177,7 +253,7 @@
         """Take targets back in, with a small weight."""
         returned = [self.loads_by_id[i] for i in target_ids if i in self.loads_by_id]
         for load in returned:
-            load.ejected = False
+            load.allow(load.usable, False)
         if returned:
             self.replan()
         for load in returned:
@@ -185,12 +261,21 @@
 
     def tick(self, elapsed_s: float, now: float) -> None:
         """Move weights and forget stale reports; once a second is enough."""
+        self.full = False
         uses = []
         for load in self.loads_by_id.values():
             load.shift_weight(elapsed_s)
             load.forget_stale_report(now)
-            uses.append(load.use())
+            uses.append(load.use)
         self.mean_use = sum(uses) / len(uses) if uses else 0.0
+        self._note_quickest()
+
+    def _note_quickest(self) -> None:
+        if self.kind is TargetKind.SERVICE:
+            self.quickest_s = self.paces.overall.mean_s
+            return
+        times = [chooser.quickest_s() for chooser in self._choosers]
+        self.quickest_s = min(times, default=FIRST_PACE_S)
 
     def within_load_bound(self, target_ids: Sequence[str]) -> frozenset[str]:
         """Return those targets that affinity may prefer at their present load."""
@@ -235,7 +320,7 @@
     def _adopt(self, plan: FlowPlan, loads: list[TargetLoad]) -> None:
         cycle_s = _cycle_s(plan, loads)
         self.bound_tps += plan.bound_tps
-        self.pace.reset_guess(cycle_s)
+        self.paces.reset_guess(cycle_s * HEADROOM)
         for load in loads:
             load.goal = plan.weight_by_target[load.target.id]
             load.resize(little_limit(load.goal, cycle_s))
@@ -265,8 +350,15 @@
         ]
         if not fitting:
             return None
-        load = min(fitting, key=TargetLoad.score)
-        return Claim((load,), (), long, full_step_s(load.target), target=load.target)
+        load = min(fitting, key=attrgetter("score"))
+        return Claim(
+            (load,),
+            (),
+            long,
+            full_step_s(load.target),
+            self.paces.overall.mean_s,
+            target=load.target,
+        )
 
 
 def _cycle_s(plan: FlowPlan, loads: list[TargetLoad]) -> float:
--- a/radishfield/decisions/_routes.py
+++ b/radishfield/decisions/_routes.py
@@ -12,9 +12,11 @@
 model version.  A dead end is stepped back from, within `MAX_STEPS`.
 """
 
+import math
 from collections import defaultdict
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
+from operator import attrgetter
 
 from radishfield.core import LayerRange, Link, Route, Stage
 from radishfield.decisions._limits import TargetLoad
@@ -34,6 +36,10 @@
 """Use added to another zone's target: the price of the hop."""
 
 
+BY_SCORE = attrgetter("score")
+BY_STAGE_TIME = attrgetter("stage_s")
+
+
 @dataclass(slots=True)
 class Crossing:
     """A directed link between zones with its work in flight.
@@ -52,12 +58,26 @@
 
 @dataclass(slots=True, frozen=True)
 class _Wanted:
-    """What one walk looks for."""
+    """What one walk looks for.
+
+    Attributes
+    ----------
+    anywhere : bool
+        Whether other zones are tried though the local one is not full: the
+        second walk, after the first met a dead end.
+    """
 
     long: bool
     excluded: frozenset[str]
     preferred: frozenset[str]
     forced: bool
+    fast: bool
+    anywhere: bool
+
+    @property
+    def order(self) -> Callable[[TargetLoad], float]:
+        """Return what targets are ordered by; the lowest goes first."""
+        return BY_STAGE_TIME if self.fast else BY_SCORE
 
     def fits(self, load: TargetLoad) -> bool:
         """Tell whether a target may be taken."""
@@ -80,6 +100,7 @@
         "_loads_by_zone_layer",
         "_crossings_by_pair",
         "_zones",
+        "_stayed_local",
         "_turn",
     )
 
@@ -98,6 +119,7 @@
         self.bound_tps = bound_tps
         self._zone = zone
         self._turn = 0
+        self._stayed_local = False
         self._loads_by_zone_layer = _by_boundary(loads)
         self._crossings_by_pair = crossings_by_pair
         self._zones = _nearest_zones(loads, links, zone)
@@ -108,6 +130,7 @@
         excluded: frozenset[str] = frozenset(),
         preferred: frozenset[str] = frozenset(),
         forced: bool = False,
+        fast: bool = False,
     ) -> list[TargetLoad] | None:
         """Return a chain whose every target and link has room, or None.
 
@@ -117,11 +140,24 @@
             Targets to take where they can be, because they hold a cache.
         forced : bool
             Whether to ignore limits: work that was cut must not lose its turn.
+        fast : bool
+            Whether to take the quickest targets with room, not the least loaded.
         """
-        wanted = _Wanted(long, excluded, preferred, forced)
         self._turn += 1
+        self._stayed_local = False
+        wanted = _Wanted(long, excluded, preferred, forced, fast, False)
+        chain = self._walk(wanted)
+        if chain is None and self._stayed_local:
+            chain = self._walk(replace(wanted, anywhere=True))
+        return chain
+
+    def _walk(self, wanted: _Wanted) -> list[TargetLoad] | None:
+        """Return the first whole chain, stepping back from dead ends."""
         steps_left = MAX_STEPS
         chain: list[TargetLoad] = []
+        # What lies behind a boundary does not depend on the way to it: one that
+        # led nowhere once is not tried again, or a full fleet costs every walk.
+        seen: set[tuple[str, int]] = set()
         options = [self._options(self._zone, 0, wanted)]
         while options and steps_left > 0:
             if not options[-1]:
@@ -132,9 +168,13 @@
             steps_left -= 1
             load = options[-1].pop()
             end = load.target.layers.end
-            chain.append(load)
             if end == self.model_layers:
-                return chain
+                return [*chain, load]
+            place = load.target.zone, end
+            if place in seen:
+                continue
+            seen.add(place)
+            chain.append(load)
             options.append(self._options(load.target.zone, end, wanted))
         return None
 
@@ -143,10 +183,8 @@
         reached, todo = {0}, [0]
         while todo:
             layer = todo.pop()
-            for (_, boundary), loads in self._loads_by_zone_layer.items():
-                if boundary != layer:
-                    continue
-                for load in loads:
+            for zone in self._zones:
+                for load in self._loads_by_zone_layer.get((zone, layer), ()):
                     end = load.target.layers.end
                     fits = load.usable and load.target.id not in excluded
                     if fits and end not in reached:
@@ -154,6 +192,20 @@
                         todo.append(end)
         return self.model_layers in reached
 
+    def quickest_s(self) -> float:
+        """Return the least expected seconds of a token over any whole chain."""
+        best_s = {0: 0.0}
+        for layer in sorted({layer for _, layer in self._loads_by_zone_layer}):
+            if layer not in best_s:
+                continue
+            for zone in self._zones:
+                for load in self._loads_by_zone_layer.get((zone, layer), ()):
+                    end = load.target.layers.end
+                    time_s = best_s[layer] + load.stage_s
+                    if load.usable and time_s < best_s.get(end, math.inf):
+                        best_s[end] = time_s
+        return best_s.get(self.model_layers, math.inf)
+
     def crossings_of(self, chain: Sequence[TargetLoad]) -> list[Crossing]:
         """Return the links between zones that a chain uses."""
         zones = [load.target.zone for load in chain]
@@ -167,20 +219,23 @@
         if wanted.preferred:
             kept = self._preferred(layer, wanted)
             if kept:
-                local.sort(key=TargetLoad.score, reverse=True)
+                local.sort(key=wanted.order, reverse=True)
                 return local + kept
-        best_use = min((load.use() for load in local), default=1.0)
-        if best_use < SPILL_USE:
-            local.sort(key=TargetLoad.score, reverse=True)
+        best_use = min((load.use for load in local), default=1.0)
+        if best_use < SPILL_USE and not wanted.anywhere:
+            self._stayed_local = True
+            local.sort(key=wanted.order, reverse=True)
             return local
         others = []
         for name in self._zones:
             if name != zone and self._may_cross(zone, name, layer):
                 others += self._with_room(name, layer, wanted)
-        nearer = [load for load in others if load.use() + CROSSING_USE < best_use]
-        farther = [load for load in others if load.use() + CROSSING_USE >= best_use]
+                if len(others) >= SAMPLE:
+                    break
+        nearer = [load for load in others if load.use + CROSSING_USE < best_use]
+        farther = [load for load in others if load.use + CROSSING_USE >= best_use]
         for loads in (farther, local, nearer):
-            loads.sort(key=TargetLoad.score, reverse=True)
+            loads.sort(key=wanted.order, reverse=True)
         return farther + local + nearer
 
     def _preferred(self, layer: int, wanted: _Wanted) -> list[TargetLoad]:
@@ -196,15 +251,15 @@
         ]
 
     def _with_room(self, zone: str, layer: int, wanted: _Wanted) -> list[TargetLoad]:
-        loads = self._loads_by_zone_layer.get((zone, layer), ())
-        if len(loads) > SAMPLE:
-            start = self._turn * SAMPLE % len(loads)
-            sample = loads[start : start + SAMPLE]
-            sample += loads[: SAMPLE - len(sample)]
-            found = [load for load in sample if wanted.fits(load)]
-            if found:
-                return found
-        return [load for load in loads if wanted.fits(load)]
+        loads = self._loads_by_zone_layer.get((zone, layer))
+        if not loads:
+            return []
+        # Equals are taken in turn: else every idle entry host picks the same one.
+        start = self._turn * SAMPLE % len(loads) if len(loads) > SAMPLE else 0
+        start = start or self._turn % len(loads)
+        turned = loads[start:] + loads[:start]
+        found = _roomy(turned[:SAMPLE], wanted)
+        return found or _roomy(turned[SAMPLE:], wanted)
 
     def _may_cross(self, from_zone: str, to_zone: str, layer: int) -> bool:
         """Tell whether a link has room; the prompt itself may start anywhere."""
@@ -225,6 +280,12 @@
         return Route(tuple(stages), self.model, self.model_version, self.model_layers)
 
 
+def _roomy(loads: list[TargetLoad], wanted: _Wanted) -> list[TargetLoad]:
+    if wanted.excluded or wanted.forced or wanted.long:
+        return [load for load in loads if wanted.fits(load)]
+    return [load for load in loads if load.own < load.room]
+
+
 def _by_boundary(
     loads: Sequence[TargetLoad],
 ) -> dict[tuple[str, int], list[TargetLoad]]:
--- a/radishfield/edges/__init__.py
+++ b/radishfield/edges/__init__.py
@@ -1,5 +1,9 @@
 """The edges: callers, targets, the platform, operators and peers."""
 
+from radishfield.edges._absent import (
+    AbsentPlatform,
+    LonePeer,
+)
 from radishfield.edges._asgi import (
     BodyLimit,
     read_body,
@@ -11,13 +15,37 @@
 from radishfield.edges._caller import (
     CallerApp,
 )
+from radishfield.edges._caller_intake import (
+    CallerLimits,
+)
+from radishfield.edges._listener import (
+    HttpListener,
+    ListenerConfig,
+    serve_app,
+)
+from radishfield.edges._operator import (
+    MetricsApp,
+    OperatorApp,
+)
+from radishfield.edges._operator_messages import (
+    Explanation,
+    HostBody,
+    ProfileBody,
+    ProfileList,
+    ProfileView,
+    RetireBody,
+    TargetBody,
+    TargetList,
+)
 from radishfield.edges._peer import (
     PeerNetwork,
-    PeerSettings,
 )
 from radishfield.edges._peer_seal import (
     PeerKey,
 )
+from radishfield.edges._peer_settings import (
+    PeerSettings,
+)
 from radishfield.edges._peer_transport import (
     PeerTransport,
     SocketTransport,
@@ -26,6 +54,10 @@
     HttpPlatform,
     PlatformSettings,
 )
+from radishfield.edges._status import (
+    ErrorBody,
+    http_status,
+)
 from radishfield.edges._target import (
     EngineTargets,
 )
@@ -38,21 +70,39 @@
 )
 
 __all__ = [
+    "AbsentPlatform",
     "BodyLimit",
     "CallerApp",
+    "CallerLimits",
     "EngineTargets",
+    "ErrorBody",
+    "Explanation",
+    "HostBody",
+    "HttpListener",
     "HttpPlatform",
+    "ListenerConfig",
+    "LonePeer",
+    "MetricsApp",
+    "OperatorApp",
     "PeerKey",
     "PeerNetwork",
     "PeerSettings",
     "PeerTransport",
     "PlatformSettings",
+    "ProfileBody",
+    "ProfileList",
+    "ProfileView",
+    "RetireBody",
     "SocketTransport",
+    "TargetBody",
+    "TargetList",
     "TargetTimeouts",
+    "http_status",
     "read_body",
     "register_protocol",
     "send_chunk",
     "send_json",
+    "serve_app",
     "serve_lifespan",
     "start_answer",
     "targets_for",
--- a/radishfield/fleet/__init__.py
+++ b/radishfield/fleet/__init__.py
@@ -31,6 +31,7 @@
 )
 from radishfield.fleet._operations import (
     FleetOperations,
+    FleetParts,
 )
 from radishfield.fleet._orders import (
     OrderOutcome,
@@ -38,6 +39,10 @@
     OrderSettings,
     ProposedOrder,
 )
+from radishfield.fleet._placement import (
+    PlacementPlanner,
+    PlacementSettings,
+)
 from radishfield.fleet._ports import (
     NewsHandler,
     PeerMessages,
@@ -79,6 +84,7 @@
     "FactTable",
     "FactVersion",
     "FleetOperations",
+    "FleetParts",
     "FleetStatus",
     "HeldLease",
     "KeeperStart",
@@ -93,6 +99,8 @@
     "OrderSender",
     "OrderSettings",
     "PeerMessages",
+    "PlacementPlanner",
+    "PlacementSettings",
     "PlatformWatcher",
     "PollerSettings",
     "ProfileInZone",
--- a/radishfield/settings/__init__.py
+++ b/radishfield/settings/__init__.py
@@ -4,19 +4,21 @@
 of a file's faults come back together, as values.
 """
 
-from radishfield.settings._printer import settings_text
+from radishfield.settings._printer import settings_table, settings_text
 from radishfield.settings._reader import EntrySettings
 from radishfield.settings._sections import (
     CallerSettings,
     ClaimsSettings,
     DrainSettings,
     HostSettings,
+    LeasesSettings,
     LogLevel,
     LogSettings,
     LogStream,
     MetricsExport,
     MetricsSettings,
     OperatorSettings,
+    OrdersSettings,
     PeersSettings,
     PlatformSettings,
 )
@@ -28,14 +30,17 @@
     "DrainSettings",
     "EntrySettings",
     "HostSettings",
+    "LeasesSettings",
     "LogLevel",
     "LogSettings",
     "LogStream",
     "MetricsExport",
     "MetricsSettings",
     "OperatorSettings",
+    "OrdersSettings",
     "PeerKey",
     "PeersSettings",
     "PlatformSettings",
+    "settings_table",
     "settings_text",
 ]
--- a/radishfield/settings/_printer.py
+++ b/radishfield/settings/_printer.py
@@ -1,6 +1,6 @@
 """Prints settings as a file, with every default and what each key may be."""
 
-from radishfield.core import Profile, Target
+from radishfield.core import Link, Profile, Target
 from radishfield.settings._fields import section_fields
 from radishfield.settings._reader import SECTION_TYPE_BY_NAME, EntrySettings
 from radishfield.settings._units import duration_text
@@ -15,6 +15,18 @@
         lines += _section_lines(name, value)
     lines += ["[targets]", *map(_target_line, settings.targets), ""]
     lines += ["[profiles]", *map(_profile_line, settings.profiles), ""]
+    lines += ["[links]", *map(_link_line, settings.links), ""]
+    return "\n".join(lines)
+
+
+def settings_table(settings: EntrySettings) -> str:
+    """Return a Markdown table of every key with its default and what it may be."""
+    lines = ["| section | key | default | allowed |", "| --- " * 4 + "|"]
+    sections = {name: getattr(settings, name) for name in SECTION_TYPE_BY_NAME}
+    for name, section in (sections | dict(settings.extra_by_section)).items():
+        for item in section_fields(type(section)):
+            default = item.text(getattr(section, item.name)) or "blank"
+            lines.append(f"| {name} | {item.key} | {default} | {item.allowed()} |")
     return "\n".join(lines)
 
 
@@ -41,3 +53,8 @@
         f"priority={profile.priority.name.lower()} "
         f"deadline={duration_text(profile.deadline_s)} idempotent={idempotent}"
     )
+
+
+def _link_line(link: Link) -> str:
+    latency = duration_text(link.latency_s)
+    return f"{link.from_zone}>{link.to_zone} = {latency} {link.tokens_per_s:g}"
--- a/radishfield/settings/_reader.py
+++ b/radishfield/settings/_reader.py
@@ -8,19 +8,22 @@
 
 from expression import Error, Ok, Result
 
-from radishfield.core import Fault, Profile, ResultCode, Target, fault
+from radishfield.core import Fault, Link, Profile, ResultCode, Target, fault
 from radishfield.settings._fields import section_fields
-from radishfield.settings._lists import read_profile, read_target
+from radishfield.settings._lists import read_link, read_profile, read_target
 from radishfield.settings._sections import (
     CallerSettings,
     ClaimsSettings,
     DrainSettings,
     HostSettings,
+    LeasesSettings,
     LogSettings,
     MetricsExport,
     MetricsSettings,
     OperatorSettings,
+    OrdersSettings,
     PeersSettings,
+    PlacementSection,
     PlatformSettings,
 )
 
@@ -33,11 +36,18 @@
     "platform": PlatformSettings,
     "peers": PeersSettings,
     "claims": ClaimsSettings,
+    "leases": LeasesSettings,
+    "orders": OrdersSettings,
+    "placement": PlacementSection,
     "log": LogSettings,
     "metrics": MetricsSettings,
     "drain": DrainSettings,
 }
-LINE_READER_BY_SECTION = {"targets": read_target, "profiles": read_profile}
+LINE_READER_BY_SECTION = {
+    "targets": read_target,
+    "profiles": read_profile,
+    "links": read_link,
+}
 # Below this length a token can be guessed within a day over a network.
 MIN_TOKEN_LENGTH = 16
 
@@ -58,11 +68,15 @@
     platform: PlatformSettings = PlatformSettings()
     peers: PeersSettings = PeersSettings()
     claims: ClaimsSettings = ClaimsSettings()
+    leases: LeasesSettings = LeasesSettings()
+    orders: OrdersSettings = OrdersSettings()
+    placement: PlacementSection = PlacementSection()
     log: LogSettings = LogSettings()
     metrics: MetricsSettings = MetricsSettings()
     drain: DrainSettings = DrainSettings()
     targets: tuple[Target, ...] = ()
     profiles: tuple[Profile, ...] = ()
+    links: tuple[Link, ...] = ()
     extra_by_section: Mapping[str, object] = field(default_factory=dict)
 
     @classmethod
@@ -180,6 +194,8 @@
                 key = "tls_key" if section.tls_cert else "tls_cert"
                 self._missing(name, key, "tls_cert and tls_key both, or neither")
         operator, peers = settings.operator, settings.peers
+        if not settings.caller.bind:
+            self._missing("caller", "bind", "an IP number with a port")
         if operator.token and operator.token_file:
             detail = "token is set too; allowed: token or token_file, not both"
             problem = fault(ResultCode.SETTING_TYPE, detail)
@@ -188,6 +204,10 @@
             self._missing("operator", "token", "token or token_file where bind is set")
         if peers.bind and peers.active_key not in {key.id for key in peers.keys}:
             self._missing("peers", "active_key", "the id of one of keys")
+        if settings.leases.renew_s * 2 > settings.leases.duration_s:
+            # A renewal that is lost once must not cost the lease.
+            detail = "too long; allowed: at most half of duration"
+            self._add("leases", "renew", fault(ResultCode.SETTING_RANGE, detail))
         if (
             settings.metrics.export is MetricsExport.SCRAPE
             and settings.metrics.bind
--- a/radishfield/settings/_sections.py
+++ b/radishfield/settings/_sections.py
@@ -71,8 +71,8 @@
 
     Attributes
     ----------
-    queue : int
-        Admitted requests that may wait for a target.
+    max_in_flight : int
+        Requests served at a time, those that wait for a target included.
     """
 
     bind: Address = "127.0.0.1:8080"
@@ -80,9 +80,7 @@
     tls_key: FilePath = ""
     max_body_bytes: Annotated[int, Meta(ge=1 << 10, le=64 << 20, extra=SIZE)] = 1 << 20
     body_timeout_s: ShortTime = 10.0
-    max_connections: Count = 4096
     max_in_flight: Count = 1024
-    queue: Count = 2048
 
 
 @dataclass(slots=True, frozen=True)
@@ -104,11 +102,20 @@
     ----------
     max_calls_per_s : float
         This host's budget; the platform counts each call, a watch as one.
+    watch_s : float
+        Longest wait of one watch.
+    list_period_s : float
+        Time between whole listings, which make up for skipped events.
+    hosts_period_s : float
+        Time between readings of the list of live and leaving hosts.
     """
 
     address: Address = ""
     call_timeout_s: ShortTime = 2.0
     max_calls_per_s: Annotated[float, Meta(ge=0.1, le=1000.0)] = 5.0
+    watch_s: ShortTime = 4.0
+    list_period_s: ShortTime = 4.0
+    hosts_period_s: ShortTime = 2.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -130,6 +137,56 @@
     ask_timeout_s: ShortTime = 0.5
 
 
+@dataclass(slots=True, frozen=True)
+class LeasesSettings:
+    """[leases]: one holder a duty and zone, in the platform's service.
+
+    Attributes
+    ----------
+    longest_order_s : float
+        A new holder waits this long for targets that ignore fencing numbers.
+    """
+
+    duration_s: ShortTime = 12.0
+    renew_s: ShortTime = 3.0
+    longest_order_s: ShortTime = 5.0
+
+
+@dataclass(slots=True, frozen=True)
+class OrdersSettings:
+    """[orders]: orders to targets.
+
+    Attributes
+    ----------
+    load_interval_s : float
+        Least time between two orders that load weights from the limited store.
+    load_s : float
+        Time that a load of weights is expected to take.
+    """
+
+    timeout_s: ShortTime = 5.0
+    load_interval_s: LongTime = 5.0
+    load_s: LongTime = 120.0
+
+
+@dataclass(slots=True, frozen=True)
+class PlacementSection:
+    """[placement]: plans of which target holds which layers, by the lease holder.
+
+    Attributes
+    ----------
+    enabled : bool
+        Off means that layers move by the operators' hand only.
+    layers_per_s : float
+        Rate of one load from the store of weights.
+    """
+
+    enabled: bool = True
+    period_s: Annotated[float, Meta(ge=10.0, le=86400.0, extra=DURATION)] = 300.0
+    layers_per_s: Annotated[float, Meta(ge=0.001, le=10000.0)] = 1.0
+    concurrent_loads: Annotated[int, Meta(ge=1, le=100)] = 1
+
+
 @dataclass(slots=True, frozen=True)
 class LogSettings:
     """[log]: JSON lines, one event each."""
