Count positions from 0, and compare with a baseline that stays in its zone

Cause: the dispatcher passes a token's position, from 0; the scheduler took it for a count and learned each answer one token short, a single token not at all. The baselines crossed the slow link blindly, which made them easy to beat. Change: positions count from 0; least-in-zone keeps a request in its zone.

--- a/bench/_baselines.py
+++ b/bench/_baselines.py
@@ -164,3 +164,23 @@
         """Return the less loaded of two."""
         two = self.chance.sample(list(heads), min(2, len(heads)))
         return min(two, key=lambda t: self.in_flight_by_id[t.id])
+
+
+class LeastInFlightInZone(LeastInFlight):
+    """The same, within the entry host's own zone wherever it covers the model."""
+
+    __slots__ = ()
+
+    def set_fleet(
+        self,
+        targets: Sequence[Target],
+        links: Sequence[Link],
+        zone: str,
+        entry_hosts: int,
+        now: float,
+    ) -> None:
+        """Replace the targets by those of the zone."""
+        local = [target for target in targets if target.zone == zone]
+        held = sum({t.layers: t.layers.end - t.layers.first for t in local}.values())
+        whole = bool(local) and held >= local[0].model_layers
+        super().set_fleet(local if whole else targets, links, zone, entry_hosts, now)
--- a/bench/_cost.py
+++ b/bench/_cost.py
@@ -151,7 +151,7 @@
     last = RUNNING + DECISIONS - 1
     started = time.process_time()
     for position in range(DECISIONS):
-        scheduler.progressed(f"r{last}", position + 1, 10.0 + position * 0.04)
+        scheduler.progressed(f"r{last}", position, 10.0 + position * 0.04)
     return (time.process_time() - started) / DECISIONS * 1e6
 
 
--- a/bench/_hosts.py
+++ b/bench/_hosts.py
@@ -157,7 +157,7 @@
         now = self._world.events.now
         if not self.alive:
             return
-        self.policy.progressed(stream.request_id, stream.position, now)
+        self.policy.progressed(stream.request_id, stream.position - 1, now)
         self._world.count_token(stream)
         if stream.position >= stream.last:
             self._end(stream, "finished", True)
--- a/bench/_runs.py
+++ b/bench/_runs.py
@@ -3,7 +3,12 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
-from bench._baselines import LeastInFlight, RandomOfTwo, RoundRobin
+from bench._baselines import (
+    LeastInFlight,
+    LeastInFlightInZone,
+    RandomOfTwo,
+    RoundRobin,
+)
 from bench._fleets import ZONES
 from bench._hosts import Record, World
 from radishfield.core import Link, Target
@@ -16,6 +21,7 @@
     "round-robin": RoundRobin,
     "least-in-flight": LeastInFlight,
     "random-of-two": RandomOfTwo,
+    "least-in-zone": LeastInFlightInZone,
 }
 HOST_ZONES = ZONES * 3
 SEED = 1
--- a/radishfield/decisions/_running.py
+++ b/radishfield/decisions/_running.py
@@ -19,11 +19,11 @@
         "claim",
         "started_at",
         "cost",
-        "position",
+        "tokens",
         "ever_started",
         "_held",
         "_sample_at",
-        "_sample_position",
+        "_sample_tokens",
         "_last_at",
     )
 
@@ -35,43 +35,43 @@
         self.claim = claim
         self.started_at = now
         self.cost = cost
-        self.position = 0
+        self.tokens = 0
         self.ever_started = False
         self._held = True
         self._sample_at: float | None = None
-        self._sample_position = 0
+        self._sample_tokens = 0
         self._last_at = now
 
     def advance(self, position: int, now: float) -> int:
-        """Note the latest committed position; return the tokens that were new."""
-        new = max(0, position - self.position)
-        self.position = max(self.position, position)
+        """Note a committed position, from 0; return the tokens that were new."""
+        new = max(0, position + 1 - self.tokens)
+        self.tokens += new
         self._last_at = now
         if self._sample_at is None:
-            self._sample_at, self._sample_position = now, self.position
+            self._sample_at, self._sample_tokens = now, self.tokens
         return new
 
     def sample_token_s(self) -> float | None:
         """Return the seconds for a token, every few tokens, else None."""
-        tokens = self.position - self._sample_position
+        tokens = self.tokens - self._sample_tokens
         if tokens < 1 or self._sample_at is None:
             return None
         elapsed_s = self._last_at - self._sample_at
         if tokens < SAMPLE_TOKENS and elapsed_s < SAMPLE_TOKENS * self.claim.expected_s:
             return None
         token_s = elapsed_s / tokens
-        self._sample_at, self._sample_position = self._last_at, self.position
+        self._sample_at, self._sample_tokens = self._last_at, self.tokens
         return token_s
 
     def cost_so_far(self) -> float:
         """Return the prompt and the committed tokens, as a cost."""
         prompt = self.dispatch.work.prompt_tokens * PROMPT_TOKEN_COST
-        return prompt + self.position + 1
+        return prompt + self.tokens + 1
 
     def tells_pace(self) -> bool:
         """Tell whether its time from start to now says how fast work runs."""
         plain = self.claim.route is None
-        return self.dispatch.attempt == 1 and (plain or self.position > 0)
+        return self.dispatch.attempt == 1 and (plain or self.tokens > 0)
 
     def release(self) -> None:
         """Give the held places back, once."""
--- a/radishfield/decisions/_scheduler.py
+++ b/radishfield/decisions/_scheduler.py
@@ -184,7 +184,7 @@
         return min((at for at in times if at is not None), default=None)
 
     def progressed(self, request_id: str, position: int, now: float) -> None:
-        """Note that a token of running work was committed."""
+        """Note that the token at a position, from 0, was committed."""
         running = self._running_by_request.get(request_id)
         if running is None:
             return
@@ -213,7 +213,7 @@
             pool.paces.learn(told, seconds, running.cost_so_far())
         if not finished:
             return
-        self._lengths.learn(work, running.position)
+        self._lengths.learn(work, running.tokens)
         for load in running.claim.loads:
             pool.ejector.succeeded(load.target.id)
 
--- a/radishfield/decisions/scheduler_test.py
+++ b/radishfield/decisions/scheduler_test.py
@@ -214,6 +214,28 @@
     assert seen.count("a1") >= 2
 
 
+def test_the_length_of_answers_is_learned_from_positions(scheduler, make_work):
+    """Answers use a fifth of what callers allow for.
+
+    Positions count from 0; after a hundred answers far more is let in at once.
+    """
+
+    def admitted(prefix):
+        works = [make_work(f"{prefix}{i}", deadline=60.0) for i in range(2000)]
+        queued = [isinstance(scheduler.offer(work, 0.0), Queued) for work in works]
+        for work in works:
+            scheduler.withdraw(work.request_id, 0.0)
+        return sum(queued)
+
+    before = admitted("before")
+    for index in range(100):
+        start(scheduler, make_work(f"r{index}"))
+        for position in range(10):
+            scheduler.progressed(f"r{index}", position, 0.1 * position)
+        scheduler.ended(f"r{index}", True, 1.0)
+    assert admitted("after") > 1.5 * before
+
+
 def test_explains_what_was_decided(scheduler, make_work):
     start(scheduler, make_work("r"))
     scheduler.ended("r", True, 1.0)
