--- a/radishfield/decisions/_pool.py
+++ b/radishfield/decisions/_pool.py
@@ -151,11 +151,9 @@
         forced: bool,
         fast: bool,
     ) -> Claim | None:
-        running = self._running_by_version
-        choosers = sorted(
-            self._choosers,
-            key=lambda c: (running.get(c.model_version, 0) + 1) / c.bound_tps,
-        )
+        choosers = self._choosers
+        if len(choosers) > 1:
+            choosers = sorted(choosers, key=self._version_load)
         for chooser in choosers:
             chain = chooser.choose(long, excluded, preferred, forced, fast)
             if chain is not None:
@@ -169,6 +167,10 @@
                 )
         return None
 
+    def _version_load(self, chooser: Chooser) -> float:
+        running = self._running_by_version.get(chooser.model_version, 0)
+        return (running + 1) / chooser.bound_tps
+
     def begin(self, claim: Claim) -> None:
         """Count a claim's places as in flight."""
         self._count(claim, 1)
--- a/radishfield/decisions/_precedence.py
+++ b/radishfield/decisions/_precedence.py
@@ -50,12 +50,19 @@
         return own * LIGHT_FACTOR * workspaces < self._total
 
 
+HIGHER = {p: Priority(max(Priority.URGENT, p - 1)) for p in Priority}
+LOWER = {p: Priority(min(Priority.LOW, p + 1)) for p in Priority}
+
+
 def engine_priority(priority: Priority, lane: Lane, light: bool) -> Priority:
     """Return the priority that the engines are told."""
-    step = (lane is Lane.LONG) - light
-    return Priority(min(Priority.LOW, max(Priority.URGENT, priority + step)))
+    if light and lane is Lane.SHORT:
+        return HIGHER[priority]
+    if lane is Lane.LONG and not light:
+        return LOWER[priority]
+    return priority
 
 
 def raised(priority: Priority) -> Priority:
     """Return the priority for work that was cut: its caller has waited already."""
-    return Priority(max(Priority.URGENT, priority - 1))
+    return HIGHER[priority]
--- a/radishfield/decisions/_queues.py
+++ b/radishfield/decisions/_queues.py
@@ -230,7 +230,8 @@
 
     def waiting_at(self, priority: Priority) -> int:
         """Return how many entries of a priority wait."""
-        return sum(map(len, self._queues[priority]))
+        short, long = self._queues[priority]
+        return len(short) + len(long)
 
     def pop(self, entry: Entry) -> None:
         """Remove an entry that `heads` returned, to be dispatched."""
--- a/radishfield/decisions/_scheduler.py
+++ b/radishfield/decisions/_scheduler.py
@@ -1,6 +1,7 @@
 """The decisions composed: one object that a dispatcher or a bench drives."""
 
 from collections.abc import Sequence
+from dataclasses import replace
 
 from radishfield.core import (
     CacheEvent,
@@ -140,10 +141,10 @@
         told = engine_priority(work.priority, lane, light)
         run_s = self._run_s(pool, work, cost, told)
         ahead = queue.ahead_of(work, cost, lane) if len(queue) else 0.0
-        forecast = Forecast(
-            ahead / pool.drain_tps, run_s, len(queue), queue.over_share(work)
-        )
+        forecast = Forecast(ahead / pool.drain_tps, run_s, len(queue), False)
         problem = judge(work, forecast, now)
+        if problem is not None and queue.over_share(work):
+            problem = judge(work, replace(forecast, over_share=True), now)
         if problem is not None:
             return self._refuse(work, problem, now)
         latest_start = work.deadline - pool.paces.at(told).cautious_s(cost)
