--- a/bench/slopes_fleet.py
+++ b/bench/slopes_fleet.py
@@ -76,10 +76,10 @@
 
 
 async def settled_fleet(
-    nursery: trio.Nursery, hosts: int, targets: int = 0
+    nursery: trio.Nursery, hosts: int, targets: int = 0, zones: int = 0
 ) -> MemoryFleet:
     """Return a fleet whose hosts all know each other and all targets."""
-    fleet = MemoryFleet(nursery, zones_of(hosts))
+    fleet = MemoryFleet(nursery, zones or zones_of(hosts))
     for number in range(targets):
         target = engine(number, f"z{number % fleet.zones}")
         value = msgspec.json.encode(target)
@@ -123,13 +123,14 @@
 @click.argument("sizes", nargs=-1, type=int)
 @click.option("--seconds", default=60)
 @click.option("--with-targets", is_flag=True)
-def peers(sizes: Sequence[int], seconds: int, with_targets: bool) -> None:
+@click.option("--zones", default=0, help="0: three, or 20 hosts a zone.")
+def peers(sizes: Sequence[int], seconds: int, with_targets: bool, zones: int) -> None:
     """Print bytes, datagrams and CPU a host in a quiet fleet."""
     for hosts in sizes or (5, 20, 80, 340):
         targets = int(hosts * TARGETS_PER_HOST) if with_targets else 0
 
         async def measure(nursery: trio.Nursery, hosts=hosts, targets=targets) -> None:
-            fleet = await settled_fleet(nursery, hosts, targets)
+            fleet = await settled_fleet(nursery, hosts, targets, zones)
             bytes_before, datagrams_before = wire_bytes(fleet)
             exchanges_before = sum(h.spreader.exchanges for h in fleet.hosts)
             polls_before = fleet.targets.polls
@@ -148,7 +149,8 @@
                 f"{(exchanges - exchanges_before) / per_host:.3f} exchanges/s",
                 "virtual",
                 f"peers {hosts} --seconds {seconds}"
-                + (" --with-targets" if with_targets else ""),
+                + (" --with-targets" if with_targets else "")
+                + (f" --zones {zones}" if zones else ""),
             )
 
         in_virtual_time(measure)
