Export the fleet's counters

Cause: the fleet's services counted dropped frames, platform faults, refused orders and polls by reason, and nothing showed the counts to operators. Ruled out: a metrics call at each heartbeat; the integers are read at a scrape. Change: Telemetry.watch_codes exports a counter a result code from zero on; watch_fleet names the fleet's counters; one line in the wiring. Conclusion: each refusal reason of the fleet has its counter.

--- a/radishfield/scripts/_wiring.py
+++ b/radishfield/scripts/_wiring.py
@@ -50,6 +50,7 @@
     WatcherSettings,
 )
 from radishfield.kernel import Kernel
+from radishfield.scripts._fleet_metrics import watch_fleet
 from radishfield.serving import Dispatcher, FleetView
 from radishfield.settings import EntrySettings, MetricsExport
 from radishfield.telemetry import (
@@ -289,6 +290,7 @@
         telemetry.watch("in_flight", "Requests being served.", lambda: app.in_flight)
         dispatcher = kernel.find("dispatcher", Dispatcher)
         telemetry.watch("queue", "Requests that wait.", lambda: dispatcher.queued)
+        watch_fleet(telemetry, kernel)
         config = ListenerConfig.from_settings(
             caller.bind, caller.tls_cert, caller.tls_key, settings.drain.timeout_s
         )
--- a/radishfield/telemetry/_metrics.py
+++ b/radishfield/telemetry/_metrics.py
@@ -9,7 +9,7 @@
 """
 
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Observation
@@ -126,6 +126,24 @@
 
         self._meter.create_observable_gauge(name, [observe], description=description)
 
+    def watch_codes(
+        self,
+        name: str,
+        description: str,
+        codes: Sequence[ResultCode],
+        read: Callable[[], Mapping[ResultCode, int]],
+    ) -> None:
+        """Export a counter a result code, from zero on, read at each scrape."""
+
+        def observe(options: CallbackOptions) -> list[Observation]:
+            count_by_code = read()
+            return [
+                Observation(count_by_code.get(code, 0), _code_labels(code))
+                for code in codes
+            ]
+
+        self._meter.create_observable_counter(name, [observe], description=description)
+
     def exposition(self) -> bytes:
         """Return all metrics in Prometheus' text format."""
         return generate_latest(self._registry)
@@ -175,6 +193,9 @@
     def watch(self, name, description, read):
         """Do nothing."""
 
+    def watch_codes(self, name, description, codes, read):
+        """Do nothing."""
+
     def exposition(self):
         """Return no metrics."""
         return b""
