--- a/proofs/_machine.py
+++ b/proofs/_machine.py
@@ -54,6 +54,16 @@
         for _ in range(count):
             self.world.send(idempotent, 2, deadline_s, 0.0)
 
+    @rule(count=st.integers(15, 30), hung_up=st.integers(1, 8))
+    def burst_and_cancel(self, count, hung_up):
+        """Send more at once than targets take, and hang up on the last ones."""
+        self._count("cancel")
+        for _ in range(count):
+            self.world.send(True, 2, 8.0, 0.0)
+        for caller in self.world.callers[-hung_up:]:
+            if caller.ended_at is None:
+                self.world.cancel(caller)
+
     @rule(idempotent=st.booleans(), tokens=TOKENS, trouble=st.sampled_from(Trouble))
     def send_into_trouble(self, idempotent, tokens, trouble):
         """Send a request while each first stage has a trouble in store."""
