Prove drains, changes and a killed entry host on the daemons

Change: three more whole-process tests: a drained engine runs no step of a new request after 4 s; of two racing operators one wins, and the retirement is in force at each host within 8 s; a draft whose host is killed is unknown to the others and never started again.

--- a/proofs/_processes.py
+++ b/proofs/_processes.py
@@ -11,7 +11,7 @@
 
 from proofs._relay import Relay
 from standins.engine_control import Record
-from standins.fleet import MODEL, MODEL_LAYERS, SmallFleet, ZonePlan
+from standins.fleet import MODEL, OPERATOR_TOKEN, SmallFleet, ZonePlan
 from standins.launcher import expected_text
 from standins.service import ServiceRecord
 
@@ -84,6 +84,23 @@
         answer = httpcore.request("GET", f"http://{address}/control/record")
         return msgspec.json.decode(answer.content, type=ServiceRecord)
 
+    def operate(self, host_id: str, method: str, path: str, body: object) -> int:
+        """Let an operator act through a host; return the status told."""
+        port = self.entries_by_id[host_id].operator_port
+        headers = {
+            "authorization": f"Bearer {OPERATOR_TOKEN}",
+            "content-type": "application/json",
+        }
+        url = f"http://127.0.0.1:{port}{path}"
+        answer = httpcore.request(
+            method, url, headers=headers, content=msgspec.json.encode(body)
+        )
+        return answer.status
+
+    def starts_at(self, target_id: str) -> int:
+        """Return how many requests have run a step at an engine."""
+        return len({step.request_id for step in self.record_of(target_id).steps})
+
     def engines(self) -> list[str]:
         """Return the ids of the engines whose processes run."""
         return [
@@ -200,11 +217,3 @@
         return
     for choice in value.get("choices", ()):
         heard.text += choice.get("delta", {}).get("content") or ""
-
-
-__all__ = [
-    "MODEL_LAYERS",
-    "Heard",
-    "RelayedFleet",
-    "stream",
-]
--- a/proofs/processes_test.py
+++ b/proofs/processes_test.py
@@ -1,6 +1,7 @@
 """The daemons as processes, killed, stopped and replaced under requests."""
 
 import signal
+import time
 
 import httpcore
 import pytest
@@ -154,6 +155,64 @@
     assert others == [200]
 
 
+def test_target_that_an_operator_drains_gets_no_new_work_after_seconds(fleet):
+    """Callers notice nothing; the drained engine runs no new request's step."""
+    entry = list(fleet.entries_by_id)[0]
+    drain = "/v1/drains/target/a-engine-8"
+    assert fleet.operate(entry, "PUT", drain, {}) == 200
+    time.sleep(4)
+    before = fleet.starts_at("a-engine-8")
+    for number in range(12):
+        port = fleet.entry_ports[number % len(fleet.entry_ports)]
+        assert chat(port, "review", f"drained {number}", 3).status == 200
+    assert fleet.starts_at("a-engine-8") == before
+    assert fleet.operate(entry, "DELETE", drain, {}) == 200
+
+
+def test_profile_change_is_in_force_at_every_host_within_seconds(fleet):
+    """One of two racing operators wins, and every host serves by the change."""
+    first, *_, last = fleet.entries_by_id
+    fresh = {"name": "fresh", "model": "small"}
+    assert fleet.operate(first, "POST", "/v1/profiles", fresh) in (200, 201)
+    changed = {**fresh, "deadline_s": 20.0, "expected_version": 1}
+    told = [
+        fleet.operate(host, "PUT", "/v1/profiles/fresh", changed)
+        for host in (first, last)
+    ]
+    assert sorted(told) == [200, 409]
+    assert fleet.operate(last, "DELETE", "/v1/profiles/fresh", {}) == 200
+    deadline = time.monotonic() + 8.0
+    codes = set()
+    while codes != {"2008"} and time.monotonic() < deadline:
+        codes = {chat(port, "fresh", "x", 1).code for port in fleet.entry_ports}
+        time.sleep(0.1)
+    assert codes == {"2008"}
+
+
+def test_work_of_a_killed_entry_host_is_unknown_to_the_others(fleet):
+    """The caller's connection breaks; its repeat elsewhere does not run again.
+
+    The host is killed while it streams a draft.  Nobody can know how the draft
+    went, so the repeat hears "unknown".  A review may simply be asked again.
+    """
+    victim = list(fleet.entries_by_id)[1]
+    port = fleet.entries_by_id[victim].caller_port
+    zone = fleet.entries_by_id[victim].zone
+
+    def kill(heard):
+        fleet.end(victim, signal.SIGKILL)
+
+    heard = play(fleet, port, "kill a host", kill, "draft", "ticket-2")
+    assert heard.broken and not heard.is_done
+    repeat = chat(fleet.entry_ports[0], "draft", "kill a host", TOKENS, "ticket-2")
+    assert repeat.outcome == "unknown", repeat
+    assert fleet.starts_of(heard.system_id) == 1
+    assert fleet.starts_of(repeat.system_id) == 0
+    again = play(fleet, fleet.entry_ports[0], "kill a host", lambda heard: None)
+    assert again.is_whole, again
+    fleet.wait_serving(fleet.start_entry(f"{victim}-again", zone))
+
+
 def test_platform_that_stands_still_stops_no_request(fleet):
     """Callers notice nothing while the platform's service does not answer."""
     fleet.signal("platform", signal.SIGSTOP)
