Show that a target left out is not taken back when no other is left

Cause: two tests of processes were refused with 3004 after earlier tests had killed engines; virtual time shows why: a drain of the other replica plans over targets that are not left out only.

--- a/proofs/recovery_test.py
+++ b/proofs/recovery_test.py
@@ -1,5 +1,6 @@
 """One failure in mid token is survived, and soon enough to be of use."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -87,3 +88,27 @@
         world.targets.by_id[route[0]].troubles.append(trouble)
 
     assert play(seed, stages, after_s, fail) <= SILENT_BOUND_S
+
+
+@pytest.mark.parametrize("stage", [0, 1])
+def test_target_that_was_left_out_is_taken_back_when_no_other_is_left(stage):
+    """The caller gets its answer although the last trusted replica leaves.
+
+    The path to one replica breaks until it is left out for a while; then it
+    works again.  Before its time is over an operator drains the other replica.
+    To try the one that was left out costs less than to refuse everybody.
+    """
+    world = ServingWorld(1, 2, 2)
+    ids = sorted(i for i in world.listed if i.startswith(f"engine-{stage}"))
+    broken, other = ids
+    world.targets.kill(broken)
+    for _ in range(12):
+        world.send(True, 2, 8.0, 0.0)
+        world.loop.pass_time(0.2)
+    world.targets.by_id[broken].alive = True
+    world.drain(other)
+    caller = world.send(True, 2, 8.0, 0.0)
+    world.loop.pass_time(8.0)
+    world.check()
+    world.close()
+    assert caller.answer.is_ok(), caller.answer
