--- a/proofs/processes_test.py
+++ b/proofs/processes_test.py
@@ -8,7 +8,7 @@
 import trio
 
 from proofs._processes import Heard, RelayedFleet, stream
-from standins.launcher import chat, post
+from standins.launcher import chat, expected_text, post
 
 TOKENS = 60
 
@@ -95,6 +95,19 @@
     assert sum(call.path == "/notices" for call in calls) == 1
 
 
+def test_finished_draft_is_answered_again_without_running_again(fleet):
+    """The caller repeats a finished draft elsewhere and gets the same answer."""
+    ports = fleet.entry_ports
+    first = chat(ports[0], "draft", "once only", 6, key="ticket-3")
+    again = [chat(port, "draft", "once only", 6, key="ticket-3") for port in ports]
+    assert first.code == "1000" and first.text == expected_text("once only", 6)
+    assert {(told.code, told.text) for told in again} == {("1001", first.text)}
+    assert fleet.starts_of(first.system_id) == 1
+    assert sum(fleet.starts_of(told.system_id) for told in again) == 0
+    reused = chat(ports[-1], "draft", "another body", 6, key="ticket-3")
+    assert reused.outcome == "not-run" and reused.code == "2007"
+
+
 def test_stopped_stage_is_taken_for_silent_and_the_answer_is_whole(fleet):
     """The caller sees one whole answer although a stage stands still.
 
