Take ejected targets back where none but them can serve

Cause: callers were refused with NO_TARGET (3004) while a whole chain stood by. A target ejected for refused connections stays out for seconds to a minute; when the others of its layers were drained meanwhile, nothing covered the model. Seen in proofs/processes_test.py: after kills in one zone, an operator's drain in the other. Ruled out: shorter ejections (the fault stays, only rarer); ignoring ejections in the choice at large. Change: a replan that finds the model uncovered ends all ejections, and those targets return on trial with a small weight. A settings file's objects have version 0, below any of the platform's; reports are taken in once. Conclusion: an ejection is a preference, never a reason to refuse.

--- a/radishfield/decisions/_ejection.py
+++ b/radishfield/decisions/_ejection.py
@@ -17,6 +17,7 @@
 """
 
 import statistics
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from radishfield.decisions._data import FailureKind
@@ -133,15 +134,22 @@
 
     def readmit(self, now: float) -> list[str]:
         """Return targets whose time is over; they are on trial from now."""
-        returned = []
-        for target_id, health in self._health_by_id.items():
-            if health.ejected_until is not None and health.ejected_until <= now:
-                health.ejected_until = None
-                health.failures = 0
-                health.samples = 0
-                returned.append(target_id)
+        returned = [
+            target_id
+            for target_id, health in self._health_by_id.items()
+            if health.ejected_until is not None and health.ejected_until <= now
+        ]
+        self.release(returned)
         return returned
 
+    def release(self, target_ids: Sequence[str]) -> None:
+        """End the ejection of targets; they are on trial from now."""
+        for target_id in target_ids:
+            health = self._health(target_id)
+            health.ejected_until = None
+            health.failures = 0
+            health.samples = 0
+
     def next_return(self) -> float | None:
         """Return when the next target comes back."""
         times = [
--- a/radishfield/decisions/_pool.py
+++ b/radishfield/decisions/_pool.py
@@ -124,6 +124,23 @@
         for load in self.loads_by_id.values():
             load.shared_by(self._hosts, self._hosts / zones)
         self.served = self.covered()
+        if not self.served:
+            self._end_ejections()
+
+    def _end_ejections(self) -> None:
+        """Take every ejected target back where none but them can serve.
+
+        An ejection was right while others took the part.  Once those leave,
+        keeping to it would refuse every request while a target that may well
+        work again stands by; at worst it fails what would have been refused.
+        """
+        ejected = [
+            load for load in self.loads_by_id.values() if load.usable and load.ejected
+        ]
+        if ejected:
+            target_ids = [load.target.id for load in ejected]
+            self.ejector.release(target_ids)
+            self.readmit(target_ids)
 
     def pick(
         self,
--- a/radishfield/decisions/scheduler_test.py
+++ b/radishfield/decisions/scheduler_test.py
@@ -271,3 +271,30 @@
     restarted = replace(leaving, incarnation=2, state=TargetState.LIVE)
     scheduler.set_fleet([restarted], links, "a", 1, 4.0)
     assert stage_ids(start(scheduler, make_work("last"), 5.0)) == ["leaving"]
+
+
+def test_an_ejected_target_serves_again_when_no_other_can(
+    make_target, make_work, links
+):
+    """The caller is served, not refused with "no target".
+
+    One of two targets refuses connections and is ejected.  Then the other is
+    drained.  What is left is the ejected one, and it may work again.
+    """
+    down, other = make_target("down", 0, 20), make_target("other", 0, 20)
+    scheduler = Scheduler()
+    scheduler.set_fleet([down, other], links, "a", 1, 0.0)
+    for index in range(40):
+        name = f"r{index}"
+        dispatch = start(scheduler, make_work(name), 1.0)
+        if stage_ids(dispatch) == ["down"]:
+            failure = Failure(name, "down", FailureKind.CONNECT, started=False)
+            scheduler.failed(failure, 1.0)
+        scheduler.ended(name, False, 1.0)
+    assert all(
+        stage_ids(start(scheduler, make_work(f"s{index}"), 1.1)) == ["other"]
+        for index in range(3)
+    )
+    drained = replace(other, state=TargetState.LEAVING)
+    scheduler.set_fleet([down, drained], links, "a", 1, 1.2)
+    assert stage_ids(start(scheduler, make_work("last"), 1.3)) == ["down"]
--- a/radishfield/scripts/_wiring.py
+++ b/radishfield/scripts/_wiring.py
@@ -6,7 +6,6 @@
 
 from radishfield.core import (
     Clock,
-    LoadReport,
     Member,
     StoredObject,
     SystemClock,
@@ -60,8 +59,9 @@
     TelemetryObserver,
 )
 
-# An object from the settings file is older than any that the platform holds.
-SETTINGS_VERSION = 1
+# An object from the settings file is older than any that the platform holds; the
+# platform's first version is 1.
+SETTINGS_VERSION = 0
 LONE_INCARNATION = 1
 # A frame names its key in one byte.
 KEY_NUMBERS = 256
@@ -252,10 +252,6 @@
             planner = PlacementPlanner(plan, lease, directory, sender, settings.links)
             kernel.register("placement", planner)
 
-        def take_in(report: LoadReport) -> None:
-            directory.observe_report(report)
-            dispatcher.observe_load(report)
-
         kernel.register("dispatcher", dispatcher)
         kernel.register(
             "fleet-view",
@@ -270,7 +266,7 @@
                 kernel.find("peers", object),
                 kernel.find("facts", FactTable),
                 clock,
-                take_in,
+                dispatcher.observe_load,
             ),
         )
 
