Keep the incarnation in a keeper's start, for logs

Cause: dropping it broke the fuzz of keyed calls, which was built meanwhile on KeeperStart(host, incarnation, started): its numbers were taken for start times. Change: the field is back and is part of the claim's name; the random number tells starts apart. The mutation 'vouch after a restart' now patches Keeper, where the guard moved, and is as strict as before.

--- a/bench/_claim_costs.py
+++ b/bench/_claim_costs.py
@@ -76,7 +76,7 @@
         for host in hosts:
             peers = CountedPeers(self, host)
             self.peers_by_id[host.id] = peers
-            claims = Claims(peers, TrioClock(), KeeperStart(host, 0.0))
+            claims = Claims(peers, TrioClock(), KeeperStart(host, 1, 0.0))
             claims.become_founder(hosts)
             self.claims.append(claims)
 
--- a/proofs/_keyed_mutations.py
+++ b/proofs/_keyed_mutations.py
@@ -8,6 +8,7 @@
 import radishfield.fleet._claims as claims_module
 from radishfield.core import Outcome
 from radishfield.fleet import Claims
+from radishfield.fleet._claims_keeper import Keeper
 from radishfield.serving import Dispatcher
 
 
@@ -18,7 +19,7 @@
 
 def vouch_after_a_restart(patch: pytest.MonkeyPatch) -> None:
     """Let a keeper that has lost its memory say that a key is free."""
-    patch.setattr(Claims, "_vouches", lambda self, now: True)
+    patch.setattr(Keeper, "_vouches", lambda self, now: True)
 
 
 def forget_at_the_deadline(patch: pytest.MonkeyPatch) -> None:
--- a/radishfield/fleet/_claims.py
+++ b/radishfield/fleet/_claims.py
@@ -190,8 +190,9 @@
         self._settle(claimed.record, ClaimState.UNKNOWN, None, ANSWER_COPIES)
 
     def _claim_id(self, request_id: str) -> str:
-        number = next(self._numbers)
-        return f"{request_id}@{self._start.host.id}.{self._start.number}.{number}"
+        start = self._start
+        place = f"{start.host.id}.{start.incarnation}.{start.number}"
+        return f"{request_id}@{place}.{next(self._numbers)}"
 
     async def _win(self, record: ClaimRecord) -> Result[Claimed | Replay, Fault]:
         superseded: set[str] = set()
--- a/radishfield/fleet/_claims_keeper.py
+++ b/radishfield/fleet/_claims_keeper.py
@@ -75,6 +75,7 @@
     """
 
     host: KnownHost
+    incarnation: int
     started: float
     number: int = field(default_factory=lambda: secrets.randbits(63))
 
--- a/radishfield/fleet/claims_test.py
+++ b/radishfield/fleet/claims_test.py
@@ -55,7 +55,7 @@
 
     def start(self, host, founders=None):
         peers = FakePeers(self, host)
-        start = KeeperStart(host, trio.current_time())
+        start = KeeperStart(host, 1, trio.current_time())
         claims = Claims(peers, TrioClock(), start)
         if founders:
             claims.become_founder(founders)
@@ -316,7 +316,7 @@
         known = [Member(each.id, each.zone, "", 1) for each in HOSTS[2:4]]
         peers_view = FewPeers(peers, known)
         claims = Claims(
-            peers_view, TrioClock(), KeeperStart(peers.host, trio.current_time())
+            peers_view, TrioClock(), KeeperStart(peers.host, 1, trio.current_time())
         )
         network.claims_by_id["new"] = claims
         repeat = await claim(network, "new")
