--- a/bench/_stage_driving.py
+++ b/bench/_stage_driving.py
@@ -27,7 +27,7 @@
 from radishfield.edges import EngineTargets
 from radishfield.edges._target_wire import STEP_PATH, Step
 from radishfield.pipeline import PipelineState
-from standins.launcher import free_port
+from standins.fleet import free_port
 from standins.model import expected_words, first_hidden, word_of
 
 PROMPT = "Check the delegation note."
--- a/bench/slopes_target.py
+++ b/bench/slopes_target.py
@@ -12,7 +12,7 @@
 import httpcore
 import trio
 
-from bench._claim_costs import book_bytes, keepers_cost, owner_cost, store_cost
+from bench._claim_costs import book_bytes, slots_cost
 from bench._stage_driving import (
     CALLERS,
     EngineProcesses,
@@ -23,7 +23,7 @@
 )
 from bench._token_feed import cpu_per_answer
 from radishfield.edges import EngineTargets
-from standins.launcher import free_port
+from standins.fleet import free_port
 
 SHORT, LONG = 8, 72
 REQUESTS = 24
@@ -31,6 +31,7 @@
 FEED_TOKENS = 240
 FEED_ANSWERS = 48
 CHUNKINGS = (1, 2, 4, 8)
+CLAIM_HOSTS = (3, 9, 85, 340)
 IMPORTS = (
     "trio, msgspec, expression",
     "trio, msgspec, expression, httpcore",
@@ -120,12 +121,12 @@
 
 @main.command()
 def claims():
-    """Compare the ways to claim a key, and size a keeper's book."""
-    rows = [("store", store_cost()), ("owner", owner_cost())]
-    rows += [(f"keepers-of-{size}", keepers_cost(size)) for size in (3, 9, 85, 340)]
-    for label, cost in rows:
+    """Measure claims in the platform's slots, and size a host's book."""
+    for size in CLAIM_HOSTS:
+        cost = slots_cost(size)
         click.echo(
-            f"slope claims {label} peer_asks={cost.peer_asks:.1f} "
+            f"slope claims hosts={size} peer_asks={cost.peer_asks:.1f} "
+            f"platform_reads={cost.platform_reads:.1f} "
             f"platform_writes={cost.platform_writes:.1f} "
             f"claim_ms={cost.claim_ms:.2f} end_ms={cost.end_ms:.2f} "
             f"cpu_us_all_hosts={cost.cpu_us:.0f}"
--- a/radishfield/decisions/_pool.py
+++ b/radishfield/decisions/_pool.py
@@ -1,18 +1,17 @@
 """The targets of one model, or one kind of service, with their work in flight."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from operator import attrgetter
 
 from radishfield.core import (
     Link,
     LoadReport,
     Priority,
-    Route,
     Target,
     TargetKind,
 )
 from radishfield.decisions._affinity import LOAD_BOUND
+from radishfield.decisions._claims import Claim
 from radishfield.decisions._ejection import Ejector
 from radishfield.decisions._flow import FlowPlan, plan_flow, speed_of
 from radishfield.decisions._limits import (
@@ -28,27 +27,6 @@
 """Seconds for a token before any plan or answer says better."""
 
 
-@dataclass(slots=True, frozen=True)
-class Claim:
-    """Places in flight that one attempt holds.
-
-    Attributes
-    ----------
-    token_s : float
-        Seconds that a token should take on the route with full batches.
-    expected_s : float
-        Seconds that a token is expected to take, queues included.
-    """
-
-    loads: tuple[TargetLoad, ...]
-    crossings: tuple[Crossing, ...]
-    long: bool
-    token_s: float
-    expected_s: float
-    route: Route | None = None
-    target: Target | None = None
-
-
 class Pool:
     """Targets that can serve the same work, and what is learned about them.
 
@@ -173,11 +151,9 @@
         forced: bool,
         fast: bool,
     ) -> Claim | None:
-        running = self._running_by_version
-        choosers = sorted(
-            self._choosers,
-            key=lambda c: (running.get(c.model_version, 0) + 1) / c.bound_tps,
-        )
+        choosers = self._choosers
+        if len(choosers) > 1:
+            choosers = sorted(choosers, key=self._version_load)
         for chooser in choosers:
             chain = chooser.choose(long, excluded, preferred, forced, fast)
             if chain is not None:
@@ -191,6 +167,10 @@
                 )
         return None
 
+    def _version_load(self, chooser: Chooser) -> float:
+        running = self._running_by_version.get(chooser.model_version, 0)
+        return (running + 1) / chooser.bound_tps
+
     def begin(self, claim: Claim) -> None:
         """Count a claim's places as in flight."""
         self._count(claim, 1)
--- a/radishfield/decisions/_scheduler.py
+++ b/radishfield/decisions/_scheduler.py
@@ -1,6 +1,7 @@
 """The decisions composed: one object that a dispatcher or a bench drives."""
 
 from collections.abc import Sequence
+from dataclasses import replace
 
 from radishfield.core import (
     CacheEvent,
@@ -14,6 +15,7 @@
 )
 from radishfield.decisions._admission import Forecast, judge, spread_retry
 from radishfield.decisions._affinity import PrefixIndex
+from radishfield.decisions._claims import Claim
 from radishfield.decisions._data import (
     Dispatch,
     Expired,
@@ -27,7 +29,7 @@
 from radishfield.decisions._failures import FailureDecider
 from radishfield.decisions._journal import Journal, Note
 from radishfield.decisions._lengths import LengthEstimate
-from radishfield.decisions._pool import Claim, Pool
+from radishfield.decisions._pool import Pool
 from radishfield.decisions._precedence import HeldShares, engine_priority
 from radishfield.decisions._queues import Entry, Lane, WorkQueue, lane_for
 from radishfield.decisions._running import Running
@@ -139,10 +141,10 @@
         told = engine_priority(work.priority, lane, light)
         run_s = self._run_s(pool, work, cost, told)
         ahead = queue.ahead_of(work, cost, lane) if len(queue) else 0.0
-        forecast = Forecast(
-            ahead / pool.drain_tps, run_s, len(queue), queue.over_share(work)
-        )
+        forecast = Forecast(ahead / pool.drain_tps, run_s, len(queue), False)
         problem = judge(work, forecast, now)
+        if problem is not None and queue.over_share(work):
+            problem = judge(work, replace(forecast, over_share=True), now)
         if problem is not None:
             return self._refuse(work, problem, now)
         latest_start = work.deadline - pool.paces.at(told).cautious_s(cost)
@@ -168,9 +170,10 @@
         for key, queue in self._queues_by_key.items():
             if not len(queue):
                 continue
+            pool = self._pools_by_key[key]
             for entry in queue.expire(now):
-                taken.append(self._expire(entry, now))
-            self._start_waiting(self._pools_by_key[key], queue, taken, now)
+                taken.append(self._expire(pool, queue, entry, now))
+            self._start_waiting(pool, queue, taken, now)
         return taken
 
     def next_wakeup(self, now: float) -> float | None:
@@ -182,7 +185,7 @@
         return min((at for at in times if at is not None), default=None)
 
     def progressed(self, request_id: str, position: int, now: float) -> None:
-        """Note that a token of running work was committed."""
+        """Note that the token at a position, from 0, was committed."""
         running = self._running_by_request.get(request_id)
         if running is None:
             return
@@ -211,7 +214,7 @@
             pool.paces.learn(told, seconds, running.cost_so_far())
         if not finished:
             return
-        self._lengths.learn(work, running.position)
+        self._lengths.learn(work, running.tokens)
         for load in running.claim.loads:
             pool.ejector.succeeded(load.target.id)
 
@@ -247,12 +250,13 @@
         self._journal.note(work.request_id, Note(now, "refused", problem.detail))
         return refused
 
-    def _expire(self, entry: Entry, now: float) -> Expired:
-        problem = fault(
-            ResultCode.EXPIRED_IN_QUEUE,
-            "can no longer finish on time",
-            spread_retry(entry.work, entry.work.deadline - entry.latest_start),
-        )
+    def _expire(
+        self, pool: Pool, queue: WorkQueue, entry: Entry, now: float
+    ) -> Expired:
+        # What waits now has to leave before a new try would start.
+        retry = spread_retry(entry.work, queue.backlog() / pool.drain_tps)
+        detail = "can no longer finish on time"
+        problem = fault(ResultCode.EXPIRED_IN_QUEUE, detail, retry)
         self._shares.end(entry.work.workspace, entry.cost)
         self._journal.note(entry.work.request_id, Note(now, "expired"))
         return Expired(entry.work, problem)
@@ -285,7 +289,7 @@
                     continue
                 queue.pop(entry)
                 if _too_late(claim, entry, pool.paces.factor(told), now):
-                    taken.append(self._expire(entry, now))
+                    taken.append(self._expire(pool, queue, entry, now))
                 else:
                     taken.append(self._start(pool, entry, claim, told, now))
             if Lane.SHORT in blocked:
--- a/radishfield/decisions/scheduler_test.py
+++ b/radishfield/decisions/scheduler_test.py
@@ -134,6 +134,41 @@
     assert decision.fault.outcome is Outcome.UNKNOWN
 
 
+def test_a_request_that_never_ran_ends_so_with_a_time_to_come_back(
+    scheduler, make_work
+):
+    """No target accepts a connection until the attempts are used up.
+
+    The caller is told "not run", at once, and when to come back.
+    """
+    dispatch = start(scheduler, make_work("r", idempotent=False))
+    decision = None
+    while not isinstance(decision, GiveUp):
+        failure = Failure("r", stage_ids(dispatch)[0], FailureKind.CONNECT, False)
+        decision = scheduler.failed(failure, 1.0)
+        dispatch = getattr(decision, "dispatch", dispatch)
+    assert decision.fault.outcome is Outcome.NOT_RUN
+    assert decision.fault.retry_after_s >= 2.0
+
+
+def test_work_that_can_no_longer_finish_leaves_at_once(scheduler, make_work):
+    """Reviews wait for a full fleet that ends nothing.
+
+    Each leaves the queue when its last moment to start has passed, not at its
+    deadline, and is told when to come back.
+    """
+    for index in range(60):
+        scheduler.offer(make_work(f"r{index}", deadline=60.0), 0.0)
+    scheduler.take(0.0)
+    wakeup = scheduler.next_wakeup(0.0)
+    assert wakeup is not None and wakeup <= 60.0
+    ended = [i for at in range(1, 60) for i in scheduler.take(float(at))]
+    assert ended and all(isinstance(item, Expired) for item in ended)
+    assert {item.reason for item in ended} == {"expired-in-queue"}
+    assert all(item.fault.retry_after_s > 0 for item in ended)
+    assert scheduler.snapshot(60.0).pools[0].queued == 0
+
+
 def test_a_leaving_target_gets_nothing_more_and_no_target_is_its_own_refusal(
     scheduler, make_work
 ):
@@ -179,6 +214,28 @@
     assert seen.count("a1") >= 2
 
 
+def test_the_length_of_answers_is_learned_from_positions(scheduler, make_work):
+    """Answers use a fifth of what callers allow for.
+
+    Positions count from 0; after a hundred answers far more is let in at once.
+    """
+
+    def admitted(prefix):
+        works = [make_work(f"{prefix}{i}", deadline=60.0) for i in range(2000)]
+        queued = [isinstance(scheduler.offer(work, 0.0), Queued) for work in works]
+        for work in works:
+            scheduler.withdraw(work.request_id, 0.0)
+        return sum(queued)
+
+    before = admitted("before")
+    for index in range(100):
+        start(scheduler, make_work(f"r{index}"))
+        for position in range(10):
+            scheduler.progressed(f"r{index}", position, 0.1 * position)
+        scheduler.ended(f"r{index}", True, 1.0)
+    assert admitted("after") > 1.5 * before
+
+
 def test_explains_what_was_decided(scheduler, make_work):
     start(scheduler, make_work("r"))
     scheduler.ended("r", True, 1.0)
--- a/radishfield/fleet/__init__.py
+++ b/radishfield/fleet/__init__.py
@@ -1,12 +1,6 @@
 """The fleet: profiles, membership, targets that come and leave, leases, orders."""
 
-from radishfield.fleet._claims import Claims
-from radishfield.fleet._claims_keeper import ClaimTimes, KeeperStart
-from radishfield.fleet._claims_keepers import KnownHost
-from radishfield.fleet._claims_votes import (
-    Claimed,
-    Replay,
-)
+from radishfield.fleet._claims import Claimed, Claims, ClaimSettings, Replay
 from radishfield.fleet._directory import (
     TargetDirectory,
     drain_name,
@@ -25,10 +19,7 @@
     PollerSettings,
     ZoneLoad,
 )
-from radishfield.fleet._membership import (
-    Membership,
-    Update,
-)
+from radishfield.fleet._membership import Membership
 from radishfield.fleet._operations import (
     FleetOperations,
     FleetParts,
@@ -69,13 +60,14 @@
     ZoneReach,
     ZoneStatus,
 )
+from radishfield.fleet._updates import Update
 from radishfield.fleet._watcher import (
     PlatformWatcher,
     WatcherSettings,
 )
 
 __all__ = [
-    "ClaimTimes",
+    "ClaimSettings",
     "Claimed",
     "Claims",
     "Drain",
@@ -87,8 +79,6 @@
     "FleetParts",
     "FleetStatus",
     "HeldLease",
-    "KeeperStart",
-    "KnownHost",
     "LeaseKeeper",
     "LeaseSettings",
     "LeaseStatus",
