Read tokens that arrive together as one batch, and join answers as engines send them

Cause: the caller's edge put a blank between tokens, which is right for the stand-in's bare words and wrong for any engine whose tokens carry their own blanks; `next_tokens`, `commit_batch` and `push_many` stood unused. Ruled out: dropping the batch (engines that emit several tokens a step send them in one chunk); a separator in the settings. Change: the stand-in's words end with their blank and an answer is its tokens' texts put together; the attempt reads and commits batches, `next_token` leaves the port, `push_many` is gone because the sink already gathers what is pushed between two sends. The dispatcher gives PipelineState the request's max_tokens.

--- a/proofs/_targets.py
+++ b/proofs/_targets.py
@@ -337,11 +337,11 @@
         self._index = index
         self._silent = False
 
-    async def next_token(self) -> Result[Token, Fault]:
+    async def next_tokens(self) -> Result[tuple[Token, ...], Fault]:
         """Return the next token, or the fault that ended the stream."""
         limit_s = self._targets.idle_limit_s
         with trio.move_on_after(limit_s):
-            return await self._next()
+            return (await self._next()).map(lambda token: (token,))
         return Error(fault(ResultCode.STREAM_SILENT, f"no byte for {limit_s} s"))
 
     async def _next(self) -> Result[Token, Fault]:
--- a/proofs/serving_test.py
+++ b/proofs/serving_test.py
@@ -8,6 +8,9 @@
 from proofs._serving_mutations import SERVING_MUTATIONS
 
 EXAMPLES = 60
+# A mutated run ends at its first failure, so many examples cost little; with few,
+# whether a mutation is met would hang on details of the decisions.
+MUTATION_EXAMPLES = 400
 
 
 def test_promises_hold_while_targets_fail_in_every_way():
@@ -19,4 +22,6 @@
     """A guard is taken away, and the same fuzz run fails."""
     mutate(monkeypatch)
     with pytest.raises((AssertionError, BaseExceptionGroup)):
-        run_state_machine_as_test(ServingMachine, settings=ci_profile(EXAMPLES))
+        run_state_machine_as_test(
+            ServingMachine, settings=ci_profile(MUTATION_EXAMPLES)
+        )
--- a/radishfield/core/_ports.py
+++ b/radishfield/core/_ports.py
@@ -47,17 +47,12 @@
 class TokenStream(Protocol):
     """The tokens of one attempt as a target sends them."""
 
-    async def next_token(self) -> Result[Token, Fault]:
-        """Return the next token, or the fault that ended the stream.
-
-        After a token with ``finish`` set, the stream is not read again.
-        """
-
     async def next_tokens(self) -> Result[Sequence[Token], Fault]:
         """Return every token that is ready now, at least one, in order.
 
-        Tokens that arrived together are decoded and can be passed on together.
-        A fault that follows good tokens is returned by the next call.
+        Tokens that arrived together are decoded and passed on together.  A
+        fault that follows good tokens is returned by the next call.  After a
+        token with ``finish`` set, the stream is not read again.
         """
 
 
--- a/radishfield/edges/_caller_answers.py
+++ b/radishfield/edges/_caller_answers.py
@@ -26,8 +26,6 @@
     outcome_headers,
 )
 
-# The engines' protocol carries words without the blanks between them.
-SEPARATOR = " "
 # About 2,000 words.  A caller that reads more slowly than its tokens come holds
 # its pipeline back from there on, and at the latest its deadline frees it.
 MAX_PENDING_CHARACTERS = 16 << 10
@@ -108,13 +106,9 @@
         """Keep a token."""
         self._texts.append(token.text)
 
-    async def push_many(self, tokens: Sequence[Token]) -> None:
-        """Keep tokens that are ready together."""
-        self._texts += [token.text for token in tokens]
-
     async def finish(self, finished: Finished) -> None:
         """Send the whole answer."""
-        text = SEPARATOR.join(self._texts)
+        text = "".join(self._texts)
         choice = _whole_choice(self._call.shape, text, finished.reason)
         answer = _model_answer(
             self._call, self._answer, choice, usage=_usage(self._call, self._texts)
@@ -166,11 +160,6 @@
             await self._room.wait()
         self._put(token.text)
 
-    async def push_many(self, tokens: Sequence[Token]) -> None:
-        """Put down tokens that are ready together."""
-        for token in tokens:
-            await self.push(token)
-
     async def finish(self, finished: Finished) -> None:
         """Let the writer send the rest and the end of the stream."""
         self._ending = finished
@@ -205,8 +194,8 @@
                     return
 
     def _put(self, text: str) -> None:
-        self._pending.append(SEPARATOR + text if self._count else text)
-        self._pending_characters += len(text) + 1
+        self._pending.append(text)
+        self._pending_characters += len(text)
         self._count += 1
         self._ready.set()
 
--- a/radishfield/edges/caller_test.py
+++ b/radishfield/edges/caller_test.py
@@ -48,7 +48,7 @@
 class ScriptedServing:
     """Pushes tokens, then ends as told; keeps the requests it was given."""
 
-    def __init__(self, texts=("a", "b"), ending=None, pause_s=0.0):
+    def __init__(self, texts=("a", " b"), ending=None, pause_s=0.0):
         self.texts = texts
         self.ending = ending or Ok(Finished("length"))
         self.pause_s = pause_s
@@ -182,7 +182,8 @@
     class Together(ScriptedServing):
         async def generate(self, request, sink):
             receipt = Receipt(request.id, 1, 0, ())
-            await sink.push_many([Token(n, str(n), receipt) for n in range(3)])
+            for position, text in enumerate(("0", " 1", " 2")):
+                await sink.push(Token(position, text, receipt))
             return self.ending
 
     first, _, _ = events(ask(Together(), body=HELLO | {"stream": True}))
--- a/radishfield/edges/caller_wire_test.py
+++ b/radishfield/edges/caller_wire_test.py
@@ -59,7 +59,7 @@
 
 
 def test_public_client_reads_whole_streamed_and_listed_answers():
-    with edge_over(ScriptedServing(["one", "two", "three"])) as address:
+    with edge_over(ScriptedServing(["one", " two", " three"])) as address:
         client = client_of(address)
         whole = client.chat.completions.create(model="review", messages=MESSAGES)
         assert whole.choices[0].message.content == "one two three"
--- a/radishfield/serving/_attempt.py
+++ b/radishfield/serving/_attempt.py
@@ -1,5 +1,6 @@
 """One attempt: open a stream, check each token's receipt, pass it on."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from expression import Result
@@ -12,6 +13,7 @@
     StreamStart,
     Target,
     TargetPort,
+    Token,
     TokenSink,
     TokenStream,
 )
@@ -140,16 +142,20 @@
 
     async def _read(self, stream: TokenStream) -> Fault | None:
         while self._state.finish is None:
-            match await stream.next_token():
+            match await stream.next_tokens():
                 case Result(tag="error", error=problem):
                     return problem
-                case Result(tag="ok", ok=token):
-                    pass
-            match self._state.commit(token):
-                case Result(tag="error", error=problem):
-                    return problem
-            now = self._clock.now()
+                case Result(tag="ok", ok=tokens):
+                    batch = self._state.commit_batch(tokens)
+            await self._hand_on(batch.tokens)
+            # What an engine sends behind the last token spoils no whole answer.
+            if batch.problem is not None and self._state.finish is None:
+                return batch.problem
+        return None
+
+    async def _hand_on(self, tokens: Sequence[Token]) -> None:
+        now = self._clock.now()
+        for token in tokens:
             self._scheduler.progressed(self._request.id, token.position, now)
             self._observer.token(self._request, token)
             await self._sink.push(token)
-        return None
--- a/radishfield/serving/_dispatcher.py
+++ b/radishfield/serving/_dispatcher.py
@@ -137,7 +137,7 @@
         self, request: Request, sink: TokenSink
     ) -> Result[Finished, Fault]:
         """Run a model request; committed tokens go to the sink in order."""
-        state = PipelineState(request.id)
+        state = PipelineState(request.id, request.max_tokens)
         attempt = Attempt(
             request,
             state,
--- a/radishfield/serving/dispatcher_test.py
+++ b/radishfield/serving/dispatcher_test.py
@@ -66,14 +66,15 @@
         self.receipt_head = (request_id, attempt)
         self.hops = (Hop(target_id, LAYERS),)
 
-    async def next_token(self):
+    async def next_tokens(self):
         item = self.script.pop(0)
         if item is None:
             await trio.sleep_forever()
         if isinstance(item, Fault):
             return Error(item)
         receipt = Receipt(*self.receipt_head, item, self.hops)
-        return Ok(Token(item, f"w{item}", receipt, "length" if item == 2 else None))
+        finish = "length" if item == 2 else None
+        return Ok((Token(item, f"w{item}", receipt, finish),))
 
 
 class ListSink:
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -63,7 +63,7 @@
 
 def expected_text(prompt: str, tokens: int) -> str:
     """Return the only right answer of the stand-in's model."""
-    return " ".join(expected_words(MODEL, prompt, MODEL_LAYERS, tokens))
+    return "".join(expected_words(MODEL, prompt, MODEL_LAYERS, tokens))
 
 
 def ask(port: int, prompt: str = PROMPT, tokens: int = 16) -> str:
--- a/standins/model.py
+++ b/standins/model.py
@@ -42,8 +42,11 @@
 
 
 def word_of(hidden: str) -> str:
-    """Return the word that the last layer's hidden state stands for."""
-    return WORDS[int(hidden, 16) % len(WORDS)]
+    """Return the word that the last layer's hidden state stands for.
+
+    It ends with its blank: an answer is its tokens' texts, put together.
+    """
+    return WORDS[int(hidden, 16) % len(WORDS)] + " "
 
 
 def expected_words(
--- a/standins/openai_client_test.py
+++ b/standins/openai_client_test.py
@@ -23,7 +23,7 @@
             chunks = list(stream)
     finally:
         fleet.stop()
-    expected = " ".join(expected_words("small", PROMPT, MODEL_LAYERS, 12))
+    expected = "".join(expected_words("small", PROMPT, MODEL_LAYERS, 12))
     assert whole.choices[0].message.content == expected
     streamed = "".join(chunk.choices[0].delta.content or "" for chunk in chunks)
     assert streamed == expected
