Part the store's side of claims from their own module

Change: ClaimStore keeps, reads, writes and takes back; Claims decides and asks other hosts. A mutation of the proofs patches it at its new place.

--- a/proofs/_keyed_mutations.py
+++ b/proofs/_keyed_mutations.py
@@ -10,16 +10,17 @@
 from radishfield.core import Outcome
 from radishfield.fleet import Claims
 from radishfield.fleet._claims_book import ClaimState
+from radishfield.fleet._claims_store import ClaimStore
 from radishfield.serving import Dispatcher
 
 
 def grant_without_the_platform(patch: pytest.MonkeyPatch) -> None:
     """Run as soon as the claim is on its way to the platform."""
 
-    async def write(self, slot, record):
+    async def write(self, slot, record, lifetime_s):
         return Ok(None)
 
-    patch.setattr(Claims, "_write_claim", write)
+    patch.setattr(ClaimStore, "write_claim", write)
 
 
 def take_a_lost_claim_for_released(patch: pytest.MonkeyPatch) -> None:
--- a/radishfield/fleet/_claims.py
+++ b/radishfield/fleet/_claims.py
@@ -13,7 +13,6 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 
-import msgspec
 import trio
 from expression import Error, Ok, Result
 
@@ -25,19 +24,11 @@
     PeerPort,
     PlatformPort,
     ResultCode,
-    StoredObject,
     fault,
 )
 from radishfield.fleet._claims_book import ClaimBook, ClaimRecord, ClaimState
-from radishfield.fleet._claims_slots import (
-    SLOT_KIND,
-    Slot,
-    StoredClaim,
-    carries,
-    place_of,
-    read_slot,
-    slot_name,
-)
+from radishfield.fleet._claims_slots import StoredClaim, place_of
+from radishfield.fleet._claims_store import ClaimStore
 from radishfield.fleet._claims_wire import (
     StateAsk,
     decode_ask,
@@ -48,7 +39,6 @@
     encode_state,
 )
 from radishfield.fleet._rendezvous import ranked
-from radishfield.fleet._settled_write import write_settled
 
 STATE_TOPIC = "claims.state"
 COPY_TOPIC = "claims.copy"
@@ -56,12 +46,10 @@
 # Each step reads or writes the slot anew after somebody else changed it; more
 # than a few mean that the key itself is fought over.
 MAX_STEPS = 4
-WRITE_STEPS = 2
 # One beside the host that ran the request may go with its zone.
 ANSWER_COPIES = 2
 RETRY_IN_FLIGHT_S = 1.0
 RETRY_UNAVAILABLE_S = 2.0
-MAX_CACHED_SLOTS = 4_096
 MAX_ERRANDS = 1_000
 DRAIN_S = 2.0
 DRAIN_PAUSE_S = 0.02
@@ -111,14 +99,12 @@
     """
 
     __slots__ = (
-        "_platform",
+        "_store",
         "_peers",
         "_clock",
         "_settings",
-        "_unix_now",
         "_own",
         "_copies",
-        "_slots_by_name",
         "_send_errand",
         "_errands",
         "dropped_errands",
@@ -132,14 +118,12 @@
         settings: ClaimSettings,
         unix_now: Callable[[], float] = time.time,
     ):
-        self._platform = platform
+        self._store = ClaimStore(platform, unix_now)
         self._peers = peers
         self._clock = clock
         self._settings = settings
-        self._unix_now = unix_now
         self._own = ClaimBook(settings.max_kept)
         self._copies = ClaimBook(settings.max_kept)
-        self._slots_by_name: dict[str, Slot] = {}
         self._send_errand, self._errands = trio.open_memory_channel(MAX_ERRANDS)
         self.dropped_errands = 0
         peers.answer(STATE_TOPIC, self._answer_state)
@@ -230,89 +214,28 @@
         ``released`` holds ids of claims that are known never to have run.
         """
         for _ in range(MAX_STEPS):
-            match await self._slot(record.place):
+            match await self._store.slot(record.place):
                 case Result(tag="error", error=problem):
                     return Error(_unavailable(problem.detail))
                 case Result(tag="ok", ok=slot):
-                    rival = slot.find(record.place, self._unix_now())
+                    rival = self._store.find(slot, record.place)
             if rival is not None and rival.claim_id not in released:
                 state = await self._state_of(rival)
                 if state is not None and state.claim_id != rival.claim_id:
                     # The host has claimed the key anew: this slot is an old one.
-                    self._forget_slot(record.place)
+                    self._store.forget(record.place)
                     continue
                 if state is None or state.state is not ClaimState.RELEASED:
                     return answer_to_repeat(state or _unknown(rival), record.digest)
                 released.add(rival.claim_id)
-            written = await self._write_claim(slot, record)
+            lifetime_s = record.expires_at - self._clock.now()
+            written = await self._store.write_claim(slot, record, lifetime_s)
             if written.is_ok():
                 return Ok(Claimed(record))
             if written.error.code is not ResultCode.PLATFORM_CONFLICT:
                 return Error(_unavailable(written.error.detail))
         return Error(_unavailable("others kept changing the same claims"))
 
-    async def _write_claim(
-        self, slot: Slot, record: ClaimRecord
-    ) -> Result[StoredObject, Fault]:
-        unix_now = self._unix_now()
-        lifetime_s = record.expires_at - self._clock.now()
-        claim = StoredClaim(
-            record.place,
-            record.digest,
-            record.claim_id,
-            record.host_id,
-            unix_now + lifetime_s,
-        )
-        value = slot.with_claim(claim, unix_now)
-        if value is None:
-            return Error(fault(ResultCode.VALUE_TOO_LARGE, "the key's slot is full"))
-        return await self._write_slot(slot, record, value)
-
-    async def _write_slot(
-        self, slot: Slot, record: ClaimRecord, value: bytes
-    ) -> Result[StoredObject, Fault]:
-        name = slot_name(record.place)
-        wanted = StoredObject(SLOT_KIND, name, slot.version, value)
-        self._slots_by_name.pop(name, None)
-        written = await write_settled(
-            self._platform,
-            wanted,
-            lambda stored: carries(stored, record.claim_id)
-            == carries(value, record.claim_id),
-            WRITE_STEPS,
-        )
-        if written.is_ok():
-            self._keep_slot(name, read_slot(written.ok.value, written.ok.version))
-        return written
-
-    async def _slot(self, place: str) -> Result[Slot, Fault]:
-        """Return the slot of a place as last seen; a write proves it current."""
-        name = slot_name(place)
-        known = self._slots_by_name.get(name)
-        if known is not None:
-            return Ok(known)
-        read = await self._platform.read(SLOT_KIND, name)
-        match read:
-            case Result(tag="ok", ok=stored):
-                try:
-                    slot = read_slot(stored.value, stored.version)
-                except msgspec.MsgspecError as error:
-                    return Error(fault(ResultCode.PLATFORM_MALFORMED, str(error)))
-            case Result(tag="error", error=problem):
-                if problem.code is not ResultCode.OBJECT_NOT_FOUND:
-                    return Error(problem)
-                slot = Slot()
-        self._keep_slot(name, slot)
-        return Ok(slot)
-
-    def _keep_slot(self, name: str, slot: Slot) -> None:
-        if len(self._slots_by_name) >= MAX_CACHED_SLOTS:
-            self._slots_by_name.pop(next(iter(self._slots_by_name)))
-        self._slots_by_name[name] = slot
-
-    def _forget_slot(self, place: str) -> None:
-        self._slots_by_name.pop(slot_name(place), None)
-
     async def _state_of(self, rival: StoredClaim) -> ClaimRecord | None:
         """Return how a claim's run went; None where nobody can say."""
         copy = self._copies.find(rival.place, self._clock.now())
@@ -391,20 +314,7 @@
                     timeout_s = self._settings.ask_timeout_s
                     await self._peers.ask(host_id, COPY_TOPIC, payload, timeout_s)
                 case _Release(record):
-                    await self._write_release(record)
-
-    async def _write_release(self, record: ClaimRecord) -> None:
-        for _ in range(MAX_STEPS):
-            self._forget_slot(record.place)
-            slot = await self._slot(record.place)
-            if slot.is_error():
-                return
-            value = slot.ok.without(record.place, record.claim_id, self._unix_now())
-            if value is None:
-                return
-            written = await self._write_slot(slot.ok, record, value)
-            if written.is_ok():
-                return
+                    await self._store.take_back(record)
 
 
 @dataclass(slots=True, frozen=True)
