Make the key of the TLS test in the test

Cause: a private key lay in the tree; it protected nothing, but every scan and every reader has to find that out. Ruled out: generating it by a program of the machine, which may not be there. Change: trustme, a development library, makes authority and certificate in the test's folder.

--- a/radishfield/scripts/commands_test.py
+++ b/radishfield/scripts/commands_test.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import pytest
+import trustme
 from click.testing import CliRunner
 
 from radishfield.core import HELP_BY_CODE, ResultCode
@@ -17,8 +18,6 @@
 
 ROOT = Path(__file__).parents[2]
 DOCS = ROOT / "docs"
-# A key that protects nothing: it is public, and only tests trust it.
-TLS = ROOT / "standins" / "tls"
 
 
 def strip_scheme(address):
@@ -122,12 +121,16 @@
     assert "7010 CHANGE_AMBIGUOUS" in done.output
 
 
-def test_operators_speak_over_tls_and_trust_nothing_else(token_file):
-    cert, key = str(TLS / "cert.pem"), str(TLS / "key.pem")
-    with served(make_app(), cert, key) as url:
+def test_operators_speak_over_tls_and_trust_nothing_else(token_file, tmp_path):
+    authority, listener = str(tmp_path / "ca.pem"), str(tmp_path / "listener.pem")
+    ca = trustme.CA()
+    ca.cert_pem.write_to_path(authority)
+    issued = ca.issue_cert("127.0.0.1")
+    issued.private_key_and_cert_chain_pem.write_to_path(listener)
+    with served(make_app(), listener, listener) as url:
         assert url.startswith("https://")
         address = url.removeprefix("https://")
-        trusted = run(address, token_file, "status", "--tls-ca", cert)
+        trusted = run(address, token_file, "status", "--tls-ca", authority)
         assert trusted.exit_code == 0, trusted.output
         assert run(address, token_file, "status").exit_code == 4
 
