Let routes cross zones without named links, and count only chains that can be walked

Cause: without [links] no route passed from one zone to another in its middle: a fleet whose zones hold the model only together refused everybody, and one whose zones were each short of a stage as well. Ruled out: demanding [links] from every operator; a guard that counts nothing across zones. Change: a pair of zones that the settings do not name gets a link of 0.5 ms and 10,000 tokens/s; `covered` walks links as routes do.

--- a/radishfield/decisions/_routes.py
+++ b/radishfield/decisions/_routes.py
@@ -197,18 +197,38 @@
         return False
 
     def covered(self, excluded: frozenset[str] = frozenset()) -> bool:
-        """Tell whether live targets cover the model, full or not."""
-        reached, todo = {0}, [0]
+        """Tell whether live targets cover the model, full or not.
+
+        Zones without a link between them cover nothing together: a chain that
+        is counted but cannot be walked would refuse everybody.
+        """
+        todo = [(zone, 0) for zone in self._zones]
+        reached = set(todo)
         while todo:
-            layer = todo.pop()
-            for zone in self._zones:
-                for load in self._loads_by_zone_layer.get((zone, layer), ()):
-                    end = load.target.layers.end
-                    fits = load.usable and load.target.id not in excluded
-                    if fits and end not in reached:
-                        reached.add(end)
-                        todo.append(end)
-        return self.model_layers in reached
+            zone, layer = todo.pop()
+            for load in self._next_loads(zone, layer):
+                place = load.target.zone, load.target.layers.end
+                if not load.usable or load.target.id in excluded:
+                    continue
+                if place[1] == self.model_layers:
+                    return True
+                if place not in reached:
+                    reached.add(place)
+                    todo.append(place)
+        return False
+
+    def _next_loads(self, zone: str, layer: int) -> list[TargetLoad]:
+        """Return what holds a layer in a zone, or over a link from it."""
+        near = [
+            name
+            for name in self._zones
+            if name == zone or (layer > 0 and (zone, name) in self._crossings_by_pair)
+        ]
+        return [
+            load
+            for name in near
+            for load in self._loads_by_zone_layer.get((name, layer), ())
+        ]
 
     def quickest_s(self) -> float:
         """Return the least expected seconds of a token over any whole chain."""
--- a/radishfield/serving/__init__.py
+++ b/radishfield/serving/__init__.py
@@ -5,9 +5,11 @@
 )
 from radishfield.serving._fleet_view import (
     FleetView,
+    links_between,
 )
 
 __all__ = [
     "Dispatcher",
     "FleetView",
+    "links_between",
 ]
--- a/radishfield/serving/_fleet_view.py
+++ b/radishfield/serving/_fleet_view.py
@@ -1,5 +1,8 @@
 """Keeps the dispatcher's view of targets and of this zone's entry hosts."""
 
+import itertools
+from collections.abc import Iterable, Sequence
+
 import trio
 
 from radishfield.core import Link
@@ -9,6 +12,12 @@
 # How many entry hosts share the zone's targets changes without the targets
 # changing; a share that is a second old is corrected by load reports meanwhile.
 LONGEST_PAUSE_S = 1.0
+# What is taken for a link that the settings do not name.  Without any, no route
+# would ever pass from one zone to another, and zones that hold the model only
+# together would refuse everybody.  Half a millisecond is what the users' zones
+# are apart; the rate is low enough that a zone's own targets are preferred.
+UNNAMED_LATENCY_S = 0.0005
+UNNAMED_TOKENS_PER_S = 10_000.0
 
 
 class FleetView:
@@ -39,9 +48,22 @@
             self._pass_on()
 
     def _pass_on(self) -> None:
+        targets = self._directory.targets()
+        zones = {target.zone for target in targets}
         self._dispatcher.set_targets(
-            self._directory.targets(),
+            targets,
             self._zone,
-            self._links,
+            links_between(zones, self._links),
             entry_hosts=self._directory.entry_hosts_in_zone(),
         )
+
+
+def links_between(zones: Iterable[str], named: Sequence[Link]) -> tuple[Link, ...]:
+    """Return a link for each directed pair of zones; named ones as they are."""
+    named_pairs = {(link.from_zone, link.to_zone) for link in named}
+    unnamed = [
+        Link(one, other, UNNAMED_LATENCY_S, UNNAMED_TOKENS_PER_S)
+        for one, other in itertools.permutations(sorted(zones), 2)
+        if (one, other) not in named_pairs
+    ]
+    return (*named, *unnamed)
