--- a/radishfield/scripts/_wiring.py
+++ b/radishfield/scripts/_wiring.py
@@ -6,7 +6,6 @@
 
 from radishfield.core import (
     Clock,
-    LoadReport,
     Member,
     StoredObject,
     SystemClock,
@@ -50,6 +49,7 @@
     WatcherSettings,
 )
 from radishfield.kernel import Kernel
+from radishfield.scripts._fleet_metrics import watch_fleet
 from radishfield.serving import Dispatcher, FleetView
 from radishfield.settings import EntrySettings, MetricsExport
 from radishfield.telemetry import (
@@ -59,8 +59,9 @@
     TelemetryObserver,
 )
 
-# An object from the settings file is older than any that the platform holds.
-SETTINGS_VERSION = 1
+# An object from the settings file is older than any that the platform holds; the
+# platform's first version is 1.
+SETTINGS_VERSION = 0
 LONE_INCARNATION = 1
 # A frame names its key in one byte.
 KEY_NUMBERS = 256
@@ -251,10 +252,6 @@
             planner = PlacementPlanner(plan, lease, directory, sender, settings.links)
             kernel.register("placement", planner)
 
-        def take_in(report: LoadReport) -> None:
-            directory.observe_report(report)
-            dispatcher.observe_load(report)
-
         kernel.register("dispatcher", dispatcher)
         kernel.register(
             "fleet-view",
@@ -269,7 +266,7 @@
                 kernel.find("peers", object),
                 kernel.find("facts", FactTable),
                 clock,
-                take_in,
+                dispatcher.observe_load,
             ),
         )
 
@@ -289,6 +286,7 @@
         telemetry.watch("in_flight", "Requests being served.", lambda: app.in_flight)
         dispatcher = kernel.find("dispatcher", Dispatcher)
         telemetry.watch("queue", "Requests that wait.", lambda: dispatcher.queued)
+        watch_fleet(telemetry, kernel)
         config = ListenerConfig.from_settings(
             caller.bind, caller.tls_cert, caller.tls_key, settings.drain.timeout_s
         )
