Break the chain that is used, so that its stage is left out

Cause: the last form of the test broke the replica that nobody uses, and so passed without the mend.

--- a/proofs/recovery_test.py
+++ b/proofs/recovery_test.py
@@ -104,7 +104,7 @@
     than to refuse everybody.
     """
     world = ServingWorld(1, 2, 2)
-    broken, other = f"engine-{left_out}-1", f"engine-{drained}-0"
+    broken, other = f"engine-{left_out}-0", f"engine-{drained}-1"
     world.targets.kill(broken)
     for _ in range(12):
         world.send(True, 2, 8.0, 0.0)
