--- a/proofs/_machine.py
+++ b/proofs/_machine.py
@@ -73,6 +73,15 @@
         self.world.send(idempotent, tokens, 8.0, 0.0)
         self.world.loop.pass_time(0.3)
 
+    @rule(idempotent=st.booleans())
+    def send_to_standstill(self, idempotent):
+        """Send a request while every first stage stands still."""
+        self._count("freeze")
+        for engine in self.world.heads():
+            engine.frozen = True
+        self.world.send(idempotent, 2, 0.5, 0.0)
+        self.world.loop.pass_time(2.5)
+
     @rule(index=ENGINE_INDEX, idempotent=st.booleans(), after_s=IN_MID_TOKEN_S)
     def send_and_kill(self, index, idempotent, after_s):
         """Kill a target in the middle of a request's tokens."""
