--- a/bench/slopes_target.py
+++ b/bench/slopes_target.py
@@ -1,7 +1,7 @@
 """Slopes of the targets' edge and of idempotency claims, one line a figure.
 
 ``python -m bench.slopes_target PART`` with one of ``hand-on``, ``chunks``,
-``claims``, ``memory``.
+``claims``, ``polls``, ``memory``.
 """
 
 import subprocess
@@ -31,6 +31,7 @@
 FEED_TOKENS = 240
 FEED_ANSWERS = 48
 CHUNKINGS = (1, 2, 4, 8)
+POLLS = 500
 CLAIM_HOSTS = (3, 9, 85, 340)
 IMPORTS = (
     "trio, msgspec, expression",
@@ -134,6 +135,27 @@
     click.echo(f"slope claims record_bytes={book_bytes(20_000):.0f}")
 
 
+@main.command()
+def polls():
+    """Measure what asking a target for its load costs the asking host."""
+    trio.run(_polls)
+
+
+async def _polls() -> None:
+    engines = EngineProcesses(1.0)
+    try:
+        await engines.wait_ready()
+        port = EngineTargets()
+        await port.load(engines.targets[0])
+        before = time.process_time()
+        for _ in range(POLLS):
+            await port.load(engines.targets[0])
+        cost_s = (time.process_time() - before) / POLLS
+    finally:
+        engines.stop()
+    click.echo(f"slope poll cpu_us={cost_s * 1e6:.0f}")
+
+
 @main.command()
 def memory():
     """Measure the resident memory that imports of the edge and claims add."""
--- a/radishfield/scripts/_daemon.py
+++ b/radishfield/scripts/_daemon.py
@@ -38,7 +38,7 @@
 
     A token makes a few hundred short-lived objects, so the collector's default
     of 700 ran it for each second or third token, over all of a process whose
-    modules alone hold over 100,000 objects, and found nothing.
+    modules alone hold some 80,000 objects, and found nothing.
     """
     gc.collect()
     gc.freeze()
