Name how a kind of request is served, and wire in short steps

Cause: read as a newcomer, the dispatcher passed five loose callables from method to method, and the wiring had two methods of sixty lines. Change: _Way holds how requests of one kind are run, answered, kept and replayed; each wiring method adds one subject. Conclusion: behaviour is the same.

--- a/radishfield/scripts/_wiring.py
+++ b/radishfield/scripts/_wiring.py
@@ -111,57 +111,78 @@
         await self.kernel.drain()
 
     def _add_fleet(self) -> None:
-        settings, kernel, clock = self._settings, self.kernel, self._clock
-        host, zone = settings.host.id, settings.host.zone
+        settings, kernel = self._settings, self.kernel
         kernel.register("platform", self._platform(settings.platform.max_calls_per_s))
         kernel.register("peers", self._peers())
         kernel.register("facts", self._facts())
-        platform = kernel.find("platform", object)
-        peers = kernel.find("peers", object)
+        self._add_directory()
+        self._add_spreading()
+        self._add_placement_lease()
+        self._add_operations()
+
+    def _add_directory(self) -> None:
+        kernel = self.kernel
         facts = kernel.find("facts", FactTable)
-        directory = TargetDirectory(zone, facts, peers, clock)
+        peers = kernel.find("peers", object)
+        platform = kernel.find("platform", object)
         kernel.register("profiles", ProfileStore(platform, facts))
-        kernel.register("directory", directory)
-        kernel.register(
-            "spreader", FactSpreader(SpreadSettings(host, zone), peers, facts, clock)
+        zone = self._settings.host.zone
+        kernel.register("directory", TargetDirectory(zone, facts, peers, self._clock))
+
+    def _add_spreading(self) -> None:
+        """Facts reach this host by its peers and, while it watches, the platform."""
+        host, platform = self._settings.host, self._settings.platform
+        kernel, clock = self.kernel, self._clock
+        facts = kernel.find("facts", FactTable)
+        peers = kernel.find("peers", object)
+        spread = SpreadSettings(host.id, host.zone)
+        kernel.register("spreader", FactSpreader(spread, peers, facts, clock))
+        watch = WatcherSettings(
+            host.id,
+            host.zone,
+            platform.watch_s,
+            platform.list_period_s,
+            platform.hosts_period_s,
         )
         watcher = PlatformWatcher(
-            WatcherSettings(
-                host,
-                zone,
-                settings.platform.watch_s,
-                settings.platform.list_period_s,
-                settings.platform.hosts_period_s,
-            ),
-            platform,
+            watch,
+            kernel.find("platform", object),
             peers,
             facts,
             clock,
-            on_hosts=directory.see_hosts,
+            on_hosts=kernel.find("directory", TargetDirectory).see_hosts,
         )
         kernel.register("watcher", watcher)
-        leases = settings.leases
-        lease_settings = LeaseSettings(
+
+    def _add_placement_lease(self) -> None:
+        host, leases = self._settings.host, self._settings.leases
+        kernel = self.kernel
+        settings = LeaseSettings(
             PLACEMENT_DUTY,
-            zone,
-            host,
+            host.zone,
+            host.id,
             leases.duration_s,
             leases.renew_s,
             leases.longest_order_s,
         )
-        lease = LeaseKeeper(lease_settings, platform, peers, clock)
+        platform = kernel.find("platform", object)
+        peers = kernel.find("peers", object)
+        lease = LeaseKeeper(settings, platform, peers, self._clock)
         kernel.register("placement-lease", lease)
+
+    def _add_operations(self) -> None:
+        host, kernel = self._settings.host, self.kernel
         parts = FleetParts(
-            host,
-            zone,
-            platform,
-            facts,
+            host.id,
+            host.zone,
+            kernel.find("platform", object),
+            kernel.find("facts", FactTable),
             kernel.find("profiles", ProfileStore),
-            directory,
-            peers,
-            watcher,
-            clock,
-            (lease,),
+            kernel.find("directory", TargetDirectory),
+            kernel.find("peers", object),
+            kernel.find("watcher", PlatformWatcher),
+            self._clock,
+            (kernel.find("placement-lease", LeaseKeeper),),
         )
         kernel.register("operations", FleetOperations(parts))
 
@@ -208,67 +229,79 @@
         return Telemetry()
 
     def _add_serving(self) -> None:
-        settings, kernel, clock = self._settings, self.kernel, self._clock
-        directory = kernel.find("directory", TargetDirectory)
+        kernel, clock = self.kernel, self._clock
         telemetry, records = self._telemetry(), RequestRecords()
         kernel.register("telemetry", telemetry)
         kernel.register("records", records)
-        targets = EngineTargets()
-        claims = Claims(
-            self._platform(self._settings.claims.max_calls_per_s),
-            kernel.find("peers", object),
-            clock,
-            ClaimSettings(
-                settings.host.id,
-                settings.host.zone,
-                ask_timeout_s=settings.claims.ask_timeout_s,
-                max_kept=settings.claims.max_kept,
-            ),
-        )
-        kernel.register("claims", claims)
+        kernel.register("targets", EngineTargets())
+        kernel.register("claims", self._claims())
+        self._add_placement()
         dispatcher = Dispatcher(
             Scheduler(),
-            targets,
+            kernel.find("targets", EngineTargets),
             clock,
-            claims,
-            claim_s=settings.claims.keep_s,
+            kernel.find("claims", Claims),
+            claim_s=self._settings.claims.keep_s,
             observer=TelemetryObserver(telemetry, records, clock),
         )
+        kernel.register("dispatcher", dispatcher)
+        self._add_views()
 
+    def _claims(self) -> Claims:
+        host, claims = self._settings.host, self._settings.claims
+        settings = ClaimSettings(
+            host.id,
+            host.zone,
+            ask_timeout_s=claims.ask_timeout_s,
+            max_kept=claims.max_kept,
+        )
+        platform = self._platform(claims.max_calls_per_s)
+        peers = self.kernel.find("peers", object)
+        return Claims(platform, peers, self._clock, settings)
+
+    def _add_placement(self) -> None:
+        """Add the sender of orders, and what proposes them if it is wanted."""
+        orders, placement = self._settings.orders, self._settings.placement
+        kernel = self.kernel
         lease = kernel.find("placement-lease", LeaseKeeper)
-        orders = settings.orders
-        order_settings = OrderSettings(
-            orders.timeout_s, orders.load_interval_s, orders.load_s
+        directory = kernel.find("directory", TargetDirectory)
+        sender = OrderSender(
+            OrderSettings(orders.timeout_s, orders.load_interval_s, orders.load_s),
+            lease,
+            kernel.find("targets", EngineTargets),
+            directory,
+            self._clock,
         )
-        sender = OrderSender(order_settings, lease, targets, directory, clock)
         kernel.register("order-sender", sender)
-        if settings.placement.enabled:
-            plan = PlacementSettings(
-                settings.host.zone,
-                settings.placement.period_s,
-                settings.placement.layers_per_s,
-                settings.placement.concurrent_loads,
-            )
-            planner = PlacementPlanner(plan, lease, directory, sender, settings.links)
-            kernel.register("placement", planner)
-
-        kernel.register("dispatcher", dispatcher)
-        kernel.register(
-            "fleet-view",
-            FleetView(directory, dispatcher, settings.host.zone, settings.links),
+        if not placement.enabled:
+            return
+        plan = PlacementSettings(
+            self._settings.host.zone,
+            placement.period_s,
+            placement.layers_per_s,
+            placement.concurrent_loads,
         )
-        kernel.register(
-            "poller",
-            LoadPoller(
-                PollerSettings(settings.host.id, settings.host.zone),
-                targets,
-                directory,
-                kernel.find("peers", object),
-                kernel.find("facts", FactTable),
-                clock,
-                dispatcher.observe_load,
-            ),
+        links = self._settings.links
+        planner = PlacementPlanner(plan, lease, directory, sender, links)
+        kernel.register("placement", planner)
+
+    def _add_views(self) -> None:
+        """Keep the dispatcher's view of targets, and of their load, up to date."""
+        host, kernel = self._settings.host, self.kernel
+        directory = kernel.find("directory", TargetDirectory)
+        dispatcher = kernel.find("dispatcher", Dispatcher)
+        view = FleetView(directory, dispatcher, host.zone, self._settings.links)
+        kernel.register("fleet-view", view)
+        poller = LoadPoller(
+            PollerSettings(host.id, host.zone),
+            kernel.find("targets", EngineTargets),
+            directory,
+            kernel.find("peers", object),
+            kernel.find("facts", FactTable),
+            self._clock,
+            dispatcher.observe_load,
         )
+        kernel.register("poller", poller)
 
     def _add_listeners(self) -> None:
         settings, kernel = self._settings, self.kernel
--- a/radishfield/serving/_dispatcher.py
+++ b/radishfield/serving/_dispatcher.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import replace
-from typing import TypeVar
+from typing import Generic, TypeVar
 
 import msgspec
 import trio
@@ -32,15 +32,15 @@
     fault,
 )
 from radishfield.decisions import Dispatch, Retry, Scheduler, Work
-from radishfield.fleet import Replay
+from radishfield.fleet import Claimed, Replay
 from radishfield.pipeline import PipelineState
 from radishfield.serving._attempt import Attempt, AttemptFailure
 from radishfield.serving._canceller import Canceller
-from radishfield.serving._claiming import ClaimPort, NoClaims
+from radishfield.serving._claiming import ClaimPort, NoClaim, NoClaims
 from radishfield.serving._kv import move_kv
 from radishfield.serving._observer import AnyRequest, NullObserver, Observer
 from radishfield.serving._queue import DispatchQueue
-from radishfield.serving._run import RequestRun
+from radishfield.serving._run import AttemptRunner, RequestRun, RetryPreparer
 
 A = TypeVar("A")
 
@@ -174,7 +174,7 @@
             return msgspec.msgpack.encode(kept)
 
         run = self._new_run(request, _work_of(request))
-        return await self._serve(run, one, prepare, _Ending(answer, keep, replay))
+        return await self._serve(run, _Way(one, prepare, answer, keep, replay))
 
     async def call_service(
         self, request: ServiceRequest
@@ -201,9 +201,11 @@
         def keep() -> bytes:
             return msgspec.msgpack.encode(answers[0])
 
+        def answer() -> ServiceAnswer:
+            return answers[0]
+
         run = self._new_run(request, _work_of_call(request))
-        ending = _Ending(lambda: answers[0], keep, replay)
-        return await self._serve(run, one, prepare, ending)
+        return await self._serve(run, _Way(one, prepare, answer, keep, replay))
 
     def _new_run(self, request: AnyRequest, work: Work) -> RequestRun:
         return RequestRun(
@@ -228,13 +230,13 @@
                 for target in route:
                     self._canceller.cancel(target, request_id, dispatch.attempt)
 
-    async def _serve(self, run: RequestRun, one, prepare, ending: "_Ending[A]"):
+    async def _serve(self, run: RequestRun, way: "_Way[A]") -> Result[A, Fault]:
         request = run.request
         self._observer.arrived(request)
         self._in_flight += 1
         problem: Fault | None = fault(ResultCode.CANCELLED)
         try:
-            result = await self._serve_claimed(run, one, prepare, ending)
+            result = await self._serve_claimed(run, way)
             problem = result.error if result.is_error() else None
             return result
         except trio.Cancelled:
@@ -244,12 +246,10 @@
             self._in_flight -= 1
             self._observer.ended(request, problem)
 
-    async def _serve_claimed(
-        self, run: RequestRun, one, prepare, ending: "_Ending[A]"
-    ) -> Result[A, Fault]:
+    async def _serve_claimed(self, run: RequestRun, way: "_Way[A]") -> Result[A, Fault]:
         request = run.request
         if request.profile.idempotent or not request.idempotency_key:
-            return await self._run_in_time(run, one, prepare, ending)
+            return await self._run_in_time(run, way)
         granted = await self._claims.claim(
             request.workspace,
             request.idempotency_key,
@@ -261,31 +261,33 @@
             case Result(tag="error", error=problem):
                 return Error(problem)
             case Result(tag="ok", ok=Replay(answer=answer)):
-                return Ok(await ending.replay(answer))
+                return Ok(await way.replay(answer))
         claimed = granted.ok
         result: Result[A, Fault] | None = None
         try:
-            result = await self._run_in_time(run, one, prepare, ending)
+            result = await self._run_in_time(run, way)
             return result
         finally:
-            await self._settle(claimed, run, result, ending)
+            await self._settle(claimed, run, result, way)
 
-    async def _run_in_time(
-        self, run: RequestRun, one, prepare, ending: "_Ending[A]"
-    ) -> Result[A, Fault]:
+    async def _run_in_time(self, run: RequestRun, way: "_Way[A]") -> Result[A, Fault]:
         self._observer.admitted(run.request)
         remaining = run.request.deadline - self._clock.now()
         problem = fault(ResultCode.DEADLINE_PASSED)
         with trio.move_on_after(max(0.0, remaining)):
-            problem = await run.run(one, prepare)
+            problem = await run.run(way.attempt, way.prepare)
         if problem is None:
-            return Ok(ending.answer())
+            return Ok(way.answer())
         if problem.code is ResultCode.DEADLINE_PASSED and not run.started:
             problem = fault(ResultCode.EXPIRED_IN_QUEUE, "no target came free in time")
         return Error(run.honest(problem))
 
     async def _settle(
-        self, claimed, run: RequestRun, result: Result | None, ending: "_Ending"
+        self,
+        claimed: Claimed | NoClaim,
+        run: RequestRun,
+        result: Result[A, Fault] | None,
+        way: "_Way[A]",
     ) -> None:
         """Settle the claim with what is proven, whatever ended the request.
 
@@ -296,24 +298,40 @@
         with trio.move_on_after(SETTLE_TIMEOUT_S) as scope:
             scope.shield = True
             if result is not None and result.is_ok():
-                await self._claims.finish(claimed, ending.keep())
+                await self._claims.finish(claimed, way.keep())
             elif run.started:
                 await self._claims.mark_unknown(claimed)
             else:
                 await self._claims.release(claimed)
 
 
-class _Ending:
-    """How a finished request of one kind is answered, kept and replayed."""
+class _Way(Generic[A]):
+    """How requests of one kind are run, answered, kept and replayed.
+
+    Attributes
+    ----------
+    attempt : callable
+        Runs one attempt; None means that the request has finished.
+    prepare : callable
+        Gets ready for a retry before it starts.
+    answer : callable
+        Returns the answer of a request that has finished.
+    keep, replay : callable
+        Turn that answer into what a claim keeps, and back for a repeat.
+    """
 
-    __slots__ = ("answer", "keep", "replay")
+    __slots__ = ("attempt", "prepare", "answer", "keep", "replay")
 
     def __init__(
         self,
+        attempt: AttemptRunner,
+        prepare: RetryPreparer,
         answer: Callable[[], A],
         keep: Callable[[], bytes],
         replay: Callable[[bytes], Awaitable[A]],
     ):
+        self.attempt = attempt
+        self.prepare = prepare
         self.answer = answer
         self.keep = keep
         self.replay = replay
