Give CLAIM_UNAVAILABLE the outcome that callers are told

Cause: the table of codes said "not run" for 3008 while every such fault was sent with outcome unknown, because an earlier copy with the same key may have run. Change: the code stands for unknown; the fault needs no outcome of its own. Conclusion: table and answers agree.

--- a/radishfield/core/_code_help.py
+++ b/radishfield/core/_code_help.py
@@ -101,7 +101,8 @@
         "Allow more time or add targets; nothing ran.",
     ),
     ResultCode.CLAIM_UNAVAILABLE: CodeHelp(
-        "The idempotency key could not be claimed, so nothing was started.",
+        "The idempotency key could not be claimed: this copy did not run, an earlier "
+        "one may have.",
         _COME_BACK + " " + _SAME_KEY,
     ),
     ResultCode.CANCELLED_BEFORE_START: CodeHelp(
--- a/radishfield/core/_codes.py
+++ b/radishfield/core/_codes.py
@@ -107,6 +107,8 @@
 
 _UNKNOWN_CODES = frozenset(
     {
+        # This copy did not run; an earlier one with the same key may have.
+        ResultCode.CLAIM_UNAVAILABLE,
         ResultCode.DUPLICATE_IN_FLIGHT,
         ResultCode.DUPLICATE_UNKNOWN,
         ResultCode.STREAM_BROKEN,
--- a/radishfield/fleet/_claims.py
+++ b/radishfield/fleet/_claims.py
@@ -372,9 +372,4 @@
     Told "not run", a caller would take its request for one that never ran; an
     earlier copy with the same key may have, where this host can't see it.
     """
-    return Fault(
-        ResultCode.CLAIM_UNAVAILABLE,
-        detail,
-        RETRY_UNAVAILABLE_S,
-        proven_outcome=Outcome.UNKNOWN,
-    )
+    return fault(ResultCode.CLAIM_UNAVAILABLE, detail, RETRY_UNAVAILABLE_S)
