End the serving fleet with its launcher

Cause: `make serve` ended by SIGTERM left its platform, engines and entry hosts running: sigwait on signals that are not blocked lets them end the process before any clean-up. Seen after a check of the README's commands. Ruled out: blocking the signals (the fleet's processes would inherit the mask and never hear their own SIGTERM). Change: SIGINT and SIGTERM raise, so that the fleet is stopped on the way out and the exit status is 0; a test ends the launcher and finds every port closed. Conclusion: the two ways to end it behave the same.

--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -15,6 +15,7 @@
 
 PROMPT = "Summarise the transfer dispute."
 DEMO_TOKENS = 12
+READY = "interrupt to stop"
 
 
 @dataclass(slots=True, frozen=True)
@@ -96,17 +97,24 @@
 @main.command()
 def serve():
     """Start three zones and leave them running until interrupted."""
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, _leave)
     with tempfile.TemporaryDirectory() as folder:
         fleet = SmallFleet(Path(folder), THREE_ZONES)
         try:
             fleet.start()
             _print_addresses(fleet)
-            click.echo("interrupt to stop")
-            signal.sigwait({signal.SIGINT, signal.SIGTERM})
+            click.echo(READY)
+            signal.pause()
         finally:
             fleet.stop()
 
 
+def _leave(number: int, frame) -> None:
+    """End by an exception: a signal's own way to end leaves the fleet running."""
+    raise SystemExit(0)
+
+
 def _print_addresses(fleet: SmallFleet) -> None:
     click.echo(f"platform  http://127.0.0.1:{fleet.platform_port}")
     for entry in fleet.entries_by_id.values():
--- a/standins/launcher_test.py
+++ b/standins/launcher_test.py
@@ -1,9 +1,15 @@
 """The whole path as separate processes, from the settings file to the answer."""
 
+import re
+import signal
+import socket
+import subprocess
+import sys
+
 import pytest
 
 from standins.fleet import THREE_ZONES, SmallFleet
-from standins.launcher import ask, chat
+from standins.launcher import READY, ask, chat
 
 
 @pytest.fixture(scope="module")
@@ -24,3 +30,25 @@
 def test_unknown_profile_is_refused_with_its_number(fleet):
     told = chat(fleet.entry_ports[0], "nobody", "hello", 4)
     assert (told.status, told.code, told.outcome) == (404, "2003", "not-run")
+
+
+def test_serving_fleet_ends_with_its_launcher():
+    """An operator who ends `make serve` finds nothing of it still running.
+
+    The launcher gets a SIGTERM.  Ended by the signal itself, it left sixteen
+    processes behind, which held their ports.
+    """
+    command = [sys.executable, "-u", "-m", "standins.launcher", "serve"]
+    launcher = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+    printed = []
+    for line in launcher.stdout:
+        printed.append(line)
+        if READY in line:
+            break
+    launcher.send_signal(signal.SIGTERM)
+    assert launcher.wait(timeout=60) == 0
+    ports = re.findall(r"127\.0\.0\.1:(\d+)", "".join(printed))
+    assert len(ports) > len(THREE_ZONES)
+    for port in ports:
+        with socket.socket() as probe:
+            assert probe.connect_ex(("127.0.0.1", int(port))) != 0
