--- a/radishfield/edges/__init__.py
+++ b/radishfield/edges/__init__.py
@@ -4,25 +4,12 @@
     AbsentPlatform,
     LonePeer,
 )
-from radishfield.edges._asgi import (
-    BodyLimit,
-    read_body,
-    send_chunk,
-    send_json,
-    serve_lifespan,
-    start_answer,
-)
 from radishfield.edges._caller import (
     CallerApp,
 )
 from radishfield.edges._caller_intake import (
     CallerLimits,
 )
-from radishfield.edges._listener import (
-    HttpListener,
-    ListenerConfig,
-    serve_app,
-)
 from radishfield.edges._operator import (
     MetricsApp,
     OperatorApp,
@@ -68,6 +55,17 @@
     register_protocol,
     targets_for,
 )
+from radishfield.web import (
+    BodyLimit,
+    HttpListener,
+    ListenerConfig,
+    read_body,
+    send_chunk,
+    send_json,
+    serve_app,
+    serve_lifespan,
+    start_answer,
+)
 
 __all__ = [
     "AbsentPlatform",
--- a/radishfield/edges/_caller.py
+++ b/radishfield/edges/_caller.py
@@ -20,12 +20,6 @@
     TargetKind,
     fault,
 )
-from radishfield.edges._asgi import (
-    read_body,
-    run_until_disconnect,
-    send_bytes,
-    serve_scope,
-)
 from radishfield.edges._caller_answers import Answer, StreamSink, WholeSink
 from radishfield.edges._caller_bodies import ModelCall, Shape, read_model_call
 from radishfield.edges._caller_headers import CallerHeaders, new_headers, read_headers
@@ -52,6 +46,12 @@
     current_request_id,
     log_event,
 )
+from radishfield.web import (
+    read_body,
+    run_until_disconnect,
+    send_bytes,
+    serve_scope,
+)
 
 SHAPE_BY_PATH = {
     "/v1/chat/completions": Shape.CHAT,
--- a/radishfield/edges/_caller_answers.py
+++ b/radishfield/edges/_caller_answers.py
@@ -7,7 +7,6 @@
 import trio
 
 from radishfield.core import Fault, Finished, Outcome, ResultCode, Token
-from radishfield.edges._asgi import send_bytes, send_chunk, send_json, start_answer
 from radishfield.edges._caller_bodies import ModelCall, Shape
 from radishfield.edges._caller_headers import CallerHeaders
 from radishfield.edges._caller_messages import (
@@ -25,6 +24,7 @@
     http_status,
     outcome_headers,
 )
+from radishfield.web import send_bytes, send_chunk, send_json, start_answer
 
 # About 2,000 words.  A caller that reads more slowly than its tokens come holds
 # its pipeline back from there on, and at the latest its deadline frees it.
--- a/radishfield/edges/_caller_intake.py
+++ b/radishfield/edges/_caller_intake.py
@@ -7,8 +7,8 @@
 import trio
 
 from radishfield.core import Clock, Fault, ResultCode, fault
-from radishfield.edges._asgi import BodyLimit
 from radishfield.settings import EntrySettings
+from radishfield.web import BodyLimit
 
 # The balancer has another host ready; a second covers its next choice.
 DRAINING_RETRY_AFTER_S = 1.0
--- a/radishfield/edges/_operator.py
+++ b/radishfield/edges/_operator.py
@@ -15,7 +15,6 @@
 from expression import Error, Ok, Result
 
 from radishfield.core import Fault, Profile, ResultCode, fault
-from radishfield.edges._asgi import BodyLimit, read_body, send_bytes, serve_scope
 from radishfield.edges._caller_answers import Answer
 from radishfield.edges._caller_headers import new_headers
 from radishfield.edges._operator_messages import (
@@ -30,6 +29,7 @@
 )
 from radishfield.fleet import DrainKind, FleetOperations, ProfileInZone
 from radishfield.telemetry import RequestRecords, Telemetry, log_event
+from radishfield.web import BodyLimit, read_body, send_bytes, serve_scope
 
 T = TypeVar("T")
 
--- a/radishfield/edges/_platform.py
+++ b/radishfield/edges/_platform.py
@@ -26,7 +26,7 @@
     WatchBatch,
     fault,
 )
-from radishfield.edges._platform_calls import (
+from radishfield.web import (
     BURST_CALLS,
     CALLS_PER_S,
     CallBudget,
--- a/radishfield/edges/platform_test.py
+++ b/radishfield/edges/platform_test.py
@@ -7,7 +7,7 @@
 
 from radishfield.core import Host, ResultCode, TrioClock
 from radishfield.edges import HttpPlatform, PlatformSettings
-from radishfield.edges._platform_calls import CallBudget, backoff_s
+from radishfield.web import CallBudget, backoff_s
 from standins.fakes import FakePlatform
 from standins.platform import FaultChange, PlatformApp, serve_platform
 
--- /dev/null
+++ b/radishfield/forwarding/_active.py
@@ -0,0 +1,258 @@
+"""Streams in flight at this host, and the guard that looks after silent ones."""
+
+import msgspec
+import trio
+from expression import Result
+
+from radishfield.core import Clock, Fault
+from radishfield.forwarding._call import Call
+from radishfield.forwarding._targets import Targets
+from radishfield.forwarding._view import RouterView
+from radishfield.platform import repath_order
+from radishfield.routing import (
+    Ask,
+    Demand,
+    EngineSpec,
+    GiveUp,
+    Path,
+    PathFinder,
+    TargetRecord,
+    next_step,
+)
+from radishfield.telemetry import log_event
+
+TICK_S = 0.1
+"""A third of the shortest silence that is acted on."""
+REPATH_TRIES = 3
+MOVED = (200, 202)
+
+
+class ActiveStream:
+    """One attempt of a stream: its path, and when it was last heard of."""
+
+    __slots__ = (
+        "call",
+        "demand",
+        "engine",
+        "given_up",
+        "has_events",
+        "heard_at",
+        "moving",
+        "path",
+        "scope",
+        "may_resume",
+    )
+
+    def __init__(
+        self, call: Call, engine: EngineSpec, demand: Demand, path: Path, now: float
+    ):
+        self.call = call
+        self.engine = engine
+        self.demand = demand
+        self.path = path
+        self.heard_at = now
+        self.has_events = False
+        self.given_up = ""
+        self.moving = False
+        self.may_resume = True
+        self.scope = trio.CancelScope()
+
+    def give_up(self, reason: str) -> None:
+        """End the attempt, so that the stream goes on elsewhere."""
+        self.given_up = reason
+        self.scope.cancel()
+
+
+class StreamGuard:
+    """Looks at every stream a few times a second."""
+
+    __slots__ = (
+        "_asked_at_by_id",
+        "_clock",
+        "_nursery",
+        "_streams",
+        "_targets",
+        "_view",
+    )
+
+    def __init__(self, targets: Targets, view: RouterView):
+        self._targets = targets
+        self._view = view
+        self._clock: Clock = view.clock
+        self._streams: set[ActiveStream] = set()
+        self._asked_at_by_id: dict[str, float] = {}
+        self._nursery: trio.Nursery | None = None
+
+    def add(self, stream: ActiveStream) -> None:
+        """Watch a stream and count its work at the targets of its path."""
+        self._streams.add(stream)
+        self._count(stream, stream.path, self._view.load.started)
+
+    def remove(self, stream: ActiveStream) -> None:
+        """Stop watching a stream."""
+        self._streams.discard(stream)
+        self._count(stream, stream.path, self._view.load.ended)
+        self._view.free_room()
+
+    async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED):
+        """Watch until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            while True:
+                await trio.sleep(TICK_S)
+                self._look()
+
+    def _look(self) -> None:
+        now = self._clock.now()
+        for stream in list(self._streams):
+            if stream.moving:
+                continue
+            first_id = stream.path[0].target_id
+            asked_ago_s = now - self._asked_at_by_id.get(first_id, -1e9)
+            silent_s = now - stream.heard_at
+            match next_step(
+                silent_s, stream.has_events, asked_ago_s, stream.may_resume
+            ):
+                case Ask():
+                    self._asked_at_by_id[first_id] = now
+                    self._nursery.start_soon(self._ask, first_id)
+                case GiveUp():
+                    log_event(
+                        "stream.silent",
+                        request=stream.call.facts.request_id,
+                        silent_s=round(silent_s, 2),
+                        events=stream.has_events,
+                        path=path_words(stream.path),
+                    )
+                    stream.give_up("silent")
+
+    async def _ask(self, first_id: str) -> None:
+        record = self._view.directory.find(first_id)
+        report = None if record is None else await self._targets.report(record)
+        if report is None or report.is_error():
+            self._lose_first(
+                first_id, "gone" if report is None else report.error.detail
+            )
+            return
+        self._view.directory.clear(first_id)
+        self._view.pace_by_id[first_id] = report.ok.pace
+        stalled_by_id = dict(report.ok.stalled)
+        for stream in list(self._streams):
+            address = stalled_by_id.get(stream.call.facts.request_id)
+            if address and stream.path[0].target_id == first_id:
+                self._lose_part(address)
+
+    def _lose_first(self, first_id: str, detail: str) -> None:
+        """Give up the streams whose first target does not answer."""
+        left_out_s = self._view.directory.suspect(first_id, self._clock.now())
+        log_event(
+            "target.silent",
+            target=first_id,
+            detail=detail,
+            left_out_s=round(left_out_s, 2),
+            directory_version=self._view.directory.version,
+        )
+        for stream in list(self._streams):
+            silent_s = self._clock.now() - stream.heard_at
+            if stream.path[0].target_id == first_id and silent_s > TICK_S * 2:
+                stream.give_up("first target silent")
+
+    def _lose_part(self, address: str) -> None:
+        """Move every stream that passes a dead part around it."""
+        record = self._view.directory.at_address(address)
+        if record is not None:
+            left_out_s = self._view.directory.suspect(record.id, self._clock.now())
+            log_event(
+                "target.stalled",
+                target=record.id,
+                left_out_s=round(left_out_s, 2),
+                directory_version=self._view.directory.version,
+            )
+        for stream in list(self._streams):
+            parts = [part.address for part in stream.path]
+            if address in parts and not stream.moving:
+                stream.moving = True
+                self._nursery.start_soon(self._move, stream, address)
+
+    async def _move(self, stream: ActiveStream, address: str) -> None:
+        """Change a stream's path in place; give the attempt up where that fails."""
+        try:
+            if not await self._moved(stream, {address}):
+                stream.give_up("no other path")
+        finally:
+            stream.moving = False
+
+    async def _moved(self, stream: ActiveStream, bad: set[str]) -> bool:
+        first = self._view.directory.find(stream.path[0].target_id)
+        if first is None or first.address in bad:
+            return False
+        for _ in range(REPATH_TRIES):
+            path = self._other_path(stream, first, bad)
+            if path is None:
+                return False
+            order = repath_order(stream.call.facts.request_id, path)
+            answer = await self._targets.order(first, order)
+            status = answer.ok.status if answer.is_ok() else 0
+            log_event(
+                "stream.moved",
+                request=stream.call.facts.request_id,
+                around=",".join(sorted(bad)),
+                status=status,
+                path=path_words(path),
+            )
+            if status in MOVED:
+                self._take_path(stream, path)
+                return True
+            if status != 409:
+                return False
+            bad.add(_named_address(answer) or path[-1].address)
+        return False
+
+    def _other_path(
+        self, stream: ActiveStream, first: TargetRecord, bad: set[str]
+    ) -> Path | None:
+        now = self._clock.now()
+        records = self._view.directory.usable(stream.call.service.name, now)
+        sound = [item for item in records if item.address not in bad]
+        if first not in sound:
+            sound.append(first)
+        finder = PathFinder(stream.engine, self._view.load, self._view.zone)
+        held = {part.target_id for part in stream.path}
+        path = finder.find(sound, stream.demand, first, self._view.pace_by_id, held)
+        # The first part has to stay as it is.
+        if path is None or path[0] != stream.path[0]:
+            return None
+        return path
+
+    def _take_path(self, stream: ActiveStream, path: Path) -> None:
+        if stream not in self._streams:
+            return
+        self._count(stream, stream.path, self._view.load.ended)
+        stream.path = path
+        self._count(stream, path, self._view.load.started)
+        # The new parts read the prompt again before the next event.
+        stream.heard_at = max(stream.heard_at, self._clock.now() - TICK_S)
+
+    def _count(self, stream: ActiveStream, path: Path, change) -> None:
+        for index, part in enumerate(path):
+            token_layers = stream.demand.tokens * len(part.span)
+            change(part.target_id, token_layers, first=index == 0)
+
+
+def path_words(path: Path) -> str:
+    """Return a path for a log line."""
+    return " ".join(
+        f"{part.target_id}={part.span.first}-{part.span.end}" for part in path
+    )
+
+
+class _Blocked(msgspec.Struct):
+    addr: str = ""
+
+
+def _named_address(answer: Result[object, Fault]) -> str:
+    try:
+        return msgspec.json.decode(answer.ok.body, type=_Blocked).addr
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return ""
--- /dev/null
+++ b/radishfield/forwarding/_app.py
@@ -0,0 +1,221 @@
+"""The callers' application: from a request's head to the forwarder that serves it."""
+
+import math
+
+from radishfield.core import Fault, ResultCode, fault
+from radishfield.forwarding._call import Call, Responder, status_of
+from radishfield.forwarding._plain import PlainForwarder
+from radishfield.forwarding._streams import StreamForwarder
+from radishfield.forwarding._view import RouterView
+from radishfield.platform import RequestFacts, read_request
+from radishfield.routing import NoKeyNeeded, RouteKind, UnknownKey, Workspace
+from radishfield.telemetry import RequestKind, Telemetry, current_request_id, log_event
+from radishfield.web import BodyLimit, read_body, run_until_disconnect, serve_scope
+
+UNKNOWN_CONFIG_RETRY_S = 0.7
+"""A host reads the configuration within a second of its start."""
+STALE_RETRY_S = 1.0
+BODY_TIMEOUT_S = 10.0
+
+
+class RouterApp:
+    """Serves callers."""
+
+    __slots__ = ("_plain", "_streams", "_telemetry", "_view")
+
+    def __init__(
+        self,
+        plain: PlainForwarder,
+        streams: StreamForwarder,
+        view: RouterView,
+        telemetry: Telemetry,
+    ):
+        self._plain = plain
+        self._streams = streams
+        self._view = view
+        self._telemetry = telemetry
+
+    async def __call__(self, scope, receive, send):
+        """Serve one scope of the HTTP server."""
+        await serve_scope(scope, receive, send, self._serve)
+
+    async def _serve(self, scope, receive, send) -> None:
+        arrived_at = self._view.clock.now()
+        headers = list(scope["headers"])
+        facts = read_request(headers)
+        current_request_id.set(facts.request_id)
+        responder = Responder(send, facts.request_id, lambda: self._view.leaving)
+        self._view.in_flight += 1
+        ending = _Ending()
+        try:
+            await self._answer(scope, receive, facts, responder, arrived_at, ending)
+        finally:
+            self._view.in_flight -= 1
+            self._account(facts, responder, arrived_at, ending)
+
+    async def _answer(
+        self,
+        scope,
+        receive,
+        facts: RequestFacts,
+        responder: Responder,
+        arrived_at: float,
+        ending: "_Ending",
+    ) -> None:
+        body = await read_body(receive, self._body_limit())
+        if body.is_error():
+            responder.problem = body.error
+            if body.error.code is not ResultCode.CANCELLED_BEFORE_START:
+                await responder.refuse(body.error)
+            return
+        call = self._call(scope, facts, body.ok, responder, arrived_at)
+        if isinstance(call, Fault):
+            await responder.refuse(call)
+            return
+        ending.call = call
+        await run_until_disconnect(receive, lambda: self._forward(call))
+
+    async def _forward(self, call: Call) -> None:
+        if call.service.engine is not None and call.route.kind is RouteKind.STREAM:
+            await self._streams.serve(call)
+        else:
+            await self._plain.serve(call)
+
+    def _body_limit(self) -> BodyLimit:
+        table = self._view.table
+        if table is None:
+            return BodyLimit(timeout_s=BODY_TIMEOUT_S)
+        return BodyLimit(table.config.limits.max_body_bytes, BODY_TIMEOUT_S)
+
+    def _call(
+        self,
+        scope,
+        facts: RequestFacts,
+        body: bytes,
+        responder: Responder,
+        arrived_at: float,
+    ) -> Call | Fault:
+        """Return the call that a request makes, or why it is refused."""
+        table = self._view.table
+        if table is None:
+            detail = "no configuration yet"
+            return fault(ResultCode.PROFILES_UNKNOWN, detail, UNKNOWN_CONFIG_RETRY_S)
+        path = scope["raw_path"].decode("latin-1")
+        route = table.match(facts.host, path)
+        if route is None:
+            return fault(ResultCode.UNKNOWN_ROUTE, f"version {table.config.version}")
+        workspace = None
+        match table.identify(route, facts.key):
+            case NoKeyNeeded():
+                pass
+            case UnknownKey():
+                return self._unknown_key(table.config.version)
+            case Workspace() as known:
+                workspace = known
+        now = self._view.clock.now()
+        if workspace is not None and not self._view.freshness.admits_keys(now):
+            age_s = round(self._view.freshness.age_s(now), 2)
+            detail = f"configuration confirmed {age_s} s ago"
+            return fault(ResultCode.PROFILES_UNKNOWN, detail, STALE_RETRY_S)
+        service = self._view.pick_service(route)
+        query = scope["query_string"]
+        wait_s = min(facts.deadline_s or math.inf, route.timeout_s)
+        return Call(
+            facts=facts,
+            route=route,
+            service=service,
+            workspace=workspace,
+            method=scope["method"],
+            target=scope["raw_path"] + (b"?" + query if query else b""),
+            headers=list(scope["headers"]),
+            body=body,
+            arrived_at=arrived_at,
+            deadline_at=arrived_at + wait_s,
+            responder=responder,
+        )
+
+    def _unknown_key(self, version: int) -> Fault:
+        """Refuse a key; a view that may be old proves nothing about it."""
+        now = self._view.clock.now()
+        if not self._view.freshness.admits_keys(now):
+            detail = "key unknown to a configuration that may be old"
+            return fault(ResultCode.PROFILES_UNKNOWN, detail, STALE_RETRY_S)
+        return fault(ResultCode.UNAUTHORIZED, f"version {version}")
+
+    def _account(
+        self,
+        facts: RequestFacts,
+        responder: Responder,
+        arrived_at: float,
+        ending: "_Ending",
+    ) -> None:
+        """Count and log a request's end, whichever way it came."""
+        now = self._view.clock.now()
+        problem = responder.problem
+        call = ending.call
+        if call is not None and not responder.finished:
+            problem = fault(ResultCode.CANCELLED, "caller left")
+        code = problem.code if problem else ResultCode.FINISHED
+        kind = RequestKind.UNREAD
+        if call is not None:
+            streamed = call.route.kind is RouteKind.STREAM
+            kind = RequestKind.MODEL if streamed else RequestKind.SERVICE
+        outcome = (problem or fault(ResultCode.FINISHED)).outcome
+        self._telemetry.ended(kind, outcome, code, now - arrived_at)
+        if 2000 < code < 4000:
+            self._telemetry.refused(code)
+        table = self._view.table
+        log_event(
+            "request.ended",
+            request=facts.request_id,
+            code=int(code),
+            outcome=str(outcome),
+            status=status_of(problem) if problem else 200,
+            detail=problem.detail if problem else "",
+            seconds=round(now - arrived_at, 3),
+            sent=call.sent if call else 0,
+            route=call.route.name if call else "",
+            broken_off=responder.broken_off,
+            config_version=table.config.version if table else 0,
+            config_age_s=_rounded(self._view.freshness.age_s(now)),
+            directory_version=self._view.directory.version,
+        )
+
+
+class _Ending:
+    """The call that a request became, filled in on its way."""
+
+    __slots__ = ("call",)
+
+    def __init__(self):
+        self.call: Call | None = None
+
+
+def _rounded(age_s: float) -> float | None:
+    return None if math.isinf(age_s) else round(age_s, 2)
+
+
+class ReadinessApp:
+    """Tells the balancer whether this host takes new connections."""
+
+    __slots__ = ("_path", "_view")
+
+    def __init__(self, path: str, view: RouterView):
+        self._path = path
+        self._view = view
+
+    async def __call__(self, scope, receive, send):
+        """Serve one scope of the HTTP server."""
+        await serve_scope(scope, receive, send, self._serve)
+
+    async def _serve(self, scope, receive, send) -> None:
+        ready = self._view.table is not None and not self._view.leaving
+        status = 200 if ready and scope["path"] == self._path else 503
+        await send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": [(b"content-length", b"0")],
+            }
+        )
+        await send({"type": "http.response.body", "body": b""})
--- /dev/null
+++ b/radishfield/forwarding/_call.py
@@ -0,0 +1,139 @@
+"""One caller's request on its way, and the answers that it can be given."""
+
+import random
+from dataclasses import dataclass, field
+
+import msgspec
+
+from radishfield.core import Fault, Outcome, ResultCode
+from radishfield.platform import (
+    Headers,
+    RequestFacts,
+    caller_headers,
+    own_answer_headers,
+)
+from radishfield.routing import RouteRule, ServiceSpec, Workspace
+from radishfield.web import send_bytes, send_chunk, start_answer
+
+STATUS_BY_CODE = {
+    ResultCode.UNKNOWN_ROUTE: 404,
+    ResultCode.UNAUTHORIZED: 401,
+    ResultCode.BODY_TOO_LARGE: 413,
+    ResultCode.BODY_TOO_SLOW: 408,
+    ResultCode.BAD_HEADER: 400,
+    ResultCode.DEADLINE_PASSED: 504,
+}
+RETURN_SPREAD = 0.5
+"""Times to come back differ by up to this part, so that callers who were refused
+together do not return as one wave."""
+
+
+@dataclass(slots=True)
+class Responder:
+    """The caller's end of a request; knows whether an answer has begun.
+
+    ``finished`` is set before the last bytes go out: the server tells of the end of
+    the exchange as of a caller that leaves, and may cancel the sender within it.
+    """
+
+    send: object
+    request_id: str
+    closing: object
+    """Returns whether the host leaves, so that connections are to be closed."""
+    started: bool = False
+    finished: bool = False
+    broken_off: bool = False
+    problem: Fault | None = None
+
+    async def whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Pass on a target's whole answer."""
+        self.started = True
+        passed = self._with_close(caller_headers(headers, whole=True))
+        passed.append((b"content-length", str(len(body)).encode()))
+        await start_answer(self.send, status, passed)
+        self.finished = True
+        await send_chunk(self.send, body, more=False)
+
+    async def start_stream(self, status: int, headers: Headers) -> None:
+        """Pass on the head of a stream."""
+        self.started = True
+        passed = self._with_close(caller_headers(headers, whole=True))
+        await start_answer(self.send, status, passed)
+
+    async def events(self, events: bytes) -> None:
+        """Pass on whole events."""
+        await send_chunk(self.send, events)
+
+    async def end_stream(self) -> None:
+        """End a stream that is whole."""
+        self.finished = True
+        await send_chunk(self.send, b"", more=False)
+
+    async def refuse(self, problem: Fault) -> None:
+        """Give an answer of the host's own; a begun answer is cut instead.
+
+        Without its closing chunk no caller can take a stream for whole.
+        """
+        self.problem = problem
+        self.finished = True
+        if self.started:
+            self.broken_off = True
+            return
+        self.started = True
+        status = status_of(problem)
+        retry_after_s = problem.retry_after_s if status == 503 else None
+        headers = own_answer_headers(self.request_id, _spread(retry_after_s))
+        body = msgspec.json.encode(
+            {"code": int(problem.code), "error": problem.code.name.lower()}
+        )
+        kind, *rest = self._with_close(headers)
+        await send_bytes(self.send, status, body, kind[1], rest)
+
+    def _with_close(self, headers: Headers) -> Headers:
+        if self.closing():
+            return [*headers, (b"connection", b"close")]
+        return headers
+
+
+@dataclass(slots=True)
+class Call:
+    """A request that was read whole and matched to a route.
+
+    Attributes
+    ----------
+    arrived_at, deadline_at : float
+        Readings of the clock that counts suspension.
+    sent : int
+        Targets that the request was sent to.
+    may_have_run : bool
+        Some target may have run it, or run it in part.
+    """
+
+    facts: RequestFacts
+    route: RouteRule
+    service: ServiceSpec
+    workspace: Workspace | None
+    method: str
+    target: bytes
+    headers: Headers
+    body: bytes
+    arrived_at: float
+    deadline_at: float
+    responder: Responder
+    sent: int = 0
+    may_have_run: bool = False
+    tried: set[str] = field(default_factory=set)
+
+
+def status_of(problem: Fault) -> int:
+    """Return the status for a fault: a promise only where nothing has run."""
+    status = STATUS_BY_CODE.get(problem.code)
+    if status is not None:
+        return status
+    return 503 if problem.outcome is Outcome.NOT_RUN else 502
+
+
+def _spread(retry_after_s: float | None) -> float | None:
+    if retry_after_s is None:
+        return None
+    return retry_after_s * (1.0 + random.uniform(0.0, RETURN_SPREAD))
--- /dev/null
+++ b/radishfield/forwarding/_follower.py
@@ -0,0 +1,275 @@
+"""Follow the configuration and the list of targets in the store, by watches.
+
+A watch that waits proves nothing about how fresh its view is, so it waits for a
+short time only: each answer confirms what was known when the call was sent.
+"""
+
+import random
+from collections.abc import Callable
+
+import trio
+from expression import Result
+
+from radishfield.core import Fault, ResultCode
+from radishfield.forwarding._view import RouterView
+from radishfield.platform import (
+    CONFIG_KIND,
+    CONFIG_NAME,
+    TARGETS_KIND,
+    Changes,
+    Listing,
+    ObjectStore,
+    StoredValue,
+    decode_config,
+    decode_target,
+)
+from radishfield.routing import Removal, RoutingTable
+from radishfield.telemetry import log_event
+from radishfield.web import backoff_s
+
+WATCH_S = 1.5
+"""A third of the time in which a key that was taken away may still be admitted: one
+answer may be lost and the view is fresh enough still."""
+COALESCE_S = 0.15
+"""Pause after a change.  In a storm of changes each would wake the watch by itself;
+so a storm costs at most seven calls a second, and a change is in force well within
+the second that operators allow."""
+LONGEST_PAUSE_S = 1.0
+"""Longest pause after failures: a store that is back is noticed within a second."""
+
+
+class StoreFollower:
+    """One watch on one kind of object, kept up through gaps and outages."""
+
+    __slots__ = ("_chance", "_failures", "_kind", "_revision", "_store", "_view")
+
+    def __init__(self, store: ObjectStore, view: RouterView, kind: str):
+        self._store = store
+        self._view = view
+        self._kind = kind
+        self._revision: int | None = None
+        self._failures = 0
+        self._chance = random.Random()
+
+    async def follow(
+        self,
+        on_listing: Callable[[Listing, float], None],
+        on_changes: Callable[[Changes, float], None],
+        on_failure: Callable[[Fault], None],
+    ) -> None:
+        """Follow until cancelled.
+
+        The callbacks get the reading of the clock before the call was sent.
+        """
+        while True:
+            asked_at = self._view.clock.now()
+            if self._revision is None:
+                result = await self._store.list(self._kind)
+                deliver = on_listing
+            else:
+                result = await self._store.watch(self._kind, self._revision, WATCH_S)
+                deliver = on_changes
+            if result.is_error():
+                await self._failed(result, on_failure)
+                continue
+            self._regained()
+            self._revision = result.ok.revision
+            deliver(result.ok, asked_at)
+            if isinstance(result.ok, Changes) and result.ok.changes:
+                await trio.sleep(COALESCE_S)
+
+    async def _failed(
+        self, result: Result, on_failure: Callable[[Fault], None]
+    ) -> None:
+        problem: Fault = result.error
+        if problem.code is ResultCode.WATCH_GAP:
+            log_event("store.history_gone", kind=self._kind, revision=self._revision)
+            self._revision = None
+            return
+        self._failures += 1
+        if self._failures == 1:
+            log_event(
+                "store.lost",
+                kind=self._kind,
+                code=int(problem.code),
+                detail=problem.detail,
+            )
+        on_failure(problem)
+        pause_s = min(LONGEST_PAUSE_S, backoff_s(self._failures, self._chance))
+        await trio.sleep(pause_s)
+
+    def _regained(self) -> None:
+        if self._failures:
+            log_event("store.regained", kind=self._kind, failures=self._failures)
+        self._failures = 0
+
+
+class ConfigFollower:
+    """Keeps the newest configuration in force, and knows how fresh it is."""
+
+    __slots__ = ("_follower", "_on_limits", "_view")
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        view: RouterView,
+        on_limits: Callable[[float], None],
+    ):
+        self._view = view
+        self._follower = StoreFollower(store, view, CONFIG_KIND)
+        self._on_limits = on_limits
+
+    async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED):
+        """Follow until cancelled."""
+        task_status.started()
+        await self._follower.follow(self._listed, self._changed, lambda problem: None)
+
+    def _listed(self, listing: Listing, asked_at: float) -> None:
+        found = [value for value in listing.values if value.name == CONFIG_NAME]
+        self._adopt_newest(found, asked_at)
+
+    def _changed(self, changes: Changes, asked_at: float) -> None:
+        found = [
+            change.value
+            for change in changes.changes
+            if change.value.name == CONFIG_NAME and not change.deleted
+        ]
+        self._adopt_newest(found, asked_at)
+
+    def _adopt_newest(self, found: list[StoredValue], asked_at: float) -> None:
+        usable = True
+        for value in found[-1:]:
+            usable = self._adopt(value, asked_at)
+        if usable and self._view.table is not None:
+            self._view.freshness.confirm(asked_at)
+
+    def _adopt(self, value: StoredValue, asked_at: float) -> bool:
+        """Put a version in force; return whether the view is the newest now."""
+        decoded = decode_config(value.spec)
+        if decoded.is_error():
+            log_event(
+                "config.unreadable",
+                revision=value.revision,
+                detail=decoded.error.detail,
+            )
+            return False
+        config = decoded.ok
+        table = self._view.table
+        if table is not None and config.version < table.config.version:
+            # A stale answer; taking it would undo what callers have seen.
+            log_event(
+                "config.older",
+                version=config.version,
+                in_force=table.config.version,
+                revision=value.revision,
+            )
+            return False
+        self._view.table = RoutingTable(config)
+        self._on_limits(config.limits.idle_timeout_s)
+        log_event(
+            "config.in_force",
+            version=config.version,
+            revision=value.revision,
+            routes=len(config.routes),
+            keys=len(config.workspace_by_key),
+            after_s=round(self._view.clock.now() - asked_at, 3),
+        )
+        return True
+
+
+class TargetFollower:
+    """Keeps the directory of targets as the store lists them."""
+
+    __slots__ = ("_follower", "_on_change", "_view")
+
+    def __init__(
+        self, store: ObjectStore, view: RouterView, on_change: Callable[[], None]
+    ):
+        self._view = view
+        self._follower = StoreFollower(store, view, TARGETS_KIND)
+        self._on_change = on_change
+
+    async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED):
+        """Follow until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._expire)
+            task_status.started()
+            await self._follower.follow(self._listed, self._changed, self._failed)
+
+    def _listed(self, listing: Listing, asked_at: float) -> None:
+        record_by_id = {}
+        for value in listing.values:
+            decoded = decode_target(value.name, value.spec)
+            if decoded.is_ok():
+                record_by_id[value.name] = decoded.ok
+            else:
+                log_event(
+                    "target.unreadable", target=value.name, detail=decoded.error.detail
+                )
+        now = self._view.clock.now()
+        for removal in self._view.directory.replace_all(record_by_id, now):
+            self._log_removal(removal, listing.revision)
+        log_event(
+            "targets.listed", targets=len(record_by_id), revision=listing.revision
+        )
+        self._told()
+
+    def _changed(self, changes: Changes, asked_at: float) -> None:
+        for change in changes.changes:
+            if change.deleted:
+                self._remove(change.value.name, changes.revision)
+            else:
+                self._update(change.value)
+        if changes.changes:
+            self._told()
+
+    def _update(self, value: StoredValue) -> None:
+        decoded = decode_target(value.name, value.spec)
+        if decoded.is_error():
+            log_event(
+                "target.unreadable", target=value.name, detail=decoded.error.detail
+            )
+            self._remove(value.name, value.revision)
+            return
+        record = decoded.ok
+        before = self._view.directory.find(record.id)
+        self._view.directory.update(record)
+        if (
+            before is None
+            or before.phase is not record.phase
+            or before.span != record.span
+        ):
+            log_event(
+                "target.changed",
+                target=record.id,
+                service=record.service,
+                zone=record.zone,
+                phase=str(record.phase),
+                span=f"{record.span.first}-{record.span.end}" if record.span else "",
+                started_ms=record.started_ms,
+                revision=value.revision,
+            )
+
+    def _remove(self, target_id: str, revision: int) -> None:
+        removal = self._view.directory.remove(target_id, self._view.clock.now())
+        self._log_removal(removal, revision)
+
+    def _log_removal(self, removal: Removal, revision: int) -> None:
+        log_event(
+            "target.removed", target=removal.id, held=removal.held, revision=revision
+        )
+
+    def _failed(self, problem: Fault) -> None:
+        self._view.directory.store_failed(self._view.clock.now())
+
+    def _told(self) -> None:
+        self._view.free_room()
+        self._on_change()
+
+    async def _expire(self) -> None:
+        while True:
+            await trio.sleep(0.2)
+            for target_id in self._view.directory.expire_missing(
+                self._view.clock.now()
+            ):
+                log_event("target.expired", target=target_id)
--- /dev/null
+++ b/radishfield/forwarding/_metrics.py
@@ -0,0 +1,58 @@
+"""The page of counters and histograms that operators scrape."""
+
+from radishfield.forwarding._connections import TargetConnections
+from radishfield.forwarding._targets import Targets
+from radishfield.forwarding._view import RouterView
+from radishfield.platform import ObjectStore
+from radishfield.telemetry import Telemetry
+from radishfield.web import send_bytes, serve_scope
+
+TEXT_TYPE = b"text/plain; version=0.0.4"
+
+
+class MetricsPage:
+    """Serves the metrics of one router."""
+
+    __slots__ = ("_telemetry",)
+
+    def __init__(
+        self,
+        telemetry: Telemetry,
+        store: ObjectStore,
+        targets: Targets,
+        connections: TargetConnections,
+        view: RouterView,
+    ):
+        self._telemetry = telemetry
+        watch = telemetry.watch
+        watch(
+            "store_calls",
+            "Calls to the object store.",
+            lambda: sum(store.calls_by_kind.values()),
+        )
+        watch(
+            "store_faults",
+            "Calls to the object store that failed.",
+            lambda: sum(store.faults_by_code.values()),
+        )
+        watch("reports", "Targets asked for a report.", lambda: targets.reports)
+        watch(
+            "orders",
+            "Orders given to targets.",
+            lambda: sum(targets.orders_by_status.values()),
+        )
+        watch("connections_opened", "To targets.", lambda: connections.opened)
+        watch("in_flight", "Requests in flight.", lambda: view.in_flight)
+        watch("known_hosts", "Entry hosts, this one included.", lambda: view.hosts)
+        watch(
+            "config_version",
+            "Version in force; 0 before the first.",
+            lambda: view.table.config.version if view.table else 0,
+        )
+
+    async def __call__(self, scope, receive, send):
+        """Serve one scope of the HTTP server."""
+        await serve_scope(scope, receive, send, self._serve)
+
+    async def _serve(self, scope, receive, send) -> None:
+        await send_bytes(send, 200, self._telemetry.exposition(), TEXT_TYPE)
--- /dev/null
+++ b/radishfield/forwarding/_peers.py
@@ -0,0 +1,246 @@
+"""What entry hosts tell each other: work in flight, lost and leaving targets, duties.
+
+Datagrams that are lost cost nothing: each one holds the whole of what changes, and
+the next follows in a fraction of a second.  Hosts find each other once, in the
+store: each writes its address before it lists the others', so of any two the later
+one sees the earlier one and tells it of itself.
+"""
+
+import random
+import socket
+from dataclasses import dataclass
+
+import msgspec
+import trio
+
+from radishfield.core import ResultCode
+from radishfield.forwarding._view import RouterView
+from radishfield.platform import ObjectStore
+from radishfield.routing import Held
+from radishfield.telemetry import log_event
+from radishfield.web import backoff_s
+
+HOSTS_KIND = "radishfield-hosts"
+TELL_S = 0.25
+"""Between two tellings a host starts one or two requests; later, hosts of a zone
+would crowd the same target."""
+FAR_EVERY = 4
+"""Other zones hear each fourth telling: their work rarely meets this zone's, and
+bytes between zones are paid for."""
+FAR_HOSTS = 6
+"""Hosts of other zones that hear a telling, drawn at random: with many hosts the
+bytes between zones must not grow with their square."""
+ALIVE_S = 2.5
+DATAGRAM_BYTES = 8 << 10
+
+
+class _Work(msgspec.Struct, array_like=True):
+    target_id: str
+    requests: int
+    token_layers: int
+    as_first: int
+
+
+class Telling(msgspec.Struct, array_like=True):
+    """One host's state, whole."""
+
+    host_id: str
+    zone: str
+    address: str
+    work: list[_Work]
+    leaving: list[tuple[str, int]]
+    duties: list[str]
+
+
+class _HostBody(msgspec.Struct):
+    address: str
+    zone: str = ""
+
+
+@dataclass(slots=True)
+class _Peer:
+    address: tuple[str, int]
+    zone: str
+    heard_at: float = -1e9
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Telling)
+
+
+class PeerTalk:
+    """Tells the other hosts, and hears them, over UDP."""
+
+    __slots__ = (
+        "_address",
+        "_chance",
+        "_duties",
+        "_host_id",
+        "_peer_by_id",
+        "_round",
+        "_store",
+        "_view",
+        "malformed",
+        "told_bytes",
+    )
+
+    def __init__(
+        self, host_id: str, address: str, store: ObjectStore, view: RouterView, duties
+    ):
+        self._host_id = host_id
+        self._address = address
+        self._store = store
+        self._view = view
+        self._duties = duties
+        self._chance = random.Random()
+        self._peer_by_id: dict[str, _Peer] = {}
+        self._round = 0
+        self.malformed = 0
+        self.told_bytes = 0
+
+    async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED):
+        """Talk until cancelled."""
+        ip, _, port = self._address.rpartition(":")
+        with trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            await sock.bind((ip, int(port)))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._hear, sock)
+                nursery.start_soon(self._tell, sock)
+                nursery.start_soon(self._find)
+                task_status.started()
+
+    async def _find(self) -> None:
+        """Write this host's address, then read the others'."""
+        failures = 0
+        while not await self._registered():
+            failures += 1
+            await trio.sleep(backoff_s(failures, self._chance))
+        failures = 0
+        while (listing := await self._store.list(HOSTS_KIND)).is_error():
+            failures += 1
+            await trio.sleep(backoff_s(failures, self._chance))
+        for value in listing.ok.values:
+            self._add_listed(value.name, value.spec)
+        self._count()
+        log_event(
+            "peers.found", peers=len(self._peer_by_id), revision=listing.ok.revision
+        )
+
+    async def _registered(self) -> bool:
+        body = {"address": self._address, "zone": self._view.zone}
+        created = await self._store.create(HOSTS_KIND, self._host_id, body)
+        if created.is_ok():
+            return True
+        if created.error.code is not ResultCode.PLATFORM_CONFLICT:
+            return False
+        read = await self._store.read(HOSTS_KIND, self._host_id)
+        if read.is_error():
+            return False
+        if read.ok.spec == body:
+            return True
+        written = await self._store.replace(
+            HOSTS_KIND, self._host_id, body, read.ok.revision
+        )
+        return written.is_ok()
+
+    def _add_listed(self, host_id: str, spec: object) -> None:
+        if host_id == self._host_id or host_id in self._peer_by_id:
+            return
+        try:
+            body = msgspec.convert(spec, _HostBody)
+            self._peer_by_id[host_id] = _Peer(_split(body.address), body.zone)
+        except (msgspec.ValidationError, ValueError) as problem:
+            log_event("peer.unreadable", peer=host_id, detail=str(problem))
+
+    async def _tell(self, sock) -> None:
+        while True:
+            await trio.sleep(TELL_S * self._chance.uniform(0.9, 1.1))
+            self._round += 1
+            self._view.load.forget_silent(self._view.clock.now())
+            telling = self._telling()
+            for peer in self._hearers():
+                try:
+                    await sock.sendto(telling, peer.address)
+                    self.told_bytes += len(telling)
+                except OSError as problem:
+                    log_event(
+                        "peer.unreachable", peer=peer.address[0], detail=str(problem)
+                    )
+
+    def _telling(self) -> bytes:
+        work = [
+            _Work(target_id, held.requests, int(held.token_layers), held.as_first)
+            for target_id, held in self._view.load.own_by_id.items()
+        ]
+        return _encoder.encode(
+            Telling(
+                self._host_id,
+                self._view.zone,
+                self._address,
+                work,
+                self._view.directory.leaving_incarnations(),
+                self._duties(),
+            )
+        )
+
+    def _hearers(self) -> list[_Peer]:
+        """Return who hears this telling; hosts that are silent, only now and then."""
+        now = self._view.clock.now()
+        peers = list(self._peer_by_id.values())
+        near = [peer for peer in peers if peer.zone == self._view.zone]
+        hearers = [
+            peer for peer in near if self._alive(peer, now) or self._round % 8 == 0
+        ]
+        if self._round % FAR_EVERY == 0:
+            far = [peer for peer in peers if peer.zone != self._view.zone]
+            hearers += self._chance.sample(far, min(FAR_HOSTS, len(far)))
+        return hearers
+
+    def _alive(self, peer: _Peer, now: float) -> bool:
+        return now - peer.heard_at < ALIVE_S
+
+    async def _hear(self, sock) -> None:
+        while True:
+            try:
+                data, _ = await sock.recvfrom(DATAGRAM_BYTES)
+            except OSError as problem:
+                # A host without a listener answers a datagram with an error here.
+                log_event("peer.error", detail=str(problem))
+                continue
+            try:
+                telling = _decoder.decode(data)
+                address = _split(telling.address)
+            except (msgspec.DecodeError, ValueError):
+                self.malformed += 1
+                continue
+            self._take(telling, address)
+
+    def _take(self, telling: Telling, address: tuple[str, int]) -> None:
+        if telling.host_id == self._host_id:
+            return
+        now = self._view.clock.now()
+        peer = self._peer_by_id.get(telling.host_id)
+        if peer is None or peer.address != address:
+            peer = self._peer_by_id[telling.host_id] = _Peer(address, telling.zone)
+            log_event("peer.joined", peer=telling.host_id, zone=telling.zone)
+            self._count()
+        peer.heard_at = now
+        held_by_id = {
+            item.target_id: Held(item.requests, item.token_layers, item.as_first)
+            for item in telling.work
+        }
+        self._view.load.told(telling.host_id, held_by_id, now)
+        for incarnation in telling.leaving:
+            self._view.directory.mark_leaving(incarnation)
+        for duty in telling.duties:
+            self._view.duty_told_at[duty] = now
+
+    def _count(self) -> None:
+        self._view.hosts = 1 + len(self._peer_by_id)
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    if not host:
+        raise ValueError(f"{address!r} is no address")
+    return host, int(port)
--- /dev/null
+++ b/radishfield/forwarding/_placer.py
@@ -0,0 +1,257 @@
+"""Gives empty targets their layers, under a lease in the store.
+
+The plan is pure (`radishfield.routing.plan_layout`).  Here one host at a time, the
+holder of the service's lease, sends it as orders.  The lease keeps two hosts from
+ordering different things; each order also names how many orders its target has
+taken, as its target reports, so that one that is carried out late, or sent by a host that
+has lost the lease without knowing, does not fit any more.
+"""
+
+from dataclasses import dataclass
+
+import msgspec
+import trio
+from expression import Result
+
+from radishfield.core import Fault, ResultCode
+from radishfield.forwarding._targets import OrderAnswer, Targets
+from radishfield.forwarding._view import RouterView
+from radishfield.platform import ObjectStore, StoredValue, place_order
+from radishfield.routing import (
+    Assignment,
+    EngineSpec,
+    ServiceSpec,
+    TargetRecord,
+    plan_layout,
+)
+from radishfield.telemetry import log_event
+
+LEASES_KIND = "radishfield-leases"
+LOOK_S = 0.25
+SETTLE_S = 1.0
+"""Targets that start together register within seconds, some tenths apart.  A plan
+made before the last of them would deal the same layers again and leave others
+without a copy; so it waits until none has come for this long."""
+LONGEST_SETTLE_S = 5.0
+"""A fleet whose targets come and go all the time is planned for after this."""
+LEASE_S = 2.0
+"""A lease whose object has not changed for this long, as the host that wants it has
+watched, is free: a holder renews four times in it while it has orders to give.  A
+holder that wakes late and orders all the same names counts that no longer fit."""
+ASK_AGAIN_S = 1.5
+"""Pause between readings of a lease that another host holds."""
+ORDER_AGAIN_S = 3.0
+"""An order that brought no answer may be carried out seconds later; the count of
+orders it names keeps it from undoing the one that follows."""
+
+
+@dataclass(slots=True, frozen=True)
+class _Seen:
+    revision: int
+    since: float
+
+
+@dataclass(slots=True)
+class _Ordered:
+    incarnation: tuple[str, int]
+    again_at: float
+
+
+@dataclass(slots=True, frozen=True)
+class _Unplaced:
+    """Empty targets that wait for a plan, since when, and when the last came."""
+
+    ids: frozenset[str]
+    since: float
+    grown_at: float
+
+
+class _LeaseBody(msgspec.Struct):
+    holder: str = ""
+
+
+class Placer:
+    """The duty of placing layers, for every service that has them."""
+
+    __slots__ = (
+        "_ask_again_at",
+        "_held_revision",
+        "_host_id",
+        "_ordered_by_id",
+        "_renewed_at",
+        "_seen_by_service",
+        "_store",
+        "_targets",
+        "_unplaced_by_service",
+        "_view",
+    )
+
+    def __init__(
+        self, host_id: str, store: ObjectStore, targets: Targets, view: RouterView
+    ):
+        self._host_id = host_id
+        self._store = store
+        self._targets = targets
+        self._view = view
+        self._seen_by_service: dict[str, _Seen] = {}
+        self._held_revision: dict[str, int] = {}
+        self._renewed_at: dict[str, float] = {}
+        self._ordered_by_id: dict[str, _Ordered] = {}
+        self._unplaced_by_service: dict[str, _Unplaced] = {}
+        self._ask_again_at: dict[str, float] = {}
+
+    def duties(self) -> list[str]:
+        """Return the services whose lease this host holds, by its own knowledge."""
+        now = self._view.clock.now()
+        return [
+            service
+            for service, renewed_at in self._renewed_at.items()
+            if service in self._held_revision and now - renewed_at < LEASE_S
+        ]
+
+    async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED):
+        """Look for empty targets until cancelled."""
+        task_status.started()
+        while True:
+            await trio.sleep(LOOK_S)
+            if self._view.table is None or self._view.leaving:
+                continue
+            for service in self._view.table.config.service_by_name.values():
+                if service.engine is not None:
+                    await self._look(service, service.engine)
+
+    async def _look(self, service: ServiceSpec, engine: EngineSpec) -> None:
+        now = self._view.clock.now()
+        wanted = self._wanted(service, engine, now)
+        if not wanted:
+            self._unplaced_by_service.pop(service.name, None)
+            return
+        ids = frozenset(assignment.target.id for assignment in wanted)
+        unplaced = self._unplaced_by_service.get(service.name)
+        if unplaced is None:
+            unplaced = _Unplaced(ids, now, now)
+        elif not ids <= unplaced.ids:
+            unplaced = _Unplaced(ids, unplaced.since, now)
+        self._unplaced_by_service[service.name] = unplaced
+        settled = now - unplaced.grown_at >= SETTLE_S
+        if not settled and now - unplaced.since < LONGEST_SETTLE_S:
+            return
+        if not await self._hold_lease(service.name):
+            return
+        # The list may have changed while the store was asked.
+        wanted = self._wanted(service, engine, self._view.clock.now())
+        async with trio.open_nursery() as nursery:
+            for assignment in wanted:
+                nursery.start_soon(self._order, service.name, assignment)
+
+    def _wanted(
+        self, service: ServiceSpec, engine: EngineSpec, now: float
+    ) -> list[Assignment]:
+        records = self._view.directory.listed(service.name)
+        return [
+            assignment
+            for assignment in plan_layout(engine, records)
+            if self._may_order(assignment, now)
+        ]
+
+    def _may_order(self, assignment: Assignment, now: float) -> bool:
+        target = assignment.target
+        before = self._ordered_by_id.get(target.id)
+        if before is None or before.incarnation != target.incarnation:
+            return not self._view.directory.suspected(target.id, now)
+        return now >= before.again_at
+
+    async def _order(self, service: str, assignment: Assignment) -> None:
+        target = assignment.target
+        again_at = self._view.clock.now() + ORDER_AGAIN_S
+        self._ordered_by_id[target.id] = _Ordered(target.incarnation, again_at)
+        fence = self._held_revision.get(service, 0)
+        report = await self._targets.report(target)
+        if report.is_error():
+            self._left_unplaced(target, report.error)
+            return
+        if report.ok.busy or report.ok.span is not None:
+            # The list lags behind: the target holds layers, or loads them.
+            return
+        body = place_order(assignment.span, fence, report.ok.order_count)
+        answer = await self._targets.order(target, body)
+        log_event(
+            "order.place",
+            target=target.id,
+            span=f"{assignment.span.first}-{assignment.span.end}",
+            expected_orders=report.ok.order_count,
+            fence=fence,
+            status=_status(answer),
+            detail=answer.error.detail if answer.is_error() else "",
+            directory_version=self._view.directory.version,
+        )
+
+    def _left_unplaced(self, target: TargetRecord, problem: Fault) -> None:
+        if problem.code is ResultCode.CONNECT_FAILED:
+            self._view.directory.suspect(target.id, self._view.clock.now())
+        log_event(
+            "order.skipped",
+            target=target.id,
+            code=int(problem.code),
+            detail=problem.detail,
+            directory_version=self._view.directory.version,
+        )
+
+    async def _hold_lease(self, service: str) -> bool:
+        """Hold the lease, take it if it is free, or learn who has it."""
+        now = self._view.clock.now()
+        revision = self._held_revision.get(service)
+        if revision is not None:
+            if now - self._renewed_at[service] < LEASE_S / 4:
+                return True
+            return await self._write_lease(service, revision)
+        told_at = self._view.duty_told_at.get(service, -1e9)
+        if now - told_at < LEASE_S or now < self._ask_again_at.get(service, 0.0):
+            return False
+        self._ask_again_at[service] = now + ASK_AGAIN_S
+        read = await self._store.read(LEASES_KIND, service)
+        if read.is_error():
+            if read.error.code is ResultCode.OBJECT_NOT_FOUND:
+                return await self._write_lease(service, None)
+            return False
+        if not self._is_free(service, read.ok, now):
+            return False
+        return await self._write_lease(service, read.ok.revision)
+
+    def _is_free(self, service: str, value: StoredValue, now: float) -> bool:
+        if _holder(value) == self._host_id:
+            # This host held it before it was started again.
+            return True
+        seen = self._seen_by_service.get(service)
+        if seen is None or seen.revision != value.revision:
+            self._seen_by_service[service] = _Seen(value.revision, now)
+            return False
+        return now - seen.since >= LEASE_S
+
+    async def _write_lease(self, service: str, revision: int | None) -> bool:
+        spec = {"holder": self._host_id, "at_s": round(self._view.clock.now(), 3)}
+        asked_at = self._view.clock.now()
+        if revision is None:
+            written = await self._store.create(LEASES_KIND, service, spec)
+        else:
+            written = await self._store.replace(LEASES_KIND, service, spec, revision)
+        if written.is_error():
+            if self._held_revision.pop(service, None) is not None:
+                log_event("lease.lost", service=service, code=int(written.error.code))
+            return False
+        if service not in self._held_revision:
+            log_event("lease.held", service=service, revision=written.ok.revision)
+        self._held_revision[service] = written.ok.revision
+        self._renewed_at[service] = asked_at
+        return True
+
+
+def _holder(value: StoredValue) -> str:
+    try:
+        return msgspec.convert(value.spec, _LeaseBody).holder
+    except msgspec.ValidationError:
+        return ""
+
+
+def _status(answer: Result[OrderAnswer, Fault]) -> int:
+    return answer.ok.status if answer.is_ok() else 0
--- /dev/null
+++ b/radishfield/forwarding/_plain.py
@@ -0,0 +1,222 @@
+"""Requests to plain services: one whole answer each.
+
+An answer is held until it is whole.  One that breaks off can then still be asked
+for again, or ended as a failure, instead of reaching the caller in half.
+"""
+
+from dataclasses import dataclass
+
+import trio
+from expression import Error, Ok, Result
+
+from radishfield.core import Fault, Outcome, ResultCode, fault
+from radishfield.forwarding._call import Call
+from radishfield.forwarding._targets import Targets
+from radishfield.forwarding._view import RouterView
+from radishfield.platform import Headers
+from radishfield.routing import FailureBook, TargetRecord, choose_target
+from radishfield.telemetry import Telemetry, log_event
+
+NO_TARGET_RETRY_S = 0.6
+"""A target that was lost is replaced or found alive within about a second."""
+MORE_REFUSALS = 2
+"""Targets that may refuse a request beside the attempts that may run it."""
+FIRST_PATIENCE = 0.8
+"""Part of the objective after which a repeatable request is also sent elsewhere:
+an answer that is lost never comes, and one more target still answers in time."""
+LEAST_PATIENCE_S = 0.15
+SERVER_ERROR = 500
+
+
+@dataclass(slots=True, frozen=True)
+class WholeAnswer:
+    """A target's answer, complete."""
+
+    status: int
+    headers: Headers
+    body: bytes
+    target_id: str
+
+
+class PlainForwarder:
+    """Serves calls to services whose targets each serve a request alone."""
+
+    __slots__ = ("_failures", "_targets", "_telemetry", "_view")
+
+    def __init__(self, targets: Targets, view: RouterView, telemetry: Telemetry):
+        self._targets = targets
+        self._view = view
+        self._telemetry = telemetry
+        self._failures = FailureBook()
+
+    async def serve(self, call: Call) -> None:
+        """Answer a call."""
+        result = await self._whole_answer(call)
+        if result.is_ok():
+            answer = result.ok
+            await call.responder.whole(answer.status, answer.headers, answer.body)
+            return
+        await call.responder.refuse(result.error)
+
+    async def _whole_answer(self, call: Call) -> Result[WholeAnswer, Fault]:
+        failed_answer: WholeAnswer | None = None
+        problem = fault(ResultCode.NO_TARGET, "", NO_TARGET_RETRY_S)
+        refusals = 0
+        runs = 0
+        while True:
+            stop = self._targets.check(call)
+            if stop is not None:
+                problem = stop if failed_answer is None else problem
+                break
+            record = self._choose(call)
+            if record is None:
+                break
+            if call.sent and not self._may_repeat(call, problem):
+                break
+            result = await self._attempt(call, record, may_hedge=runs == 0)
+            if result.is_ok() and result.ok.status < SERVER_ERROR:
+                return result
+            if result.is_ok():
+                failed_answer = result.ok
+                problem = fault(ResultCode.TARGET_ERROR, f"status {result.ok.status}")
+            else:
+                problem = result.error
+            if problem.outcome is Outcome.NOT_RUN:
+                refusals += 1
+            else:
+                runs += 1
+            if runs and not call.route.repeatable:
+                break
+            if runs >= call.route.max_attempts or refusals > MORE_REFUSALS:
+                break
+        if failed_answer is not None:
+            return Ok(failed_answer)
+        return Error(self._final(call, problem))
+
+    def _final(self, call: Call, problem: Fault) -> Fault:
+        """Return the fault that the caller is told.
+
+        Only where no target may have run the request is it a promise.
+        """
+        if call.may_have_run:
+            if problem.outcome is Outcome.NOT_RUN:
+                return fault(ResultCode.RETRIES_EXHAUSTED, problem.detail)
+            return problem
+        if problem.outcome is not Outcome.NOT_RUN or problem.retry_after_s is None:
+            return fault(ResultCode.NO_TARGET, problem.detail, NO_TARGET_RETRY_S)
+        return problem
+
+    def _choose(self, call: Call) -> TargetRecord | None:
+        now = self._view.clock.now()
+        service = call.service.name
+        directory = self._view.directory
+        for records in (directory.usable(service, now), directory.listed(service)):
+            record = choose_target(
+                records,
+                self._view.load,
+                self._failures,
+                self._view.zone,
+                call.tried,
+                self._view.chance,
+            )
+            if record is not None:
+                return record
+        return None
+
+    def _may_repeat(self, call: Call, problem: Fault) -> bool:
+        budget = self._view.budget(call.service.name)
+        if not budget.take(self._view.clock.now(), self._view.hosts):
+            self._telemetry.refused(ResultCode.RETRY_BUDGET_SPENT)
+            log_event(
+                "retry.refused", request=call.facts.request_id, hosts=self._view.hosts
+            )
+            return False
+        self._telemetry.retried(problem.code)
+        log_event(
+            "attempt.repeated",
+            request=call.facts.request_id,
+            after=int(problem.code),
+            sent=call.sent,
+        )
+        return True
+
+    async def _attempt(
+        self, call: Call, record: TargetRecord, may_hedge: bool
+    ) -> Result[WholeAnswer, Fault]:
+        """Send to one target and, if it stays silent, to another one as well."""
+        if not (may_hedge and call.route.repeatable and call.route.max_attempts > 1):
+            return await self._try(call, record)
+        send_results, results = trio.open_memory_channel(2)
+        running = 1
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._try_into, call, record, send_results)
+            result = None
+            with trio.move_on_after(self._patience_s(call)):
+                result = await results.receive()
+                running -= 1
+            if result is None:
+                other = self._hedge_target(call)
+                if other is not None:
+                    nursery.start_soon(self._try_into, call, other, send_results)
+                    running += 1
+            while result is None or (_failed(result) and running):
+                result = await results.receive()
+                running -= 1
+            nursery.cancel_scope.cancel()
+        return result
+
+    def _hedge_target(self, call: Call) -> TargetRecord | None:
+        if self._targets.check(call) is not None:
+            return None
+        other = self._choose(call)
+        silent = fault(ResultCode.STREAM_SILENT)
+        if other is None or not self._may_repeat(call, silent):
+            return None
+        return other
+
+    def _patience_s(self, call: Call) -> float:
+        waited_s = self._view.clock.now() - call.arrived_at
+        patience_s = call.route.objective_s * FIRST_PATIENCE - waited_s
+        return max(LEAST_PATIENCE_S, patience_s)
+
+    async def _try_into(self, call: Call, record: TargetRecord, results) -> None:
+        await results.send(await self._try(call, record))
+
+    async def _try(
+        self, call: Call, record: TargetRecord
+    ) -> Result[WholeAnswer, Fault]:
+        self._view.load.started(record.id, 0.0, first=True)
+        result = Error(fault(ResultCode.DEADLINE_PASSED))
+        left_s = call.deadline_at - self._view.clock.now()
+        try:
+            with trio.move_on_after(max(0.0, left_s)):
+                result = await self._exchange(call, record)
+        finally:
+            self._view.load.ended(record.id, 0.0, first=True)
+        self._note(record, result)
+        return result
+
+    async def _exchange(
+        self, call: Call, record: TargetRecord
+    ) -> Result[WholeAnswer, Fault]:
+        sent = await self._targets.send(call, record)
+        if sent.is_error():
+            return sent
+        exchange = sent.ok
+        body = await exchange.read()
+        await exchange.close(reusable=body.is_ok())
+        return body.map(
+            lambda whole: WholeAnswer(
+                exchange.facts.status, exchange.headers, whole, record.id
+            )
+        )
+
+    def _note(self, record: TargetRecord, result: Result[WholeAnswer, Fault]) -> None:
+        failed = _failed(result)
+        self._failures.note(record.id, failed)
+        if not failed:
+            self._view.directory.clear(record.id)
+
+
+def _failed(result: Result[WholeAnswer, Fault]) -> bool:
+    return result.is_error() or result.ok.status >= SERVER_ERROR
--- /dev/null
+++ b/radishfield/forwarding/_router.py
@@ -0,0 +1,233 @@
+"""The router: its services, wired by name, and an orderly end."""
+
+import logging
+import signal
+import sys
+from pathlib import Path
+
+import trio
+from expression import Result
+
+from radishfield.core import Fault, SystemClock
+from radishfield.forwarding._active import StreamGuard
+from radishfield.forwarding._app import ReadinessApp, RouterApp
+from radishfield.forwarding._connections import TargetConnections
+from radishfield.forwarding._follower import ConfigFollower, TargetFollower
+from radishfield.forwarding._metrics import MetricsPage
+from radishfield.forwarding._peers import PeerTalk
+from radishfield.forwarding._placer import Placer
+from radishfield.forwarding._plain import PlainForwarder
+from radishfield.forwarding._streams import StreamForwarder
+from radishfield.forwarding._targets import Targets
+from radishfield.forwarding._view import RouterView
+from radishfield.kernel import Kernel
+from radishfield.platform import READY_PATH, ObjectStore
+from radishfield.routing import Freshness, RetryAllowance
+from radishfield.settings import (
+    ROUTER_SECTIONS,
+    EntrySettings,
+    PromisesSettings,
+    ReadinessSettings,
+    TalkSettings,
+)
+from radishfield.telemetry import (
+    LineWriter,
+    LogSetup,
+    Telemetry,
+    configure_logs,
+    log_event,
+)
+from radishfield.web import HttpListener, ListenerConfig
+
+NOTICE_S = 3.2
+"""The balancer asks once a second and takes a host out after two misses."""
+END_MARGIN_S = 0.5
+"""Time before the supervisor's kill that is left for the process to end itself."""
+LEAVE_LOOK_S = 0.05
+IDLE_SLACK_S = 1.0
+"""Callers may use a connection again up to the limit on idle ones, so it is closed
+a little later; a close that crosses a request would lose it."""
+CLOSE_IDLE_S = 1.0
+RELOAD_LOOK_S = 2.0
+MANY_REQUESTS = 1_000_000_000
+
+
+class _CallerListener(ListenerConfig):
+    """Callers keep connections for many requests, and set their own pauses."""
+
+    keep_alive_max_requests = MANY_REQUESTS
+    include_date_header = False
+
+
+class IdleConnections:
+    """Closes kept connections to targets that nobody used again."""
+
+    __slots__ = ("_connections",)
+
+    def __init__(self, connections: TargetConnections):
+        self._connections = connections
+
+    async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED):
+        """Close until cancelled."""
+        task_status.started()
+        while True:
+            await trio.sleep(CLOSE_IDLE_S)
+            await self._connections.close_idle()
+
+
+class Router:
+    """Every service of a router's process, wired by name in one kernel."""
+
+    __slots__ = ("_caller_config", "_kernel", "_promises", "view")
+
+    def __init__(self, settings: EntrySettings, lines: LineWriter | None = None):
+        self._kernel = Kernel()
+        self._promises = settings.section("promises", PromisesSettings)
+        clock = SystemClock()
+        self.view = RouterView(
+            settings.host.zone,
+            clock,
+            RetryAllowance(
+                self._promises.retry_ratio,
+                self._promises.retry_window_s,
+                self._promises.retry_slack,
+            ),
+            Freshness(self._promises.revoke_s),
+        )
+        self._caller_config = _CallerListener.from_settings(
+            settings.caller.bind, drain_s=0.0
+        )
+        self._caller_config.keep_alive_timeout += IDLE_SLACK_S
+        telemetry = Telemetry()
+        if lines is not None:
+            self._kernel.register("lines", lines)
+        self._register(settings, clock, telemetry)
+
+    def _register(
+        self, settings: EntrySettings, clock: SystemClock, telemetry: Telemetry
+    ) -> None:
+        view, register = self.view, self._kernel.register
+        store = ObjectStore(settings.platform.address, clock)
+        connections = TargetConnections(clock)
+        targets = Targets(connections, view, telemetry)
+        guard = StreamGuard(targets, view)
+        placer = Placer(settings.host.id, store, targets, view)
+        plain = PlainForwarder(targets, view, telemetry)
+        streams = StreamForwarder(targets, guard, view, telemetry)
+        register("config", ConfigFollower(store, view, self._limit_idle))
+        register("targets", TargetFollower(store, view, lambda: None))
+        register("guard", guard)
+        register("placer", placer)
+        register("connections", IdleConnections(connections))
+        talk = settings.section("talk", TalkSettings)
+        if talk.bind:
+            register(
+                "peers",
+                PeerTalk(settings.host.id, talk.bind, store, view, placer.duties),
+            )
+        app = RouterApp(plain, streams, view, telemetry)
+        register("callers", HttpListener(app, self._caller_config))
+        readiness = settings.section("readiness", ReadinessSettings)
+        if readiness.bind:
+            ready = ReadinessApp(READY_PATH, view)
+            config = ListenerConfig.from_settings(readiness.bind, drain_s=0.0)
+            register("readiness", HttpListener(ready, config))
+        if settings.metrics.bind:
+            page = MetricsPage(telemetry, store, targets, connections, view)
+            config = ListenerConfig.from_settings(settings.metrics.bind, drain_s=0.0)
+            register("metrics", HttpListener(page, config))
+
+    def _limit_idle(self, idle_s: float) -> None:
+        self._caller_config.keep_alive_timeout = idle_s + IDLE_SLACK_S
+
+    async def run(self, stop: trio.Event) -> None:
+        """Serve until ``stop`` is set, then end what is in flight."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._kernel.run)
+            log_event("host.started", zone=self.view.zone)
+            await stop.wait()
+            await self._leave()
+            nursery.cancel_scope.cancel()
+
+    async def _leave(self) -> None:
+        """Fail readiness, serve on, and end once nothing is in flight."""
+        self.view.leaving = True
+        began = self.view.clock.now()
+        log_event("host.leaving", in_flight=self.view.in_flight)
+        last_s = self._promises.grace_s - END_MARGIN_S
+        while (gone_s := self.view.clock.now() - began) < last_s:
+            if gone_s >= NOTICE_S and self.view.in_flight == 0:
+                break
+            await trio.sleep(LEAVE_LOOK_S)
+        log_event("host.left", cut_off=self.view.in_flight, after_s=round(gone_s, 2))
+
+
+def read_settings(path: str) -> Result[EntrySettings, list[Fault]]:
+    """Read a router's settings file."""
+    return EntrySettings.from_file(path, ROUTER_SECTIONS)
+
+
+def run_router(path: str, settings: EntrySettings) -> None:
+    """Run a router until a signal ends it."""
+    lines = LineWriter(sys.stdout.fileno())
+    configure_logs(
+        LogSetup(settings.log.level, settings.log.destination, settings.host.id), lines
+    )
+    try:
+        trio.run(_run_until_signal, path, settings, lines)
+    finally:
+        lines.flush_now()
+
+
+async def _run_until_signal(
+    path: str, settings: EntrySettings, lines: LineWriter
+) -> None:
+    stop = trio.Event()
+    log_event("host.starting", host=settings.host.id, zone=settings.host.zone)
+    router = Router(settings, lines)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_wait_signals, stop, path)
+        nursery.start_soon(_watch_settings, path)
+        await router.run(stop)
+        nursery.cancel_scope.cancel()
+    log_event("host.stopped")
+
+
+async def _wait_signals(stop: trio.Event, path: str) -> None:
+    signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with trio.open_signal_receiver(*signals) as received:
+        async for number in received:
+            if number == signal.SIGHUP:
+                _reload(path, "signal")
+            else:
+                stop.set()
+
+
+async def _watch_settings(path: str) -> None:
+    """Read the file again when it changes; not every change brings a signal."""
+    before = _stamp(path)
+    while True:
+        await trio.sleep(RELOAD_LOOK_S)
+        now = _stamp(path)
+        if now != before:
+            before = now
+            _reload(path, "file")
+
+
+def _stamp(path: str) -> tuple[int, int]:
+    try:
+        found = Path(path).stat()
+    except OSError:
+        return (0, 0)
+    return (found.st_mtime_ns, found.st_size)
+
+
+def _reload(path: str, reason: str) -> None:
+    """Take the log level anew; addresses need a start, and the old ones hold."""
+    match read_settings(path):
+        case Result(tag="ok", ok=settings):
+            logging.getLogger().setLevel(settings.log.level.upper())
+            log_event("settings.reloaded", reason=reason, level=str(settings.log.level))
+        case Result(tag="error", error=faults):
+            details = "; ".join(problem.detail for problem in faults)
+            log_event("settings.rejected", reason=reason, detail=details)
--- /dev/null
+++ b/radishfield/forwarding/_streams.py
@@ -0,0 +1,325 @@
+"""Streams over paths of layered targets, kept going while parts of them fail."""
+
+from contextlib import aclosing
+from dataclasses import dataclass
+
+import trio
+from expression import Error, Ok, Result
+
+from radishfield.core import Fault, Outcome, ResultCode, fault
+from radishfield.forwarding._active import ActiveStream, StreamGuard, path_words
+from radishfield.forwarding._call import Call
+from radishfield.forwarding._connections import BrokenAnswerError, Exchange
+from radishfield.forwarding._targets import Targets
+from radishfield.forwarding._view import RouterView
+from radishfield.routing import (
+    Demand,
+    EngineSpec,
+    EventSplitter,
+    Path,
+    PathFinder,
+    event_ids,
+)
+from radishfield.telemetry import Telemetry, log_event
+
+PATIENCE_S = 1.2
+"""Longest wait for room: the caller leaves two seconds after it asked, and the
+first event takes a few tenths more."""
+LOOK_AGAIN_S = 0.05
+FULL_RETRY_S = 1.0
+"""Half of the time that a stream of usual length holds its place."""
+NO_PATH_RETRY_S = 0.8
+MORE_REFUSALS = 3
+MORE_RESUMES = 2
+"""Resumes beside the attempts of the route where the earlier target was lost."""
+OK_STATUS = 200
+
+
+@dataclass(slots=True, frozen=True)
+class _WholeFailure:
+    """A target's own answer that is no stream."""
+
+    status: int
+    headers: list
+    body: bytes
+
+
+class StreamForwarder:
+    """Serves calls whose answer is a stream of events."""
+
+    __slots__ = ("_guard", "_targets", "_telemetry", "_view")
+
+    def __init__(
+        self,
+        targets: Targets,
+        guard: StreamGuard,
+        view: RouterView,
+        telemetry: Telemetry,
+    ):
+        self._targets = targets
+        self._guard = guard
+        self._view = view
+        self._telemetry = telemetry
+
+    async def serve(self, call: Call) -> None:
+        """Answer a call."""
+        progress = _Progress(call)
+        with trio.move_on_after(call.deadline_at - self._view.clock.now()):
+            problem = await self._until_ended(call, progress)
+            if problem is not None:
+                await call.responder.refuse(problem)
+            return
+        code = ResultCode.DEADLINE_PASSED
+        if not call.may_have_run:
+            code = ResultCode.EXPIRED_IN_QUEUE
+        await call.responder.refuse(fault(code, "", FULL_RETRY_S))
+
+    async def _until_ended(self, call: Call, progress: "_Progress") -> Fault | None:
+        engine = call.service.engine
+        problem = fault(ResultCode.NO_TARGET, "", NO_PATH_RETRY_S)
+        refusals = runs = 0
+        excluded: set[str] = set()
+        while True:
+            stop = self._targets.check(call)
+            if stop is not None:
+                return self._final(call, stop)
+            placed = await self._find_path(call, engine, progress, excluded)
+            if placed.is_error():
+                return self._final(call, placed.error)
+            if call.sent and not self._may_repeat(call, problem):
+                return self._final(call, problem)
+            result = await self._attempt(call, engine, placed.ok, progress)
+            if result.is_ok() and result.ok is None:
+                return None
+            if result.is_ok():
+                # The target's own failure, with its signature.
+                answer = result.ok
+                problem = fault(ResultCode.TARGET_ERROR, f"status {answer.status}")
+                runs += 1
+                if runs >= call.route.max_attempts or not call.route.repeatable:
+                    await call.responder.whole(
+                        answer.status, answer.headers, answer.body
+                    )
+                    return None
+                excluded.add(placed.ok[0].target_id)
+                continue
+            problem = result.error
+            if problem.outcome is Outcome.NOT_RUN:
+                refusals += 1
+                excluded.add(problem.target_id or placed.ok[0].target_id)
+                if refusals > MORE_REFUSALS:
+                    return self._final(call, problem)
+                continue
+            runs += 1
+            excluded.add(placed.ok[0].target_id)
+            allowed = call.route.max_attempts + MORE_RESUMES
+            if not call.route.repeatable or runs >= allowed:
+                return self._final(call, problem)
+
+    def _final(self, call: Call, problem: Fault) -> Fault:
+        if not call.may_have_run:
+            if problem.outcome is Outcome.NOT_RUN:
+                return problem
+            return fault(ResultCode.NO_TARGET, problem.detail, NO_PATH_RETRY_S)
+        if problem.outcome is Outcome.NOT_RUN and not call.route.repeatable:
+            return fault(ResultCode.RETRIES_EXHAUSTED, problem.detail)
+        return problem
+
+    def _may_repeat(self, call: Call, problem: Fault) -> bool:
+        budget = self._view.budget(call.service.name)
+        if not budget.take(self._view.clock.now(), self._view.hosts):
+            self._telemetry.refused(ResultCode.RETRY_BUDGET_SPENT)
+            log_event(
+                "retry.refused", request=call.facts.request_id, hosts=self._view.hosts
+            )
+            return False
+        self._telemetry.retried(problem.code)
+        log_event(
+            "attempt.repeated",
+            request=call.facts.request_id,
+            after=int(problem.code),
+            sent=call.sent,
+        )
+        return True
+
+    async def _find_path(
+        self,
+        call: Call,
+        engine: EngineSpec,
+        progress: "_Progress",
+        excluded: set[str],
+    ) -> Result[Path, Fault]:
+        """Return a path, waiting a while where all of them are full."""
+        give_up_at = self._view.clock.now() + PATIENCE_S
+        demand = progress.demand(engine)
+        while True:
+            now = self._view.clock.now()
+            records = self._view.directory.usable(call.service.name, now)
+            pool = [record for record in records if record.id not in excluded]
+            finder = PathFinder(engine, self._view.load, self._view.zone)
+            path = finder.find(pool, demand, pace_by_id=self._view.pace_by_id)
+            if path is not None:
+                return Ok(path)
+            if not _covered(pool, engine):
+                detail = f"{len(pool)} of {len(records)} targets left"
+                return Error(fault(ResultCode.NO_TARGET, detail, NO_PATH_RETRY_S))
+            if now >= give_up_at:
+                return Error(
+                    fault(ResultCode.DEADLINE_UNREACHABLE, "full", FULL_RETRY_S)
+                )
+            with trio.move_on_after(LOOK_AGAIN_S):
+                await self._view.room_freed.wait()
+
+    async def _attempt(
+        self, call: Call, engine: EngineSpec, path: Path, progress: "_Progress"
+    ) -> Result[_WholeFailure | None, Fault]:
+        record = self._view.directory.find(path[0].target_id)
+        if record is None:
+            return Error(fault(ResultCode.TARGET_REFUSED, "left before the send"))
+        now = self._view.clock.now()
+        stream = ActiveStream(call, engine, progress.demand(engine), path, now)
+        stream.may_resume = call.route.repeatable
+        self._guard.add(stream)
+        log_event(
+            "attempt.sent",
+            request=call.facts.request_id,
+            path=path_words(path),
+            resumed_after=progress.last_id,
+            directory_version=self._view.directory.version,
+        )
+        result = Error(fault(ResultCode.STREAM_SILENT))
+        try:
+            with stream.scope:
+                result = await self._relay(call, record, stream, progress)
+        finally:
+            self._guard.remove(stream)
+        if result.is_error():
+            log_event(
+                "attempt.ended",
+                request=call.facts.request_id,
+                code=int(result.error.code),
+                detail=stream.given_up or result.error.detail,
+                after_event=progress.last_id,
+            )
+        return result
+
+    async def _relay(
+        self, call: Call, record, stream: ActiveStream, progress: "_Progress"
+    ) -> Result[_WholeFailure | None, Fault]:
+        sent = await self._targets.send(
+            call, record, stream.path, progress.resume_after()
+        )
+        if sent.is_error():
+            return sent
+        exchange = sent.ok
+        whole = False
+        try:
+            if exchange.facts.status != OK_STATUS:
+                body = await exchange.read()
+                whole = body.is_ok()
+                return body.map(
+                    lambda text: _WholeFailure(
+                        exchange.facts.status, exchange.headers, text
+                    )
+                )
+            result = await self._pass_events(call, exchange, stream, progress)
+            whole = result.is_ok()
+            return result
+        finally:
+            await exchange.close(reusable=whole)
+
+    async def _pass_events(
+        self,
+        call: Call,
+        exchange: Exchange,
+        stream: ActiveStream,
+        progress: "_Progress",
+    ) -> Result[None, Fault]:
+        splitter = EventSplitter()
+        try:
+            async with aclosing(exchange.chunks()) as chunks:
+                async for chunk in chunks:
+                    events = splitter.feed(chunk)
+                    if not events:
+                        continue
+                    if not progress.follows(events):
+                        detail = f"event out of order after {progress.last_id}"
+                        return Error(fault(ResultCode.MALFORMED_ANSWER, detail))
+                    await self._pass_on(call, exchange, stream, events)
+                    progress.passed(events)
+        except BrokenAnswerError as problem:
+            return Error(fault(ResultCode.STREAM_BROKEN, str(problem)))
+        if splitter.torn or not stream.has_events:
+            return Error(fault(ResultCode.ANSWER_TRUNCATED, "ended within an event"))
+        await call.responder.end_stream()
+        return Ok(None)
+
+    async def _pass_on(
+        self, call: Call, exchange: Exchange, stream: ActiveStream, events: bytes
+    ) -> None:
+        stream.heard_at = self._view.clock.now()
+        stream.has_events = True
+        if not call.responder.started:
+            # The head waits for the first event: until then another target can
+            # take over without the caller having seen anything.
+            self._telemetry.first_token(stream.heard_at - call.arrived_at)
+            status = exchange.facts.status
+            await call.responder.start_stream(status, exchange.headers)
+        await call.responder.events(events)
+
+
+class _Progress:
+    """What of a stream the caller has."""
+
+    __slots__ = ("_call", "_events", "last_id")
+
+    def __init__(self, call: Call):
+        given = call.facts.last_event_id.strip()
+        self._call = call
+        self._events = 0
+        self.last_id: int | None = int(given) if given.isdigit() else None
+
+    def resume_after(self) -> bytes:
+        """Return the id after which a target is to go on; empty for the start."""
+        if self._events == 0:
+            return self._call.facts.last_event_id
+        return b"" if self.last_id is None else str(self.last_id).encode()
+
+    def follows(self, events: bytes) -> bool:
+        """Return whether events go on right after what the caller has."""
+        expected = self.last_id
+        for event_id in event_ids(events):
+            if expected is not None and event_id != expected + 1:
+                return False
+            expected = event_id
+        return True
+
+    def passed(self, events: bytes) -> None:
+        """Note events that went out to the caller."""
+        ids = event_ids(events)
+        self._events += len(ids)
+        if ids:
+            self.last_id = ids[-1]
+
+    def demand(self, engine: EngineSpec) -> Demand:
+        """Return what the request will fill at each target of its path."""
+        facts = self._call.facts
+        answer = facts.likely_answer_tokens or engine.usual_answer
+        if facts.most_answer_tokens:
+            answer = min(answer, facts.most_answer_tokens)
+        return Demand(facts.prompt_tokens or engine.usual_prompt, answer)
+
+
+def _covered(records, engine: EngineSpec) -> bool:
+    """Return whether the targets hold every layer, whatever room they have."""
+    spans = sorted(
+        (record.span.first, record.span.end)
+        for record in records
+        if record.span is not None
+    )
+    reached = 0
+    for first, end in spans:
+        if first > reached:
+            return False
+        reached = max(reached, end)
+    return reached >= engine.layers
--- /dev/null
+++ b/radishfield/forwarding/_targets.py
@@ -0,0 +1,212 @@
+"""Sends calls to targets and sorts what comes back by what it proves."""
+
+from dataclasses import dataclass
+
+import trio
+from expression import Error, Ok, Result
+
+from radishfield.core import Fault, Outcome, ResultCode, fault
+from radishfield.forwarding._call import Call
+from radishfield.forwarding._connections import Exchange, Outgoing, TargetConnections
+from radishfield.forwarding._view import RouterView
+from radishfield.platform import (
+    ORDER_PATH,
+    REPORT_PATH,
+    SendFacts,
+    decode_report,
+    order_headers,
+    target_headers,
+)
+from radishfield.routing import (
+    NoKeyNeeded,
+    Path,
+    TargetRecord,
+    TargetReport,
+    UnknownKey,
+)
+from radishfield.telemetry import Telemetry, log_event
+
+REPORT_TIMEOUT_S = 0.4
+"""A report needs no place in the target's queue; a live target of the region
+answers in milliseconds, and one lost packet is not yet held for a death."""
+ORDER_TIMEOUT_S = 1.5
+LONGEST_REFUSAL_S = 1.0
+
+
+@dataclass(slots=True, frozen=True)
+class OrderAnswer:
+    """A target's answer to an order; the body names what stands in the way."""
+
+    status: int
+    body: bytes
+
+
+class Targets:
+    """The targets as this host reaches them."""
+
+    __slots__ = ("_connections", "_telemetry", "_view", "orders_by_status", "reports")
+
+    def __init__(
+        self, connections: TargetConnections, view: RouterView, telemetry: Telemetry
+    ):
+        self._connections = connections
+        self._view = view
+        self._telemetry = telemetry
+        self.reports = 0
+        self.orders_by_status: dict[int, int] = {}
+
+    def check(self, call: Call) -> Fault | None:
+        """Return why a call may not be sent now, or None.
+
+        Asked right before each send: while a request waited or was tried, its key
+        may have been taken away, its route moved, or its time have passed.
+        """
+        now = self._view.clock.now()
+        if now >= call.deadline_at:
+            return _late(call)
+        table = self._view.table
+        path = call.target.partition(b"?")[0].decode("latin-1")
+        route = table.match(call.facts.host, path)
+        if route is None:
+            return fault(ResultCode.UNKNOWN_ROUTE, "removed while the request waited")
+        if not any(share.service == call.service.name for share in route.shares):
+            detail = "moved while the request waited"
+            return fault(ResultCode.NO_TARGET, detail, LONGEST_REFUSAL_S / 4)
+        match table.identify(route, call.facts.key):
+            case NoKeyNeeded():
+                return None
+            case UnknownKey():
+                return fault(ResultCode.UNAUTHORIZED, "key taken away")
+            case workspace:
+                call.workspace = workspace
+        if not self._view.freshness.admits_keys(now):
+            return fault(ResultCode.PROFILES_UNKNOWN, "stale", LONGEST_REFUSAL_S)
+        return None
+
+    async def send(
+        self,
+        call: Call,
+        record: TargetRecord,
+        path: Path = (),
+        last_event_id: bytes = b"",
+    ) -> Result[Exchange, Fault]:
+        """Send a call to one target, and check that the answer is this call's."""
+        now = self._view.clock.now()
+        facts = SendFacts(
+            target_id=record.id,
+            remaining_s=call.deadline_at - now,
+            workspace=call.workspace.name if call.workspace else None,
+            path=path,
+            last_event_id=last_event_id,
+        )
+        outgoing = Outgoing(
+            call.method,
+            call.target,
+            target_headers(call.headers, facts, len(call.body)),
+            call.body,
+        )
+        budget = self._view.budget(call.service.name)
+        if call.sent == 0:
+            budget.first_try(now)
+        call.sent += 1
+        call.tried.add(record.id)
+        possible_run, call.may_have_run = call.may_have_run, True
+        fresh = not call.route.repeatable
+        sent = await self._connections.send(record.address, outgoing, fresh)
+        if sent.is_error():
+            self._unreachable(call, record, sent.error)
+            call.may_have_run = possible_run or sent.error.outcome is Outcome.UNKNOWN
+            return sent
+        exchange = sent.ok
+        if exchange.facts.not_run:
+            call.may_have_run = possible_run
+            return Error(await self._refused(call, record, exchange))
+        if exchange.facts.request_id != call.facts.request_id:
+            await exchange.close(reusable=False)
+            detail = "the answer belongs to another request"
+            return Error(fault(ResultCode.MALFORMED_ANSWER, detail))
+        if exchange.facts.encoded:
+            await exchange.close(reusable=False)
+            return Error(fault(ResultCode.MALFORMED_ANSWER, "encoded body"))
+        return Ok(exchange)
+
+    async def report(self, record: TargetRecord) -> Result[TargetReport, Fault]:
+        """Ask a target what it does."""
+        self.reports += 1
+        outgoing = Outgoing("GET", REPORT_PATH.encode(), [_host(record)])
+        answer = await self._short_call(record, outgoing, REPORT_TIMEOUT_S)
+        if answer.is_ok() and answer.ok.status == 200:
+            return decode_report(answer.ok.body)
+        if answer.is_ok():
+            detail = f"status {answer.ok.status}"
+            return Error(fault(ResultCode.MALFORMED_ANSWER, detail))
+        return Error(answer.error)
+
+    async def order(
+        self, record: TargetRecord, body: bytes
+    ) -> Result[OrderAnswer, Fault]:
+        """Give a target an order, once; without an answer it may be carried out."""
+        headers = [_host(record), *order_headers(record.id)]
+        headers.append((b"content-length", str(len(body)).encode()))
+        outgoing = Outgoing("POST", ORDER_PATH.encode(), headers, body)
+        answer = await self._short_call(record, outgoing, ORDER_TIMEOUT_S)
+        status = answer.ok.status if answer.is_ok() else 0
+        self.orders_by_status[status] = self.orders_by_status.get(status, 0) + 1
+        return answer
+
+    async def _short_call(
+        self, record: TargetRecord, outgoing: Outgoing, limit_s: float
+    ) -> Result[OrderAnswer, Fault]:
+        with trio.move_on_after(limit_s):
+            sent = await self._connections.send(record.address, outgoing, fresh=False)
+            if sent.is_error():
+                return sent
+            body = await sent.ok.read()
+            await sent.ok.close(reusable=body.is_ok())
+            return body.map(lambda whole: OrderAnswer(sent.ok.facts.status, whole))
+        return Error(fault(ResultCode.STREAM_SILENT, f"no answer in {limit_s} s"))
+
+    def _unreachable(self, call: Call, record: TargetRecord, problem: Fault) -> None:
+        now = self._view.clock.now()
+        left_out_s = 0.0
+        if problem.code is ResultCode.CONNECT_FAILED:
+            left_out_s = self._view.directory.suspect(record.id, now)
+        log_event(
+            "attempt.failed",
+            request=call.facts.request_id,
+            target=record.id,
+            code=int(problem.code),
+            detail=problem.detail,
+            left_out_s=round(left_out_s, 2),
+            directory_version=self._view.directory.version,
+        )
+
+    async def _refused(
+        self, call: Call, record: TargetRecord, exchange: Exchange
+    ) -> Fault:
+        facts = exchange.facts
+        await exchange.read()
+        await exchange.close(reusable=True)
+        at_fault = record
+        if facts.faulty_address:
+            at_fault = self._view.directory.at_address(facts.faulty_address) or record
+        log_event(
+            "attempt.refused",
+            request=call.facts.request_id,
+            target=record.id,
+            status=facts.status,
+            at_fault=at_fault.id,
+            directory_version=self._view.directory.version,
+        )
+        detail = f"status {facts.status}"
+        return Fault(ResultCode.TARGET_REFUSED, detail, None, None, at_fault.id)
+
+
+def _late(call: Call) -> Fault:
+    if call.may_have_run:
+        return fault(ResultCode.DEADLINE_PASSED)
+    return fault(ResultCode.EXPIRED_IN_QUEUE, "", LONGEST_REFUSAL_S)
+
+
+def _host(record: TargetRecord) -> tuple[bytes, bytes]:
+    return (b"host", record.address.encode())
--- /dev/null
+++ b/radishfield/platform/__init__.py
@@ -0,0 +1,65 @@
+"""The users' platform: its names, formats and calls; nothing is decided here."""
+
+from radishfield.platform._config import decode_config
+from radishfield.platform._requests import (
+    AnswerFacts,
+    Headers,
+    RequestFacts,
+    SendFacts,
+    caller_headers,
+    order_headers,
+    own_answer_headers,
+    read_answer,
+    read_request,
+    target_headers,
+)
+from radishfield.platform._store import (
+    Change,
+    Changes,
+    Listing,
+    ObjectStore,
+    StoredValue,
+)
+from radishfield.platform._targets import (
+    ORDER_PATH,
+    REPORT_PATH,
+    decode_report,
+    decode_target,
+    place_order,
+    repath_order,
+)
+
+CONFIG_KIND = "config"
+CONFIG_NAME = "main"
+TARGETS_KIND = "servers"
+"""The store's name for what the project calls targets."""
+READY_PATH = "/readyz"
+
+__all__ = [
+    "CONFIG_KIND",
+    "CONFIG_NAME",
+    "ORDER_PATH",
+    "READY_PATH",
+    "REPORT_PATH",
+    "TARGETS_KIND",
+    "AnswerFacts",
+    "Change",
+    "Changes",
+    "Headers",
+    "Listing",
+    "ObjectStore",
+    "RequestFacts",
+    "SendFacts",
+    "StoredValue",
+    "caller_headers",
+    "decode_config",
+    "decode_report",
+    "decode_target",
+    "order_headers",
+    "own_answer_headers",
+    "place_order",
+    "read_answer",
+    "read_request",
+    "repath_order",
+    "target_headers",
+]
--- /dev/null
+++ b/radishfield/platform/_store.py
@@ -0,0 +1,301 @@
+"""The platform's object store: its calls, paths and answers.
+
+Calls are sent once.  What an answer proves is kept: a refusal by the store means
+that nothing was done, a lost answer that the change may be made, even later.
+"""
+
+from collections import Counter
+from dataclasses import dataclass
+from urllib.parse import quote
+
+import httpcore
+import msgspec
+import trio
+from expression import Error, Ok, Result
+
+from radishfield.core import Clock, Fault, ResultCode, fault
+
+CALL_TIMEOUT_S = 2.0
+"""The store answers in milliseconds; slower than this is a store in trouble."""
+CONNECT_TIMEOUT_S = 1.0
+MAX_ANSWER_BYTES = 8 << 20
+"""A page is about a megabyte; more than this is a broken answer."""
+KEEPALIVE_S = 30.0
+
+_CODE_BY_STATUS = {
+    404: ResultCode.OBJECT_NOT_FOUND,
+    409: ResultCode.PLATFORM_CONFLICT,
+    410: ResultCode.WATCH_GAP,
+    413: ResultCode.VALUE_TOO_LARGE,
+    429: ResultCode.PLATFORM_RATE_LIMITED,
+    503: ResultCode.PLATFORM_UNAVAILABLE,
+}
+_LOST_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    trio.TooSlowError,
+)
+
+
+class _Metadata(msgspec.Struct, rename="camel"):
+    name: str
+    revision: int = 0
+
+
+class _Object(msgspec.Struct):
+    metadata: _Metadata
+    spec: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _Page(msgspec.Struct, rename="camel"):
+    items: list[msgspec.Raw]
+    truncated: bool = False
+    current_rev: int = 0
+
+
+class _Event(msgspec.Struct):
+    object: msgspec.Raw
+    deleted: bool = False
+
+
+class _Events(msgspec.Struct, rename="camel"):
+    events: list[_Event]
+    current_rev: int
+
+
+class _NewMetadata(msgspec.Struct, omit_defaults=True):
+    name: str
+    revision: int | None = None
+
+
+class _Write(msgspec.Struct):
+    metadata: _NewMetadata
+    spec: object
+
+
+@dataclass(slots=True, frozen=True)
+class StoredValue:
+    """One object; ``spec`` is what lies in it, or None where it can't be read."""
+
+    name: str
+    revision: int
+    spec: object
+
+
+@dataclass(slots=True, frozen=True)
+class Change:
+    """One object that changed or, with ``deleted``, is gone."""
+
+    value: StoredValue
+    deleted: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Listing:
+    """All objects of a kind as of a revision of the store."""
+
+    values: tuple[StoredValue, ...]
+    revision: int
+
+
+@dataclass(slots=True, frozen=True)
+class Changes:
+    """What changed up to a revision of the store; empty if nothing did."""
+
+    changes: tuple[Change, ...]
+    revision: int
+
+
+@dataclass(slots=True, frozen=True)
+class _Answer:
+    status: int
+    body: bytes
+
+
+class ObjectStore:
+    """The store as this host reaches it.
+
+    ``calls_by_kind`` and ``faults_by_code`` are counters for the metrics.
+    """
+
+    __slots__ = ("_address", "_clock", "_pool", "calls_by_kind", "faults_by_code")
+
+    def __init__(self, address: str, clock: Clock):
+        self._address = address
+        self._clock = clock
+        self._pool = self._new_pool()
+        self.calls_by_kind: Counter[str] = Counter()
+        self.faults_by_code: Counter[ResultCode] = Counter()
+
+    async def read(self, kind: str, name: str) -> Result[StoredValue, Fault]:
+        """Return an object, or ``OBJECT_NOT_FOUND``."""
+        answer = await self._call("read", "GET", _path(kind, name))
+        return answer.bind(_decode_value)
+
+    async def list(self, kind: str) -> Result[Listing, Fault]:
+        """Return all objects of a kind, page after page.
+
+        The revision is that of the first page: a watch from there sees again
+        whatever changed while the later pages were read.
+        """
+        values: list[StoredValue] = []
+        revision: int | None = None
+        after = ""
+        while True:
+            query = f"?after={quote(after, safe='')}" if after else ""
+            answer = await self._call("list", "GET", _path(kind) + query)
+            page = answer.bind(_decode_page)
+            if page.is_error():
+                return Error(page.error)
+            values += [_value(item) for item in page.ok.items]
+            revision = page.ok.current_rev if revision is None else revision
+            if not page.ok.truncated or not values[-1].name:
+                return Ok(Listing(tuple(values), revision))
+            after = values[-1].name
+
+    async def watch(
+        self, kind: str, revision: int, wait_s: float
+    ) -> Result[Changes, Fault]:
+        """Wait for changes after a revision, for ``wait_s`` seconds at most."""
+        query = f"?watch={revision}&waitMs={int(wait_s * 1000)}"
+        limit_s = wait_s + CALL_TIMEOUT_S
+        answer = await self._call("watch", "GET", _path(kind) + query, limit_s=limit_s)
+        return answer.bind(_decode_changes)
+
+    async def create(
+        self, kind: str, name: str, spec: object
+    ) -> Result[StoredValue, Fault]:
+        """Create an object; ``PLATFORM_CONFLICT`` if it exists."""
+        body = msgspec.json.encode(_Write(_NewMetadata(name), spec))
+        answer = await self._call("create", "POST", _path(kind), body)
+        return answer.bind(_decode_value)
+
+    async def replace(
+        self, kind: str, name: str, spec: object, revision: int
+    ) -> Result[StoredValue, Fault]:
+        """Replace an object if its revision is still the one that was read."""
+        body = msgspec.json.encode(_Write(_NewMetadata(name, revision), spec))
+        answer = await self._call("replace", "PUT", _path(kind, name), body)
+        return answer.bind(_decode_value)
+
+    async def delete(
+        self, kind: str, name: str, revision: int
+    ) -> Result[StoredValue, Fault]:
+        """Remove an object if its revision is still the one that was read."""
+        path = f"{_path(kind, name)}?revision={revision}"
+        answer = await self._call("delete", "DELETE", path)
+        return answer.bind(_decode_value)
+
+    async def _call(
+        self,
+        call: str,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        limit_s: float = CALL_TIMEOUT_S,
+    ) -> Result[bytes, Fault]:
+        self.calls_by_kind[call] += 1
+        result = await self._send(method, path, body, limit_s)
+        if result.is_error():
+            self.faults_by_code[result.error.code] += 1
+        return result
+
+    async def _send(
+        self, method: str, path: str, body: bytes | None, limit_s: float
+    ) -> Result[bytes, Fault]:
+        try:
+            with trio.fail_after(limit_s):
+                answer = await self._exchange(method, path, body)
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as problem:
+            return Error(fault(ResultCode.PLATFORM_UNAVAILABLE, repr(problem)))
+        except _LOST_ERRORS as problem:
+            await self._drop_connections()
+            code = ResultCode.PLATFORM_AMBIGUOUS
+            if method == "GET":
+                code = ResultCode.PLATFORM_UNAVAILABLE
+            return Error(fault(code, repr(problem)))
+        code = _CODE_BY_STATUS.get(answer.status)
+        if code is not None:
+            return Error(fault(code, answer.body[:200].decode(errors="replace")))
+        if answer.status not in (200, 201, 202, 204):
+            detail = f"status {answer.status}"
+            return Error(fault(ResultCode.PLATFORM_MALFORMED, detail))
+        return Ok(answer.body)
+
+    async def _exchange(self, method: str, path: str, body: bytes | None) -> _Answer:
+        received = bytearray()
+        async with self._pool.stream(
+            method,
+            f"http://{self._address}{path}",
+            headers={"content-type": "application/json"} if body else None,
+            content=body,
+            extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
+        ) as response:
+            async for chunk in response.aiter_stream():
+                received += chunk
+                if len(received) > MAX_ANSWER_BYTES:
+                    return _Answer(500, b"")
+            return _Answer(response.status, bytes(received))
+
+    async def _drop_connections(self) -> None:
+        """Start with new connections after an answer was lost.
+
+        A connection can fall silent for good while new ones work.  Kept in the
+        pool it would cost each later call its whole time limit.
+        """
+        pool, self._pool = self._pool, self._new_pool()
+        with trio.move_on_after(CALL_TIMEOUT_S):
+            await pool.aclose()
+
+    def _new_pool(self) -> httpcore.AsyncConnectionPool:
+        return httpcore.AsyncConnectionPool(
+            max_connections=16,
+            max_keepalive_connections=4,
+            keepalive_expiry=KEEPALIVE_S,
+        )
+
+
+def _path(kind: str, name: str | None = None) -> str:
+    path = f"/objects/{quote(kind, safe='')}"
+    return path if name is None else f"{path}/{quote(name, safe='')}"
+
+
+def _decode_value(body: bytes) -> Result[StoredValue, Fault]:
+    value = _value(body)
+    if value.name:
+        return Ok(value)
+    return Error(fault(ResultCode.PLATFORM_MALFORMED, "no object"))
+
+
+def _decode_page(body: bytes) -> Result[_Page, Fault]:
+    return _decoded(body, _Page)
+
+
+def _decode_changes(body: bytes) -> Result[Changes, Fault]:
+    return _decoded(body, _Events).map(
+        lambda raw: Changes(
+            tuple(Change(_value(item.object), item.deleted) for item in raw.events),
+            raw.current_rev,
+        )
+    )
+
+
+def _decoded(body: bytes, kind: type) -> Result:
+    try:
+        return Ok(msgspec.json.decode(body, type=kind))
+    except (msgspec.DecodeError, UnicodeDecodeError) as problem:
+        return Error(fault(ResultCode.PLATFORM_MALFORMED, str(problem)))
+
+
+def _value(raw: bytes) -> StoredValue:
+    """Return an object; its spec is None where only its name can be read."""
+    try:
+        item = msgspec.json.decode(raw, type=_Object)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return StoredValue("", 0, None)
+    try:
+        spec = msgspec.json.decode(item.spec)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        spec = None
+    return StoredValue(item.metadata.name, item.metadata.revision, spec)
--- /dev/null
+++ b/radishfield/routing/__init__.py
@@ -0,0 +1,87 @@
+"""Routes, targets and paths as plain values, and what is decided on them.
+
+Nothing here does I/O or reads a clock: time and chance are arguments.
+"""
+
+from radishfield.routing._budget import RetryAllowance, RetryBudget
+from radishfield.routing._choice import FailureBook, choose_target
+from radishfield.routing._directory import Removal, TargetDirectory
+from radishfield.routing._events import EventSplitter, event_ids
+from radishfield.routing._freshness import Freshness
+from radishfield.routing._layout import Assignment, block_layers, plan_layout
+from radishfield.routing._load import Held, LoadBook
+from radishfield.routing._paths import (
+    Demand,
+    PathFinder,
+    capacity_token_layers,
+    covers_once,
+)
+from radishfield.routing._silence import Ask, GiveUp, Step, Wait, next_step
+from radishfield.routing._table import (
+    Identity,
+    NoKeyNeeded,
+    RoutingTable,
+    UnknownKey,
+)
+from radishfield.routing._types import (
+    Accelerator,
+    EngineSpec,
+    LayerSpan,
+    Path,
+    PathPart,
+    RequestLimits,
+    RouteKind,
+    RouteRule,
+    RoutingConfig,
+    ServiceShare,
+    ServiceSpec,
+    TargetPhase,
+    TargetRecord,
+    TargetReport,
+    Workspace,
+)
+
+__all__ = [
+    "Accelerator",
+    "Ask",
+    "Assignment",
+    "Demand",
+    "EngineSpec",
+    "EventSplitter",
+    "FailureBook",
+    "Freshness",
+    "GiveUp",
+    "Held",
+    "Identity",
+    "LayerSpan",
+    "LoadBook",
+    "NoKeyNeeded",
+    "Path",
+    "PathFinder",
+    "PathPart",
+    "Removal",
+    "RequestLimits",
+    "RetryAllowance",
+    "RetryBudget",
+    "RouteKind",
+    "RouteRule",
+    "RoutingConfig",
+    "RoutingTable",
+    "ServiceShare",
+    "ServiceSpec",
+    "Step",
+    "TargetDirectory",
+    "TargetPhase",
+    "TargetRecord",
+    "TargetReport",
+    "UnknownKey",
+    "Wait",
+    "Workspace",
+    "block_layers",
+    "capacity_token_layers",
+    "choose_target",
+    "covers_once",
+    "event_ids",
+    "next_step",
+    "plan_layout",
+]
--- /dev/null
+++ b/radishfield/routing/_directory.py
@@ -0,0 +1,179 @@
+"""Which targets may be sent work, from what the store lists and what calls show.
+
+Load pattern: targets are released, added, emptied and killed while requests flow,
+and the store that lists them has outages of its own.  Two mistakes cost most.  A
+target that leaves and is sent work cuts it off when it exits; so leaving sticks to
+an incarnation, whatever a later entry says.  And entries that lapse because the
+store was away would empty the list at once; so a target that is missing right
+after an outage is used on for a moment, in which live targets register again.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from radishfield.routing._types import TargetPhase, TargetRecord
+
+RETURN_S = 1.5
+"""Live targets register again within two seconds of the store's return, and work
+may reach a target that is gone for as long; the rest is room for the way there."""
+
+AFTER_OUTAGE_S = 4.0
+"""Entries that lapse this long after the store's last failure count as its doing:
+three missed heartbeats, the time after which the store drops an entry."""
+
+FIRST_SUSPICION_S = 1.0
+LONGEST_SUSPICION_S = 4.0
+"""A target that could not be reached is left out this long; doubled each time it
+fails again.  Longer would keep a target out that was started again."""
+
+
+@dataclass(slots=True)
+class _Entry:
+    record: TargetRecord
+    missing_since: float | None = None
+
+
+@dataclass(slots=True)
+class _Suspicion:
+    until: float
+    length_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class Removal:
+    """A target left the list; ``held`` if it is used on for a moment."""
+
+    id: str
+    held: bool
+
+
+@dataclass(slots=True)
+class TargetDirectory:
+    """All targets that are known, by id."""
+
+    _entry_by_id: dict[str, _Entry] = field(default_factory=dict)
+    _leaving: set[tuple[str, int]] = field(default_factory=set)
+    _suspicion_by_id: dict[str, _Suspicion] = field(default_factory=dict)
+    _store_failed_at: float = -1e9
+    version: int = 0
+    """Rises with each change of the list, for what is computed from it."""
+
+    def store_failed(self, now: float) -> None:
+        """Note that the store did not answer."""
+        self._store_failed_at = now
+
+    def replace_all(
+        self, record_by_id: Mapping[str, TargetRecord], now: float
+    ) -> list[Removal]:
+        """Take a whole listing; return what is missing in it."""
+        gone = [
+            self.remove(target_id, now)
+            for target_id, entry in list(self._entry_by_id.items())
+            if target_id not in record_by_id and entry.missing_since is None
+        ]
+        for record in record_by_id.values():
+            self.update(record)
+        return gone
+
+    def update(self, record: TargetRecord) -> None:
+        """Take a target's newest entry."""
+        if record.phase is TargetPhase.LEAVING:
+            self._leaving.add(record.incarnation)
+        before = self._entry_by_id.get(record.id)
+        if before is not None and before.record.incarnation != record.incarnation:
+            self._suspicion_by_id.pop(record.id, None)
+        self._entry_by_id[record.id] = _Entry(record)
+        self.version += 1
+
+    def remove(self, target_id: str, now: float) -> Removal:
+        """Take a target off the list, or hold it where the store may be to blame."""
+        entry = self._entry_by_id.get(target_id)
+        self.version += 1
+        if entry is None:
+            return Removal(target_id, held=False)
+        if now - self._store_failed_at < AFTER_OUTAGE_S:
+            entry.missing_since = now
+            return Removal(target_id, held=True)
+        del self._entry_by_id[target_id]
+        return Removal(target_id, held=False)
+
+    def expire_missing(self, now: float) -> list[str]:
+        """Drop the targets that did not come back; return their ids."""
+        late = [
+            target_id
+            for target_id, entry in self._entry_by_id.items()
+            if entry.missing_since is not None and now - entry.missing_since >= RETURN_S
+        ]
+        for target_id in late:
+            del self._entry_by_id[target_id]
+            self.version += 1
+        return late
+
+    def mark_leaving(self, incarnation: tuple[str, int]) -> None:
+        """Note what another host knows: this start of a target leaves."""
+        if incarnation not in self._leaving:
+            self._leaving.add(incarnation)
+            self.version += 1
+
+    def leaving_incarnations(self) -> list[tuple[str, int]]:
+        """Return the listed targets that leave, each with its start."""
+        return [
+            entry.record.incarnation
+            for entry in self._entry_by_id.values()
+            if entry.record.incarnation in self._leaving
+        ]
+
+    def suspect(self, target_id: str, now: float) -> float:
+        """Leave a target out for a while after a failure; return the seconds."""
+        before = self._suspicion_by_id.get(target_id)
+        length_s = FIRST_SUSPICION_S
+        if before is not None and now < before.until:
+            return before.until - now
+        if before is not None and now < before.until + before.length_s:
+            length_s = min(LONGEST_SUSPICION_S, before.length_s * 2)
+        self._suspicion_by_id[target_id] = _Suspicion(now + length_s, length_s)
+        self.version += 1
+        return length_s
+
+    def clear(self, target_id: str) -> None:
+        """Forget a suspicion: the target answered."""
+        if self._suspicion_by_id.pop(target_id, None) is not None:
+            self.version += 1
+
+    def suspected(self, target_id: str, now: float) -> bool:
+        """Return whether a target is left out at the moment."""
+        suspicion = self._suspicion_by_id.get(target_id)
+        return suspicion is not None and now < suspicion.until
+
+    def find(self, target_id: str) -> TargetRecord | None:
+        """Return a target that is listed or held, whatever its state."""
+        entry = self._entry_by_id.get(target_id)
+        return entry.record if entry else None
+
+    def at_address(self, address: str) -> TargetRecord | None:
+        """Return the target that is listed at an address."""
+        for entry in self._entry_by_id.values():
+            if entry.record.address == address:
+                return entry.record
+        return None
+
+    def listed(self, service: str) -> list[TargetRecord]:
+        """Return a service's targets that do not leave, suspected or not."""
+        return [
+            entry.record
+            for entry in self._entry_by_id.values()
+            if entry.record.service == service
+            and entry.record.incarnation not in self._leaving
+        ]
+
+    def usable(self, service: str, now: float) -> list[TargetRecord]:
+        """Return a service's targets that may be sent work now."""
+        return [
+            record
+            for record in self.listed(service)
+            if not self.suspected(record.id, now)
+        ]
+
+    def all_records(self) -> Iterable[TargetRecord]:
+        """Return every target that is listed or held."""
+        return (entry.record for entry in self._entry_by_id.values())
--- /dev/null
+++ b/radishfield/routing/_freshness.py
@@ -0,0 +1,42 @@
+"""How long a configuration that was read may still admit keys.
+
+Load pattern: a host is cut off, frozen or served stale data while an operator
+takes a key away.  Without a bound of its own it would go on admitting the key for
+as long as the cut lasts.  A host therefore counts from the moment *before* it
+asked the store: whatever was accepted later may be missing in the answer.  The
+clock must count suspension, or a host that slept would trust an old answer.
+"""
+
+from dataclasses import dataclass
+
+MARGIN_S = 0.6
+"""Between the check and the target's start: a send and a wait in its queue."""
+
+
+@dataclass(slots=True)
+class Freshness:
+    """When the configuration in force was last known to be the newest.
+
+    Attributes
+    ----------
+    bound_s : float
+        Seconds after which a key that was taken away must be refused everywhere.
+    """
+
+    bound_s: float
+    confirmed_at: float | None = None
+
+    def confirm(self, asked_at: float) -> None:
+        """Note an answer of the store to a call that was sent at ``asked_at``."""
+        if self.confirmed_at is None or asked_at > self.confirmed_at:
+            self.confirmed_at = asked_at
+
+    def age_s(self, now: float) -> float:
+        """Return the seconds since the last confirmation."""
+        if self.confirmed_at is None:
+            return float("inf")
+        return now - self.confirmed_at
+
+    def admits_keys(self, now: float) -> bool:
+        """Return whether a key that is known may still be taken for valid."""
+        return self.age_s(now) < self.bound_s - MARGIN_S
--- /dev/null
+++ b/radishfield/routing/_layout.py
@@ -0,0 +1,134 @@
+"""Which target should hold which layers, for a service whose targets are empty.
+
+Load pattern: zones with unequal sets of cards, each of which may be cut off from
+the others, and cards that die one at a time.  So each zone first gets whole copies
+of the model, packed side by side, and only what is left over is spread where the
+fleet holds the fewest copies.  Layers are dealt in blocks of one size with common
+boundaries: any target can then stand in for a part of any other, and a path has
+few cuts to choose from.
+
+A card's memory is shared between layers and the cache of running requests.  Filled
+with layers it runs no requests, filled with cache it shortens no path; `FILL` is
+the middle, from which block size and blocks a card are derived.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from radishfield.routing._types import EngineSpec, LayerSpan, TargetRecord
+
+FILL = 0.68
+"""Most of a card's memory that layers take.  With the users' cards, two thirds for
+layers leave room for some forty requests of usual size on every part of a chain,
+as many as its steps carry in time; at 0.8 memory binds at half of that."""
+
+WASTE = 0.05
+"""Share of the cards' memory that larger blocks may leave unused: what they save
+in cuts is worth more than a twentieth of a copy."""
+
+
+@dataclass(slots=True, frozen=True)
+class Assignment:
+    """A target that should hold layers that it does not hold."""
+
+    target: TargetRecord
+    span: LayerSpan
+
+
+def block_layers(engine: EngineSpec) -> int:
+    """Return the block size that wastes the least of the cards' memory.
+
+    Larger blocks are better where they waste no more: fewer cuts, shorter paths.
+    """
+    sizes = [size for size in range(1, engine.layers + 1) if engine.layers % size == 0]
+    most = max(_used(engine, size) for size in sizes)
+    return max(size for size in sizes if _used(engine, size) >= most - WASTE)
+
+
+def blocks_of(engine: EngineSpec, record: TargetRecord, size: int) -> int:
+    """Return the blocks that fit a target's card, at most the whole model."""
+    card = engine.accelerator_by_name.get(record.accelerator)
+    if card is None:
+        return 0
+    blocks = int(card.memory_mb * FILL / (engine.layer_mb * size))
+    return min(blocks, engine.layers // size)
+
+
+def plan_layout(
+    engine: EngineSpec, records: Sequence[TargetRecord]
+) -> list[Assignment]:
+    """Return what the empty targets should hold, given what the others hold."""
+    size = block_layers(engine)
+    blocks = engine.layers // size
+    copies = _Copies(blocks)
+    for record in records:
+        if record.span is not None:
+            copies.count(record.zone, record.span, size)
+    empty = [record for record in records if record.span is None]
+    assignments: list[Assignment] = []
+    for zone in sorted({record.zone for record in records}):
+        own = [record for record in empty if record.zone == zone]
+        own.sort(key=lambda record: (-blocks_of(engine, record, size), record.id))
+        while own:
+            record = own.pop(0)
+            width = blocks_of(engine, record, size)
+            if width == 0:
+                continue
+            first = copies.neediest(zone, width)
+            span = LayerSpan(first * size, (first + width) * size)
+            copies.count(zone, span, size)
+            assignments.append(Assignment(record, span))
+    return assignments
+
+
+def _used(engine: EngineSpec, size: int) -> float:
+    """Return the mean share of the cards' memory that layers in such blocks take."""
+    shares = []
+    for card in engine.accelerator_by_name.values():
+        blocks = min(
+            int(card.memory_mb * FILL / (engine.layer_mb * size)),
+            engine.layers // size,
+        )
+        if blocks == 0:
+            return 0.0
+        shares.append(blocks * size * engine.layer_mb / card.memory_mb)
+    return sum(shares) / max(1, len(shares))
+
+
+class _Copies:
+    """Copies of each block, by zone."""
+
+    __slots__ = ("_blocks", "_count_by_zone")
+
+    def __init__(self, blocks: int):
+        self._blocks = blocks
+        self._count_by_zone: dict[str, list[int]] = {}
+
+    def count(self, zone: str, span: LayerSpan, size: int) -> None:
+        """Count a target's layers; a block that is held in part does not count."""
+        counts = self._of(zone)
+        for block in range(-(-span.first // size), span.end // size):
+            counts[block] += 1
+
+    def neediest(self, zone: str, width: int) -> int:
+        """Return the first block of the place that lacks copies the most.
+
+        First the zone's own lack decides, so that a zone that is cut off has whole
+        copies; among equals the fleet's, so that what the zones have left over
+        joins to further copies.
+        """
+        own = self._of(zone)
+        fleet = [sum(counts) for counts in zip(*self._count_by_zone.values())]
+        places = range(self._blocks - width + 1)
+        return min(
+            places,
+            key=lambda at: (
+                max(own[at : at + width]),
+                sum(own[at : at + width]),
+                sum(fleet[at : at + width]),
+                at,
+            ),
+        )
+
+    def _of(self, zone: str) -> list[int]:
+        return self._count_by_zone.setdefault(zone, [0] * self._blocks)
--- /dev/null
+++ b/radishfield/routing/_paths.py
@@ -0,0 +1,225 @@
+"""The path of a request through targets that hold parts of the model.
+
+Load pattern: cards of very unequal speed share one model, each with its own load,
+and any of them may die.  A fixed chain per zone loses all of a zone with one dead
+part, and feeds a slow part as much as a fast one.  Here each request takes the
+cheapest way over whatever covers the layers: a part may be any piece of what a
+target holds, so every set of live targets that covers the model gives a path.
+
+The cost of a part is the time that one token spends there: the fixed part of a
+step, and what each request adds to it, times the share of layers.  A target whose
+memory is nearly full costs more, since requests that do not fit are thrown out in
+the middle of their stream; one that is full is left out.
+"""
+
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass
+
+from radishfield.routing._load import Held, LoadBook
+from radishfield.routing._types import (
+    EngineSpec,
+    LayerSpan,
+    Path,
+    PathPart,
+    TargetRecord,
+)
+
+ZONE_CHANGE_MS = 1.5
+"""Cost of a hop to another zone: half a millisecond each way for a token, and a
+share of the pipe between zones, which a prompt holds for tens of milliseconds."""
+
+HOP_MS = 0.05
+"""Cost of any further part, so that ties go to the shorter path."""
+
+CROWDED = 0.75
+"""Share of a target's memory from which on it costs more than its time."""
+
+FULL = 0.97
+"""Share of a target's memory over which nothing more is sent.  Reservations count
+a request's expected length, and some grow longer."""
+
+CROWDED_MS = 20.0
+"""Cost that a target reaches as it fills: several times a part's usual time, so
+that a path that avoids it is taken wherever there is one."""
+
+
+@dataclass(slots=True, frozen=True)
+class Demand:
+    """What a request will take: prompt and expected answer, in tokens."""
+
+    prompt: int
+    answer: int
+
+    @property
+    def tokens(self) -> int:
+        """Return the tokens that the request fills at its end."""
+        return self.prompt + self.answer
+
+
+def capacity_token_layers(engine: EngineSpec, record: TargetRecord) -> float:
+    """Return the token-layers that fit beside the layers a target holds."""
+    card = engine.accelerator_by_name.get(record.accelerator)
+    if card is None or record.span is None or not engine.cache_bytes_per_token:
+        return float("inf")
+    free_mb = card.memory_mb - len(record.span) * engine.layer_mb
+    return free_mb * 1e6 / (engine.cache_bytes_per_token / engine.layers)
+
+
+def token_ms(engine: EngineSpec, record: TargetRecord, held: Held) -> float:
+    """Return the time of a step over all layers, with the work that is held."""
+    card = engine.accelerator_by_name.get(record.accelerator)
+    step_factor = card.step_factor if card else 1.0
+    read_factor = card.read_factor if card else 1.0
+    layers = len(record.span) if record.span else engine.layers
+    context_k = held.token_layers / max(1, layers) / 1000
+    fixed = engine.step_ms + context_k * engine.step_ms_per_1k
+    return step_factor * fixed + read_factor * (
+        held.requests * engine.step_ms_per_request
+    )
+
+
+@dataclass(slots=True, frozen=True)
+class _Way:
+    cost: float
+    parts: tuple[tuple[TargetRecord, int, int], ...]
+
+
+class PathFinder:
+    """Finds paths over one list of targets; cheap enough to make for a request."""
+
+    __slots__ = ("_engine", "_load", "_zone")
+
+    def __init__(self, engine: EngineSpec, load: LoadBook, zone: str):
+        self._engine = engine
+        self._load = load
+        self._zone = zone
+
+    def find(
+        self,
+        records: Sequence[TargetRecord],
+        demand: Demand,
+        first: TargetRecord | None = None,
+        pace_by_id: dict[str, float] | None = None,
+        own_by_id: Collection[str] = (),
+    ) -> Path | None:
+        """Return the cheapest path, or None if no targets with room cover it.
+
+        Parameters
+        ----------
+        first : TargetRecord, optional
+            The target that has to stay the path's first.
+        own_by_id : collection of str
+            Targets that hold the request already, so that they need no more room.
+        """
+        paces = pace_by_id or {}
+        part_ms_by_id: dict[str, float] = {}
+        roomy: list[TargetRecord] = []
+        for record in records:
+            cost = self._layer_ms(record, demand, record.id in own_by_id)
+            if cost is not None:
+                part_ms_by_id[record.id] = cost * paces.get(record.id, 1.0)
+                roomy.append(record)
+        way = self._cheapest(roomy, part_ms_by_id, first)
+        return None if way is None else _as_path(way)
+
+    def _layer_ms(
+        self, record: TargetRecord, demand: Demand, holds_it: bool
+    ) -> float | None:
+        """Return the cost of a layer at a target; None if it has no room."""
+        if record.span is None:
+            return None
+        held = self._load.held(record.id)
+        capacity = capacity_token_layers(self._engine, record)
+        need = 0 if holds_it else demand.tokens * len(record.span)
+        fill = (held.token_layers + need) / capacity if capacity > 0 else 2.0
+        if fill > FULL and not holds_it:
+            return None
+        cost = token_ms(self._engine, record, held) / self._engine.layers
+        if fill > CROWDED:
+            crowd = (fill - CROWDED) / (FULL - CROWDED)
+            cost += crowd * CROWDED_MS / len(record.span)
+        return cost
+
+    def _cheapest(
+        self,
+        records: Sequence[TargetRecord],
+        layer_ms_by_id: dict[str, float],
+        first: TargetRecord | None,
+    ) -> _Way | None:
+        """Walk the boundaries between layers from the first to the last."""
+        layers = self._engine.layers
+        cuts = {0, layers}
+        for record in records:
+            cuts.update((record.span.first, record.span.end))
+        best: dict[tuple[int, str], _Way] = {(0, self._zone): _Way(0.0, ())}
+        for start in sorted(cuts):
+            here = [(zone, way) for (at, zone), way in best.items() if at == start]
+            if start == layers or not here:
+                continue
+            for record in records:
+                span = record.span
+                if not span.first <= start < span.end:
+                    continue
+                if start == 0 and not self._may_be_first(record, first):
+                    continue
+                self._extend(best, here, start, record, cuts, layer_ms_by_id)
+        ends = [way for (at, _), way in best.items() if at == layers]
+        return min(ends, key=lambda way: way.cost, default=None)
+
+    def _extend(
+        self,
+        best: dict[tuple[int, str], _Way],
+        here: list[tuple[str, _Way]],
+        start: int,
+        record: TargetRecord,
+        cuts: set[int],
+        layer_ms_by_id: dict[str, float],
+    ) -> None:
+        entry_cost, way = min(
+            (
+                (way.cost + (ZONE_CHANGE_MS if zone != record.zone else 0.0), way)
+                for zone, way in here
+            ),
+            key=lambda pair: pair[0],
+        )
+        for end in cuts:
+            if not start < end <= record.span.end:
+                continue
+            cost = entry_cost + HOP_MS + (end - start) * layer_ms_by_id[record.id]
+            known = best.get((end, record.zone))
+            if known is None or cost < known.cost:
+                parts = (*way.parts, (record, start, end))
+                best[(end, record.zone)] = _Way(cost, parts)
+
+    def _may_be_first(self, record: TargetRecord, first: TargetRecord | None) -> bool:
+        if first is not None:
+            return record.id == first.id
+        return self._load.held(record.id).as_first < self._engine.slots
+
+
+def _as_path(way: _Way) -> Path:
+    """Return the parts; a target that stands twice runs all in between.
+
+    Targets refuse a path that names one of them twice.
+    """
+    parts = list(way.parts)
+    last_index_by_id = {part[0].id: index for index, part in enumerate(parts)}
+    merged: list[PathPart] = []
+    index = 0
+    while index < len(parts):
+        record, start, _ = parts[index]
+        last = last_index_by_id[record.id]
+        span = LayerSpan(start, parts[last][2])
+        merged.append(PathPart(record.id, record.address, span))
+        index = last + 1
+    return tuple(merged)
+
+
+def covers_once(path: Path, layers: int) -> bool:
+    """Return whether a path runs every layer once and in order."""
+    at = 0
+    for part in path:
+        if part.span.first != at or part.span.end <= at:
+            return False
+        at = part.span.end
+    return at == layers and len({part.target_id for part in path}) == len(path)
--- /dev/null
+++ b/radishfield/routing/_types.py
@@ -0,0 +1,229 @@
+"""What the router knows of routes, workspaces and targets: plain values."""
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+
+class RouteKind(enum.StrEnum):
+    """What may be repeated of a route's requests."""
+
+    IDEMPOTENT = "idempotent"
+    ONCE = "once"
+    STREAM = "stream"
+
+
+class TargetPhase(enum.StrEnum):
+    """Whether a target takes work, as it says itself."""
+
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+@dataclass(slots=True, frozen=True)
+class LayerSpan:
+    """Layers ``first`` to ``end``, the end exclusive."""
+
+    first: int
+    end: int
+
+    def __len__(self) -> int:
+        return self.end - self.first
+
+
+@dataclass(slots=True, frozen=True)
+class ServiceShare:
+    """A service and the part of a route's requests that go there."""
+
+    service: str
+    weight: float
+
+
+@dataclass(slots=True, frozen=True)
+class RouteRule:
+    """How requests below one path prefix of one host name are served.
+
+    Attributes
+    ----------
+    timeout_s : float
+        Longest time that a caller is kept waiting for the end of an answer.
+    objective_s : float
+        Time to the answer, or to a stream's first event, that callers want.
+    longest_gap_s : float
+        Longest pause between two events of a stream that is still on time.
+    max_attempts : int
+        Targets that one request may be sent to.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    timeout_s: float
+    objective_s: float
+    priority: int
+    shares: tuple[ServiceShare, ...]
+    max_attempts: int
+    public: bool = False
+    resumable: bool = False
+    longest_gap_s: float = 0.0
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether a request that may have run may be sent again."""
+        if self.kind is RouteKind.STREAM:
+            return self.resumable
+        return self.kind is RouteKind.IDEMPOTENT
+
+
+@dataclass(slots=True, frozen=True)
+class Accelerator:
+    """A kind of card: its memory, and how much slower than the model's figures."""
+
+    name: str
+    memory_mb: float
+    step_factor: float
+    read_factor: float
+
+
+@dataclass(slots=True, frozen=True)
+class EngineSpec:
+    """What the targets of a layered model can do.
+
+    Attributes
+    ----------
+    tokens_per_target : float
+        Tokens whose cache fits the memory of a target that holds all layers.
+    cache_bytes_per_token : float
+        Cache of one token over all layers.
+    step_ms, step_ms_per_request, step_ms_per_1k : float
+        Time of one step over all layers: fixed, for each request that writes,
+        for each thousand tokens of context.
+    read_tokens_per_ms : float
+        Prompt tokens read over all layers.
+    load_s : float
+        Seconds to load all layers.
+    """
+
+    model: str
+    slots: int
+    layers: int
+    layer_mb: float
+    tokens_per_target: float
+    cache_bytes_per_token: float
+    step_ms: float
+    step_ms_per_request: float
+    step_ms_per_1k: float
+    read_tokens_per_ms: float
+    usual_prompt: int
+    usual_answer: int
+    load_s: float
+    concurrent_loads: int
+    accelerator_by_name: Mapping[str, Accelerator] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class ServiceSpec:
+    """A service that routes point to; ``engine`` only where layers are placed."""
+
+    name: str
+    health_path: str
+    max_connections: int
+    engine: EngineSpec | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Workspace:
+    """A customer; a ``priority`` of its own goes before its route's."""
+
+    name: str
+    priority: int | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class RequestLimits:
+    """What a caller may send, and how long a connection may stay idle."""
+
+    max_body_bytes: int = 4 << 20
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(slots=True, frozen=True)
+class RoutingConfig:
+    """One version of the configuration, whole and never changed."""
+
+    version: int
+    routes: tuple[RouteRule, ...]
+    service_by_name: Mapping[str, ServiceSpec]
+    workspace_by_key: Mapping[str, Workspace]
+    limits: RequestLimits = RequestLimits()
+    keys_required: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class TargetRecord:
+    """A target as it last described itself.
+
+    Attributes
+    ----------
+    started_ms : int
+        Start of this incarnation; a target that starts again may keep its id,
+        and then holds nothing of what it held before.
+    """
+
+    id: str
+    address: str
+    service: str
+    zone: str
+    phase: TargetPhase
+    slots: int
+    started_ms: int = 0
+    accelerator: str = ""
+    span: LayerSpan | None = None
+    weights_version: int = 0
+
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """Return what tells this start of the target from every other."""
+        return (self.id, self.started_ms)
+
+
+@dataclass(slots=True, frozen=True)
+class TargetReport:
+    """What a target says of its work when asked.
+
+    Attributes
+    ----------
+    order_count : int
+        Orders that this incarnation has accepted.
+    pace : float
+        Over 1 where the target is slower than its kind.
+    cache_used, cache_total : float
+        Tokens times layers.
+    stalled : tuple
+        Ids of requests that wait for a dead part of their path, with its address.
+    """
+
+    started_ms: int
+    busy: bool
+    order_count: int
+    waiting: int
+    running: int
+    cache_used: float
+    cache_total: float
+    pace: float = 1.0
+    span: LayerSpan | None = None
+    stalled: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class PathPart:
+    """One target of a path and the layers that it runs."""
+
+    target_id: str
+    address: str
+    span: LayerSpan
+
+
+Path = tuple[PathPart, ...]
--- a/radishfield/settings/__init__.py
+++ b/radishfield/settings/__init__.py
@@ -6,6 +6,12 @@
 
 from radishfield.settings._printer import settings_table, settings_text
 from radishfield.settings._reader import EntrySettings
+from radishfield.settings._router import (
+    ROUTER_SECTIONS,
+    PromisesSettings,
+    ReadinessSettings,
+    TalkSettings,
+)
 from radishfield.settings._sections import (
     CallerSettings,
     ClaimsSettings,
@@ -25,6 +31,7 @@
 from radishfield.settings._units import PeerKey
 
 __all__ = [
+    "ROUTER_SECTIONS",
     "CallerSettings",
     "ClaimsSettings",
     "DrainSettings",
@@ -41,6 +48,9 @@
     "PeerKey",
     "PeersSettings",
     "PlatformSettings",
+    "PromisesSettings",
+    "ReadinessSettings",
+    "TalkSettings",
     "settings_table",
     "settings_text",
 ]
--- a/radishfield/telemetry/__init__.py
+++ b/radishfield/telemetry/__init__.py
@@ -1,5 +1,6 @@
 """What an entry host tells about itself: logs, metrics and request records."""
 
+from radishfield.telemetry._lines import LineWriter
 from radishfield.telemetry._logs import (
     LogSetup,
     configure_logs,
@@ -7,7 +8,6 @@
     log_event,
 )
 from radishfield.telemetry._metrics import NullTelemetry, RequestKind, Telemetry
-from radishfield.telemetry._observer import TelemetryObserver
 from radishfield.telemetry._records import (
     RecordedEvent,
     RecordKind,
@@ -15,7 +15,22 @@
     RequestRecords,
 )
 
+
+def __getattr__(name: str):
+    """Load the dispatcher's observer on first use.
+
+    It needs the scheduler and with it the graph library, 13 MB that a router of
+    the users' platform never uses.
+    """
+    if name == "TelemetryObserver":
+        from radishfield.telemetry._observer import TelemetryObserver
+
+        return TelemetryObserver
+    raise AttributeError(name)
+
+
 __all__ = [
+    "LineWriter",
     "LogSetup",
     "NullTelemetry",
     "RecordKind",
--- a/radishfield/telemetry/_logs.py
+++ b/radishfield/telemetry/_logs.py
@@ -65,8 +65,14 @@
         return msgspec.json.encode(line).decode()
 
 
-def configure_logs(setup: LogSetup) -> None:
-    """Send every log of the process through one handler, as JSON lines."""
+def configure_logs(setup: LogSetup, handler: logging.Handler | None = None) -> None:
+    """Send every log of the process through one handler, as JSON lines.
+
+    Parameters
+    ----------
+    handler : logging.Handler, optional
+        Takes the lines in place of a stream that is written at once.
+    """
     root = logging.getLogger()
     for handler in list(root.handlers):
         root.removeHandler(handler)
@@ -74,8 +80,9 @@
     if setup.destination == "off":
         root.addHandler(logging.NullHandler())
         return
-    stream = sys.stdout if setup.destination == "stdout" else sys.stderr
-    handler = logging.StreamHandler(stream)
+    if handler is None:
+        stream = sys.stdout if setup.destination == "stdout" else sys.stderr
+        handler = logging.StreamHandler(stream)
     handler.setFormatter(JsonLines(setup.host))
     root.addHandler(handler)
 
--- /dev/null
+++ b/radishfield/web/__init__.py
@@ -0,0 +1,34 @@
+"""HTTP plumbing that every edge shares: ASGI steps, listeners, call budgets."""
+
+from radishfield.web._asgi import (
+    BodyLimit,
+    read_body,
+    run_until_disconnect,
+    send_bytes,
+    send_chunk,
+    send_json,
+    serve_lifespan,
+    serve_scope,
+    start_answer,
+)
+from radishfield.web._budget import BURST_CALLS, CALLS_PER_S, CallBudget, backoff_s
+from radishfield.web._listener import HttpListener, ListenerConfig, serve_app
+
+__all__ = [
+    "BURST_CALLS",
+    "CALLS_PER_S",
+    "BodyLimit",
+    "CallBudget",
+    "HttpListener",
+    "ListenerConfig",
+    "backoff_s",
+    "read_body",
+    "run_until_disconnect",
+    "send_bytes",
+    "send_chunk",
+    "send_json",
+    "serve_app",
+    "serve_lifespan",
+    "serve_scope",
+    "start_answer",
+]
