--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -197,7 +197,7 @@
     with trio.open_signal_receiver(*signals) as received:
         async for number in received:
             if number == signal.SIGHUP:
-                _reload(path, "signal")
+                reload_settings(path, "signal")
             else:
                 stop.set()
 
@@ -210,7 +210,7 @@
         now = _stamp(path)
         if now != before:
             before = now
-            _reload(path, "file")
+            reload_settings(path, "file")
 
 
 def _stamp(path: str) -> tuple[int, int]:
@@ -221,12 +221,14 @@
     return (found.st_mtime_ns, found.st_size)
 
 
-def _reload(path: str, reason: str) -> None:
+def reload_settings(path: str, reason: str) -> None:
     """Take the log level anew; addresses need a start, and the old ones hold."""
     match read_settings(path):
         case Result(tag="ok", ok=settings):
             logging.getLogger().setLevel(settings.log.level.upper())
-            log_event("settings.reloaded", reason=reason, level=str(settings.log.level))
+            log_event(
+                "settings.reloaded", reason=reason, lines_from=str(settings.log.level)
+            )
         case Result(tag="error", error=faults):
             details = "; ".join(problem.detail for problem in faults)
             log_event("settings.rejected", reason=reason, detail=details)
--- a/radishfield/forwarding/conftest.py
+++ b/radishfield/forwarding/conftest.py
@@ -54,7 +54,10 @@
     "usual": {"prompt": 774, "answer": 203},
     "layers": 80,
     "layerMb": 1750.0,
-    "kinds": [{"name": "big", "mb": 110000.0, "pace": 1.0, "readX": 1.0}],
+    "kinds": [
+        {"name": "half", "mb": 110000.0, "pace": 1.0, "readX": 1.0},
+        {"name": "whole", "mb": 210000.0, "pace": 1.0, "readX": 1.0},
+    ],
 }
 
 
@@ -107,7 +110,8 @@
         self.fleet.add(target)
         self.layered.append(target)
         held = {"from": first, "target": end, "version": 1} if end else None
-        entry = self.entry(target, "pool", kind="big", layers=held)
+        kind = "half" if end - first < 80 else "whole"
+        entry = self.entry(target, "pool", kind=kind, layers=held)
         self.store.put("servers", target_id, entry)
         return target
 
--- /dev/null
+++ b/radishfield/forwarding/settings_test.py
@@ -0,0 +1,86 @@
+"""Settings files: read at the start, read again while the router runs."""
+
+import json
+import logging
+import os
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+
+from radishfield.forwarding import read_settings
+from radishfield.forwarding._router import reload_settings
+from radishfield.forwarding.conftest import free_port
+
+
+def write(tmp_path, **sections):
+    base = {
+        "host": "id = host-1\nzone = a",
+        "caller": f"bind = 127.0.0.1:{free_port()}",
+        "platform": f"address = 127.0.0.1:{free_port()}",
+        "log": "destination = stdout",
+    }
+    text = "\n".join(f"[{name}]\n{body}" for name, body in (base | sections).items())
+    path = tmp_path / "router.ini"
+    path.write_text(text)
+    return str(path)
+
+
+def test_all_faults_of_a_file_come_back_together(tmp_path):
+    path = write(tmp_path, promises="revoke = fast\ngrace = 1ms\nnonsense = 1")
+    faults = read_settings(path).error
+    assert len(faults) == 3
+    assert all(path in problem.detail for problem in faults)
+
+
+@pytest.mark.parametrize("level", ["info", "warning"])
+def test_a_changed_file_is_taken_while_the_router_runs(tmp_path, level):
+    """An operator changes the settings and signals the process.
+
+    Whatever the file holds, the process goes on: the callers it serves must not
+    be cut off by a change of settings.
+    """
+    before = logging.getLogger().level
+    try:
+        reload_settings(write(tmp_path, log=f"level = {level}"), "signal")
+        assert logging.getLogger().level == getattr(logging, level.upper())
+    finally:
+        logging.getLogger().setLevel(before)
+
+
+def test_a_file_with_faults_changes_nothing(tmp_path):
+    before = logging.getLogger().level
+    reload_settings(write(tmp_path, log="level = loud"), "file")
+    reload_settings(str(tmp_path / "missing.ini"), "file")
+    assert logging.getLogger().level == before
+
+
+def test_the_process_lives_through_a_signal_and_ends_on_another(tmp_path):
+    path = write(tmp_path, promises="grace = 1s")
+    command = [sys.executable, "-m", "radishfield.forwarding", "--settings", path]
+    process = subprocess.Popen(command, stdout=subprocess.PIPE)
+    try:
+        started = _wait_for(process, "host.started")
+        assert started["host"] == "host-1"
+        os.kill(process.pid, signal.SIGHUP)
+        _wait_for(process, "settings.reloaded")
+        os.kill(process.pid, signal.SIGTERM)
+        _wait_for(process, "host.stopped")
+        assert process.wait(timeout=10) == 0
+    finally:
+        process.kill()
+        process.stdout.close()
+
+
+def _wait_for(process, event):
+    deadline = time.monotonic() + 20
+    while time.monotonic() < deadline:
+        line = process.stdout.readline()
+        if not line:
+            break
+        fields = json.loads(line)
+        if fields["event"] == event:
+            return fields
+    raise AssertionError(f"no line {event!r}")
