Share the allowance of repeats, leave full targets out, take neighbours' word on the configuration

Changes: hosts tell what they used of the allowance; a target that refuses is left out for a quarter of a second; a host that alone has lost the store is not ready and sends callers elsewhere at once, and its view stays fresh by its neighbours' word (counted from its own question). A watch whose answer is a second late is taken for lost.

--- a/radishfield/forwarding/_app.py
+++ b/radishfield/forwarding/_app.py
@@ -6,11 +6,16 @@
 from radishfield.forwarding._call import Call, Responder, status_of
 from radishfield.forwarding._plain import PlainForwarder
 from radishfield.forwarding._streams import StreamForwarder
-from radishfield.forwarding._targets import STALE_RETRY_S
+from radishfield.forwarding._targets import stale_view
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import RequestFacts, read_request
 from radishfield.routing import NoKeyNeeded, RouteKind, UnknownKey, Workspace
-from radishfield.telemetry import RequestKind, Telemetry, current_request_id, log_event
+from radishfield.telemetry import (
+    DeferredTelemetry,
+    RequestKind,
+    current_request_id,
+    log_event,
+)
 from radishfield.web import BodyLimit, read_body, run_until_disconnect, serve_scope
 
 UNKNOWN_CONFIG_RETRY_S = 0.7
@@ -30,7 +35,7 @@
         plain: PlainForwarder,
         streams: StreamForwarder,
         view: RouterView,
-        telemetry: Telemetry,
+        telemetry: DeferredTelemetry,
     ):
         self._plain = plain
         self._streams = streams
@@ -116,9 +121,7 @@
                 workspace = known
         now = self._view.clock.now()
         if workspace is not None and not self._view.freshness.admits_keys(now):
-            age_s = round(self._view.freshness.age_s(now), 2)
-            detail = f"configuration confirmed {age_s} s ago"
-            return fault(ResultCode.PROFILES_UNKNOWN, detail, STALE_RETRY_S)
+            return stale_view(self._view)
         if not self._view.takes_work(route.timeout_s):
             return fault(ResultCode.DRAINING, "host leaves", LEAVING_RETRY_S)
         service = self._view.pick_service(route)
@@ -142,8 +145,7 @@
         """Refuse a key; a view that may be old proves nothing about it."""
         now = self._view.clock.now()
         if not self._view.freshness.admits_keys(now):
-            detail = "key unknown to a configuration that may be old"
-            return fault(ResultCode.PROFILES_UNKNOWN, detail, STALE_RETRY_S)
+            return stale_view(self._view)
         return fault(ResultCode.UNAUTHORIZED, f"version {version}")
 
     def _account(
@@ -202,18 +204,31 @@
 class ReadinessApp:
     """Tells the balancer whether this host takes new connections."""
 
-    __slots__ = ("_path", "_view")
+    __slots__ = ("_path", "_view", "_was_ready")
 
     def __init__(self, path: str, view: RouterView):
         self._path = path
         self._view = view
+        self._was_ready = False
 
     async def __call__(self, scope, receive, send):
         """Serve one scope of the HTTP server."""
         await serve_scope(scope, receive, send, self._serve)
 
     async def _serve(self, scope, receive, send) -> None:
-        ready = self._view.table is not None and not self._view.leaving
+        view = self._view
+        ready = view.table is not None and not view.leaving
+        ready = ready and not view.sends_callers_away()
+        if ready != self._was_ready:
+            self._was_ready = ready
+            now = view.clock.now()
+            log_event(
+                "host.ready" if ready else "host.unready",
+                leaving=view.leaving,
+                store_age_s=_rounded(view.freshness.store_age_s(now)),
+                peers_heard=view.talk.heard,
+                peers_freshest_s=_rounded(view.talk.freshest_s),
+            )
         status = 200 if ready and scope["path"] == self._path else 503
         await send(
             {
--- a/radishfield/forwarding/_metrics.py
+++ b/radishfield/forwarding/_metrics.py
@@ -4,7 +4,7 @@
 from radishfield.forwarding._targets import Targets
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import ObjectStore
-from radishfield.telemetry import Telemetry
+from radishfield.telemetry import DeferredTelemetry
 from radishfield.web import send_bytes, serve_scope
 
 TEXT_TYPE = b"text/plain; version=0.0.4"
@@ -17,7 +17,7 @@
 
     def __init__(
         self,
-        telemetry: Telemetry,
+        telemetry: DeferredTelemetry,
         store: ObjectStore,
         targets: Targets,
         connections: TargetConnections,
--- a/radishfield/forwarding/_peers.py
+++ b/radishfield/forwarding/_peers.py
@@ -6,6 +6,7 @@
 one sees the earlier one and tells it of itself.
 """
 
+import math
 import random
 import socket
 from dataclasses import dataclass
@@ -16,7 +17,7 @@
 from radishfield.core import ResultCode
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import ObjectStore
-from radishfield.routing import Held
+from radishfield.routing import Held, RetryUse, Word, vouched_at
 from radishfield.telemetry import log_event
 from radishfield.web import backoff_s
 
@@ -41,8 +42,29 @@
     as_first: int
 
 
+class _Use(msgspec.Struct, array_like=True):
+    service: str
+    firsts: int
+    repeats: int
+
+
+class _Echo(msgspec.Struct, array_like=True):
+    """A host, and the time on its own clock at which it sent what was heard last."""
+
+    host_id: str
+    sent_at: float
+
+
 class Telling(msgspec.Struct, array_like=True):
-    """One host's state, whole."""
+    """One host's state, whole.
+
+    Attributes
+    ----------
+    sent_at : float
+        Reading of the sender's clock; only the sender itself reads it again.
+    config_age_s : float
+        Seconds since the sender's configuration was confirmed; negative before.
+    """
 
     host_id: str
     zone: str
@@ -51,6 +73,11 @@
     leaving: list[tuple[str, int]]
     lost: list[tuple[str, int]]
     duties: list[str]
+    sent_at: float
+    config_version: int
+    config_age_s: float
+    echoes: list[_Echo]
+    uses: list[_Use]
 
 
 class _HostBody(msgspec.Struct):
@@ -63,6 +90,12 @@
     address: tuple[str, int]
     zone: str
     heard_at: float = -1e9
+    sent_at: float = 0.0
+    config_age_s: float = math.inf
+
+    def age_s(self, now: float) -> float:
+        """Return the age of its configuration, if it was not confirmed since."""
+        return self.config_age_s + now - self.heard_at
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -158,6 +191,7 @@
             await trio.sleep(TELL_S * self._chance.uniform(0.9, 1.1))
             self._round += 1
             self._view.load.forget_silent(self._view.clock.now())
+            self._sum_up()
             telling = self._telling()
             for peer in self._hearers():
                 try:
@@ -169,6 +203,8 @@
                     )
 
     def _telling(self) -> bytes:
+        now = self._view.clock.now()
+        age_s = self._view.freshness.age_s(now)
         work = [
             _Work(target_id, held.requests, int(held.token_layers), held.as_first)
             for target_id, held in self._view.load.own_by_id.items()
@@ -180,11 +216,27 @@
                 self._address,
                 work,
                 self._view.directory.leaving_incarnations(),
-                self._view.directory.lost_incarnations(self._view.clock.now()),
+                self._view.directory.lost_incarnations(now),
                 self._duties(),
+                now,
+                self._version(),
+                age_s if math.isfinite(age_s) else -1.0,
+                [
+                    _Echo(host_id, peer.sent_at)
+                    for host_id, peer in self._peer_by_id.items()
+                    if self._alive(peer, now)
+                ],
+                [
+                    _Use(service, use.firsts, use.repeats)
+                    for service, use in self._view.retry_use().items()
+                ],
             )
         )
 
+    def _version(self) -> int:
+        table = self._view.table
+        return table.config.version if table else 0
+
     def _hearers(self) -> list[_Peer]:
         """Return who hears this telling; hosts that are silent, only now and then."""
         now = self._view.clock.now()
@@ -227,6 +279,14 @@
             log_event("peer.joined", peer=telling.host_id, zone=telling.zone)
             self._count()
         peer.heard_at = now
+        peer.sent_at = telling.sent_at
+        peer.config_age_s = math.inf
+        if telling.config_age_s >= 0:
+            peer.config_age_s = telling.config_age_s
+            self._take_word(telling)
+        self._view.talk.use_by_service_by_host[telling.host_id] = {
+            use.service: RetryUse(use.firsts, use.repeats) for use in telling.uses
+        }
         held_by_id = {
             item.target_id: Held(item.requests, item.token_layers, item.as_first)
             for item in telling.work
@@ -239,6 +299,33 @@
         for duty in telling.duties:
             self._view.duty_told_at[duty] = now
 
+    def _take_word(self, telling: Telling) -> None:
+        """Take another host's word that the version in force is the newest."""
+        for echo in telling.echoes:
+            if echo.host_id == self._host_id and self._view.table is not None:
+                word = Word(telling.config_version, telling.config_age_s, echo.sent_at)
+                confirmed_at = vouched_at(word, self._version())
+                if confirmed_at is not None:
+                    self._view.freshness.vouch(confirmed_at)
+
+    def _sum_up(self) -> None:
+        """Note how many hosts are heard, and how fresh the freshest is."""
+        now = self._view.clock.now()
+        talk = self._view.talk
+        alive = {
+            host_id: peer
+            for host_id, peer in self._peer_by_id.items()
+            if self._alive(peer, now)
+        }
+        talk.heard = len(alive)
+        talk.was_heard = talk.was_heard or bool(alive)
+        talk.freshest_s = min(
+            (peer.age_s(now) for peer in alive.values()), default=math.inf
+        )
+        for host_id in list(talk.use_by_service_by_host):
+            if host_id not in alive:
+                del talk.use_by_service_by_host[host_id]
+
     def _take_lost(self, host_id: str, target_id: str, started_ms: int) -> None:
         """Leave out what another host found lost, until it answers this one."""
         directory, now = self._view.directory, self._view.clock.now()
--- a/radishfield/forwarding/_plain.py
+++ b/radishfield/forwarding/_plain.py
@@ -15,7 +15,7 @@
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import Headers
 from radishfield.routing import FailureBook, TargetRecord, choose_target
-from radishfield.telemetry import Telemetry, log_event
+from radishfield.telemetry import DeferredTelemetry, log_event
 
 NO_TARGET_RETRY_S = 0.6
 """A target that was lost is replaced or found alive within about a second."""
@@ -43,7 +43,9 @@
 
     __slots__ = ("_failures", "_targets", "_telemetry", "_view")
 
-    def __init__(self, targets: Targets, view: RouterView, telemetry: Telemetry):
+    def __init__(
+        self, targets: Targets, view: RouterView, telemetry: DeferredTelemetry
+    ):
         self._targets = targets
         self._view = view
         self._telemetry = telemetry
@@ -124,8 +126,7 @@
         return None
 
     def _may_repeat(self, call: Call, problem: Fault) -> bool:
-        budget = self._view.budget(call.service.name)
-        if not budget.take(self._view.clock.now(), self._view.hosts):
+        if not self._view.take_repeat(call.service.name):
             self._telemetry.refused(ResultCode.RETRY_BUDGET_SPENT)
             log_event(
                 "retry.refused", request=call.facts.request_id, hosts=self._view.hosts
--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -31,9 +31,9 @@
     TalkSettings,
 )
 from radishfield.telemetry import (
+    DeferredTelemetry,
     LineWriter,
     LogSetup,
-    Telemetry,
     configure_logs,
     log_event,
 )
@@ -97,13 +97,13 @@
             settings.caller.bind, drain_s=0.0
         )
         self._caller_config.keep_alive_timeout += IDLE_SLACK_S
-        telemetry = Telemetry()
+        telemetry = DeferredTelemetry()
         if lines is not None:
             self._kernel.register("lines", lines)
         self._register(settings, clock, telemetry)
 
     def _register(
-        self, settings: EntrySettings, clock: SystemClock, telemetry: Telemetry
+        self, settings: EntrySettings, clock: SystemClock, telemetry: DeferredTelemetry
     ) -> None:
         view, register = self.view, self._kernel.register
         store = ObjectStore(settings.platform.address, clock)
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -20,7 +20,7 @@
     PathFinder,
     event_ids,
 )
-from radishfield.telemetry import Telemetry, log_event
+from radishfield.telemetry import DeferredTelemetry, log_event
 
 PATIENCE_S = 1.2
 """Longest wait for room: the caller leaves two seconds after it asked, and the
@@ -54,7 +54,7 @@
         targets: Targets,
         guard: StreamGuard,
         view: RouterView,
-        telemetry: Telemetry,
+        telemetry: DeferredTelemetry,
     ):
         self._targets = targets
         self._guard = guard
@@ -106,9 +106,10 @@
             problem = result.error
             if problem.outcome is Outcome.NOT_RUN:
                 refusals += 1
-                excluded.add(problem.target_id or placed.ok[0].target_id)
                 if refusals > MORE_REFUSALS:
                     return self._final(call, problem)
+                if problem.code is not ResultCode.TARGET_REFUSED:
+                    excluded.add(placed.ok[0].target_id)
                 continue
             runs += 1
             excluded.add(placed.ok[0].target_id)
@@ -126,8 +127,7 @@
         return problem
 
     def _may_repeat(self, call: Call, problem: Fault) -> bool:
-        budget = self._view.budget(call.service.name)
-        if not budget.take(self._view.clock.now(), self._view.hosts):
+        if not self._view.take_repeat(call.service.name):
             self._telemetry.refused(ResultCode.RETRY_BUDGET_SPENT)
             log_event(
                 "retry.refused", request=call.facts.request_id, hosts=self._view.hosts
@@ -154,14 +154,15 @@
         demand = progress.demand(engine)
         while True:
             now = self._view.clock.now()
-            records = self._view.directory.usable(call.service.name, now)
-            pool = [record for record in records if record.id not in excluded]
+            roomy = self._view.usable_with_room(call.service.name)
+            pool = [record for record in roomy if record.id not in excluded]
             finder = PathFinder(engine, self._view.load, self._view.zone)
             path = finder.find(pool, demand, pace_by_id=self._view.pace_by_id)
             if path is not None:
                 return Ok(path)
-            if not _covered(pool, engine):
-                detail = f"{len(pool)} of {len(records)} targets left"
+            records = self._view.directory.usable(call.service.name, now)
+            if not _covered(records, engine):
+                detail = f"{len(records)} targets are left"
                 return Error(fault(ResultCode.NO_TARGET, detail, NO_PATH_RETRY_S))
             if now >= give_up_at:
                 return Error(
--- a/radishfield/forwarding/_targets.py
+++ b/radishfield/forwarding/_targets.py
@@ -24,13 +24,18 @@
     TargetReport,
     UnknownKey,
 )
-from radishfield.telemetry import Telemetry, log_event
+from radishfield.telemetry import DeferredTelemetry, log_event
 
 REPORT_TIMEOUT_S = 0.4
 """A report needs no place in the target's queue; a live target of the region
 answers in milliseconds, and one lost packet is not yet held for a death."""
 ORDER_TIMEOUT_S = 1.5
+MISDIRECTED = 421
+FULL_S = 0.25
+"""Time after which a target that was full may have room again: a request of usual
+size ends at a busy target every few hundredths of a second."""
 LONGEST_REFUSAL_S = 1.0
+ELSEWHERE_RETRY_S = 0.1
 STALE_RETRY_S = 3.5
 """A store that is out of reach for this long mostly stays so for seconds more;
 callers come back once, so they are told to come late rather than in vain."""
@@ -50,7 +55,10 @@
     __slots__ = ("_connections", "_telemetry", "_view", "orders_by_status", "reports")
 
     def __init__(
-        self, connections: TargetConnections, view: RouterView, telemetry: Telemetry
+        self,
+        connections: TargetConnections,
+        view: RouterView,
+        telemetry: DeferredTelemetry,
     ):
         self._connections = connections
         self._view = view
@@ -83,7 +91,7 @@
             case workspace:
                 call.workspace = workspace
         if not self._view.freshness.admits_keys(now):
-            return fault(ResultCode.PROFILES_UNKNOWN, "stale", STALE_RETRY_S)
+            return stale_view(self._view)
         return None
 
     async def send(
@@ -193,6 +201,8 @@
         at_fault = record
         if facts.faulty_address:
             at_fault = self._view.directory.at_address(facts.faulty_address) or record
+        if call.service.engine is not None:
+            self._leave_out(at_fault, facts.status)
         log_event(
             "attempt.refused",
             request=call.facts.request_id,
@@ -204,6 +214,30 @@
         detail = f"status {facts.status}"
         return Fault(ResultCode.TARGET_REFUSED, detail, None, None, at_fault.id)
 
+    def _leave_out(self, record: TargetRecord, status: int) -> None:
+        """Leave a part of a path out for a moment after it refused work.
+
+        One that is full refuses the next request as well, and each refusal counts
+        as a repeat; one that does not hold its layers any more refuses until the
+        list shows it.
+        """
+        if status == MISDIRECTED:
+            self._view.directory.suspect(record.id, self._view.clock.now())
+        else:
+            self._view.mark_full(record.id, FULL_S)
+
+
+def stale_view(view: RouterView) -> Fault:
+    """Return the refusal of a key by a view that may be too old to know it.
+
+    Where other hosts reach the store a caller that comes back at once is served by
+    one of them; where none does, coming back soon would be in vain.
+    """
+    age_s = round(view.freshness.age_s(view.clock.now()), 2)
+    detail = f"configuration confirmed {age_s} s ago"
+    retry_s = ELSEWHERE_RETRY_S if view.sends_callers_away() else STALE_RETRY_S
+    return fault(ResultCode.PROFILES_UNKNOWN, detail, retry_s)
+
 
 def _late(call: Call) -> Fault:
     if call.may_have_run:
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -1,5 +1,6 @@
 """What this host believes at the moment: configuration, targets, load, peers."""
 
+import math
 import random
 from dataclasses import dataclass, field
 
@@ -11,14 +12,37 @@
     LoadBook,
     RetryAllowance,
     RetryBudget,
+    RetryUse,
     RouteRule,
     RoutingTable,
     ServiceSpec,
     TargetDirectory,
+    TargetRecord,
+    sends_callers_away,
     takes_work,
 )
 
 
+@dataclass(slots=True)
+class PeerState:
+    """What is known of the other hosts at the moment.
+
+    Attributes
+    ----------
+    heard : int
+        Hosts that were heard lately.
+    freshest_s : float
+        Least age of a configuration at one of them, in seconds.
+    was_heard : bool
+        Some host has been heard since the start.
+    """
+
+    heard: int = 0
+    freshest_s: float = math.inf
+    was_heard: bool = False
+    use_by_service_by_host: dict[str, dict[str, RetryUse]] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class RouterView:
     """Shared by all services of the process; only the followers and peers write it.
@@ -28,6 +52,10 @@
     hosts : int
         Entry hosts that share the fleet's allowances, this one included; counts
         hosts that are cut off too, since they go on spending.
+    talk : PeerState
+        What the hosts that were heard lately say.
+    full_until_by_id : dict
+        Until when a target that refused work for want of room is left out.
     duty_told_at : dict
         When another host last said that it holds a service's placement.
     room_freed : trio.Event
@@ -48,6 +76,8 @@
     in_flight: int = 0
     chance: random.Random = field(default_factory=random.Random)
     room_freed: trio.Event = field(default_factory=trio.Event)
+    talk: PeerState = field(default_factory=PeerState)
+    full_until_by_id: dict[str, float] = field(default_factory=dict)
     duty_told_at: dict[str, float] = field(default_factory=dict)
     _budget_by_service: dict[str, RetryBudget] = field(default_factory=dict)
 
@@ -63,6 +93,46 @@
             leaving_for_s = self.clock.now() - self.leaving_since
         return takes_work(leaving_for_s, self.grace_s, longest_s)
 
+    def sends_callers_away(self) -> bool:
+        """Return whether callers are better served by other hosts."""
+        own_age_s = self.freshness.store_age_s(self.clock.now())
+        talk = self.talk
+        return sends_callers_away(
+            own_age_s, talk.heard, talk.freshest_s, talk.was_heard
+        )
+
+    def take_repeat(self, service: str) -> bool:
+        """Take one repeat out of the allowance that all hosts share."""
+        others = [
+            by_service.get(service, RetryUse())
+            for by_service in self.talk.use_by_service_by_host.values()
+        ]
+        return self.budget(service).take(self.clock.now(), self.hosts, others)
+
+    def retry_use(self) -> dict[str, RetryUse]:
+        """Return what this host used of each service's allowance."""
+        now = self.clock.now()
+        return {
+            service: budget.use(now)
+            for service, budget in self._budget_by_service.items()
+        }
+
+    def mark_full(self, target_id: str, seconds: float) -> None:
+        """Leave a target out for a moment: it refused work for want of room."""
+        self.full_until_by_id[target_id] = self.clock.now() + seconds
+
+    def usable_with_room(self, service: str) -> list[TargetRecord]:
+        """Return the targets that may be sent work and did not just refuse some."""
+        now = self.clock.now()
+        for target_id, until in list(self.full_until_by_id.items()):
+            if until <= now:
+                del self.full_until_by_id[target_id]
+        return [
+            record
+            for record in self.directory.usable(service, now)
+            if record.id not in self.full_until_by_id
+        ]
+
     def budget(self, service: str) -> RetryBudget:
         """Return the service's allowance of repeats."""
         budget = self._budget_by_service.get(service)
--- a/radishfield/platform/_store.py
+++ b/radishfield/platform/_store.py
@@ -18,6 +18,9 @@
 CALL_TIMEOUT_S = 2.0
 """The store answers in milliseconds; slower than this is a store in trouble."""
 CONNECT_TIMEOUT_S = 1.0
+WATCH_MARGIN_S = 1.0
+"""A watch whose answer is this late has lost its connection, which can fall silent
+without a sign; a store that is slow takes some hundred milliseconds."""
 MAX_ANSWER_BYTES = 8 << 20
 """A page is about a megabyte; more than this is a broken answer."""
 KEEPALIVE_S = 30.0
@@ -159,7 +162,7 @@
     ) -> Result[Changes, Fault]:
         """Wait for changes after a revision, for ``wait_s`` seconds at most."""
         query = f"?watch={revision}&waitMs={int(wait_s * 1000)}"
-        limit_s = wait_s + CALL_TIMEOUT_S
+        limit_s = wait_s + WATCH_MARGIN_S
         answer = await self._call("watch", "GET", _path(kind) + query, limit_s=limit_s)
         return answer.bind(_decode_changes)
 
--- a/radishfield/routing/__init__.py
+++ b/radishfield/routing/__init__.py
@@ -3,7 +3,7 @@
 Nothing here does I/O or reads a clock: time and chance are arguments.
 """
 
-from radishfield.routing._budget import RetryAllowance, RetryBudget
+from radishfield.routing._budget import RetryAllowance, RetryBudget, RetryUse
 from radishfield.routing._choice import FailureBook, choose_target
 from radishfield.routing._directory import Removal, TargetDirectory
 from radishfield.routing._events import EventSplitter, event_ids
@@ -41,6 +41,7 @@
     TargetReport,
     Workspace,
 )
+from radishfield.routing._vouching import Word, sends_callers_away, vouched_at
 
 __all__ = [
     "END_MARGIN_S",
@@ -66,6 +67,7 @@
     "RequestLimits",
     "RetryAllowance",
     "RetryBudget",
+    "RetryUse",
     "RouteKind",
     "RouteRule",
     "RoutingConfig",
@@ -79,6 +81,7 @@
     "TargetReport",
     "UnknownKey",
     "Wait",
+    "Word",
     "Workspace",
     "block_layers",
     "capacity_token_layers",
@@ -87,5 +90,7 @@
     "event_ids",
     "next_step",
     "plan_layout",
+    "sends_callers_away",
     "takes_work",
+    "vouched_at",
 ]
--- a/radishfield/routing/_budget.py
+++ b/radishfield/routing/_budget.py
@@ -1,18 +1,25 @@
-"""How often a service may be sent a request again, as this host's part of it.
+"""How often a service may be sent a request again, by all hosts together.
 
 Load pattern: a target fails much of its work and each failure is sent again, so
-that the targets that are left get the load twice.  All hosts share one allowance:
-a ratio of the first tries in a window and a fixed slack.  Without a word between
-them each host may spend the ratio of its own first tries and its part of the
-slack; whatever the hosts do, the sum stays within the whole.
+that the targets that are left get the load twice.  All hosts share one allowance: a
+ratio of the first tries in a window and a fixed slack.  Divided evenly, a host at
+which all the failures fall runs out while the others' parts lie idle: with nine
+hosts one could repeat twenty requests in ten seconds, and a dead target breaks more.
+So each host tells what it has used, and takes from what is left over all hosts, no
+more at a time than would still fit if every other one did the same at that moment.
 """
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-SAFETY = 0.8
-"""Part of the allowance that is used: windows slide, and first tries of a window
-may fall while its repeats still arrive."""
+SAFETY = 0.75
+"""Part of the allowance that is used: windows slide, and what others told is up to
+a second old."""
+
+LAG_S = 1.0
+"""Longest time until all hosts have heard of a repeat; within it a host takes no
+more than its even part of what is left."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -32,6 +39,14 @@
     slack: float = 50.0
 
 
+@dataclass(slots=True, frozen=True)
+class RetryUse:
+    """First tries and repeats of one host in its last window."""
+
+    firsts: int = 0
+    repeats: int = 0
+
+
 @dataclass(slots=True)
 class RetryBudget:
     """One service's repeats at this host, over a sliding window."""
@@ -45,12 +60,31 @@
         self._firsts.append(now)
         self._forget(now)
 
-    def take(self, now: float, hosts: int) -> bool:
-        """Take one repeat out; False if this host's part is spent."""
+    def use(self, now: float) -> RetryUse:
+        """Return what this host used, for the others."""
+        self._forget(now)
+        return RetryUse(len(self._firsts), len(self._repeats))
+
+    def take(self, now: float, hosts: int, others: Iterable[RetryUse] = ()) -> bool:
+        """Take one repeat out; False if nothing is left for this host.
+
+        Parameters
+        ----------
+        hosts : int
+            All hosts, this one included.
+        others : iterable of RetryUse
+            What the hosts that are heard of have used.  The even part of those
+            that are silent counts as used up.
+        """
         self._forget(now)
-        slack = self.allowance.slack / max(1, hosts)
-        allowed = SAFETY * (self.allowance.ratio * len(self._firsts) + slack)
-        if len(self._repeats) + 1 > allowed:
+        told = list(others)
+        heard = 1 + len(told)
+        firsts = len(self._firsts) + sum(use.firsts for use in told)
+        repeats = len(self._repeats) + sum(use.repeats for use in told)
+        slack = self.allowance.slack * min(1.0, heard / max(1, hosts))
+        left = SAFETY * (self.allowance.ratio * firsts + slack) - repeats
+        just_taken = sum(1 for at in self._repeats if at > now - LAG_S)
+        if (just_taken + 1) * heard > left + just_taken:
             return False
         self._repeats.append(now)
         return True
--- a/radishfield/routing/_freshness.py
+++ b/radishfield/routing/_freshness.py
@@ -21,13 +21,23 @@
     ----------
     bound_s : float
         Seconds after which a key that was taken away must be refused everywhere.
+    confirmed_at, store_at : float or None
+        When the view was last known to be the newest, by anybody's word and by
+        the store's own.
     """
 
     bound_s: float
     confirmed_at: float | None = None
+    store_at: float | None = None
 
     def confirm(self, asked_at: float) -> None:
         """Note an answer of the store to a call that was sent at ``asked_at``."""
+        if self.store_at is None or asked_at > self.store_at:
+            self.store_at = asked_at
+        self.vouch(asked_at)
+
+    def vouch(self, asked_at: float) -> None:
+        """Note that the view was the newest at ``asked_at``, by anybody's word."""
         if self.confirmed_at is None or asked_at > self.confirmed_at:
             self.confirmed_at = asked_at
 
@@ -37,6 +47,12 @@
             return float("inf")
         return now - self.confirmed_at
 
+    def store_age_s(self, now: float) -> float:
+        """Return the seconds since the store itself last confirmed the view."""
+        if self.store_at is None:
+            return float("inf")
+        return now - self.store_at
+
     def admits_keys(self, now: float) -> bool:
         """Return whether a key that is known may still be taken for valid."""
         return self.age_s(now) < self.bound_s - MARGIN_S
--- a/radishfield/routing/small_test.py
+++ b/radishfield/routing/small_test.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -14,6 +15,7 @@
     LoadBook,
     RetryAllowance,
     RetryBudget,
+    RetryUse,
     Wait,
     choose_target,
     event_ids,
@@ -23,24 +25,44 @@
 from radishfield.routing.conftest import make_target
 
 
-def test_hosts_together_stay_within_the_allowance_while_all_fail():
+def most_in_a_window(repeats, window_s=10.0):
+    """Return the most repeats that any span of the window's length holds."""
+    times = sorted(repeats)
+    return max(
+        sum(start <= at < start + window_s for at in times) for start in times[::7]
+    )
+
+
+@pytest.mark.parametrize("silent", [0, 8])
+def test_hosts_together_stay_within_the_allowance_while_all_fail(silent):
     """A service fails every request, and nine hosts repeat what they can.
 
-    Each knows its own first tries only; what they send together in a window
-    must stay below the ratio of all first tries and the slack.
+    Each hears the others once a second, or not at all; what they send together
+    in any window stays below the ratio of all first tries and the slack.
     """
-    allowance = RetryAllowance(0.2, 10.0, 200.0)
-    budgets = [RetryBudget(allowance) for _ in range(9)]
+    budgets = [RetryBudget(RetryAllowance(0.2, 10.0, 200.0)) for _ in range(9)]
+    told = [RetryUse()] * 9
     repeats = []
     for tick in range(3000):
-        now = tick * 0.01
-        budget = budgets[tick % 9]
-        budget.first_try(now)
-        if budget.take(now, hosts=9):
+        now, index = tick * 0.01, tick % 9
+        if tick % 100 == 0:
+            told = [budget.use(now) for budget in budgets]
+        budgets[index].first_try(now)
+        others = [] if silent else told[:index] + told[index + 1 :]
+        while budgets[index].take(now, 9, others):
             repeats.append(now)
-    for start in range(20):
-        sent = sum(start <= at < start + 10 for at in repeats)
-        assert sent <= 0.2 * 1000 + 200
+    assert most_in_a_window(repeats) <= 0.2 * 1000 + 200
+
+
+def test_one_host_may_use_what_the_others_leave():
+    """A dead target breaks forty streams, all of one host.
+
+    Its even part of the slack is twenty; the other hosts use none of theirs.
+    """
+    budget = RetryBudget(RetryAllowance(0.2, 10.0, 200.0))
+    others = [RetryUse(45, 0)] * 8
+    taken = sum(budget.take(at / 40, 9, others) for at in range(100))
+    assert taken >= 40
 
 
 def test_a_quiet_service_may_still_repeat():
--- a/radishfield/telemetry/__init__.py
+++ b/radishfield/telemetry/__init__.py
@@ -1,5 +1,9 @@
 """What an entry host tells about itself: logs, metrics and request records."""
 
+from importlib import import_module
+
+from radishfield.telemetry._deferred import DeferredTelemetry
+from radishfield.telemetry._kinds import RequestKind
 from radishfield.telemetry._lines import LineWriter
 from radishfield.telemetry._logs import (
     LogSetup,
@@ -7,7 +11,6 @@
     current_request_id,
     log_event,
 )
-from radishfield.telemetry._metrics import NullTelemetry, RequestKind, Telemetry
 from radishfield.telemetry._records import (
     RecordedEvent,
     RecordKind,
@@ -15,21 +18,27 @@
     RequestRecords,
 )
 
+_MODULE_BY_LAZY_NAME = {
+    "NullTelemetry": "radishfield.telemetry._metrics",
+    "Telemetry": "radishfield.telemetry._metrics",
+    "TelemetryObserver": "radishfield.telemetry._observer",
+}
+
 
 def __getattr__(name: str):
-    """Load the dispatcher's observer on first use.
+    """Load the metrics and the dispatcher's observer on first use.
 
-    It needs the scheduler and with it the graph library, 13 MB that a router of
-    the users' platform never uses.
+    The one takes a fifth of a router's start, the other needs the scheduler and
+    with it the graph library, 13 MB that a router never uses.
     """
-    if name == "TelemetryObserver":
-        from radishfield.telemetry._observer import TelemetryObserver
-
-        return TelemetryObserver
-    raise AttributeError(name)
+    module = _MODULE_BY_LAZY_NAME.get(name)
+    if module is None:
+        raise AttributeError(name)
+    return getattr(import_module(module), name)
 
 
 __all__ = [
+    "DeferredTelemetry",
     "LineWriter",
     "LogSetup",
     "NullTelemetry",
--- a/radishfield/telemetry/_logs.py
+++ b/radishfield/telemetry/_logs.py
@@ -74,8 +74,8 @@
         Takes the lines in place of a stream that is written at once.
     """
     root = logging.getLogger()
-    for handler in list(root.handlers):
-        root.removeHandler(handler)
+    for earlier in list(root.handlers):
+        root.removeHandler(earlier)
     root.setLevel(setup.level.upper())
     if setup.destination == "off":
         root.addHandler(logging.NullHandler())
--- a/radishfield/telemetry/_metrics.py
+++ b/radishfield/telemetry/_metrics.py
@@ -8,7 +8,6 @@
 tokens, which has a counter of its own.
 """
 
-import enum
 from collections.abc import Callable, Mapping, Sequence
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
@@ -17,6 +16,7 @@
 from prometheus_client import CollectorRegistry, generate_latest
 
 from radishfield.core import Outcome, ResultCode
+from radishfield.telemetry._kinds import RequestKind
 
 # A prime, so that the sample does not keep step with tokens per chunk.
 TOKEN_GAP_SAMPLE = 7
@@ -30,14 +30,6 @@
 RETRY_CODES = tuple(code for code in ResultCode if 4000 < code < 5000)
 
 
-class RequestKind(enum.StrEnum):
-    """What was asked for; ``UNREAD`` was refused before that was known."""
-
-    MODEL = "model"
-    SERVICE = "service"
-    UNREAD = "unread"
-
-
 class Telemetry:
     """The metrics of one entry host."""
 
@@ -89,22 +81,29 @@
         )
         self._start_series()
 
-    def refused(self, code: ResultCode) -> None:
+    def refused(self, code: ResultCode, count: int = 1) -> None:
         """Count a request that was refused, whatever the reason."""
-        self._refusals.add(1, _code_labels(code))
+        self._refusals.add(count, _code_labels(code))
 
-    def retried(self, code: ResultCode) -> None:
+    def retried(self, code: ResultCode, count: int = 1) -> None:
         """Count an attempt after the first, by what failed before."""
-        self._retries.add(1, _code_labels(code))
+        self._retries.add(count, _code_labels(code))
 
     def ended(
         self, kind: RequestKind, outcome: Outcome, code: ResultCode, seconds: float
     ) -> None:
         """Count a request that ended, and its time since arrival."""
+        self.count_ended(kind, outcome, code, 1)
         labels = {"kind": str(kind), "outcome": str(outcome)}
-        self._requests.add(1, labels | {"code": str(int(code))})
         self._request_time.record(seconds, labels)
 
+    def count_ended(
+        self, kind: RequestKind, outcome: Outcome, code: ResultCode, count: int
+    ) -> None:
+        """Count requests that ended, without their times."""
+        labels = {"kind": str(kind), "outcome": str(outcome)}
+        self._requests.add(count, labels | {"code": str(int(code))})
+
     def first_token(self, seconds: float) -> None:
         """Record the time from arrival to a request's first token."""
         self._tokens += 1
