--- a/radishfield/platform/_store.py
+++ b/radishfield/platform/_store.py
@@ -153,9 +153,14 @@
                 return Error(page.error)
             values += [_value(item) for item in page.ok.items]
             revision = page.ok.current_rev if revision is None else revision
-            if not page.ok.truncated or not values[-1].name:
+            if not page.ok.truncated:
                 return Ok(Listing(tuple(values), revision))
-            after = values[-1].name
+            names = [value.name for value in values if value.name]
+            if not names or names[-1] == after:
+                # No name to go on from; half a list would drop the other half.
+                detail = f"no readable name after {after!r}"
+                return Error(fault(ResultCode.PLATFORM_MALFORMED, detail))
+            after = names[-1]
 
     async def watch(
         self, kind: str, revision: int, wait_s: float
--- /dev/null
+++ b/radishfield/platform/adapter_test.py
@@ -0,0 +1,234 @@
+"""The adapter: the platform's names and formats into the project's own, and back."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from radishfield.core import ResultCode
+from radishfield.platform import (
+    SendFacts,
+    caller_headers,
+    decode_config,
+    decode_report,
+    decode_target,
+    own_answer_headers,
+    place_order,
+    read_answer,
+    read_request,
+    repath_order,
+    target_headers,
+)
+from radishfield.routing import (
+    LayerSpan,
+    PathPart,
+    RouteKind,
+    TargetPhase,
+    Workspace,
+)
+
+ENTRY = {
+    "service": "pool",
+    "addr": "10.0.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 96,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "stage": "both",
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "seq": 4,
+    "kind": "l4",
+    "layers": {"from": 20, "target": 31, "version": 2},
+    "born": 1700000000123,
+    "unheardOf": {"x": 1},
+}
+ROUTE = {
+    "name": "r-1",
+    "host": "H.example",
+    "pathPrefix": "/a/",
+    "kind": "streaming",
+    "timeoutMs": 20000,
+    "sloMs": 500,
+    "priority": 1,
+    "split": [{"service": "x", "weight": 90}, {"service": "y", "weight": 10}],
+    "maxAttempts": 2,
+    "public": False,
+    "sticky": True,
+    "resumable": True,
+    "gapAimMs": 200,
+}
+
+
+def test_an_entry_becomes_a_target_and_unknown_fields_pass():
+    target = decode_target("i-1", ENTRY).ok
+    assert target.incarnation == ("i-1", 1700000000123)
+    assert target.phase is TargetPhase.READY
+    assert target.span == LayerSpan(20, 31)
+    assert target.weights_version == 2
+    assert target.accelerator == "l4"
+
+
+@pytest.mark.parametrize(
+    "spec",
+    [
+        None,
+        [],
+        "ready",
+        {},
+        ENTRY | {"addr": None},
+        ENTRY | {"addr": "10.0.0.9"},
+        ENTRY | {"addr": "10.0.0.9:http"},
+        ENTRY | {"state": "resting"},
+        ENTRY | {"state": 1},
+        ENTRY | {"slots": "many"},
+        ENTRY | {"layers": {"from": "0"}},
+        ENTRY | {"born": "yesterday"},
+    ],
+)
+def test_an_entry_of_another_writer_names_no_target(spec):
+    problem = decode_target("i-1", spec).error
+    assert problem.code is ResultCode.PLATFORM_MALFORMED
+    assert "i-1" in problem.detail
+
+
+@given(st.recursive(st.none() | st.booleans() | st.integers() | st.text(), st.lists))
+def test_no_entry_whatever_it_holds_raises(spec):
+    decode_target("i-1", spec)
+    decode_target("i-1", ENTRY | {"state": spec, "layers": spec})
+
+
+def test_layers_that_hold_nothing_are_none():
+    empty = {"from": 0, "target": 0, "version": 0}
+    assert decode_target("i-1", ENTRY | {"layers": empty}).ok.span is None
+    assert decode_target("i-1", ENTRY | {"layers": None}).ok.span is None
+
+
+def test_a_configuration_becomes_routes_services_and_workspaces():
+    spec = {
+        "version": 7,
+        "routes": [ROUTE, ROUTE | {"pathPrefix": "/b/", "kind": "other"}],
+        "services": [{"name": "x", "engine": {"layers": 80, "slots": 96}}],
+        "limits": {"idleTimeoutMs": 15000},
+        "tenants": [{"name": "w", "apiKeys": ["k1", "k2"], "priority": 1}],
+    }
+    config = decode_config(spec).ok
+    first, second = config.routes
+    assert (first.host, first.kind) == ("h.example", RouteKind.STREAM)
+    assert (first.timeout_s, first.objective_s) == (20.0, 0.5)
+    assert [share.service for share in first.shares] == ["x", "y"]
+    assert second.kind is RouteKind.ONCE
+    assert config.workspace_by_key["k2"] == Workspace("w", 1)
+    assert config.keys_required
+    assert config.limits.idle_timeout_s == 15.0
+
+
+@pytest.mark.parametrize(
+    "spec", [None, {}, {"version": -1}, {"version": 1, "routes": 3}]
+)
+def test_a_configuration_that_cannot_be_read_is_one_fault(spec):
+    assert decode_config(spec).error.code is ResultCode.PLATFORM_MALFORMED
+
+
+def test_a_request_is_read_whatever_is_missing_or_wrong():
+    facts = read_request([(b"host", b"h"), (b"x-deadline-ms", b"soon")])
+    assert facts.deadline_s is None
+    assert (facts.prompt_tokens, facts.key) == (0, "")
+    facts = read_request(
+        [
+            (b"authorization", b"Token k1"),
+            (b"x-deadline-ms", b"1500"),
+            (b"x-token-counts", b"1460,80"),
+            (b"x-length-hint", b"70"),
+        ]
+    )
+    assert (facts.key, facts.deadline_s) == ("k1", 1.5)
+    assert (facts.prompt_tokens, facts.most_answer_tokens) == (1460, 80)
+    assert facts.likely_answer_tokens == 70
+
+
+@given(st.lists(st.tuples(st.binary(max_size=12), st.binary(max_size=12)), max_size=8))
+def test_no_header_raises(headers):
+    read_request(headers)
+    read_answer(200, headers)
+
+
+def test_a_target_gets_what_is_left_and_never_the_key():
+    """A caller sends headers that only the router may set.
+
+    Passed on, a caller could claim another workspace or choose the targets.
+    """
+    caller = [
+        (b"host", b"h"),
+        (b"authorization", b"Token k1"),
+        (b"x-tenant", b"another"),
+        (b"x-hop-count", b"1.2.3.4:5=0-80"),
+        (b"x-expect-instance", b"i-9"),
+        (b"x-deadline-ms", b"99999"),
+        (b"connection", b"keep-alive, x-private"),
+        (b"x-private", b"1"),
+        (b"transfer-encoding", b"chunked"),
+        (b"x-model", b"m"),
+    ]
+    path = (PathPart("i-1", "10.0.0.1:80", LayerSpan(0, 80)),)
+    facts = SendFacts("i-1", 1.25, "w", path, b"12")
+    sent = dict(target_headers(caller, facts, body_bytes=3))
+    assert sent == {
+        b"host": b"h",
+        b"x-model": b"m",
+        b"x-deadline-ms": b"1250",
+        b"x-expect-instance": b"i-1",
+        b"x-tenant": b"w",
+        b"x-hop-count": b"10.0.0.1:80=0-80",
+        b"last-event-id": b"12",
+        b"content-length": b"3",
+    }
+
+
+def test_an_answer_is_read_for_what_it_proves():
+    facts = read_answer(503, [(b"X-Not-Executed", b"1"), (b"At-Server", b"1.2.3.4:5")])
+    assert facts.not_run and facts.faulty_address == "1.2.3.4:5"
+    assert read_answer(421, []).not_run
+    assert not read_answer(503, []).not_run
+    facts = read_answer(
+        200, [(b"Connection", b"close"), (b"Keep-Alive", b"timeout=5, max=3")]
+    )
+    assert facts.closes and facts.idle_s == 5.0
+
+
+def test_what_concerns_one_connection_does_not_reach_the_caller():
+    headers = [(b"Connection", b"close"), (b"Keep-Alive", b"timeout=5"), (b"X-A", b"1")]
+    assert caller_headers(headers, whole=True) == [(b"x-a", b"1")]
+
+
+def test_own_answers_carry_the_callers_id_and_when_to_come_back():
+    headers = dict(own_answer_headers("r1", 0.25))
+    assert headers[b"x-request-id"] == b"r1"
+    assert headers[b"retry-after"] == b"0.25"
+    assert b"retry-after" not in dict(own_answer_headers("r1", None))
+
+
+def test_orders_and_reports_speak_the_targets_words():
+    order = msgspec.json.decode(place_order(LayerSpan(20, 31), 9, 2))
+    assert order == {
+        "operation": "place",
+        "strategy": "queue",
+        "from": 20,
+        "target": 31,
+        "fence": 9,
+        "expectRev": 2,
+    }
+    path = (
+        PathPart("i-1", "10.0.0.1:80", LayerSpan(0, 20)),
+        PathPart("i-2", "10.0.0.2:80", LayerSpan(20, 80)),
+    )
+    moved = msgspec.json.decode(repath_order("r1", path))
+    assert moved["path"] == "10.0.0.1:80=0-20,10.0.0.2:80=20-80"
+    report = decode_report(
+        b'{"busy":true,"seq":2,"waiting":1,"running":12,"kvUsed":41000,"kvTotal":9e4,'
+        b'"stalled":[{"id":"r1","addr":"10.0.0.2:80"}],"pace":1.5}'
+    ).ok
+    assert (report.busy, report.order_count, report.pace) == (True, 2, 1.5)
+    assert report.stalled == (("r1", "10.0.0.2:80"),)
+    assert decode_report(b"[]").is_error()
+    assert decode_report(b"\xff").is_error()
