--- a/radishfield/forwarding/_active.py
+++ b/radishfield/forwarding/_active.py
@@ -15,7 +15,6 @@
     EngineSpec,
     GiveUp,
     Path,
-    PathFinder,
     next_step,
 )
 from radishfield.telemetry import log_event
@@ -228,7 +227,7 @@
         now = self._clock.now()
         records = self._view.directory.usable(stream.call.service.name, now)
         sound = [item for item in records if item.address not in bad]
-        finder = PathFinder(stream.engine, self._view.load, self._view.zone)
+        finder = self._view.path_finder(stream.engine)
         held = {part.target_id for part in stream.path}
         return finder.find(
             sound, stream.demand, stream.path[0], self._view.pace_by_id, held
@@ -240,6 +239,7 @@
         self._count(stream, stream.path, self._view.load.ended)
         stream.path = path
         self._count(stream, path, self._view.load.started)
+        self._view.note_crossings(stream.engine, path, stream.demand.prompt)
         # The new parts read the prompt again before the next event.
         stream.heard_at = max(stream.heard_at, self._clock.now() - TICK_S)
 
--- a/radishfield/forwarding/_peers.py
+++ b/radishfield/forwarding/_peers.py
@@ -17,7 +17,7 @@
 from radishfield.core import ResultCode
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import ObjectStore
-from radishfield.routing import Held, RetryUse, Word, vouched_at
+from radishfield.routing import Held, RetryUse, Word, pair_of, vouched_at
 from radishfield.telemetry import log_event
 from radishfield.web import backoff_s
 
@@ -48,6 +48,12 @@
     repeats: int
 
 
+class _PipeShare(msgspec.Struct, array_like=True):
+    zone: str
+    other: str
+    share: float
+
+
 class _Echo(msgspec.Struct, array_like=True):
     """A host, and the time on its own clock at which it sent what was heard last."""
 
@@ -78,6 +84,7 @@
     config_age_s: float
     echoes: list[_Echo]
     uses: list[_Use]
+    pipes: list[_PipeShare]
 
 
 class _HostBody(msgspec.Struct):
@@ -230,6 +237,10 @@
                     _Use(service, use.firsts, use.repeats)
                     for service, use in self._view.retry_use().items()
                 ],
+                [
+                    _PipeShare(zone, other, round(share, 3))
+                    for (zone, other), share in self._view.pipes.own_shares(now).items()
+                ],
             )
         )
 
@@ -287,6 +298,10 @@
         self._view.talk.use_by_service_by_host[telling.host_id] = {
             use.service: RetryUse(use.firsts, use.repeats) for use in telling.uses
         }
+        self._view.pipes.told(
+            telling.host_id,
+            {pair_of(item.zone, item.other): item.share for item in telling.pipes},
+        )
         held_by_id = {
             item.target_id: Held(item.requests, item.token_layers, item.as_first)
             for item in telling.work
@@ -325,6 +340,7 @@
         for host_id in list(talk.use_by_service_by_host):
             if host_id not in alive:
                 del talk.use_by_service_by_host[host_id]
+                self._view.pipes.forget(host_id)
 
     def _take_lost(self, host_id: str, target_id: str, started_ms: int) -> None:
         """Leave out what another host found lost, until it answers this one."""
--- a/radishfield/forwarding/_placer.py
+++ b/radishfield/forwarding/_placer.py
@@ -23,6 +23,7 @@
     ServiceSpec,
     TargetRecord,
     plan_layout,
+    plan_move,
 )
 from radishfield.telemetry import log_event
 
@@ -34,10 +35,20 @@
 without a copy; so it waits until none has come for this long."""
 LONGEST_SETTLE_S = 5.0
 """A fleet whose targets come and go all the time is planned for after this."""
+START_SHARE = 0.3
+"""Share of a service's targets that are empty from which on the fleet starts.  Below
+it targets are replaced one after the other, and waiting for the last of them would
+leave each one idle for seconds while those it replaces leave."""
 LEASE_S = 2.0
 """A lease whose object has not changed for this long, as the host that wants it has
 watched, is free: a holder renews four times in it while it has orders to give.  A
 holder that wakes late and orders all the same names counts that no longer fit."""
+MOVE_AFTER_S = 2.0
+"""Time for which a move has to stay the best one: a target that was killed mostly
+comes back within seconds, empty, and takes what is missing without any move."""
+MOVE_PAUSE_S = 5.0
+"""Pause between two moves of a service: the longest load takes four seconds, and
+only then does the list show what the next move has to build on."""
 ASK_AGAIN_S = 1.5
 """Pause between readings of a lease that another host holds."""
 ORDER_AGAIN_S = 3.0
@@ -66,6 +77,14 @@
     grown_at: float
 
 
+@dataclass(slots=True, frozen=True)
+class _WantedMove:
+    """A move, and since when it has been the best."""
+
+    assignment: Assignment
+    since: float
+
+
 class _LeaseBody(msgspec.Struct):
     holder: str = ""
 
@@ -76,6 +95,7 @@
     __slots__ = (
         "_ask_again_at",
         "_held_revision",
+        "_next_move_at",
         "_host_id",
         "_ordered_by_id",
         "_renewed_at",
@@ -83,6 +103,7 @@
         "_store",
         "_targets",
         "_unplaced_by_service",
+        "_wanted_move_by_service",
         "_view",
     )
 
@@ -99,6 +120,8 @@
         self._ordered_by_id: dict[str, _Ordered] = {}
         self._unplaced_by_service: dict[str, _Unplaced] = {}
         self._ask_again_at: dict[str, float] = {}
+        self._wanted_move_by_service: dict[str, _WantedMove] = {}
+        self._next_move_at: dict[str, float] = {}
 
     def duties(self) -> list[str]:
         """Return the services whose lease this host holds, by its own knowledge."""
@@ -125,6 +148,7 @@
         wanted = self._wanted(service, engine, now)
         if not wanted:
             self._unplaced_by_service.pop(service.name, None)
+            await self._consider_move(service, engine, now)
             return
         ids = frozenset(assignment.target.id for assignment in wanted)
         unplaced = self._unplaced_by_service.get(service.name)
@@ -133,8 +157,10 @@
         elif not ids <= unplaced.ids:
             unplaced = _Unplaced(ids, unplaced.since, now)
         self._unplaced_by_service[service.name] = unplaced
+        listed = len(self._view.directory.listed(service.name))
+        starting = len(wanted) > START_SHARE * listed
         settled = now - unplaced.grown_at >= SETTLE_S
-        if not settled and now - unplaced.since < LONGEST_SETTLE_S:
+        if starting and not settled and now - unplaced.since < LONGEST_SETTLE_S:
             return
         if not await self._hold_lease(service.name):
             return
@@ -144,6 +170,30 @@
             for assignment in wanted:
                 nursery.start_soon(self._order, service.name, assignment)
 
+    async def _consider_move(
+        self, service: ServiceSpec, engine: EngineSpec, now: float
+    ) -> None:
+        """Order the move that helps most, once it has stayed the best for a while."""
+        records = self._view.directory.listed(service.name)
+        move = None
+        if all(record.span is not None for record in records):
+            move = plan_move(engine, records)
+        if move is None:
+            self._wanted_move_by_service.pop(service.name, None)
+            return
+        wanted = self._wanted_move_by_service.get(service.name)
+        if wanted is None or wanted.assignment.span != move.span:
+            wanted = _WantedMove(move, now)
+            self._wanted_move_by_service[service.name] = wanted
+        if now - wanted.since < MOVE_AFTER_S or not self._may_order(move, now):
+            return
+        if now < self._next_move_at.get(service.name, 0.0):
+            return
+        if not await self._hold_lease(service.name):
+            return
+        self._next_move_at[service.name] = now + MOVE_PAUSE_S
+        await self._order(service.name, move)
+
     def _wanted(
         self, service: ServiceSpec, engine: EngineSpec, now: float
     ) -> list[Assignment]:
@@ -170,8 +220,8 @@
         if report.is_error():
             self._left_unplaced(target, report.error)
             return
-        if report.ok.busy or report.ok.span is not None:
-            # The list lags behind: the target holds layers, or loads them.
+        if report.ok.busy or report.ok.span != target.span:
+            # The list lags behind: the target holds other layers, or loads them.
             return
         body = place_order(assignment.span, fence, report.ok.order_count)
         answer = await self._targets.order(target, body)
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -17,7 +17,6 @@
     EngineSpec,
     EventSplitter,
     Path,
-    PathFinder,
     event_ids,
 )
 from radishfield.telemetry import DeferredTelemetry, log_event
@@ -156,7 +155,7 @@
             now = self._view.clock.now()
             roomy = self._view.usable_with_room(call.service.name)
             pool = [record for record in roomy if record.id not in excluded]
-            finder = PathFinder(engine, self._view.load, self._view.zone)
+            finder = self._view.path_finder(engine)
             path = finder.find(pool, demand, pace_by_id=self._view.pace_by_id)
             if path is not None:
                 return Ok(path)
@@ -181,6 +180,7 @@
         stream = ActiveStream(call, engine, progress.demand(engine), path, now)
         stream.may_resume = call.route.repeatable
         self._guard.add(stream)
+        self._view.note_crossings(engine, path, stream.demand.prompt)
         log_event(
             "attempt.sent",
             request=call.facts.request_id,
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -8,8 +8,12 @@
 
 from radishfield.core import Clock
 from radishfield.routing import (
+    EngineSpec,
     Freshness,
     LoadBook,
+    Path,
+    PathFinder,
+    PipeBook,
     RetryAllowance,
     RetryBudget,
     RetryUse,
@@ -18,6 +22,7 @@
     ServiceSpec,
     TargetDirectory,
     TargetRecord,
+    pair_of,
     sends_callers_away,
     takes_work,
 )
@@ -70,6 +75,7 @@
     table: RoutingTable | None = None
     directory: TargetDirectory = field(default_factory=TargetDirectory)
     load: LoadBook = field(default_factory=LoadBook)
+    pipes: PipeBook = field(default_factory=PipeBook)
     pace_by_id: dict[str, float] = field(default_factory=dict)
     hosts: int = 1
     leaving_since: float | None = None
@@ -133,6 +139,24 @@
             if record.id not in self.full_until_by_id
         ]
 
+    def path_finder(self, engine: EngineSpec) -> PathFinder:
+        """Return a finder of paths over the load and the pipes as they are now."""
+        shares = self.pipes.shares(self.clock.now())
+        return PathFinder(engine, self.load, self.zone, shares)
+
+    def note_crossings(self, engine: EngineSpec, path: Path, tokens: int) -> None:
+        """Count a prompt on every pipe that its path crosses."""
+        zones = [self._zone_of(part.target_id) for part in path]
+        for zone, other in zip(zones, zones[1:], strict=False):
+            if zone != other:
+                transfer_ms = engine.transfer_ms(tokens)
+                pair = pair_of(zone, other)
+                self.pipes.crossed(pair, transfer_ms, self.clock.now())
+
+    def _zone_of(self, target_id: str) -> str:
+        record = self.directory.find(target_id)
+        return record.zone if record else self.zone
+
     def budget(self, service: str) -> RetryBudget:
         """Return the service's allowance of repeats."""
         budget = self._budget_by_service.get(service)
--- a/radishfield/platform/_config.py
+++ b/radishfield/platform/_config.py
@@ -74,6 +74,9 @@
     usual: _Usual = msgspec.field(default_factory=_Usual)
     layers: int = 0
     layer_mb: float = 0.0
+    act_bytes: float = 0.0
+    """Bytes that a token passes from one part to the next."""
+    pipe_mbps: float = 0.0
     kinds: list[_Card] = []
 
 
@@ -174,6 +177,8 @@
         usual_answer=int(raw.usual.answer),
         load_s=model.load_s,
         concurrent_loads=raw.loads_at_once,
+        step_bytes=raw.act_bytes,
+        zone_mbps=raw.pipe_mbps,
         accelerator_by_name={
             card.name: Accelerator(card.name, card.mb, card.pace, card.read_x)
             for card in raw.kinds
--- a/radishfield/routing/__init__.py
+++ b/radishfield/routing/__init__.py
@@ -8,7 +8,12 @@
 from radishfield.routing._directory import Removal, TargetDirectory
 from radishfield.routing._events import EventSplitter, event_ids
 from radishfield.routing._freshness import Freshness
-from radishfield.routing._layout import Assignment, block_layers, plan_layout
+from radishfield.routing._layout import (
+    Assignment,
+    block_layers,
+    plan_layout,
+    plan_move,
+)
 from radishfield.routing._leaving import END_MARGIN_S, NOTICE_S, takes_work
 from radishfield.routing._load import Held, LoadBook
 from radishfield.routing._paths import (
@@ -17,6 +22,7 @@
     capacity_token_layers,
     covers_once,
 )
+from radishfield.routing._pipes import PipeBook, crossing_ms, pair_of
 from radishfield.routing._silence import Ask, GiveUp, Step, Wait, next_step
 from radishfield.routing._table import (
     Identity,
@@ -63,6 +69,7 @@
     "Path",
     "PathFinder",
     "PathPart",
+    "PipeBook",
     "Removal",
     "RequestLimits",
     "RetryAllowance",
@@ -87,9 +94,12 @@
     "capacity_token_layers",
     "choose_target",
     "covers_once",
+    "crossing_ms",
     "event_ids",
     "next_step",
+    "pair_of",
     "plan_layout",
+    "plan_move",
     "sends_callers_away",
     "takes_work",
     "vouched_at",
--- a/radishfield/routing/_layout.py
+++ b/radishfield/routing/_layout.py
@@ -81,6 +81,49 @@
     return assignments
 
 
+def plan_move(engine: EngineSpec, records: Sequence[TargetRecord]) -> Assignment | None:
+    """Return the one move of layers that helps most, or None.
+
+    Load pattern: targets leave for good, and no empty one comes.  A zone that lacks
+    a block sends every prompt across the pipes and back; a fleet that holds a block
+    half as often as the others is as slow as that block.  A target moves only if
+    its own zone keeps another copy of all it gives up, and only to what is missing
+    in its zone or held at least two times less often in the fleet: a move costs a
+    load of weights, and its target serves nothing meanwhile.
+    """
+    size = block_layers(engine)
+    copies = _Copies(engine.layers // size)
+    placed = [record for record in records if record.span is not None]
+    for record in placed:
+        copies.count(record.zone, record.span, size)
+    # The smallest are loaded soonest and give up least.
+    for record in sorted(placed, key=lambda item: (len(item.span), item.id)):
+        span = _better_span(copies, record, size)
+        if span is not None:
+            return Assignment(record, span)
+    return None
+
+
+def _better_span(
+    copies: "_Copies", record: TargetRecord, size: int
+) -> LayerSpan | None:
+    if record.span.first % size or record.span.end % size:
+        return None
+    first, end = record.span.first // size, record.span.end // size
+    if copies.least(record.zone, first, end) < 2:
+        return None
+    copies.count(record.zone, record.span, size, sign=-1)
+    place = copies.neediest(record.zone, end - first)
+    gains = copies.lacks(record.zone, place, place + end - first)
+    losses = copies.lacks(record.zone, first, end)
+    there = copies.fleet_least(place, place + end - first)
+    here = copies.fleet_least(first, end)
+    copies.count(record.zone, record.span, size)
+    if gains > losses or (gains == losses and there + 2 <= here):
+        return LayerSpan(place * size, (place + end - first) * size)
+    return None
+
+
 def _used(engine: EngineSpec, size: int) -> float:
     """Return the mean share of the cards' memory that layers in such blocks take."""
     shares = []
@@ -104,11 +147,23 @@
         self._blocks = blocks
         self._count_by_zone: dict[str, list[int]] = {}
 
-    def count(self, zone: str, span: LayerSpan, size: int) -> None:
+    def count(self, zone: str, span: LayerSpan, size: int, sign: int = 1) -> None:
         """Count a target's layers; a block that is held in part does not count."""
         counts = self._of(zone)
         for block in range(-(-span.first // size), span.end // size):
-            counts[block] += 1
+            counts[block] += sign
+
+    def least(self, zone: str, first: int, end: int) -> int:
+        """Return the fewest copies of a block that a zone has."""
+        return min(self._of(zone)[first:end])
+
+    def lacks(self, zone: str, first: int, end: int) -> int:
+        """Return how many of some blocks a zone has no copy of."""
+        return self._of(zone)[first:end].count(0)
+
+    def fleet_least(self, first: int, end: int) -> int:
+        """Return the fewest copies of a block that the fleet has."""
+        return min(self._fleet()[first:end])
 
     def neediest(self, zone: str, width: int) -> int:
         """Return the first block of the place that lacks copies the most.
@@ -118,9 +173,7 @@
         joins to further copies.
         """
         own = self._of(zone)
-        fleet = [
-            sum(counts) for counts in zip(*self._count_by_zone.values(), strict=True)
-        ]
+        fleet = self._fleet()
         places = range(self._blocks - width + 1)
         return min(
             places,
@@ -132,5 +185,9 @@
             ),
         )
 
+    def _fleet(self) -> list[int]:
+        zones = self._count_by_zone.values()
+        return [sum(counts) for counts in zip(*zones, strict=True)]
+
     def _of(self, zone: str) -> list[int]:
         return self._count_by_zone.setdefault(zone, [0] * self._blocks)
--- a/radishfield/routing/_paths.py
+++ b/radishfield/routing/_paths.py
@@ -12,10 +12,11 @@
 the middle of their stream; one that is full is left out.
 """
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 
 from radishfield.routing._load import Held, LoadBook
+from radishfield.routing._pipes import Pair, crossing_ms, pair_of
 from radishfield.routing._types import (
     EngineSpec,
     LayerSpan,
@@ -24,11 +25,6 @@
     TargetRecord,
 )
 
-ZONE_CHANGE_MS = 4.0
-"""Cost of a hop between parts in two zones: half a millisecond for each token, and
-the pipe that all paths share, which one prompt holds for some thirty milliseconds.
-At 1.5 a third of all paths crossed on a calm day, though none had to."""
-
 OTHER_ZONE_MS = 0.5
 """Cost of a path that lies in another zone than the host: only the request and its
 events cross, which no pipe notices; among equals the own zone is taken."""
@@ -92,12 +88,20 @@
 class PathFinder:
     """Finds paths over one list of targets; cheap enough to make for a request."""
 
-    __slots__ = ("_engine", "_load", "_zone")
+    __slots__ = ("_engine", "_load", "_share_by_pair", "_transfer_ms", "_zone")
 
-    def __init__(self, engine: EngineSpec, load: LoadBook, zone: str):
+    def __init__(
+        self,
+        engine: EngineSpec,
+        load: LoadBook,
+        zone: str,
+        share_by_pair: Mapping[Pair, float] | None = None,
+    ):
         self._engine = engine
         self._load = load
         self._zone = zone
+        self._share_by_pair = share_by_pair or {}
+        self._transfer_ms = engine.transfer_ms(engine.usual_prompt)
 
     def find(
         self,
@@ -188,10 +192,9 @@
         cuts: set[int],
         layer_ms_by_id: dict[str, float],
     ) -> None:
-        change_ms = ZONE_CHANGE_MS if start else OTHER_ZONE_MS
         entry_cost, way = min(
             (
-                (way.cost + (change_ms if zone != record.zone else 0.0), way)
+                (way.cost + self._change_ms(zone, record.zone, start), way)
                 for zone, way in here
             ),
             key=lambda pair: pair[0],
@@ -205,6 +208,15 @@
                 parts = (*way.parts, (record, start, end))
                 best[(end, record.zone)] = _Way(cost, parts)
 
+    def _change_ms(self, zone: str, other: str, start: int) -> float:
+        """Return what it costs to enter a zone from another one."""
+        if zone == other:
+            return 0.0
+        if start == 0:
+            return OTHER_ZONE_MS
+        share = self._share_by_pair.get(pair_of(zone, other), 0.0)
+        return crossing_ms(share, self._transfer_ms)
+
     def _may_be_first(self, record: TargetRecord) -> bool:
         return self._load.held(record.id).as_first < self._engine.slots
 
--- a/radishfield/routing/_types.py
+++ b/radishfield/routing/_types.py
@@ -103,6 +103,10 @@
         Prompt tokens read over all layers.
     load_s : float
         Seconds to load all layers.
+    step_bytes : float
+        What one token passes from part to part.
+    zone_mbps : float
+        Rate of the pipe between two zones; 0 where none is named.
     """
 
     model: str
@@ -119,8 +123,16 @@
     usual_answer: int
     load_s: float
     concurrent_loads: int
+    step_bytes: float = 0.0
+    zone_mbps: float = 0.0
     accelerator_by_name: Mapping[str, Accelerator] = field(default_factory=dict)
 
+    def transfer_ms(self, tokens: float) -> float:
+        """Return the time for which tokens hold the pipe between two zones."""
+        if self.zone_mbps <= 0:
+            return 0.0
+        return tokens * self.step_bytes * 8 / (self.zone_mbps * 1e6) * 1e3
+
 
 @dataclass(slots=True, frozen=True)
 class ServiceSpec:
--- a/radishfield/routing/conftest.py
+++ b/radishfield/routing/conftest.py
@@ -33,6 +33,8 @@
         "usual_answer": 203,
         "load_s": 14.0,
         "concurrent_loads": 5,
+        "step_bytes": 91800.0,
+        "zone_mbps": 18000.0,
         "accelerator_by_name": CARDS,
     }
     return EngineSpec(**(values | changes))
--- a/radishfield/routing/layout_test.py
+++ b/radishfield/routing/layout_test.py
@@ -1,11 +1,12 @@
 """Layouts over unequal zones: whole copies in each, within every card's memory."""
 
 from collections import Counter
+from dataclasses import replace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from radishfield.routing import block_layers, plan_layout
+from radishfield.routing import block_layers, plan_layout, plan_move
 from radishfield.routing.conftest import CARDS, make_engine, make_target
 
 ENGINE = make_engine()
@@ -95,3 +96,77 @@
         card = CARDS[item.target.accelerator]
         assert len(item.span) * ENGINE.layer_mb < card.memory_mb
         assert 0 <= item.span.first < item.span.end <= ENGINE.layers
+
+
+def placed_fleet():
+    return [
+        replace(item.target, span=item.span)
+        for item in plan_layout(ENGINE, users_fleet())
+    ]
+
+
+def zone_copies(records, zone):
+    counts = [0] * 10
+    for record in records:
+        if record.zone == zone:
+            for block in range(record.span.first // 8, record.span.end // 8):
+                counts[block] += 1
+    return counts
+
+
+def test_a_layout_that_is_whole_is_left_alone():
+    assert plan_move(ENGINE, placed_fleet()) is None
+
+
+def test_a_zone_that_lacks_layers_gets_them_from_its_own_spare_targets():
+    """Targets of a zone leave for good, and with them its only copy of a block.
+
+    Left so, each prompt of the zone crosses the pipe twice; the zone holds other
+    blocks two times over, and one of those targets takes the missing block.
+    """
+    records = [
+        record
+        for record in placed_fleet()
+        if record.zone != "b" or not record.span.first <= 40 < record.span.end
+    ]
+    assert zone_copies(records, "b")[5] == 0
+    moves = 0
+    while (move := plan_move(ENGINE, records)) is not None and moves < 10:
+        moves += 1
+        before = zone_copies(records, move.target.zone)
+        records = [
+            replace(record, span=move.span) if record is move.target else record
+            for record in records
+        ]
+        after = zone_copies(records, move.target.zone)
+        assert after.count(0) <= before.count(0)
+    assert zone_copies(records, "b").count(0) == 0
+    assert moves < 6
+
+
+def test_nothing_moves_where_it_would_leave_a_hole():
+    single = [
+        make_target("t1", "a", "l4", (0, 8)),
+        make_target("t2", "a", "l4", (8, 16)),
+    ]
+    assert plan_move(ENGINE, single) is None
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.sets(st.integers(0, 32), max_size=14))
+def test_moves_come_to_an_end_and_never_open_a_hole(lost):
+    """Any targets are lost; moves must repair, not chase each other."""
+    records = [
+        record for index, record in enumerate(placed_fleet()) if index not in lost
+    ]
+    for _ in range(40):
+        move = plan_move(ENGINE, records)
+        if move is None:
+            return
+        holes = zone_copies(records, move.target.zone).count(0)
+        records = [
+            replace(record, span=move.span) if record is move.target else record
+            for record in records
+        ]
+        assert zone_copies(records, move.target.zone).count(0) <= holes
+    raise AssertionError("moves do not end")
--- a/radishfield/routing/paths_test.py
+++ b/radishfield/routing/paths_test.py
@@ -9,8 +9,10 @@
     Demand,
     LoadBook,
     PathFinder,
+    PipeBook,
     capacity_token_layers,
     covers_once,
+    pair_of,
     plan_layout,
 )
 from radishfield.routing._types import LayerSpan
@@ -172,3 +174,32 @@
     assert not covers_once(path + path[-1:], 80)
     first = path[0].__class__(path[0].target_id, path[0].address, LayerSpan(0, 1))
     assert not covers_once((first, *path[1:]), 80)
+
+
+def test_a_full_pipe_between_zones_is_left_alone(engine):
+    """A zone lacks a few layers, and its requests cross to another zone and back.
+
+    Each prompt holds the pipe for 30 ms and every token waits behind it; with a
+    fixed price per crossing the pipe fills and all streams slow down.
+    """
+    records = [record for record in fleet(engine) if record.zone != "c"]
+    lacking = [
+        record
+        for record in records
+        if record.zone != "a" or not record.span.first <= 40 < record.span.end
+    ]
+    load, pipes = LoadBook(), PipeBook()
+    crossed = 0
+    for number in range(120):
+        now = number / 20
+        finder = PathFinder(engine, load, "a", pipes.shares(now))
+        path = finder.find(lacking, USUAL)
+        zones = [part.target_id[0] for part in path]
+        for zone, other in zip(zones, zones[1:], strict=False):
+            if zone != other:
+                pipes.crossed(pair_of(zone, other), engine.transfer_ms(774), now)
+                crossed += 1
+        if number < 60:
+            hold(load, path, USUAL)
+        assert pipes.shares(now).get(("a", "b"), 0.0) < 0.75
+    assert crossed > 0
