Leave a cut zone out whole, spend no repeat on what never arrived, back off from full targets

Changes: three lost targets of a zone stand for the zone until one of it answers; a connection that failed costs no repeat; a full target is left out for longer each time in a row; a host that has lost many targets is not taken at its word. Keys are admitted by when a request arrived: the bound is on that, so half a second of margin goes.

--- a/radishfield/forwarding/_call.py
+++ b/radishfield/forwarding/_call.py
@@ -103,8 +103,8 @@
     ----------
     arrived_at, deadline_at : float
         Readings of the clock that counts suspension.
-    sent : int
-        Targets that the request was sent to.
+    sent, arrived : int
+        Times that the request was sent to a target, and that it reached one.
     may_have_run : bool
         Some target may have run it, or run it in part.
     """
@@ -121,6 +121,7 @@
     deadline_at: float
     responder: Responder
     sent: int = 0
+    arrived: int = 0
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
 
--- a/radishfield/forwarding/_peers.py
+++ b/radishfield/forwarding/_peers.py
@@ -32,6 +32,12 @@
 """Hosts of other zones that hear a telling, drawn at random: with many hosts the
 bytes between zones must not grow with their square."""
 ALIVE_S = 2.5
+MOST_TOLD_LOST = 4
+"""A host that has lost more targets than this at once is itself the one that is cut
+off; taken at its word, its neighbours would leave out what they reach."""
+COUNTED_S = 30.0
+"""Time for which a host that has fallen silent is still counted among those that
+share allowances: longer than cuts last, after which both sides spend again."""
 DATAGRAM_BYTES = 8 << 10
 
 
@@ -96,6 +102,7 @@
 class _Peer:
     address: tuple[str, int]
     zone: str
+    found_at: float
     heard_at: float = -1e9
     sent_at: float = 0.0
     config_age_s: float = math.inf
@@ -189,7 +196,9 @@
             return
         try:
             body = msgspec.convert(spec, _HostBody)
-            self._peer_by_id[host_id] = _Peer(_split(body.address), body.zone)
+            self._peer_by_id[host_id] = _Peer(
+                _split(body.address), body.zone, self._view.clock.now()
+            )
         except (msgspec.ValidationError, ValueError) as problem:
             log_event("peer.unreadable", peer=host_id, detail=str(problem))
 
@@ -286,7 +295,7 @@
         now = self._view.clock.now()
         peer = self._peer_by_id.get(telling.host_id)
         if peer is None or peer.address != address:
-            peer = self._peer_by_id[telling.host_id] = _Peer(address, telling.zone)
+            peer = self._peer_by_id[telling.host_id] = _Peer(address, telling.zone, now)
             log_event("peer.joined", peer=telling.host_id, zone=telling.zone)
             self._count()
         peer.heard_at = now
@@ -309,8 +318,9 @@
         self._view.load.told(telling.host_id, held_by_id, now)
         for incarnation in telling.leaving:
             self._view.directory.mark_leaving(incarnation)
-        for target_id, started_ms in telling.lost:
-            self._take_lost(telling.host_id, target_id, started_ms)
+        if len(telling.lost) <= MOST_TOLD_LOST:
+            for target_id, started_ms in telling.lost:
+                self._take_lost(telling.host_id, target_id, started_ms)
         for duty in telling.duties:
             self._view.duty_told_at[duty] = now
 
@@ -332,6 +342,7 @@
             for host_id, peer in self._peer_by_id.items()
             if self._alive(peer, now)
         }
+        self._count()
         talk.heard = len(alive)
         talk.was_heard = talk.was_heard or bool(alive)
         talk.freshest_s = min(
@@ -358,7 +369,11 @@
             )
 
     def _count(self) -> None:
-        self._view.hosts = 1 + len(self._peer_by_id)
+        now = self._view.clock.now()
+        self._view.hosts = 1 + sum(
+            now - max(peer.heard_at, peer.found_at) < COUNTED_S
+            for peer in self._peer_by_id.values()
+        )
 
 
 def _split(address: str) -> tuple[str, int]:
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -126,6 +126,9 @@
         return problem
 
     def _may_repeat(self, call: Call, problem: Fault) -> bool:
+        if call.arrived == 0:
+            # Nothing has reached a target, so this is still the first arrival.
+            return True
         if not self._view.take_repeat(call.service.name):
             self._telemetry.refused(ResultCode.RETRY_BUDGET_SPENT)
             log_event(
--- a/radishfield/forwarding/_targets.py
+++ b/radishfield/forwarding/_targets.py
@@ -31,9 +31,6 @@
 answers in milliseconds, and one lost packet is not yet held for a death."""
 ORDER_TIMEOUT_S = 1.5
 MISDIRECTED = 421
-FULL_S = 0.25
-"""Time after which a target that was full may have room again: a request of usual
-size ends at a busy target every few hundredths of a second."""
 LONGEST_REFUSAL_S = 1.0
 ELSEWHERE_RETRY_S = 0.1
 STALE_RETRY_S = 3.5
@@ -90,7 +87,7 @@
                 return fault(ResultCode.UNAUTHORIZED, "key taken away")
             case workspace:
                 call.workspace = workspace
-        if not self._view.freshness.admits_keys(now):
+        if not self._view.freshness.admits_keys(call.arrived_at):
             return stale_view(self._view)
         return None
 
@@ -123,8 +120,11 @@
         call.tried.add(record.id)
         possible_run, call.may_have_run = call.may_have_run, True
         fresh = not call.route.repeatable
+        call.arrived += 1
         sent = await self._connections.send(record.address, outgoing, fresh)
         if sent.is_error():
+            if sent.error.code is ResultCode.CONNECT_FAILED:
+                call.arrived -= 1
             self._unreachable(call, record, sent.error)
             call.may_have_run = possible_run or sent.error.outcome is Outcome.UNKNOWN
             return sent
@@ -224,7 +224,7 @@
         if status == MISDIRECTED:
             self._view.directory.suspect(record.id, self._view.clock.now())
         else:
-            self._view.mark_full(record.id, FULL_S)
+            self._view.mark_full(record.id)
 
 
 def stale_view(view: RouterView) -> Fault:
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -27,6 +27,19 @@
     takes_work,
 )
 
+FULL_S = 0.25
+"""Time after which a target that was full may have room again: a request of usual
+size ends at a busy target every few hundredths of a second."""
+LONGEST_FULL_S = 1.0
+
+
+@dataclass(slots=True, frozen=True)
+class FullTarget:
+    """Until when a target is left out, and for how long that is."""
+
+    until: float
+    length_s: float
+
 
 @dataclass(slots=True)
 class PeerState:
@@ -59,8 +72,8 @@
         hosts that are cut off too, since they go on spending.
     talk : PeerState
         What the hosts that were heard lately say.
-    full_until_by_id : dict
-        Until when a target that refused work for want of room is left out.
+    full_by_id : dict
+        Targets that refused work for want of room, left out for a moment.
     duty_told_at : dict
         When another host last said that it holds a service's placement.
     room_freed : trio.Event
@@ -83,7 +96,7 @@
     chance: random.Random = field(default_factory=random.Random)
     room_freed: trio.Event = field(default_factory=trio.Event)
     talk: PeerState = field(default_factory=PeerState)
-    full_until_by_id: dict[str, float] = field(default_factory=dict)
+    full_by_id: dict[str, FullTarget] = field(default_factory=dict)
     duty_told_at: dict[str, float] = field(default_factory=dict)
     _budget_by_service: dict[str, RetryBudget] = field(default_factory=dict)
 
@@ -123,22 +136,28 @@
             for service, budget in self._budget_by_service.items()
         }
 
-    def mark_full(self, target_id: str, seconds: float) -> None:
-        """Leave a target out for a moment: it refused work for want of room."""
-        self.full_until_by_id[target_id] = self.clock.now() + seconds
+    def mark_full(self, target_id: str) -> None:
+        """Leave a target out for a moment, for longer each time in a row."""
+        now = self.clock.now()
+        before = self.full_by_id.get(target_id)
+        length_s = FULL_S
+        if before is not None and now < before.until + before.length_s:
+            length_s = min(LONGEST_FULL_S, before.length_s * 2)
+        self.full_by_id[target_id] = FullTarget(now + length_s, length_s)
 
     def usable_with_room(self, service: str) -> list[TargetRecord]:
         """Return the targets that may be sent work and did not just refuse some."""
         now = self.clock.now()
-        for target_id, until in list(self.full_until_by_id.items()):
-            if until <= now:
-                del self.full_until_by_id[target_id]
         return [
             record
             for record in self.directory.usable(service, now)
-            if record.id not in self.full_until_by_id
+            if not self._is_full(record.id, now)
         ]
 
+    def _is_full(self, target_id: str, now: float) -> bool:
+        full = self.full_by_id.get(target_id)
+        return full is not None and now < full.until
+
     def path_finder(self, engine: EngineSpec) -> PathFinder:
         """Return a finder of paths over the load and the pipes as they are now."""
         shares = self.pipes.shares(self.clock.now())
--- a/radishfield/routing/_directory.py
+++ b/radishfield/routing/_directory.py
@@ -27,6 +27,16 @@
 fails again.  Longer would keep a target out that was started again."""
 
 
+ZONE_LOST = 3
+"""Targets of one zone that are lost at the same time, from which on the whole zone
+counts as cut off.  Found out one by one, twenty targets would cost each host twenty
+requests and a connection's time limit each."""
+
+ZONE_LOST_SHARE = 0.25
+"""Part of a zone's targets that has to be lost as well, so that three dead targets
+of a large zone do not cost it the others."""
+
+
 @dataclass(slots=True)
 class _Entry:
     record: TargetRecord
@@ -39,6 +49,7 @@
     length_s: float
     until_asked: bool
     first_hand: bool
+    inferred: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -157,8 +168,42 @@
             now + length_s, length_s, until_asked, first_hand
         )
         self.version += 1
+        if first_hand:
+            self._infer_zone_lost(target_id, now)
         return length_s
 
+    def _infer_zone_lost(self, target_id: str, now: float) -> None:
+        """Leave out a zone of which several targets are lost at once."""
+        entry = self._entry_by_id.get(target_id)
+        if entry is None:
+            return
+        zone = entry.record.zone
+        zone_ids = [
+            other_id
+            for other_id, other in self._entry_by_id.items()
+            if other.record.zone == zone
+        ]
+        lost = [other_id for other_id in zone_ids if self._lost_now(other_id, now)]
+        if len(lost) < max(ZONE_LOST, len(zone_ids) * ZONE_LOST_SHARE):
+            return
+        for other_id in zone_ids:
+            if not self.suspected(other_id, now):
+                self._suspicion_by_id[other_id] = _Suspicion(
+                    now + FIRST_SUSPICION_S,
+                    FIRST_SUSPICION_S,
+                    until_asked=True,
+                    first_hand=False,
+                    inferred=True,
+                )
+
+    def _lost_now(self, target_id: str, now: float) -> bool:
+        suspicion = self._suspicion_by_id.get(target_id)
+        return (
+            suspicion is not None
+            and suspicion.first_hand
+            and self.suspected(target_id, now)
+        )
+
     def clear(self, target_id: str) -> None:
         """Forget a suspicion: the target answered."""
         if self._suspicion_by_id.pop(target_id, None) is not None:
@@ -167,11 +212,22 @@
     def answered(self, target_id: str, now: float) -> None:
         """Note an answer to a question; it ends a suspicion that waits for one."""
         suspicion = self._suspicion_by_id.get(target_id)
-        if suspicion is not None:
-            # The length stays for a while, so that the next one is longer.
-            suspicion.until_asked = False
-            suspicion.until = min(suspicion.until, now)
-            self.version += 1
+        if suspicion is None:
+            return
+        # The length stays for a while, so that the next one is longer.
+        suspicion.until_asked = False
+        suspicion.until = min(suspicion.until, now)
+        self.version += 1
+        entry = self._entry_by_id.get(target_id)
+        if entry is not None and suspicion.inferred:
+            self._trust_zone(entry.record.zone)
+
+    def _trust_zone(self, zone: str) -> None:
+        """Take a zone back: one of its targets answered."""
+        for target_id, entry in self._entry_by_id.items():
+            suspicion = self._suspicion_by_id.get(target_id)
+            if suspicion and suspicion.inferred and entry.record.zone == zone:
+                del self._suspicion_by_id[target_id]
 
     def suspected(self, target_id: str, now: float) -> bool:
         """Return whether a target is left out at the moment."""
--- a/radishfield/routing/_freshness.py
+++ b/radishfield/routing/_freshness.py
@@ -9,8 +9,9 @@
 
 from dataclasses import dataclass
 
-MARGIN_S = 0.6
-"""Between the check and the target's start: a send and a wait in its queue."""
+MARGIN_S = 0.1
+"""What two clocks may drift apart over the bound.  No time on the way needs room:
+the bound is on when a caller sent its request, which was before it arrived here."""
 
 
 @dataclass(slots=True)
@@ -53,6 +54,6 @@
             return float("inf")
         return now - self.store_at
 
-    def admits_keys(self, now: float) -> bool:
-        """Return whether a key that is known may still be taken for valid."""
-        return self.age_s(now) < self.bound_s - MARGIN_S
+    def admits_keys(self, arrived_at: float) -> bool:
+        """Return whether a known key was still valid for a request that arrived."""
+        return self.age_s(arrived_at) < self.bound_s - MARGIN_S
--- a/radishfield/routing/directory_test.py
+++ b/radishfield/routing/directory_test.py
@@ -119,3 +119,30 @@
     directory.suspect("t1", now=0.0, until_asked=True)
     directory.update(make_target("t1"))
     assert usable_ids(directory, 0.1) == ["t1"]
+
+
+def test_a_zone_that_is_cut_off_is_left_out_whole_and_taken_back_whole():
+    """A zone is cut off: its targets time out one after the other.
+
+    Each one that is found out alone costs a request its time; after three, the
+    rest of the zone is left out as well, until any one of it answers.
+    """
+    near = [make_target(f"n{n}", "a") for n in range(10)]
+    far = [make_target(f"f{n}", "b") for n in range(10)]
+    directory = directory_of(*near, *far)
+    for number in range(2):
+        directory.suspect(f"f{number}", now=1.0)
+    assert len(usable_ids(directory, 1.0)) == 18
+    directory.suspect("f2", now=1.0)
+    assert usable_ids(directory, 1.0) == sorted(record.id for record in near)
+    assert len(usable_ids(directory, 9.0)) == 13
+    assert "f7" in directory.to_ask(9.0)
+    directory.answered("f7", now=9.1)
+    assert len(usable_ids(directory, 9.2)) == 20
+
+
+def test_a_few_dead_targets_do_not_cost_a_large_zone():
+    directory = directory_of(*[make_target(f"t{n}", "a") for n in range(20)])
+    for number in range(4):
+        directory.suspect(f"t{number}", now=0.0)
+    assert len(usable_ids(directory, 0.1)) == 16
