--- a/radishfield/forwarding/_targets.py
+++ b/radishfield/forwarding/_targets.py
@@ -125,6 +125,9 @@
         if sent.is_error():
             if sent.error.code is ResultCode.CONNECT_FAILED:
                 call.arrived -= 1
+                if call.arrived:
+                    # Only what arrives at a target counts as a repeat.
+                    budget.give_back()
             self._unreachable(call, record, sent.error)
             call.may_have_run = possible_run or sent.error.outcome is Outcome.UNKNOWN
             return sent
--- a/radishfield/routing/_budget.py
+++ b/radishfield/routing/_budget.py
@@ -89,6 +89,11 @@
         self._repeats.append(now)
         return True
 
+    def give_back(self) -> None:
+        """Undo the last repeat: it never reached a target."""
+        if self._repeats:
+            self._repeats.pop()
+
     def _forget(self, now: float) -> None:
         oldest = now - self.allowance.window_s
         for times in (self._firsts, self._repeats):
--- a/radishfield/routing/small_test.py
+++ b/radishfield/routing/small_test.py
@@ -65,6 +65,19 @@
     assert taken >= 40
 
 
+def test_a_repeat_that_never_arrived_is_not_spent():
+    """A zone is cut off, and streams that broke try targets they cannot reach.
+
+    Spent on connections that never come about, the allowance is gone before the
+    targets that are left are tried, and the streams are cut.
+    """
+    budget = RetryBudget(RetryAllowance(0.0, 10.0, 8.0))
+    for _ in range(20):
+        assert budget.take(0.0, hosts=1)
+        budget.give_back()
+    assert budget.take(0.0, hosts=1)
+
+
 def test_a_quiet_service_may_still_repeat():
     budget = RetryBudget(RetryAllowance(0.2, 10.0, 200.0))
     budget.first_try(0.0)
