Soak the routers as processes under faults from outside

Relays that delay, silence, cut one way, refuse and reset; routers that are stopped, killed, ended and restarted; targets that leave and come back; configurations in between, several at a time.

--- /dev/null
+++ b/proofs/router_soak.py
@@ -0,0 +1,39 @@
+"""The long soak: ``python -m proofs.router_soak --seeds 50 --first 100``.
+
+Each seed is a run of its own; what breaks is printed with its seed, and the logs
+of its routers stay in the folder that is named.
+"""
+
+import sys
+import tempfile
+from pathlib import Path
+
+import click
+import trio
+
+from proofs._router_soak import HOSTS, Soak
+from proofs.router_soak_test import free_ports
+
+
+@click.command()
+@click.option("--seeds", type=int, default=50)
+@click.option("--first", type=int, default=1)
+@click.option("--seconds", type=float, default=10.0, help="Faults of one run.")
+def main(seeds: int, first: int, seconds: float) -> None:
+    """Run seeds one after the other, and print what breaks."""
+    failed = 0
+    for seed in range(first, first + seeds):
+        folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        findings = trio.run(Soak(seed, folder, free_ports(HOSTS * 3), seconds).run)
+        failed += bool(findings.broken)
+        faults = len(findings.faults)
+        calls = sum(findings.statuses.values())
+        click.echo(f"seed {seed}: {calls} calls, {faults} faults, {folder.name}")
+        for line in findings.broken[:10]:
+            click.echo(f"  broken: {line}")
+    click.echo(f"{seeds} seeds, {failed} with a broken promise")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/proofs/router_soak_test.py
@@ -0,0 +1,33 @@
+"""A short soak of the routers with fixed seeds, and each seed that ever failed."""
+
+import socket
+
+import pytest
+import trio
+
+from proofs._router_soak import HOSTS, Soak
+
+
+def free_ports(count):
+    found = [socket.socket() for _ in range(count)]
+    try:
+        for each in found:
+            each.bind(("127.0.0.1", 0))
+        return [each.getsockname()[1] for each in found]
+    finally:
+        for each in found:
+            each.close()
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_promises_hold_while_faults_overlap(seed, tmp_path):
+    """Callers send on while routers, the store and targets fail at random.
+
+    Nothing runs twice that may not, nothing runs that was told not to have run,
+    answers are whole and their own, and all hosts serve again afterwards.
+    """
+    soak = Soak(seed, tmp_path, free_ports(HOSTS * 3), seconds=8.0)
+    findings = trio.run(soak.run)
+    assert findings.broken == []
+    assert sum(findings.statuses.values()) > 100
+    assert any("post 200" in name for name in findings.statuses)
--- a/radishfield/forwarding/conftest.py
+++ b/radishfield/forwarding/conftest.py
@@ -11,11 +11,9 @@
 from radishfield.forwarding import Router, read_settings
 from radishfield.web import ListenerConfig, serve_app
 from standins.object_store import ObjectStoreApp
+from standins.routed_config import HOST_NAME, KEY, layered_entry, target_entry
 from standins.routed_targets import LayeredFleet, LayeredTarget, PlainTarget
 
-HOST_NAME = "h.example"
-KEY = "key-of-w1"
-
 
 def free_port() -> int:
     with socket.socket() as found:
@@ -23,63 +21,6 @@
         return found.getsockname()[1]
 
 
-def route(name: str, kind: str, service: str, **changes) -> dict:
-    values = {
-        "name": name,
-        "host": HOST_NAME,
-        "pathPrefix": f"/{name}/",
-        "kind": kind,
-        "timeoutMs": 4000,
-        "sloMs": 500,
-        "priority": 1,
-        "service": service,
-        "maxAttempts": 2,
-        "public": False,
-        "resumable": kind == "streaming",
-        "gapAimMs": 200,
-    }
-    return values | changes
-
-
-ENGINE = {
-    "slots": 96,
-    "kvCapacity": 50000,
-    "kvTokenBytes": 1836000,
-    "models": [{"name": "m", "loadS": 0.0}],
-    "step_ms": 1.02,
-    "per_seq_ms": 0.01428,
-    "context_per_k": 0.01912,
-    "read_per_s": 105000.0,
-    "loads_at_once": 5,
-    "usual": {"prompt": 774, "answer": 203},
-    "layers": 80,
-    "layerMb": 1750.0,
-    "kinds": [
-        {"name": "half", "mb": 110000.0, "pace": 1.0, "readX": 1.0},
-        {"name": "whole", "mb": 210000.0, "pace": 1.0, "readX": 1.0},
-    ],
-}
-
-
-def config(version: int = 1, **changes) -> dict:
-    values = {
-        "version": version,
-        "routes": [
-            route("stream", "streaming", "pool"),
-            route("read", "idempotent", "portal"),
-            route("post", "non_idempotent", "portal", maxAttempts=1),
-            route("open", "idempotent", "portal", public=True),
-        ],
-        "services": [
-            {"name": "pool", "healthPath": "/h", "maxConns": 100, "engine": ENGINE},
-            {"name": "portal", "healthPath": "/h", "maxConns": 100},
-        ],
-        "limits": {"maxBodyBytes": 100_000, "idleTimeoutMs": 15000},
-        "tenants": [{"name": "w1", "apiKeys": [KEY]}],
-    }
-    return values | changes
-
-
 @dataclass
 class World:
     """Everything that a test acts on."""
@@ -99,7 +40,8 @@
         target = PlainTarget(target_id)
         target.address = await self.serve(target)
         self.plain.append(target)
-        self.store.put("servers", target_id, self.entry(target, "portal"))
+        entry = target_entry("portal", target.address)
+        self.store.put("servers", target_id, entry)
         return target
 
     async def add_layered(
@@ -109,25 +51,10 @@
         target.address = await self.serve(target)
         self.fleet.add(target)
         self.layered.append(target)
-        held = {"from": first, "target": end, "version": 1} if end else None
-        kind = "half" if end - first < 80 else "whole"
-        entry = self.entry(target, "pool", kind=kind, layers=held)
+        entry = layered_entry(target.address, first, end)
         self.store.put("servers", target_id, entry)
         return target
 
-    def entry(self, target, service: str, **changes) -> dict:
-        values = {
-            "service": service,
-            "addr": target.address,
-            "zone": "a",
-            "version": "v1",
-            "slots": 8,
-            "state": "ready",
-            "coldLeftMs": 0,
-            "seq": 1,
-        }
-        return values | changes
-
     async def serve(self, app) -> str:
         listener = ListenerConfig.from_settings("127.0.0.1:0", drain_s=0.0)
         (url,) = await self.nursery.start(serve_app, app, listener, None)
--- a/radishfield/forwarding/router_test.py
+++ b/radishfield/forwarding/router_test.py
@@ -2,7 +2,8 @@
 
 import trio
 
-from radishfield.forwarding.conftest import KEY, config, route, world
+from radishfield.forwarding.conftest import world
+from standins.routed_config import KEY, config, route
 
 
 def play(tmp_path, scene):
