Never promise 'not run' of a repeatable request that may have run; split the loops of tries

Cause, found by reading: a stream whose first attempt may have run, and whose next ones were refused, ended with 503, which says that nothing ran. Change: one function decides what a caller is told, for both kinds; the loops keep what came of their tries in an object with one rule for the end.

--- a/radishfield/forwarding/_plain.py
+++ b/radishfield/forwarding/_plain.py
@@ -11,11 +11,10 @@
 
 from radishfield.core import Fault, Outcome, ResultCode, fault
 from radishfield.forwarding._call import Call
-from radishfield.forwarding._targets import Targets
+from radishfield.forwarding._targets import Targets, final_fault
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import Headers
-from radishfield.routing import FailureBook, TargetRecord, choose_target
-from radishfield.telemetry import DeferredTelemetry, log_event
+from radishfield.routing import FailureBook, RouteRule, TargetRecord, choose_target
 
 NO_TARGET_RETRY_S = 0.6
 """A target that was lost is replaced or found alive within about a second."""
@@ -38,17 +37,50 @@
     target_id: str
 
 
+class _Tries:
+    """What came of the tries of one call so far."""
+
+    __slots__ = ("failed_answer", "problem", "refusals", "runs")
+
+    def __init__(self):
+        self.failed_answer: WholeAnswer | None = None
+        self.problem = fault(ResultCode.NO_TARGET, "", NO_TARGET_RETRY_S)
+        self.refusals = 0
+        self.runs = 0
+
+    def stop(self, problem: Fault) -> None:
+        """Note why no further try is made; a target's own failure goes first."""
+        if self.failed_answer is None:
+            self.problem = problem
+
+    def take(self, result: Result[WholeAnswer, Fault]) -> None:
+        """Note a try that failed."""
+        if result.is_ok():
+            self.failed_answer = result.ok
+            detail = f"status {result.ok.status}"
+            self.problem = fault(ResultCode.TARGET_ERROR, detail)
+        else:
+            self.problem = result.error
+        if self.problem.outcome is Outcome.NOT_RUN:
+            self.refusals += 1
+        else:
+            self.runs += 1
+
+    def over(self, route: RouteRule) -> bool:
+        """Return whether the route allows no further try."""
+        if self.runs and not route.repeatable:
+            return True
+        return self.runs >= route.max_attempts or self.refusals > MORE_REFUSALS
+
+
 class PlainForwarder:
     """Serves calls to services whose targets each serve a request alone."""
 
-    __slots__ = ("_failures", "_targets", "_telemetry", "_view")
+    __slots__ = ("_failures", "_targets", "_view")
 
-    def __init__(
-        self, targets: Targets, view: RouterView, telemetry: DeferredTelemetry
-    ):
+    def __init__(self, targets: Targets, view: RouterView):
         self._targets = targets
         self._view = view
-        self._telemetry = telemetry
         self._failures = FailureBook()
 
     async def serve(self, call: Call) -> None:
@@ -61,52 +93,27 @@
         await call.responder.refuse(result.error)
 
     async def _whole_answer(self, call: Call) -> Result[WholeAnswer, Fault]:
-        failed_answer: WholeAnswer | None = None
-        problem = fault(ResultCode.NO_TARGET, "", NO_TARGET_RETRY_S)
-        refusals = 0
-        runs = 0
+        """Try targets until one answers, or no further try is allowed."""
+        tries = _Tries()
         while True:
             stop = self._targets.check(call)
             if stop is not None:
-                problem = stop if failed_answer is None else problem
+                tries.stop(stop)
                 break
             record = self._choose(call)
             if record is None:
                 break
-            if call.sent and not self._may_repeat(call, problem):
+            if call.sent and not self._targets.may_repeat(call, tries.problem):
                 break
-            result = await self._attempt(call, record, may_hedge=runs == 0)
-            if result.is_ok() and result.ok.status < SERVER_ERROR:
+            result = await self._attempt(call, record, may_hedge=tries.runs == 0)
+            if not _failed(result):
                 return result
-            if result.is_ok():
-                failed_answer = result.ok
-                problem = fault(ResultCode.TARGET_ERROR, f"status {result.ok.status}")
-            else:
-                problem = result.error
-            if problem.outcome is Outcome.NOT_RUN:
-                refusals += 1
-            else:
-                runs += 1
-            if runs and not call.route.repeatable:
-                break
-            if runs >= call.route.max_attempts or refusals > MORE_REFUSALS:
+            tries.take(result)
+            if tries.over(call.route):
                 break
-        if failed_answer is not None:
-            return Ok(failed_answer)
-        return Error(self._final(call, problem))
-
-    def _final(self, call: Call, problem: Fault) -> Fault:
-        """Return the fault that the caller is told.
-
-        Only where no target may have run the request is it a promise.
-        """
-        if call.may_have_run:
-            if problem.outcome is Outcome.NOT_RUN:
-                return fault(ResultCode.RETRIES_EXHAUSTED, problem.detail)
-            return problem
-        if problem.outcome is not Outcome.NOT_RUN or problem.retry_after_s is None:
-            return fault(ResultCode.NO_TARGET, problem.detail, NO_TARGET_RETRY_S)
-        return problem
+        if tries.failed_answer is not None:
+            return Ok(tries.failed_answer)
+        return Error(final_fault(call, tries.problem, NO_TARGET_RETRY_S))
 
     def _choose(self, call: Call) -> TargetRecord | None:
         now = self._view.clock.now()
@@ -125,25 +132,6 @@
                 return record
         return None
 
-    def _may_repeat(self, call: Call, problem: Fault) -> bool:
-        if call.arrived == 0:
-            # Nothing has reached a target, so this is still the first arrival.
-            return True
-        if not self._view.take_repeat(call.service.name):
-            self._telemetry.refused(ResultCode.RETRY_BUDGET_SPENT)
-            log_event(
-                "retry.refused", request=call.facts.request_id, hosts=self._view.hosts
-            )
-            return False
-        self._telemetry.retried(problem.code)
-        log_event(
-            "attempt.repeated",
-            request=call.facts.request_id,
-            after=int(problem.code),
-            sent=call.sent,
-        )
-        return True
-
     async def _attempt(
         self, call: Call, record: TargetRecord, may_hedge: bool
     ) -> Result[WholeAnswer, Fault]:
@@ -174,7 +162,7 @@
             return None
         other = self._choose(call)
         silent = fault(ResultCode.STREAM_SILENT)
-        if other is None or not self._may_repeat(call, silent):
+        if other is None or not self._targets.may_repeat(call, silent):
             return None
         return other
 
--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -111,7 +111,7 @@
         targets = Targets(connections, view, telemetry)
         guard = StreamGuard(targets, view)
         placer = Placer(settings.host.id, store, targets, view)
-        plain = PlainForwarder(targets, view, telemetry)
+        plain = PlainForwarder(targets, view)
         streams = StreamForwarder(targets, guard, view, telemetry)
         register("config", ConfigFollower(store, view, self._limit_idle))
         register("targets", TargetFollower(store, view, lambda: None))
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -10,13 +10,14 @@
 from radishfield.forwarding._active import ActiveStream, StreamGuard, path_words
 from radishfield.forwarding._call import Call
 from radishfield.forwarding._connections import BrokenAnswerError, Exchange
-from radishfield.forwarding._targets import Targets
+from radishfield.forwarding._targets import Targets, final_fault
 from radishfield.forwarding._view import RouterView
 from radishfield.routing import (
     Demand,
     EngineSpec,
     EventSplitter,
     Path,
+    RouteRule,
     event_ids,
 )
 from radishfield.telemetry import DeferredTelemetry, log_event
@@ -43,6 +44,42 @@
     body: bytes
 
 
+class _Tries:
+    """What came of the attempts of one stream so far."""
+
+    __slots__ = ("excluded", "problem", "refusals", "runs")
+
+    def __init__(self):
+        self.excluded: set[str] = set()
+        self.problem = fault(ResultCode.NO_TARGET, "", NO_PATH_RETRY_S)
+        self.refusals = 0
+        self.runs = 0
+
+    def take(self, result: Result["_WholeFailure", Fault], first_id: str) -> None:
+        """Note an attempt that failed, with the first target of its path."""
+        if result.is_ok():
+            detail = f"status {result.ok.status}"
+            self.problem = fault(ResultCode.TARGET_ERROR, detail)
+        else:
+            self.problem = result.error
+        if self.problem.outcome is Outcome.NOT_RUN:
+            self.refusals += 1
+        else:
+            self.runs += 1
+        # A target that refused for want of room may have some in a moment.
+        if self.problem.code is not ResultCode.TARGET_REFUSED:
+            self.excluded.add(first_id)
+
+    def over(self, route: RouteRule) -> bool:
+        """Return whether the route allows no further attempt."""
+        if self.runs and not route.repeatable:
+            return True
+        most_runs = route.max_attempts
+        if self.problem.code is not ResultCode.TARGET_ERROR:
+            most_runs += MORE_RESUMES
+        return self.runs >= most_runs or self.refusals > MORE_REFUSALS
+
+
 class StreamForwarder:
     """Serves calls whose answer is a stream of events."""
 
@@ -74,75 +111,32 @@
         await call.responder.refuse(fault(code, "", FULL_RETRY_S))
 
     async def _until_ended(self, call: Call, progress: "_Progress") -> Fault | None:
+        """Try paths until the stream is whole; return why it is not."""
         engine = call.service.engine
-        problem = fault(ResultCode.NO_TARGET, "", NO_PATH_RETRY_S)
-        refusals = runs = 0
-        excluded: set[str] = set()
+        tries = _Tries()
         while True:
             stop = self._targets.check(call)
             if stop is not None:
-                return self._final(call, stop)
-            placed = await self._find_path(call, engine, progress, excluded)
+                return final_fault(call, stop, NO_PATH_RETRY_S)
+            placed = await self._find_path(call, engine, progress, tries.excluded)
             if placed.is_error():
-                return self._final(call, placed.error)
-            if call.sent and not self._may_repeat(call, problem):
-                return self._final(call, problem)
+                return final_fault(call, placed.error, NO_PATH_RETRY_S)
+            if call.sent and not self._targets.may_repeat(call, tries.problem):
+                return final_fault(call, tries.problem, NO_PATH_RETRY_S)
             result = await self._attempt(call, engine, placed.ok, progress)
             if result.is_ok() and result.ok is None:
                 return None
-            if result.is_ok():
-                # The target's own failure, with its signature.
-                answer = result.ok
-                problem = fault(ResultCode.TARGET_ERROR, f"status {answer.status}")
-                runs += 1
-                if runs >= call.route.max_attempts or not call.route.repeatable:
-                    await call.responder.whole(
-                        answer.status, answer.headers, answer.body
-                    )
-                    return None
-                excluded.add(placed.ok[0].target_id)
+            tries.take(result, placed.ok[0].target_id)
+            if not tries.over(call.route):
                 continue
-            problem = result.error
-            if problem.outcome is Outcome.NOT_RUN:
-                refusals += 1
-                if refusals > MORE_REFUSALS:
-                    return self._final(call, problem)
-                if problem.code is not ResultCode.TARGET_REFUSED:
-                    excluded.add(placed.ok[0].target_id)
-                continue
-            runs += 1
-            excluded.add(placed.ok[0].target_id)
-            allowed = call.route.max_attempts + MORE_RESUMES
-            if not call.route.repeatable or runs >= allowed:
-                return self._final(call, problem)
-
-    def _final(self, call: Call, problem: Fault) -> Fault:
-        if not call.may_have_run:
-            if problem.outcome is Outcome.NOT_RUN:
-                return problem
-            return fault(ResultCode.NO_TARGET, problem.detail, NO_PATH_RETRY_S)
-        if problem.outcome is Outcome.NOT_RUN and not call.route.repeatable:
-            return fault(ResultCode.RETRIES_EXHAUSTED, problem.detail)
-        return problem
-
-    def _may_repeat(self, call: Call, problem: Fault) -> bool:
-        if call.arrived == 0:
-            # Nothing has reached a target, so this is still the first arrival.
-            return True
-        if not self._view.take_repeat(call.service.name):
-            self._telemetry.refused(ResultCode.RETRY_BUDGET_SPENT)
-            log_event(
-                "retry.refused", request=call.facts.request_id, hosts=self._view.hosts
-            )
-            return False
-        self._telemetry.retried(problem.code)
-        log_event(
-            "attempt.repeated",
-            request=call.facts.request_id,
-            after=int(problem.code),
-            sent=call.sent,
-        )
-        return True
+            if result.is_error():
+                return final_fault(call, tries.problem, NO_PATH_RETRY_S)
+            if call.responder.started:
+                return tries.problem
+            # The target's own failure, with its signature.
+            answer = result.ok
+            await call.responder.whole(answer.status, answer.headers, answer.body)
+            return None
 
     async def _find_path(
         self,
--- a/radishfield/forwarding/_targets.py
+++ b/radishfield/forwarding/_targets.py
@@ -91,6 +91,32 @@
             return stale_view(self._view)
         return None
 
+    def may_repeat(self, call: Call, problem: Fault) -> bool:
+        """Take a repeat out of the allowance; False if none is left.
+
+        Parameters
+        ----------
+        problem : Fault
+            What ended the attempt before.
+        """
+        if call.arrived == 0:
+            # Nothing has reached a target, so this is still the first arrival.
+            return True
+        if not self._view.take_repeat(call.service.name):
+            self._telemetry.refused(ResultCode.RETRY_BUDGET_SPENT)
+            log_event(
+                "retry.refused", request=call.facts.request_id, hosts=self._view.hosts
+            )
+            return False
+        self._telemetry.retried(problem.code)
+        log_event(
+            "attempt.repeated",
+            request=call.facts.request_id,
+            after=int(problem.code),
+            sent=call.sent,
+        )
+        return True
+
     async def send(
         self,
         call: Call,
@@ -230,6 +256,24 @@
             self._view.mark_full(record.id)
 
 
+def final_fault(call: Call, problem: Fault, retry_s: float) -> Fault:
+    """Return what a caller is told about a request that is given up.
+
+    Only where no target may have run it is that a promise, with a time to come
+    back: a caller who is promised that nothing ran sends again what may not run
+    twice.
+    """
+    if call.may_have_run:
+        if problem.outcome is Outcome.NOT_RUN:
+            return fault(ResultCode.RETRIES_EXHAUSTED, problem.detail)
+        return problem
+    if problem.outcome is Outcome.NOT_RUN and problem.retry_after_s is not None:
+        return problem
+    if problem.code in (ResultCode.UNKNOWN_ROUTE, ResultCode.UNAUTHORIZED):
+        return problem
+    return fault(ResultCode.NO_TARGET, problem.detail, retry_s)
+
+
 def stale_view(view: RouterView) -> Fault:
     """Return the refusal of a key by a view that may be too old to know it.
 
--- a/radishfield/forwarding/router_test.py
+++ b/radishfield/forwarding/router_test.py
@@ -441,3 +441,39 @@
         assert KEY != "new"
 
     play(tmp_path, scene)
+
+
+def test_a_repeatable_request_that_may_have_run_is_never_promised_not_to_have(tmp_path):
+    """Every target breaks off its answer, and all tries are used up.
+
+    The request has run; 503 would say that it has not.
+    """
+
+    async def scene(played):
+        await portal(played)
+        for target in played.plain:
+            target.failures = ["cut"] * 5
+        reply = await played.request("/read/x")
+        assert reply.status == 502
+        assert runs(played) == 2
+
+    play(tmp_path, scene)
+
+
+def test_a_stream_whose_only_target_died_after_it_began_promises_nothing(tmp_path):
+    """The only path breaks off before the first event and nothing else is left."""
+
+    async def scene(played):
+        await pool(played, [(0, 80)], events=5, gap_s=30.0)
+        replies = []
+
+        async def call():
+            replies.append(await played.request("/stream/x", "POST", body=b"{}"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call)
+            await played.until(lambda: bool(played.layered[0].runs))
+            played.layered[0].dead = True
+        assert replies[0].status in (502, 504)
+
+    play(tmp_path, scene)
