Ask the store less often, and tell a store that fails from one that lets a watch wait

Change: the configuration's watch waits 0.4 of the bound on keys, the targets' 2.5 s; whether callers are sent elsewhere no longer follows the age of the view but answers and failures; a telling goes to twelve hosts of the own zone at the most.

--- a/radishfield/forwarding/_app.py
+++ b/radishfield/forwarding/_app.py
@@ -225,7 +225,8 @@
             log_event(
                 "host.ready" if ready else "host.unready",
                 leaving=view.leaving,
-                store_age_s=_rounded(view.freshness.store_age_s(now)),
+                store_silent_s=_rounded(view.freshness.silent_s(now)),
+                store_failing_s=round(view.freshness.failing_s(now), 2),
                 peers_heard=view.talk.heard,
                 peers_freshest_s=_rounded(view.talk.freshest_s),
             )
--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -27,9 +27,14 @@
 from radishfield.telemetry import log_event
 from radishfield.web import backoff_s
 
-WATCH_S = 1.5
-"""A third of the time in which a key that was taken away may still be admitted: one
-answer may be lost and the view is fresh enough still."""
+CONFIG_WATCH_SHARE = 0.4
+"""Part of the bound on keys for which a watch of the configuration waits.  Just
+before its answer a view is two waits old, so this leaves a fifth of the bound for a
+slow store; each call is paid for, and the rates do not grow with the hosts."""
+TARGETS_WATCH_S = 2.5
+"""A change wakes the watch at once; its wait is only how long a connection that has
+fallen silent goes unnoticed, and work may reach a target that left for two seconds
+after the time that cuts excuse."""
 COALESCE_S = 0.15
 """Pause after a change.  In a storm of changes each would wake the watch by itself;
 so a storm costs at most seven calls a second, and a change is in force well within
@@ -41,9 +46,18 @@
 class StoreFollower:
     """One watch on one kind of object, kept up through gaps and outages."""
 
-    __slots__ = ("_chance", "_failures", "_kind", "_revision", "_store", "_view")
-
-    def __init__(self, store: ObjectStore, view: RouterView, kind: str):
+    __slots__ = (
+        "_chance",
+        "_failures",
+        "_kind",
+        "_revision",
+        "_store",
+        "_view",
+        "_wait_s",
+    )
+
+    def __init__(self, store: ObjectStore, view: RouterView, kind: str, wait_s: float):
+        self._wait_s = wait_s
         self._store = store
         self._view = view
         self._kind = kind
@@ -67,7 +81,9 @@
                 result = await self._store.list(self._kind)
                 deliver = on_listing
             else:
-                result = await self._store.watch(self._kind, self._revision, WATCH_S)
+                result = await self._store.watch(
+                    self._kind, self._revision, self._wait_s
+                )
                 deliver = on_changes
             if result.is_error():
                 await self._failed(result, on_failure)
@@ -116,13 +132,18 @@
         on_limits: Callable[[float], None],
     ):
         self._view = view
-        self._follower = StoreFollower(store, view, CONFIG_KIND)
+        self._follower = StoreFollower(
+            store, view, CONFIG_KIND, view.freshness.bound_s * CONFIG_WATCH_SHARE
+        )
         self._on_limits = on_limits
 
     async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED):
         """Follow until cancelled."""
         task_status.started()
-        await self._follower.follow(self._listed, self._changed, lambda problem: None)
+        await self._follower.follow(self._listed, self._changed, self._failed)
+
+    def _failed(self, problem: Fault) -> None:
+        self._view.freshness.failed(self._view.clock.now())
 
     def _listed(self, listing: Listing, asked_at: float) -> None:
         found = [value for value in listing.values if value.name == CONFIG_NAME]
@@ -141,7 +162,7 @@
         for value in found[-1:]:
             usable = self._adopt(value, asked_at)
         if usable and self._view.table is not None:
-            self._view.freshness.confirm(asked_at)
+            self._view.freshness.confirm(asked_at, self._view.clock.now())
 
     def _adopt(self, value: StoredValue, asked_at: float) -> bool:
         """Put a version in force; return whether the view is the newest now."""
@@ -186,7 +207,7 @@
         self, store: ObjectStore, view: RouterView, on_change: Callable[[], None]
     ):
         self._view = view
-        self._follower = StoreFollower(store, view, TARGETS_KIND)
+        self._follower = StoreFollower(store, view, TARGETS_KIND, TARGETS_WATCH_S)
         self._on_change = on_change
 
     async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED):
--- a/radishfield/forwarding/_peers.py
+++ b/radishfield/forwarding/_peers.py
@@ -28,6 +28,10 @@
 FAR_EVERY = 4
 """Other zones hear each fourth telling: their work rarely meets this zone's, and
 bytes between zones are paid for."""
+NEAR_HOSTS = 12
+"""Hosts of the own zone that hear a telling, drawn at random where there are more:
+a host's part of the load shrinks as the hosts grow, and so does what its word is
+worth."""
 FAR_HOSTS = 6
 """Hosts of other zones that hear a telling, drawn at random: with many hosts the
 bytes between zones must not grow with their square."""
@@ -76,6 +80,8 @@
         Reading of the sender's clock; only the sender itself reads it again.
     config_age_s : float
         Seconds since the sender's configuration was confirmed; negative before.
+    store_silent_s : float
+        Seconds since the sender had an answer of the store; negative before.
     """
 
     host_id: str
@@ -88,6 +94,7 @@
     sent_at: float
     config_version: int
     config_age_s: float
+    store_silent_s: float
     echoes: list[_Echo]
     uses: list[_Use]
     pipes: list[_PipeShare]
@@ -105,11 +112,11 @@
     found_at: float
     heard_at: float = -1e9
     sent_at: float = 0.0
-    config_age_s: float = math.inf
+    store_silent_s: float = math.inf
 
-    def age_s(self, now: float) -> float:
-        """Return the age of its configuration, if it was not confirmed since."""
-        return self.config_age_s + now - self.heard_at
+    def silent_s(self, now: float) -> float:
+        """Return since when it has had no answer of the store, at the most."""
+        return self.store_silent_s + now - self.heard_at
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -221,6 +228,7 @@
     def _telling(self) -> bytes:
         now = self._view.clock.now()
         age_s = self._view.freshness.age_s(now)
+        silent_s = self._view.freshness.silent_s(now)
         work = [
             _Work(target_id, held.requests, int(held.token_layers), held.as_first)
             for target_id, held in self._view.load.own_by_id.items()
@@ -237,6 +245,7 @@
                 now,
                 self._version(),
                 age_s if math.isfinite(age_s) else -1.0,
+                silent_s if math.isfinite(silent_s) else -1.0,
                 [
                     _Echo(host_id, peer.sent_at)
                     for host_id, peer in self._peer_by_id.items()
@@ -265,6 +274,8 @@
         hearers = [
             peer for peer in near if self._alive(peer, now) or self._round % 8 == 0
         ]
+        if len(hearers) > NEAR_HOSTS:
+            hearers = self._chance.sample(hearers, NEAR_HOSTS)
         if self._round % FAR_EVERY == 0:
             far = [peer for peer in peers if peer.zone != self._view.zone]
             hearers += self._chance.sample(far, min(FAR_HOSTS, len(far)))
@@ -300,9 +311,10 @@
             self._count()
         peer.heard_at = now
         peer.sent_at = telling.sent_at
-        peer.config_age_s = math.inf
+        peer.store_silent_s = math.inf
+        if telling.store_silent_s >= 0:
+            peer.store_silent_s = telling.store_silent_s
         if telling.config_age_s >= 0:
-            peer.config_age_s = telling.config_age_s
             self._take_word(telling)
         self._view.talk.use_by_service_by_host[telling.host_id] = {
             use.service: RetryUse(use.firsts, use.repeats) for use in telling.uses
@@ -346,7 +358,7 @@
         talk.heard = len(alive)
         talk.was_heard = talk.was_heard or bool(alive)
         talk.freshest_s = min(
-            (peer.age_s(now) for peer in alive.values()), default=math.inf
+            (peer.silent_s(now) for peer in alive.values()), default=math.inf
         )
         for host_id in list(talk.use_by_service_by_host):
             if host_id not in alive:
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -50,7 +50,7 @@
     heard : int
         Hosts that were heard lately.
     freshest_s : float
-        Least age of a configuration at one of them, in seconds.
+        How long ago one of them had an answer of the store, at the least.
     was_heard : bool
         Some host has been heard since the start.
     """
@@ -114,10 +114,13 @@
 
     def sends_callers_away(self) -> bool:
         """Return whether callers are better served by other hosts."""
-        own_age_s = self.freshness.store_age_s(self.clock.now())
-        talk = self.talk
+        now, talk = self.clock.now(), self.talk
         return sends_callers_away(
-            own_age_s, talk.heard, talk.freshest_s, talk.was_heard
+            self.freshness.failing_s(now),
+            self.freshness.silent_s(now),
+            talk.heard,
+            talk.freshest_s,
+            talk.was_heard,
         )
 
     def take_repeat(self, service: str) -> bool:
--- a/radishfield/routing/_vouching.py
+++ b/radishfield/routing/_vouching.py
@@ -11,12 +11,16 @@
 
 from dataclasses import dataclass
 
-UNSOUND_S = 2.4
-"""Age of the configuration from which on this host sends callers to its neighbours:
-one watch that waits its time, and a second one that should have answered since."""
+FAILING_S = 1.0
+"""Time for which every call to the store has failed, from which on this host sends
+callers to its neighbours: some retries, and half of what keys are admitted for."""
 
-FRESH_S = 2.0
-"""A neighbour whose own view is no older reaches the store."""
+SILENT_S = 3.0
+"""Time without an answer that means the same: a watch that waited its two seconds
+and was late by another."""
+
+FRESH_S = 2.6
+"""A neighbour that had an answer this lately reaches the store."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -47,22 +51,23 @@
 
 
 def sends_callers_away(
-    own_age_s: float, heard: int, freshest_s: float, was_heard: bool
+    failing_s: float, silent_s: float, heard: int, freshest_s: float, was_heard: bool
 ) -> bool:
     """Return whether callers are better served by other hosts.
 
     Parameters
     ----------
-    own_age_s : float
-        Age of this host's own answers from the store.
+    failing_s, silent_s : float
+        For how long this host's calls to the store have failed, and how long ago
+        it had an answer.
     heard : int
         Hosts that were heard lately.
     freshest_s : float
-        Least age of a configuration at a host that was heard lately.
+        How long ago a host that was heard lately had an answer, at the least.
     was_heard : bool
         Some host has been heard since the start, so that silence means a cut.
     """
-    if own_age_s < UNSOUND_S:
+    if failing_s < FAILING_S and silent_s < SILENT_S:
         return False
     if heard:
         # Where no host reaches the store, one is as good as another.
