--- a/proofs/_router_relay.py
+++ b/proofs/_router_relay.py
@@ -1,10 +1,12 @@
 """A relay on loopback that harms what passes: the soak's only tool on connections."""
 
 import enum
+import struct
 
 import trio
 
 CHUNK = 64 << 10
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class Harm(enum.StrEnum):
@@ -46,9 +48,11 @@
     async def reset_open(self) -> None:
         """Reset every open connection."""
         for stream in list(self._open):
-            stream.setsockopt(
-                trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0"
-            )
+            # One that is closed already has nothing left to reset.
+            if stream.socket.fileno() >= 0:
+                stream.setsockopt(
+                    trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, RESET_ON_CLOSE
+                )
             await trio.aclose_forcefully(stream)
 
     async def _serve(self, near: trio.SocketStream) -> None:
--- a/radishfield/edges/caller_wire_test.py
+++ b/radishfield/edges/caller_wire_test.py
@@ -186,7 +186,7 @@
     server's send, which cannot be cancelled, waits.  The kernel ends the
     connection after the send timeout, and the request's place is free again.
     """
-    monkeypatch.setattr("radishfield.web.SEND_TIMEOUT_MS", 500)
+    monkeypatch.setattr("radishfield.web._listener.SEND_TIMEOUT_MS", 500)
     words = ["word" * 4000] * 2000
     serving = ScriptedServing(words, pause_s=0)
     app = CallerApp(serving, Profiles(), SystemClock(), CallerLimits())
