Keep sums of told work up to date, search for moves only on changes, let storms cost less

Each telling summed up what forty hosts hold; each host searched for moves of layers four times a second (3.8 ms over 86 targets); 93 targets that register woke every host's watch by themselves.

--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -36,9 +36,11 @@
 fallen silent goes unnoticed, and work may reach a target that left for two seconds
 after the time that cuts excuse."""
 COALESCE_S = 0.15
-"""Pause after a change.  In a storm of changes each would wake the watch by itself;
-so a storm costs at most seven calls a second, and a change is in force well within
-the second that operators allow."""
+"""Pause after a change.  In a storm of changes each would wake the watch of every
+host by itself."""
+LONGEST_COALESCE_S = 0.6
+"""Pause that a storm grows to, doubled from change to change: two calls a second, and
+each change in force well within the two seconds that operators allow."""
 LONGEST_PAUSE_S = 1.0
 """Longest pause after failures: a store that is back is noticed within a second."""
 
@@ -75,6 +77,7 @@
 
         The callbacks get the reading of the clock before the call was sent.
         """
+        pause_s = COALESCE_S
         while True:
             asked_at = self._view.clock.now()
             if self._revision is None:
@@ -92,7 +95,10 @@
             self._revision = result.ok.revision
             deliver(result.ok, asked_at)
             if isinstance(result.ok, Changes) and result.ok.changes:
-                await trio.sleep(COALESCE_S)
+                await trio.sleep(pause_s)
+                pause_s = min(LONGEST_COALESCE_S, pause_s * 2)
+            else:
+                pause_s = COALESCE_S
 
     async def _failed(
         self, result: Result, on_failure: Callable[[Fault], None]
--- a/radishfield/forwarding/_placer.py
+++ b/radishfield/forwarding/_placer.py
@@ -99,6 +99,7 @@
         "_host_id",
         "_ordered_by_id",
         "_renewed_at",
+        "_searched_version_by_service",
         "_seen_by_service",
         "_store",
         "_targets",
@@ -121,6 +122,7 @@
         self._unplaced_by_service: dict[str, _Unplaced] = {}
         self._ask_again_at: dict[str, float] = {}
         self._wanted_move_by_service: dict[str, _WantedMove] = {}
+        self._searched_version_by_service: dict[str, int] = {}
         self._next_move_at: dict[str, float] = {}
 
     def duties(self) -> list[str]:
@@ -174,25 +176,38 @@
         self, service: ServiceSpec, engine: EngineSpec, now: float
     ) -> None:
         """Order the move that helps most, once it has stayed the best for a while."""
+        wanted = self._best_move(service, engine, now)
+        if wanted is None or now - wanted.since < MOVE_AFTER_S:
+            return
+        if now < self._next_move_at.get(service.name, 0.0):
+            return
+        if not self._may_order(wanted.assignment, now):
+            return
+        if not await self._hold_lease(service.name):
+            return
+        self._next_move_at[service.name] = now + MOVE_PAUSE_S
+        await self._order(service.name, wanted.assignment)
+
+    def _best_move(
+        self, service: ServiceSpec, engine: EngineSpec, now: float
+    ) -> "_WantedMove | None":
+        """Return the best move; it is searched for only when the list has changed."""
+        version = self._view.directory.version
+        wanted = self._wanted_move_by_service.get(service.name)
+        if self._searched_version_by_service.get(service.name) == version:
+            return wanted
+        self._searched_version_by_service[service.name] = version
         records = self._view.directory.listed(service.name)
         move = None
         if all(record.span is not None for record in records):
             move = plan_move(engine, records)
         if move is None:
             self._wanted_move_by_service.pop(service.name, None)
-            return
-        wanted = self._wanted_move_by_service.get(service.name)
+            return None
         if wanted is None or wanted.assignment.span != move.span:
             wanted = _WantedMove(move, now)
             self._wanted_move_by_service[service.name] = wanted
-        if now - wanted.since < MOVE_AFTER_S or not self._may_order(move, now):
-            return
-        if now < self._next_move_at.get(service.name, 0.0):
-            return
-        if not await self._hold_lease(service.name):
-            return
-        self._next_move_at[service.name] = now + MOVE_PAUSE_S
-        await self._order(service.name, move)
+        return wanted
 
     def _wanted(
         self, service: ServiceSpec, engine: EngineSpec, now: float
--- a/radishfield/routing/_load.py
+++ b/radishfield/routing/_load.py
@@ -56,12 +56,16 @@
 
     def told(self, host: str, held_by_id: Mapping[str, Held], now: float) -> None:
         """Take what another host says that it holds."""
+        self._drop(host)
         self._told_by_host[host] = _Told(now, held_by_id)
-        self._sum(now)
+        for target_id, held in held_by_id.items():
+            _add(self._remote_by_id.setdefault(target_id, Held()), held, 1)
 
     def forget_silent(self, now: float) -> None:
         """Drop what hosts told that have fallen silent."""
-        self._sum(now)
+        for host, told in list(self._told_by_host.items()):
+            if now - told.at >= REMOTE_LIFETIME_S:
+                self._drop(host)
 
     def held(self, target_id: str) -> Held:
         """Return all work that is known at a target."""
@@ -77,17 +81,24 @@
             own.as_first + remote.as_first,
         )
 
-    def _sum(self, now: float) -> None:
-        self._told_by_host = {
-            host: told
-            for host, told in self._told_by_host.items()
-            if now - told.at < REMOTE_LIFETIME_S
-        }
-        total: dict[str, Held] = {}
-        for told in self._told_by_host.values():
-            for target_id, held in told.held_by_id.items():
-                into = total.setdefault(target_id, Held())
-                into.requests += held.requests
-                into.token_layers += held.token_layers
-                into.as_first += held.as_first
-        self._remote_by_id = total
+    def _drop(self, host: str) -> None:
+        """Take out what a host told last.
+
+        Sums are kept up to date instead of being made anew: with forty hosts that
+        tell twenty targets each, adding all of it up at each telling took a host
+        a twentieth of its time.
+        """
+        told = self._told_by_host.pop(host, None)
+        if told is None:
+            return
+        for target_id, held in told.held_by_id.items():
+            total = self._remote_by_id[target_id]
+            _add(total, held, -1)
+            if total.requests <= 0:
+                del self._remote_by_id[target_id]
+
+
+def _add(total: Held, held: Held, sign: int) -> None:
+    total.requests += sign * held.requests
+    total.token_layers += sign * held.token_layers
+    total.as_first += sign * held.as_first
--- a/radishfield/routing/small_test.py
+++ b/radishfield/routing/small_test.py
@@ -102,6 +102,26 @@
     assert load.held("t") == Held()
 
 
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["h1", "h2", "h3"]),
+            st.dictionaries(st.sampled_from("xyz"), st.integers(1, 5)),
+        ),
+        max_size=12,
+    )
+)
+def test_sums_are_those_of_the_last_tellings(tellings):
+    load, last = LoadBook(), {}
+    for number, (host, requests_by_id) in enumerate(tellings):
+        held = {t: Held(n, n * 10.0, n) for t, n in requests_by_id.items()}
+        load.told(host, held, now=number * 0.01)
+        last[host] = requests_by_id
+    for target_id in "xyz":
+        total = sum(requests.get(target_id, 0) for requests in last.values())
+        assert load.held(target_id) == Held(total, total * 10.0, total)
+
+
 def choose(records, load, failures, zone="a", tried=()):
     return choose_target(records, load, failures, zone, tried, random.Random(1))
 
