Let streams stand in line, fairly and with a forecast, and never mix versions of weights

Load: more streams than memory, most from few workspaces. Before: all that waited tried at each freed place, so luck decided, and each waited 1.2 s before it was told. Change: the most urgent first, then the workspace that holds the least, then arrival; four at the head try; who by the pace of the last seconds would wait in vain is told at once when its place would come. Targets are told the priority. Parts of one path hold one version of the weights. Unused code goes.

--- a/radishfield/forwarding/_call.py
+++ b/radishfield/forwarding/_call.py
@@ -125,6 +125,18 @@
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
 
+    @property
+    def workspace_name(self) -> str:
+        """Return the workspace's name; empty for a public route."""
+        return self.workspace.name if self.workspace else ""
+
+    @property
+    def priority(self) -> int:
+        """Return the rank, 0 first: the workspace's own goes before the route's."""
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
+
 
 def status_of(problem: Fault) -> int:
     """Return the status for a fault: a promise only where nothing has run."""
--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -207,14 +207,11 @@
 class TargetFollower:
     """Keeps the directory of targets as the store lists them."""
 
-    __slots__ = ("_follower", "_on_change", "_view")
+    __slots__ = ("_follower", "_view")
 
-    def __init__(
-        self, store: ObjectStore, view: RouterView, on_change: Callable[[], None]
-    ):
+    def __init__(self, store: ObjectStore, view: RouterView):
         self._view = view
         self._follower = StoreFollower(store, view, TARGETS_KIND, TARGETS_WATCH_S)
-        self._on_change = on_change
 
     async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED):
         """Follow until cancelled."""
@@ -239,7 +236,7 @@
         log_event(
             "targets.listed", targets=len(record_by_id), revision=listing.revision
         )
-        self._told()
+        self._view.free_room()
 
     def _changed(self, changes: Changes, asked_at: float) -> None:
         for change in changes.changes:
@@ -248,7 +245,7 @@
             else:
                 self._update(change.value)
         if changes.changes:
-            self._told()
+            self._view.free_room()
 
     def _update(self, value: StoredValue) -> None:
         decoded = decode_target(value.name, value.spec)
@@ -289,10 +286,6 @@
     def _failed(self, problem: Fault) -> None:
         self._view.directory.store_failed(self._view.clock.now())
 
-    def _told(self) -> None:
-        self._view.free_room()
-        self._on_change()
-
     async def _expire(self) -> None:
         while True:
             await trio.sleep(0.2)
--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -114,7 +114,7 @@
         plain = PlainForwarder(targets, view)
         streams = StreamForwarder(targets, guard, view, telemetry)
         register("config", ConfigFollower(store, view, self._limit_idle))
-        register("targets", TargetFollower(store, view, lambda: None))
+        register("targets", TargetFollower(store, view))
         register("guard", guard)
         register("placer", placer)
         register("connections", IdleConnections(connections))
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -18,16 +18,17 @@
     EventSplitter,
     Path,
     RouteRule,
+    Ticket,
+    WaitingLine,
     event_ids,
 )
 from radishfield.telemetry import DeferredTelemetry, log_event
 
-PATIENCE_S = 1.2
-"""Longest wait for room: the caller leaves two seconds after it asked, and the
-first event takes a few tenths more."""
 LOOK_AGAIN_S = 0.05
-FULL_RETRY_S = 1.0
+LATE_RETRY_S = 1.0
 """Half of the time that a stream of usual length holds its place."""
+RESUMED_PRIORITY = -1
+"""Before the most urgent of the routes' own."""
 NO_PATH_RETRY_S = 0.8
 MORE_REFUSALS = 3
 MORE_RESUMES = 2
@@ -108,7 +109,7 @@
         code = ResultCode.DEADLINE_PASSED
         if not call.may_have_run:
             code = ResultCode.EXPIRED_IN_QUEUE
-        await call.responder.refuse(fault(code, "", FULL_RETRY_S))
+        await call.responder.refuse(fault(code, "", LATE_RETRY_S))
 
     async def _until_ended(self, call: Call, progress: "_Progress") -> Fault | None:
         """Try paths until the stream is whole; return why it is not."""
@@ -145,27 +146,56 @@
         progress: "_Progress",
         excluded: set[str],
     ) -> Result[Path, Fault]:
-        """Return a path, waiting a while where all of them are full."""
-        give_up_at = self._view.clock.now() + PATIENCE_S
+        """Return a path, standing in line where all of them are full."""
+        view = self._view
+        line = view.line(call.service.name)
+        path = None if len(line) else self._path_now(call, engine, progress, excluded)
+        if path is not None:
+            return Ok(path)
+        # The caller of a stream that has begun is waiting for its next event.
+        priority = RESUMED_PRIORITY if progress.begun else call.priority
+        ticket = line.join(priority, call.workspace_name, view.clock.now())
+        try:
+            if line.is_hopeless(ticket, view.clock.now()) and not progress.begun:
+                return Error(self._full(line, ticket))
+            while True:
+                if not self._is_covered(call, engine):
+                    detail = "layers are missing"
+                    return Error(fault(ResultCode.NO_TARGET, detail, NO_PATH_RETRY_S))
+                if line.may_try(ticket):
+                    path = self._path_now(call, engine, progress, excluded)
+                if path is not None:
+                    return Ok(path)
+                if line.is_over(ticket, view.clock.now()):
+                    return Error(self._full(line, ticket))
+                with trio.move_on_after(LOOK_AGAIN_S):
+                    await view.room_freed.wait()
+        finally:
+            line.leave(ticket)
+
+    def _path_now(
+        self,
+        call: Call,
+        engine: EngineSpec,
+        progress: "_Progress",
+        excluded: set[str],
+    ) -> Path | None:
+        roomy = self._view.usable_with_room(call.service.name)
+        pool = [record for record in roomy if record.id not in excluded]
+        finder = self._view.path_finder(engine)
         demand = progress.demand(engine)
-        while True:
-            now = self._view.clock.now()
-            roomy = self._view.usable_with_room(call.service.name)
-            pool = [record for record in roomy if record.id not in excluded]
-            finder = self._view.path_finder(engine)
-            path = finder.find(pool, demand, pace_by_id=self._view.pace_by_id)
-            if path is not None:
-                return Ok(path)
-            records = self._view.directory.usable(call.service.name, now)
-            if not _covered(records, engine):
-                detail = f"{len(records)} targets are left"
-                return Error(fault(ResultCode.NO_TARGET, detail, NO_PATH_RETRY_S))
-            if now >= give_up_at:
-                return Error(
-                    fault(ResultCode.DEADLINE_UNREACHABLE, "full", FULL_RETRY_S)
-                )
-            with trio.move_on_after(LOOK_AGAIN_S):
-                await self._view.room_freed.wait()
+        return finder.find(pool, demand, pace_by_id=self._view.pace_by_id)
+
+    def _is_covered(self, call: Call, engine: EngineSpec) -> bool:
+        now = self._view.clock.now()
+        records = self._view.directory.usable(call.service.name, now)
+        return _covered(records, engine)
+
+    def _full(self, line: WaitingLine, ticket: Ticket) -> Fault:
+        now = self._view.clock.now()
+        detail = f"full, {len(line)} in line, waited {now - ticket.since:.2f} s"
+        retry_s = line.return_after_s(ticket, now)
+        return fault(ResultCode.DEADLINE_UNREACHABLE, detail, retry_s)
 
     async def _attempt(
         self, call: Call, engine: EngineSpec, path: Path, progress: "_Progress"
@@ -176,6 +206,8 @@
         now = self._view.clock.now()
         stream = ActiveStream(call, engine, progress.demand(engine), path, now)
         stream.may_resume = call.route.repeatable
+        line = self._view.line(call.service.name)
+        line.started(call.workspace_name)
         self._guard.add(stream)
         self._view.note_crossings(engine, path, stream.demand.prompt)
         log_event(
@@ -190,6 +222,7 @@
             with stream.scope:
                 result = await self._relay(call, record, stream, progress)
         finally:
+            line.ended(call.workspace_name, self._view.clock.now())
             self._guard.remove(stream)
         if result.is_error():
             log_event(
@@ -277,6 +310,11 @@
         self._events = 0
         self.last_id: int | None = int(given) if given.isdigit() else None
 
+    @property
+    def begun(self) -> bool:
+        """Return whether the caller has any event of this answer."""
+        return self._events > 0
+
     def resume_after(self) -> bytes:
         """Return the id after which a target is to go on; empty for the start."""
         if self._events == 0:
--- a/radishfield/forwarding/_targets.py
+++ b/radishfield/forwarding/_targets.py
@@ -31,6 +31,7 @@
 answers in milliseconds, and one lost packet is not yet held for a death."""
 ORDER_TIMEOUT_S = 1.5
 MISDIRECTED = 421
+LEAST_PRIORITY = 9
 LONGEST_REFUSAL_S = 1.0
 ELSEWHERE_RETRY_S = 0.1
 STALE_RETRY_S = 3.5
@@ -132,6 +133,7 @@
             workspace=call.workspace.name if call.workspace else None,
             path=path,
             last_event_id=last_event_id,
+            priority=min(max(call.priority, 0), LEAST_PRIORITY),
         )
         outgoing = Outgoing(
             call.method,
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -22,6 +22,7 @@
     ServiceSpec,
     TargetDirectory,
     TargetRecord,
+    WaitingLine,
     pair_of,
     sends_callers_away,
     takes_work,
@@ -98,6 +99,7 @@
     talk: PeerState = field(default_factory=PeerState)
     full_by_id: dict[str, FullTarget] = field(default_factory=dict)
     duty_told_at: dict[str, float] = field(default_factory=dict)
+    _line_by_service: dict[str, WaitingLine] = field(default_factory=dict)
     _budget_by_service: dict[str, RetryBudget] = field(default_factory=dict)
 
     @property
@@ -131,6 +133,10 @@
         ]
         return self.budget(service).take(self.clock.now(), self.hosts, others)
 
+    def line(self, service: str) -> WaitingLine:
+        """Return the line of those that wait for one of a service's paths."""
+        return self._line_by_service.setdefault(service, WaitingLine())
+
     def retry_use(self) -> dict[str, RetryUse]:
         """Return what this host used of each service's allowance."""
         now = self.clock.now()
--- a/radishfield/platform/_config.py
+++ b/radishfield/platform/_config.py
@@ -89,7 +89,6 @@
 
 class _Limits(msgspec.Struct, rename="camel"):
     max_body_bytes: int = 4 << 20
-    header_timeout_ms: float = 3000.0
     idle_timeout_ms: float = 15000.0
 
 
@@ -127,9 +126,7 @@
             service_by_name={item.name: _service(item) for item in raw.services},
             workspace_by_key=_workspaces(raw.tenants or []),
             limits=RequestLimits(
-                raw.limits.max_body_bytes,
-                raw.limits.header_timeout_ms / 1000,
-                raw.limits.idle_timeout_ms / 1000,
+                raw.limits.max_body_bytes, raw.limits.idle_timeout_ms / 1000
             ),
             keys_required=bool(raw.tenants),
         )
--- a/radishfield/platform/_requests.py
+++ b/radishfield/platform/_requests.py
@@ -73,7 +73,6 @@
     workspace: str | None
     path: Path = ()
     last_event_id: bytes = b""
-    weights_version: int | None = None
     priority: int | None = None
 
 
@@ -141,9 +140,6 @@
         headers.append((names.PATH, path_text(facts.path).encode()))
     if facts.last_event_id:
         headers.append((names.LAST_EVENT_ID, facts.last_event_id))
-    if facts.weights_version is not None:
-        version = str(facts.weights_version).encode()
-        headers.append((names.EXPECTED_WEIGHTS, version))
     if facts.priority is not None:
         headers.append((names.PRIORITY, str(facts.priority).encode()))
     if body_bytes or any(name == b"content-length" for name, _ in own):
--- a/radishfield/platform/_store.py
+++ b/radishfield/platform/_store.py
@@ -187,14 +187,6 @@
         answer = await self._call("replace", "PUT", _path(kind, name), body)
         return answer.bind(_decode_value)
 
-    async def delete(
-        self, kind: str, name: str, revision: int
-    ) -> Result[StoredValue, Fault]:
-        """Remove an object if its revision is still the one that was read."""
-        path = f"{_path(kind, name)}?revision={revision}"
-        answer = await self._call("delete", "DELETE", path)
-        return answer.bind(_decode_value)
-
     async def _call(
         self,
         call: str,
--- a/radishfield/routing/__init__.py
+++ b/radishfield/routing/__init__.py
@@ -48,6 +48,7 @@
     Workspace,
 )
 from radishfield.routing._vouching import Word, sends_callers_away, vouched_at
+from radishfield.routing._waiting import Ticket, WaitingLine
 
 __all__ = [
     "END_MARGIN_S",
@@ -86,8 +87,10 @@
     "TargetPhase",
     "TargetRecord",
     "TargetReport",
+    "Ticket",
     "UnknownKey",
     "Wait",
+    "WaitingLine",
     "Word",
     "Workspace",
     "block_layers",
--- a/radishfield/routing/_events.py
+++ b/radishfield/routing/_events.py
@@ -10,11 +10,10 @@
 class EventSplitter:
     """Cuts a stream of bytes into whole events."""
 
-    __slots__ = ("_rest", "last_id")
+    __slots__ = ("_rest",)
 
     def __init__(self):
         self._rest = b""
-        self.last_id: int | None = None
 
     def feed(self, chunk: bytes) -> bytes:
         """Return the whole events that are complete now, as one piece."""
@@ -26,7 +25,6 @@
         end += len(END_OF_EVENT)
         self._rest = data[end:]
         whole = data[:end]
-        self.last_id = _last_id(whole, self.last_id)
         return whole
 
     @property
@@ -44,8 +42,3 @@
             if digits.isdigit():
                 ids.append(int(digits))
     return ids
-
-
-def _last_id(events: bytes, before: int | None) -> int | None:
-    ids = event_ids(events)
-    return ids[-1] if ids else before
--- a/radishfield/routing/_paths.py
+++ b/radishfield/routing/_paths.py
@@ -113,6 +113,9 @@
     ) -> Path | None:
         """Return the cheapest path, or None if no targets with room cover it.
 
+        All parts hold the same version of the weights, the newest that has a path:
+        a token over two versions would come from no model at all.
+
         Parameters
         ----------
         first : PathPart, optional
@@ -120,6 +123,25 @@
         own_by_id : collection of str
             Targets that hold the request already, so that they need no more room.
         """
+        versions = {record.weights_version for record in records if record.span}
+        for version in sorted(versions, reverse=True):
+            same = [record for record in records if record.weights_version == version]
+            path = self._find_among(same, demand, first, pace_by_id, own_by_id)
+            # Targets do not notice a gap or an overlap: their answer would be
+            # tokens of no model, so each path is checked before it is used.
+            if path is not None and covers_once(path, self._engine.layers):
+                return path
+        return None
+
+    def _find_among(
+        self,
+        records: Sequence[TargetRecord],
+        demand: Demand,
+        first: PathPart | None,
+        pace_by_id: dict[str, float] | None,
+        own_by_id: Collection[str],
+    ) -> Path | None:
+        """Return the cheapest path over targets with the same weights."""
         paces = pace_by_id or {}
         part_ms_by_id: dict[str, float] = {}
         roomy: list[TargetRecord] = []
--- a/radishfield/routing/_types.py
+++ b/radishfield/routing/_types.py
@@ -157,7 +157,6 @@
     """What a caller may send, and how long a connection may stay idle."""
 
     max_body_bytes: int = 4 << 20
-    header_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
 
 
--- /dev/null
+++ b/radishfield/routing/_waiting.py
@@ -0,0 +1,128 @@
+"""Who goes next when all paths are full, and who is turned away at once.
+
+Load pattern: a burst, or the loss of targets, brings more streams than there is
+memory for, most of them from a few workspaces.  If all that wait try at each place
+that is freed, luck decides; by arrival alone the largest sender delays all others,
+and urgent work waits behind the rest.  Here the most urgent go first; among equals
+the workspace that holds the least; then who came first.  A few at the head try at
+the same time, so that one large request does not keep small ones from a place that
+it cannot use.
+
+Waiting is worth something only while the caller stays.  A request that by the pace
+of the last seconds would not get a place in time is told so at once, with the time
+after which its place in the line would have come.
+"""
+
+from collections import Counter, deque
+from dataclasses import dataclass, field
+
+PATIENCE_S = 1.2
+"""Longest wait: callers leave two seconds after they asked, and the first event of a
+stream that got a place takes a few tenths more."""
+
+HEAD = 4
+"""Requests at the head that may try: the largest tenth of requests is some four
+times as large as the usual one."""
+
+HOPE = 0.8
+"""Part of the patience that a forecast may take up.  Under lasting overload the line
+is as long as is allowed; at the whole patience those at its end are served just too
+late, all of them, and turned away after a wait in vain."""
+
+PACE_WINDOW_S = 3.0
+"""Time over which freed places are counted: about one stream's length."""
+
+LEAST_FREED, LEAST_COUNTED_S = 4, 0.5
+"""Freed places, and time, below which there is no pace to forecast by."""
+
+SHORTEST_RETURN_S, LONGEST_RETURN_S = 0.5, 5.0
+"""A caller that returns sooner meets the same line; later than a third of what it
+has left, most callers do not wait."""
+
+
+@dataclass(slots=True, frozen=True)
+class Ticket:
+    """A request in line.
+
+    Attributes
+    ----------
+    number : int
+        Rises with each ticket, so that earlier ones go first.
+    """
+
+    number: int
+    priority: int
+    workspace: str
+    since: float
+
+
+@dataclass(slots=True)
+class WaitingLine:
+    """The requests of one service that wait at this host."""
+
+    _tickets: dict[int, Ticket] = field(default_factory=dict)
+    _running: Counter[str] = field(default_factory=Counter)
+    _freed: deque[float] = field(default_factory=deque)
+    _numbers: int = 0
+
+    def __len__(self) -> int:
+        return len(self._tickets)
+
+    def join(self, priority: int, workspace: str, now: float) -> Ticket:
+        """Stand in line."""
+        self._numbers += 1
+        ticket = Ticket(self._numbers, priority, workspace, now)
+        self._tickets[ticket.number] = ticket
+        return ticket
+
+    def leave(self, ticket: Ticket) -> None:
+        """Step out of the line, with a place or without."""
+        self._tickets.pop(ticket.number, None)
+
+    def started(self, workspace: str) -> None:
+        """Count a request that got a place."""
+        self._running[workspace] += 1
+
+    def ended(self, workspace: str, now: float) -> None:
+        """Count a place that was freed."""
+        self._running[workspace] -= 1
+        if self._running[workspace] <= 0:
+            del self._running[workspace]
+        self._freed.append(now)
+        self._forget(now)
+
+    def may_try(self, ticket: Ticket) -> bool:
+        """Return whether a request is near enough to the head to try."""
+        return self._ahead(ticket) < HEAD
+
+    def expected_wait_s(self, ticket: Ticket, now: float) -> float:
+        """Return the time until a place comes, by the pace of the last seconds."""
+        self._forget(now)
+        if len(self._freed) < LEAST_FREED:
+            return 0.0
+        counted_s = max(LEAST_COUNTED_S, now - self._freed[0])
+        return (self._ahead(ticket) + 1) * counted_s / len(self._freed)
+
+    def is_hopeless(self, ticket: Ticket, now: float) -> bool:
+        """Return whether a request that just came would wait in vain."""
+        return self.expected_wait_s(ticket, now) > PATIENCE_S * HOPE
+
+    def is_over(self, ticket: Ticket, now: float) -> bool:
+        """Return whether a request has waited for as long as it may."""
+        return now - ticket.since >= PATIENCE_S
+
+    def return_after_s(self, ticket: Ticket, now: float) -> float:
+        """Return when a caller that is turned away should come back."""
+        wait_s = self.expected_wait_s(ticket, now)
+        return min(LONGEST_RETURN_S, max(SHORTEST_RETURN_S, wait_s))
+
+    def _ahead(self, ticket: Ticket) -> int:
+        own = self._rank(ticket)
+        return sum(self._rank(other) < own for other in self._tickets.values())
+
+    def _rank(self, ticket: Ticket) -> tuple[int, int, int]:
+        return (ticket.priority, self._running[ticket.workspace], ticket.number)
+
+    def _forget(self, now: float) -> None:
+        while self._freed and self._freed[0] < now - PACE_WINDOW_S:
+            self._freed.popleft()
--- a/radishfield/routing/paths_test.py
+++ b/radishfield/routing/paths_test.py
@@ -203,3 +203,22 @@
             hold(load, path, USUAL)
         assert pipes.shares(now).get(("a", "b"), 0.0) < 0.75
     assert crossed > 0
+
+
+def test_a_path_never_mixes_two_versions_of_the_weights(engine):
+    """New weights are rolled out target by target.
+
+    A path over parts of both versions would give tokens of neither model.
+    """
+    old = [
+        make_target("o1", accelerator="a100", span=(0, 40), weights_version=1),
+        make_target("o2", accelerator="a100", span=(40, 80), weights_version=1),
+    ]
+    half = make_target("n1", accelerator="a100", span=(0, 40), weights_version=2)
+    rest = make_target("n2", accelerator="a100", span=(40, 80), weights_version=2)
+    finder = PathFinder(engine, LoadBook(), "a")
+    ids = [part.target_id for part in finder.find([*old, half], USUAL)]
+    assert ids == ["o1", "o2"]
+    ids = [part.target_id for part in finder.find([*old, half, rest], USUAL)]
+    assert ids == ["n1", "n2"]
+    assert finder.find([old[0], rest], USUAL) is None
