Take the soak's ports from below the range of outgoing connections

Traced in the routers' output: a router could not bind its port (address in use), and the callers' requests reached whatever process had it. The ports came from the range that the kernel hands out.

--- a/proofs/router_soak.py
+++ b/proofs/router_soak.py
@@ -12,7 +12,7 @@
 import trio
 
 from proofs._router_soak import HOSTS, Soak
-from proofs.router_soak_test import free_ports
+from standins.ports import free_ports
 
 
 @click.command()
--- a/proofs/router_soak_test.py
+++ b/proofs/router_soak_test.py
@@ -1,22 +1,10 @@
 """A short soak of the routers with fixed seeds, and each seed that ever failed."""
 
-import socket
-
 import pytest
 import trio
 
 from proofs._router_soak import HOSTS, Soak
-
-
-def free_ports(count):
-    found = [socket.socket() for _ in range(count)]
-    try:
-        for each in found:
-            each.bind(("127.0.0.1", 0))
-        return [each.getsockname()[1] for each in found]
-    finally:
-        for each in found:
-            each.close()
+from standins.ports import free_ports
 
 
 @pytest.mark.parametrize("seed", [1, 2])
--- a/radishfield/forwarding/conftest.py
+++ b/radishfield/forwarding/conftest.py
@@ -1,6 +1,5 @@
 """A router in this process with stand-ins of the store and the targets around it."""
 
-import socket
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -11,16 +10,11 @@
 from radishfield.forwarding import Router, read_settings
 from radishfield.web import ListenerConfig, serve_app
 from standins.object_store import ObjectStoreApp
+from standins.ports import free_port
 from standins.routed_config import HOST_NAME, KEY, layered_entry, target_entry
 from standins.routed_targets import LayeredFleet, LayeredTarget, PlainTarget
 
 
-def free_port() -> int:
-    with socket.socket() as found:
-        found.bind(("127.0.0.1", 0))
-        return found.getsockname()[1]
-
-
 @dataclass
 class World:
     """Everything that a test acts on."""
--- a/radishfield/forwarding/settings_test.py
+++ b/radishfield/forwarding/settings_test.py
@@ -12,7 +12,7 @@
 
 from radishfield.forwarding import read_settings
 from radishfield.forwarding._router import reload_settings
-from radishfield.forwarding.conftest import free_port
+from standins.ports import free_port
 
 
 def write(tmp_path, **sections):
