Take no word that echoes an earlier process's clock

Found by reading: after a loss of power the clock may begin anew, and a neighbour's echo of the life before lies ahead, so that keys would be admitted for minutes. The test failed before.

--- a/radishfield/forwarding/_peers.py
+++ b/radishfield/forwarding/_peers.py
@@ -128,6 +128,7 @@
 
     __slots__ = (
         "_address",
+        "_began_at",
         "_chance",
         "_duties",
         "_host_id",
@@ -150,6 +151,7 @@
         self._chance = random.Random()
         self._peer_by_id: dict[str, _Peer] = {}
         self._round = 0
+        self._began_at = view.clock.now()
         self.malformed = 0
         self.told_bytes = 0
 
@@ -337,9 +339,15 @@
             self._view.duty_told_at[duty] = now
 
     def _take_word(self, telling: Telling) -> None:
-        """Take another host's word that the version in force is the newest."""
+        """Take another host's word that the version in force is the newest.
+
+        An echo of what an earlier process of this host sent does not count: after a
+        loss of power the clock may have begun anew, and the echo's time lie ahead.
+        """
+        now = self._view.clock.now()
         for echo in telling.echoes:
-            if echo.host_id == self._host_id and self._view.table is not None:
+            own = echo.host_id == self._host_id
+            if own and self._began_at <= echo.sent_at <= now and self._version():
                 word = Word(telling.config_version, telling.config_age_s, echo.sent_at)
                 confirmed_at = vouched_at(word, self._version())
                 if confirmed_at is not None:
--- a/radishfield/forwarding/_placer.py
+++ b/radishfield/forwarding/_placer.py
@@ -95,8 +95,8 @@
     __slots__ = (
         "_ask_again_at",
         "_held_revision",
-        "_next_move_at",
         "_host_id",
+        "_next_move_at",
         "_ordered_by_id",
         "_renewed_at",
         "_searched_version_by_service",
@@ -104,8 +104,8 @@
         "_store",
         "_targets",
         "_unplaced_by_service",
-        "_wanted_move_by_service",
         "_view",
+        "_wanted_move_by_service",
     )
 
     def __init__(
@@ -152,17 +152,7 @@
             self._unplaced_by_service.pop(service.name, None)
             await self._consider_move(service, engine, now)
             return
-        ids = frozenset(assignment.target.id for assignment in wanted)
-        unplaced = self._unplaced_by_service.get(service.name)
-        if unplaced is None:
-            unplaced = _Unplaced(ids, now, now)
-        elif not ids <= unplaced.ids:
-            unplaced = _Unplaced(ids, unplaced.since, now)
-        self._unplaced_by_service[service.name] = unplaced
-        listed = len(self._view.directory.listed(service.name))
-        starting = len(wanted) > START_SHARE * listed
-        settled = now - unplaced.grown_at >= SETTLE_S
-        if starting and not settled and now - unplaced.since < LONGEST_SETTLE_S:
+        if not self._is_settled(service.name, wanted, now):
             return
         if not await self._hold_lease(service.name):
             return
@@ -172,6 +162,21 @@
             for assignment in wanted:
                 nursery.start_soon(self._order, service.name, assignment)
 
+    def _is_settled(self, service: str, wanted: list[Assignment], now: float) -> bool:
+        """Return whether a fleet that starts has stopped growing."""
+        ids = frozenset(assignment.target.id for assignment in wanted)
+        unplaced = self._unplaced_by_service.get(service)
+        if unplaced is None:
+            unplaced = _Unplaced(ids, now, now)
+        elif not ids <= unplaced.ids:
+            unplaced = _Unplaced(ids, unplaced.since, now)
+        self._unplaced_by_service[service] = unplaced
+        listed = len(self._view.directory.listed(service))
+        if len(wanted) <= START_SHARE * listed:
+            return True
+        settled = now - unplaced.grown_at >= SETTLE_S
+        return settled or now - unplaced.since >= LONGEST_SETTLE_S
+
     async def _consider_move(
         self, service: ServiceSpec, engine: EngineSpec, now: float
     ) -> None:
