Stream from services without layers, too

Cause, found by reading: a streaming route of a service that places no layers was served like a lookup, its events held back until the end. Change: such a stream goes to one target without a path, is passed on as it comes and resumed as on paths. The test failed before (events came together, and a break ended the answer).

--- a/radishfield/forwarding/_active.py
+++ b/radishfield/forwarding/_active.py
@@ -45,7 +45,12 @@
     )
 
     def __init__(
-        self, call: Call, engine: EngineSpec, demand: Demand, path: Path, now: float
+        self,
+        call: Call,
+        engine: EngineSpec | None,
+        demand: Demand,
+        path: Path,
+        now: float,
     ):
         self.call = call
         self.engine = engine
@@ -124,7 +129,7 @@
             match next_step(
                 silent_s, stream.has_events, asked_ago_s, stream.may_resume
             ):
-                case Ask():
+                case Ask() if stream.engine is not None:
                     self._asked_at_by_id[first_id] = now
                     self._nursery.start_soon(self._ask, first_id)
                 case GiveUp():
--- a/radishfield/forwarding/_app.py
+++ b/radishfield/forwarding/_app.py
@@ -83,7 +83,7 @@
         await run_until_disconnect(receive, lambda: self._forward(call))
 
     async def _forward(self, call: Call) -> None:
-        if call.service.engine is not None and call.route.kind is RouteKind.STREAM:
+        if call.route.kind is RouteKind.STREAM:
             await self._streams.serve(call)
         else:
             await self._plain.serve(call)
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -16,10 +16,14 @@
     Demand,
     EngineSpec,
     EventSplitter,
+    FailureBook,
+    LayerSpan,
     Path,
+    PathPart,
     RouteRule,
     Ticket,
     WaitingLine,
+    choose_target,
     event_ids,
 )
 from radishfield.telemetry import DeferredTelemetry, log_event
@@ -34,6 +38,10 @@
 MORE_RESUMES = 2
 """Resumes beside the attempts of the route where the earlier target was lost."""
 OK_STATUS = 200
+WHOLE_MODEL = LayerSpan(0, 0)
+"""The span of a target that is sent no path: it runs whatever it has."""
+NO_FAILURES = FailureBook()
+"""Streams that fail go on elsewhere; their targets are judged by the guard."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -142,12 +150,14 @@
     async def _find_path(
         self,
         call: Call,
-        engine: EngineSpec,
+        engine: EngineSpec | None,
         progress: "_Progress",
         excluded: set[str],
     ) -> Result[Path, Fault]:
         """Return a path, standing in line where all of them are full."""
         view = self._view
+        if engine is None:
+            return self._single_target(call, excluded)
         line = view.line(call.service.name)
         path = None if len(line) else self._path_now(call, engine, progress, excluded)
         if path is not None:
@@ -173,10 +183,25 @@
         finally:
             line.leave(ticket)
 
+    def _single_target(self, call: Call, excluded: set[str]) -> Result[Path, Fault]:
+        """Return a path of one target, for a service whose targets serve alone."""
+        view = self._view
+        record = choose_target(
+            view.directory.usable(call.service.name, view.clock.now()),
+            view.load,
+            NO_FAILURES,
+            view.zone,
+            excluded,
+            view.chance,
+        )
+        if record is None:
+            return Error(fault(ResultCode.NO_TARGET, "", NO_PATH_RETRY_S))
+        return Ok((PathPart(record.id, record.address, WHOLE_MODEL),))
+
     def _path_now(
         self,
         call: Call,
-        engine: EngineSpec,
+        engine: EngineSpec | None,
         progress: "_Progress",
         excluded: set[str],
     ) -> Path | None:
@@ -198,7 +223,7 @@
         return fault(ResultCode.DEADLINE_UNREACHABLE, detail, retry_s)
 
     async def _attempt(
-        self, call: Call, engine: EngineSpec, path: Path, progress: "_Progress"
+        self, call: Call, engine: EngineSpec | None, path: Path, progress: "_Progress"
     ) -> Result[_WholeFailure | None, Fault]:
         record = self._view.directory.find(path[0].target_id)
         if record is None:
@@ -209,7 +234,8 @@
         line = self._view.line(call.service.name)
         line.started(call.workspace_name)
         self._guard.add(stream)
-        self._view.note_crossings(engine, path, stream.demand.prompt)
+        if engine is not None:
+            self._view.note_crossings(engine, path, stream.demand.prompt)
         log_event(
             "attempt.sent",
             request=call.facts.request_id,
@@ -238,7 +264,10 @@
         self, call: Call, record, stream: ActiveStream, progress: "_Progress"
     ) -> Result[_WholeFailure | None, Fault]:
         sent = await self._targets.send(
-            call, record, stream.path, progress.resume_after()
+            call,
+            record,
+            () if stream.engine is None else stream.path,
+            progress.resume_after(),
         )
         if sent.is_error():
             return sent
@@ -337,9 +366,11 @@
         if ids:
             self.last_id = ids[-1]
 
-    def demand(self, engine: EngineSpec) -> Demand:
+    def demand(self, engine: EngineSpec | None) -> Demand:
         """Return what the request will fill at each target of its path."""
         facts = self._call.facts
+        if engine is None:
+            return Demand(facts.prompt_tokens, facts.likely_answer_tokens)
         answer = facts.likely_answer_tokens or engine.usual_answer
         if facts.most_answer_tokens:
             answer = min(answer, facts.most_answer_tokens)
--- a/radishfield/forwarding/router_test.py
+++ b/radishfield/forwarding/router_test.py
@@ -477,3 +477,29 @@
         assert replies[0].status in (502, 504)
 
     play(tmp_path, scene)
+
+
+def test_a_stream_of_a_service_without_layers_is_passed_on_event_by_event(tmp_path):
+    """A route streams from targets that each serve alone.
+
+    Events reach the caller as they come, not all together at the end, and a break
+    is gone around as on paths.
+    """
+
+    async def scene(played):
+        services = [{"name": "pool", "healthPath": "/h", "maxConns": 100}]
+        played.store.put("config", "main", config(services=services))
+        for number in range(2):
+            await played.add_layered(f"t{number + 1}", 0, 80, events=10, gap_s=0.05)
+        played.layered[0].cut_after = 4
+        await played.start_router()
+        for number in range(4):
+            reply = await played.request(
+                "/stream/x", "POST", request_id=f"r{number}", body=b"{}"
+            )
+            ids = [line for line in reply.body.split(b"\n") if line.startswith(b"id")]
+            assert reply.whole
+            assert ids == [b"id: %d" % event for event in range(1, 11)]
+        assert set(played.layered[0].paths + played.layered[1].paths) == {""}
+
+    play(tmp_path, scene)
--- a/standins/routed_targets.py
+++ b/standins/routed_targets.py
@@ -240,7 +240,7 @@
 
 def _parts(path: str) -> list[tuple[str, int, int]]:
     parts = []
-    for item in path.split(","):
+    for item in path.split(",") if path else ():
         address, _, span = item.rpartition("=")
         first, _, end = span.partition("-")
         parts.append((address, int(first), int(end)))
