--- a/proofs/_router_soak.py
+++ b/proofs/_router_soak.py
@@ -61,7 +61,7 @@
             f"[host]\nid = host-{number}\nzone = a\n"
             f"[caller]\nbind = {self.front}\n"
             f"[readiness]\nbind = 127.0.0.1:{ports[1]}\n"
-            f"[talk]\nbind = 127.0.0.1:{ports[2]}\n"
+            f"[gossip]\nbind = 127.0.0.1:{ports[2]}\n"
             f"[platform]\naddress = {store}\n"
             "[promises]\ngrace = 3s\nretry_slack = 100\n"
             "[log]\ndestination = stdout\n"
--- a/radishfield/forwarding/_app.py
+++ b/radishfield/forwarding/_app.py
@@ -227,8 +227,8 @@
                 leaving=view.leaving,
                 store_silent_s=_rounded(view.freshness.silent_s(now)),
                 store_failing_s=round(view.freshness.failing_s(now), 2),
-                peers_heard=view.talk.heard,
-                peers_freshest_s=_rounded(view.talk.freshest_s),
+                peers_heard=view.peers.heard,
+                peers_freshest_s=_rounded(view.peers.freshest_s),
             )
         status = 200 if ready and scope["path"] == self._path else 503
         await send(
--- a/radishfield/forwarding/_peers.py
+++ b/radishfield/forwarding/_gossip.py
@@ -17,28 +17,34 @@
 from radishfield.core import ResultCode
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import ObjectStore
-from radishfield.routing import Held, RetryUse, Word, pair_of, vouched_at
+from radishfield.routing import (
+    PeerConfirmation,
+    RetryUse,
+    TargetLoad,
+    confirmed_by_peer_at,
+    pair_of,
+)
 from radishfield.telemetry import log_event
 from radishfield.web import backoff_s
 
 HOSTS_KIND = "radishfield-hosts"
-TELL_S = 0.25
-"""Between two tellings a host starts one or two requests; later, hosts of a zone
+GOSSIP_PERIOD_S = 0.25
+"""Between two statuses a host starts one or two requests; later, hosts of a zone
 would crowd the same target."""
-FAR_EVERY = 4
-"""Other zones hear each fourth telling: their work rarely meets this zone's, and
+REMOTE_ZONE_EVERY = 4
+"""Other zones hear each fourth status: their work rarely meets this zone's, and
 bytes between zones are paid for."""
-NEAR_HOSTS = 12
-"""Hosts of the own zone that hear a telling, drawn at random where there are more:
-a host's part of the load shrinks as the hosts grow, and so does what its word is
+ZONE_FANOUT = 12
+"""Hosts of the own zone that hear a status, drawn at random where there are more:
+a host's part of the load shrinks as the hosts grow, and so does what its status is
 worth."""
-FAR_HOSTS = 6
-"""Hosts of other zones that hear a telling, drawn at random: with many hosts the
+REMOTE_ZONE_FANOUT = 6
+"""Hosts of other zones that hear a status, drawn at random: with many hosts the
 bytes between zones must not grow with their square."""
 ALIVE_S = 2.5
-MOST_TOLD_LOST = 4
+MOST_REPORTED_LOST = 4
 """A host that has lost more targets than this at once is itself the one that is cut
-off; taken at its word, its neighbours would leave out what they reach."""
+off; believed, its neighbours would leave out what they reach."""
 COUNTED_S = 30.0
 """Time for which a host that has fallen silent is still counted among those that
 share allowances: longer than cuts last, after which both sides spend again."""
@@ -58,7 +64,7 @@
     repeats: int
 
 
-class _PipeShare(msgspec.Struct, array_like=True):
+class _LinkShare(msgspec.Struct, array_like=True):
     zone: str
     other: str
     share: float
@@ -71,7 +77,7 @@
     sent_at: float
 
 
-class Telling(msgspec.Struct, array_like=True):
+class PeerStatus(msgspec.Struct, array_like=True):
     """One host's state, whole.
 
     Attributes
@@ -97,7 +103,7 @@
     store_silent_s: float
     echoes: list[_Echo]
     uses: list[_Use]
-    pipes: list[_PipeShare]
+    links: list[_LinkShare]
 
 
 class _HostBody(msgspec.Struct):
@@ -120,10 +126,10 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Telling)
+_decoder = msgspec.msgpack.Decoder(PeerStatus)
 
 
-class PeerTalk:
+class Gossip:
     """Tells the other hosts, and hears them, over UDP."""
 
     __slots__ = (
@@ -137,7 +143,7 @@
         "_store",
         "_view",
         "malformed",
-        "told_bytes",
+        "sent_bytes",
     )
 
     def __init__(
@@ -153,7 +159,7 @@
         self._round = 0
         self._began_at = view.clock.now()
         self.malformed = 0
-        self.told_bytes = 0
+        self.sent_bytes = 0
 
     async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED):
         """Talk until cancelled."""
@@ -161,8 +167,8 @@
         with trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
             await sock.bind((ip, int(port)))
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._hear, sock)
-                nursery.start_soon(self._tell, sock)
+                nursery.start_soon(self._receive, sock)
+                nursery.start_soon(self._send_statuses, sock)
                 nursery.start_soon(self._find)
                 task_status.started()
 
@@ -211,23 +217,23 @@
         except (msgspec.ValidationError, ValueError) as problem:
             log_event("peer.unreadable", peer=host_id, detail=str(problem))
 
-    async def _tell(self, sock) -> None:
+    async def _send_statuses(self, sock) -> None:
         while True:
-            await trio.sleep(TELL_S * self._chance.uniform(0.9, 1.1))
+            await trio.sleep(GOSSIP_PERIOD_S * self._chance.uniform(0.9, 1.1))
             self._round += 1
-            self._view.load.forget_silent(self._view.clock.now())
+            self._view.load.expire_remote(self._view.clock.now())
             self._sum_up()
-            telling = self._telling()
-            for peer in self._hearers():
+            status = self._status()
+            for peer in self._recipients():
                 try:
-                    await sock.sendto(telling, peer.address)
-                    self.told_bytes += len(telling)
+                    await sock.sendto(status, peer.address)
+                    self.sent_bytes += len(status)
                 except OSError as problem:
                     log_event(
                         "peer.unreachable", peer=peer.address[0], detail=str(problem)
                     )
 
-    def _telling(self) -> bytes:
+    def _status(self) -> bytes:
         now = self._view.clock.now()
         age_s = self._view.freshness.age_s(now)
         silent_s = self._view.freshness.silent_s(now)
@@ -236,7 +242,7 @@
             for target_id, held in self._view.load.own_by_id.items()
         ]
         return _encoder.encode(
-            Telling(
+            PeerStatus(
                 self._host_id,
                 self._view.zone,
                 self._address,
@@ -258,8 +264,8 @@
                     for service, use in self._view.retry_use().items()
                 ],
                 [
-                    _PipeShare(zone, other, round(share, 3))
-                    for (zone, other), share in self._view.pipes.own_shares(now).items()
+                    _LinkShare(zone, other, round(share, 3))
+                    for (zone, other), share in self._view.links.own_shares(now).items()
                 ],
             )
         )
@@ -268,25 +274,25 @@
         table = self._view.table
         return table.config.version if table else 0
 
-    def _hearers(self) -> list[_Peer]:
-        """Return who hears this telling; hosts that are silent, only now and then."""
+    def _recipients(self) -> list[_Peer]:
+        """Return who hears this status; hosts that are silent, only now and then."""
         now = self._view.clock.now()
         peers = list(self._peer_by_id.values())
         near = [peer for peer in peers if peer.zone == self._view.zone]
-        hearers = [
+        recipients = [
             peer for peer in near if self._alive(peer, now) or self._round % 8 == 0
         ]
-        if len(hearers) > NEAR_HOSTS:
-            hearers = self._chance.sample(hearers, NEAR_HOSTS)
-        if self._round % FAR_EVERY == 0:
+        if len(recipients) > ZONE_FANOUT:
+            recipients = self._chance.sample(recipients, ZONE_FANOUT)
+        if self._round % REMOTE_ZONE_EVERY == 0:
             far = [peer for peer in peers if peer.zone != self._view.zone]
-            hearers += self._chance.sample(far, min(FAR_HOSTS, len(far)))
-        return hearers
+            recipients += self._chance.sample(far, min(REMOTE_ZONE_FANOUT, len(far)))
+        return recipients
 
     def _alive(self, peer: _Peer, now: float) -> bool:
         return now - peer.heard_at < ALIVE_S
 
-    async def _hear(self, sock) -> None:
+    async def _receive(self, sock) -> None:
         while True:
             try:
                 data, _ = await sock.recvfrom(DATAGRAM_BYTES)
@@ -295,85 +301,87 @@
                 log_event("peer.error", detail=str(problem))
                 continue
             try:
-                telling = _decoder.decode(data)
-                address = _split(telling.address)
+                status = _decoder.decode(data)
+                address = _split(status.address)
             except (msgspec.DecodeError, ValueError):
                 self.malformed += 1
                 continue
-            self._take(telling, address)
+            self._take(status, address)
 
-    def _take(self, telling: Telling, address: tuple[str, int]) -> None:
-        if telling.host_id == self._host_id:
+    def _take(self, status: PeerStatus, address: tuple[str, int]) -> None:
+        if status.host_id == self._host_id:
             return
         now = self._view.clock.now()
-        peer = self._peer_by_id.get(telling.host_id)
+        peer = self._peer_by_id.get(status.host_id)
         if peer is None or peer.address != address:
-            peer = self._peer_by_id[telling.host_id] = _Peer(address, telling.zone, now)
-            log_event("peer.joined", peer=telling.host_id, zone=telling.zone)
+            peer = self._peer_by_id[status.host_id] = _Peer(address, status.zone, now)
+            log_event("peer.joined", peer=status.host_id, zone=status.zone)
             self._count()
         peer.heard_at = now
-        peer.sent_at = telling.sent_at
+        peer.sent_at = status.sent_at
         peer.store_silent_s = math.inf
-        if telling.store_silent_s >= 0:
-            peer.store_silent_s = telling.store_silent_s
-        if telling.config_age_s >= 0:
-            self._take_word(telling)
-        self._view.talk.use_by_service_by_host[telling.host_id] = {
-            use.service: RetryUse(use.firsts, use.repeats) for use in telling.uses
+        if status.store_silent_s >= 0:
+            peer.store_silent_s = status.store_silent_s
+        if status.config_age_s >= 0:
+            self._merge_freshness(status)
+        self._view.peers.use_by_service_by_host[status.host_id] = {
+            use.service: RetryUse(use.firsts, use.repeats) for use in status.uses
         }
-        self._view.pipes.told(
-            telling.host_id,
-            {pair_of(item.zone, item.other): item.share for item in telling.pipes},
+        self._view.links.report_remote(
+            status.host_id,
+            {pair_of(item.zone, item.other): item.share for item in status.links},
         )
         held_by_id = {
-            item.target_id: Held(item.requests, item.token_layers, item.as_first)
-            for item in telling.work
+            item.target_id: TargetLoad(item.requests, item.token_layers, item.as_first)
+            for item in status.work
         }
-        self._view.load.told(telling.host_id, held_by_id, now)
-        for incarnation in telling.leaving:
+        self._view.load.report_remote(status.host_id, held_by_id, now)
+        for incarnation in status.leaving:
             self._view.directory.mark_leaving(incarnation)
-        if len(telling.lost) <= MOST_TOLD_LOST:
-            for target_id, started_ms in telling.lost:
-                self._take_lost(telling.host_id, target_id, started_ms)
-        for duty in telling.duties:
-            self._view.duty_told_at[duty] = now
+        if len(status.lost) <= MOST_REPORTED_LOST:
+            for target_id, started_ms in status.lost:
+                self._merge_lost(status.host_id, target_id, started_ms)
+        for duty in status.duties:
+            self._view.duty_reported_at[duty] = now
 
-    def _take_word(self, telling: Telling) -> None:
-        """Take another host's word that the version in force is the newest.
+    def _merge_freshness(self, status: PeerStatus) -> None:
+        """Take another host's confirmation that the version in force is the newest.
 
         An echo of what an earlier process of this host sent does not count: after a
         loss of power the clock may have begun anew, and the echo's time lie ahead.
         """
         now = self._view.clock.now()
-        for echo in telling.echoes:
+        for echo in status.echoes:
             own = echo.host_id == self._host_id
             if own and self._began_at <= echo.sent_at <= now and self._version():
-                word = Word(telling.config_version, telling.config_age_s, echo.sent_at)
-                confirmed_at = vouched_at(word, self._version())
+                confirmation = PeerConfirmation(
+                    status.config_version, status.config_age_s, echo.sent_at
+                )
+                confirmed_at = confirmed_by_peer_at(confirmation, self._version())
                 if confirmed_at is not None:
-                    self._view.freshness.vouch(confirmed_at)
+                    self._view.freshness.confirm_by_peer(confirmed_at)
 
     def _sum_up(self) -> None:
         """Note how many hosts are heard, and how fresh the freshest is."""
         now = self._view.clock.now()
-        talk = self._view.talk
+        view_of_peers = self._view.peers
         alive = {
             host_id: peer
             for host_id, peer in self._peer_by_id.items()
             if self._alive(peer, now)
         }
         self._count()
-        talk.heard = len(alive)
-        talk.was_heard = talk.was_heard or bool(alive)
-        talk.freshest_s = min(
+        view_of_peers.heard = len(alive)
+        view_of_peers.ever_heard = view_of_peers.ever_heard or bool(alive)
+        view_of_peers.freshest_s = min(
             (peer.silent_s(now) for peer in alive.values()), default=math.inf
         )
-        for host_id in list(talk.use_by_service_by_host):
+        for host_id in list(view_of_peers.use_by_service_by_host):
             if host_id not in alive:
-                del talk.use_by_service_by_host[host_id]
-                self._view.pipes.forget(host_id)
+                del view_of_peers.use_by_service_by_host[host_id]
+                self._view.links.forget(host_id)
 
-    def _take_lost(self, host_id: str, target_id: str, started_ms: int) -> None:
+    def _merge_lost(self, host_id: str, target_id: str, started_ms: int) -> None:
         """Leave out what another host found lost, until it answers this one."""
         directory, now = self._view.directory, self._view.clock.now()
         record = directory.find(target_id)
@@ -382,7 +390,7 @@
         if not directory.suspected(target_id, now):
             directory.suspect(target_id, now, until_asked=True, first_hand=False)
             log_event(
-                "target.told_lost",
+                "target.reported_lost",
                 target=target_id,
                 by=host_id,
                 directory_version=directory.version,
--- a/radishfield/forwarding/_placer.py
+++ b/radishfield/forwarding/_placer.py
@@ -275,7 +275,7 @@
             if now - self._renewed_at[service] < LEASE_S / 4:
                 return True
             return await self._write_lease(service, revision)
-        told_at = self._view.duty_told_at.get(service, -1e9)
+        told_at = self._view.duty_reported_at.get(service, -1e9)
         if now - told_at < LEASE_S or now < self._ask_again_at.get(service, 0.0):
             return False
         self._ask_again_at[service] = now + ASK_AGAIN_S
--- a/radishfield/forwarding/_plain.py
+++ b/radishfield/forwarding/_plain.py
@@ -14,7 +14,7 @@
 from radishfield.forwarding._targets import Targets, final_fault
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import Headers
-from radishfield.routing import FailureBook, RouteRule, TargetRecord, choose_target
+from radishfield.routing import FailureRates, RouteRule, TargetRecord, choose_target
 
 NO_TARGET_RETRY_S = 0.6
 """A target that was lost is replaced or found alive within about a second."""
@@ -81,7 +81,7 @@
     def __init__(self, targets: Targets, view: RouterView):
         self._targets = targets
         self._view = view
-        self._failures = FailureBook()
+        self._failures = FailureRates()
 
     async def serve(self, call: Call) -> None:
         """Answer a call."""
--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -9,26 +9,26 @@
 from expression import Result
 
 from radishfield.core import Fault, SystemClock
-from radishfield.forwarding._active import StreamGuard
 from radishfield.forwarding._app import ReadinessApp, RouterApp
 from radishfield.forwarding._connections import TargetConnections
 from radishfield.forwarding._follower import ConfigFollower, TargetFollower
+from radishfield.forwarding._gossip import Gossip
 from radishfield.forwarding._metrics import MetricsPage
-from radishfield.forwarding._peers import PeerTalk
 from radishfield.forwarding._placer import Placer
 from radishfield.forwarding._plain import PlainForwarder
 from radishfield.forwarding._streams import StreamForwarder
 from radishfield.forwarding._targets import Targets
 from radishfield.forwarding._view import RouterView
+from radishfield.forwarding._watchdog import StreamWatchdog
 from radishfield.kernel import Kernel
 from radishfield.platform import READY_PATH, ObjectStore
 from radishfield.routing import END_MARGIN_S, NOTICE_S, Freshness, RetryAllowance
 from radishfield.settings import (
     ROUTER_SECTIONS,
     EntrySettings,
+    GossipSettings,
     PromisesSettings,
     ReadinessSettings,
-    TalkSettings,
 )
 from radishfield.telemetry import (
     DeferredTelemetry,
@@ -109,20 +109,20 @@
         store = ObjectStore(settings.platform.address, clock)
         connections = TargetConnections(clock)
         targets = Targets(connections, view, telemetry)
-        guard = StreamGuard(targets, view)
+        watchdog = StreamWatchdog(targets, view)
         placer = Placer(settings.host.id, store, targets, view)
         plain = PlainForwarder(targets, view)
-        streams = StreamForwarder(targets, guard, view, telemetry)
+        streams = StreamForwarder(targets, watchdog, view, telemetry)
         register("config", ConfigFollower(store, view, self._limit_idle))
         register("targets", TargetFollower(store, view))
-        register("guard", guard)
+        register("watchdog", watchdog)
         register("placer", placer)
         register("connections", IdleConnections(connections))
-        talk = settings.section("talk", TalkSettings)
-        if talk.bind:
+        gossip = settings.section("gossip", GossipSettings)
+        if gossip.bind:
             register(
                 "peers",
-                PeerTalk(settings.host.id, talk.bind, store, view, placer.duties),
+                Gossip(settings.host.id, gossip.bind, store, view, placer.duties),
             )
         app = RouterApp(plain, streams, view, telemetry)
         register("callers", HttpListener(app, self._caller_config))
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -7,22 +7,22 @@
 from expression import Error, Ok, Result
 
 from radishfield.core import Fault, Outcome, ResultCode, fault
-from radishfield.forwarding._active import ActiveStream, StreamGuard, path_words
 from radishfield.forwarding._call import Call
 from radishfield.forwarding._connections import BrokenAnswerError, Exchange
 from radishfield.forwarding._targets import Targets, final_fault
 from radishfield.forwarding._view import RouterView
+from radishfield.forwarding._watchdog import ActiveStream, StreamWatchdog, path_words
 from radishfield.routing import (
+    AdmissionQueue,
     Demand,
     EngineSpec,
     EventSplitter,
-    FailureBook,
+    FailureRates,
     LayerSpan,
     Path,
     PathPart,
+    QueueEntry,
     RouteRule,
-    Ticket,
-    WaitingLine,
     choose_target,
     event_ids,
 )
@@ -40,8 +40,8 @@
 OK_STATUS = 200
 WHOLE_MODEL = LayerSpan(0, 0)
 """The span of a target that is sent no path: it runs whatever it has."""
-NO_FAILURES = FailureBook()
-"""Streams that fail go on elsewhere; their targets are judged by the guard."""
+NO_FAILURES = FailureRates()
+"""Streams that fail go on elsewhere; their targets are judged by the watchdog."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -92,17 +92,17 @@
 class StreamForwarder:
     """Serves calls whose answer is a stream of events."""
 
-    __slots__ = ("_guard", "_targets", "_telemetry", "_view")
+    __slots__ = ("_watchdog", "_targets", "_telemetry", "_view")
 
     def __init__(
         self,
         targets: Targets,
-        guard: StreamGuard,
+        watchdog: StreamWatchdog,
         view: RouterView,
         telemetry: DeferredTelemetry,
     ):
         self._targets = targets
-        self._guard = guard
+        self._watchdog = watchdog
         self._view = view
         self._telemetry = telemetry
 
@@ -130,6 +130,10 @@
             placed = await self._find_path(call, engine, progress, tries.excluded)
             if placed.is_error():
                 return final_fault(call, placed.error, NO_PATH_RETRY_S)
+            # It may have waited: its key or its route may be gone by now.
+            stop = self._targets.check(call)
+            if stop is not None:
+                return final_fault(call, stop, NO_PATH_RETRY_S)
             if call.sent and not self._targets.may_repeat(call, tries.problem):
                 return final_fault(call, tries.problem, NO_PATH_RETRY_S)
             result = await self._attempt(call, engine, placed.ok, progress)
@@ -158,30 +162,30 @@
         view = self._view
         if engine is None:
             return self._single_target(call, excluded)
-        line = view.line(call.service.name)
-        path = None if len(line) else self._path_now(call, engine, progress, excluded)
+        queue = view.admission_queue(call.service.name)
+        path = None if len(queue) else self._path_now(call, engine, progress, excluded)
         if path is not None:
             return Ok(path)
         # The caller of a stream that has begun is waiting for its next event.
         priority = RESUMED_PRIORITY if progress.begun else call.priority
-        ticket = line.join(priority, call.workspace_name, view.clock.now())
+        entry = queue.join(priority, call.workspace_name, view.clock.now())
         try:
-            if line.is_hopeless(ticket, view.clock.now()) and not progress.begun:
-                return Error(self._full(line, ticket))
+            if queue.is_hopeless(entry, view.clock.now()) and not progress.begun:
+                return Error(self._full(queue, entry))
             while True:
                 if not self._is_covered(call, engine):
                     detail = "layers are missing"
                     return Error(fault(ResultCode.NO_TARGET, detail, NO_PATH_RETRY_S))
-                if line.may_try(ticket):
+                if queue.may_try(entry):
                     path = self._path_now(call, engine, progress, excluded)
                 if path is not None:
                     return Ok(path)
-                if line.is_over(ticket, view.clock.now()):
-                    return Error(self._full(line, ticket))
+                if queue.has_expired(entry, view.clock.now()):
+                    return Error(self._full(queue, entry))
                 with trio.move_on_after(LOOK_AGAIN_S):
                     await view.room_freed.wait()
         finally:
-            line.leave(ticket)
+            queue.leave(entry)
 
     def _single_target(self, call: Call, excluded: set[str]) -> Result[Path, Fault]:
         """Return a path of one target, for a service whose targets serve alone."""
@@ -216,10 +220,10 @@
         records = self._view.directory.usable(call.service.name, now)
         return _covered(records, engine)
 
-    def _full(self, line: WaitingLine, ticket: Ticket) -> Fault:
+    def _full(self, queue: AdmissionQueue, entry: QueueEntry) -> Fault:
         now = self._view.clock.now()
-        detail = f"full, {len(line)} in line, waited {now - ticket.since:.2f} s"
-        retry_s = line.return_after_s(ticket, now)
+        detail = f"full, {len(queue)} in queue, waited {now - entry.since:.2f} s"
+        retry_s = queue.return_after_s(entry, now)
         return fault(ResultCode.DEADLINE_UNREACHABLE, detail, retry_s)
 
     async def _attempt(
@@ -231,9 +235,9 @@
         now = self._view.clock.now()
         stream = ActiveStream(call, engine, progress.demand(engine), path, now)
         stream.may_resume = call.route.repeatable
-        line = self._view.line(call.service.name)
-        line.started(call.workspace_name)
-        self._guard.add(stream)
+        queue = self._view.admission_queue(call.service.name)
+        queue.started(call.workspace_name)
+        self._watchdog.add(stream)
         if engine is not None:
             self._view.note_crossings(engine, path, stream.demand.prompt)
         log_event(
@@ -248,8 +252,8 @@
             with stream.scope:
                 result = await self._relay(call, record, stream, progress)
         finally:
-            line.ended(call.workspace_name, self._view.clock.now())
-            self._guard.remove(stream)
+            queue.ended(call.workspace_name, self._view.clock.now())
+            self._watchdog.remove(stream)
         if result.is_error():
             log_event(
                 "attempt.ended",
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -8,12 +8,13 @@
 
 from radishfield.core import Clock
 from radishfield.routing import (
+    AdmissionQueue,
     EngineSpec,
     Freshness,
-    LoadBook,
+    LinkUsage,
+    LoadTable,
     Path,
     PathFinder,
-    PipeBook,
     RetryAllowance,
     RetryBudget,
     RetryUse,
@@ -22,7 +23,6 @@
     ServiceSpec,
     TargetDirectory,
     TargetRecord,
-    WaitingLine,
     pair_of,
     sends_callers_away,
     takes_work,
@@ -43,7 +43,7 @@
 
 
 @dataclass(slots=True)
-class PeerState:
+class PeerView:
     """What is known of the other hosts at the moment.
 
     Attributes
@@ -52,13 +52,13 @@
         Hosts that were heard lately.
     freshest_s : float
         How long ago one of them had an answer of the store, at the least.
-    was_heard : bool
+    ever_heard : bool
         Some host has been heard since the start.
     """
 
     heard: int = 0
     freshest_s: float = math.inf
-    was_heard: bool = False
+    ever_heard: bool = False
     use_by_service_by_host: dict[str, dict[str, RetryUse]] = field(default_factory=dict)
 
 
@@ -71,11 +71,11 @@
     hosts : int
         Entry hosts that share the fleet's allowances, this one included; counts
         hosts that are cut off too, since they go on spending.
-    talk : PeerState
+    peers : PeerView
         What the hosts that were heard lately say.
     full_by_id : dict
         Targets that refused work for want of room, left out for a moment.
-    duty_told_at : dict
+    duty_reported_at : dict
         When another host last said that it holds a service's placement.
     room_freed : trio.Event
         Set, and replaced, whenever waiting requests should look again.
@@ -88,18 +88,18 @@
     grace_s: float = 8.0
     table: RoutingTable | None = None
     directory: TargetDirectory = field(default_factory=TargetDirectory)
-    load: LoadBook = field(default_factory=LoadBook)
-    pipes: PipeBook = field(default_factory=PipeBook)
+    load: LoadTable = field(default_factory=LoadTable)
+    links: LinkUsage = field(default_factory=LinkUsage)
     pace_by_id: dict[str, float] = field(default_factory=dict)
     hosts: int = 1
     leaving_since: float | None = None
     in_flight: int = 0
     chance: random.Random = field(default_factory=random.Random)
     room_freed: trio.Event = field(default_factory=trio.Event)
-    talk: PeerState = field(default_factory=PeerState)
+    peers: PeerView = field(default_factory=PeerView)
     full_by_id: dict[str, FullTarget] = field(default_factory=dict)
-    duty_told_at: dict[str, float] = field(default_factory=dict)
-    _line_by_service: dict[str, WaitingLine] = field(default_factory=dict)
+    duty_reported_at: dict[str, float] = field(default_factory=dict)
+    _queue_by_service: dict[str, AdmissionQueue] = field(default_factory=dict)
     _budget_by_service: dict[str, RetryBudget] = field(default_factory=dict)
 
     @property
@@ -116,26 +116,26 @@
 
     def sends_callers_away(self) -> bool:
         """Return whether callers are better served by other hosts."""
-        now, talk = self.clock.now(), self.talk
+        now, peers = self.clock.now(), self.peers
         return sends_callers_away(
             self.freshness.failing_s(now),
             self.freshness.silent_s(now),
-            talk.heard,
-            talk.freshest_s,
-            talk.was_heard,
+            peers.heard,
+            peers.freshest_s,
+            peers.ever_heard,
         )
 
     def take_repeat(self, service: str) -> bool:
         """Take one repeat out of the allowance that all hosts share."""
         others = [
             by_service.get(service, RetryUse())
-            for by_service in self.talk.use_by_service_by_host.values()
+            for by_service in self.peers.use_by_service_by_host.values()
         ]
         return self.budget(service).take(self.clock.now(), self.hosts, others)
 
-    def line(self, service: str) -> WaitingLine:
+    def admission_queue(self, service: str) -> AdmissionQueue:
         """Return the line of those that wait for one of a service's paths."""
-        return self._line_by_service.setdefault(service, WaitingLine())
+        return self._queue_by_service.setdefault(service, AdmissionQueue())
 
     def retry_use(self) -> dict[str, RetryUse]:
         """Return what this host used of each service's allowance."""
@@ -168,18 +168,18 @@
         return full is not None and now < full.until
 
     def path_finder(self, engine: EngineSpec) -> PathFinder:
-        """Return a finder of paths over the load and the pipes as they are now."""
-        shares = self.pipes.shares(self.clock.now())
+        """Return a finder of paths over the load and the links as they are now."""
+        shares = self.links.shares(self.clock.now())
         return PathFinder(engine, self.load, self.zone, shares)
 
     def note_crossings(self, engine: EngineSpec, path: Path, tokens: int) -> None:
-        """Count a prompt on every pipe that its path crosses."""
+        """Count a prompt on every link that its path crosses."""
         zones = [self._zone_of(part.target_id) for part in path]
         for zone, other in zip(zones, zones[1:], strict=False):
             if zone != other:
                 transfer_ms = engine.transfer_ms(tokens)
                 pair = pair_of(zone, other)
-                self.pipes.crossed(pair, transfer_ms, self.clock.now())
+                self.links.crossed(pair, transfer_ms, self.clock.now())
 
     def _zone_of(self, target_id: str) -> str:
         record = self.directory.find(target_id)
--- a/radishfield/forwarding/_active.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -1,4 +1,4 @@
-"""Streams in flight at this host, and the guard that looks after silent ones."""
+"""Streams in flight at this host, and the watchdog that looks after silent ones."""
 
 import msgspec
 import trio
@@ -69,7 +69,7 @@
         self.scope.cancel()
 
 
-class StreamGuard:
+class StreamWatchdog:
     """Looks at every stream a few times a second."""
 
     __slots__ = (
--- a/radishfield/forwarding/conftest.py
+++ b/radishfield/forwarding/conftest.py
@@ -63,7 +63,7 @@
                 "[host]\nid = host-1\nzone = a",
                 f"[caller]\nbind = {self.front}",
                 f"[readiness]\nbind = {self.ready}",
-                f"[talk]\nbind = 127.0.0.1:{free_port()}",
+                f"[gossip]\nbind = 127.0.0.1:{free_port()}",
                 f"[metrics]\nbind = 127.0.0.1:{free_port()}",
                 f"[platform]\naddress = {store}",
                 "[promises]",
--- a/radishfield/forwarding/peers_test.py
+++ b/radishfield/forwarding/gossip_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from radishfield.forwarding._peers import PeerTalk, Telling, _Echo, _Use, _Work
+from radishfield.forwarding._gossip import Gossip, PeerStatus, _Echo, _Use, _Work
 from radishfield.forwarding._view import RouterView
 from radishfield.routing import (
     Freshness,
@@ -23,7 +23,7 @@
 
 
 @pytest.fixture
-def talk():
+def gossip():
     clock = StepClock()
     view = RouterView("a", clock, RetryAllowance(), Freshness(5.0))
     view.table = RoutingTable(RoutingConfig(7, (), {}, {}))
@@ -33,12 +33,12 @@
                 f"t{number}", f"10.0.0.{number}:80", "s", "a", TargetPhase.READY, 8
             )
         )
-    made = PeerTalk("me", "127.0.0.1:1", None, view, lambda: [])
+    made = Gossip("me", "127.0.0.1:1", None, view, lambda: [])
     clock.reading = 110.0
     return made
 
 
-def telling(**changes):
+def status(**changes):
     values = {
         "host_id": "other",
         "zone": "a",
@@ -53,18 +53,18 @@
         "store_silent_s": 0.2,
         "echoes": [],
         "uses": [],
-        "pipes": [],
+        "links": [],
     }
-    return Telling(**(values | changes))
+    return PeerStatus(**(values | changes))
 
 
-def take(talk, message):
-    talk._take(message, ("127.0.0.1", 2))
+def take(gossip, message):
+    gossip._take(message, ("127.0.0.1", 2))
 
 
-def test_a_neighbours_word_counts_from_this_hosts_own_question(talk):
-    take(talk, telling(echoes=[_Echo("me", 108.0)]))
-    assert talk._view.freshness.confirmed_at == 107.5
+def test_a_neighbours_word_counts_from_this_hosts_own_question(gossip):
+    take(gossip, status(echoes=[_Echo("me", 108.0)]))
+    assert gossip._view.freshness.confirmed_at == 107.5
 
 
 @pytest.mark.parametrize(
@@ -77,45 +77,45 @@
         {"echoes": [_Echo("me", 1e6)]},
     ],
 )
-def test_other_words_prove_nothing(talk, changes):
+def test_other_words_prove_nothing(gossip, changes):
     """A host lost power and its clock began anew.
 
     A neighbour still echoes a time of the life before, which lies ahead; taken at
     its word, keys would be admitted for as long as the clock needs to get there.
     """
-    take(talk, telling(**changes))
-    assert talk._view.freshness.confirmed_at is None
+    take(gossip, status(**changes))
+    assert gossip._view.freshness.confirmed_at is None
 
 
-def test_work_uses_and_losses_of_a_neighbour_are_taken(talk):
-    message = telling(
+def test_work_uses_and_losses_of_a_neighbour_are_taken(gossip):
+    message = status(
         work=[_Work("t1", 3, 300, 1)],
         uses=[_Use("s", 40, 2)],
         lost=[("t2", 0)],
         leaving=[("t3", 0)],
     )
-    take(talk, message)
-    view = talk._view
+    take(gossip, message)
+    view = gossip._view
     assert view.load.held("t1").requests == 3
     assert view.directory.suspected("t2", 110.0)
     assert "t3" not in {record.id for record in view.directory.usable("s", 110.0)}
     assert view.hosts == 2
 
 
-def test_a_neighbour_that_lost_nearly_everything_is_the_one_that_is_cut_off(talk):
+def test_a_neighbour_that_lost_nearly_everything_is_the_one_that_is_cut_off(gossip):
     lost = [(f"t{number}", 0) for number in range(10)]
-    take(talk, telling(lost=lost))
-    assert len(talk._view.directory.usable("s", 110.0)) == 20
-
-
-def test_a_neighbour_that_falls_silent_is_forgotten_but_still_counted(talk):
-    take(talk, telling(uses=[_Use("s", 40, 2)]))
-    talk._sum_up()
-    assert talk._view.talk.heard == 1
-    talk._view.clock.reading = 120.0
-    talk._sum_up()
-    assert (talk._view.talk.heard, talk._view.hosts) == (0, 2)
-    assert talk._view.talk.use_by_service_by_host == {}
-    talk._view.clock.reading = 150.0
-    talk._sum_up()
-    assert talk._view.hosts == 1
+    take(gossip, status(lost=lost))
+    assert len(gossip._view.directory.usable("s", 110.0)) == 20
+
+
+def test_a_neighbour_that_falls_silent_is_forgotten_but_still_counted(gossip):
+    take(gossip, status(uses=[_Use("s", 40, 2)]))
+    gossip._sum_up()
+    assert gossip._view.peers.heard == 1
+    gossip._view.clock.reading = 120.0
+    gossip._sum_up()
+    assert (gossip._view.peers.heard, gossip._view.hosts) == (0, 2)
+    assert gossip._view.peers.use_by_service_by_host == {}
+    gossip._view.clock.reading = 150.0
+    gossip._sum_up()
+    assert gossip._view.hosts == 1
--- a/radishfield/forwarding/router_test.py
+++ b/radishfield/forwarding/router_test.py
@@ -503,3 +503,31 @@
         assert set(played.layered[0].paths + played.layered[1].paths) == {""}
 
     play(tmp_path, scene)
+
+
+def test_a_key_that_is_taken_away_while_its_request_waits_does_not_run(tmp_path):
+    """All paths are full, so a stream stands in line.
+
+    Its key is taken away meanwhile; when a place is freed the request must not
+    take it, although its key was good when it came.
+    """
+
+    async def scene(played):
+        await pool(played, [(0, 80)])
+        load, replies = played.router.view.load, []
+        load.started("t1", 1e9, True)
+
+        async def call():
+            replies.append(await played.request("/stream/x", "POST", body=b"{}"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call)
+            await trio.sleep(0.3)
+            tenants = [{"name": "w1", "apiKeys": ["new"]}]
+            played.store.put("config", "main", config(2, tenants=tenants))
+            await played.until(lambda: played.router.view.table.config.version == 2)
+            load.ended("t1", 1e9, True)
+        assert replies[0].status == 401
+        assert not played.layered[0].runs
+
+    play(tmp_path, scene)
--- a/radishfield/routing/__init__.py
+++ b/radishfield/routing/__init__.py
@@ -3,8 +3,9 @@
 Nothing here does I/O or reads a clock: time and chance are arguments.
 """
 
+from radishfield.routing._admission_queue import AdmissionQueue, QueueEntry
 from radishfield.routing._budget import RetryAllowance, RetryBudget, RetryUse
-from radishfield.routing._choice import FailureBook, choose_target
+from radishfield.routing._choice import FailureRates, choose_target
 from radishfield.routing._directory import Removal, TargetDirectory
 from radishfield.routing._events import EventSplitter, event_ids
 from radishfield.routing._freshness import Freshness
@@ -15,14 +16,19 @@
     plan_move,
 )
 from radishfield.routing._leaving import END_MARGIN_S, NOTICE_S, takes_work
-from radishfield.routing._load import Held, LoadBook
+from radishfield.routing._links import LinkUsage, crossing_ms, pair_of
+from radishfield.routing._load import LoadTable, TargetLoad
 from radishfield.routing._paths import (
     Demand,
     PathFinder,
     capacity_token_layers,
     covers_once,
 )
-from radishfield.routing._pipes import PipeBook, crossing_ms, pair_of
+from radishfield.routing._peer_freshness import (
+    PeerConfirmation,
+    confirmed_by_peer_at,
+    sends_callers_away,
+)
 from radishfield.routing._silence import Ask, GiveUp, Step, Wait, next_step
 from radishfield.routing._table import (
     Identity,
@@ -47,8 +53,6 @@
     TargetReport,
     Workspace,
 )
-from radishfield.routing._vouching import Word, sends_callers_away, vouched_at
-from radishfield.routing._waiting import Ticket, WaitingLine
 
 __all__ = [
     "END_MARGIN_S",
@@ -59,18 +63,18 @@
     "Demand",
     "EngineSpec",
     "EventSplitter",
-    "FailureBook",
+    "FailureRates",
     "Freshness",
     "GiveUp",
-    "Held",
+    "TargetLoad",
     "Identity",
     "LayerSpan",
-    "LoadBook",
+    "LoadTable",
     "NoKeyNeeded",
     "Path",
     "PathFinder",
     "PathPart",
-    "PipeBook",
+    "LinkUsage",
     "Removal",
     "RequestLimits",
     "RetryAllowance",
@@ -87,11 +91,11 @@
     "TargetPhase",
     "TargetRecord",
     "TargetReport",
-    "Ticket",
+    "QueueEntry",
     "UnknownKey",
     "Wait",
-    "WaitingLine",
-    "Word",
+    "AdmissionQueue",
+    "PeerConfirmation",
     "Workspace",
     "block_layers",
     "capacity_token_layers",
@@ -105,5 +109,5 @@
     "plan_move",
     "sends_callers_away",
     "takes_work",
-    "vouched_at",
+    "confirmed_by_peer_at",
 ]
--- a/radishfield/routing/_waiting.py
+++ b/radishfield/routing/_admission_queue.py
@@ -41,13 +41,13 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Ticket:
+class QueueEntry:
     """A request in line.
 
     Attributes
     ----------
     number : int
-        Rises with each ticket, so that earlier ones go first.
+        Rises with each entry, so that earlier ones go first.
     """
 
     number: int
@@ -57,27 +57,27 @@
 
 
 @dataclass(slots=True)
-class WaitingLine:
+class AdmissionQueue:
     """The requests of one service that wait at this host."""
 
-    _tickets: dict[int, Ticket] = field(default_factory=dict)
+    _entries: dict[int, QueueEntry] = field(default_factory=dict)
     _running: Counter[str] = field(default_factory=Counter)
     _freed: deque[float] = field(default_factory=deque)
     _numbers: int = 0
 
     def __len__(self) -> int:
-        return len(self._tickets)
+        return len(self._entries)
 
-    def join(self, priority: int, workspace: str, now: float) -> Ticket:
+    def join(self, priority: int, workspace: str, now: float) -> QueueEntry:
         """Stand in line."""
         self._numbers += 1
-        ticket = Ticket(self._numbers, priority, workspace, now)
-        self._tickets[ticket.number] = ticket
-        return ticket
+        entry = QueueEntry(self._numbers, priority, workspace, now)
+        self._entries[entry.number] = entry
+        return entry
 
-    def leave(self, ticket: Ticket) -> None:
+    def leave(self, entry: QueueEntry) -> None:
         """Step out of the line, with a place or without."""
-        self._tickets.pop(ticket.number, None)
+        self._entries.pop(entry.number, None)
 
     def started(self, workspace: str) -> None:
         """Count a request that got a place."""
@@ -91,37 +91,37 @@
         self._freed.append(now)
         self._forget(now)
 
-    def may_try(self, ticket: Ticket) -> bool:
+    def may_try(self, entry: QueueEntry) -> bool:
         """Return whether a request is near enough to the head to try."""
-        return self._ahead(ticket) < HEAD
+        return self._ahead(entry) < HEAD
 
-    def expected_wait_s(self, ticket: Ticket, now: float) -> float:
+    def expected_wait_s(self, entry: QueueEntry, now: float) -> float:
         """Return the time until a place comes, by the pace of the last seconds."""
         self._forget(now)
         if len(self._freed) < LEAST_FREED:
             return 0.0
         counted_s = max(LEAST_COUNTED_S, now - self._freed[0])
-        return (self._ahead(ticket) + 1) * counted_s / len(self._freed)
+        return (self._ahead(entry) + 1) * counted_s / len(self._freed)
 
-    def is_hopeless(self, ticket: Ticket, now: float) -> bool:
+    def is_hopeless(self, entry: QueueEntry, now: float) -> bool:
         """Return whether a request that just came would wait in vain."""
-        return self.expected_wait_s(ticket, now) > PATIENCE_S * HOPE
+        return self.expected_wait_s(entry, now) > PATIENCE_S * HOPE
 
-    def is_over(self, ticket: Ticket, now: float) -> bool:
+    def has_expired(self, entry: QueueEntry, now: float) -> bool:
         """Return whether a request has waited for as long as it may."""
-        return now - ticket.since >= PATIENCE_S
+        return now - entry.since >= PATIENCE_S
 
-    def return_after_s(self, ticket: Ticket, now: float) -> float:
+    def return_after_s(self, entry: QueueEntry, now: float) -> float:
         """Return when a caller that is turned away should come back."""
-        wait_s = self.expected_wait_s(ticket, now)
+        wait_s = self.expected_wait_s(entry, now)
         return min(LONGEST_RETURN_S, max(SHORTEST_RETURN_S, wait_s))
 
-    def _ahead(self, ticket: Ticket) -> int:
-        own = self._rank(ticket)
-        return sum(self._rank(other) < own for other in self._tickets.values())
+    def _ahead(self, entry: QueueEntry) -> int:
+        own = self._rank(entry)
+        return sum(self._rank(other) < own for other in self._entries.values())
 
-    def _rank(self, ticket: Ticket) -> tuple[int, int, int]:
-        return (ticket.priority, self._running[ticket.workspace], ticket.number)
+    def _rank(self, entry: QueueEntry) -> tuple[int, int, int]:
+        return (entry.priority, self._running[entry.workspace], entry.number)
 
     def _forget(self, now: float) -> None:
         while self._freed and self._freed[0] < now - PACE_WINDOW_S:
--- a/radishfield/routing/_choice.py
+++ b/radishfield/routing/_choice.py
@@ -12,7 +12,7 @@
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
 
-from radishfield.routing._load import LoadBook
+from radishfield.routing._load import LoadTable
 from radishfield.routing._types import TargetRecord
 
 OTHER_ZONE = 0.15
@@ -30,7 +30,7 @@
 
 
 @dataclass(slots=True)
-class FailureBook:
+class FailureRates:
     """Share of failed requests by target, the last ones first."""
 
     _share_by_id: dict[str, float] = field(default_factory=dict)
@@ -47,8 +47,8 @@
 
 def choose_target(
     records: Sequence[TargetRecord],
-    load: LoadBook,
-    failures: FailureBook,
+    load: LoadTable,
+    failures: FailureRates,
     zone: str,
     tried: Collection[str],
     chance: random.Random,
--- a/radishfield/routing/_freshness.py
+++ b/radishfield/routing/_freshness.py
@@ -38,14 +38,14 @@
         """Note an answer of the store to a call that was sent at ``asked_at``."""
         self.answered_at = answered_at
         self.failing_since = None
-        self.vouch(asked_at)
+        self.confirm_by_peer(asked_at)
 
     def failed(self, now: float) -> None:
         """Note a call to the store that failed."""
         if self.failing_since is None:
             self.failing_since = now
 
-    def vouch(self, asked_at: float) -> None:
+    def confirm_by_peer(self, asked_at: float) -> None:
         """Note that the view was the newest at ``asked_at``, by anybody's word."""
         if self.confirmed_at is None or asked_at > self.confirmed_at:
             self.confirmed_at = asked_at
--- a/radishfield/routing/_layout.py
+++ b/radishfield/routing/_layout.py
@@ -85,7 +85,7 @@
     """Return the one move of layers that helps most, or None.
 
     Load pattern: targets leave for good, and no empty one comes.  A zone that lacks
-    a block sends every prompt across the pipes and back; a fleet that holds a block
+    a block sends every prompt across the links and back; a fleet that holds a block
     half as often as the others is as slow as that block.  A target moves only if
     its own zone keeps another copy of all it gives up, and only to what is missing
     in its zone or held at least two times less often in the fleet: a move costs a
--- a/radishfield/routing/_pipes.py
+++ b/radishfield/routing/_links.py
@@ -1,11 +1,11 @@
-"""How busy the pipes between zones are, and what a further crossing costs.
+"""How busy the links between zones are, and what a further crossing costs.
 
 Load pattern: a zone lacks some layers, so its requests cross to another zone and
-back.  A prompt holds the pipe for tens of milliseconds, and each token of every
-stream that crosses waits behind it.  At half of the pipe's rate that already doubles
+back.  A prompt holds the link for tens of milliseconds, and each token of every
+stream that crosses waits behind it.  At half of the link's rate that already doubles
 the time of a token; beyond, streams last longer, hold their memory longer, and the
 whole fleet fills up.  A crossing is therefore priced by the wait that it meets and
-makes, and none is added where the pipe is nearly full.
+makes, and none is added where the link is nearly full.
 """
 
 from collections import deque
@@ -19,33 +19,33 @@
 """Way of a token to another zone, as the users' zones lie."""
 
 FULL_SHARE = 0.7
-"""Share of a pipe's time from which on nothing more is sent across: the wait behind
+"""Share of a link's time from which on nothing more is sent across: the wait behind
 prompts is then over twice a prompt's transfer, for each token."""
 
 FULL_MS = 1000.0
-"""Cost of a crossing over a full pipe: only where no other path is left."""
+"""Cost of a crossing over a full link: only where no other path is left."""
 
 Pair = tuple[str, str]
 
 
 def pair_of(zone: str, other: str) -> Pair:
-    """Return the name of the pipe between two zones."""
+    """Return the name of the link between two zones."""
     return (zone, other) if zone <= other else (other, zone)
 
 
 @dataclass(slots=True)
-class PipeBook:
-    """Time for which prompts hold the pipes, by pair of zones."""
+class LinkUsage:
+    """Time for which prompts hold the links, by pair of zones."""
 
     _crossings: deque[tuple[float, Pair, float]] = field(default_factory=deque)
-    _told_by_host: dict[str, Mapping[Pair, float]] = field(default_factory=dict)
+    _reported_by_host: dict[str, Mapping[Pair, float]] = field(default_factory=dict)
 
     def crossed(self, pair: Pair, transfer_ms: float, now: float) -> None:
-        """Count a prompt that was sent over a pipe."""
+        """Count a prompt that was sent over a link."""
         self._crossings.append((now, pair, transfer_ms))
 
     def own_shares(self, now: float) -> dict[Pair, float]:
-        """Return the share of each pipe's time that this host's prompts take."""
+        """Return the share of each link's time that this host's prompts take."""
         while self._crossings and self._crossings[0][0] < now - WINDOW_S:
             self._crossings.popleft()
         shares: dict[Pair, float] = {}
@@ -53,18 +53,18 @@
             shares[pair] = shares.get(pair, 0.0) + transfer_ms / 1e3 / WINDOW_S
         return shares
 
-    def told(self, host: str, share_by_pair: Mapping[Pair, float]) -> None:
+    def report_remote(self, host: str, share_by_pair: Mapping[Pair, float]) -> None:
         """Take what another host says of its own prompts."""
-        self._told_by_host[host] = share_by_pair
+        self._reported_by_host[host] = share_by_pair
 
     def forget(self, host: str) -> None:
         """Drop what a host told that has fallen silent."""
-        self._told_by_host.pop(host, None)
+        self._reported_by_host.pop(host, None)
 
     def shares(self, now: float) -> dict[Pair, float]:
-        """Return the share of each pipe's time that all hosts' prompts take."""
+        """Return the share of each link's time that all hosts' prompts take."""
         total = self.own_shares(now)
-        for told in self._told_by_host.values():
+        for told in self._reported_by_host.values():
             for pair, share in told.items():
                 total[pair] = total.get(pair, 0.0) + share
         return total
@@ -73,7 +73,7 @@
 def crossing_ms(share: float, transfer_ms: float) -> float:
     """Return what a crossing costs each token of a stream.
 
-    Half of it is the wait behind the prompts that are on the pipe, the other half
+    Half of it is the wait behind the prompts that are on the link, the other half
     what this stream's own prompt adds to the waits of the others.
     """
     if share >= FULL_SHARE:
--- a/radishfield/routing/_load.py
+++ b/radishfield/routing/_load.py
@@ -2,7 +2,7 @@
 
 Load pattern: nine hosts send to the same targets, and each sees only what it sent
 itself.  Judged by that alone all of them take the same target for idle.  What the
-others hold is told by them a few times a second; between two tellings a host
+others hold is told by them a few times a second; between two statuses a host
 counts its own work exactly, and the others' as last told.
 """
 
@@ -11,11 +11,11 @@
 
 REMOTE_LIFETIME_S = 3.0
 """A host that has told nothing for this long holds nothing: it was killed, or is
-cut off and its work runs out.  Ten tellings at the usual pace."""
+cut off and its work runs out.  Ten statuses at the usual pace."""
 
 
 @dataclass(slots=True)
-class Held:
+class TargetLoad:
     """Requests at a target, and the token-layers that they will fill there."""
 
     requests: int = 0
@@ -30,22 +30,22 @@
 
 
 @dataclass(slots=True, frozen=True)
-class _Told:
+class _Reported:
     at: float
-    held_by_id: Mapping[str, Held]
+    held_by_id: Mapping[str, TargetLoad]
 
 
 @dataclass(slots=True)
-class LoadBook:
+class LoadTable:
     """Work by target, summed over this host and the others."""
 
-    own_by_id: dict[str, Held] = field(default_factory=dict)
-    _told_by_host: dict[str, _Told] = field(default_factory=dict)
-    _remote_by_id: dict[str, Held] = field(default_factory=dict)
+    own_by_id: dict[str, TargetLoad] = field(default_factory=dict)
+    _reported_by_host: dict[str, _Reported] = field(default_factory=dict)
+    _remote_by_id: dict[str, TargetLoad] = field(default_factory=dict)
 
     def started(self, target_id: str, token_layers: float, first: bool) -> None:
         """Count a request that was sent to a target."""
-        self.own_by_id.setdefault(target_id, Held()).add(token_layers, first)
+        self.own_by_id.setdefault(target_id, TargetLoad()).add(token_layers, first)
 
     def ended(self, target_id: str, token_layers: float, first: bool) -> None:
         """Count a request out again."""
@@ -54,28 +54,30 @@
         if held.requests == 0:
             del self.own_by_id[target_id]
 
-    def told(self, host: str, held_by_id: Mapping[str, Held], now: float) -> None:
+    def report_remote(
+        self, host: str, held_by_id: Mapping[str, TargetLoad], now: float
+    ) -> None:
         """Take what another host says that it holds."""
         self._drop(host)
-        self._told_by_host[host] = _Told(now, held_by_id)
+        self._reported_by_host[host] = _Reported(now, held_by_id)
         for target_id, held in held_by_id.items():
-            _add(self._remote_by_id.setdefault(target_id, Held()), held, 1)
+            _add(self._remote_by_id.setdefault(target_id, TargetLoad()), held, 1)
 
-    def forget_silent(self, now: float) -> None:
+    def expire_remote(self, now: float) -> None:
         """Drop what hosts told that have fallen silent."""
-        for host, told in list(self._told_by_host.items()):
+        for host, told in list(self._reported_by_host.items()):
             if now - told.at >= REMOTE_LIFETIME_S:
                 self._drop(host)
 
-    def held(self, target_id: str) -> Held:
+    def held(self, target_id: str) -> TargetLoad:
         """Return all work that is known at a target."""
         own = self.own_by_id.get(target_id)
         remote = self._remote_by_id.get(target_id)
         if remote is None:
-            return own or Held()
+            return own or TargetLoad()
         if own is None:
             return remote
-        return Held(
+        return TargetLoad(
             own.requests + remote.requests,
             own.token_layers + remote.token_layers,
             own.as_first + remote.as_first,
@@ -85,10 +87,10 @@
         """Take out what a host told last.
 
         Sums are kept up to date instead of being made anew: with forty hosts that
-        tell twenty targets each, adding all of it up at each telling took a host
+        tell twenty targets each, adding all of it up at each message took a host
         a twentieth of its time.
         """
-        told = self._told_by_host.pop(host, None)
+        told = self._reported_by_host.pop(host, None)
         if told is None:
             return
         for target_id, held in told.held_by_id.items():
@@ -98,7 +100,7 @@
                 del self._remote_by_id[target_id]
 
 
-def _add(total: Held, held: Held, sign: int) -> None:
+def _add(total: TargetLoad, held: TargetLoad, sign: int) -> None:
     total.requests += sign * held.requests
     total.token_layers += sign * held.token_layers
     total.as_first += sign * held.as_first
--- a/radishfield/routing/_paths.py
+++ b/radishfield/routing/_paths.py
@@ -15,8 +15,8 @@
 from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 
-from radishfield.routing._load import Held, LoadBook
-from radishfield.routing._pipes import Pair, crossing_ms, pair_of
+from radishfield.routing._links import Pair, crossing_ms, pair_of
+from radishfield.routing._load import LoadTable, TargetLoad
 from radishfield.routing._types import (
     EngineSpec,
     LayerSpan,
@@ -27,7 +27,7 @@
 
 OTHER_ZONE_MS = 0.5
 """Cost of a path that lies in another zone than the host: only the request and its
-events cross, which no pipe notices; among equals the own zone is taken."""
+events cross, which no link notices; among equals the own zone is taken."""
 
 HOP_MS = 0.05
 """Cost of any further part, so that ties go to the shorter path."""
@@ -66,7 +66,7 @@
     return free_mb * 1e6 / (engine.cache_bytes_per_token / engine.layers)
 
 
-def token_ms(engine: EngineSpec, record: TargetRecord, held: Held) -> float:
+def token_ms(engine: EngineSpec, record: TargetRecord, held: TargetLoad) -> float:
     """Return the time of a step over all layers, with the work that is held."""
     card = engine.accelerator_by_name.get(record.accelerator)
     step_factor = card.step_factor if card else 1.0
@@ -93,7 +93,7 @@
     def __init__(
         self,
         engine: EngineSpec,
-        load: LoadBook,
+        load: LoadTable,
         zone: str,
         share_by_pair: Mapping[Pair, float] | None = None,
     ):
--- a/radishfield/routing/_vouching.py
+++ b/radishfield/routing/_peer_freshness.py
@@ -2,11 +2,11 @@
 
 Load pattern: the store turns single hosts away, or a cut parts them from it, while
 it serves the others.  Such a host would refuse every key within seconds, though a
-neighbour knows that its configuration is the newest.  A neighbour's word counts from
-the moment at which this host last asked it: the answer was made later than that, so
-a configuration that was confirmed ``age_s`` before the answer was made was confirmed
-no earlier than the question less ``age_s``, whatever the way there took and whatever
-the neighbour's clock shows.
+neighbour knows that its configuration is the newest.  A neighbour's confirmation
+counts from the moment at which this host last asked it: the answer was made later
+than that, so a configuration that was confirmed ``age_s`` before the answer was made
+was confirmed no earlier than the question less ``age_s``, whatever the way there
+took and whatever the neighbour's clock shows.
 """
 
 from dataclasses import dataclass
@@ -24,7 +24,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Word:
+class PeerConfirmation:
     """What another host says of its configuration.
 
     Attributes
@@ -39,19 +39,19 @@
     asked_at: float
 
 
-def vouched_at(word: Word, version: int) -> float | None:
-    """Return when the version in force was confirmed, by another host's word.
+def confirmed_by_peer_at(confirmation: PeerConfirmation, version: int) -> float | None:
+    """Return when the version in force was confirmed, by another host.
 
     None where the other one has another version: an older one proves nothing, and a
     newer one proves that this host's is not the newest.
     """
-    if word.version != version:
+    if confirmation.version != version:
         return None
-    return word.asked_at - word.age_s
+    return confirmation.asked_at - confirmation.age_s
 
 
 def sends_callers_away(
-    failing_s: float, silent_s: float, heard: int, freshest_s: float, was_heard: bool
+    failing_s: float, silent_s: float, heard: int, freshest_s: float, ever_heard: bool
 ) -> bool:
     """Return whether callers are better served by other hosts.
 
@@ -64,7 +64,7 @@
         Hosts that were heard lately.
     freshest_s : float
         How long ago a host that was heard lately had an answer, at the least.
-    was_heard : bool
+    ever_heard : bool
         Some host has been heard since the start, so that silence means a cut.
     """
     if failing_s < FAILING_S and silent_s < SILENT_S:
@@ -72,4 +72,4 @@
     if heard:
         # Where no host reaches the store, one is as good as another.
         return freshest_s < FRESH_S
-    return was_heard
+    return ever_heard
--- a/radishfield/routing/_types.py
+++ b/radishfield/routing/_types.py
@@ -106,7 +106,7 @@
     step_bytes : float
         What one token passes from part to part.
     zone_mbps : float
-        Rate of the pipe between two zones; 0 where none is named.
+        Rate of the link between two zones; 0 where none is named.
     """
 
     model: str
@@ -128,7 +128,7 @@
     accelerator_by_name: Mapping[str, Accelerator] = field(default_factory=dict)
 
     def transfer_ms(self, tokens: float) -> float:
-        """Return the time for which tokens hold the pipe between two zones."""
+        """Return the time for which tokens hold the link between two zones."""
         if self.zone_mbps <= 0:
             return 0.0
         return tokens * self.step_bytes * 8 / (self.zone_mbps * 1e6) * 1e3
--- a/radishfield/routing/waiting_test.py
+++ b/radishfield/routing/admission_queue_test.py
@@ -2,12 +2,12 @@
 
 import random
 
-from radishfield.routing import WaitingLine
-from radishfield.routing._waiting import HEAD, PATIENCE_S
+from radishfield.routing import AdmissionQueue
+from radishfield.routing._admission_queue import HEAD, PATIENCE_S
 
 
 def test_urgent_work_goes_first_and_equals_by_what_their_workspace_holds():
-    line = WaitingLine()
+    line = AdmissionQueue()
     for _ in range(5):
         line.started("large")
     large = line.join(2, "large", 0.0)
@@ -23,7 +23,7 @@
     Returns the share that got a place by workspace, and how many were turned away
     at once and after a wait.
     """
-    line, busy, waiting = WaitingLine(), [], []
+    line, busy, waiting = AdmissionQueue(), [], []
     chance = random.Random(1)
     got, asked, at_once, late = {}, {}, 0, 0
     arrivals = sorted(arrivals)
@@ -35,22 +35,22 @@
         while arrivals and arrivals[0][0] <= now:
             _, workspace, priority = arrivals.pop(0)
             asked[workspace] = asked.get(workspace, 0) + 1
-            ticket = line.join(priority, workspace, now)
-            if len(busy) >= places and line.is_hopeless(ticket, now):
-                line.leave(ticket)
+            entry = line.join(priority, workspace, now)
+            if len(busy) >= places and line.is_hopeless(entry, now):
+                line.leave(entry)
                 at_once += 1
             else:
-                waiting.append(ticket)
-        for ticket in sorted(waiting, key=line._rank):
-            if len(busy) < places and line.may_try(ticket):
-                line.leave(ticket)
-                waiting.remove(ticket)
-                line.started(ticket.workspace)
-                busy.append((now + chance.uniform(0.2, 1.8) * hold_s, ticket.workspace))
-                got[ticket.workspace] = got.get(ticket.workspace, 0) + 1
-            elif line.is_over(ticket, now):
-                line.leave(ticket)
-                waiting.remove(ticket)
+                waiting.append(entry)
+        for entry in sorted(waiting, key=line._rank):
+            if len(busy) < places and line.may_try(entry):
+                line.leave(entry)
+                waiting.remove(entry)
+                line.started(entry.workspace)
+                busy.append((now + chance.uniform(0.2, 1.8) * hold_s, entry.workspace))
+                got[entry.workspace] = got.get(entry.workspace, 0) + 1
+            elif line.has_expired(entry, now):
+                line.leave(entry)
+                waiting.remove(entry)
                 late += 1
         now += 0.01
     shares = {name: got.get(name, 0) / count for name, count in asked.items()}
@@ -100,16 +100,16 @@
 
 
 def test_only_the_head_of_the_line_tries():
-    line = WaitingLine()
-    tickets = [line.join(1, "w", 0.0) for _ in range(HEAD + 2)]
-    assert [line.may_try(ticket) for ticket in tickets].count(True) == HEAD
-    line.leave(tickets[0])
-    assert line.may_try(tickets[HEAD])
+    line = AdmissionQueue()
+    entries = [line.join(1, "w", 0.0) for _ in range(HEAD + 2)]
+    assert [line.may_try(entry) for entry in entries].count(True) == HEAD
+    line.leave(entries[0])
+    assert line.may_try(entries[HEAD])
 
 
 def test_nobody_waits_longer_than_a_caller_stays():
-    line = WaitingLine()
-    ticket = line.join(1, "w", 0.0)
-    assert not line.is_over(ticket, PATIENCE_S - 0.1)
-    assert line.is_over(ticket, PATIENCE_S)
-    assert line.return_after_s(ticket, PATIENCE_S) >= 0.5
+    line = AdmissionQueue()
+    entry = line.join(1, "w", 0.0)
+    assert not line.has_expired(entry, PATIENCE_S - 0.1)
+    assert line.has_expired(entry, PATIENCE_S)
+    assert line.return_after_s(entry, PATIENCE_S) >= 0.5
--- a/radishfield/routing/layout_test.py
+++ b/radishfield/routing/layout_test.py
@@ -121,7 +121,7 @@
 def test_a_zone_that_lacks_layers_gets_them_from_its_own_spare_targets():
     """Targets of a zone leave for good, and with them its only copy of a block.
 
-    Left so, each prompt of the zone crosses the pipe twice; the zone holds other
+    Left so, each prompt of the zone crosses the link twice; the zone holds other
     blocks two times over, and one of those targets takes the missing block.
     """
     records = [
--- a/radishfield/routing/paths_test.py
+++ b/radishfield/routing/paths_test.py
@@ -7,9 +7,9 @@
 
 from radishfield.routing import (
     Demand,
-    LoadBook,
+    LinkUsage,
+    LoadTable,
     PathFinder,
-    PipeBook,
     capacity_token_layers,
     covers_once,
     pair_of,
@@ -46,7 +46,7 @@
 def test_a_path_runs_every_layer_once_and_stays_in_one_zone(engine):
     records = fleet(engine)
     for zone in "abc":
-        path = PathFinder(engine, LoadBook(), zone).find(records, USUAL)
+        path = PathFinder(engine, LoadTable(), zone).find(records, USUAL)
         assert covers_once(path, engine.layers)
         assert len({part.target_id[0] for part in path}) == 1
 
@@ -61,7 +61,7 @@
     for dead in records:
         left = [record for record in records if record.id != dead.id]
         for zone in "abc":
-            path = PathFinder(engine, LoadBook(), zone).find(left, USUAL)
+            path = PathFinder(engine, LoadTable(), zone).find(left, USUAL)
             assert covers_once(path, engine.layers), dead.id
 
 
@@ -69,7 +69,7 @@
     records = fleet(engine)
     for zone in "abc":
         own = [record for record in records if record.zone == zone]
-        assert PathFinder(engine, LoadBook(), zone).find(own, USUAL) is not None
+        assert PathFinder(engine, LoadTable(), zone).find(own, USUAL) is not None
 
 
 def test_load_spreads_over_the_fleet_before_anything_is_refused(engine):
@@ -79,7 +79,7 @@
     and requests are refused while three quarters of the memory lie idle.
     """
     records = fleet(engine)
-    load = LoadBook()
+    load = LoadTable()
     admitted = 0
     while True:
         path = PathFinder(engine, load, "abc"[admitted % 3]).find(records, USUAL)
@@ -102,7 +102,7 @@
             "big": engine.accelerator_by_name["a100"].__class__("big", 150000, 1.0, 1.0)
         }
     )
-    load = LoadBook()
+    load = LoadTable()
     load.started("small", capacity_token_layers(engine, records[0]), True)
     path = PathFinder(engine, load, "a").find(records, USUAL)
     assert [part.target_id for part in path] == ["other"]
@@ -120,14 +120,14 @@
         make_target("slow", accelerator="l4", span=(0, 80)),
         make_target("fast", accelerator="a100", span=(24, 56)),
     ]
-    path = PathFinder(engine, LoadBook(), "a").find(records, USUAL)
+    path = PathFinder(engine, LoadTable(), "a").find(records, USUAL)
     if path is not None:
         assert covers_once(path, 80)
 
 
 def test_a_path_is_changed_around_any_dead_part_but_its_first(engine):
     records = fleet(engine)
-    finder = PathFinder(engine, LoadBook(), "a")
+    finder = PathFinder(engine, LoadTable(), "a")
     path = finder.find(records, USUAL)
     for dead in path[1:]:
         left = [record for record in records if record.id != dead.target_id]
@@ -142,7 +142,7 @@
         make_target("tail-1", accelerator="a100", span=(40, 80)),
         make_target("tail-2", accelerator="a100", span=(40, 80)),
     ]
-    finder = PathFinder(engine, LoadBook(), "a")
+    finder = PathFinder(engine, LoadTable(), "a")
     path = finder.find(records, USUAL, pace_by_id={"tail-1": 5.0})
     assert path[1].target_id == "tail-2"
 
@@ -150,7 +150,7 @@
 @pytest.mark.parametrize("spans", [[(0, 40)], [(0, 40), (48, 80)], [(8, 80)], []])
 def test_no_path_where_layers_are_missing(engine, spans):
     records = [make_target(f"t{n}", span=span) for n, span in enumerate(spans)]
-    assert PathFinder(engine, LoadBook(), "a").find(records, USUAL) is None
+    assert PathFinder(engine, LoadTable(), "a").find(records, USUAL) is None
 
 
 def test_a_path_over_a_fleet_of_86_targets_is_found_in_time(engine):
@@ -161,7 +161,7 @@
         for index in range(count)
     ]
     records = placed(plan_layout(engine, empty))
-    finder = PathFinder(engine, LoadBook(), "a")
+    finder = PathFinder(engine, LoadTable(), "a")
     started = time.process_time()
     for _ in range(20):
         assert finder.find(records, USUAL) is not None
@@ -169,7 +169,7 @@
 
 
 def test_covers_once_rejects_gaps_overlaps_and_repeats(engine):
-    path = PathFinder(engine, LoadBook(), "a").find(fleet(engine), USUAL)
+    path = PathFinder(engine, LoadTable(), "a").find(fleet(engine), USUAL)
     assert not covers_once(path[1:], 80)
     assert not covers_once(path + path[-1:], 80)
     first = path[0].__class__(path[0].target_id, path[0].address, LayerSpan(0, 1))
@@ -179,8 +179,8 @@
 def test_a_full_pipe_between_zones_is_left_alone(engine):
     """A zone lacks a few layers, and its requests cross to another zone and back.
 
-    Each prompt holds the pipe for 30 ms and every token waits behind it; with a
-    fixed price per crossing the pipe fills and all streams slow down.
+    Each prompt holds the link for 30 ms and every token waits behind it; with a
+    fixed price per crossing the link fills and all streams slow down.
     """
     records = [record for record in fleet(engine) if record.zone != "c"]
     lacking = [
@@ -188,20 +188,20 @@
         for record in records
         if record.zone != "a" or not record.span.first <= 40 < record.span.end
     ]
-    load, pipes = LoadBook(), PipeBook()
+    load, links = LoadTable(), LinkUsage()
     crossed = 0
     for number in range(120):
         now = number / 20
-        finder = PathFinder(engine, load, "a", pipes.shares(now))
+        finder = PathFinder(engine, load, "a", links.shares(now))
         path = finder.find(lacking, USUAL)
         zones = [part.target_id[0] for part in path]
         for zone, other in zip(zones, zones[1:], strict=False):
             if zone != other:
-                pipes.crossed(pair_of(zone, other), engine.transfer_ms(774), now)
+                links.crossed(pair_of(zone, other), engine.transfer_ms(774), now)
                 crossed += 1
         if number < 60:
             hold(load, path, USUAL)
-        assert pipes.shares(now).get(("a", "b"), 0.0) < 0.75
+        assert links.shares(now).get(("a", "b"), 0.0) < 0.75
     assert crossed > 0
 
 
@@ -216,7 +216,7 @@
     ]
     half = make_target("n1", accelerator="a100", span=(0, 40), weights_version=2)
     rest = make_target("n2", accelerator="a100", span=(40, 80), weights_version=2)
-    finder = PathFinder(engine, LoadBook(), "a")
+    finder = PathFinder(engine, LoadTable(), "a")
     ids = [part.target_id for part in finder.find([*old, half], USUAL)]
     assert ids == ["o1", "o2"]
     ids = [part.target_id for part in finder.find([*old, half, rest], USUAL)]
--- a/radishfield/routing/vouching_test.py
+++ b/radishfield/routing/peer_freshness_test.py
@@ -3,7 +3,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from radishfield.routing import Word, sends_callers_away, vouched_at
+from radishfield.routing import (
+    PeerConfirmation,
+    confirmed_by_peer_at,
+    sends_callers_away,
+)
 
 times = st.floats(0.0, 10.0, allow_nan=False)
 
@@ -17,14 +21,14 @@
     """
     made_at = asked + way + held
     confirmed_at = made_at - age
-    word = Word(version=3, age_s=age, asked_at=asked)
-    assert vouched_at(word, 3) <= confirmed_at + 1e-9
+    word = PeerConfirmation(version=3, age_s=age, asked_at=asked)
+    assert confirmed_by_peer_at(word, 3) <= confirmed_at + 1e-9
     assert back >= 0
 
 
 def test_a_word_on_another_version_proves_nothing():
-    assert vouched_at(Word(4, 0.1, 10.0), 3) is None
-    assert vouched_at(Word(2, 0.1, 10.0), 3) is None
+    assert confirmed_by_peer_at(PeerConfirmation(4, 0.1, 10.0), 3) is None
+    assert confirmed_by_peer_at(PeerConfirmation(2, 0.1, 10.0), 3) is None
 
 
 def test_callers_go_elsewhere_only_where_elsewhere_is_better():
--- a/radishfield/routing/small_test.py
+++ b/radishfield/routing/small_test.py
@@ -9,13 +9,13 @@
 from radishfield.routing import (
     Ask,
     EventSplitter,
-    FailureBook,
+    FailureRates,
     GiveUp,
-    Held,
-    LoadBook,
+    LoadTable,
     RetryAllowance,
     RetryBudget,
     RetryUse,
+    TargetLoad,
     Wait,
     choose_target,
     event_ids,
@@ -85,21 +85,21 @@
 
 
 def test_work_told_by_others_counts_until_they_fall_silent():
-    load = LoadBook()
+    load = LoadTable()
     load.started("t", 100.0, first=True)
-    load.told("host-2", {"t": Held(3, 300.0, 1)}, now=10.0)
-    assert load.held("t") == Held(4, 400.0, 2)
-    load.forget_silent(now=14.0)
-    assert load.held("t") == Held(1, 100.0, 1)
+    load.report_remote("host-2", {"t": TargetLoad(3, 300.0, 1)}, now=10.0)
+    assert load.held("t") == TargetLoad(4, 400.0, 2)
+    load.expire_remote(now=14.0)
+    assert load.held("t") == TargetLoad(1, 100.0, 1)
     load.ended("t", 100.0, first=True)
-    assert load.held("t") == Held()
+    assert load.held("t") == TargetLoad()
 
 
 def test_a_newer_telling_replaces_the_older_one():
-    load = LoadBook()
-    load.told("host-2", {"t": Held(3, 300.0, 1)}, now=10.0)
-    load.told("host-2", {}, now=10.3)
-    assert load.held("t") == Held()
+    load = LoadTable()
+    load.report_remote("host-2", {"t": TargetLoad(3, 300.0, 1)}, now=10.0)
+    load.report_remote("host-2", {}, now=10.3)
+    assert load.held("t") == TargetLoad()
 
 
 @given(
@@ -111,15 +111,15 @@
         max_size=12,
     )
 )
-def test_sums_are_those_of_the_last_tellings(tellings):
-    load, last = LoadBook(), {}
-    for number, (host, requests_by_id) in enumerate(tellings):
-        held = {t: Held(n, n * 10.0, n) for t, n in requests_by_id.items()}
-        load.told(host, held, now=number * 0.01)
+def test_sums_are_those_of_the_last_tellings(statuses):
+    load, last = LoadTable(), {}
+    for number, (host, requests_by_id) in enumerate(statuses):
+        held = {t: TargetLoad(n, n * 10.0, n) for t, n in requests_by_id.items()}
+        load.report_remote(host, held, now=number * 0.01)
         last[host] = requests_by_id
     for target_id in "xyz":
         total = sum(requests.get(target_id, 0) for requests in last.values())
-        assert load.held(target_id) == Held(total, total * 10.0, total)
+        assert load.held(target_id) == TargetLoad(total, total * 10.0, total)
 
 
 def choose(records, load, failures, zone="a", tried=()):
@@ -128,11 +128,11 @@
 
 def test_the_own_zone_is_taken_while_it_has_room():
     records = [make_target("near", "a", slots=6), make_target("far", "b", slots=6)]
-    load = LoadBook()
-    assert choose(records, load, FailureBook()).id == "near"
+    load = LoadTable()
+    assert choose(records, load, FailureRates()).id == "near"
     for _ in range(2):
         load.started("near", 0.0, True)
-    assert choose(records, load, FailureBook()).id == "far"
+    assert choose(records, load, FailureRates()).id == "far"
 
 
 def test_a_target_that_fails_is_left_to_itself_while_others_are_sound():
@@ -141,26 +141,26 @@
     By load alone it is the idlest of all, so it would get most of the work.
     """
     records = [make_target("bad", "a", slots=6), make_target("good", "b", slots=6)]
-    failures = FailureBook()
+    failures = FailureRates()
     for _ in range(4):
         failures.note("bad", failed=True)
-    assert choose(records, LoadBook(), failures).id == "good"
-    assert choose(records, LoadBook(), failures, tried={"good"}).id == "bad"
+    assert choose(records, LoadTable(), failures).id == "good"
+    assert choose(records, LoadTable(), failures, tried={"good"}).id == "bad"
 
 
 def test_a_target_that_answers_again_is_taken_again():
     records = [make_target("once-bad", "a", slots=6), make_target("far", "b", slots=6)]
-    failures = FailureBook()
+    failures = FailureRates()
     for _ in range(4):
         failures.note("once-bad", failed=True)
     for _ in range(8):
         failures.note("once-bad", failed=False)
-    assert choose(records, LoadBook(), failures).id == "once-bad"
+    assert choose(records, LoadTable(), failures).id == "once-bad"
 
 
 def test_no_target_twice():
     record = make_target("only")
-    assert choose([record], LoadBook(), FailureBook(), tried={"only"}) is None
+    assert choose([record], LoadTable(), FailureRates(), tried={"only"}) is None
 
 
 def test_a_stream_that_flows_is_left_alone():
--- a/radishfield/settings/__init__.py
+++ b/radishfield/settings/__init__.py
@@ -8,9 +8,9 @@
 from radishfield.settings._reader import EntrySettings
 from radishfield.settings._router import (
     ROUTER_SECTIONS,
+    GossipSettings,
     PromisesSettings,
     ReadinessSettings,
-    TalkSettings,
 )
 from radishfield.settings._sections import (
     CallerSettings,
@@ -50,7 +50,7 @@
     "PlatformSettings",
     "PromisesSettings",
     "ReadinessSettings",
-    "TalkSettings",
+    "GossipSettings",
     "settings_table",
     "settings_text",
 ]
--- a/radishfield/settings/_router.py
+++ b/radishfield/settings/_router.py
@@ -19,8 +19,8 @@
 
 
 @dataclass(slots=True, frozen=True)
-class TalkSettings:
-    """[talk]: the datagrams between routers; a blank ``bind`` turns them off."""
+class GossipSettings:
+    """[gossip]: the datagrams between routers; a blank ``bind`` turns them off."""
 
     bind: Address = ""
 
@@ -49,6 +49,6 @@
 
 ROUTER_SECTIONS = {
     "readiness": ReadinessSettings,
-    "talk": TalkSettings,
+    "gossip": GossipSettings,
     "promises": PromisesSettings,
 }
