--- a/standins/routed_targets.py
+++ b/standins/routed_targets.py
@@ -109,6 +109,8 @@
         It passes nothing on and takes nothing; as a first part it is silent.
     cut_after : int
         Break off the next stream, within an event, after so many events.
+    places : int
+        Streams that it takes as a first part at a time; 0 for any number.
     """
 
     id: str
@@ -119,6 +121,7 @@
     gap_s: float = 0.02
     dead: bool = False
     cut_after: int = 0
+    places: int = 0
     orders: int = 0
     born: int = 1
     order_log: list[dict] = field(default_factory=list)
@@ -199,6 +202,8 @@
         path = headers.get(b"x-hop-count", b"").decode()
         parts = _parts(path)
         faulty = self.fleet.faulty_part(parts)
+        if self.places and len(self._path_by_request) >= self.places:
+            faulty = (503, self.address)
         if faulty is not None:
             extra = [(b"x-not-executed", b"1"), (b"at-server", faulty[1].encode())]
             await send_json(send, faulty[0], {}, extra)
