Ask at once about what another host found lost, and count no question as a failure

Traced in the routers' lines: a host that had been stopped woke and told a neighbour that two targets were lost, which had answered there 150 ms before; they were left out for a second. Found on the way: each question to a lost target was noted as a failure of this host's own, told to others and counted towards its zone. Changes: what others say is asked at once; a question is noted as a question.

--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -382,13 +382,13 @@
                 self._view.links.forget(host_id)
 
     def _merge_lost(self, host_id: str, target_id: str, started_ms: int) -> None:
-        """Leave out what another host found lost, until it answers this one."""
+        """Ask a target that another host found lost before it is used again."""
         directory, now = self._view.directory, self._view.clock.now()
         record = directory.find(target_id)
         if record is None or record.started_ms != started_ms:
             return
         if not directory.suspected(target_id, now):
-            directory.suspect(target_id, now, until_asked=True, first_hand=False)
+            directory.doubt(target_id, now)
             log_event(
                 "target.reported_lost",
                 target=target_id,
--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -114,8 +114,7 @@
         """Ask targets that are left out whether they answer again."""
         now = self._clock.now()
         for target_id in self._view.directory.to_ask(now)[:ASKED_AT_ONCE]:
-            # Left out further meanwhile, so that it is not asked twice.
-            self._view.directory.suspect(target_id, now, until_asked=True)
+            self._view.directory.asked(target_id, now)
             self._nursery.start_soon(self._ask, target_id)
 
     def _look(self) -> None:
--- a/radishfield/routing/_directory.py
+++ b/radishfield/routing/_directory.py
@@ -50,6 +50,7 @@
     until_asked: bool
     first_hand: bool
     inferred: bool = False
+    asking: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -156,7 +157,7 @@
         """
         before = self._suspicion_by_id.get(target_id)
         length_s = FIRST_SUSPICION_S
-        if before is not None and now < before.until:
+        if before is not None and now < before.until and not before.asking:
             before.until_asked |= until_asked
             before.first_hand |= first_hand
             return before.until - now
@@ -172,6 +173,18 @@
             self._infer_zone_lost(target_id, now)
         return length_s
 
+    def doubt(self, target_id: str, now: float) -> None:
+        """Leave a target out until it has been asked, which is due at once.
+
+        For what another host says: it may have slept, or be cut off itself, and
+        what it found lost may have answered here a moment ago.
+        """
+        if not self.suspected(target_id, now):
+            self._suspicion_by_id[target_id] = _Suspicion(
+                now, FIRST_SUSPICION_S / 2, until_asked=True, first_hand=False
+            )
+            self.version += 1
+
     def _infer_zone_lost(self, target_id: str, now: float) -> None:
         """Leave out a zone of which several targets are lost at once."""
         entry = self._entry_by_id.get(target_id)
@@ -246,6 +259,17 @@
             and target_id in self._entry_by_id
         ]
 
+    def asked(self, target_id: str, now: float) -> None:
+        """Note that a target is being asked, so that it is not asked twice.
+
+        That alone is no failure: it is not told to others, and says nothing of
+        the target's zone.
+        """
+        suspicion = self._suspicion_by_id.get(target_id)
+        if suspicion is not None:
+            suspicion.until = now + FIRST_SUSPICION_S
+            suspicion.asking = True
+
     def lost_incarnations(self, now: float) -> list[tuple[str, int]]:
         """Return the targets that this host itself found lost, for other hosts."""
         return [
@@ -253,6 +277,7 @@
             for target_id, suspicion in self._suspicion_by_id.items()
             if suspicion.first_hand
             and suspicion.until_asked
+            and not suspicion.asking
             and now < suspicion.until
             and target_id in self._entry_by_id
         ]
--- a/radishfield/routing/directory_test.py
+++ b/radishfield/routing/directory_test.py
@@ -110,10 +110,48 @@
 def test_only_what_a_host_saw_itself_is_told_to_others():
     directory = directory_of(make_target("t1"), make_target("t2"))
     directory.suspect("t1", now=0.0, until_asked=True)
-    directory.suspect("t2", now=0.0, until_asked=True, first_hand=False)
+    directory.doubt("t2", now=0.0)
     assert directory.lost_incarnations(0.5) == [("t1", 0)]
 
 
+def test_what_another_host_found_lost_is_asked_at_once():
+    """A host that slept wakes and says that targets are lost.
+
+    They answered here a moment ago; left out for as long as after a failure of
+    this host's own, all of its streams would be refused for a second.
+    """
+    directory = directory_of(make_target("t1"), make_target("t2"))
+    directory.doubt("t1", now=10.0)
+    assert directory.to_ask(10.0) == ["t1"]
+    directory.answered("t1", now=10.01)
+    assert usable_ids(directory, 10.02) == ["t1", "t2"]
+
+
+def test_asking_is_no_failure():
+    """Three targets of a zone are asked at the same time, and all of them live.
+
+    Counted as failures of this host's own, the questions alone would leave out
+    the whole zone, and be told to every other host.
+    """
+    directory = directory_of(*[make_target(f"t{n}", "a") for n in range(6)])
+    for number in range(3):
+        directory.doubt(f"t{number}", now=1.0)
+        directory.asked(f"t{number}", now=1.0)
+    assert len(usable_ids(directory, 1.1)) == 3
+    assert directory.lost_incarnations(1.1) == []
+    assert directory.to_ask(1.2) == []
+
+
+def test_a_target_that_is_asked_in_vain_is_left_out_for_longer_each_time():
+    directory = directory_of(make_target("t1"))
+    directory.suspect("t1", now=0.0, until_asked=True)
+    directory.asked("t1", now=1.0)
+    assert directory.suspect("t1", now=1.01, until_asked=True) == 2.0
+    directory.asked("t1", now=3.1)
+    assert directory.suspect("t1", now=3.5, until_asked=True) == 4.0
+    assert directory.lost_incarnations(3.6) == [("t1", 0)]
+
+
 def test_a_lost_target_that_comes_back_empty_is_no_longer_suspected():
     directory = directory_of(make_target("t1", span=(0, 8)))
     directory.suspect("t1", now=0.0, until_asked=True)
