--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -23,6 +23,7 @@
     PathPart,
     QueueEntry,
     RouteRule,
+    TargetDirectory,
     choose_target,
     event_ids,
 )
@@ -56,10 +57,11 @@
 class _Tries:
     """What came of the attempts of one stream so far."""
 
-    __slots__ = ("excluded", "problem", "refusals", "runs")
+    __slots__ = ("excluded", "first_ids", "problem", "refusals", "runs")
 
     def __init__(self):
         self.excluded: set[str] = set()
+        self.first_ids: set[str] = set()
         self.problem = fault(ResultCode.NO_TARGET, "", NO_PATH_RETRY_S)
         self.refusals = 0
         self.runs = 0
@@ -75,10 +77,23 @@
             self.refusals += 1
         else:
             self.runs += 1
+            self.first_ids.add(first_id)
         # A target that refused for want of room may have some in a moment.
         if self.problem.code is not ResultCode.TARGET_REFUSED:
             self.excluded.add(first_id)
 
+    def firsts_left(
+        self, route: RouteRule, directory: TargetDirectory
+    ) -> set[str] | None:
+        """Return the only targets that may see the request; None for any.
+
+        A stream whose later parts fail may be sent on several times, but the
+        route limits how many targets see it.  Once so many have, it goes again to
+        one of them; those that ended meanwhile do not count.
+        """
+        live = {name for name in self.first_ids if directory.find(name) is not None}
+        return live if len(live) >= route.max_attempts else None
+
     def over(self, route: RouteRule) -> bool:
         """Return whether the route allows no further attempt."""
         if self.runs and not route.repeatable:
@@ -127,7 +142,7 @@
             stop = self._targets.check(call)
             if stop is not None:
                 return final_fault(call, stop, NO_PATH_RETRY_S)
-            placed = await self._find_path(call, engine, progress, tries.excluded)
+            placed = await self._find_path(call, engine, progress, tries)
             if placed.is_error():
                 return final_fault(call, placed.error, NO_PATH_RETRY_S)
             # It may have waited: its key or its route may be gone by now.
@@ -156,14 +171,14 @@
         call: Call,
         engine: EngineSpec | None,
         progress: "_Progress",
-        excluded: set[str],
+        tries: _Tries,
     ) -> Result[Path, Fault]:
         """Return a path, standing in line where all of them are full."""
         view = self._view
         if engine is None:
-            return self._single_target(call, excluded)
+            return self._single_target(call, tries)
         queue = view.admission_queue(call.service.name)
-        path = None if len(queue) else self._path_now(call, engine, progress, excluded)
+        path = None if len(queue) else self._path_now(call, engine, progress, tries)
         if path is not None:
             return Ok(path)
         # The caller of a stream that has begun is waiting for its next event.
@@ -177,7 +192,7 @@
                     detail = "layers are missing"
                     return Error(fault(ResultCode.NO_TARGET, detail, NO_PATH_RETRY_S))
                 if queue.may_try(entry):
-                    path = self._path_now(call, engine, progress, excluded)
+                    path = self._path_now(call, engine, progress, tries)
                 if path is not None:
                     return Ok(path)
                 if queue.has_expired(entry, view.clock.now()):
@@ -187,15 +202,17 @@
         finally:
             queue.leave(entry)
 
-    def _single_target(self, call: Call, excluded: set[str]) -> Result[Path, Fault]:
+    def _single_target(self, call: Call, tries: _Tries) -> Result[Path, Fault]:
         """Return a path of one target, for a service whose targets serve alone."""
         view = self._view
+        firsts = tries.firsts_left(call.route, view.directory)
+        usable = view.directory.usable(call.service.name, view.clock.now())
         record = choose_target(
-            view.directory.usable(call.service.name, view.clock.now()),
+            [item for item in usable if firsts is None or item.id in firsts],
             view.load,
             NO_FAILURES,
             view.zone,
-            excluded,
+            tries.excluded if firsts is None else (),
             view.chance,
         )
         if record is None:
@@ -207,13 +224,20 @@
         call: Call,
         engine: EngineSpec | None,
         progress: "_Progress",
-        excluded: set[str],
+        tries: _Tries,
     ) -> Path | None:
         roomy = self._view.usable_with_room(call.service.name)
+        firsts = tries.firsts_left(call.route, self._view.directory)
+        # A first target whose attempt broke may be sound: a later part was not.
+        excluded = tries.excluded - (firsts or set())
         pool = [record for record in roomy if record.id not in excluded]
         finder = self._view.path_finder(engine)
-        demand = progress.demand(engine)
-        return finder.find(pool, demand, pace_by_id=self._view.pace_by_id)
+        return finder.find(
+            pool,
+            progress.demand(engine),
+            pace_by_id=self._view.pace_by_id,
+            first_ids=firsts,
+        )
 
     def _is_covered(self, call: Call, engine: EngineSpec) -> bool:
         now = self._view.clock.now()
--- a/radishfield/forwarding/router_test.py
+++ b/radishfield/forwarding/router_test.py
@@ -352,6 +352,25 @@
     play(tmp_path, scene)
 
 
+def test_a_stream_that_breaks_again_and_again_is_seen_by_few_targets(tmp_path):
+    """Each target breaks the stream off after one event.
+
+    The stream may be sent on, but no more targets see it than the route allows:
+    after two it goes on at one of them.
+    """
+
+    async def scene(played):
+        await pool(played, [(0, 80)] * 4, events=4)
+        for target in played.layered:
+            target.cut_after = 1
+        reply = await played.request("/stream/x", "POST", body=b"{}")
+        seen = [target.id for target in played.layered if target.runs["r1"]]
+        assert len(seen) == 2
+        assert reply.whole
+
+    play(tmp_path, scene)
+
+
 def test_a_stream_without_any_path_is_refused_at_once(tmp_path):
     async def scene(played):
         await pool(played, [(0, 40)])
--- a/radishfield/routing/_paths.py
+++ b/radishfield/routing/_paths.py
@@ -88,7 +88,14 @@
 class PathFinder:
     """Finds paths over one list of targets; cheap enough to make for a request."""
 
-    __slots__ = ("_engine", "_load", "_share_by_pair", "_transfer_ms", "_zone")
+    __slots__ = (
+        "_engine",
+        "_first_ids",
+        "_load",
+        "_share_by_pair",
+        "_transfer_ms",
+        "_zone",
+    )
 
     def __init__(
         self,
@@ -100,6 +107,7 @@
         self._engine = engine
         self._load = load
         self._zone = zone
+        self._first_ids: Collection[str] | None = None
         self._share_by_pair = share_by_pair or {}
         self._transfer_ms = engine.transfer_ms(engine.usual_prompt)
 
@@ -110,6 +118,7 @@
         first: PathPart | None = None,
         pace_by_id: dict[str, float] | None = None,
         own_by_id: Collection[str] = (),
+        first_ids: Collection[str] | None = None,
     ) -> Path | None:
         """Return the cheapest path, or None if no targets with room cover it.
 
@@ -120,9 +129,12 @@
         ----------
         first : PathPart, optional
             The part with which the path has to begin, as it is.
+        first_ids : collection of str, optional
+            The only targets that may be the path's first.
         own_by_id : collection of str
             Targets that hold the request already, so that they need no more room.
         """
+        self._first_ids = first_ids
         versions = {record.weights_version for record in records if record.span}
         for version in sorted(versions, reverse=True):
             same = [record for record in records if record.weights_version == version]
@@ -240,6 +252,8 @@
         return crossing_ms(share, self._transfer_ms)
 
     def _may_be_first(self, record: TargetRecord) -> bool:
+        if self._first_ids is not None and record.id not in self._first_ids:
+            return False
         return self._load.held(record.id).as_first < self._engine.slots
 
 
