--- a/radishfield/forwarding/_call.py
+++ b/radishfield/forwarding/_call.py
@@ -105,6 +105,8 @@
         Readings of the clock that counts suspension.
     sent, arrived : int
         Times that the request was sent to a target, and that it reached one.
+    tried, ran_at : set of str
+        Targets that it was sent to, and those that may have run it.
     may_have_run : bool
         Some target may have run it, or run it in part.
     """
@@ -124,6 +126,7 @@
     arrived: int = 0
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
+    ran_at: set[str] = field(default_factory=set)
 
     @property
     def workspace_name(self) -> str:
--- a/radishfield/forwarding/_plain.py
+++ b/radishfield/forwarding/_plain.py
@@ -14,7 +14,7 @@
 from radishfield.forwarding._targets import Targets, final_fault
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import Headers
-from radishfield.routing import FailureRates, RouteRule, TargetRecord, choose_target
+from radishfield.routing import FailureRates, TargetRecord, choose_target
 
 NO_TARGET_RETRY_S = 0.6
 """A target that was lost is replaced or found alive within about a second."""
@@ -66,11 +66,15 @@
         else:
             self.runs += 1
 
-    def over(self, route: RouteRule) -> bool:
-        """Return whether the route allows no further try."""
-        if self.runs and not route.repeatable:
+    def over(self, call: Call) -> bool:
+        """Return whether the route allows no further try.
+
+        Targets are counted, not tries: one try may have gone to two of them.
+        """
+        if self.runs and not call.route.repeatable:
             return True
-        return self.runs >= route.max_attempts or self.refusals > MORE_REFUSALS
+        seen = len(call.ran_at)
+        return seen >= call.route.max_attempts or self.refusals > MORE_REFUSALS
 
 
 class PlainForwarder:
@@ -109,7 +113,7 @@
             if not _failed(result):
                 return result
             tries.take(result)
-            if tries.over(call.route):
+            if tries.over(call):
                 break
         if tries.failed_answer is not None:
             return Ok(tries.failed_answer)
--- a/radishfield/forwarding/_targets.py
+++ b/radishfield/forwarding/_targets.py
@@ -146,6 +146,8 @@
             budget.first_try(now)
         call.sent += 1
         call.tried.add(record.id)
+        ran_there_before = record.id in call.ran_at
+        call.ran_at.add(record.id)
         possible_run, call.may_have_run = call.may_have_run, True
         fresh = not call.route.repeatable
         call.arrived += 1
@@ -158,10 +160,14 @@
                     budget.give_back()
             self._unreachable(call, record, sent.error)
             call.may_have_run = possible_run or sent.error.outcome is Outcome.UNKNOWN
+            if sent.error.outcome is Outcome.NOT_RUN and not ran_there_before:
+                call.ran_at.discard(record.id)
             return sent
         exchange = sent.ok
         if exchange.facts.not_run:
             call.may_have_run = possible_run
+            if not ran_there_before:
+                call.ran_at.discard(record.id)
             return Error(await self._refused(call, record, exchange))
         if exchange.facts.request_id != call.facts.request_id:
             await exchange.close(reusable=False)
--- a/radishfield/forwarding/router_test.py
+++ b/radishfield/forwarding/router_test.py
@@ -164,6 +164,24 @@
     play(tmp_path, scene)
 
 
+def test_a_request_that_was_sent_twice_at_once_is_seen_by_no_third_target(tmp_path):
+    """The first target is slow, so a second one is asked as well; both fail.
+
+    The route allows two targets, and two have seen the request.
+    """
+
+    async def scene(played):
+        await portal(played, targets=3)
+        for target in played.plain:
+            target.work_s = 0.7
+            target.failures = ["error"] * 3
+        reply = await played.request("/read/x")
+        assert reply.status == 500
+        assert sum(bool(target.ran) for target in played.plain) == 2
+
+    play(tmp_path, scene)
+
+
 def test_a_silent_run_that_may_not_be_repeated_ends_at_the_routes_timeout(tmp_path):
     async def scene(played):
         routes = [route("post", "non_idempotent", "portal", timeoutMs=400)]
