Let hosts that start together know each other before they answer repeats

A host serves before it knows its peers: while alone it tried one seed a period of 0.5 s, and once it knew one other host it tried a missing seed each 5 s. A repeat there found the claim of a host that it did not know and was told DUPLICATE_UNKNOWN, for good, while that host ran and kept the answer. Ruled out: the ports (the status pages of a red fleet show the members missing), lost questions (answers came in 10 ms). Change: all seeds are tried at once while alone and each period in the first ten seconds; a repeat whose claimant this young host can't know yet waits for it up to 2 s, then is asked to come back (CLAIM_UNAVAILABLE). The scene of a host that starts in a cut zone looks 1 ms after the start instead of 100 ms: by then the newcomer now knows the profiles. The claims' stand-in keeps dead members on its list, as the membership does.

--- a/bench/_stage_driving.py
+++ b/bench/_stage_driving.py
@@ -27,8 +27,8 @@
 from radishfield.edges import EngineTargets
 from radishfield.edges._target_wire import STEP_PATH, Step
 from radishfield.pipeline import PipelineState
-from standins.fleet import free_port
 from standins.model import expected_words, first_hidden, word_of
+from standins.ports import free_port
 
 PROMPT = "Check the delegation note."
 STAGES = ((0, 4), (4, 8), (8, 12), (12, 16))
--- a/bench/slopes_target.py
+++ b/bench/slopes_target.py
@@ -23,7 +23,7 @@
 )
 from bench._token_feed import cpu_per_answer
 from radishfield.edges import EngineTargets
-from standins.fleet import free_port
+from standins.ports import free_port
 
 SHORT, LONG = 8, 72
 REQUESTS = 24
--- a/radishfield/edges/_peer_probe.py
+++ b/radishfield/edges/_peer_probe.py
@@ -37,6 +37,10 @@
 SEED_TURN = 10
 """Every tenth period a seed that is not a live member is tried."""
 
+JOIN_TURNS = 20
+"""Periods, ten seconds in all, in which each one tries a missing seed.  Hosts
+that found each other would else miss one that starts a second later for five."""
+
 LATE_WAKE_S = 0.2
 """A probe that ended so late says more of this host than of the member."""
 
@@ -50,6 +54,10 @@
 MEMBERS_TIMEOUT_S = 2.0
 JOIN_PAUSE_S = 0.25
 
+ALONE_PAUSE_S = 0.05
+"""Pause between two rounds of all seeds while no other host is known.  It
+doubles up to a period, so that a lone host is soon as quiet as any other."""
+
 
 class Prober:
     """Probes members, tries seeds, and reads the whole list now and then."""
@@ -106,10 +114,12 @@
 
     async def probe_members(self) -> None:
         """Probe one member each period, until cancelled."""
+        await self._find_others()
         turn = 0
         while True:
             started = self._clock.now()
-            if turn % SEED_TURN == 0 or not self._live_others():
+            is_joining = turn < JOIN_TURNS or not self._live_others()
+            if is_joining or turn % SEED_TURN == 0:
                 await self._try_seed()
             turn += 1
             period_s = self._period_s()
@@ -205,6 +215,20 @@
         for helper in self._membership.helpers(member.id, HELPERS):
             await self._send(helper.id, helper.address, Relay(member.address), number)
 
+    async def _find_others(self) -> None:
+        """Try all seeds quickly until one answers, up to a pause of a period.
+
+        Hosts that start together miss each other's first datagrams.  At one
+        seed a period they stay strangers for seconds in which they serve, and
+        a repeat at one can't be told what its first copy came to at another.
+        """
+        pause_s = ALONE_PAUSE_S
+        while not self._live_others() and pause_s < self._settings.period_s:
+            for address in sorted(self._seeds - {self._settings.address}):
+                await self._send("", address, Ping(), self._next_number())
+            await trio.sleep(pause_s)
+            pause_s *= 2
+
     async def _try_seed(self) -> None:
         known = {member.address for member in self._live_others()}
         unknown = sorted(self._seeds - known - {self._settings.address})
--- a/radishfield/edges/peer_test.py
+++ b/radishfield/edges/peer_test.py
@@ -126,6 +126,33 @@
     run(main)
 
 
+def test_hosts_that_find_a_late_seed_know_it_within_a_second():
+    """A repeat at a host is asked about at the host of its first copy, soon.
+
+    Two hosts start and find each other; the seed of both starts 0.8 s later.
+    A seed tried once in five seconds would leave it a stranger to both for so
+    long, in which all three serve.
+    """
+
+    async def main():
+        network = MemoryNetwork()
+        async with trio.open_nursery() as nursery:
+            first, second = (host(network, number) for number in (1, 2))
+            first._prober.add_seeds(["h2:1"])
+            for a_host in (first, second):
+                await nursery.start(a_host.run)
+            await trio.sleep(0.8)
+            assert live_at(first) >= {"h1", "h2"}
+            late = host(network, 0)
+            await nursery.start(late.run)
+            await trio.sleep(1.0)
+            for a_host in (first, second, late):
+                assert live_at(a_host) == {"h0", "h1", "h2"}
+            nursery.cancel_scope.cancel()
+
+    run(main)
+
+
 def test_slow_member_and_lost_datagrams_kill_nobody():
     """One host answers 0.4 s late and a tenth of all datagrams is lost.
 
--- a/radishfield/fleet/_claims.py
+++ b/radishfield/fleet/_claims.py
@@ -52,6 +52,14 @@
 RETRY_IN_FLIGHT_S = 1.0
 RETRY_UNAVAILABLE_S = 2.0
 MAX_ERRANDS = 1_000
+JOIN_S = 10.0
+"""Hosts that start together know each other within two or three seconds, also
+on busy machines; a host that is older and knows no claimant will not hear of it."""
+
+JOIN_WAIT_S = 2.0
+"""Less than the patience of a claim, so that the caller hears the true reason."""
+
+JOIN_POLL_S = 0.05
 DRAIN_S = 2.0
 DRAIN_PAUSE_S = 0.02
 ERRAND_WORKERS = 4
@@ -108,6 +116,7 @@
         "_copies",
         "_send_errand",
         "_errands",
+        "_started_at",
         "dropped_errands",
     )
 
@@ -126,12 +135,14 @@
         self._own = ClaimBook(settings.max_kept)
         self._copies = ClaimBook(settings.max_kept)
         self._send_errand, self._errands = trio.open_memory_channel(MAX_ERRANDS)
+        self._started_at: float | None = None
         self.dropped_errands = 0
         peers.answer(STATE_TOPIC, self._answer_state)
         peers.answer(COPY_TOPIC, self._take_copy)
 
     async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED):
         """Send copies of answers and take back released claims, until cancelled."""
+        self._started_at = self._clock.now()
         async with trio.open_nursery() as nursery:
             for _ in range(ERRAND_WORKERS):
                 nursery.start_soon(self._run_errands)
@@ -222,6 +233,9 @@
                     rival = self._store.find(slot, record.place)
             if rival is not None and rival.claim_id not in released:
                 state = await self._state_of(rival)
+                if state is None and self._may_be_heard_of_yet(rival.host_id):
+                    detail = "the host that claimed the key is not known here yet"
+                    return Error(_unavailable(detail))
                 if state is not None and state.claim_id != rival.claim_id:
                     # The host has claimed the key anew: this slot is an old one.
                     self._store.forget(record.place)
@@ -245,6 +259,7 @@
         ask = StateAsk(rival.place, rival.claim_id)
         # A claim of this host that it does not know is from before its restart.
         if rival.host_id != self._settings.host:
+            await self._wait_until_heard_of(rival.host_id)
             # One lost question must not turn a kept answer into "unknown", which
             # no later repeat is told to come back for.
             for _ in range(CLAIMANT_TRIES):
@@ -257,6 +272,25 @@
                 return copy
         return None
 
+    def _may_be_heard_of_yet(self, host_id: str) -> bool:
+        """Tell whether a host may live although this one does not know it.
+
+        A host that has just started serves before it knows its peers.  Without
+        this a repeat there is told for good that nobody knows how its first
+        copy went, while the host that keeps the answer runs beside it.
+        """
+        if self._started_at is None:
+            return False
+        is_young = self._clock.now() - self._started_at < JOIN_S
+        return is_young and all(
+            member.id != host_id for member in self._peers.members()
+        )
+
+    async def _wait_until_heard_of(self, host_id: str) -> None:
+        with trio.move_on_after(JOIN_WAIT_S):
+            while self._may_be_heard_of_yet(host_id):
+                await trio.sleep(JOIN_POLL_S)
+
     async def _ask_state(self, host_id: str, ask: StateAsk) -> ClaimRecord | None:
         now = self._clock.now()
         asked = await self._peers.ask(
--- a/radishfield/fleet/claims_test.py
+++ b/radishfield/fleet/claims_test.py
@@ -8,6 +8,7 @@
 
 from radishfield.core import (
     Member,
+    MemberState,
     Outcome,
     ResultCode,
     TrioClock,
@@ -31,7 +32,15 @@
 class Network:
     """Hosts that ask each other and share one platform."""
 
-    __slots__ = ("claims_by_id", "peers_by_id", "platform", "scopes_by_id", "nursery")
+    __slots__ = (
+        "claims_by_id",
+        "peers_by_id",
+        "platform",
+        "scopes_by_id",
+        "nursery",
+        "dead_ids",
+        "unheard_ids",
+    )
 
     def __init__(self, nursery):
         self.claims_by_id = {}
@@ -39,8 +48,11 @@
         self.scopes_by_id = {}
         self.platform = FakePlatform(TrioClock())
         self.nursery = nursery
+        self.dead_ids = set()
+        self.unheard_ids = set()
 
     async def start(self, host_id):
+        self.dead_ids.discard(host_id)
         clock = TrioClock()
         peers = FakePeers(self, host_id)
         claims = Claims(
@@ -56,6 +68,7 @@
 
     def stop(self, host_id):
         self.peers_by_id.pop(host_id)
+        self.dead_ids.add(host_id)
 
 
 class FakePeers:
@@ -67,13 +80,24 @@
         self.handlers_by_topic = {}
 
     def members(self):
-        return [Member(each, zone_of(each), "", 1) for each in self.network.peers_by_id]
+        living = [
+            Member(each, zone_of(each), "", 1)
+            for each in self.network.peers_by_id
+            if each == self.host_id or each not in self.network.unheard_ids
+        ]
+        dead = [
+            Member(each, zone_of(each), "", 1, MemberState.DEAD)
+            for each in self.network.dead_ids
+        ]
+        return living + dead
 
     def answer(self, topic, handler):
         self.handlers_by_topic[topic] = handler
 
     async def ask(self, member_id, topic, payload, timeout_s):
         await trio.sleep(0.001)
+        if member_id in self.network.unheard_ids:
+            return Error(fault(ResultCode.PEER_UNREACHABLE))
         other = self.network.peers_by_id.get(member_id)
         if other is None:
             await trio.sleep(timeout_s)
@@ -152,6 +176,51 @@
     run(scenario)
 
 
+def test_a_repeat_at_a_host_that_has_just_started_waits_until_it_knows_the_first():
+    """The caller's repeat reaches a host that does not know its peers yet.
+
+    The first copy ran at a host that lives.  The repeat waits until the new
+    host has heard of that one, a fraction of a second, and gets the answer.
+    """
+
+    async def scenario(network):
+        first = await claim(network, "h0")
+        network.unheard_ids.add("h0")
+        await network.claims_by_id["h0"].finish(first.ok, None)
+
+        async def join():
+            await trio.sleep(0.4)
+            network.unheard_ids.clear()
+
+        network.nursery.start_soon(join)
+        finished = await claim(network, "h1")
+        assert finished.error.code == ResultCode.DUPLICATE_UNKNOWN
+        assert finished.error.outcome is Outcome.FINISHED
+
+    run(scenario)
+
+
+def test_a_repeat_at_a_new_host_that_hears_of_nobody_is_asked_to_come_back():
+    """The caller is not told for good what a host of ten seconds can't know.
+
+    While the host is new the repeat is refused with a time to come back; once
+    it is old enough, a claimant that it does not know is one that is gone.
+    """
+
+    async def scenario(network):
+        assert granted(await claim(network, "h0"))
+        network.unheard_ids.add("h0")
+        early = await claim(network, "h1")
+        assert early.error.code == ResultCode.CLAIM_UNAVAILABLE
+        assert early.error.retry_after_s
+        assert early.error.outcome is Outcome.UNKNOWN
+        await trio.sleep(20.0)
+        late = await claim(network, "h1")
+        assert late.error.code == ResultCode.DUPLICATE_UNKNOWN
+
+    run(scenario)
+
+
 def test_a_repeat_gets_the_answer_though_its_first_host_has_gone():
     """The caller gets its first run's answer from a copy at another host."""
 
--- a/radishfield/fleet/spread_test.py
+++ b/radishfield/fleet/spread_test.py
@@ -112,7 +112,8 @@
         fleet.hosts.append(newcomer)
         fleet.cut_zone("z2")
         fleet.nursery.start_soon(newcomer.run)
-        await trio.sleep(0.1)
+        # Sooner than the first answer of a peer can be here.
+        await trio.sleep(0.001)
         unheard = newcomer.store.find("review").error
         assert unheard.code is ResultCode.PROFILES_UNKNOWN
         await wait_in_force([newcomer], 1, 10)
--- a/standins/engine_test.py
+++ b/standins/engine_test.py
@@ -26,8 +26,8 @@
 from standins.engine import EngineApp
 from standins.engine_control import EngineFaults
 from standins.engine_steps import Holding
-from standins.fleet import free_port
 from standins.model import expected_words
+from standins.ports import free_port
 
 QUICK = TargetTimeouts(first_token_s=3.0, idle_s=0.3, control_s=1.0)
 CUTS = ((0, 4), (4, 8), (8, 12))
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -8,7 +8,7 @@
 import subprocess
 import sys
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 
 import httpcore
@@ -23,6 +23,7 @@
     TargetKind,
 )
 from standins.platform import WriteBody
+from standins.ports import free_port
 
 MODEL = "small"
 MODEL_LAYERS = 16
@@ -84,33 +85,6 @@
     settings: Path
 
 
-@dataclass(slots=True)
-class Reserved:
-    """Ports given out by this process, so that none is given out twice."""
-
-    ports: set[int] = field(default_factory=set)
-
-
-_reserved = Reserved()
-
-
-def free_port() -> int:
-    """Return a loopback port that is free now, for TCP and for UDP."""
-    while True:
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
-            if port in _reserved.ports:
-                continue
-            with socket.socket(type=socket.SOCK_DGRAM) as datagrams:
-                try:
-                    datagrams.bind(("127.0.0.1", port))
-                except OSError:
-                    continue
-            _reserved.ports.add(port)
-            return port
-
-
 class SmallFleet:
     """A platform stand-in, targets and entry hosts, as processes.
 
--- a/standins/ports.py
+++ b/standins/ports.py
@@ -10,12 +10,19 @@
 FIRST, LAST = 20_000, 29_999
 
 
+_given_out: set[int] = set()
+
+
 def free_ports(count: int) -> list[int]:
-    """Return ports that nobody listens on."""
+    """Return ports that nobody has bound and that this process got never before.
+
+    They are free for TCP and for UDP.
+    """
     found: list[int] = []
     while len(found) < count:
         port = random.SystemRandom().randint(FIRST, LAST)
-        if port not in found and _is_free(port):
+        if port not in _given_out and _is_free(port):
+            _given_out.add(port)
             found.append(port)
     return found
 
@@ -26,9 +33,10 @@
 
 
 def _is_free(port: int) -> bool:
-    with socket.socket() as tried:
-        try:
-            tried.bind(("127.0.0.1", port))
-        except OSError:
-            return False
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as tried:
+            try:
+                tried.bind(("127.0.0.1", port))
+            except OSError:
+                return False
     return True
--- a/standins/service_test.py
+++ b/standins/service_test.py
@@ -14,7 +14,7 @@
     TrioClock,
 )
 from radishfield.edges import EngineTargets
-from standins.fleet import free_port
+from standins.ports import free_port
 from standins.service import ServiceApp, ServiceFaults
 
 
