Let three hosts of a zone follow the store and tell the others

Cause: store calls grow with the hosts. Each waking also counted as a change of the list, so that every host made the plan of layers anew, four times a second. Change: in zones of more than three hosts the first three that reach the store follow it. They pass on what changed in datagrams, and their statuses carry a digest of the list and its age; a host that hears no matching digest for 1.2 s, or of a newer configuration, or whose configuration was confirmed too long ago, reads the store itself. Zones of up to three hosts do as before. An entry that says nothing new is no change, and plans are kept until the list changes.

--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -1,7 +1,9 @@
 """Follow the configuration and the list of targets in the store, by watches.
 
 A watch that waits proves nothing about how fresh its view is, so it waits for a
-short time only: each answer confirms what was known when the call was sent.
+short time only: each answer confirms what was known when the call was sent.  A host
+that others tell what changed (`radishfield.routing.WatchDuty`) asks nothing until it
+has to; then it lists, since the changes of the time between were told by others.
 """
 
 import random
@@ -11,7 +13,7 @@
 from expression import Result
 
 from radishfield.core import Fault, ResultCode
-from radishfield.forwarding._view import RouterView
+from radishfield.forwarding._view import RouterView, TargetNews
 from radishfield.platform import (
     CONFIG_KIND,
     CONFIG_NAME,
@@ -31,6 +33,9 @@
 """Part of the bound on keys for which a watch of the configuration waits.  Just
 before its answer a view is two waits old, so this leaves a fifth of the bound for a
 slow store; each call is paid for, and the rates do not grow with the hosts."""
+SHARED_CONFIG_WATCH_SHARE = 0.2
+"""The same where other hosts depend on this one: its word takes up to a second to
+reach them, so it confirms its view twice as often."""
 TARGETS_WATCH_S = 2.5
 """A change wakes the watch at once; its wait is only how long a connection that has
 fallen silent goes unnoticed, and work may reach a target that left for two seconds
@@ -41,6 +46,8 @@
 LONGEST_COALESCE_S = 0.6
 """Pause that a storm grows to, doubled from change to change: two calls a second, and
 each change in force well within the two seconds that operators allow."""
+DUTY_LOOK_S = 0.1
+"""How often a host that asks nothing looks whether it has to."""
 LONGEST_PAUSE_S = 1.0
 """Longest pause after failures: a store that is back is noticed within a second."""
 
@@ -51,6 +58,7 @@
     __slots__ = (
         "_chance",
         "_failures",
+        "_is_due",
         "_kind",
         "_revision",
         "_store",
@@ -58,8 +66,16 @@
         "_wait_s",
     )
 
-    def __init__(self, store: ObjectStore, view: RouterView, kind: str, wait_s: float):
+    def __init__(
+        self,
+        store: ObjectStore,
+        view: RouterView,
+        kind: str,
+        wait_s: Callable[[], float],
+        is_due: Callable[[], bool],
+    ):
         self._wait_s = wait_s
+        self._is_due = is_due
         self._store = store
         self._view = view
         self._kind = kind
@@ -79,13 +95,17 @@
         """
         pause_s = COALESCE_S
         while True:
+            if not self._is_due():
+                self._revision = None
+                await trio.sleep(DUTY_LOOK_S)
+                continue
             asked_at = self._view.clock.now()
             if self._revision is None:
                 result = await self._store.list(self._kind)
                 deliver = on_listing
             else:
                 result = await self._store.watch(
-                    self._kind, self._revision, self._wait_s
+                    self._kind, self._revision, self._wait_s()
                 )
                 deliver = on_changes
             if result.is_error():
@@ -139,10 +159,29 @@
     ):
         self._view = view
         self._follower = StoreFollower(
-            store, view, CONFIG_KIND, view.freshness.bound_s * CONFIG_WATCH_SHARE
+            store, view, CONFIG_KIND, self._wait_s, self._is_due
         )
         self._on_limits = on_limits
 
+    def _wait_s(self) -> float:
+        shared = self._view.watch_duty.shared
+        share = SHARED_CONFIG_WATCH_SHARE if shared else CONFIG_WATCH_SHARE
+        return self._view.freshness.bound_s * share
+
+    def _is_due(self) -> bool:
+        view, now = self._view, self._view.clock.now()
+        table = view.table
+        due = view.watch_duty.reads_config(
+            view.freshness.age_s(now),
+            view.freshness.bound_s,
+            table.config.version if table else 0,
+        )
+        if not due:
+            view.watch_duty.reading_since = None
+        elif view.watch_duty.reading_since is None:
+            view.watch_duty.reading_since = now
+        return due
+
     async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED):
         """Follow until cancelled."""
         task_status.started()
@@ -207,11 +246,19 @@
 class TargetFollower:
     """Keeps the directory of targets as the store lists them."""
 
-    __slots__ = ("_follower", "_view")
+    __slots__ = ("_follower", "_listed_revision", "_revision_by_id", "_view")
 
     def __init__(self, store: ObjectStore, view: RouterView):
         self._view = view
-        self._follower = StoreFollower(store, view, TARGETS_KIND, TARGETS_WATCH_S)
+        self._follower = StoreFollower(
+            store, view, TARGETS_KIND, lambda: TARGETS_WATCH_S, self._is_due
+        )
+        self._revision_by_id: dict[str, int] = {}
+        self._listed_revision = 0
+        view.hear_news = self._hear_news
+
+    def _is_due(self) -> bool:
+        return self._view.watch_duty.reads_targets(self._view.clock.now())
 
     async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED):
         """Follow until cancelled."""
@@ -231,6 +278,9 @@
                     "target.unreadable", target=value.name, detail=decoded.error.detail
                 )
         now = self._view.clock.now()
+        self._view.targets_confirmed_at = asked_at
+        self._listed_revision = listing.revision
+        self._revision_by_id = {value.name: value.revision for value in listing.values}
         for removal in self._view.directory.replace_all(record_by_id, now):
             self._log_removal(removal, listing.revision)
         log_event(
@@ -239,25 +289,48 @@
         self._view.free_room()
 
     def _changed(self, changes: Changes, asked_at: float) -> None:
+        self._view.targets_confirmed_at = asked_at
         for change in changes.changes:
+            value = change.value
+            known = self._revision_by_id.get(value.name, 0)
+            self._revision_by_id[value.name] = max(known, value.revision)
             if change.deleted:
-                self._remove(change.value.name, changes.revision)
+                changed = self._remove(value.name, changes.revision)
             else:
-                self._update(change.value)
+                changed = self._update(value)
+            if changed and self._view.watch_duty.shared:
+                spec = None if change.deleted else value.spec
+                revision = self._revision_by_id[value.name]
+                self._view.news.append(TargetNews(value.name, revision, spec))
         if changes.changes:
             self._view.free_room()
 
-    def _update(self, value: StoredValue) -> None:
+    def _hear_news(self, items: list[TargetNews]) -> None:
+        """Take what another host passes on; news may arrive late or twice."""
+        for item in items:
+            known = self._revision_by_id.get(item.target_id, self._listed_revision)
+            if item.revision < known or (
+                item.revision == known and item.spec is not None
+            ):
+                continue
+            self._revision_by_id[item.target_id] = item.revision
+            if item.spec is None:
+                self._remove(item.target_id, item.revision)
+            else:
+                self._update(StoredValue(item.target_id, item.revision, item.spec))
+        self._view.free_room()
+
+    def _update(self, value: StoredValue) -> bool:
+        """Take a target's entry; return whether the list is another one now."""
         decoded = decode_target(value.name, value.spec)
         if decoded.is_error():
             log_event(
                 "target.unreadable", target=value.name, detail=decoded.error.detail
             )
-            self._remove(value.name, value.revision)
-            return
+            return self._remove(value.name, value.revision)
         record = decoded.ok
         before = self._view.directory.find(record.id)
-        self._view.directory.update(record)
+        changed = self._view.directory.update(record)
         if (
             before is None
             or before.phase is not record.phase
@@ -273,10 +346,13 @@
                 started_ms=record.started_ms,
                 revision=value.revision,
             )
+        return changed
 
-    def _remove(self, target_id: str, revision: int) -> None:
+    def _remove(self, target_id: str, revision: int) -> bool:
+        """Take a target off the list; return whether it is off now."""
         removal = self._view.directory.remove(target_id, self._view.clock.now())
         self._log_removal(removal, revision)
+        return not removal.held
 
     def _log_removal(self, removal: Removal, revision: int) -> None:
         log_event(
--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -1,5 +1,7 @@
 """What entry hosts tell each other: work in flight, lost and leaving targets, duties.
 
+In zones of many hosts a few follow the store and tell the others what it says.
+
 Datagrams that are lost cost nothing: each one holds the whole of what changes, and
 the next follows in a fraction of a second.  Hosts find each other once, in the
 store: each writes its address before it lists the others', so of any two the later
@@ -9,18 +11,20 @@
 import math
 import random
 import socket
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 import msgspec
 import trio
 
 from radishfield.core import ResultCode
-from radishfield.forwarding._view import RouterView
+from radishfield.forwarding._view import RouterView, TargetNews
 from radishfield.platform import ObjectStore
 from radishfield.routing import (
     PeerConfirmation,
     RetryUse,
     TargetLoad,
+    ZoneHost,
     confirmed_by_peer_at,
     pair_of,
 )
@@ -35,9 +39,11 @@
 """Other zones hear each fourth status: their work rarely meets this zone's, and
 bytes between zones are paid for."""
 ZONE_FANOUT = 12
-"""Hosts of the own zone that hear a status, drawn at random where there are more:
+"""Hosts of the own zone that hear a status, each in its turn where there are more:
 a host's part of the load shrinks as the hosts grow, and so does what its status is
 worth."""
+NEWS_PERIOD_S = 0.05
+"""Pause in which news of targets gathers; they mostly come by tens."""
 REMOTE_ZONE_FANOUT = 6
 """Hosts of other zones that hear a status, drawn at random: with many hosts the
 bytes between zones must not grow with their square."""
@@ -49,6 +55,8 @@
 """Time for which a host that has fallen silent is still counted among those that
 share allowances: longer than cuts last, after which both sides spend again."""
 DATAGRAM_BYTES = 8 << 10
+NEWS_BYTES = DATAGRAM_BYTES - 64
+"""The rest is for the frame around the items."""
 
 
 class _Work(msgspec.Struct, array_like=True):
@@ -77,7 +85,19 @@
     sent_at: float
 
 
-class PeerStatus(msgspec.Struct, array_like=True):
+class _NewsItem(msgspec.Struct, array_like=True):
+    target_id: str
+    revision: int
+    spec: object
+
+
+class PeerNews(msgspec.Struct, array_like=True, tag="news"):
+    """What the store told a host of targets, passed on within its zone."""
+
+    items: list[_NewsItem]
+
+
+class PeerStatus(msgspec.Struct, array_like=True, tag="status"):
     """One host's state, whole.
 
     Attributes
@@ -88,6 +108,12 @@
         Seconds since the sender's configuration was confirmed; negative before.
     store_silent_s : float
         Seconds since the sender had an answer of the store; negative before.
+    watches : bool
+        The sender follows the store for its zone.
+    targets_digest : int
+        What hosts with the same list of targets share.
+    targets_age_s : float
+        Seconds since the sender's list was confirmed; negative before.
     """
 
     host_id: str
@@ -104,6 +130,9 @@
     echoes: list[_Echo]
     uses: list[_Use]
     links: list[_LinkShare]
+    watches: bool = False
+    targets_digest: int = 0
+    targets_age_s: float = -1.0
 
 
 class _HostBody(msgspec.Struct):
@@ -119,6 +148,7 @@
     heard_at: float = -1e9
     sent_at: float = 0.0
     store_silent_s: float = math.inf
+    watches: bool = False
 
     def silent_s(self, now: float) -> float:
         """Return since when it has had no answer of the store, at the most."""
@@ -126,7 +156,7 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(PeerStatus)
+_decoder = msgspec.msgpack.Decoder(PeerStatus | PeerNews)
 
 
 class Gossip:
@@ -169,6 +199,7 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive, sock)
                 nursery.start_soon(self._send_statuses, sock)
+                nursery.start_soon(self._send_news, sock)
                 nursery.start_soon(self._find)
                 task_status.started()
 
@@ -224,19 +255,33 @@
             self._view.load.expire_remote(self._view.clock.now())
             self._sum_up()
             status = self._status()
-            for peer in self._recipients():
-                try:
-                    await sock.sendto(status, peer.address)
-                    self.sent_bytes += len(status)
-                except OSError as problem:
-                    log_event(
-                        "peer.unreachable", peer=peer.address[0], detail=str(problem)
-                    )
+            await self._send(sock, status, self._recipients())
+
+    async def _send_news(self, sock) -> None:
+        """Pass on what the store told, to every host of the zone."""
+        while True:
+            await trio.sleep(NEWS_PERIOD_S)
+            if not self._view.news:
+                continue
+            items, self._view.news = self._view.news, []
+            now = self._view.clock.now()
+            near = [peer for peer in self._near() if self._alive(peer, now)]
+            for datagram in _news_datagrams(items):
+                await self._send(sock, datagram, near)
+
+    async def _send(self, sock, data: bytes, peers: list[_Peer]) -> None:
+        for peer in peers:
+            try:
+                await sock.sendto(data, peer.address)
+                self.sent_bytes += len(data)
+            except OSError as problem:
+                log_event("peer.unreachable", peer=peer.address[0], detail=str(problem))
 
     def _status(self) -> bytes:
         now = self._view.clock.now()
         age_s = self._view.freshness.age_s(now)
         silent_s = self._view.freshness.silent_s(now)
+        list_age_s = now - self._view.targets_confirmed_at
         work = [
             _Work(target_id, held.requests, int(held.token_layers), held.as_first)
             for target_id, held in self._view.load.own_by_id.items()
@@ -267,6 +312,9 @@
                     _LinkShare(zone, other, round(share, 3))
                     for (zone, other), share in self._view.links.own_shares(now).items()
                 ],
+                self._view.watch_duty.on_duty,
+                self._view.directory.digest(),
+                list_age_s if math.isfinite(list_age_s) else -1.0,
             )
         )
 
@@ -274,16 +322,26 @@
         table = self._view.table
         return table.config.version if table else 0
 
+    def _near(self) -> list[_Peer]:
+        return [
+            peer for peer in self._peer_by_id.values() if peer.zone == self._view.zone
+        ]
+
     def _recipients(self) -> list[_Peer]:
         """Return who hears this status; hosts that are silent, only now and then."""
         now = self._view.clock.now()
         peers = list(self._peer_by_id.values())
-        near = [peer for peer in peers if peer.zone == self._view.zone]
+        near = self._near()
         recipients = [
             peer for peer in near if self._alive(peer, now) or self._round % 8 == 0
         ]
         if len(recipients) > ZONE_FANOUT:
-            recipients = self._chance.sample(recipients, ZONE_FANOUT)
+            start = self._round * ZONE_FANOUT % len(recipients)
+            in_turn = recipients[start:] + recipients[:start]
+            # A watcher's word counts from when it heard this host, so it always does.
+            recipients = in_turn[:ZONE_FANOUT] + [
+                peer for peer in in_turn[ZONE_FANOUT:] if peer.watches
+            ]
         if self._round % REMOTE_ZONE_EVERY == 0:
             far = [peer for peer in peers if peer.zone != self._view.zone]
             recipients += self._chance.sample(far, min(REMOTE_ZONE_FANOUT, len(far)))
@@ -301,12 +359,18 @@
                 log_event("peer.error", detail=str(problem))
                 continue
             try:
-                status = _decoder.decode(data)
-                address = _split(status.address)
+                match _decoder.decode(data):
+                    case PeerNews(items):
+                        self._take_news(items)
+                    case PeerStatus() as status:
+                        self._take(status, _split(status.address))
             except (msgspec.DecodeError, ValueError):
                 self.malformed += 1
-                continue
-            self._take(status, address)
+
+    def _take_news(self, items: list[_NewsItem]) -> None:
+        self._view.hear_news(
+            [TargetNews(item.target_id, item.revision, item.spec) for item in items]
+        )
 
     def _take(self, status: PeerStatus, address: tuple[str, int]) -> None:
         if status.host_id == self._host_id:
@@ -322,8 +386,14 @@
         peer.store_silent_s = math.inf
         if status.store_silent_s >= 0:
             peer.store_silent_s = status.store_silent_s
+        peer.watches = status.watches
         if status.config_age_s >= 0:
             self._merge_freshness(status)
+        duty = self._view.watch_duty
+        duty.newest_version = max(duty.newest_version, status.config_version)
+        if status.watches:
+            same = status.targets_digest == self._view.directory.digest()
+            duty.told(same, status.targets_age_s, now)
         self._view.peers.use_by_service_by_host[status.host_id] = {
             use.service: RetryUse(use.firsts, use.repeats) for use in status.uses
         }
@@ -371,6 +441,7 @@
             if self._alive(peer, now)
         }
         self._count()
+        self._assign_duty(alive, now)
         view_of_peers.heard = len(alive)
         view_of_peers.ever_heard = view_of_peers.ever_heard or bool(alive)
         view_of_peers.freshest_s = min(
@@ -381,6 +452,19 @@
                 del view_of_peers.use_by_service_by_host[host_id]
                 self._view.links.forget(host_id)
 
+    def _assign_duty(self, alive: dict[str, _Peer], now: float) -> None:
+        near = [
+            ZoneHost(host_id, peer.watches, peer.silent_s(now))
+            for host_id, peer in alive.items()
+            if peer.zone == self._view.zone
+        ]
+        if self._view.watch_duty.assign(self._host_id, near):
+            log_event(
+                "watch.duty",
+                on_duty=self._view.watch_duty.on_duty,
+                zone_hosts=len(near) + 1,
+            )
+
     def _merge_lost(self, host_id: str, target_id: str, started_ms: int) -> None:
         """Ask a target that another host found lost before it is used again."""
         directory, now = self._view.directory, self._view.clock.now()
@@ -404,6 +488,34 @@
         )
 
 
+def _news_datagrams(items: list[TargetNews]) -> Iterator[bytes]:
+    """Return news in datagrams, none of them too long to be received.
+
+    What does not fit one by itself is left out: hosts that lack it notice that
+    their lists differ, and read the store.
+    """
+    chunk: list[_NewsItem] = []
+    size = 0
+    for item in items:
+        entry = _NewsItem(item.target_id, item.revision, item.spec)
+        try:
+            length = len(_encoder.encode(entry))
+        except (OverflowError, ValueError) as problem:
+            # Entries may have other writers, and JSON has longer numbers.
+            log_event("news.unsendable", target=item.target_id, detail=str(problem))
+            continue
+        if length > NEWS_BYTES:
+            log_event("news.too_long", target=item.target_id, bytes=length)
+            continue
+        if size + length > NEWS_BYTES:
+            yield _encoder.encode(PeerNews(chunk))
+            chunk, size = [], 0
+        chunk.append(entry)
+        size += length
+    if chunk:
+        yield _encoder.encode(PeerNews(chunk))
+
+
 def _split(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     if not host:
--- a/radishfield/forwarding/_placer.py
+++ b/radishfield/forwarding/_placer.py
@@ -77,6 +77,19 @@
     grown_at: float
 
 
+@dataclass(slots=True, frozen=True)
+class _Planned:
+    """A plan, and what it was made from.
+
+    Made anew at each look by each host, the plan for ninety targets took a
+    hundredth of a core there.
+    """
+
+    version: int
+    engine: EngineSpec
+    assignments: tuple[Assignment, ...]
+
+
 @dataclass(slots=True, frozen=True)
 class _WantedMove:
     """A move, and since when it has been the best."""
@@ -98,6 +111,7 @@
         "_host_id",
         "_next_move_at",
         "_ordered_by_id",
+        "_plan_by_service",
         "_renewed_at",
         "_searched_version_by_service",
         "_seen_by_service",
@@ -121,6 +135,7 @@
         self._ordered_by_id: dict[str, _Ordered] = {}
         self._unplaced_by_service: dict[str, _Unplaced] = {}
         self._ask_again_at: dict[str, float] = {}
+        self._plan_by_service: dict[str, _Planned] = {}
         self._wanted_move_by_service: dict[str, _WantedMove] = {}
         self._searched_version_by_service: dict[str, int] = {}
         self._next_move_at: dict[str, float] = {}
@@ -217,10 +232,16 @@
     def _wanted(
         self, service: ServiceSpec, engine: EngineSpec, now: float
     ) -> list[Assignment]:
-        records = self._view.directory.listed(service.name)
+        version = self._view.directory.version
+        planned = self._plan_by_service.get(service.name)
+        if planned is None or planned.version != version or planned.engine != engine:
+            records = self._view.directory.listed(service.name)
+            assignments = tuple(plan_layout(engine, records))
+            planned = _Planned(version, engine, assignments)
+            self._plan_by_service[service.name] = planned
         return [
             assignment
-            for assignment in plan_layout(engine, records)
+            for assignment in planned.assignments
             if self._may_order(assignment, now)
         ]
 
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import trio
@@ -23,6 +24,7 @@
     ServiceSpec,
     TargetDirectory,
     TargetRecord,
+    WatchDuty,
     pair_of,
     sends_callers_away,
     takes_work,
@@ -42,6 +44,21 @@
     length_s: float
 
 
+@dataclass(slots=True, frozen=True)
+class TargetNews:
+    """What the store holds of one target.
+
+    Attributes
+    ----------
+    spec : object
+        What lies in its entry; None if the entry is gone.
+    """
+
+    target_id: str
+    revision: int
+    spec: object
+
+
 @dataclass(slots=True)
 class PeerView:
     """What is known of the other hosts at the moment.
@@ -75,6 +92,12 @@
         What the hosts that were heard lately say.
     full_by_id : dict
         Targets that refused work for want of room, left out for a moment.
+    news : list of TargetNews
+        What the store told of targets since the other hosts were told last.
+    targets_confirmed_at : float
+        When the store was last asked for the targets, of the calls it answered.
+    hear_news : callable
+        Takes what another host passes on of targets.
     duty_reported_at : dict
         When another host last said that it holds a service's placement.
     room_freed : trio.Event
@@ -97,6 +120,10 @@
     chance: random.Random = field(default_factory=random.Random)
     room_freed: trio.Event = field(default_factory=trio.Event)
     peers: PeerView = field(default_factory=PeerView)
+    watch_duty: WatchDuty = field(default_factory=WatchDuty)
+    news: list[TargetNews] = field(default_factory=list)
+    targets_confirmed_at: float = -math.inf
+    hear_news: Callable[[list[TargetNews]], None] = lambda items: None
     full_by_id: dict[str, FullTarget] = field(default_factory=dict)
     duty_reported_at: dict[str, float] = field(default_factory=dict)
     _queue_by_service: dict[str, AdmissionQueue] = field(default_factory=dict)
@@ -117,9 +144,13 @@
     def sends_callers_away(self) -> bool:
         """Return whether callers are better served by other hosts."""
         now, peers = self.clock.now(), self.peers
+        since = self.watch_duty.reading_since
+        if since is None:
+            # Others tell this host all it has to know; it asks the store nothing.
+            return False
         return sends_callers_away(
-            self.freshness.failing_s(now),
-            self.freshness.silent_s(now),
+            min(self.freshness.failing_s(now), now - since),
+            min(self.freshness.silent_s(now), now - since),
             peers.heard,
             peers.freshest_s,
             peers.ever_heard,
--- a/radishfield/forwarding/conftest.py
+++ b/radishfield/forwarding/conftest.py
@@ -29,6 +29,7 @@
     ready: str = ""
     router: Router | None = None
     stop: trio.Event = field(default_factory=trio.Event)
+    scopes: list[trio.CancelScope] = field(default_factory=list)
 
     async def add_plain(self, target_id: str) -> PlainTarget:
         target = PlainTarget(target_id)
@@ -57,12 +58,45 @@
     async def start_router(self, **promises) -> None:
         self.front, self.ready = (f"127.0.0.1:{free_port()}" for _ in range(2))
         store = await self.serve(self.store)
+        self.router = self._new_router(
+            "host-1", self.front, self.ready, store, promises
+        )
+        self.nursery.start_soon(self.router.run, self.stop)
+        await self.until(lambda: self.knows_all(self.router))
+
+    async def start_zone(self, hosts: int) -> list[Router]:
+        """Start a zone of hosts; each stays until its scope is cancelled."""
+        store = await self.serve(self.store)
+        routers = []
+        for number in range(hosts):
+            front, ready = (f"127.0.0.1:{free_port()}" for _ in range(2))
+            router = self._new_router(f"host-{number}", front, ready, store, {})
+            self.scopes.append(trio.CancelScope())
+            self.nursery.start_soon(self._run_in, self.scopes[-1], router)
+            routers.append(router)
+        for router in routers:
+            await self.until(lambda router=router: self.knows_all(router))
+        return routers
+
+    async def _run_in(self, scope: trio.CancelScope, router: Router) -> None:
+        with scope:
+            await router.run(self.stop)
+
+    def knows_all(self, router: Router) -> bool:
+        """Return whether a router has a configuration and the list of targets."""
+        known = {target.id for target in [*self.plain, *self.layered]}
+        listed = {record.id for record in router.view.directory.all_records()}
+        return router.view.table is not None and listed == known
+
+    def _new_router(
+        self, host_id: str, front: str, ready: str, store: str, promises: dict
+    ) -> Router:
         lines = [f"{name} = {value}" for name, value in promises.items()]
         text = "\n".join(
             [
-                "[host]\nid = host-1\nzone = a",
-                f"[caller]\nbind = {self.front}",
-                f"[readiness]\nbind = {self.ready}",
+                f"[host]\nid = {host_id}\nzone = a",
+                f"[caller]\nbind = {front}",
+                f"[readiness]\nbind = {ready}",
                 f"[gossip]\nbind = 127.0.0.1:{free_port()}",
                 f"[metrics]\nbind = 127.0.0.1:{free_port()}",
                 f"[platform]\naddress = {store}",
@@ -70,14 +104,9 @@
                 *lines,
             ]
         )
-        path = self.tmp_path / "router.ini"
+        path = self.tmp_path / f"{host_id}.ini"
         path.write_text(text)
-        self.router = Router(read_settings(str(path)).ok)
-        self.nursery.start_soon(self.router.run, self.stop)
-        await self.until(lambda: self.router.view.table is not None)
-        known = {target.id for target in [*self.plain, *self.layered]}
-        directory = self.router.view.directory
-        await self.until(lambda: {r.id for r in directory.all_records()} == known)
+        return Router(read_settings(str(path)).ok)
 
     async def until(self, true, limit_s: float = 5.0) -> None:
         with trio.fail_after(limit_s):
--- a/radishfield/routing/__init__.py
+++ b/radishfield/routing/__init__.py
@@ -53,6 +53,7 @@
     TargetReport,
     Workspace,
 )
+from radishfield.routing._watch_duty import WatchDuty, ZoneHost
 
 __all__ = [
     "END_MARGIN_S",
@@ -94,9 +95,11 @@
     "QueueEntry",
     "UnknownKey",
     "Wait",
+    "WatchDuty",
     "AdmissionQueue",
     "PeerConfirmation",
     "Workspace",
+    "ZoneHost",
     "block_layers",
     "capacity_token_layers",
     "choose_target",
--- a/radishfield/routing/_directory.py
+++ b/radishfield/routing/_directory.py
@@ -8,6 +8,7 @@
 after an outage is used on for a moment, in which live targets register again.
 """
 
+import zlib
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -69,8 +70,11 @@
     _leaving: set[tuple[str, int]] = field(default_factory=set)
     _suspicion_by_id: dict[str, _Suspicion] = field(default_factory=dict)
     _store_failed_at: float = -1e9
+    _digest: tuple[int, int] = (-1, 0)
     version: int = 0
     """Rises with each change of the list, for what is computed from it."""
+    list_version: int = 0
+    """Rises only when a target comes, goes or describes itself otherwise."""
 
     def store_failed(self, now: float) -> None:
         """Note that the store did not answer."""
@@ -89,26 +93,46 @@
             self.update(record)
         return gone
 
-    def update(self, record: TargetRecord) -> None:
-        """Take a target's newest entry."""
+    def update(self, record: TargetRecord) -> bool:
+        """Take a target's newest entry; return whether it says anything new.
+
+        Each heartbeat writes the entry again.  Taken for a change it would have
+        every plan made anew, some times a second with ninety targets.
+        """
+        before = self._entry_by_id.get(record.id)
+        if before is not None and before.record == record:
+            before.missing_since = None
+            return False
         if record.phase is TargetPhase.LEAVING:
             self._leaving.add(record.incarnation)
-        before = self._entry_by_id.get(record.id)
         if before is not None and _started_again(before.record, record):
             self._suspicion_by_id.pop(record.id, None)
         self._entry_by_id[record.id] = _Entry(record)
+        self._list_changed()
+        return True
+
+    def _list_changed(self) -> None:
         self.version += 1
+        self.list_version += 1
+
+    def digest(self) -> int:
+        """Return a number that hosts with the same list share."""
+        if self._digest[0] != self.list_version:
+            records = sorted(repr(entry.record) for entry in self._entry_by_id.values())
+            checksum = zlib.crc32("\n".join(records).encode())
+            self._digest = (self.list_version, checksum)
+        return self._digest[1]
 
     def remove(self, target_id: str, now: float) -> Removal:
         """Take a target off the list, or hold it where the store may be to blame."""
         entry = self._entry_by_id.get(target_id)
-        self.version += 1
         if entry is None:
             return Removal(target_id, held=False)
         if now - self._store_failed_at < AFTER_OUTAGE_S:
             entry.missing_since = now
             return Removal(target_id, held=True)
         del self._entry_by_id[target_id]
+        self._list_changed()
         return Removal(target_id, held=False)
 
     def expire_missing(self, now: float) -> list[str]:
@@ -120,7 +144,7 @@
         ]
         for target_id in late:
             del self._entry_by_id[target_id]
-            self.version += 1
+            self._list_changed()
         return late
 
     def mark_leaving(self, incarnation: tuple[str, int]) -> None:
--- /dev/null
+++ b/radishfield/routing/_watch_duty.py
@@ -0,0 +1,107 @@
+"""Which hosts follow the store, and when one that does not has to read it itself.
+
+Load pattern: tens of hosts in a zone, each with two watches that every heartbeat of
+ninety targets wakes.  The calls grow with the hosts times the targets, and all of
+them bring the same.  So a few hosts of each zone watch, and tell the others of their
+zone what changed and for how long their view has been the newest.  A host that is
+not told, or is told something that does not match its own view, reads the store
+itself; no host depends on another one's word for longer than that takes.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+WATCHERS_PER_ZONE = 3
+"""One may be frozen and one cut off from the store at the same time.  Zones of up to
+three hosts are as if there were no such duty."""
+
+AGREEMENT_S = 1.2
+"""Time without a watcher's word that its list of targets is the same, after which a
+host reads the list itself.  Each watcher is heard every 0.8 s in a zone of forty
+hosts; lost news of a target that leaves may last two seconds."""
+
+CONFIG_AGE_SHARE = 0.6
+"""Part of the bound on keys after which a host confirms its configuration itself.
+The word of a watcher is up to half of the bound old; the rest is for the read."""
+
+WATCHER_SILENT_S = 3.0
+"""A watcher that had no answer of the store for this long is passed over: a watch
+that waited for 2.5 s and was late by another half second."""
+
+WATCHER_VIEW_S = 3.5
+"""A list that was confirmed longer ago than this proves nothing to others."""
+
+
+@dataclass(slots=True, frozen=True)
+class ZoneHost:
+    """Another host of the zone, as heard lately.
+
+    Attributes
+    ----------
+    watches : bool
+        It follows the store, by its own word.
+    silent_s : float
+        Seconds since it had an answer of the store.
+    """
+
+    id: str
+    watches: bool
+    silent_s: float
+
+
+@dataclass(slots=True)
+class WatchDuty:
+    """What this host does about the store at the moment.
+
+    Attributes
+    ----------
+    on_duty : bool
+        This host follows the store for its zone.
+    shared : bool
+        Some hosts of the zone depend on being told.
+    agreed_at : float or None
+        When a watcher last had the same list of targets.
+    newest_version : int
+        Newest version of the configuration that any host was heard to have.
+    reading_since : float or None
+        Since when this host has followed the configuration itself.
+    """
+
+    on_duty: bool = True
+    shared: bool = False
+    agreed_at: float | None = None
+    newest_version: int = 0
+    reading_since: float | None = None
+
+    def assign(self, own_id: str, others: Iterable[ZoneHost]) -> bool:
+        """Take or leave the duty; return whether that is a change.
+
+        The first hosts by id have it, so that hosts that hear each other agree
+        without a word.  Where they do not, a few more watch.
+        """
+        able = [
+            host.id
+            for host in others
+            if not (host.watches and host.silent_s >= WATCHER_SILENT_S)
+        ]
+        self.shared = len(able) >= WATCHERS_PER_ZONE
+        before = self.on_duty
+        self.on_duty = own_id in sorted([own_id, *able])[:WATCHERS_PER_ZONE]
+        return self.on_duty != before
+
+    def told(self, same_targets: bool, list_age_s: float, now: float) -> None:
+        """Take a watcher's word on its list of targets."""
+        if same_targets and 0.0 <= list_age_s < WATCHER_VIEW_S:
+            self.agreed_at = now
+
+    def reads_targets(self, now: float) -> bool:
+        """Return whether this host has to ask the store for the targets."""
+        if self.on_duty or self.agreed_at is None:
+            return True
+        return now - self.agreed_at >= AGREEMENT_S
+
+    def reads_config(self, age_s: float, bound_s: float, version: int) -> bool:
+        """Return whether this host has to ask the store for the configuration."""
+        if self.on_duty or version < self.newest_version:
+            return True
+        return age_s >= bound_s * CONFIG_AGE_SHARE
--- /dev/null
+++ b/radishfield/routing/watch_duty_test.py
@@ -0,0 +1,66 @@
+"""Tests of who follows the store, and of hosts that are told by others."""
+
+from radishfield.routing import WatchDuty, ZoneHost
+
+
+def hosts(*ids, watches=(), silent=()):
+    return [
+        ZoneHost(each, each in watches, 9.0 if each in silent else 0.3) for each in ids
+    ]
+
+
+def test_calls_do_not_grow_with_the_hosts_of_a_zone():
+    """Forty hosts hear each other: three follow the store, and all know which."""
+    ids = [f"h{number:02}" for number in range(40)]
+    watching = []
+    for own_id in ids:
+        duty = WatchDuty()
+        duty.assign(own_id, hosts(*(each for each in ids if each != own_id)))
+        if duty.on_duty:
+            watching.append(own_id)
+        assert duty.shared
+    assert watching == ["h00", "h01", "h02"]
+
+
+def test_a_zone_of_three_is_as_if_there_were_no_duty():
+    duty = WatchDuty()
+    duty.assign("c", hosts("a", "b", watches=("a", "b")))
+    assert duty.on_duty and not duty.shared
+
+
+def test_a_watcher_that_the_store_turns_away_is_replaced():
+    """The zone's callers see no gap while one watcher is cut off from the store."""
+    duty = WatchDuty()
+    others = ("a", "b", "c", "e")
+    duty.assign("d", hosts(*others, watches=("a", "b", "c")))
+    assert not duty.on_duty
+    changed = duty.assign("d", hosts(*others, watches=("a", "b", "c"), silent=("b",)))
+    assert changed and duty.on_duty
+
+
+def test_a_host_that_never_watched_may_be_silent_and_still_is_next():
+    duty = WatchDuty()
+    duty.assign("e", hosts("b", "c", "d", watches=("b",), silent=("c", "d")))
+    assert not duty.on_duty
+
+
+def test_targets_are_read_unless_a_fresh_list_is_the_same():
+    """News of a target that leaves is lost; the lists differ, and are read again."""
+    duty = WatchDuty()
+    duty.assign("d", hosts("a", "b", "c"))
+    assert duty.reads_targets(100.0)
+    duty.told(True, 1.0, 100.0)
+    assert not duty.reads_targets(101.0)
+    duty.told(False, 1.0, 101.0)
+    duty.told(True, 9.0, 101.1)
+    duty.told(True, -1.0, 101.1)
+    assert duty.reads_targets(101.3)
+
+
+def test_a_configuration_is_read_when_a_newer_one_is_heard_of_or_none_confirms_it():
+    duty = WatchDuty()
+    duty.assign("d", hosts("a", "b", "c"))
+    assert not duty.reads_config(2.5, 5.0, 7)
+    assert duty.reads_config(3.1, 5.0, 7)
+    duty.newest_version = 8
+    assert duty.reads_config(0.1, 5.0, 7)
