Call both object APIs through one client

Cause: the router's store and the developers' stand-in each had a client with the same exchange, the same sorting of answers and the same counters; calls of the first had no budget. A lost answer closed the whole pool of connections, with the watch that waited on another one: one lost answer looked like an outage. Change: radishfield.web.ApiCaller sends a call once, bounded, budgeted and counted; both APIs keep their paths and formats only.

--- a/radishfield/edges/_platform.py
+++ b/radishfield/edges/_platform.py
@@ -1,7 +1,6 @@
-"""The platform's object API over HTTP: a `PlatformPort` on httpcore.
+"""The object API of the developers' stand-in: a `PlatformPort` over HTTP.
 
-Every answer is bounded in size and time, and every call is counted.  A write
-whose answer is lost comes back as ``PLATFORM_AMBIGUOUS`` and is never sent
+A write whose answer is lost comes back as ``PLATFORM_AMBIGUOUS`` and is never sent
 again from here; `radishfield.fleet.write_settled` settles it by its identity.
 """
 
@@ -11,7 +10,6 @@
 from typing import TypeVar
 from urllib.parse import quote
 
-import httpcore
 import msgspec
 import trio
 from expression import Error, Ok, Result
@@ -29,22 +27,15 @@
 from radishfield.web import (
     BURST_CALLS,
     CALLS_PER_S,
+    ApiAddress,
+    ApiCall,
+    ApiCaller,
     CallBudget,
     backoff_s,
 )
 
 T = TypeVar("T")
 
-_CODE_BY_STATUS = {
-    404: ResultCode.OBJECT_NOT_FOUND,
-    409: ResultCode.PLATFORM_CONFLICT,
-    410: ResultCode.WATCH_GAP,
-    413: ResultCode.VALUE_TOO_LARGE,
-    429: ResultCode.PLATFORM_RATE_LIMITED,
-    503: ResultCode.PLATFORM_UNAVAILABLE,
-}
-# With these statuses the platform says that it did not apply a write.
-
 _RETRIED = (ResultCode.PLATFORM_UNAVAILABLE, ResultCode.PLATFORM_RATE_LIMITED)
 
 MAX_VALUE_BYTES = 1 << 20
@@ -82,47 +73,41 @@
     expected_version: int
 
 
-@dataclass(slots=True, frozen=True)
-class _Answer:
-    status: int
-    body: bytes
-
-
 class HttpPlatform:
-    """The platform as this host reaches it.
-
-    ``calls_by_kind`` and ``faults_by_code`` are counters for the metrics.
-    """
+    """The platform as this host reaches it."""
 
-    __slots__ = (
-        "_budget",
-        "_chance",
-        "_clock",
-        "_pool",
-        "_settings",
-        "calls_by_kind",
-        "faults_by_code",
-        "last_answer_at",
-    )
+    __slots__ = ("_caller", "_chance", "_settings")
 
     def __init__(
         self, settings: PlatformSettings, clock: Clock, chance: random.Random = None
     ):
         self._settings = settings
-        self._clock = clock
         self._chance = chance or random.Random()
-        self._budget = CallBudget(
+        address = ApiAddress(
+            settings.address, settings.caller, settings.timeout_s, MAX_ANSWER_BYTES
+        )
+        budget = CallBudget(
             settings.calls_per_s,
             settings.burst_calls,
             settings.burst_calls,
             clock.now(),
         )
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=16, max_keepalive_connections=4, keepalive_expiry=30.0
-        )
-        self.calls_by_kind: Counter[str] = Counter()
-        self.faults_by_code: Counter[ResultCode] = Counter()
-        self.last_answer_at: float | None = None
+        self._caller = ApiCaller(address, budget, clock)
+
+    @property
+    def calls_by_kind(self) -> Counter[str]:
+        """Return the calls that were sent, for the metrics."""
+        return self._caller.calls_by_kind
+
+    @property
+    def faults_by_code(self) -> Counter[ResultCode]:
+        """Return the calls that failed, for the metrics."""
+        return self._caller.faults_by_code
+
+    @property
+    def last_answer_at(self) -> float | None:
+        """Return the reading of the clock at the platform's last answer."""
+        return self._caller.last_answer_at
 
     async def read(self, kind: str, name: str) -> Result[StoredObject, Fault]:
         """Return an object, or ``OBJECT_NOT_FOUND``."""
@@ -153,10 +138,10 @@
             return Error(fault(ResultCode.VALUE_TOO_LARGE, f"{len(value)} bytes"))
         path = f"/objects/{_quoted(kind)}/{_quoted(name)}"
         body = msgspec.json.encode(_WriteBody(value, expected_version))
-        result = await self._send(
-            "write", "PUT", path, body, StoredObject, self._settings.timeout_s
+        sent = await self._caller.call(
+            ApiCall("write", "PUT", path, body, self._settings.timeout_s)
         )
-        return self._counted(result)
+        return sent.bind(_parse_written)
 
     async def _get(
         self,
@@ -171,91 +156,26 @@
         for failures in range(tries):
             if failures:
                 await trio.sleep(backoff_s(failures, self._chance))
-            result = await self._send(call, "GET", path, b"", kind, limit_s)
-            if result.is_ok() or result.error.code not in _RETRIED:
+            sent = await self._caller.call(ApiCall(call, "GET", path, b"", limit_s))
+            if sent.is_ok() or sent.error.code not in _RETRIED:
                 break
-        return self._counted(result)
-
-    async def _send(
-        self,
-        call: str,
-        method: str,
-        path: str,
-        body: bytes,
-        kind: type[T],
-        limit_s: float,
-    ) -> Result[T, Fault]:
-        """Send a call once, and tell apart what is known to have no effect."""
-        if not self._budget.take(self._clock.now()):
-            wait_s = self._budget.next_call_in_s()
-            return Error(
-                fault(ResultCode.PLATFORM_RATE_LIMITED, "own budget spent", wait_s)
-            )
-        self.calls_by_kind[call] += 1
-        try:
-            with trio.fail_after(limit_s):
-                answer = await self._exchange(method, path, body)
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as problem:
-            return Error(fault(ResultCode.PLATFORM_UNAVAILABLE, str(problem), 1.0))
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-            trio.TooSlowError,
-        ) as problem:
-            return Error(_lost(method, repr(problem)))
-        self.last_answer_at = self._clock.now()
-        return _parse(method, answer, kind)
-
-    async def _exchange(self, method: str, path: str, body: bytes) -> _Answer:
-        headers = {
-            "content-type": "application/json",
-            "x-caller": self._settings.caller,
-        }
-        url = f"http://{self._settings.address}{path}"
-        timeouts = {"connect": self._settings.timeout_s}
-        received = bytearray()
-        async with self._pool.stream(
-            method,
-            url,
-            headers=headers,
-            content=body or None,
-            extensions={"timeout": timeouts},
-        ) as response:
-            async for chunk in response.aiter_stream():
-                received += chunk
-                if len(received) > MAX_ANSWER_BYTES:
-                    return _Answer(500, b"")
-            return _Answer(response.status, bytes(received))
-
-    def _counted(self, result: Result[T, Fault]) -> Result[T, Fault]:
-        if result.is_error():
-            self.faults_by_code[result.error.code] += 1
-        return result
+        return sent.bind(lambda answer: _parse(answer, kind))
 
 
 def _quoted(name: str) -> str:
     return quote(name, safe="")
 
 
-def _lost(method: str, detail: str) -> Fault:
-    """Return the fault of a call that was sent and brought no answer."""
-    if method == "PUT":
-        return fault(ResultCode.PLATFORM_AMBIGUOUS, detail)
-    return fault(ResultCode.PLATFORM_UNAVAILABLE, detail, 1.0)
-
-
-def _parse(method: str, answer: _Answer, kind: type[T]) -> Result[T, Fault]:
-    code = _CODE_BY_STATUS.get(answer.status)
-    if code is not None:
-        detail = answer.body[:200].decode(errors="replace")
-        retry_after_s = 1.0 if code in _RETRIED else None
-        return Error(fault(code, detail, retry_after_s))
-    if answer.status != 200:
-        return Error(_lost(method, f"status {answer.status}"))
+def _parse(answer: bytes, kind: type[T]) -> Result[T, Fault]:
     try:
-        return Ok(msgspec.json.decode(answer.body, type=kind))
+        return Ok(msgspec.json.decode(answer, type=kind))
     except msgspec.DecodeError as problem:
-        if method == "PUT":
-            return Error(_lost(method, str(problem)))
         return Error(fault(ResultCode.PLATFORM_MALFORMED, str(problem)))
+
+
+def _parse_written(answer: bytes) -> Result[StoredObject, Fault]:
+    """Return what was written; an answer that can't be read proves nothing."""
+    parsed = _parse(answer, StoredObject)
+    return parsed.map_error(
+        lambda problem: fault(ResultCode.PLATFORM_AMBIGUOUS, problem.detail)
+    )
--- a/radishfield/forwarding/_metrics.py
+++ b/radishfield/forwarding/_metrics.py
@@ -3,9 +3,8 @@
 from radishfield.forwarding._connections import TargetConnections
 from radishfield.forwarding._targets import Targets
 from radishfield.forwarding._view import RouterView
-from radishfield.platform import ObjectStore
 from radishfield.telemetry import DeferredTelemetry
-from radishfield.web import send_bytes, serve_scope
+from radishfield.web import ApiCaller, send_bytes, serve_scope
 
 TEXT_TYPE = b"text/plain; version=0.0.4"
 
@@ -18,7 +17,7 @@
     def __init__(
         self,
         telemetry: DeferredTelemetry,
-        store: ObjectStore,
+        store_calls: ApiCaller,
         targets: Targets,
         connections: TargetConnections,
         view: RouterView,
@@ -28,12 +27,12 @@
         watch(
             "store_calls",
             "Calls to the object store.",
-            lambda: sum(store.calls_by_kind.values()),
+            lambda: sum(store_calls.calls_by_kind.values()),
         )
         watch(
             "store_faults",
             "Calls to the object store that failed.",
-            lambda: sum(store.faults_by_code.values()),
+            lambda: sum(store_calls.faults_by_code.values()),
         )
         watch("reports", "Targets asked for a report.", lambda: targets.reports)
         watch(
--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -37,7 +37,13 @@
     configure_logs,
     log_event,
 )
-from radishfield.web import HttpListener, ListenerConfig
+from radishfield.web import (
+    ApiAddress,
+    ApiCaller,
+    CallBudget,
+    HttpListener,
+    ListenerConfig,
+)
 
 CLOSE_S = 0.4
 """Time after the last request is taken in which kept connections get their end."""
@@ -48,6 +54,9 @@
 CLOSE_IDLE_S = 1.0
 RELOAD_LOOK_S = 2.0
 MANY_REQUESTS = 1_000_000_000
+STORE_BURST = 100.0
+"""Calls that may follow each other at once: a start with lists of some pages, and
+the orders of a whole fleet under a lease, are some tens."""
 
 
 class _CallerListener(ListenerConfig):
@@ -106,7 +115,11 @@
         self, settings: EntrySettings, clock: SystemClock, telemetry: DeferredTelemetry
     ) -> None:
         view, register = self.view, self._kernel.register
-        store = ObjectStore(settings.platform.address, clock)
+        budget = CallBudget(
+            settings.platform.max_calls_per_s, STORE_BURST, STORE_BURST, clock.now()
+        )
+        store_calls = ApiCaller(ApiAddress(settings.platform.address), budget, clock)
+        store = ObjectStore(store_calls)
         connections = TargetConnections(clock)
         targets = Targets(connections, view, telemetry)
         watchdog = StreamWatchdog(targets, view)
@@ -132,7 +145,7 @@
             config = ListenerConfig.from_settings(readiness.bind, drain_s=0.0)
             register("readiness", HttpListener(ready, config))
         if settings.metrics.bind:
-            page = MetricsPage(telemetry, store, targets, connections, view)
+            page = MetricsPage(telemetry, store_calls, targets, connections, view)
             config = ListenerConfig.from_settings(settings.metrics.bind, drain_s=0.0)
             register("metrics", HttpListener(page, config))
 
--- a/radishfield/platform/_store.py
+++ b/radishfield/platform/_store.py
@@ -1,44 +1,19 @@
-"""The platform's object store: its calls, paths and answers.
+"""The platform's object store: its calls, paths and answers."""
 
-Calls are sent once.  What an answer proves is kept: a refusal by the store means
-that nothing was done, a lost answer that the change may be made, even later.
-"""
-
-from collections import Counter
 from dataclasses import dataclass
 from urllib.parse import quote
 
-import httpcore
 import msgspec
-import trio
 from expression import Error, Ok, Result
 
-from radishfield.core import Clock, Fault, ResultCode, fault
+from radishfield.core import Fault, ResultCode, fault
+from radishfield.web import ApiCall, ApiCaller
 
 CALL_TIMEOUT_S = 2.0
 """The store answers in milliseconds; slower than this is a store in trouble."""
-CONNECT_TIMEOUT_S = 1.0
 WATCH_MARGIN_S = 1.0
 """A watch whose answer is this late has lost its connection, which can fall silent
 without a sign; a store that is slow takes some hundred milliseconds."""
-MAX_ANSWER_BYTES = 8 << 20
-"""A page is about a megabyte; more than this is a broken answer."""
-KEEPALIVE_S = 30.0
-
-_CODE_BY_STATUS = {
-    404: ResultCode.OBJECT_NOT_FOUND,
-    409: ResultCode.PLATFORM_CONFLICT,
-    410: ResultCode.WATCH_GAP,
-    413: ResultCode.VALUE_TOO_LARGE,
-    429: ResultCode.PLATFORM_RATE_LIMITED,
-    503: ResultCode.PLATFORM_UNAVAILABLE,
-}
-_LOST_ERRORS = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-    trio.TooSlowError,
-)
 
 
 class _Metadata(msgspec.Struct, rename="camel"):
@@ -110,26 +85,13 @@
     revision: int
 
 
-@dataclass(slots=True, frozen=True)
-class _Answer:
-    status: int
-    body: bytes
-
-
 class ObjectStore:
-    """The store as this host reaches it.
+    """The store as this host reaches it; each call is sent once."""
 
-    ``calls_by_kind`` and ``faults_by_code`` are counters for the metrics.
-    """
+    __slots__ = ("_caller",)
 
-    __slots__ = ("_address", "_clock", "_pool", "calls_by_kind", "faults_by_code")
-
-    def __init__(self, address: str, clock: Clock):
-        self._address = address
-        self._clock = clock
-        self._pool = self._new_pool()
-        self.calls_by_kind: Counter[str] = Counter()
-        self.faults_by_code: Counter[ResultCode] = Counter()
+    def __init__(self, caller: ApiCaller):
+        self._caller = caller
 
     async def read(self, kind: str, name: str) -> Result[StoredValue, Fault]:
         """Return an object, or ``OBJECT_NOT_FOUND``."""
@@ -192,68 +154,10 @@
         call: str,
         method: str,
         path: str,
-        body: bytes | None = None,
+        body: bytes = b"",
         limit_s: float = CALL_TIMEOUT_S,
     ) -> Result[bytes, Fault]:
-        self.calls_by_kind[call] += 1
-        result = await self._send(method, path, body, limit_s)
-        if result.is_error():
-            self.faults_by_code[result.error.code] += 1
-        return result
-
-    async def _send(
-        self, method: str, path: str, body: bytes | None, limit_s: float
-    ) -> Result[bytes, Fault]:
-        try:
-            with trio.fail_after(limit_s):
-                answer = await self._exchange(method, path, body)
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as problem:
-            return Error(fault(ResultCode.PLATFORM_UNAVAILABLE, repr(problem)))
-        except _LOST_ERRORS as problem:
-            await self._drop_connections()
-            code = ResultCode.PLATFORM_AMBIGUOUS
-            if method == "GET":
-                code = ResultCode.PLATFORM_UNAVAILABLE
-            return Error(fault(code, repr(problem)))
-        code = _CODE_BY_STATUS.get(answer.status)
-        if code is not None:
-            return Error(fault(code, answer.body[:200].decode(errors="replace")))
-        if answer.status not in (200, 201, 202, 204):
-            detail = f"status {answer.status}"
-            return Error(fault(ResultCode.PLATFORM_MALFORMED, detail))
-        return Ok(answer.body)
-
-    async def _exchange(self, method: str, path: str, body: bytes | None) -> _Answer:
-        received = bytearray()
-        async with self._pool.stream(
-            method,
-            f"http://{self._address}{path}",
-            headers={"content-type": "application/json"} if body else None,
-            content=body,
-            extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
-        ) as response:
-            async for chunk in response.aiter_stream():
-                received += chunk
-                if len(received) > MAX_ANSWER_BYTES:
-                    return _Answer(500, b"")
-            return _Answer(response.status, bytes(received))
-
-    async def _drop_connections(self) -> None:
-        """Start with new connections after an answer was lost.
-
-        A connection can fall silent for good while new ones work.  Kept in the
-        pool it would cost each later call its whole time limit.
-        """
-        pool, self._pool = self._pool, self._new_pool()
-        with trio.move_on_after(CALL_TIMEOUT_S):
-            await pool.aclose()
-
-    def _new_pool(self) -> httpcore.AsyncConnectionPool:
-        return httpcore.AsyncConnectionPool(
-            max_connections=16,
-            max_keepalive_connections=4,
-            keepalive_expiry=KEEPALIVE_S,
-        )
+        return await self._caller.call(ApiCall(call, method, path, body, limit_s))
 
 
 def _path(kind: str, name: str | None = None) -> str:
--- a/radishfield/web/__init__.py
+++ b/radishfield/web/__init__.py
@@ -12,9 +12,13 @@
     start_answer,
 )
 from radishfield.web._budget import BURST_CALLS, CALLS_PER_S, CallBudget, backoff_s
+from radishfield.web._calls import ApiAddress, ApiCall, ApiCaller
 from radishfield.web._listener import HttpListener, ListenerConfig, serve_app
 
 __all__ = [
+    "ApiAddress",
+    "ApiCall",
+    "ApiCaller",
     "BURST_CALLS",
     "CALLS_PER_S",
     "BodyLimit",
