Confirm the view at once when the store is back

The first watch after the outage waited for a change for two seconds, as any other, and confirmed nothing before; and each kind of object waited out its own pause, up to a second. Change: after failures a watch does not wait, and a call that gets through ends the other follower's pause, also one that begins while its call still fails.

--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -48,6 +48,10 @@
 each change in force well within the two seconds that operators allow."""
 DUTY_LOOK_S = 0.1
 """How often a host that asks nothing looks whether it has to."""
+LOST_WATCH_S = 0.0
+"""Wait of a watch after failures.  One that waits is answered only when something
+changes: a store that is back would confirm nothing for as long, and keys would be
+refused meanwhile."""
 LONGEST_PAUSE_S = 1.0
 """Longest pause after failures: a store that is back is noticed within a second."""
 
@@ -100,16 +104,17 @@
                 await trio.sleep(DUTY_LOOK_S)
                 continue
             asked_at = self._view.clock.now()
+            # A sign that comes while this call still fails must not be missed.
+            store_back = self._view.store_back
             if self._revision is None:
                 result = await self._store.list(self._kind)
                 deliver = on_listing
             else:
-                result = await self._store.watch(
-                    self._kind, self._revision, self._wait_s()
-                )
+                wait_s = LOST_WATCH_S if self._failures else self._wait_s()
+                result = await self._store.watch(self._kind, self._revision, wait_s)
                 deliver = on_changes
             if result.is_error():
-                await self._failed(result, on_failure)
+                await self._failed(result, on_failure, store_back)
                 continue
             self._regained()
             self._revision = result.ok.revision
@@ -121,7 +126,10 @@
                 pause_s = COALESCE_S
 
     async def _failed(
-        self, result: Result, on_failure: Callable[[Fault], None]
+        self,
+        result: Result,
+        on_failure: Callable[[Fault], None],
+        store_back: trio.Event,
     ) -> None:
         problem: Fault = result.error
         if problem.code is ResultCode.WATCH_GAP:
@@ -138,11 +146,13 @@
             )
         on_failure(problem)
         pause_s = min(LONGEST_PAUSE_S, backoff_s(self._failures, self._chance))
-        await trio.sleep(pause_s)
+        with trio.move_on_after(pause_s):
+            await store_back.wait()
 
     def _regained(self) -> None:
         if self._failures:
             log_event("store.regained", kind=self._kind, failures=self._failures)
+            self._view.note_store_back()
         self._failures = 0
 
 
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -102,6 +102,8 @@
         When another host last said that it holds a service's placement.
     room_freed : trio.Event
         Set, and replaced, whenever waiting requests should look again.
+    store_back : trio.Event
+        Set, and replaced, when there is a sign that the store is reached again.
     """
 
     zone: str
@@ -119,6 +121,7 @@
     in_flight: int = 0
     chance: random.Random = field(default_factory=random.Random)
     room_freed: trio.Event = field(default_factory=trio.Event)
+    store_back: trio.Event = field(default_factory=trio.Event)
     peers: PeerView = field(default_factory=PeerView)
     watch_duty: WatchDuty = field(default_factory=WatchDuty)
     news: list[TargetNews] = field(default_factory=list)
@@ -233,6 +236,11 @@
         known = self.table.config.service_by_name.get(share.service)
         return known or ServiceSpec(share.service, "", 100)
 
+    def note_store_back(self) -> None:
+        """End the pauses of whoever waits for the store."""
+        event, self.store_back = self.store_back, trio.Event()
+        event.set()
+
     def free_room(self) -> None:
         """Wake the requests that wait for a target."""
         event, self.room_freed = self.room_freed, trio.Event()
--- /dev/null
+++ b/radishfield/forwarding/follower_test.py
@@ -0,0 +1,84 @@
+"""How the followers of the store come back after an outage, in virtual time."""
+
+import trio
+import trio.testing
+from expression import Error, Ok
+
+from radishfield.core import ResultCode, TrioClock, fault
+from radishfield.forwarding._follower import ConfigFollower, TargetFollower
+from radishfield.forwarding._view import RouterView
+from radishfield.platform import (
+    CONFIG_KIND,
+    CONFIG_NAME,
+    Changes,
+    Listing,
+    StoredValue,
+)
+from radishfield.routing import Freshness, RetryAllowance
+from standins.routed_config import config
+
+BOUND_S = 5.0
+
+
+class FailingStore:
+    """A store that is away between two times; watches without changes wait."""
+
+    def __init__(self, lost_at, back_at):
+        self.lost_at, self.back_at = lost_at, back_at
+
+    def is_away(self):
+        return self.lost_at <= trio.current_time() < self.back_at
+
+    async def list(self, kind):
+        if self.is_away():
+            return await self.fail(kind)
+        values = ()
+        if kind == CONFIG_KIND:
+            values = (StoredValue(CONFIG_NAME, 1, config()),)
+        return Ok(Listing(values, 1))
+
+    async def watch(self, kind, revision, wait_s):
+        if self.is_away():
+            return await self.fail(kind)
+        with trio.move_on_after(wait_s):
+            if trio.current_time() < self.lost_at:
+                await trio.sleep_until(self.lost_at)
+                return await self.fail(kind)
+            await trio.sleep_forever()
+        return Ok(Changes((), revision))
+
+    async def fail(self, kind):
+        """Fail slowly, as connections do that nobody answers."""
+        await trio.sleep(0.9 if kind == CONFIG_KIND else 0.05)
+        return Error(fault(ResultCode.PLATFORM_UNAVAILABLE))
+
+
+def ages_after_an_outage(back_at):
+    """Return the age of the configuration 0.4 s after the store is back."""
+
+    async def main():
+        trio_clock = TrioClock()
+        view = RouterView("a", trio_clock, RetryAllowance(), Freshness(BOUND_S))
+        began = trio.current_time()
+        store = FailingStore(began + 10.0, began + back_at)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(ConfigFollower(store, view, lambda idle_s: None).run)
+            await nursery.start(TargetFollower(store, view).run)
+            await trio.sleep(back_at + 1.0)
+            ages.append(view.freshness.age_s(trio_clock.now()))
+            nursery.cancel_scope.cancel()
+
+    ages = []
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    return ages[0]
+
+
+def test_keys_are_admitted_within_a_second_of_the_stores_return():
+    """Callers are refused for want of a fresh configuration, and no longer than that.
+
+    The store is away for some seconds.  A watch that waits for changes is answered
+    two seconds after its return and confirms nothing before; here the first call
+    does not wait, and a call that gets through ends the other follower's pause.
+    """
+    worst = max(ages_after_an_outage(13.0 + step * 0.13) for step in range(20))
+    assert worst < 1.0
