--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -289,6 +289,7 @@
                 )
         now = self._view.clock.now()
         self._view.targets_confirmed_at = asked_at
+        self._view.watch_duty.read_targets(now)
         self._listed_revision = listing.revision
         self._revision_by_id = {value.name: value.revision for value in listing.values}
         for removal in self._view.directory.replace_all(record_by_id, now):
@@ -300,6 +301,7 @@
 
     def _changed(self, changes: Changes, asked_at: float) -> None:
         self._view.targets_confirmed_at = asked_at
+        self._view.watch_duty.read_targets(self._view.clock.now())
         for change in changes.changes:
             value = change.value
             known = self._revision_by_id.get(value.name, 0)
--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -523,7 +523,7 @@
             if self._alive(peer, now)
         }
         self._count()
-        self._assign_duty(alive, now)
+        self._assign_duty(now)
         view_of_peers.heard = len(alive)
         view_of_peers.ever_heard = view_of_peers.ever_heard or bool(alive)
         view_of_peers.freshest_s = min(
@@ -534,11 +534,17 @@
                 del view_of_peers.use_by_service_by_host[host_id]
                 self._view.links.forget(host_id)
 
-    def _assign_duty(self, alive: dict[str, _Peer], now: float) -> None:
+    def _assign_duty(self, now: float) -> None:
+        """Share the duty among the hosts of the zone that live.
+
+        Hosts that were found a moment ago count, though none was heard yet: those
+        that start together would else all follow the store for their first seconds.
+        """
         near = [
             ZoneHost(host_id, peer.watches, peer.silent_s(now))
-            for host_id, peer in alive.items()
+            for host_id, peer in self._peer_by_id.items()
             if peer.zone == self._view.zone
+            and now - max(peer.heard_at, peer.found_at) < ALIVE_S
         ]
         if self._view.watch_duty.assign(self._host_id, near):
             log_event(
--- a/radishfield/routing/_watch_duty.py
+++ b/radishfield/routing/_watch_duty.py
@@ -60,7 +60,8 @@
     shared : bool
         Some hosts of the zone depend on being told.
     agreed_at : float or None
-        When a watcher last had the same list of targets.
+        When the list of targets was last known to be the store's: a watcher had the
+        same, or this host read it.
     newest_version : int
         Newest version of the configuration that any host was heard to have.
     reading_since : float or None
@@ -94,6 +95,10 @@
         if same_targets and 0.0 <= list_age_s < WATCHER_VIEW_S:
             self.agreed_at = now
 
+    def read_targets(self, now: float) -> None:
+        """Note that this host read the list itself: as good as a watcher's word."""
+        self.agreed_at = now
+
     def reads_targets(self, now: float) -> bool:
         """Return whether this host has to ask the store for the targets."""
         if self.on_duty or self.agreed_at is None:
--- a/radishfield/routing/watch_duty_test.py
+++ b/radishfield/routing/watch_duty_test.py
@@ -57,6 +57,14 @@
     assert duty.reads_targets(101.3)
 
 
+def test_a_host_that_nobody_tells_reads_again_and_again():
+    duty = WatchDuty()
+    duty.assign("d", hosts("a", "b", "c"))
+    duty.read_targets(100.0)
+    assert not duty.reads_targets(101.0)
+    assert duty.reads_targets(101.3)
+
+
 def test_a_configuration_is_read_when_a_newer_one_is_heard_of_or_none_confirms_it():
     duty = WatchDuty()
     duty.assign("d", hosts("a", "b", "c"))
