--- a/radishfield/routing/_directory.py
+++ b/radishfield/routing/_directory.py
@@ -166,9 +166,8 @@
         target_id: str,
         now: float,
         until_asked: bool = False,
-        first_hand: bool = True,
     ) -> float:
-        """Leave a target out for a while after a failure; return the seconds.
+        """Leave a target out for a while after a failure here; return the seconds.
 
         Parameters
         ----------
@@ -176,25 +175,22 @@
             Leave it out beyond that time, until it has answered a question.  A
             dead part of a path swallows requests for seconds before it shows, so
             it is not tried out with callers' work.
-        first_hand : bool
-            This host saw the failure itself, and may tell others.
         """
         before = self._suspicion_by_id.get(target_id)
         length_s = FIRST_SUSPICION_S
         if before is not None and now < before.until and not before.asking:
             before.until_asked |= until_asked
-            before.first_hand |= first_hand
+            before.first_hand = True
             return before.until - now
         if before is not None and (
             before.until_asked or now < before.until + before.length_s
         ):
             length_s = min(LONGEST_SUSPICION_S, before.length_s * 2)
         self._suspicion_by_id[target_id] = _Suspicion(
-            now + length_s, length_s, until_asked, first_hand
+            now + length_s, length_s, until_asked, first_hand=True
         )
         self.version += 1
-        if first_hand:
-            self._infer_zone_lost(target_id, now)
+        self._infer_zone_lost(target_id, now)
         return length_s
 
     def doubt(self, target_id: str, now: float) -> None:
