--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -472,8 +472,7 @@
         duty = self._view.watch_duty
         duty.newest_version = max(duty.newest_version, status.config_version)
         if status.watches:
-            same = status.targets_digest == self._view.directory.digest()
-            duty.told(same, status.targets_age_s, now)
+            self._take_list_word(status, now)
         self._view.peers.use_by_service_by_host[status.host_id] = {
             use.service: RetryUse(use.firsts, use.repeats) for use in status.uses
         }
@@ -496,22 +495,41 @@
         for duty in (*status.duties, *status.passed_duties):
             self._view.duty_reported_at[duty] = now
 
-    def _merge_freshness(self, status: PeerStatus) -> None:
-        """Take another host's confirmation that the version in force is the newest.
+    def _take_list_word(self, status: PeerStatus, now: float) -> None:
+        """Take a watcher's word on its list, counted from this host's own question.
+
+        A host that slept finds old words in its socket: they echo what it sent
+        before, and would have it use for seconds a list that has changed since.
+        """
+        sent_at = self._echoed_at(status, now)
+        if sent_at is None or status.targets_age_s < 0:
+            return
+        same = status.targets_digest == self._view.directory.digest()
+        age_s = status.targets_age_s + now - sent_at
+        self._view.watch_duty.told(same, age_s, now)
+
+    def _echoed_at(self, status: PeerStatus, now: float) -> float | None:
+        """Return when this host sent what another had heard last.
 
         An echo of what an earlier process of this host sent does not count: after a
         loss of power the clock may have begun anew, and the echo's time lie ahead.
         """
-        now = self._view.clock.now()
         for echo in status.echoes:
-            own = echo.host_id == self._host_id
-            if own and self._began_at <= echo.sent_at <= now and self._version():
-                confirmation = PeerConfirmation(
-                    status.config_version, status.config_age_s, echo.sent_at
-                )
-                confirmed_at = confirmed_by_peer_at(confirmation, self._version())
-                if confirmed_at is not None:
-                    self._view.freshness.confirm_by_peer(confirmed_at)
+            if echo.host_id == self._host_id:
+                return echo.sent_at if self._began_at <= echo.sent_at <= now else None
+        return None
+
+    def _merge_freshness(self, status: PeerStatus) -> None:
+        """Take another host's confirmation that the version in force is the newest."""
+        sent_at = self._echoed_at(status, self._view.clock.now())
+        if sent_at is None or not self._version():
+            return
+        confirmation = PeerConfirmation(
+            status.config_version, status.config_age_s, sent_at
+        )
+        confirmed_at = confirmed_by_peer_at(confirmation, self._version())
+        if confirmed_at is not None:
+            self._view.freshness.confirm_by_peer(confirmed_at)
 
     def _sum_up(self) -> None:
         """Note how many hosts are heard, and how fresh the freshest is."""
--- a/radishfield/forwarding/gossip_test.py
+++ b/radishfield/forwarding/gossip_test.py
@@ -146,3 +146,20 @@
     assert told.passed_duties == ["s"]
     gossip._view.clock.reading = 112.0
     assert _decoder.decode(gossip._status()).passed_duties == []
+
+
+def test_a_word_that_waited_while_this_host_slept_proves_nothing(gossip):
+    """The host wakes and finds old datagrams; targets have left meanwhile.
+
+    They echo what it sent before it slept.  Taken for fresh they would keep it from
+    reading the list, and callers' work would go to targets that are gone.
+    """
+    duty, view = gossip._view.watch_duty, gossip._view
+    digest = view.directory.digest()
+    word = {"watches": True, "targets_digest": digest, "targets_age_s": 0.5}
+    take(gossip, status(**word))
+    assert duty.agreed_at is None
+    take(gossip, status(**word, echoes=[_Echo("me", 104.0)]))
+    assert duty.agreed_at is None
+    take(gossip, status(**word, echoes=[_Echo("me", 109.5)]))
+    assert duty.agreed_at == 110.0
--- a/radishfield/routing/_watch_duty.py
+++ b/radishfield/routing/_watch_duty.py
@@ -28,8 +28,9 @@
 """A watcher that had no answer of the store for this long is passed over: a watch
 that waited for 2.5 s and was late by another half second."""
 
-WATCHER_VIEW_S = 3.5
-"""A list that was confirmed longer ago than this proves nothing to others."""
+WATCHER_VIEW_S = 4.5
+"""A list that was confirmed longer ago than this proves nothing to others: a watch
+that waited for 2.5 s, and two seconds for words both ways."""
 
 
 @dataclass(slots=True, frozen=True)
