Keep the datagrams' formats apart from the talk, and a status within one

Cause (by reading): a status echoes every host that was heard; with hundreds of hosts it would outgrow its datagram, be cut off and be dropped by all. Change: the last 120 hosts heard are echoed; formats lie in their own module.

--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -11,13 +11,26 @@
 import math
 import random
 import socket
-from collections.abc import Iterator
 from dataclasses import dataclass
 
 import msgspec
 import trio
 
 from radishfield.core import ResultCode
+from radishfield.forwarding._peer_messages import (
+    DATAGRAM_BYTES,
+    Echo,
+    LinkShare,
+    NewsItem,
+    PeerNews,
+    PeerStatus,
+    PeerSum,
+    Use,
+    Work,
+    decoder,
+    encoder,
+    news_datagrams,
+)
 from radishfield.forwarding._view import RouterView, TargetNews
 from radishfield.platform import ObjectStore
 from radishfield.routing import (
@@ -57,99 +70,12 @@
 MOST_REPORTED_LOST = 4
 """A host that has lost more targets than this at once is itself the one that is cut
 off; believed, its neighbours would leave out what they reach."""
+MOST_ECHOES = 120
+"""Some 30 bytes each: half of a datagram.  A host that is not echoed confirms its
+view with the store."""
 COUNTED_S = 30.0
 """Time for which a host that has fallen silent is still counted among those that
 share allowances: longer than cuts last, after which both sides spend again."""
-DATAGRAM_BYTES = 8 << 10
-NEWS_BYTES = DATAGRAM_BYTES - 64
-"""The rest is for the frame around the items."""
-
-
-class _Work(msgspec.Struct, array_like=True):
-    target_id: str
-    requests: int
-    token_layers: int
-    as_first: int
-
-
-class _Use(msgspec.Struct, array_like=True):
-    service: str
-    firsts: int
-    repeats: int
-
-
-class _LinkShare(msgspec.Struct, array_like=True):
-    zone: str
-    other: str
-    share: float
-
-
-class _Echo(msgspec.Struct, array_like=True):
-    """A host, and the time on its own clock at which it sent what was heard last."""
-
-    host_id: str
-    sent_at: float
-
-
-class _NewsItem(msgspec.Struct, array_like=True):
-    target_id: str
-    revision: int
-    spec: object
-
-
-class PeerNews(msgspec.Struct, array_like=True, tag="news"):
-    """What the store told a host of targets, passed on within its zone."""
-
-    items: list[_NewsItem]
-
-
-class PeerSum(msgspec.Struct, array_like=True, tag="sum"):
-    """The work of all hosts of a zone, added up ``age_s`` ago."""
-
-    zone: str
-    age_s: float
-    work: list[_Work]
-
-
-class PeerStatus(msgspec.Struct, array_like=True, tag="status"):
-    """One host's state, whole.
-
-    Attributes
-    ----------
-    sent_at : float
-        Reading of the sender's clock; only the sender itself reads it again.
-    config_age_s : float
-        Seconds since the sender's configuration was confirmed; negative before.
-    store_silent_s : float
-        Seconds since the sender had an answer of the store; negative before.
-    watches : bool
-        The sender follows the store for its zone.
-    targets_digest : int
-        What hosts with the same list of targets share.
-    targets_age_s : float
-        Seconds since the sender's list was confirmed; negative before.
-    passed_duties : list of str
-        Duties that the sender has just heard of from their holders.
-    """
-
-    host_id: str
-    zone: str
-    address: str
-    work: list[_Work]
-    leaving: list[tuple[str, int]]
-    lost: list[tuple[str, int]]
-    duties: list[str]
-    sent_at: float
-    config_version: int
-    config_age_s: float
-    store_silent_s: float
-    echoes: list[_Echo]
-    uses: list[_Use]
-    links: list[_LinkShare]
-    watches: bool = False
-    targets_digest: int = 0
-    targets_age_s: float = -1.0
-    passed_duties: list[str] = []
 
 
 class _HostBody(msgspec.Struct):
@@ -172,10 +98,6 @@
         return self.store_silent_s + now - self.heard_at
 
 
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(PeerStatus | PeerNews | PeerSum)
-
-
 class Gossip:
     """Tells the other hosts, and hears them, over UDP."""
 
@@ -291,10 +213,10 @@
         near = [peer for peer in recipients if peer.zone == zone]
         for each, item in load.sums(now).items():
             work = [
-                _Work(target_id, held.requests, int(held.token_layers), held.as_first)
+                Work(target_id, held.requests, int(held.token_layers), held.as_first)
                 for target_id, held in item.held_by_id.items()
             ]
-            data = _encoder.encode(PeerSum(each, now - item.at, work))
+            data = encoder.encode(PeerSum(each, now - item.at, work))
             if len(data) > DATAGRAM_BYTES:
                 log_event("sum.too_long", zone=each, bytes=len(data))
                 continue
@@ -311,7 +233,7 @@
             items, self._view.news = self._view.news, []
             now = self._view.clock.now()
             near = [peer for peer in self._near() if self._alive(peer, now)]
-            for datagram in _news_datagrams(items):
+            for datagram in news_datagrams(items):
                 await self._send(sock, datagram, near)
 
     async def _send(self, sock, data: bytes, peers: list[_Peer]) -> None:
@@ -328,10 +250,10 @@
         silent_s = self._view.freshness.silent_s(now)
         list_age_s = now - self._view.targets_confirmed_at
         work = [
-            _Work(target_id, held.requests, int(held.token_layers), held.as_first)
+            Work(target_id, held.requests, int(held.token_layers), held.as_first)
             for target_id, held in self._view.load.own_by_id.items()
         ]
-        return _encoder.encode(
+        return encoder.encode(
             PeerStatus(
                 self._host_id,
                 self._view.zone,
@@ -344,17 +266,13 @@
                 self._version(),
                 age_s if math.isfinite(age_s) else -1.0,
                 silent_s if math.isfinite(silent_s) else -1.0,
+                self._echoes(now),
                 [
-                    _Echo(host_id, peer.sent_at)
-                    for host_id, peer in self._peer_by_id.items()
-                    if self._alive(peer, now)
-                ],
-                [
-                    _Use(service, use.firsts, use.repeats)
+                    Use(service, use.firsts, use.repeats)
                     for service, use in self._view.retry_use().items()
                 ],
                 [
-                    _LinkShare(zone, other, round(share, 3))
+                    LinkShare(zone, other, round(share, 3))
                     for (zone, other), share in self._view.links.own_shares(now).items()
                 ],
                 self._view.watch_duty.on_duty,
@@ -368,6 +286,17 @@
             )
         )
 
+    def _echoes(self, now: float) -> list[Echo]:
+        """Return the hosts heard lately; past a datagram's room, the last ones."""
+        heard = [
+            (peer.heard_at, host_id, peer.sent_at)
+            for host_id, peer in self._peer_by_id.items()
+            if self._alive(peer, now)
+        ]
+        if len(heard) > MOST_ECHOES:
+            heard = sorted(heard, reverse=True)[:MOST_ECHOES]
+        return [Echo(host_id, sent_at) for _, host_id, sent_at in heard]
+
     def _version(self) -> int:
         table = self._view.table
         return table.config.version if table else 0
@@ -429,7 +358,7 @@
                 log_event("peer.error", detail=str(problem))
                 continue
             try:
-                match _decoder.decode(data):
+                match decoder.decode(data):
                     case PeerNews(items):
                         self._take_news(items)
                     case PeerSum() as told:
@@ -439,7 +368,7 @@
             except (msgspec.DecodeError, ValueError):
                 self.malformed += 1
 
-    def _take_news(self, items: list[_NewsItem]) -> None:
+    def _take_news(self, items: list[NewsItem]) -> None:
         self._view.hear_news(
             [TargetNews(item.target_id, item.revision, item.spec) for item in items]
         )
@@ -594,34 +523,6 @@
         )
 
 
-def _news_datagrams(items: list[TargetNews]) -> Iterator[bytes]:
-    """Return news in datagrams, none of them too long to be received.
-
-    What does not fit one by itself is left out: hosts that lack it notice that
-    their lists differ, and read the store.
-    """
-    chunk: list[_NewsItem] = []
-    size = 0
-    for item in items:
-        entry = _NewsItem(item.target_id, item.revision, item.spec)
-        try:
-            length = len(_encoder.encode(entry))
-        except (OverflowError, ValueError) as problem:
-            # Entries may have other writers, and JSON has longer numbers.
-            log_event("news.unsendable", target=item.target_id, detail=str(problem))
-            continue
-        if length > NEWS_BYTES:
-            log_event("news.too_long", target=item.target_id, bytes=length)
-            continue
-        if size + length > NEWS_BYTES:
-            yield _encoder.encode(PeerNews(chunk))
-            chunk, size = [], 0
-        chunk.append(entry)
-        size += length
-    if chunk:
-        yield _encoder.encode(PeerNews(chunk))
-
-
 def _split(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     if not host:
--- /dev/null
+++ b/radishfield/forwarding/_peer_messages.py
@@ -0,0 +1,139 @@
+"""The datagrams between entry hosts, as MessagePack."""
+
+from collections.abc import Iterator
+
+import msgspec
+
+from radishfield.forwarding._view import TargetNews
+from radishfield.telemetry import log_event
+
+DATAGRAM_BYTES = 8 << 10
+NEWS_BYTES = DATAGRAM_BYTES - 64
+"""The rest is for the frame around the items."""
+
+
+class Work(msgspec.Struct, array_like=True):
+    """Requests at a target, and the token-layers that they will fill there."""
+
+    target_id: str
+    requests: int
+    token_layers: int
+    as_first: int
+
+
+class Use(msgspec.Struct, array_like=True):
+    """What a host used of a service's allowance of repeats in its window."""
+
+    service: str
+    firsts: int
+    repeats: int
+
+
+class LinkShare(msgspec.Struct, array_like=True):
+    """Share of the time of the link between two zones that a host's prompts take."""
+
+    zone: str
+    other: str
+    share: float
+
+
+class Echo(msgspec.Struct, array_like=True):
+    """A host, and the time on its own clock at which it sent what was heard last."""
+
+    host_id: str
+    sent_at: float
+
+
+class NewsItem(msgspec.Struct, array_like=True):
+    """A target's entry as the store holds it; without ``spec`` it is gone."""
+
+    target_id: str
+    revision: int
+    spec: object
+
+
+class PeerNews(msgspec.Struct, array_like=True, tag="news"):
+    """What the store told a host of targets, passed on within its zone."""
+
+    items: list[NewsItem]
+
+
+class PeerSum(msgspec.Struct, array_like=True, tag="sum"):
+    """The work of all hosts of a zone, added up ``age_s`` ago."""
+
+    zone: str
+    age_s: float
+    work: list[Work]
+
+
+class PeerStatus(msgspec.Struct, array_like=True, tag="status"):
+    """One host's state, whole.
+
+    Attributes
+    ----------
+    sent_at : float
+        Reading of the sender's clock; only the sender itself reads it again.
+    config_age_s : float
+        Seconds since the sender's configuration was confirmed; negative before.
+    store_silent_s : float
+        Seconds since the sender had an answer of the store; negative before.
+    watches : bool
+        The sender follows the store for its zone.
+    targets_digest : int
+        What hosts with the same list of targets share.
+    targets_age_s : float
+        Seconds since the sender's list was confirmed; negative before.
+    passed_duties : list of str
+        Duties that the sender has just heard of from their holders.
+    """
+
+    host_id: str
+    zone: str
+    address: str
+    work: list[Work]
+    leaving: list[tuple[str, int]]
+    lost: list[tuple[str, int]]
+    duties: list[str]
+    sent_at: float
+    config_version: int
+    config_age_s: float
+    store_silent_s: float
+    echoes: list[Echo]
+    uses: list[Use]
+    links: list[LinkShare]
+    watches: bool = False
+    targets_digest: int = 0
+    targets_age_s: float = -1.0
+    passed_duties: list[str] = []
+
+
+encoder = msgspec.msgpack.Encoder()
+decoder = msgspec.msgpack.Decoder(PeerStatus | PeerNews | PeerSum)
+
+
+def news_datagrams(items: list[TargetNews]) -> Iterator[bytes]:
+    """Return news in datagrams, none of them too long to be received.
+
+    What does not fit one by itself is left out: hosts that lack it notice that
+    their lists differ, and read the store.
+    """
+    chunk: list[NewsItem] = []
+    size = 0
+    for item in items:
+        entry = NewsItem(item.target_id, item.revision, item.spec)
+        try:
+            length = len(encoder.encode(entry))
+        except (OverflowError, ValueError) as problem:
+            # Entries may have other writers, and JSON has longer numbers.
+            log_event("news.unsendable", target=item.target_id, detail=str(problem))
+            continue
+        if length > NEWS_BYTES:
+            log_event("news.too_long", target=item.target_id, bytes=length)
+            continue
+        if size + length > NEWS_BYTES:
+            yield encoder.encode(PeerNews(chunk))
+            chunk, size = [], 0
+        chunk.append(entry)
+        size += length
+    if chunk:
+        yield encoder.encode(PeerNews(chunk))
--- a/radishfield/forwarding/gossip_test.py
+++ b/radishfield/forwarding/gossip_test.py
@@ -2,14 +2,15 @@
 
 import pytest
 
-from radishfield.forwarding._gossip import (
-    Gossip,
+from radishfield.forwarding._gossip import Gossip
+from radishfield.forwarding._peer_messages import (
+    DATAGRAM_BYTES,
+    Echo,
     PeerStatus,
     PeerSum,
-    _decoder,
-    _Echo,
-    _Use,
-    _Work,
+    Use,
+    Work,
+    decoder,
 )
 from radishfield.forwarding._view import RouterView
 from radishfield.routing import (
@@ -71,18 +72,18 @@
 
 
 def test_a_neighbours_word_counts_from_this_hosts_own_question(gossip):
-    take(gossip, status(echoes=[_Echo("me", 108.0)]))
+    take(gossip, status(echoes=[Echo("me", 108.0)]))
     assert gossip._view.freshness.confirmed_at == 107.5
 
 
 @pytest.mark.parametrize(
     "changes",
     [
-        {"echoes": [_Echo("somebody", 108.0)]},
-        {"echoes": [_Echo("me", 108.0)], "config_version": 8},
-        {"echoes": [_Echo("me", 108.0)], "config_age_s": -1.0},
-        {"echoes": [_Echo("me", 90.0)]},
-        {"echoes": [_Echo("me", 1e6)]},
+        {"echoes": [Echo("somebody", 108.0)]},
+        {"echoes": [Echo("me", 108.0)], "config_version": 8},
+        {"echoes": [Echo("me", 108.0)], "config_age_s": -1.0},
+        {"echoes": [Echo("me", 90.0)]},
+        {"echoes": [Echo("me", 1e6)]},
     ],
 )
 def test_other_words_prove_nothing(gossip, changes):
@@ -97,8 +98,8 @@
 
 def test_work_uses_and_losses_of_a_neighbour_are_taken(gossip):
     message = status(
-        work=[_Work("t1", 3, 300, 1)],
-        uses=[_Use("s", 40, 2)],
+        work=[Work("t1", 3, 300, 1)],
+        uses=[Use("s", 40, 2)],
         lost=[("t2", 0)],
         leaving=[("t3", 0)],
     )
@@ -117,7 +118,7 @@
 
 
 def test_a_neighbour_that_falls_silent_is_forgotten_but_still_counted(gossip):
-    take(gossip, status(uses=[_Use("s", 40, 2)]))
+    take(gossip, status(uses=[Use("s", 40, 2)]))
     gossip._sum_up()
     assert gossip._view.peers.heard == 1
     gossip._view.clock.reading = 120.0
@@ -130,10 +131,10 @@
 
 
 def test_a_zones_sum_counts_from_when_it_was_made(gossip):
-    gossip._take_sum(PeerSum("a", 0.4, [_Work("t1", 30, 9000, 4)]))
+    gossip._take_sum(PeerSum("a", 0.4, [Work("t1", 30, 9000, 4)]))
     gossip._view.load.add_up("a", 110.0)
     assert gossip._view.load.held("t1").requests == 30
-    gossip._take_sum(PeerSum("a", 0.5, [_Work("t1", 1, 1, 0)]))
+    gossip._take_sum(PeerSum("a", 0.5, [Work("t1", 1, 1, 0)]))
     gossip._view.load.add_up("a", 110.0)
     assert gossip._view.load.held("t1").requests == 30
 
@@ -142,10 +143,10 @@
     """Passed on by those who heard it from each other it would never end."""
     take(gossip, status(duties=["s"], passed_duties=["t"]))
     assert set(gossip._view.duty_reported_at) == {"s", "t"}
-    told = _decoder.decode(gossip._status())
+    told = decoder.decode(gossip._status())
     assert told.passed_duties == ["s"]
     gossip._view.clock.reading = 112.0
-    assert _decoder.decode(gossip._status()).passed_duties == []
+    assert decoder.decode(gossip._status()).passed_duties == []
 
 
 def test_a_word_that_waited_while_this_host_slept_proves_nothing(gossip):
@@ -159,7 +160,19 @@
     word = {"watches": True, "targets_digest": digest, "targets_age_s": 0.5}
     take(gossip, status(**word))
     assert duty.agreed_at is None
-    take(gossip, status(**word, echoes=[_Echo("me", 104.0)]))
+    take(gossip, status(**word, echoes=[Echo("me", 104.0)]))
     assert duty.agreed_at is None
-    take(gossip, status(**word, echoes=[_Echo("me", 109.5)]))
+    take(gossip, status(**word, echoes=[Echo("me", 109.5)]))
     assert duty.agreed_at == 110.0
+
+
+def test_a_status_fits_its_datagram_with_hundreds_of_hosts(gossip):
+    """Longer than that it is cut off, and nobody hears anything of this host."""
+    for number in range(340):
+        gossip._view.clock.reading = 110.0 + number * 0.001
+        message = status(host_id=f"edge-duluth-hall-{number}")
+        gossip._take(message, ("127.0.0.1", number))
+    data = gossip._status()
+    assert len(data) < DATAGRAM_BYTES / 1.5
+    echoes = {echo.host_id for echo in decoder.decode(data).echoes}
+    assert "edge-duluth-hall-339" in echoes and "edge-duluth-hall-1" not in echoes
