Tell hosts that were just found, before they are heard

News went to nobody: hosts that had just started were told only every eighth status until they were heard, and no news at all. Change: a host that the store listed a moment ago is told like one that lives.

--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -232,7 +232,7 @@
                 continue
             items, self._view.news = self._view.news, []
             now = self._view.clock.now()
-            near = [peer for peer in self._near() if self._alive(peer, now)]
+            near = [peer for peer in self._near() if self._present(peer, now)]
             for datagram in news_datagrams(items):
                 await self._send(sock, datagram, near)
 
@@ -329,7 +329,7 @@
         peers = list(self._peer_by_id.values())
         near = self._near()
         recipients = [
-            peer for peer in near if self._alive(peer, now) or self._round % 8 == 0
+            peer for peer in near if self._present(peer, now) or self._round % 8 == 0
         ]
         if len(recipients) > ZONE_FANOUT:
             start = self._round * ZONE_FANOUT % len(recipients)
@@ -349,6 +349,14 @@
     def _alive(self, peer: _Peer, now: float) -> bool:
         return now - peer.heard_at < ALIVE_S
 
+    def _present(self, peer: _Peer, now: float) -> bool:
+        """Return whether a host lives, or was found too lately to be heard.
+
+        Hosts that start together would else be strangers, who get every eighth
+        status and no news, for their first two seconds.
+        """
+        return now - max(peer.heard_at, peer.found_at) < ALIVE_S
+
     async def _receive(self, sock) -> None:
         while True:
             try:
@@ -482,16 +490,11 @@
                 self._view.links.forget(host_id)
 
     def _assign_duty(self, now: float) -> None:
-        """Share the duty among the hosts of the zone that live.
-
-        Hosts that were found a moment ago count, though none was heard yet: those
-        that start together would else all follow the store for their first seconds.
-        """
+        """Share the duty among the hosts of the zone."""
         near = [
             ZoneHost(host_id, peer.watches, peer.silent_s(now))
             for host_id, peer in self._peer_by_id.items()
-            if peer.zone == self._view.zone
-            and now - max(peer.heard_at, peer.found_at) < ALIVE_S
+            if peer.zone == self._view.zone and self._present(peer, now)
         ]
         if self._view.watch_duty.assign(self._host_id, near):
             log_event(
--- a/radishfield/forwarding/gossip_test.py
+++ b/radishfield/forwarding/gossip_test.py
@@ -176,3 +176,16 @@
     assert len(data) < DATAGRAM_BYTES / 1.5
     echoes = {echo.host_id for echo in decoder.decode(data).echoes}
     assert "edge-duluth-hall-339" in echoes and "edge-duluth-hall-1" not in echoes
+
+
+def test_a_host_that_was_just_found_is_told_before_it_is_heard(gossip):
+    """Hosts start together, and the store lists them for each other.
+
+    Told only once heard they are strangers for two seconds: news of targets goes to
+    nobody, and each host finds the change by itself, 1.2 s later.
+    """
+    gossip._add_listed("other", {"address": "127.0.0.1:2", "zone": "a"})
+    gossip._round = 1
+    assert [peer.address for peer in gossip._recipients()] == [("127.0.0.1", 2)]
+    gossip._view.clock.reading = 113.0
+    assert gossip._recipients() == []
--- a/radishfield/forwarding/zone_test.py
+++ b/radishfield/forwarding/zone_test.py
@@ -128,3 +128,36 @@
         )
 
     play(tmp_path, scene)
+
+
+def test_hosts_that_are_told_hold_targets_that_the_outage_has_lapsed(tmp_path):
+    """Callers find targets at every host right after the store's return.
+
+    The store is away for longer than entries live without heartbeats, and returns
+    without them; the target writes its entry anew a second later.  Hosts that were
+    told of the list by others have seen no failed call of their own.
+    """
+
+    async def scene(played, routers):
+        missing = set()
+
+        async def look():
+            while True:
+                missing.update(
+                    n for n, r in enumerate(routers) if "p1" not in listed(r)
+                )
+                await trio.sleep(0.02)
+
+        played.nursery.start_soon(look)
+        played.store.switches.status = 503
+        await trio.sleep(3.1)
+        played.store.remove("servers", "p1")
+        played.store.switches.status = 0
+        await trio.sleep(1.0)
+        played.store.put(
+            "servers", "p1", target_entry("portal", played.plain[0].address)
+        )
+        await trio.sleep(2.5)
+        assert missing == set()
+
+    play(tmp_path, scene)
