Add what hosts of small zones told to the sums of large ones

Cause (by reading the change): once a host had the sum of its own zone, what single hosts told of themselves no longer counted. Zones of up to three hosts tell no sum, so in a fleet of zones of four, three and two hosts those of the first saw only their own zone's work. Change: reports of hosts in zones without a sum are added to the sums. Test: a card that both zones use (failed: seven requests for nine).

--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -421,7 +421,7 @@
             item.target_id: TargetLoad(item.requests, item.token_layers, item.as_first)
             for item in status.work
         }
-        self._view.load.report_remote(status.host_id, held_by_id, now)
+        self._view.load.report_remote(status.host_id, held_by_id, now, status.zone)
         for incarnation in status.leaving:
             self._view.directory.mark_leaving(incarnation)
         if len(status.lost) <= MOST_REPORTED_LOST:
--- a/radishfield/routing/_load.py
+++ b/radishfield/routing/_load.py
@@ -42,6 +42,7 @@
 class _Reported:
     at: float
     held_by_id: Mapping[str, TargetLoad]
+    zone: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -75,11 +76,15 @@
             del self.own_by_id[target_id]
 
     def report_remote(
-        self, host: str, held_by_id: Mapping[str, TargetLoad], now: float
+        self,
+        host: str,
+        held_by_id: Mapping[str, TargetLoad],
+        now: float,
+        zone: str = "",
     ) -> None:
         """Take what another host says that it holds."""
         self._drop(host)
-        self._reported_by_host[host] = _Reported(now, held_by_id)
+        self._reported_by_host[host] = _Reported(now, held_by_id, zone)
         for target_id, held in held_by_id.items():
             _add(self._remote_by_id.setdefault(target_id, TargetLoad()), held, 1)
 
@@ -124,6 +129,7 @@
     def add_up(self, own_zone: str, now: float) -> None:
         """Make the sums count, or what single hosts told where there are none.
 
+        Zones of few hosts tell no sums; what their hosts told is added one by one.
         What this host holds is counted exactly; so what it had told when its zone's
         sum was made is taken out of that.
         """
@@ -135,6 +141,10 @@
         for item in sums.values():
             for target_id, held in item.held_by_id.items():
                 _add(total.setdefault(target_id, TargetLoad()), held, 1)
+        for report in self._reported_by_host.values():
+            if report.zone not in sums:
+                for target_id, held in report.held_by_id.items():
+                    _add(total.setdefault(target_id, TargetLoad()), held, 1)
         for target_id, held in self._own_at(sums[own_zone].at).items():
             if target_id in total:
                 _add(total[target_id], held, -1)
--- a/radishfield/routing/load_test.py
+++ b/radishfield/routing/load_test.py
@@ -45,7 +45,7 @@
 
 def test_an_old_sum_gives_way_to_what_single_hosts_told():
     table = LoadTable()
-    table.report_remote("h", {"t": TargetLoad(1, 10.0, 0)}, 5.0)
+    table.report_remote("h", {"t": TargetLoad(1, 10.0, 0)}, 5.0, "a")
     table.take_sum("a", ZoneSum(5.0, {"t": TargetLoad(7, 70.0, 0)}))
     table.add_up("a", 5.1)
     assert table.held("t").requests == 7
@@ -53,6 +53,16 @@
     assert table.held("t").requests == 1
 
 
+def test_work_of_a_zone_that_tells_no_sum_is_added_host_by_host():
+    """Callers' streams meet a card that a small zone fills beside the large one."""
+    table = LoadTable()
+    table.report_remote("b1", {"t": TargetLoad(2, 20.0, 1)}, 5.0, "b")
+    table.report_remote("a2", {"t": TargetLoad(3, 30.0, 1)}, 5.0, "a")
+    table.take_sum("a", ZoneSum(5.0, {"t": TargetLoad(7, 70.0, 3)}))
+    table.add_up("a", 5.1)
+    assert table.held("t") == TargetLoad(9, 90.0, 4)
+
+
 def test_an_earlier_sum_does_not_replace_a_later_one():
     table = LoadTable()
     table.take_sum("a", ZoneSum(5.0, {"t": TargetLoad(7, 70.0, 0)}))
@@ -103,7 +113,7 @@
                 total.as_first += held.as_first
             for other in chance.sample(range(HOSTS), HEARD):
                 if other != number:
-                    tables[other].report_remote(f"h{number}", told, now)
+                    tables[other].report_remote(f"h{number}", told, now, "a")
         for table in tables:
             if sums:
                 table.take_sum("a", ZoneSum(now, copied(whole)))
