Keep who is talked to apart from the talk between hosts

News of a target is one type, made where it is told and taken as it comes. radishfield.web.split_address serves the peers' transport, the talk and the connections to targets. Behaviour and bytes as before; the tests' assertions are unchanged (one calls the finder where it called the talk).

--- a/radishfield/edges/_peer_transport.py
+++ b/radishfield/edges/_peer_transport.py
@@ -5,6 +5,8 @@
 
 import trio
 
+from radishfield.web import split_address
+
 StreamHandler = Callable[[trio.abc.Stream], Awaitable[None]]
 
 _RECEIVE_BYTES = 2_048
@@ -91,9 +93,3 @@
     async def serve(self, handler: StreamHandler) -> None:
         """Accept connections until cancelled."""
         await trio.serve_listeners(handler, self._listeners)
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Return the host and port of ``ip:port``."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
--- a/radishfield/forwarding/_connections.py
+++ b/radishfield/forwarding/_connections.py
@@ -18,6 +18,7 @@
 
 from radishfield.core import Clock, Fault, ResultCode, fault
 from radishfield.platform import AnswerFacts, Headers, read_answer
+from radishfield.web import split_address
 
 CONNECT_TIMEOUT_S = 0.4
 """Targets of a region answer within a millisecond; one lost packet costs a second,
@@ -131,13 +132,11 @@
         connection = None if fresh else await self._take(address)
         if connection is None:
             connection = self._open(address)
+        host, port = split_address(address)
         request = httpcore.Request(
             outgoing.method,
             httpcore.URL(
-                scheme=b"http",
-                host=address.rpartition(":")[0].encode(),
-                port=int(address.rpartition(":")[2]),
-                target=outgoing.target,
+                scheme=b"http", host=host.encode(), port=port, target=outgoing.target
             ),
             headers=outgoing.headers,
             content=outgoing.body or None,
@@ -189,9 +188,9 @@
 
     def _open(self, address: str) -> httpcore.AsyncHTTPConnection:
         self.opened += 1
-        host, _, port = address.rpartition(":")
+        host, port = split_address(address)
         return httpcore.AsyncHTTPConnection(
-            httpcore.Origin(b"http", host.encode(), int(port)),
+            httpcore.Origin(b"http", host.encode(), port),
             socket_options=_SOCKET_OPTIONS,
         )
 
--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -13,7 +13,8 @@
 from expression import Result
 
 from radishfield.core import Fault, ResultCode
-from radishfield.forwarding._view import RouterView, TargetNews
+from radishfield.forwarding._peer_messages import TargetNews
+from radishfield.forwarding._view import RouterView
 from radishfield.platform import (
     CONFIG_KIND,
     CONFIG_NAME,
--- /dev/null
+++ b/radishfield/forwarding/_peer_finder.py
@@ -0,0 +1,103 @@
+"""Hosts find each other once, in the store.
+
+Each writes its address before it lists the others', so of any two the later one sees
+the earlier one and tells it of itself.
+"""
+
+import random
+
+import msgspec
+import trio
+
+from radishfield.core import ResultCode
+from radishfield.forwarding._peers import Peer, PeerBook
+from radishfield.forwarding._view import RouterView
+from radishfield.platform import ObjectStore
+from radishfield.telemetry import log_event
+from radishfield.web import backoff_s, split_address
+
+HOSTS_KIND = "radishfield-hosts"
+
+
+class _HostBody(msgspec.Struct):
+    address: str
+    zone: str = ""
+
+
+class PeerFinder:
+    """Registers this host, and finds those that registered before."""
+
+    __slots__ = ("_address", "_book", "_chance", "_host_id", "_store", "_view")
+
+    def __init__(
+        self,
+        host_id: str,
+        address: str,
+        store: ObjectStore,
+        view: RouterView,
+        book: PeerBook,
+    ):
+        self._host_id = host_id
+        self._address = address
+        self._store = store
+        self._view = view
+        self._book = book
+        self._chance = random.Random()
+
+    async def find(self) -> None:
+        """Write this host's address, then read the others'."""
+        failures = 0
+        while not await self._registered():
+            failures += 1
+            await trio.sleep(backoff_s(failures, self._chance))
+        failures = 0
+        while (listing := await self._store.list(HOSTS_KIND)).is_error():
+            failures += 1
+            await trio.sleep(backoff_s(failures, self._chance))
+        for value in listing.ok.values:
+            self.add_listed(value.name, value.spec)
+        self._view.hosts = self._book.counted(self._view.clock.now())
+        log_event(
+            "peers.found",
+            peers=len(self._book.peer_by_id),
+            revision=listing.ok.revision,
+        )
+
+    def add_listed(self, host_id: str, spec: object) -> None:
+        """Add a host that the store lists, unless it is known."""
+        if host_id == self._host_id or host_id in self._book.peer_by_id:
+            return
+        try:
+            body = msgspec.convert(spec, _HostBody)
+            address = split_peer_address(body.address)
+        except (msgspec.ValidationError, ValueError) as problem:
+            log_event("peer.unreadable", peer=host_id, detail=str(problem))
+            return
+        self._book.peer_by_id[host_id] = Peer(
+            address, body.zone, self._view.clock.now()
+        )
+
+    async def _registered(self) -> bool:
+        body = {"address": self._address, "zone": self._view.zone}
+        created = await self._store.create(HOSTS_KIND, self._host_id, body)
+        if created.is_ok():
+            return True
+        if created.error.code is not ResultCode.PLATFORM_CONFLICT:
+            return False
+        read = await self._store.read(HOSTS_KIND, self._host_id)
+        if read.is_error():
+            return False
+        if read.ok.spec == body:
+            return True
+        written = await self._store.replace(
+            HOSTS_KIND, self._host_id, body, read.ok.revision
+        )
+        return written.is_ok()
+
+
+def split_peer_address(address: str) -> tuple[str, int]:
+    """Return a peer's address; raise `ValueError` where it names no host."""
+    host, port = split_address(address)
+    if not host:
+        raise ValueError(f"{address!r} is no address")
+    return host, port
--- a/radishfield/forwarding/_peer_messages.py
+++ b/radishfield/forwarding/_peer_messages.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-from radishfield.forwarding._view import TargetNews
 from radishfield.telemetry import log_event
 
 DATAGRAM_BYTES = 8 << 10
@@ -44,8 +43,14 @@
     sent_at: float
 
 
-class NewsItem(msgspec.Struct, array_like=True):
-    """A target's entry as the store holds it; without ``spec`` it is gone."""
+class TargetNews(msgspec.Struct, array_like=True, frozen=True):
+    """What the store holds of one target.
+
+    Attributes
+    ----------
+    spec : object
+        What lies in its entry; None if the entry is gone.
+    """
 
     target_id: str
     revision: int
@@ -55,7 +60,7 @@
 class PeerNews(msgspec.Struct, array_like=True, tag="news"):
     """What the store told a host of targets, passed on within its zone."""
 
-    items: list[NewsItem]
+    items: list[TargetNews]
 
 
 class PeerSum(msgspec.Struct, array_like=True, tag="sum"):
@@ -117,12 +122,11 @@
     What does not fit one by itself is left out: hosts that lack it notice that
     their lists differ, and read the store.
     """
-    chunk: list[NewsItem] = []
+    chunk: list[TargetNews] = []
     size = 0
     for item in items:
-        entry = NewsItem(item.target_id, item.revision, item.spec)
         try:
-            length = len(encoder.encode(entry))
+            length = len(encoder.encode(item))
         except (OverflowError, ValueError) as problem:
             # Entries may have other writers, and JSON has longer numbers.
             log_event("news.unsendable", target=item.target_id, detail=str(problem))
@@ -133,7 +137,7 @@
         if size + length > NEWS_BYTES:
             yield encoder.encode(PeerNews(chunk))
             chunk, size = [], 0
-        chunk.append(entry)
+        chunk.append(item)
         size += length
     if chunk:
         yield encoder.encode(PeerNews(chunk))
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -8,6 +8,7 @@
 import trio
 
 from radishfield.core import Clock
+from radishfield.forwarding._peer_messages import TargetNews
 from radishfield.routing import (
     AdmissionQueue,
     EngineSpec,
@@ -44,21 +45,6 @@
     length_s: float
 
 
-@dataclass(slots=True, frozen=True)
-class TargetNews:
-    """What the store holds of one target.
-
-    Attributes
-    ----------
-    spec : object
-        What lies in its entry; None if the entry is gone.
-    """
-
-    target_id: str
-    revision: int
-    spec: object
-
-
 @dataclass(slots=True)
 class PeerView:
     """What is known of the other hosts at the moment.
--- a/radishfield/forwarding/gossip_test.py
+++ b/radishfield/forwarding/gossip_test.py
@@ -184,7 +184,7 @@
     Told only once heard they are strangers for two seconds: news of targets goes to
     nobody, and each host finds the change by itself, 1.2 s later.
     """
-    gossip._add_listed("other", {"address": "127.0.0.1:2", "zone": "a"})
+    gossip._finder.add_listed("other", {"address": "127.0.0.1:2", "zone": "a"})
     gossip._round = 1
     assert [peer.address for peer in gossip._recipients()] == [("127.0.0.1", 2)]
     gossip._view.clock.reading = 113.0
--- a/radishfield/forwarding/zone_test.py
+++ b/radishfield/forwarding/zone_test.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from radishfield.forwarding._view import TargetNews
+from radishfield.forwarding._peer_messages import TargetNews
 from radishfield.forwarding.conftest import world
 from standins.routed_config import KEY, config, target_entry
 
--- a/radishfield/routing/_watch_duty.py
+++ b/radishfield/routing/_watch_duty.py
@@ -91,6 +91,10 @@
         self.on_duty = own_id in sorted([own_id, *able])[:WATCHERS_PER_ZONE]
         return self.on_duty != before
 
+    def heard_version(self, version: int) -> None:
+        """Note a version of the configuration that another host has."""
+        self.newest_version = max(self.newest_version, version)
+
     def told(self, same_targets: bool, list_age_s: float, now: float) -> None:
         """Take a watcher's word on its list of targets."""
         if same_targets and 0.0 <= list_age_s < WATCHER_VIEW_S:
--- a/radishfield/web/__init__.py
+++ b/radishfield/web/__init__.py
@@ -1,5 +1,6 @@
 """HTTP plumbing that every edge shares: ASGI steps, listeners, call budgets."""
 
+from radishfield.web._address import split_address
 from radishfield.web._asgi import (
     BodyLimit,
     read_body,
@@ -34,5 +35,6 @@
     "serve_app",
     "serve_lifespan",
     "serve_scope",
+    "split_address",
     "start_answer",
 ]
