Let lookups and streams count tries alike, and make each shared step once

Cause (by reading the change): lookups and streams counted refusals and runs in two twin classes; streams kept the targets that may have run them beside Call.ran_at, which holds the same; the status of an order's answer, the decoding of an answer's JSON, the errors of a broken connection and the adding up of work stood two to five times; a dead part was lost and logged once for each stream that waits for it; a flag of the callers' headers had one value and a fact of an answer no reader. Change: one Tries, one order_status, one decode_answer, one BROKEN_CONNECTION_ERRORS, one _added_up; a dead part is lost once for each report; readiness answers with the steps that every other answer uses.

--- a/radishfield/edges/_platform.py
+++ b/radishfield/edges/_platform.py
@@ -12,7 +12,7 @@
 
 import msgspec
 import trio
-from expression import Error, Ok, Result
+from expression import Error, Result
 
 from radishfield.core import (
     Clock,
@@ -32,6 +32,7 @@
     ApiCaller,
     CallBudget,
     backoff_s,
+    decode_answer,
 )
 
 T = TypeVar("T")
@@ -159,23 +160,16 @@
             sent = await self._caller.call(ApiCall(call, "GET", path, b"", limit_s))
             if sent.is_ok() or sent.error.code not in _RETRIED:
                 break
-        return sent.bind(lambda answer: _parse(answer, kind))
+        return sent.bind(lambda answer: decode_answer(answer, kind))
 
 
 def _quoted(name: str) -> str:
     return quote(name, safe="")
 
 
-def _parse(answer: bytes, kind: type[T]) -> Result[T, Fault]:
-    try:
-        return Ok(msgspec.json.decode(answer, type=kind))
-    except msgspec.DecodeError as problem:
-        return Error(fault(ResultCode.PLATFORM_MALFORMED, str(problem)))
-
-
 def _parse_written(answer: bytes) -> Result[StoredObject, Fault]:
     """Return what was written; an answer that can't be read proves nothing."""
-    parsed = _parse(answer, StoredObject)
+    parsed = decode_answer(answer, StoredObject)
     return parsed.map_error(
         lambda problem: fault(ResultCode.PLATFORM_AMBIGUOUS, problem.detail)
     )
--- a/radishfield/forwarding/_app.py
+++ b/radishfield/forwarding/_app.py
@@ -16,7 +16,14 @@
     current_request_id,
     log_event,
 )
-from radishfield.web import BodyLimit, read_body, run_until_disconnect, serve_scope
+from radishfield.web import (
+    BodyLimit,
+    read_body,
+    run_until_disconnect,
+    send_chunk,
+    serve_scope,
+    start_answer,
+)
 
 UNKNOWN_CONFIG_RETRY_S = 0.7
 """A host reads the configuration within a second of its start."""
@@ -231,11 +238,5 @@
                 peers_freshest_s=_rounded(view.peers.freshest_s),
             )
         status = 200 if ready and scope["path"] == self._path else 503
-        await send(
-            {
-                "type": "http.response.start",
-                "status": status,
-                "headers": [(b"content-length", b"0")],
-            }
-        )
-        await send({"type": "http.response.body", "body": b""})
+        await start_answer(send, status, [(b"content-length", b"0")])
+        await send_chunk(send, b"", more=False)
--- a/radishfield/forwarding/_call.py
+++ b/radishfield/forwarding/_call.py
@@ -48,7 +48,7 @@
     async def whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Pass on a target's whole answer."""
         self.started = True
-        passed = self._with_close(caller_headers(headers, whole=True))
+        passed = self._with_close(caller_headers(headers))
         passed.append((b"content-length", str(len(body)).encode()))
         await start_answer(self.send, status, passed)
         self.finished = True
@@ -57,7 +57,7 @@
     async def start_stream(self, status: int, headers: Headers) -> None:
         """Pass on the head of a stream."""
         self.started = True
-        passed = self._with_close(caller_headers(headers, whole=True))
+        passed = self._with_close(caller_headers(headers))
         await start_answer(self.send, status, passed)
 
     async def events(self, events: bytes) -> None:
--- a/radishfield/forwarding/_connections.py
+++ b/radishfield/forwarding/_connections.py
@@ -18,7 +18,7 @@
 
 from radishfield.core import Clock, Fault, ResultCode, fault
 from radishfield.platform import AnswerFacts, Headers, read_answer
-from radishfield.web import split_address
+from radishfield.web import BROKEN_CONNECTION_ERRORS, split_address
 
 CONNECT_TIMEOUT_S = 0.4
 """Targets of a region answer within a millisecond; one lost packet costs a second,
@@ -43,12 +43,7 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_EVERY_S),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES),
 ]
-_BROKEN_ERRORS = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-    httpcore.ConnectionNotAvailable,
-)
+_BROKEN_ERRORS = (*BROKEN_CONNECTION_ERRORS, httpcore.ConnectionNotAvailable)
 
 
 @dataclass(slots=True, frozen=True)
--- a/radishfield/forwarding/_placer.py
+++ b/radishfield/forwarding/_placer.py
@@ -11,10 +11,9 @@
 
 import msgspec
 import trio
-from expression import Result
 
 from radishfield.core import Fault, ResultCode
-from radishfield.forwarding._targets import OrderAnswer, Targets
+from radishfield.forwarding._targets import Targets, order_status
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import ObjectStore, StoredValue, place_order
 from radishfield.routing import (
@@ -272,7 +271,7 @@
             span=f"{assignment.span.first}-{assignment.span.end}",
             expected_orders=report.ok.order_count,
             fence=fence,
-            status=_status(answer),
+            status=order_status(answer),
             detail=answer.error.detail if answer.is_error() else "",
             directory_version=self._view.directory.version,
         )
@@ -342,7 +341,3 @@
         return msgspec.convert(value.spec, _LeaseBody).holder
     except msgspec.ValidationError:
         return ""
-
-
-def _status(answer: Result[OrderAnswer, Fault]) -> int:
-    return answer.ok.status if answer.is_ok() else 0
--- a/radishfield/forwarding/_plain.py
+++ b/radishfield/forwarding/_plain.py
@@ -9,9 +9,10 @@
 import trio
 from expression import Error, Ok, Result
 
-from radishfield.core import Fault, Outcome, ResultCode, fault
+from radishfield.core import Fault, ResultCode, fault
 from radishfield.forwarding._call import Call
 from radishfield.forwarding._targets import Targets, final_fault
+from radishfield.forwarding._tries import Tries, target_error
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import Headers
 from radishfield.routing import FailureRates, TargetRecord, choose_target
@@ -37,16 +38,14 @@
     target_id: str
 
 
-class _Tries:
-    """What came of the tries of one call so far."""
+class _PlainTries(Tries):
+    """The tries of one call; keeps the last answer that was a failure."""
 
-    __slots__ = ("failed_answer", "problem", "refusals", "runs")
+    __slots__ = ("failed_answer",)
 
     def __init__(self):
+        super().__init__(NO_TARGET_RETRY_S)
         self.failed_answer: WholeAnswer | None = None
-        self.problem = fault(ResultCode.NO_TARGET, "", NO_TARGET_RETRY_S)
-        self.refusals = 0
-        self.runs = 0
 
     def stop(self, problem: Fault) -> None:
         """Note why no further try is made; a target's own failure goes first."""
@@ -57,14 +56,9 @@
         """Note a try that failed."""
         if result.is_ok():
             self.failed_answer = result.ok
-            detail = f"status {result.ok.status}"
-            self.problem = fault(ResultCode.TARGET_ERROR, detail)
+            self.count(target_error(result.ok.status))
         else:
-            self.problem = result.error
-        if self.problem.outcome is Outcome.NOT_RUN:
-            self.refusals += 1
-        else:
-            self.runs += 1
+            self.count(result.error)
 
     def over(self, call: Call) -> bool:
         """Return whether the route allows no further try.
@@ -98,7 +92,7 @@
 
     async def _whole_answer(self, call: Call) -> Result[WholeAnswer, Fault]:
         """Try targets until one answers, or no further try is allowed."""
-        tries = _Tries()
+        tries = _PlainTries()
         while True:
             stop = self._targets.check(call)
             if stop is not None:
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -6,10 +6,11 @@
 import trio
 from expression import Error, Ok, Result
 
-from radishfield.core import Fault, Outcome, ResultCode, fault
+from radishfield.core import Fault, ResultCode, fault
 from radishfield.forwarding._call import Call
 from radishfield.forwarding._connections import BrokenAnswerError, Exchange
 from radishfield.forwarding._targets import Targets, final_fault
+from radishfield.forwarding._tries import Tries, target_error
 from radishfield.forwarding._view import RouterView
 from radishfield.forwarding._watchdog import ActiveStream, StreamWatchdog, path_words
 from radishfield.routing import (
@@ -54,46 +55,23 @@
     body: bytes
 
 
-class _Tries:
-    """What came of the attempts of one stream so far."""
+class _StreamTries(Tries):
+    """The attempts of one stream; keeps the first targets that broke one."""
 
-    __slots__ = ("excluded", "first_ids", "problem", "refusals", "runs")
+    __slots__ = ("excluded",)
 
     def __init__(self):
+        super().__init__(NO_PATH_RETRY_S)
         self.excluded: set[str] = set()
-        self.first_ids: set[str] = set()
-        self.problem = fault(ResultCode.NO_TARGET, "", NO_PATH_RETRY_S)
-        self.refusals = 0
-        self.runs = 0
 
     def take(self, result: Result["_WholeFailure", Fault], first_id: str) -> None:
         """Note an attempt that failed, with the first target of its path."""
-        if result.is_ok():
-            detail = f"status {result.ok.status}"
-            self.problem = fault(ResultCode.TARGET_ERROR, detail)
-        else:
-            self.problem = result.error
-        if self.problem.outcome is Outcome.NOT_RUN:
-            self.refusals += 1
-        else:
-            self.runs += 1
-            self.first_ids.add(first_id)
+        failed = target_error(result.ok.status) if result.is_ok() else result.error
+        self.count(failed)
         # A target that refused for want of room may have some in a moment.
         if self.problem.code is not ResultCode.TARGET_REFUSED:
             self.excluded.add(first_id)
 
-    def firsts_left(
-        self, route: RouteRule, directory: TargetDirectory
-    ) -> set[str] | None:
-        """Return the only targets that may see the request; None for any.
-
-        A stream whose later parts fail may be sent on several times, but the
-        route limits how many targets see it.  Once so many have, it goes again to
-        one of them; those that ended meanwhile do not count.
-        """
-        live = {name for name in self.first_ids if directory.find(name) is not None}
-        return live if len(live) >= route.max_attempts else None
-
     def over(self, route: RouteRule) -> bool:
         """Return whether the route allows no further attempt."""
         if self.runs and not route.repeatable:
@@ -104,6 +82,17 @@
         return self.runs >= most_runs or self.refusals > MORE_REFUSALS
 
 
+def _firsts_left(call: Call, directory: TargetDirectory) -> set[str] | None:
+    """Return the only targets that may see the request; None for any.
+
+    A stream whose later parts fail may be sent on several times, but the route
+    limits how many targets see it.  Once so many have, it goes again to one of
+    them; those that ended meanwhile do not count.
+    """
+    live = {name for name in call.ran_at if directory.find(name) is not None}
+    return live if len(live) >= call.route.max_attempts else None
+
+
 class StreamForwarder:
     """Serves calls whose answer is a stream of events."""
 
@@ -137,7 +126,7 @@
     async def _until_ended(self, call: Call, progress: "_Progress") -> Fault | None:
         """Try paths until the stream is whole; return why it is not."""
         engine = call.service.engine
-        tries = _Tries()
+        tries = _StreamTries()
         while True:
             stop = self._targets.check(call)
             if stop is not None:
@@ -171,7 +160,7 @@
         call: Call,
         engine: EngineSpec | None,
         progress: "_Progress",
-        tries: _Tries,
+        tries: _StreamTries,
     ) -> Result[Path, Fault]:
         """Return a path, standing in line where all of them are full."""
         view = self._view
@@ -202,10 +191,10 @@
         finally:
             queue.leave(entry)
 
-    def _single_target(self, call: Call, tries: _Tries) -> Result[Path, Fault]:
+    def _single_target(self, call: Call, tries: _StreamTries) -> Result[Path, Fault]:
         """Return a path of one target, for a service whose targets serve alone."""
         view = self._view
-        firsts = tries.firsts_left(call.route, view.directory)
+        firsts = _firsts_left(call, view.directory)
         usable = view.directory.usable(call.service.name, view.clock.now())
         record = choose_target(
             [item for item in usable if firsts is None or item.id in firsts],
@@ -224,10 +213,10 @@
         call: Call,
         engine: EngineSpec | None,
         progress: "_Progress",
-        tries: _Tries,
+        tries: _StreamTries,
     ) -> Path | None:
         roomy = self._view.usable_with_room(call.service.name)
-        firsts = tries.firsts_left(call.route, self._view.directory)
+        firsts = _firsts_left(call, self._view.directory)
         # A first target whose attempt broke may be sound: a later part was not.
         excluded = tries.excluded - (firsts or set())
         pool = [record for record in roomy if record.id not in excluded]
--- a/radishfield/forwarding/_targets.py
+++ b/radishfield/forwarding/_targets.py
@@ -198,7 +198,7 @@
         headers.append((b"content-length", str(len(body)).encode()))
         outgoing = Outgoing("POST", ORDER_PATH.encode(), headers, body)
         answer = await self._short_call(record, outgoing, ORDER_TIMEOUT_S)
-        status = answer.ok.status if answer.is_ok() else 0
+        status = order_status(answer)
         self.orders_by_status[status] = self.orders_by_status.get(status, 0) + 1
         return answer
 
@@ -264,6 +264,11 @@
             self._view.mark_full(record.id)
 
 
+def order_status(answer: Result[OrderAnswer, Fault]) -> int:
+    """Return the status of an order's answer; 0 where there was none."""
+    return answer.ok.status if answer.is_ok() else 0
+
+
 def final_fault(call: Call, problem: Fault, retry_s: float) -> Fault:
     """Return what a caller is told about a request that is given up.
 
--- /dev/null
+++ b/radishfield/forwarding/_tries.py
@@ -0,0 +1,33 @@
+"""What came of the attempts of one request so far."""
+
+from radishfield.core import Fault, Outcome, ResultCode, fault
+
+
+class Tries:
+    """The last failure, and how many attempts may have run.
+
+    Attributes
+    ----------
+    refusals, runs : int
+        Attempts that are known not to have run, and the others.
+    """
+
+    __slots__ = ("problem", "refusals", "runs")
+
+    def __init__(self, retry_s: float):
+        self.problem = fault(ResultCode.NO_TARGET, "", retry_s)
+        self.refusals = 0
+        self.runs = 0
+
+    def count(self, problem: Fault) -> None:
+        """Note an attempt that failed."""
+        self.problem = problem
+        if problem.outcome is Outcome.NOT_RUN:
+            self.refusals += 1
+        else:
+            self.runs += 1
+
+
+def target_error(status: int) -> Fault:
+    """Return the fault of a target's own failing answer."""
+    return fault(ResultCode.TARGET_ERROR, f"status {status}")
--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -6,7 +6,7 @@
 
 from radishfield.core import Clock, Fault
 from radishfield.forwarding._call import Call
-from radishfield.forwarding._targets import Targets
+from radishfield.forwarding._targets import Targets, order_status
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import repath_order
 from radishfield.routing import (
@@ -151,9 +151,13 @@
         self._view.directory.answered(first_id, self._clock.now())
         self._view.pace_by_id[first_id] = report.ok.pace
         stalled_by_id = dict(report.ok.stalled)
-        for stream in list(self._streams):
-            address = stalled_by_id.get(stream.call.facts.request_id)
-            if address and stream.path[0].target_id == first_id:
+        addresses = {
+            stalled_by_id.get(stream.call.facts.request_id): None
+            for stream in self._streams
+            if stream.path[0].target_id == first_id
+        }
+        for address in addresses:
+            if address:
                 self._lose_part(address)
 
     def _lose_first(self, first_id: str, detail: str) -> None:
@@ -210,7 +214,7 @@
                 return False
             order = repath_order(stream.call.facts.request_id, path)
             answer = await self._targets.order(first, order)
-            status = answer.ok.status if answer.is_ok() else 0
+            status = order_status(answer)
             log_event(
                 "stream.moved",
                 request=stream.call.facts.request_id,
--- a/radishfield/platform/_requests.py
+++ b/radishfield/platform/_requests.py
@@ -22,6 +22,7 @@
         b"upgrade",
     }
 )
+_NOT_FOR_CALLERS = _HOP_HEADERS | {b"content-length"}
 # Set by the router itself, whatever the caller sent; a key never reaches a target.
 _REPLACED = frozenset(
     {
@@ -94,7 +95,6 @@
 
     status: int
     request_id: str
-    signed: bool
     not_run: bool
     faulty_address: str
     closes: bool
@@ -162,7 +162,6 @@
     return AnswerFacts(
         status=status,
         request_id=by_name.get(names.REQUEST_ID, b"").decode("latin-1"),
-        signed=names.SIGNATURE in by_name,
         not_run=names.NOT_RUN in by_name or status == 421,
         faulty_address=by_name.get(names.FAULTY_PART, b"").decode("latin-1"),
         closes=b"close" in connection,
@@ -171,18 +170,16 @@
     )
 
 
-def caller_headers(headers: Headers, whole: bool) -> Headers:
+def caller_headers(headers: Headers) -> Headers:
     """Return a target's headers as the caller gets them.
 
-    Parameters
-    ----------
-    whole : bool
-        The body's length is known and set elsewhere, or the body is streamed in
-        chunks; either way the target's own length no longer applies.
+    A body's length is set elsewhere, or the body is streamed in chunks; either way
+    the target's own length no longer applies.
     """
-    dropped = _HOP_HEADERS | {b"content-length"} if whole else _HOP_HEADERS
     return [
-        (name.lower(), value) for name, value in headers if name.lower() not in dropped
+        (name.lower(), value)
+        for name, value in headers
+        if name.lower() not in _NOT_FOR_CALLERS
     ]
 
 
--- a/radishfield/platform/_store.py
+++ b/radishfield/platform/_store.py
@@ -7,7 +7,7 @@
 from expression import Error, Ok, Result
 
 from radishfield.core import Fault, ResultCode, fault
-from radishfield.web import ApiCall, ApiCaller
+from radishfield.web import ApiCall, ApiCaller, decode_answer
 
 CALL_TIMEOUT_S = 2.0
 """The store answers in milliseconds; slower than this is a store in trouble."""
@@ -173,11 +173,11 @@
 
 
 def _decode_page(body: bytes) -> Result[_Page, Fault]:
-    return _decoded(body, _Page)
+    return decode_answer(body, _Page)
 
 
 def _decode_changes(body: bytes) -> Result[Changes, Fault]:
-    return _decoded(body, _Events).map(
+    return decode_answer(body, _Events).map(
         lambda raw: Changes(
             tuple(Change(_value(item.object), item.deleted) for item in raw.events),
             raw.current_rev,
@@ -185,13 +185,6 @@
     )
 
 
-def _decoded(body: bytes, kind: type) -> Result:
-    try:
-        return Ok(msgspec.json.decode(body, type=kind))
-    except (msgspec.DecodeError, UnicodeDecodeError) as problem:
-        return Error(fault(ResultCode.PLATFORM_MALFORMED, str(problem)))
-
-
 def _value(raw: bytes) -> StoredValue:
     """Return an object; its spec is None where only its name can be read."""
     try:
--- a/radishfield/platform/adapter_test.py
+++ b/radishfield/platform/adapter_test.py
@@ -199,7 +199,7 @@
 
 def test_what_concerns_one_connection_does_not_reach_the_caller():
     headers = [(b"Connection", b"close"), (b"Keep-Alive", b"timeout=5"), (b"X-A", b"1")]
-    assert caller_headers(headers, whole=True) == [(b"x-a", b"1")]
+    assert caller_headers(headers) == [(b"x-a", b"1")]
 
 
 def test_own_answers_carry_the_callers_id_and_when_to_come_back():
--- a/radishfield/routing/_load.py
+++ b/radishfield/routing/_load.py
@@ -96,21 +96,13 @@
 
     def told_own(self, now: float) -> None:
         """Note what this host tells of itself now, to take it out of later sums."""
-        copies = {
-            target_id: TargetLoad(held.requests, held.token_layers, held.as_first)
-            for target_id, held in self.own_by_id.items()
-        }
-        self._told.append(_Reported(now, copies))
+        self._told.append(_Reported(now, _added_up([self.own_by_id])))
 
     def sum_of(self, hosts: Iterable[str]) -> dict[str, TargetLoad]:
         """Return the work of this host and of the hosts given."""
-        total: dict[str, TargetLoad] = {}
         reports = [self._reported_by_host.get(host) for host in hosts]
-        parts = [report.held_by_id for report in reports if report is not None]
-        for held_by_id in (self.own_by_id, *parts):
-            for target_id, held in held_by_id.items():
-                _add(total.setdefault(target_id, TargetLoad()), held, 1)
-        return total
+        told = [report.held_by_id for report in reports if report is not None]
+        return _added_up([self.own_by_id, *told])
 
     def sums(self, now: float) -> dict[str, ZoneSum]:
         """Return the sums by zone that are fresh enough to be used."""
@@ -137,14 +129,13 @@
         if own_zone not in sums:
             self._summed_by_id = None
             return
-        total: dict[str, TargetLoad] = {}
-        for item in sums.values():
-            for target_id, held in item.held_by_id.items():
-                _add(total.setdefault(target_id, TargetLoad()), held, 1)
-        for report in self._reported_by_host.values():
-            if report.zone not in sums:
-                for target_id, held in report.held_by_id.items():
-                    _add(total.setdefault(target_id, TargetLoad()), held, 1)
+        by_zone = [item.held_by_id for item in sums.values()]
+        by_host = [
+            report.held_by_id
+            for report in self._reported_by_host.values()
+            if report.zone not in sums
+        ]
+        total = _added_up(by_zone + by_host)
         for target_id, held in self._own_at(sums[own_zone].at).items():
             if target_id in total:
                 _add(total[target_id], held, -1)
@@ -189,6 +180,15 @@
                 del self._remote_by_id[target_id]
 
 
+def _added_up(parts: Iterable[Mapping[str, TargetLoad]]) -> dict[str, TargetLoad]:
+    """Return the sum of several hosts' or zones' work, by target."""
+    total: dict[str, TargetLoad] = {}
+    for held_by_id in parts:
+        for target_id, held in held_by_id.items():
+            _add(total.setdefault(target_id, TargetLoad()), held, 1)
+    return total
+
+
 def _add(total: TargetLoad, held: TargetLoad, sign: int) -> None:
     total.requests += sign * held.requests
     total.token_layers += sign * held.token_layers
--- a/radishfield/web/__init__.py
+++ b/radishfield/web/__init__.py
@@ -13,13 +13,20 @@
     start_answer,
 )
 from radishfield.web._budget import BURST_CALLS, CALLS_PER_S, CallBudget, backoff_s
-from radishfield.web._calls import ApiAddress, ApiCall, ApiCaller
+from radishfield.web._calls import (
+    BROKEN_CONNECTION_ERRORS,
+    ApiAddress,
+    ApiCall,
+    ApiCaller,
+    decode_answer,
+)
 from radishfield.web._listener import HttpListener, ListenerConfig, serve_app
 
 __all__ = [
     "ApiAddress",
     "ApiCall",
     "ApiCaller",
+    "BROKEN_CONNECTION_ERRORS",
     "BURST_CALLS",
     "CALLS_PER_S",
     "BodyLimit",
@@ -27,6 +34,7 @@
     "HttpListener",
     "ListenerConfig",
     "backoff_s",
+    "decode_answer",
     "read_body",
     "run_until_disconnect",
     "send_bytes",
--- a/radishfield/web/_calls.py
+++ b/radishfield/web/_calls.py
@@ -7,14 +7,18 @@
 
 from collections import Counter
 from dataclasses import dataclass
+from typing import TypeVar
 
 import httpcore
+import msgspec
 import trio
 from expression import Error, Ok, Result
 
 from radishfield.core import Clock, Fault, ResultCode, fault
 from radishfield.web._budget import CallBudget
 
+T = TypeVar("T")
+
 RETRY_S = 1.0
 """Time after which a call that found the other side away may be worth another."""
 KEEPALIVE_S = 30.0
@@ -34,12 +38,14 @@
 
 _WORTH_A_RETRY = (ResultCode.PLATFORM_UNAVAILABLE, ResultCode.PLATFORM_RATE_LIMITED)
 _DONE = (200, 201, 202, 204)
-_LOST_ERRORS = (
+BROKEN_CONNECTION_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
     httpcore.TimeoutException,
-    trio.TooSlowError,
 )
+"""A connection ended, spoke no HTTP or said nothing; what was sent may have run."""
+
+_LOST_ERRORS = (*BROKEN_CONNECTION_ERRORS, trio.TooSlowError)
 
 
 @dataclass(slots=True, frozen=True)
@@ -203,6 +209,14 @@
             self._connections = _Connections()
 
 
+def decode_answer(body: bytes, kind: type[T]) -> Result[T, Fault]:
+    """Return an answer's JSON, or ``PLATFORM_MALFORMED``."""
+    try:
+        return Ok(msgspec.json.decode(body, type=kind))
+    except (msgspec.DecodeError, UnicodeDecodeError) as problem:
+        return Error(fault(ResultCode.PLATFORM_MALFORMED, str(problem)))
+
+
 def _lost(call: ApiCall, detail: str) -> Fault:
     """Return the fault of a call that was sent and brought no answer."""
     if call.method == "GET":
