Count on the metrics page what peers send that can't be read; one caller's headers

Cause (by reading the change): the talk between hosts counted unreadable datagrams and its bytes, and nothing ever read the counts: an error without a line or a figure. The headers of the platform's callers were put together in three tools. Change: both counts are on the metrics page; standins.routed_config.request_headers serves the scenes, the soak and the load tool. Test: a stranger's datagram is told on the page (failed before: no such metric).

--- a/bench/router_load.py
+++ b/bench/router_load.py
@@ -20,7 +20,7 @@
 from radishfield.web import ListenerConfig, serve_app
 from standins.object_store import ObjectStoreApp
 from standins.ports import free_ports
-from standins.routed_config import HOST_NAME, config, layered_entry, target_entry
+from standins.routed_config import config, layered_entry, request_headers, target_entry
 from standins.routed_targets import LayeredFleet, LayeredTarget, PlainTarget
 from standins.router_process import RouterProcess
 
@@ -161,13 +161,8 @@
         self, front: str, arrival: Arrival, name: str
     ) -> tuple[int, bool, float | None]:
         """Return the status (0 if broken off), whether in time, and Retry-After."""
-        headers = {
-            "host": HOST_NAME,
-            "x-request-id": name,
-            "authorization": f"Token key-{arrival.workspace}",
-            "x-deadline-ms": str(int(DEADLINE_S * 1000)),
-            "x-token-counts": "774,203",
-        }
+        headers = request_headers(name, f"key-{arrival.workspace}", DEADLINE_S)
+        headers["x-token-counts"] = "774,203"
         method = "GET" if arrival.kind == "read" else "POST"
         last = trio.current_time()
         limit_s, in_time = OBJECTIVE_S, True
--- a/proofs/_router_soak.py
+++ b/proofs/_router_soak.py
@@ -21,10 +21,9 @@
 from radishfield.web import ListenerConfig, serve_app
 from standins.object_store import ObjectStoreApp
 from standins.routed_config import (
-    HOST_NAME,
-    KEY,
     config,
     layered_entry,
+    request_headers,
     target_entry,
 )
 from standins.routed_targets import LayeredFleet, LayeredTarget, PlainTarget
@@ -197,12 +196,7 @@
         """Send one request and judge its answer; return the status, 0 for none."""
         self._sent += 1
         request_id = f"{kind}-{self._sent}"
-        headers = {
-            "host": HOST_NAME,
-            "x-request-id": request_id,
-            "authorization": f"Token {KEY}",
-            "x-deadline-ms": "5000",
-        }
+        headers = request_headers(request_id, deadline_s=5.0)
         method = "GET" if kind == "read" else "POST"
         body, status, whole = bytearray(), 0, False
         try:
--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -39,7 +39,7 @@
     confirmed_by_peer_at,
     pair_of,
 )
-from radishfield.telemetry import log_event
+from radishfield.telemetry import DeferredTelemetry, log_event
 from radishfield.web import split_address
 
 GOSSIP_PERIOD_S = 0.25
@@ -93,6 +93,17 @@
         self.malformed = 0
         self.sent_bytes = 0
 
+    def watch_counters(self, telemetry: DeferredTelemetry) -> None:
+        """Export what is counted here; a datagram that can't be read leaves no line."""
+        telemetry.watch(
+            "peer_bytes_sent", "Bytes to other hosts.", lambda: self.sent_bytes
+        )
+        telemetry.watch(
+            "peer_malformed",
+            "Datagrams that could not be read.",
+            lambda: self.malformed,
+        )
+
     async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED):
         """Talk until cancelled."""
         with trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -133,10 +133,9 @@
         register("connections", IdleConnections(connections))
         gossip = settings.section("gossip", GossipSettings)
         if gossip.bind:
-            register(
-                "peers",
-                Gossip(settings.host.id, gossip.bind, store, view, placer.duties),
-            )
+            peers = Gossip(settings.host.id, gossip.bind, store, view, placer.duties)
+            register("peers", peers)
+            peers.watch_counters(telemetry)
         app = RouterApp(plain, streams, view, telemetry)
         register("callers", HttpListener(app, self._caller_config))
         readiness = settings.section("readiness", ReadinessSettings)
--- a/radishfield/forwarding/conftest.py
+++ b/radishfield/forwarding/conftest.py
@@ -11,7 +11,12 @@
 from radishfield.web import ListenerConfig, serve_app
 from standins.object_store import ObjectStoreApp
 from standins.ports import free_port
-from standins.routed_config import HOST_NAME, KEY, layered_entry, target_entry
+from standins.routed_config import (
+    KEY,
+    layered_entry,
+    request_headers,
+    target_entry,
+)
 from standins.routed_targets import LayeredFleet, LayeredTarget, PlainTarget
 
 
@@ -27,6 +32,8 @@
     layered: list[LayeredTarget] = field(default_factory=list)
     front: str = ""
     ready: str = ""
+    gossip: str = ""
+    metrics: str = ""
     router: Router | None = None
     stop: trio.Event = field(default_factory=trio.Event)
     scopes: list[trio.CancelScope] = field(default_factory=list)
@@ -91,14 +98,15 @@
     def _new_router(
         self, host_id: str, front: str, ready: str, store: str, promises: dict
     ) -> Router:
+        self.gossip, self.metrics = (f"127.0.0.1:{free_port()}" for _ in range(2))
         lines = [f"{name} = {value}" for name, value in promises.items()]
         text = "\n".join(
             [
                 f"[host]\nid = {host_id}\nzone = a",
                 f"[caller]\nbind = {front}",
                 f"[readiness]\nbind = {ready}",
-                f"[gossip]\nbind = 127.0.0.1:{free_port()}",
-                f"[metrics]\nbind = 127.0.0.1:{free_port()}",
+                f"[gossip]\nbind = {self.gossip}",
+                f"[metrics]\nbind = {self.metrics}",
                 f"[platform]\naddress = {store}",
                 "[promises]",
                 *lines,
@@ -123,9 +131,7 @@
         address: str | None = None,
         **headers: str,
     ) -> "Reply":
-        fixed = {"host": HOST_NAME, "x-request-id": request_id}
-        if key is not None:
-            fixed["authorization"] = f"Token {key}"
+        fixed = request_headers(request_id, key)
         extra = {name.replace("_", "-"): value for name, value in headers.items()}
         host, _, port = (address or self.front).rpartition(":")
         received = bytearray()
--- a/radishfield/forwarding/router_test.py
+++ b/radishfield/forwarding/router_test.py
@@ -568,3 +568,21 @@
         assert not played.layered[0].runs
 
     play(tmp_path, scene)
+
+
+def test_datagrams_that_can_not_be_read_are_counted_on_the_metrics_page(tmp_path):
+    """A stranger's bytes reach the port for peers; operators see that they came."""
+
+    async def scene(played):
+        await portal(played, targets=1)
+        with trio.socket.socket(type=trio.socket.SOCK_DGRAM) as sock:
+            host, _, port = played.gossip.rpartition(":")
+            await sock.sendto(b"no status", (host, int(port)))
+        peers = played.router._kernel.find("peers", object)
+        await played.until(lambda: peers.malformed == 1)
+        reply = await played.request("/metrics", address=played.metrics)
+        lines = reply.body.decode().splitlines()
+        (told,) = [x for x in lines if "peer_malformed" in x and x[0] != "#"]
+        assert told.endswith(" 1.0")
+
+    play(tmp_path, scene)
--- a/standins/routed_config.py
+++ b/standins/routed_config.py
@@ -4,6 +4,18 @@
 KEY = "key-of-w1"
 
 
+def request_headers(
+    request_id: str, key: str | None = KEY, deadline_s: float | None = None
+) -> dict[str, str]:
+    """Return the headers with which callers of the users' platform ask."""
+    headers = {"host": HOST_NAME, "x-request-id": request_id}
+    if key is not None:
+        headers["authorization"] = f"Token {key}"
+    if deadline_s is not None:
+        headers["x-deadline-ms"] = str(int(deadline_s * 1000))
+    return headers
+
+
 def route(name: str, kind: str, service: str, **changes) -> dict:
     """Return a route below ``/NAME/``."""
     values = {
