--- a/radishfield/forwarding/_app.py
+++ b/radishfield/forwarding/_app.py
@@ -188,6 +188,9 @@
             seconds=round(now - arrived_at, 3),
             sent=call.sent if call else 0,
             route=call.route.name if call else "",
+            objective_s=call.route.objective_s if call else None,
+            deadline_s=facts.deadline_s,
+            **_stream_words(call),
             broken_off=responder.broken_off,
             config_version=table.config.version if table else 0,
             config_age_s=_rounded(self._view.freshness.age_s(now)),
@@ -204,6 +207,12 @@
         self.call: Call | None = None
 
 
+def _stream_words(call: Call | None) -> dict[str, float | int | None]:
+    if call is None or call.route.kind is not RouteKind.STREAM:
+        return {}
+    return {"gap_objective_s": call.route.longest_gap_s, **call.times.words()}
+
+
 def _rounded(age_s: float) -> float | None:
     return None if math.isinf(age_s) else round(age_s, 2)
 
--- a/radishfield/forwarding/_call.py
+++ b/radishfield/forwarding/_call.py
@@ -95,6 +95,50 @@
         return headers
 
 
+@dataclass(slots=True)
+class StreamTimes:
+    """How a stream went, as its caller sees it; for the line at its end.
+
+    Attributes
+    ----------
+    first_event_s : float or None
+        Seconds from the request's arrival to its first event.
+    longest_gap_s : float
+        Longest pause between two events.
+    queued_s : float
+        Seconds spent in line, over all attempts.
+    moved : int
+        Times that the path was changed under the running stream.
+    """
+
+    first_event_s: float | None = None
+    longest_gap_s: float = 0.0
+    events: int = 0
+    queued_s: float = 0.0
+    moved: int = 0
+    _last_at: float = 0.0
+
+    def passed(self, events: int, arrived_at: float, now: float) -> None:
+        """Note events that go out to the caller."""
+        if self.first_event_s is None:
+            self.first_event_s = now - arrived_at
+        else:
+            self.longest_gap_s = max(self.longest_gap_s, now - self._last_at)
+        self._last_at = now
+        self.events += events
+
+    def words(self) -> dict[str, float | int | None]:
+        """Return what the line at the request's end says."""
+        first_s = self.first_event_s
+        return {
+            "first_event_s": None if first_s is None else round(first_s, 3),
+            "longest_gap_s": round(self.longest_gap_s, 3),
+            "events": self.events,
+            "queued_s": round(self.queued_s, 3),
+            "moved": self.moved,
+        }
+
+
 @dataclass(slots=True)
 class Call:
     """A request that was read whole and matched to a route.
@@ -109,6 +153,8 @@
         Targets that it was sent to, and those that may have run it.
     may_have_run : bool
         Some target may have run it, or run it in part.
+    times : StreamTimes
+        How its stream went; untouched for a request with one whole answer.
     """
 
     facts: RequestFacts
@@ -127,6 +173,7 @@
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
     ran_at: set[str] = field(default_factory=set)
+    times: StreamTimes = field(default_factory=StreamTimes)
 
     @property
     def workspace_name(self) -> str:
--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -355,6 +355,7 @@
                 service=record.service,
                 zone=record.zone,
                 phase=str(record.phase),
+                accelerator=record.accelerator,
                 span=f"{record.span.first}-{record.span.end}" if record.span else "",
                 started_ms=record.started_ms,
                 revision=value.revision,
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -190,6 +190,7 @@
                     await view.room_freed.wait()
         finally:
             queue.leave(entry)
+            call.times.queued_s += view.clock.now() - entry.since
 
     def _single_target(self, call: Call, tries: _StreamTries) -> Result[Path, Fault]:
         """Return a path of one target, for a service whose targets serve alone."""
@@ -323,7 +324,8 @@
                         detail = f"event out of order after {progress.last_id}"
                         return Error(fault(ResultCode.MALFORMED_ANSWER, detail))
                     await self._pass_on(call, exchange, stream, events)
-                    progress.passed(events)
+                    count = progress.passed(events)
+                    call.times.passed(count, call.arrived_at, stream.heard_at)
         except BrokenAnswerError as problem:
             return Error(fault(ResultCode.STREAM_BROKEN, str(problem)))
         if splitter.torn or not stream.has_events:
@@ -376,12 +378,13 @@
             expected = event_id
         return True
 
-    def passed(self, events: bytes) -> None:
-        """Note events that went out to the caller."""
+    def passed(self, events: bytes) -> int:
+        """Note events that went out to the caller; return how many."""
         ids = event_ids(events)
         self._events += len(ids)
         if ids:
             self.last_id = ids[-1]
+        return len(ids)
 
     def demand(self, engine: EngineSpec | None) -> Demand:
         """Return what the request will fill at each target of its path."""
--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -246,6 +246,7 @@
             return
         self._count(stream, stream.path, self._view.load.ended)
         stream.path = path
+        stream.call.times.moved += 1
         self._count(stream, path, self._view.load.started)
         self._view.note_crossings(stream.engine, path, stream.demand.prompt)
         # The new parts read the prompt again before the next event.
