Let scenes wait for the last listener before they ask the metrics page

Ruled out: the page itself, the port. Change: a scene starts once the metrics address accepts a connection. The assertions are as they were.

--- a/radishfield/forwarding/conftest.py
+++ b/radishfield/forwarding/conftest.py
@@ -71,6 +71,7 @@
         )
         self.nursery.start_soon(self.router.run, self.stop)
         await self.until(lambda: self.knows_all(self.router))
+        await self.until_listening(self.metrics)
 
     async def start_zone(self, hosts: int) -> list[Router]:
         """Start a zone of hosts; each stays until its scope is cancelled."""
@@ -117,6 +118,19 @@
         path.write_text(text)
         return Router(read_settings(str(path)).ok)
 
+    async def until_listening(self, address: str, limit_s: float = 5.0) -> None:
+        """Wait for the last of a router's listeners, which starts after the others."""
+        host, _, port = address.rpartition(":")
+        with trio.fail_after(limit_s):
+            while True:
+                try:
+                    stream = await trio.open_tcp_stream(host, int(port))
+                except OSError:
+                    await trio.sleep(0.02)
+                    continue
+                await stream.aclose()
+                return
+
     async def until(self, true, limit_s: float = 5.0) -> None:
         with trio.fail_after(limit_s):
             while not true():
