Keep one allowance of repeats for the entry host and the router

Cause (by reading): the entry host's decisions and the router each had a RetryBudget: two windows of times, dropped and counted alike. Change: radishfield.limits holds the one that can be shared between hosts; a host that spends alone says so by a safety of 1. The entry host's own class, its three constants and one module of the router are gone. Behaviour as before (a host alone may repeat while a whole repeat is left); tests of decisions, routing and forwarding pass with their assertions.

--- a/radishfield/decisions/_failures.py
+++ b/radishfield/decisions/_failures.py
@@ -21,12 +21,13 @@
 )
 from radishfield.decisions._retries import (
     CODE_BY_KIND,
-    RetryBudget,
+    HOST_ALLOWANCE,
     end_fault,
     forbids,
     is_recovery,
 )
 from radishfield.decisions._running import Running
+from radishfield.limits import RetryBudget
 
 RETRY_AFTER_S = 2.0
 """As long as a target's first ejection: by then others have its work, or it is
@@ -39,12 +40,12 @@
     __slots__ = ("_budget", "_pacer")
 
     def __init__(self):
-        self._budget = RetryBudget()
+        self._budget = RetryBudget(HOST_ALLOWANCE)
         self._pacer = RebuildPacer()
 
     def count_request(self, now: float) -> None:
         """Count a dispatched request towards the budget of repeats."""
-        self._budget.count_request(now)
+        self._budget.first_try(now)
 
     def decide(self, running: Running, failure: Failure, now: float) -> Retry | GiveUp:
         """Return the next attempt, already counted in flight, or the end."""
@@ -53,7 +54,7 @@
         work, attempt = running.dispatch.work, running.dispatch.attempt
         problem = forbids(work, failure, attempt, running.ever_started, now)
         recovering = is_recovery(failure)
-        if problem is None and not recovering and not self._budget.spend(now):
+        if problem is None and not recovering and not self._budget.take(now):
             code = ResultCode.RETRY_BUDGET_SPENT
             problem = end_fault(failure, code, running.ever_started)
         if problem is not None:
--- a/radishfield/decisions/_retries.py
+++ b/radishfield/decisions/_retries.py
@@ -13,20 +13,17 @@
   they are paced by `_recovery` instead.
 """
 
-from collections import deque
-
 from radishfield.core import Fault, Outcome, ResultCode
 from radishfield.decisions._data import Failure, FailureKind, Work
+from radishfield.limits import RetryAllowance
 
 MAX_ATTEMPTS = 4
 """Three repeats: with one target in ten bad, one request in ten thousand would
 need a fifth attempt."""
 
-BUDGET_PART = 0.05
-BUDGET_WINDOW_S = 10.0
-BUDGET_BURST = 10
+HOST_ALLOWANCE = RetryAllowance(ratio=0.05, window_s=10.0, slack=10, safety=1.0)
 """Five repeats for a hundred requests of the last ten seconds, and ten besides,
-so that a quiet host may repeat at all."""
+so that a quiet host may repeat at all.  Each host has its own."""
 
 CODE_BY_KIND = {
     FailureKind.REFUSED: ResultCode.TARGET_REFUSED,
@@ -38,35 +35,6 @@
 }
 
 
-class RetryBudget:
-    """Repeats allowed, as a part of the requests of the last seconds."""
-
-    __slots__ = ("_requests", "_repeats")
-
-    def __init__(self):
-        self._requests: deque[float] = deque()
-        self._repeats: deque[float] = deque()
-
-    def count_request(self, now: float) -> None:
-        """Count a request that was dispatched."""
-        self._requests.append(now)
-        self._drop_old(now)
-
-    def spend(self, now: float) -> bool:
-        """Take one repeat out of the budget; False if it is spent."""
-        self._drop_old(now)
-        allowed = BUDGET_BURST + BUDGET_PART * len(self._requests)
-        if len(self._repeats) >= allowed:
-            return False
-        self._repeats.append(now)
-        return True
-
-    def _drop_old(self, now: float) -> None:
-        for times in (self._requests, self._repeats):
-            while times and times[0] < now - BUDGET_WINDOW_S:
-                times.popleft()
-
-
 def end_fault(
     failure: Failure, code: ResultCode, ever_started: bool, detail: str = ""
 ) -> Fault:
--- a/radishfield/decisions/retries_test.py
+++ b/radishfield/decisions/retries_test.py
@@ -7,13 +7,13 @@
 from radishfield.decisions._ejection import Ejector
 from radishfield.decisions._recovery import RebuildPacer, choose_resumption
 from radishfield.decisions._retries import (
-    BUDGET_BURST,
+    HOST_ALLOWANCE,
     MAX_ATTEMPTS,
-    RetryBudget,
     end_fault,
     forbids,
     is_recovery,
 )
+from radishfield.limits import RetryBudget
 
 
 def failure(kind=FailureKind.BROKEN, started=True, committed=3):
@@ -47,12 +47,12 @@
 
 def test_repeats_stay_a_few_in_a_hundred():
     """Every one of a thousand requests fails and asks for a repeat."""
-    budget = RetryBudget()
+    budget = RetryBudget(HOST_ALLOWANCE)
     allowed = 0
     for index in range(1000):
-        budget.count_request(index * 0.005)
-        allowed += budget.spend(index * 0.005)
-    assert allowed <= 0.05 * 1000 + BUDGET_BURST + 1
+        budget.first_try(index * 0.005)
+        allowed += budget.take(index * 0.005)
+    assert allowed <= 0.05 * 1000 + HOST_ALLOWANCE.slack + 1
 
 
 def test_a_cut_stream_is_recovery_and_a_refusal_is_a_repeat():
--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -30,10 +30,10 @@
 )
 from radishfield.forwarding._peers import Peer, PeerBook
 from radishfield.forwarding._view import RouterView
+from radishfield.limits import RetryUse
 from radishfield.platform import ObjectStore
 from radishfield.routing import (
     PeerConfirmation,
-    RetryUse,
     TargetLoad,
     ZoneSum,
     confirmed_by_peer_at,
--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -21,8 +21,9 @@
 from radishfield.forwarding._view import RouterView
 from radishfield.forwarding._watchdog import StreamWatchdog
 from radishfield.kernel import Kernel
+from radishfield.limits import RetryAllowance
 from radishfield.platform import READY_PATH, ObjectStore
-from radishfield.routing import END_MARGIN_S, NOTICE_S, Freshness, RetryAllowance
+from radishfield.routing import END_MARGIN_S, NOTICE_S, Freshness
 from radishfield.settings import (
     ROUTER_SECTIONS,
     EntrySettings,
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -9,6 +9,7 @@
 
 from radishfield.core import Clock
 from radishfield.forwarding._peer_messages import TargetNews
+from radishfield.limits import RetryAllowance, RetryBudget, RetryUse
 from radishfield.routing import (
     AdmissionQueue,
     EngineSpec,
@@ -17,9 +18,6 @@
     LoadTable,
     Path,
     PathFinder,
-    RetryAllowance,
-    RetryBudget,
-    RetryUse,
     RouteRule,
     RoutingTable,
     ServiceSpec,
--- a/radishfield/forwarding/follower_test.py
+++ b/radishfield/forwarding/follower_test.py
@@ -7,6 +7,7 @@
 from radishfield.core import ResultCode, TrioClock, fault
 from radishfield.forwarding._follower import ConfigFollower, TargetFollower
 from radishfield.forwarding._view import RouterView
+from radishfield.limits import RetryAllowance
 from radishfield.platform import (
     CONFIG_KIND,
     CONFIG_NAME,
@@ -14,7 +15,7 @@
     Listing,
     StoredValue,
 )
-from radishfield.routing import Freshness, RetryAllowance
+from radishfield.routing import Freshness
 from standins.routed_config import config
 
 BOUND_S = 5.0
--- a/radishfield/forwarding/gossip_test.py
+++ b/radishfield/forwarding/gossip_test.py
@@ -13,9 +13,9 @@
     decoder,
 )
 from radishfield.forwarding._view import RouterView
+from radishfield.limits import RetryAllowance
 from radishfield.routing import (
     Freshness,
-    RetryAllowance,
     RoutingConfig,
     RoutingTable,
     TargetPhase,
--- a/radishfield/routing/_budget.py
+++ b/radishfield/limits/_retries.py
@@ -14,8 +14,8 @@
 from dataclasses import dataclass, field
 
 SAFETY = 0.75
-"""Part of the allowance that is used: windows slide, and what others told is up to
-a second old."""
+"""Part of a shared allowance that is used: windows slide, and what others told is up
+to a second old."""
 
 LAG_S = 1.0
 """Longest time until all hosts have heard of a repeat; within it a host takes no
@@ -32,11 +32,14 @@
         Repeats for each first try in the window.
     slack : float
         Repeats in the window beside the ratio.
+    safety : float
+        Part of it that is used; 1 where no other host spends from it.
     """
 
     ratio: float = 0.2
     window_s: float = 10.0
     slack: float = 50.0
+    safety: float = SAFETY
 
 
 @dataclass(slots=True, frozen=True)
@@ -65,7 +68,7 @@
         self._forget(now)
         return RetryUse(len(self._firsts), len(self._repeats))
 
-    def take(self, now: float, hosts: int, others: Iterable[RetryUse] = ()) -> bool:
+    def take(self, now: float, hosts: int = 1, others: Iterable[RetryUse] = ()) -> bool:
         """Take one repeat out; False if nothing is left for this host.
 
         Parameters
@@ -82,7 +85,7 @@
         firsts = len(self._firsts) + sum(use.firsts for use in told)
         repeats = len(self._repeats) + sum(use.repeats for use in told)
         slack = self.allowance.slack * min(1.0, heard / max(1, hosts))
-        left = SAFETY * (self.allowance.ratio * firsts + slack) - repeats
+        left = self.allowance.safety * (self.allowance.ratio * firsts + slack) - repeats
         just_taken = sum(1 for at in self._repeats if at > now - LAG_S)
         if (just_taken + 1) * heard > left + just_taken:
             return False
--- a/radishfield/routing/__init__.py
+++ b/radishfield/routing/__init__.py
@@ -4,7 +4,6 @@
 """
 
 from radishfield.routing._admission_queue import AdmissionQueue, QueueEntry
-from radishfield.routing._budget import RetryAllowance, RetryBudget, RetryUse
 from radishfield.routing._choice import FailureRates, choose_target
 from radishfield.routing._directory import Removal, TargetDirectory
 from radishfield.routing._events import EventSplitter, event_ids
@@ -86,9 +85,6 @@
     "LinkUsage",
     "Removal",
     "RequestLimits",
-    "RetryAllowance",
-    "RetryBudget",
-    "RetryUse",
     "RouteKind",
     "RouteRule",
     "RoutingConfig",
--- a/radishfield/routing/small_test.py
+++ b/radishfield/routing/small_test.py
@@ -6,15 +6,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from radishfield.limits import RetryAllowance, RetryBudget, RetryUse
 from radishfield.routing import (
     Ask,
     EventSplitter,
     FailureRates,
     GiveUp,
     LoadTable,
-    RetryAllowance,
-    RetryBudget,
-    RetryUse,
     StreamSilence,
     TargetLoad,
     Wait,
