Read the deployment's facts from its configuration, or learn them

Cause: constants stated facts of the first two deployments: half a millisecond between zones, callers who stay two seconds, silences of 0.3 s whatever pause is allowed, reports 0.2 s old, streams of three seconds, a full target's cost in milliseconds. Change: delays, report's age, chunk and steps of a pass come from the service's engine; the callers' patience is a property of the route, from which the longest wait in line and the time to give a stream up follow; silences are parts of what is on time; a usual stream's length is learnt; a full target's cost is in steps of the model. Tests: sizes_test.py, fleets of one kind of card, twenty-fold cards, one and eight zones, three and three hundred targets, prompts of 30 and 6,000 tokens, objectives of 60 ms to 5 s (failed before: no route or engine had these facts). Assertions of the silence and the line are as they were.

--- a/radishfield/forwarding/_plain.py
+++ b/radishfield/forwarding/_plain.py
@@ -25,6 +25,8 @@
 """Part of the objective after which a repeatable request is also sent elsewhere:
 an answer that is lost never comes, and one more target still answers in time."""
 LEAST_PATIENCE_S = 0.15
+"""An answer that is not lost comes sooner, whatever the objective: asked for earlier,
+each slow one takes a second place of the few that a plain service has."""
 SERVER_ERROR = 500
 
 
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -31,8 +31,9 @@
 from radishfield.telemetry import DeferredTelemetry, log_event
 
 LOOK_AGAIN_S = 0.05
-LATE_RETRY_S = 1.0
-"""Half of the time that a stream of usual length holds its place."""
+LATE_RETRY_SHARE = 0.5
+"""Part of a usual stream's length after which a caller that ran out of time may come
+back: half of those that held the places then have ended."""
 RESUMED_PRIORITY = -1
 """Before the most urgent of the routes' own."""
 NO_PATH_RETRY_S = 0.8
@@ -121,7 +122,9 @@
         code = ResultCode.DEADLINE_PASSED
         if not call.may_have_run:
             code = ResultCode.EXPIRED_IN_QUEUE
-        await call.responder.refuse(fault(code, "", LATE_RETRY_S))
+        queue = self._view.admission_queue(call.service.name)
+        retry_s = LATE_RETRY_SHARE * queue.usual_stream_s
+        await call.responder.refuse(fault(code, "", retry_s))
 
     async def _until_ended(self, call: Call, progress: "_Progress") -> Fault | None:
         """Try paths until the stream is whole; return why it is not."""
@@ -172,7 +175,12 @@
             return Ok(path)
         # The caller of a stream that has begun is waiting for its next event.
         priority = RESUMED_PRIORITY if progress.begun else call.priority
-        entry = queue.join(priority, call.workspace_name, view.clock.now())
+        entry = queue.join(
+            priority,
+            call.workspace_name,
+            view.clock.now(),
+            call.route.caller_patience_s,
+        )
         try:
             if queue.is_hopeless(entry, view.clock.now()) and not progress.begun:
                 return Error(self._full(queue, entry))
@@ -266,7 +274,8 @@
             with stream.scope:
                 result = await self._relay(call, record, stream, progress)
         finally:
-            queue.ended(call.workspace_name, self._view.clock.now())
+            ended_at = self._view.clock.now()
+            queue.ended(call.workspace_name, ended_at, ended_at - now)
             self._watchdog.remove(stream)
         if result.is_error():
             log_event(
--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -104,6 +104,8 @@
             has_events=self.has_events,
             usual_gap_s=self.usual_gap_s,
             allowed_s=route.longest_gap_s if self.has_events else route.objective_s,
+            caller_patience_s=route.caller_patience_s,
+            report_lag_s=self.engine.report_lag_s if self.engine else 0.0,
         )
 
     def give_up(self, reason: str) -> None:
@@ -240,10 +242,8 @@
                 continue
             first_id = stream.path[0].target_id
             asked_ago_s = now - self._asked_at_by_id.get(first_id, -1e9)
-            silent_s = now - stream.heard_at
-            match next_step(
-                silent_s, stream.has_events, asked_ago_s, stream.may_resume
-            ):
+            silence = stream.silence(now)
+            match next_step(silence, asked_ago_s, stream.may_resume):
                 case Ask() if stream.engine is not None:
                     self._asked_at_by_id[first_id] = now
                     self._nursery.start_soon(self._ask, first_id)
@@ -251,7 +251,7 @@
                     log_event(
                         "stream.silent",
                         request=stream.call.facts.request_id,
-                        silent_s=round(silent_s, 2),
+                        silent_s=round(silence.silent_s, 2),
                         events=stream.has_events,
                         path=path_words(stream.path),
                     )
--- a/radishfield/platform/_config.py
+++ b/radishfield/platform/_config.py
@@ -60,6 +60,13 @@
     answer: float = 128.0
 
 
+class _Delay(msgspec.Struct):
+    zone: str = msgspec.field(name="from")
+    other: str = msgspec.field(name="target")
+    """The other zone; no target in the project's sense."""
+    delay_ms: float = msgspec.field(name="delay_ms", default=0.0)
+
+
 class _Engine(msgspec.Struct, rename="camel"):
     slots: int = 1
     kv_capacity: float = 0.0
@@ -78,6 +85,8 @@
     """Bytes that a token passes from one part to the next."""
     pipe_mbps: float = 0.0
     kinds: list[_Card] = []
+    delays: list[_Delay] = []
+    report_lag_ms: float = msgspec.field(default=200.0, name="report_lag_ms")
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -180,6 +189,11 @@
             card.name: Accelerator(card.name, card.mb, card.pace, card.read_x)
             for card in raw.kinds
         },
+        delay_ms_by_pair={
+            (min(way.zone, way.other), max(way.zone, way.other)): way.delay_ms
+            for way in raw.delays
+        },
+        report_lag_s=raw.report_lag_ms / 1000,
     )
 
 
--- a/radishfield/routing/_admission_queue.py
+++ b/radishfield/routing/_admission_queue.py
@@ -16,9 +16,11 @@
 from collections import Counter, deque
 from dataclasses import dataclass, field
 
-PATIENCE_S = 1.2
-"""Longest wait: callers leave two seconds after they asked, and the first event of a
-stream that got a place takes a few tenths more."""
+from radishfield.routing._types import LEAST_CALLER_PATIENCE_S
+
+PATIENCE_SHARE = 0.6
+"""Part of the callers' patience that is the longest wait: the first event of a stream
+that got a place takes some more of it."""
 
 HEAD = 4
 """Requests at the head that may try: the largest tenth of requests is some four
@@ -29,8 +31,15 @@
 is as long as is allowed; at the whole patience those at its end are served just too
 late, all of them, and turned away after a wait in vain."""
 
-PACE_WINDOW_S = 3.0
-"""Time over which freed places are counted: about one stream's length."""
+FIRST_USUAL_STREAM_S = 3.0
+"""Length that streams are taken to have until some have ended."""
+
+SHORTEST_WINDOW_S, LONGEST_WINDOW_S = 1.0, 10.0
+"""Freed places are counted over a usual stream's length, which is learnt; over less
+than a second or more than ten they say nothing of now."""
+
+LENGTH_MEMORY = 0.95
+"""Weight of the past in the usual length of streams: the last twenty count."""
 
 LEAST_FREED, LEAST_COUNTED_S = 4, 0.5
 """Freed places, and time, below which there is no pace to forecast by."""
@@ -48,12 +57,15 @@
     ----------
     number : int
         Rises with each entry, so that earlier ones go first.
+    patience_s : float
+        Longest time that it may stand in line.
     """
 
     number: int
     priority: int
     workspace: str
     since: float
+    patience_s: float
 
 
 @dataclass(slots=True)
@@ -64,14 +76,22 @@
     _running: Counter[str] = field(default_factory=Counter)
     _freed: deque[float] = field(default_factory=deque)
     _numbers: int = 0
+    usual_stream_s: float = FIRST_USUAL_STREAM_S
 
     def __len__(self) -> int:
         return len(self._entries)
 
-    def join(self, priority: int, workspace: str, now: float) -> QueueEntry:
+    def join(
+        self,
+        priority: int,
+        workspace: str,
+        now: float,
+        caller_patience_s: float = LEAST_CALLER_PATIENCE_S,
+    ) -> QueueEntry:
         """Stand in line."""
         self._numbers += 1
-        entry = QueueEntry(self._numbers, priority, workspace, now)
+        patience_s = PATIENCE_SHARE * caller_patience_s
+        entry = QueueEntry(self._numbers, priority, workspace, now, patience_s)
         self._entries[entry.number] = entry
         return entry
 
@@ -83,8 +103,11 @@
         """Count a request that got a place."""
         self._running[workspace] += 1
 
-    def ended(self, workspace: str, now: float) -> None:
-        """Count a place that was freed."""
+    def ended(self, workspace: str, now: float, lasted_s: float | None = None) -> None:
+        """Count a place that was freed, and how long its stream had it."""
+        if lasted_s is not None:
+            before_s = self.usual_stream_s * LENGTH_MEMORY
+            self.usual_stream_s = before_s + lasted_s * (1 - LENGTH_MEMORY)
         self._running[workspace] -= 1
         if self._running[workspace] <= 0:
             del self._running[workspace]
@@ -105,11 +128,11 @@
 
     def is_hopeless(self, entry: QueueEntry, now: float) -> bool:
         """Return whether a request that just came would wait in vain."""
-        return self.expected_wait_s(entry, now) > PATIENCE_S * HOPE
+        return self.expected_wait_s(entry, now) > entry.patience_s * HOPE
 
     def has_expired(self, entry: QueueEntry, now: float) -> bool:
         """Return whether a request has waited for as long as it may."""
-        return now - entry.since >= PATIENCE_S
+        return now - entry.since >= entry.patience_s
 
     def return_after_s(self, entry: QueueEntry, now: float) -> float:
         """Return when a caller that is turned away should come back."""
@@ -124,5 +147,6 @@
         return (entry.priority, self._running[entry.workspace], entry.number)
 
     def _forget(self, now: float) -> None:
-        while self._freed and self._freed[0] < now - PACE_WINDOW_S:
+        window_s = min(LONGEST_WINDOW_S, max(SHORTEST_WINDOW_S, self.usual_stream_s))
+        while self._freed and self._freed[0] < now - window_s:
             self._freed.popleft()
--- a/radishfield/routing/_links.py
+++ b/radishfield/routing/_links.py
@@ -15,9 +15,6 @@
 WINDOW_S = 2.0
 """Time over which crossings are averaged: some ten prompts of a usual host."""
 
-DELAY_MS = 0.5
-"""Way of a token to another zone, as the users' zones lie."""
-
 FULL_SHARE = 0.7
 """Share of a link's time from which on nothing more is sent across: the wait behind
 prompts is then over twice a prompt's transfer, for each token."""
@@ -70,7 +67,7 @@
         return total
 
 
-def crossing_ms(share: float, transfer_ms: float) -> float:
+def crossing_ms(share: float, transfer_ms: float, delay_ms: float) -> float:
     """Return what a crossing costs each token of a stream.
 
     Half of it is the wait behind the prompts that are on the link, the other half
@@ -78,4 +75,4 @@
     """
     if share >= FULL_SHARE:
         return FULL_MS
-    return DELAY_MS + transfer_ms * (0.1 + share / (1.0 - share))
+    return delay_ms + transfer_ms * (0.1 + share / (1.0 - share))
--- a/radishfield/routing/_paths.py
+++ b/radishfield/routing/_paths.py
@@ -25,10 +25,6 @@
     TargetRecord,
 )
 
-OTHER_ZONE_MS = 0.5
-"""Cost of a path that lies in another zone than the host: only the request and its
-events cross, which no link notices; among equals the own zone is taken."""
-
 HOP_MS = 0.05
 """Cost of any further part, so that ties go to the shorter path."""
 
@@ -39,9 +35,10 @@
 """Share of a target's memory over which nothing more is sent.  Reservations count
 a request's expected length, and some grow longer."""
 
-CROWDED_MS = 20.0
-"""Cost that a target reaches as it fills: several times a part's usual time, so
-that a path that avoids it is taken wherever there is one."""
+CROWDED_STEPS = 20.0
+"""Steps of the model that a full target costs more: several times a part's usual time
+even on the slowest cards, so that a path that avoids it is taken wherever there is
+one."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -185,7 +182,8 @@
         cost = token_ms(self._engine, record, held) / self._engine.layers
         if fill > CROWDED:
             crowd = (fill - CROWDED) / (FULL - CROWDED)
-            cost += crowd * CROWDED_MS / len(record.span)
+            crowded_ms = CROWDED_STEPS * self._engine.step_ms
+            cost += crowd * crowded_ms / len(record.span)
         return cost
 
     def _cheapest(
@@ -246,10 +244,12 @@
         """Return what it costs to enter a zone from another one."""
         if zone == other:
             return 0.0
+        delay_ms = self._engine.delay_ms(zone, other)
         if start == 0:
-            return OTHER_ZONE_MS
+            # Only the request and its events cross, which no link notices.
+            return delay_ms
         share = self._share_by_pair.get(pair_of(zone, other), 0.0)
-        return crossing_ms(share, self._transfer_ms)
+        return crossing_ms(share, self._transfer_ms, delay_ms)
 
     def _may_be_first(self, record: TargetRecord) -> bool:
         if self._first_ids is not None and record.id not in self._first_ids:
--- a/radishfield/routing/_silence.py
+++ b/radishfield/routing/_silence.py
@@ -24,20 +24,24 @@
 """Part of the silence within which an event of another stream shows that a target
 which both pass is alive, so that it need not be probed."""
 
-FIRST_EVENT_S = 0.3
-"""Silence before a stream's first event: twice what 99 of 100 prompts take on a calm
-day, and early enough that another path still begins within half a second."""
+FIRST_ASK_SHARE = 0.6
+"""Part of the objective after which a stream without an event is asked about at its
+first target: some twice what 99 of 100 prompts take on a calm day, and early enough
+that another path still begins about in time."""
 
-NEXT_EVENT_S = 0.3
-"""Silence between events: some six times the usual pause, and longer than the
-reports' lag, so that the first report already shows a part that died."""
+NEXT_ASK_GAPS = 1.5
+"""Longest pauses on time after which the same is done for the next event: some six
+times the usual pause, so that a slow moment asks nothing."""
 
-ASK_AGAIN_S = 0.25
-"""Reports are some two hundred milliseconds old; asked sooner they repeat."""
+LEAST_ASK_S = 0.1
+"""Shortest silence that is asked about: a report says nothing of the time before."""
 
-GIVE_UP_S = 1.3
-"""Silence, with no dead part found, after which the stream goes on elsewhere: the
-caller stays for two seconds, and another path needs half of one."""
+ASK_AGAIN_S = 0.05
+"""Time beyond a report's age before the next: asked sooner it repeats."""
+
+GIVE_UP_SHARE = 0.65
+"""Part of the callers' patience after which, with no dead part found, the stream goes
+on elsewhere: another path needs about a quarter of it."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -54,6 +58,10 @@
         Its usual pause between events; 0 before the second one.
     allowed_s : float
         Longest pause, or longest time to its first event, that is on time.
+    caller_patience_s : float
+        Silence after which its caller leaves.
+    report_lag_s : float
+        Age of what its first target says of it.
     """
 
     target_ids: tuple[str, ...]
@@ -61,6 +69,14 @@
     has_events: bool
     usual_gap_s: float
     allowed_s: float
+    caller_patience_s: float
+    report_lag_s: float
+
+    @property
+    def ask_after_s(self) -> float:
+        """Return the silence after which its first target is asked."""
+        times = NEXT_ASK_GAPS if self.has_events else FIRST_ASK_SHARE
+        return max(LEAST_ASK_S, times * self.allowed_s)
 
     @property
     def patience_s(self) -> float:
@@ -112,23 +128,19 @@
 Step = Wait | Ask | GiveUp
 
 
-def next_step(
-    silent_s: float, has_events: bool, asked_ago_s: float, may_resume: bool
-) -> Step:
+def next_step(stream: StreamSilence, asked_ago_s: float, may_resume: bool) -> Step:
     """Return what to do about a stream.
 
     Parameters
     ----------
-    silent_s : float
-        Seconds since its last event, or since it was sent.
     asked_ago_s : float
         Seconds since its first target was last asked, by any stream.
     may_resume : bool
         Another attempt is allowed.
     """
-    if silent_s >= GIVE_UP_S and may_resume:
+    if stream.silent_s >= GIVE_UP_SHARE * stream.caller_patience_s and may_resume:
         return GiveUp()
-    patience_s = NEXT_EVENT_S if has_events else FIRST_EVENT_S
-    if silent_s >= patience_s and asked_ago_s >= ASK_AGAIN_S:
+    asked_lately = asked_ago_s < stream.report_lag_s + ASK_AGAIN_S
+    if stream.silent_s >= stream.ask_after_s and not asked_lately:
         return Ask()
     return Wait()
--- a/radishfield/routing/_types.py
+++ b/radishfield/routing/_types.py
@@ -4,6 +4,12 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+LEAST_CALLER_PATIENCE_S = 2.0
+"""Callers of streams stay this long without an event, whatever their route says; by
+the users' page, like the two figures below."""
+OBJECTIVES_OF_PATIENCE = 4.0
+GAPS_OF_PATIENCE = 8.0
+
 
 class RouteKind(enum.StrEnum):
     """What may be repeated of a route's requests."""
@@ -68,6 +74,15 @@
     resumable: bool = False
     longest_gap_s: float = 0.0
 
+    @property
+    def caller_patience_s(self) -> float:
+        """Return for how long callers of a stream wait for its next event."""
+        return max(
+            LEAST_CALLER_PATIENCE_S,
+            OBJECTIVES_OF_PATIENCE * self.objective_s,
+            GAPS_OF_PATIENCE * self.longest_gap_s,
+        )
+
     @property
     def repeatable(self) -> bool:
         """Return whether a request that may have run may be sent again."""
@@ -107,6 +122,10 @@
         What one token passes from part to part.
     zone_mbps : float
         Rate of the link between two zones; 0 where none is named.
+    delay_ms_by_pair : mapping
+        One way between two zones, by their names in order.
+    report_lag_s : float
+        Age of what a target reports of its work.
     """
 
     model: str
@@ -126,6 +145,14 @@
     step_bytes: float = 0.0
     zone_mbps: float = 0.0
     accelerator_by_name: Mapping[str, Accelerator] = field(default_factory=dict)
+    delay_ms_by_pair: Mapping[tuple[str, str], float] = field(default_factory=dict)
+    report_lag_s: float = 0.2
+
+    def delay_ms(self, zone: str, other: str) -> float:
+        """Return the way of a token between two zones; the longest if none is named."""
+        pair = (zone, other) if zone <= other else (other, zone)
+        longest_ms = max(self.delay_ms_by_pair.values(), default=0.0)
+        return self.delay_ms_by_pair.get(pair, longest_ms)
 
     def transfer_ms(self, tokens: float) -> float:
         """Return the time for which tokens hold the link between two zones."""
--- a/radishfield/routing/admission_queue_test.py
+++ b/radishfield/routing/admission_queue_test.py
@@ -3,7 +3,10 @@
 import random
 
 from radishfield.routing import AdmissionQueue
-from radishfield.routing._admission_queue import HEAD, PATIENCE_S
+from radishfield.routing._admission_queue import HEAD, PATIENCE_SHARE
+from radishfield.routing._types import LEAST_CALLER_PATIENCE_S
+
+PATIENCE_S = PATIENCE_SHARE * LEAST_CALLER_PATIENCE_S
 
 
 def test_urgent_work_goes_first_and_equals_by_what_their_workspace_holds():
--- a/radishfield/routing/conftest.py
+++ b/radishfield/routing/conftest.py
@@ -36,6 +36,7 @@
         "step_bytes": 91800.0,
         "zone_mbps": 18000.0,
         "accelerator_by_name": CARDS,
+        "delay_ms_by_pair": {("a", "b"): 0.5, ("a", "c"): 0.5, ("b", "c"): 0.5},
     }
     return EngineSpec(**(values | changes))
 
--- /dev/null
+++ b/radishfield/routing/sizes_test.py
@@ -0,0 +1,147 @@
+"""The decisions on fleets, models and routes of quite other sizes than today's."""
+
+from dataclasses import dataclass, field, replace
+
+import pytest
+
+from radishfield.routing import (
+    Accelerator,
+    AdmissionQueue,
+    Ask,
+    Demand,
+    GiveUp,
+    LoadTable,
+    PathFinder,
+    RouteKind,
+    RouteRule,
+    ServiceShare,
+    StreamSilence,
+    covers_once,
+    next_step,
+    plan_layout,
+    plan_move,
+    targets_to_probe,
+)
+from radishfield.routing.conftest import CARDS, make_engine, make_target
+
+
+@dataclass(slots=True, frozen=True)
+class Size:
+    """A fleet: its cards in each zone, and what its model and requests are like."""
+
+    name: str
+    zones: int
+    cards: dict[str, int]
+    kinds: dict[str, Accelerator] = field(default_factory=lambda: CARDS)
+    engine: dict = field(default_factory=dict)
+    demand: Demand = Demand(774, 203)
+    least_admitted: int = 20
+
+
+TWENTY_FOLD = {
+    "fast": Accelerator("fast", 80000.0, 1.0, 1.0),
+    "slow": Accelerator("slow", 24000.0, 20.0, 20.0),
+}
+ONE_KIND = {"only": Accelerator("only", 48000.0, 3.0, 3.0)}
+SMALL_MODEL = {"layers": 32, "layer_mb": 400.0, "cache_bytes_per_token": 131072.0}
+SIZES = [
+    Size("one kind of card", 3, {"only": 8}, ONE_KIND),
+    Size("cards that differ twenty-fold", 3, {"fast": 3, "slow": 6}, TWENTY_FOLD),
+    Size("eight zones", 8, {"a100": 1, "l40s": 4, "l4": 5}),
+    Size("one zone", 1, {"a100": 2, "l40s": 4, "l4": 4}),
+    Size("three targets", 1, {"l40s": 3}, engine=SMALL_MODEL),
+    Size("three hundred targets", 6, {"a100": 5, "l40s": 15, "l4": 30}),
+    # The first target of a path takes 96 requests, however small they are.
+    Size("short prompts", 3, {"l40s": 8}, demand=Demand(30, 20), least_admitted=288),
+    Size("long prompts", 3, {"l40s": 8}, demand=Demand(6000, 500), least_admitted=10),
+]
+
+
+@pytest.mark.parametrize("size", SIZES, ids=lambda size: size.name)
+def test_a_fleet_of_any_size_is_laid_out_and_carries_requests(size):
+    """Each zone's cards together hold at least one copy of the model.
+
+    All targets get layers within their memory, every zone has a path from the
+    first request to as many as its memory holds, and nothing moves without need.
+    """
+    engine = make_engine(
+        accelerator_by_name=size.kinds, delay_ms_by_pair={}, **size.engine
+    )
+    empty = [
+        make_target(f"{zone}-{kind}-{index}", f"z{zone}", kind)
+        for zone in range(size.zones)
+        for kind, count in size.cards.items()
+        for index in range(count)
+    ]
+    plan = plan_layout(engine, empty)
+    assert len(plan) == len(empty)
+    for item in plan:
+        card = size.kinds[item.target.accelerator]
+        assert len(item.span) * engine.layer_mb < card.memory_mb
+    records = [replace(item.target, span=item.span) for item in plan]
+    assert plan_move(engine, records) is None
+    load, admitted = LoadTable(), 0
+    while admitted < size.least_admitted:
+        zone = f"z{admitted % size.zones}"
+        path = PathFinder(engine, load, zone).find(records, size.demand)
+        assert path is not None and covers_once(path, engine.layers)
+        for index, part in enumerate(path):
+            token_layers = size.demand.tokens * len(part.span)
+            load.started(part.target_id, token_layers, index == 0)
+        admitted += 1
+
+
+def route(objective_s, gap_s):
+    return RouteRule(
+        name="r",
+        host="h",
+        path_prefix="/",
+        kind=RouteKind.STREAM,
+        timeout_s=60.0,
+        objective_s=objective_s,
+        priority=1,
+        shares=(ServiceShare("pool", 1.0),),
+        max_attempts=2,
+        resumable=True,
+        longest_gap_s=gap_s,
+    )
+
+
+@pytest.mark.parametrize("objective_s", [0.06, 0.5, 5.0])
+@pytest.mark.parametrize("gap_s", [0.05, 0.2, 2.0])
+@pytest.mark.parametrize("has_events", [False, True])
+def test_a_silent_stream_is_probed_then_asked_about_then_given_up(
+    objective_s, gap_s, has_events
+):
+    """Whatever callers want, each step comes before the next, and all in time.
+
+    The targets are probed while the answer can still be on time, and the stream
+    goes on elsewhere before its caller leaves.
+    """
+    rule = route(objective_s, gap_s)
+    allowed_s = gap_s if has_events else objective_s
+    seen = []
+    for tick in range(1, 3000):
+        silent_s = tick * 0.01
+        stream = StreamSilence(
+            ("a",), silent_s, has_events, 0.0, allowed_s, rule.caller_patience_s, 0.2
+        )
+        if targets_to_probe([stream]) and "probe" not in seen:
+            seen.append("probe")
+            assert silent_s <= 0.5 * allowed_s + 0.01
+        match next_step(stream, asked_ago_s=9.0, may_resume=True):
+            case Ask() if "ask" not in seen:
+                seen.append("ask")
+            case GiveUp():
+                assert silent_s < rule.caller_patience_s
+                break
+    assert seen == ["probe", "ask"]
+
+
+@pytest.mark.parametrize("objective_s", [0.06, 0.5, 5.0])
+def test_nobody_waits_in_line_beyond_the_callers_patience(objective_s):
+    rule = route(objective_s, 0.2)
+    line = AdmissionQueue()
+    entry = line.join(1, "w", 0.0, rule.caller_patience_s)
+    assert not line.has_expired(entry, 0.2 * rule.caller_patience_s)
+    assert line.has_expired(entry, 0.8 * rule.caller_patience_s)
--- a/radishfield/routing/small_test.py
+++ b/radishfield/routing/small_test.py
@@ -163,24 +163,32 @@
     assert choose([record], LoadTable(), FailureRates(), tried={"only"}) is None
 
 
+def step(silent_s, has_events, asked_ago_s, may_resume, allowed_s=None):
+    allowed_s = allowed_s or (0.2 if has_events else 0.5)
+    stream = StreamSilence((), silent_s, has_events, 0.03, allowed_s, 2.0, 0.2)
+    return next_step(stream, asked_ago_s, may_resume)
+
+
 def test_a_stream_that_flows_is_left_alone():
-    assert next_step(0.1, True, 9.0, True) == Wait()
+    assert step(0.1, True, 9.0, True) == Wait()
 
 
 def test_a_silent_stream_is_asked_about_before_it_is_given_up():
-    assert next_step(0.4, True, 9.0, True) == Ask()
-    assert next_step(0.2, False, 9.0, True) == Wait()
-    assert next_step(0.4, False, 9.0, True) == Ask()
-    assert next_step(0.9, True, 0.1, True) == Wait()
-    assert next_step(1.4, True, 0.1, True) == GiveUp()
+    assert step(0.4, True, 9.0, True) == Ask()
+    assert step(0.2, False, 9.0, True) == Wait()
+    assert step(0.4, False, 9.0, True) == Ask()
+    assert step(0.9, True, 0.1, True) == Wait()
+    assert step(1.4, True, 0.1, True) == GiveUp()
 
 
 def test_a_stream_that_may_not_resume_is_never_given_up():
-    assert next_step(9.0, True, 0.1, False) == Wait()
+    assert step(9.0, True, 0.1, False) == Wait()
 
 
 def quiet(target_ids, silent_s, usual_gap_s=0.03, has_events=True):
-    return StreamSilence(tuple(target_ids), silent_s, has_events, usual_gap_s, 0.2)
+    return StreamSilence(
+        tuple(target_ids), silent_s, has_events, usual_gap_s, 0.2, 2.0, 0.2
+    )
 
 
 def test_nothing_is_probed_while_streams_flow():
