Leave streams in peace whose route names no times

Cause (by reading the change): a route may name no longest pause or no objective; taken for zero, the targets of each of its streams were probed at every look, ten times a second each, and its first target asked four times a second. Change: where a time is missing, what the callers' least patience implies is used. Test: sizes_test.py (failed before: probed after a millisecond of silence).

--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -103,7 +103,7 @@
             silent_s=now - self.heard_at,
             has_events=self.has_events,
             usual_gap_s=self.usual_gap_s,
-            allowed_s=route.longest_gap_s if self.has_events else route.objective_s,
+            allowed_s=route.allowed_silence_s(self.has_events),
             caller_patience_s=route.caller_patience_s,
             report_lag_s=self.engine.report_lag_s if self.engine else 0.0,
         )
--- a/radishfield/routing/_types.py
+++ b/radishfield/routing/_types.py
@@ -83,6 +83,16 @@
             GAPS_OF_PATIENCE * self.longest_gap_s,
         )
 
+    def allowed_silence_s(self, has_events: bool) -> float:
+        """Return the longest silence of a stream that is still on time.
+
+        A route may name neither time.  Taken for none at all, each stream's targets
+        would be probed without a pause; so it is what the least patience implies.
+        """
+        if has_events:
+            return self.longest_gap_s or LEAST_CALLER_PATIENCE_S / GAPS_OF_PATIENCE
+        return self.objective_s or LEAST_CALLER_PATIENCE_S / OBJECTIVES_OF_PATIENCE
+
     @property
     def repeatable(self) -> bool:
         """Return whether a request that may have run may be sent again."""
--- a/radishfield/routing/sizes_test.py
+++ b/radishfield/routing/sizes_test.py
@@ -16,6 +16,7 @@
     RouteRule,
     ServiceShare,
     StreamSilence,
+    Wait,
     covers_once,
     next_step,
     plan_layout,
@@ -138,6 +139,19 @@
     assert seen == ["probe", "ask"]
 
 
+@pytest.mark.parametrize("has_events", [False, True])
+def test_a_route_that_names_no_times_has_its_streams_left_in_peace(has_events):
+    """An operator leaves out how long an event may take.
+
+    Taken for zero, the targets of every stream were probed without a pause.
+    """
+    allowed_s = route(0.0, 0.0).allowed_silence_s(has_events)
+    for silent_s in (0.001, 0.05):
+        stream = StreamSilence(("a",), silent_s, has_events, 0.0, allowed_s, 2.0, 0.2)
+        assert targets_to_probe([stream]) == set()
+        assert next_step(stream, 9.0, True) == Wait()
+
+
 @pytest.mark.parametrize("objective_s", [0.06, 0.5, 5.0])
 def test_nobody_waits_in_line_beyond_the_callers_patience(objective_s):
     rule = route(objective_s, 0.2)
