Keep paths in their zone where a service names no delays

Cause (by reading the change): with delays read from the configuration, a service that names none had zones no further apart than the own targets, and requests crossed to whichever zone came first; before, half a millisecond stood there for every service. Change: where none is named, that half millisecond holds. Test: paths_test.py (failed with no fallback).

--- a/radishfield/routing/_types.py
+++ b/radishfield/routing/_types.py
@@ -10,6 +10,10 @@
 OBJECTIVES_OF_PATIENCE = 4.0
 GAPS_OF_PATIENCE = 8.0
 
+UNNAMED_DELAY_MS = 0.5
+"""Way between two zones where a service names none, as between halls of one city.
+Without it another zone's targets would be as near as the own ones."""
+
 
 class RouteKind(enum.StrEnum):
     """What may be repeated of a route's requests."""
@@ -161,7 +165,7 @@
     def delay_ms(self, zone: str, other: str) -> float:
         """Return the way of a token between two zones; the longest if none is named."""
         pair = (zone, other) if zone <= other else (other, zone)
-        longest_ms = max(self.delay_ms_by_pair.values(), default=0.0)
+        longest_ms = max(self.delay_ms_by_pair.values(), default=UNNAMED_DELAY_MS)
         return self.delay_ms_by_pair.get(pair, longest_ms)
 
     def transfer_ms(self, tokens: float) -> float:
--- a/radishfield/routing/paths_test.py
+++ b/radishfield/routing/paths_test.py
@@ -51,6 +51,22 @@
         assert len({part.target_id[0] for part in path}) == 1
 
 
+def test_a_path_stays_in_its_zone_where_no_delays_are_named():
+    """A service leaves out the ways between its zones.
+
+    Taken for none, requests would cross to whichever zone is named first.
+    """
+    engine = make_engine(delay_ms_by_pair={})
+    records = [
+        make_target(f"{zone}-{index}", zone, "l40s", (index * 16, index * 16 + 16))
+        for zone in "abc"
+        for index in range(5)
+    ]
+    for zone in "abc":
+        path = PathFinder(engine, LoadTable(), zone).find(records, USUAL)
+        assert {part.target_id[0] for part in path} == {zone}
+
+
 def test_any_one_target_may_die_and_each_zone_still_has_a_path(engine):
     """One card dies, the zone's only large one among them.
 
