--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -161,18 +161,28 @@
                 await trio.sleep(TICK_S)
                 if self._clock.now() - looked_at >= TICK_S + LATE_TICK_S:
                     continue
-                self._look()
-                self._probe_quiet()
+                silence_by_stream = self._silences()
+                self._look(silence_by_stream)
+                self._probe_quiet(silence_by_stream)
                 self._ask_lost()
                 self._measure_zones()
 
-    def _probe_quiet(self) -> None:
+    def _silences(self) -> dict[ActiveStream, StreamSilence]:
+        """Return how each stream stands whose path is not being changed."""
+        now = self._clock.now()
+        return {
+            stream: stream.silence(now) for stream in self._streams if not stream.moving
+        }
+
+    def _probe_quiet(
+        self, silence_by_stream: dict[ActiveStream, StreamSilence]
+    ) -> None:
         """Probe the targets whose streams have all fallen silent."""
         now = self._clock.now()
         silences = [
-            stream.silence(now)
-            for stream in self._streams
-            if stream.engine is not None and not stream.moving
+            silence
+            for stream, silence in silence_by_stream.items()
+            if stream.engine is not None
         ]
         for target_id in targets_to_probe(silences):
             if now - self._probed_at_by_id.get(target_id, -1e9) < PROBE_AGAIN_S:
@@ -235,14 +245,11 @@
             self._view.directory.asked(target_id, now)
             self._nursery.start_soon(self._ask, target_id)
 
-    def _look(self) -> None:
+    def _look(self, silence_by_stream: dict[ActiveStream, StreamSilence]) -> None:
         now = self._clock.now()
-        for stream in list(self._streams):
-            if stream.moving:
-                continue
+        for stream, silence in silence_by_stream.items():
             first_id = stream.path[0].target_id
             asked_ago_s = now - self._asked_at_by_id.get(first_id, -1e9)
-            silence = stream.silence(now)
             match next_step(silence, asked_ago_s, stream.may_resume):
                 case Ask() if stream.engine is not None:
                     self._asked_at_by_id[first_id] = now
--- a/radishfield/platform/_config.py
+++ b/radishfield/platform/_config.py
@@ -16,6 +16,7 @@
     ServiceShare,
     ServiceSpec,
     Workspace,
+    pair_of,
 )
 
 Count = Annotated[int, msgspec.Meta(ge=0)]
@@ -190,8 +191,7 @@
             for card in raw.kinds
         },
         delay_ms_by_pair={
-            (min(way.zone, way.other), max(way.zone, way.other)): way.delay_ms
-            for way in raw.delays
+            pair_of(way.zone, way.other): way.delay_ms for way in raw.delays
         },
         report_lag_s=raw.report_lag_ms / 1000,
     )
--- a/radishfield/routing/_types.py
+++ b/radishfield/routing/_types.py
@@ -4,6 +4,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from radishfield.routing._links import Pair, pair_of
+
 LEAST_CALLER_PATIENCE_S = 2.0
 """Callers of streams stay this long without an event, whatever their route says; by
 the users' page, like the two figures below."""
@@ -159,14 +161,13 @@
     step_bytes: float = 0.0
     zone_mbps: float = 0.0
     accelerator_by_name: Mapping[str, Accelerator] = field(default_factory=dict)
-    delay_ms_by_pair: Mapping[tuple[str, str], float] = field(default_factory=dict)
+    delay_ms_by_pair: Mapping[Pair, float] = field(default_factory=dict)
     report_lag_s: float = 0.2
 
     def delay_ms(self, zone: str, other: str) -> float:
         """Return the way of a token between two zones; the longest if none is named."""
-        pair = (zone, other) if zone <= other else (other, zone)
         longest_ms = max(self.delay_ms_by_pair.values(), default=UNNAMED_DELAY_MS)
-        return self.delay_ms_by_pair.get(pair, longest_ms)
+        return self.delay_ms_by_pair.get(pair_of(zone, other), longest_ms)
 
     def transfer_ms(self, tokens: float) -> float:
         """Return the time for which tokens hold the link between two zones."""
