--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -47,8 +47,8 @@
 LONGEST_COALESCE_S = 0.6
 """Pause that a storm grows to, doubled from change to change: two calls a second, and
 each change in force well within the two seconds that operators allow."""
-DUTY_LOOK_S = 0.1
-"""How often a host that asks nothing looks whether it has to."""
+LEAST_DUTY_LOOK_S = 0.1
+"""Shortest pause between two looks of a host that asks nothing whether it has to."""
 LOST_WATCH_S = 0.0
 """Wait of a watch after failures.  One that waits is answered only when something
 changes: a store that is back would confirm nothing for as long, and keys would be
@@ -63,7 +63,7 @@
     __slots__ = (
         "_chance",
         "_failures",
-        "_is_due",
+        "_due_in_s",
         "_kind",
         "_revision",
         "_store",
@@ -77,10 +77,10 @@
         view: RouterView,
         kind: str,
         wait_s: Callable[[], float],
-        is_due: Callable[[], bool],
+        due_in_s: Callable[[], float],
     ):
         self._wait_s = wait_s
-        self._is_due = is_due
+        self._due_in_s = due_in_s
         self._store = store
         self._view = view
         self._kind = kind
@@ -100,9 +100,11 @@
         """
         pause_s = COALESCE_S
         while True:
-            if not self._is_due():
+            due_in_s = self._due_in_s()
+            if due_in_s > 0.0:
                 self._revision = None
-                await trio.sleep(DUTY_LOOK_S)
+                with trio.move_on_after(max(due_in_s, LEAST_DUTY_LOOK_S)):
+                    await self._view.followers_woken.wait()
                 continue
             asked_at = self._view.clock.now()
             # A sign that comes while this call still fails must not be missed.
@@ -170,7 +172,7 @@
     ):
         self._view = view
         self._follower = StoreFollower(
-            store, view, CONFIG_KIND, self._wait_s, self._is_due
+            store, view, CONFIG_KIND, self._wait_s, self._due_in_s
         )
         self._on_limits = on_limits
 
@@ -179,19 +181,19 @@
         share = SHARED_CONFIG_WATCH_SHARE if shared else CONFIG_WATCH_SHARE
         return self._view.freshness.bound_s * share
 
-    def _is_due(self) -> bool:
+    def _due_in_s(self) -> float:
         view, now = self._view, self._view.clock.now()
         table = view.table
-        due = view.watch_duty.reads_config(
+        due_in_s = view.watch_duty.config_due_in_s(
             view.freshness.age_s(now),
             view.freshness.bound_s,
             table.config.version if table else 0,
         )
-        if not due:
+        if due_in_s > 0.0:
             view.watch_duty.reading_since = None
         elif view.watch_duty.reading_since is None:
             view.watch_duty.reading_since = now
-        return due
+        return due_in_s
 
     async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED):
         """Follow until cancelled."""
@@ -262,14 +264,14 @@
     def __init__(self, store: ObjectStore, view: RouterView):
         self._view = view
         self._follower = StoreFollower(
-            store, view, TARGETS_KIND, lambda: TARGETS_WATCH_S, self._is_due
+            store, view, TARGETS_KIND, lambda: TARGETS_WATCH_S, self._due_in_s
         )
         self._revision_by_id: dict[str, int] = {}
         self._listed_revision = 0
         view.hear_news = self._hear_news
 
-    def _is_due(self) -> bool:
-        return self._view.watch_duty.reads_targets(self._view.clock.now())
+    def _due_in_s(self) -> float:
+        return self._view.watch_duty.targets_due_in_s(self._view.clock.now())
 
     async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED):
         """Follow until cancelled."""
@@ -314,7 +316,7 @@
             if changed and self._view.watch_duty.shared:
                 spec = None if change.deleted else value.spec
                 revision = self._revision_by_id[value.name]
-                self._view.news.append(TargetNews(value.name, revision, spec))
+                self._view.news.add(TargetNews(value.name, revision, spec))
         if changes.changes:
             self._view.free_room()
 
--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -8,12 +8,12 @@
 
 import math
 import random
-import socket
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import msgspec
 import trio
 
+from radishfield.forwarding._datagrams import DatagramSocket
 from radishfield.forwarding._peer_finder import PeerFinder, split_peer_address
 from radishfield.forwarding._peer_messages import (
     DATAGRAM_BYTES,
@@ -40,7 +40,6 @@
     pair_of,
 )
 from radishfield.telemetry import DeferredTelemetry, log_event
-from radishfield.web import split_address
 
 GOSSIP_PERIOD_S = 0.25
 """Between two statuses a host starts one or two requests; later, hosts of a zone
@@ -72,9 +71,9 @@
         "_finder",
         "_host_id",
         "_round",
+        "_socket",
         "_view",
         "malformed",
-        "sent_bytes",
     )
 
     def __init__(
@@ -90,13 +89,20 @@
         self._finder = PeerFinder(host_id, address, store, view, self._book)
         self._round = 0
         self._began_at = view.clock.now()
+        self._socket: DatagramSocket | None = None
         self.malformed = 0
-        self.sent_bytes = 0
 
     def watch_counters(self, telemetry: DeferredTelemetry) -> None:
         """Export what is counted here; a datagram that can't be read leaves no line."""
         telemetry.watch(
-            "peer_bytes_sent", "Bytes to other hosts.", lambda: self.sent_bytes
+            "peer_bytes_sent",
+            "Bytes to other hosts.",
+            lambda: self._socket.sent_bytes if self._socket else 0,
+        )
+        telemetry.watch(
+            "peer_dropped",
+            "Datagrams to other hosts that found no room in this host's buffer.",
+            lambda: self._socket.dropped if self._socket else 0,
         )
         telemetry.watch(
             "peer_malformed",
@@ -106,16 +112,15 @@
 
     async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED):
         """Talk until cancelled."""
-        with trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-            await sock.bind(split_address(self._address))
+        with DatagramSocket(self._address, DATAGRAM_BYTES) as self._socket:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._receive, sock)
-                nursery.start_soon(self._send_statuses, sock)
-                nursery.start_soon(self._send_news, sock)
+                nursery.start_soon(self._receive)
+                nursery.start_soon(self._send_statuses)
+                nursery.start_soon(self._send_news)
                 nursery.start_soon(self._finder.find)
                 task_status.started()
 
-    async def _send_statuses(self, sock) -> None:
+    async def _send_statuses(self) -> None:
         while True:
             await trio.sleep(GOSSIP_PERIOD_S * self._chance.uniform(0.9, 1.1))
             self._round += 1
@@ -124,12 +129,12 @@
             status = self._status()
             recipients = self._recipients()
             self._view.load.told_own(self._view.clock.now())
-            await self._send(sock, status, recipients)
+            self._send(status, recipients)
             if self._view.watch_duty.on_duty and self._view.watch_duty.shared:
-                await self._send_sums(sock, recipients)
+                self._send_sums(recipients)
             self._view.load.add_up(self._view.zone, self._view.clock.now())
 
-    async def _send_sums(self, sock, recipients: list[Peer]) -> None:
+    def _send_sums(self, recipients: list[Peer]) -> None:
         """Add up the work of the zone, and tell it with that of other zones."""
         load, now, zone = self._view.load, self._view.clock.now(), self._view.zone
         load.take_sum(zone, ZoneSum(now, load.sum_of(self._book.near())))
@@ -140,29 +145,22 @@
             if len(data) > DATAGRAM_BYTES:
                 log_event("sum.too_long", zone=each, bytes=len(data))
                 continue
-            await self._send(sock, data, near)
+            self._send(data, near)
             if each == zone and self._round % SUMS_EVERY == 0:
-                await self._send(sock, data, self._book.far_watchers())
+                self._send(data, self._book.far_watchers())
 
-    async def _send_news(self, sock) -> None:
+    async def _send_news(self) -> None:
         """Pass on what the store told, to every host of the zone."""
         while True:
+            await self._view.news.wait()
             await trio.sleep(NEWS_PERIOD_S)
-            if not self._view.news:
-                continue
-            items, self._view.news = self._view.news, []
-            now = self._view.clock.now()
-            near = self._book.present_near(now)
+            items = self._view.news.take()
+            near = self._book.present_near(self._view.clock.now())
             for datagram in news_datagrams(items):
-                await self._send(sock, datagram, near)
+                self._send(datagram, near)
 
-    async def _send(self, sock, data: bytes, peers: list[Peer]) -> None:
-        for peer in peers:
-            try:
-                await sock.sendto(data, peer.address)
-                self.sent_bytes += len(data)
-            except OSError as problem:
-                log_event("peer.unreachable", peer=peer.address[0], detail=str(problem))
+    def _send(self, data: bytes, peers: Iterable[Peer]) -> None:
+        self._socket.send(data, [peer.address for peer in peers])
 
     def _status(self) -> bytes:
         now = self._view.clock.now()
@@ -217,24 +215,22 @@
         now = self._view.clock.now()
         return self._book.recipients(self._round, now, bool(self._duties()))
 
-    async def _receive(self, sock) -> None:
+    async def _receive(self) -> None:
         while True:
-            try:
-                data, _ = await sock.recvfrom(DATAGRAM_BYTES)
-            except OSError as problem:
-                # A host without a listener answers a datagram with an error here.
-                log_event("peer.error", detail=str(problem))
-                continue
-            try:
-                match decoder.decode(data):
-                    case PeerNews(items):
-                        self._view.hear_news(items)
-                    case PeerSum() as told:
-                        self._take_sum(told)
-                    case PeerStatus() as status:
-                        self._take(status, split_peer_address(status.address))
-            except (msgspec.DecodeError, ValueError):
-                self.malformed += 1
+            for data in await self._socket.receive():
+                self._hear(data)
+
+    def _hear(self, data: bytes) -> None:
+        try:
+            match decoder.decode(data):
+                case PeerNews(items):
+                    self._view.hear_news(items)
+                case PeerSum() as told:
+                    self._take_sum(told)
+                case PeerStatus() as status:
+                    self._take(status, split_peer_address(status.address))
+        except (msgspec.DecodeError, ValueError):
+            self.malformed += 1
 
     def _take_sum(self, told: PeerSum) -> None:
         at = self._view.clock.now() - max(0.0, told.age_s)
@@ -256,7 +252,8 @@
         if status.store_silent_s >= 0:
             peer.store_silent_s = status.store_silent_s
         peer.watches = status.watches
-        self._view.watch_duty.heard_version(status.config_version)
+        if self._view.watch_duty.heard_version(status.config_version):
+            self._view.wake_followers()
         echoed_at = self._echoed_at(status, now)
         if echoed_at is not None:
             self._merge_freshness(status, echoed_at)
@@ -336,6 +333,7 @@
         """Share the duty among the hosts of the zone."""
         near = self._book.zone_hosts(now)
         if self._view.watch_duty.assign(self._host_id, near):
+            self._view.wake_followers()
             log_event(
                 "watch.duty",
                 on_duty=self._view.watch_duty.on_duty,
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -63,6 +63,31 @@
     use_by_service_by_host: dict[str, dict[str, RetryUse]] = field(default_factory=dict)
 
 
+class NewsBox:
+    """What the store told of targets since the other hosts were told last."""
+
+    __slots__ = ("_came", "_items")
+
+    def __init__(self):
+        self._items: list[TargetNews] = []
+        self._came = trio.Event()
+
+    def add(self, item: TargetNews) -> None:
+        """Put in what is to be told."""
+        self._items.append(item)
+        self._came.set()
+
+    async def wait(self) -> None:
+        """Wait until there is something to tell."""
+        await self._came.wait()
+
+    def take(self) -> list[TargetNews]:
+        """Take all of it out."""
+        items, self._items = self._items, []
+        self._came = trio.Event()
+        return items
+
+
 @dataclass(slots=True)
 class RouterView:
     """Shared by all services of the process; only the followers and peers write it.
@@ -76,8 +101,8 @@
         What the hosts that were heard lately say.
     full_by_id : dict
         Targets that refused work for want of room, left out for a moment.
-    news : list of TargetNews
-        What the store told of targets since the other hosts were told last.
+    news : NewsBox
+        What is to be told to the other hosts of the zone.
     targets_confirmed_at : float
         When the store was last asked for the targets, of the calls it answered.
     hear_news : callable
@@ -88,6 +113,8 @@
         Set, and replaced, whenever waiting requests should look again.
     store_back : trio.Event
         Set, and replaced, when there is a sign that the store is reached again.
+    followers_woken : trio.Event
+        Set, and replaced, when followers should look whether to ask the store.
     """
 
     zone: str
@@ -106,9 +133,10 @@
     chance: random.Random = field(default_factory=random.Random)
     room_freed: trio.Event = field(default_factory=trio.Event)
     store_back: trio.Event = field(default_factory=trio.Event)
+    followers_woken: trio.Event = field(default_factory=trio.Event)
     peers: PeerView = field(default_factory=PeerView)
     watch_duty: WatchDuty = field(default_factory=WatchDuty)
-    news: list[TargetNews] = field(default_factory=list)
+    news: NewsBox = field(default_factory=NewsBox)
     targets_confirmed_at: float = -math.inf
     hear_news: Callable[[list[TargetNews]], None] = lambda items: None
     full_by_id: dict[str, FullTarget] = field(default_factory=dict)
@@ -225,6 +253,11 @@
         event, self.store_back = self.store_back, trio.Event()
         event.set()
 
+    def wake_followers(self) -> None:
+        """Have the followers look at once whether they have to ask the store."""
+        event, self.followers_woken = self.followers_woken, trio.Event()
+        event.set()
+
     def free_room(self) -> None:
         """Wake the requests that wait for a target."""
         event, self.room_freed = self.room_freed, trio.Event()
--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -18,13 +18,17 @@
     StreamSilence,
     TargetRecord,
     TargetReport,
+    next_look_s,
     next_step,
     targets_to_probe,
 )
 from radishfield.telemetry import log_event
 
 TICK_S = 0.03
-"""Half of the shortest silence that is acted on."""
+"""Shortest pause between two looks: half of the shortest silence that is acted on."""
+LONGEST_TICK_S = 0.1
+"""A stream that begins right after a look is not silent for longer than this before
+the next one; lost targets are asked as soon."""
 LATE_TICK_S = 0.05
 """A look that comes this late says that this process was held up: events lie unread
 in its sockets, and every stream would seem silent."""
@@ -156,16 +160,21 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             task_status.started()
+            pause_s = TICK_S
             while True:
                 looked_at = self._clock.now()
-                await trio.sleep(TICK_S)
-                if self._clock.now() - looked_at >= TICK_S + LATE_TICK_S:
+                await trio.sleep(pause_s)
+                if self._clock.now() - looked_at >= pause_s + LATE_TICK_S:
                     continue
                 silence_by_stream = self._silences()
                 self._look(silence_by_stream)
                 self._probe_quiet(silence_by_stream)
-                self._ask_lost()
+                more_lost = self._ask_lost()
                 self._measure_zones()
+                silences = silence_by_stream.values()
+                pause_s = next_look_s(silences, TICK_S, LONGEST_TICK_S)
+                if more_lost:
+                    pause_s = TICK_S
 
     def _silences(self) -> dict[ActiveStream, StreamSilence]:
         """Return how each stream stands whose path is not being changed."""
@@ -238,12 +247,20 @@
             self._lose_first(target_id, f"probe: {report.error.detail}")
             self._lose_part(record.address)
 
-    def _ask_lost(self) -> None:
-        """Ask targets that are left out whether they answer again."""
+    def _ask_lost(self) -> bool:
+        """Ask targets that are left out whether they answer again.
+
+        Returns
+        -------
+        bool
+            Whether more of them are due than are asked in one look.
+        """
         now = self._clock.now()
-        for target_id in self._view.directory.to_ask(now)[:ASKED_AT_ONCE]:
+        due = self._view.directory.to_ask(now)
+        for target_id in due[:ASKED_AT_ONCE]:
             self._view.directory.asked(target_id, now)
             self._nursery.start_soon(self._ask, target_id)
+        return len(due) > ASKED_AT_ONCE
 
     def _look(self, silence_by_stream: dict[ActiveStream, StreamSilence]) -> None:
         now = self._clock.now()
--- a/radishfield/routing/__init__.py
+++ b/radishfield/routing/__init__.py
@@ -34,6 +34,7 @@
     Step,
     StreamSilence,
     Wait,
+    next_look_s,
     next_step,
     targets_to_probe,
 )
@@ -113,6 +114,7 @@
     "covers_once",
     "crossing_ms",
     "event_ids",
+    "next_look_s",
     "next_step",
     "pair_of",
     "plan_layout",
--- a/radishfield/routing/_silence.py
+++ b/radishfield/routing/_silence.py
@@ -110,6 +110,22 @@
     }
 
 
+def next_look_s(
+    streams: Iterable[StreamSilence], shortest_s: float, longest_s: float
+) -> float:
+    """Return after how long the next look at the streams can find one too silent.
+
+    Load pattern: most hosts of a large fleet hold two or three streams that all go
+    well.  Looking thirty times a second finds nothing and is a tenth of what such a
+    host spends; a stream that was just heard can't be too silent before its
+    patience is over.
+    """
+    due_s = min(
+        (item.patience_s - item.silent_s for item in streams), default=longest_s
+    )
+    return min(longest_s, max(shortest_s, due_s))
+
+
 @dataclass(slots=True, frozen=True)
 class Wait:
     """Nothing is to be done."""
--- a/radishfield/routing/_watch_duty.py
+++ b/radishfield/routing/_watch_duty.py
@@ -91,9 +91,11 @@
         self.on_duty = own_id in sorted([own_id, *able])[:WATCHERS_PER_ZONE]
         return self.on_duty != before
 
-    def heard_version(self, version: int) -> None:
-        """Note a version of the configuration that another host has."""
+    def heard_version(self, version: int) -> bool:
+        """Note a version that another host has; return whether it is a newer one."""
+        newer = version > self.newest_version
         self.newest_version = max(self.newest_version, version)
+        return newer
 
     def told(self, same_targets: bool, list_age_s: float, now: float) -> None:
         """Take a watcher's word on its list of targets."""
@@ -104,14 +106,17 @@
         """Note that this host read the list itself: as good as a watcher's word."""
         self.agreed_at = now
 
-    def reads_targets(self, now: float) -> bool:
-        """Return whether this host has to ask the store for the targets."""
+    def targets_due_in_s(self, now: float) -> float:
+        """Return after how long this host has to ask the store for the targets.
+
+        Zero or less is at once; being told something meanwhile puts it off.
+        """
         if self.on_duty or self.agreed_at is None:
-            return True
-        return now - self.agreed_at >= AGREEMENT_S
+            return 0.0
+        return self.agreed_at + AGREEMENT_S - now
 
-    def reads_config(self, age_s: float, bound_s: float, version: int) -> bool:
-        """Return whether this host has to ask the store for the configuration."""
+    def config_due_in_s(self, age_s: float, bound_s: float, version: int) -> float:
+        """Return after how long it has to ask for the configuration, likewise."""
         if self.on_duty or version < self.newest_version:
-            return True
-        return age_s >= bound_s * CONFIG_AGE_SHARE
+            return 0.0
+        return bound_s * CONFIG_AGE_SHARE - age_s
--- a/radishfield/routing/small_test.py
+++ b/radishfield/routing/small_test.py
@@ -18,6 +18,7 @@
     Wait,
     choose_target,
     event_ids,
+    next_look_s,
     next_step,
     takes_work,
     targets_to_probe,
@@ -257,3 +258,16 @@
         at += size
     assert passed == whole
     assert event_ids(passed) == numbers
+
+
+def test_next_look_comes_when_the_first_stream_could_be_too_silent():
+    # Looking more often finds nothing; later, a pause that is still on time is lost.
+    flowing = quiet("a", silent_s=0.01)
+    due_s = flowing.patience_s - flowing.silent_s
+    assert next_look_s([flowing], 0.03, 0.1) == pytest.approx(due_s)
+    overdue = quiet("b", silent_s=1.0)
+    assert next_look_s([flowing, overdue], 0.03, 0.1) == 0.03
+
+
+def test_host_without_streams_looks_at_the_longest_pause():
+    assert next_look_s([], 0.03, 0.1) == 0.1
--- a/radishfield/routing/watch_duty_test.py
+++ b/radishfield/routing/watch_duty_test.py
@@ -48,27 +48,27 @@
     """News of a target that leaves is lost; the lists differ, and are read again."""
     duty = WatchDuty()
     duty.assign("d", hosts("a", "b", "c"))
-    assert duty.reads_targets(100.0)
+    assert duty.targets_due_in_s(100.0) <= 0
     duty.told(True, 1.0, 100.0)
-    assert not duty.reads_targets(101.0)
+    assert duty.targets_due_in_s(101.0) > 0
     duty.told(False, 1.0, 101.0)
     duty.told(True, 9.0, 101.1)
     duty.told(True, -1.0, 101.1)
-    assert duty.reads_targets(101.3)
+    assert duty.targets_due_in_s(101.3) <= 0
 
 
 def test_a_host_that_nobody_tells_reads_again_and_again():
     duty = WatchDuty()
     duty.assign("d", hosts("a", "b", "c"))
     duty.read_targets(100.0)
-    assert not duty.reads_targets(101.0)
-    assert duty.reads_targets(101.3)
+    assert duty.targets_due_in_s(101.0) > 0
+    assert duty.targets_due_in_s(101.3) <= 0
 
 
 def test_a_configuration_is_read_when_a_newer_one_is_heard_of_or_none_confirms_it():
     duty = WatchDuty()
     duty.assign("d", hosts("a", "b", "c"))
-    assert not duty.reads_config(2.5, 5.0, 7)
-    assert duty.reads_config(3.1, 5.0, 7)
+    assert duty.config_due_in_s(2.5, 5.0, 7) > 0
+    assert duty.config_due_in_s(3.1, 5.0, 7) <= 0
     duty.newest_version = 8
-    assert duty.reads_config(0.1, 5.0, 7)
+    assert duty.config_due_in_s(0.1, 5.0, 7) <= 0
