--- a/radishfield/forwarding/_placer.py
+++ b/radishfield/forwarding/_placer.py
@@ -7,6 +7,7 @@
 host that has lost the lease without knowing, does not fit any more.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import trio
@@ -21,6 +22,7 @@
     EngineSpec,
     ServiceSpec,
     TargetRecord,
+    next_loads,
     plan_layout,
     plan_move,
 )
@@ -48,10 +50,24 @@
 orders it names keeps it from undoing the one that follows."""
 
 
+LOAD_SLACK = 2.0
+"""Times the usual length of a load after which one that has not shown in the list
+is no longer waited for: it was refused, or its target is gone."""
+
+
 @dataclass(slots=True)
 class _Ordered:
+    """What a target was ordered last.
+
+    Attributes
+    ----------
+    loads_until : float
+        Time by which its load has surely ended.
+    """
+
     incarnation: tuple[str, int]
     again_at: float
+    loads_until: float
 
 
 @dataclass(slots=True, frozen=True)
@@ -164,10 +180,29 @@
         if not await state.lease.hold():
             return
         # The list may have changed while the store was asked.
-        wanted = self._wanted(service, engine, state, self._view.clock.now())
+        now = self._view.clock.now()
+        wanted = self._wanted(service, engine, state, now)
+        if not self._fleet_starts(service.name, wanted):
+            loading = self._loading(service.name, now)
+            wanted = next_loads(wanted, loading, engine.concurrent_loads)
         async with trio.open_nursery() as nursery:
             for assignment in wanted:
-                nursery.start_soon(self._order, state.lease, assignment)
+                nursery.start_soon(self._order, state.lease, engine, assignment)
+
+    def _loading(self, service: str, now: float) -> int:
+        """Return how many targets load what this host ordered."""
+        return sum(
+            record.span is None
+            and (ordered := self._ordered_by_id.get(record.id)) is not None
+            and ordered.incarnation == record.incarnation
+            and now < ordered.loads_until
+            for record in self._view.directory.listed(service)
+        )
+
+    def _fleet_starts(self, service: str, wanted: Sequence[Assignment]) -> bool:
+        """Return whether so much is empty that nothing can be served meanwhile."""
+        listed = len(self._view.directory.listed(service))
+        return len(wanted) > START_SHARE * listed
 
     def _is_settled(
         self, service: str, state: _ServiceState, wanted: list[Assignment], now: float
@@ -180,8 +215,7 @@
         elif not ids <= unplaced.ids:
             unplaced = _Unplaced(ids, unplaced.since, now)
         state.unplaced = unplaced
-        listed = len(self._view.directory.listed(service))
-        if len(wanted) <= START_SHARE * listed:
+        if not self._fleet_starts(service, wanted):
             return True
         settled = now - unplaced.grown_at >= SETTLE_S
         return settled or now - unplaced.since >= LONGEST_SETTLE_S
@@ -200,7 +234,7 @@
         if not await state.lease.hold():
             return
         state.next_move_at = now + MOVE_PAUSE_S
-        await self._order(state.lease, wanted.assignment)
+        await self._order(state.lease, engine, wanted.assignment)
 
     def _best_move(
         self, service: ServiceSpec, engine: EngineSpec, state: _ServiceState, now: float
@@ -243,10 +277,14 @@
             return not self._view.directory.suspected(target.id, now)
         return now >= before.again_at
 
-    async def _order(self, lease: PlacementLease, assignment: Assignment) -> None:
-        target = assignment.target
-        again_at = self._view.clock.now() + ORDER_AGAIN_S
-        self._ordered_by_id[target.id] = _Ordered(target.incarnation, again_at)
+    async def _order(
+        self, lease: PlacementLease, engine: EngineSpec, assignment: Assignment
+    ) -> None:
+        target, now = assignment.target, self._view.clock.now()
+        load_s = engine.load_s * len(assignment.span) / engine.layers
+        self._ordered_by_id[target.id] = _Ordered(
+            target.incarnation, now + ORDER_AGAIN_S, now + LOAD_SLACK * load_s
+        )
         fence = lease.fence
         report = await self._targets.report(target)
         if report.is_error():
--- a/radishfield/routing/__init__.py
+++ b/radishfield/routing/__init__.py
@@ -11,6 +11,7 @@
 from radishfield.routing._layout import (
     Assignment,
     block_layers,
+    next_loads,
     plan_layout,
     plan_move,
 )
@@ -114,6 +115,7 @@
     "covers_once",
     "crossing_ms",
     "event_ids",
+    "next_loads",
     "next_look_s",
     "next_step",
     "pair_of",
--- a/radishfield/routing/_layout.py
+++ b/radishfield/routing/_layout.py
@@ -60,10 +60,7 @@
     """Return what the empty targets should hold, given what the others hold."""
     size = block_layers(engine)
     blocks = engine.layers // size
-    copies = _Copies(blocks)
-    for record in records:
-        if record.span is not None:
-            copies.count(record.zone, record.span, size)
+    copies = _held(records, size, blocks)
     empty = [record for record in records if record.span is None]
     assignments: list[Assignment] = []
     for zone in sorted({record.zone for record in records}):
@@ -78,7 +75,60 @@
             span = LayerSpan(first * size, (first + width) * size)
             copies.count(zone, span, size)
             assignments.append(Assignment(record, span))
-    return assignments
+    return _most_needed_first(assignments, _held(records, size, blocks), size)
+
+
+def next_loads(
+    assignments: Sequence[Assignment], loading: int, concurrent: int
+) -> Sequence[Assignment]:
+    """Return the assignments whose loads should start now.
+
+    Load pattern: a quarter of the targets comes back empty at once.  The store of
+    weights serves a few loads at full speed and slows all of them down beyond that,
+    so loads that start together end together, late; one after the other the first
+    zone has a whole copy in the time of its own loads.
+
+    Parameters
+    ----------
+    assignments : sequence of Assignment
+        The most needed first, as `plan_layout` returns them.
+    loading : int
+        Loads that are under way.
+    concurrent : int
+        Loads that the store of weights serves at full speed.
+    """
+    return assignments[: max(0, concurrent - loading)]
+
+
+def _most_needed_first(
+    assignments: list[Assignment], held: "_Copies", size: int
+) -> list[Assignment]:
+    """Put first what brings a path back, and then a path within a zone.
+
+    A zone that lacks little is whole again soonest.
+    """
+
+    def rank(assignment: Assignment) -> tuple[bool, bool, int, str, int]:
+        first, end = assignment.span.first // size, assignment.span.end // size
+        zone = assignment.target.zone
+        return (
+            held.fleet_least(first, end) > 0,
+            held.lacks(zone, first, end) == 0,
+            held.lacks(zone, 0, held.blocks),
+            zone,
+            -len(assignment.span),
+        )
+
+    return sorted(assignments, key=rank)
+
+
+def _held(records: Sequence[TargetRecord], size: int, blocks: int) -> "_Copies":
+    """Return the copies that the targets hold now."""
+    copies = _Copies(blocks)
+    for record in records:
+        if record.span is not None:
+            copies.count(record.zone, record.span, size)
+    return copies
 
 
 def plan_move(engine: EngineSpec, records: Sequence[TargetRecord]) -> Assignment | None:
@@ -92,10 +142,8 @@
     load of weights, and its target serves nothing meanwhile.
     """
     size = block_layers(engine)
-    copies = _Copies(engine.layers // size)
+    copies = _held(records, size, engine.layers // size)
     placed = [record for record in records if record.span is not None]
-    for record in placed:
-        copies.count(record.zone, record.span, size)
     # The smallest are loaded soonest and give up least.
     for record in sorted(placed, key=lambda item: (len(item.span), item.id)):
         span = _better_span(copies, record, size)
@@ -141,10 +189,10 @@
 class _Copies:
     """Copies of each block, by zone."""
 
-    __slots__ = ("_blocks", "_count_by_zone")
+    __slots__ = ("_count_by_zone", "blocks")
 
     def __init__(self, blocks: int):
-        self._blocks = blocks
+        self.blocks = blocks
         self._count_by_zone: dict[str, list[int]] = {}
 
     def count(self, zone: str, span: LayerSpan, size: int, sign: int = 1) -> None:
@@ -174,7 +222,7 @@
         """
         own = self._of(zone)
         fleet = self._fleet()
-        places = range(self._blocks - width + 1)
+        places = range(self.blocks - width + 1)
         return min(
             places,
             key=lambda at: (
@@ -187,7 +235,9 @@
 
     def _fleet(self) -> list[int]:
         zones = self._count_by_zone.values()
+        if not zones:
+            return [0] * self.blocks
         return [sum(counts) for counts in zip(*zones, strict=True)]
 
     def _of(self, zone: str) -> list[int]:
-        return self._count_by_zone.setdefault(zone, [0] * self._blocks)
+        return self._count_by_zone.setdefault(zone, [0] * self.blocks)
--- a/radishfield/routing/layout_test.py
+++ b/radishfield/routing/layout_test.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from radishfield.routing import block_layers, plan_layout, plan_move
+from radishfield.routing import block_layers, next_loads, plan_layout, plan_move
 from radishfield.routing.conftest import CARDS, make_engine, make_target
 
 ENGINE = make_engine()
@@ -170,3 +170,64 @@
         ]
         assert zone_copies(records, move.target.zone).count(0) <= holes
     raise AssertionError("moves do not end")
+
+
+def first_whole_zone_at(assignments, records, concurrent):
+    """Return when the first zone holds every layer, with loads that share a store.
+
+    Loads beyond ``concurrent`` slow all of them down in proportion.
+    """
+    left = {item: len(item.span) * 1.0 for item in assignments}
+    placed, now = [record for record in records if record.span is not None], 0.0
+    while left:
+        started = list(next_loads(list(left), 0, concurrent))
+        pace = min(1.0, concurrent / len(started))
+        step = min(left[item] for item in started) / pace
+        now += step
+        for item in started:
+            left[item] -= step * pace
+            if left[item] <= 1e-9:
+                del left[item]
+                placed.append(replace(item.target, span=item.span))
+        if any(0 not in zone_copies(placed, zone) for zone in "abc"):
+            return now
+    return now
+
+
+def test_first_zone_is_whole_in_the_time_of_its_own_loads():
+    # Each zone loses one card of each kind and gets them back empty.  Loaded all at
+    # once through a store that serves three, each load takes several times as long
+    # and all zones stand without a whole path until the end.
+    records = [
+        (
+            replace(record, span=None)
+            if record.id in {f"{zone}-{kind}-0" for zone in "abc" for kind in CARDS}
+            else record
+        )
+        for record in placed_fleet()
+    ]
+    plan = plan_layout(ENGINE, records)
+    assert len(plan) == 9
+    assert not any(0 not in zone_copies_of(records, zone) for zone in "bc")
+    in_turn = first_whole_zone_at(plan, records, concurrent=3)
+    own = [item for item in plan if item.target.zone == plan[0].target.zone]
+    assert in_turn <= max(len(item.span) for item in own)
+
+
+def zone_copies_of(records, zone):
+    return zone_copies([item for item in records if item.span is not None], zone)
+
+
+def test_what_no_target_holds_is_loaded_before_further_copies():
+    records = [
+        (
+            replace(record, span=None)
+            if record.zone == "c" or record.span.first <= 72 < record.span.end
+            else record
+        )
+        for record in placed_fleet()
+    ]
+    plan = plan_layout(ENGINE, records)
+    assert plan[0].span.end == 80
+    assert len(next_loads(plan, 2, 5)) == 3
+    assert next_loads(plan, 7, 5) == []
