--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -33,6 +33,8 @@
 from radishfield.limits import RetryUse
 from radishfield.platform import ObjectStore
 from radishfield.routing import (
+    LinkSum,
+    Pair,
     PeerConfirmation,
     TargetLoad,
     ZoneSum,
@@ -129,18 +131,26 @@
             status = self._status()
             recipients = self._recipients()
             self._view.load.told_own(self._view.clock.now())
+            self._view.links.told_own(self._view.clock.now())
             self._send(status, recipients)
             if self._view.watch_duty.on_duty and self._view.watch_duty.shared:
                 self._send_sums(recipients)
             self._view.load.add_up(self._view.zone, self._view.clock.now())
+            self._view.links.advance(self._view.clock.now(), self._view.zone)
 
     def _send_sums(self, recipients: list[Peer]) -> None:
         """Add up the work of the zone, and tell it with that of other zones."""
-        load, now, zone = self._view.load, self._view.clock.now(), self._view.zone
-        load.take_sum(zone, ZoneSum(now, load.sum_of(self._book.near())))
+        load, links = self._view.load, self._view.links
+        now, zone = self._view.clock.now(), self._view.zone
+        hosts = self._book.near()
+        load.take_sum(zone, ZoneSum(now, load.sum_of(hosts)))
+        links.take_sum(zone, LinkSum(now, links.sum_of(hosts, now)))
         near = [peer for peer in recipients if peer.zone == zone]
+        link_sums = links.sums(now)
         for each, item in load.sums(now).items():
-            told = PeerSum(each, now - item.at, _work_of(item.held_by_id))
+            shares = link_sums[each].share_by_pair if each in link_sums else {}
+            work = _work_of(item.held_by_id)
+            told = PeerSum(each, now - item.at, work, _link_shares_of(shares))
             data = encoder.encode(told)
             if len(data) > DATAGRAM_BYTES:
                 log_event("sum.too_long", zone=each, bytes=len(data))
@@ -182,10 +192,7 @@
                     Use(service, use.firsts, use.repeats)
                     for service, use in self._view.retry_use().items()
                 ],
-                [
-                    LinkShare(zone, other, round(share, 3))
-                    for (zone, other), share in self._view.links.own_shares(now).items()
-                ],
+                _link_shares_of(self._view.links.own_shares(now)),
                 self._view.watch_duty.on_duty,
                 self._view.directory.digest(),
                 _or_negative(now - self._view.targets_confirmed_at),
@@ -235,6 +242,7 @@
     def _take_sum(self, told: PeerSum) -> None:
         at = self._view.clock.now() - max(0.0, told.age_s)
         self._view.load.take_sum(told.zone, ZoneSum(at, _held_by_id(told.work)))
+        self._view.links.take_sum(told.zone, LinkSum(at, _share_by_pair(told.links)))
 
     def _take(self, status: PeerStatus, address: tuple[str, int]) -> None:
         if status.host_id == self._host_id:
@@ -262,8 +270,7 @@
             use.service: RetryUse(use.firsts, use.repeats) for use in status.uses
         }
         self._view.links.report_remote(
-            status.host_id,
-            {pair_of(item.zone, item.other): item.share for item in status.links},
+            status.host_id, _share_by_pair(status.links), status.zone
         )
         self._view.load.report_remote(
             status.host_id, _held_by_id(status.work), now, status.zone
@@ -363,6 +370,17 @@
     ]
 
 
+def _link_shares_of(share_by_pair: Mapping[Pair, float]) -> list[LinkShare]:
+    return [
+        LinkShare(zone, other, round(share, 3))
+        for (zone, other), share in share_by_pair.items()
+    ]
+
+
+def _share_by_pair(links: list[LinkShare]) -> dict[Pair, float]:
+    return {pair_of(item.zone, item.other): item.share for item in links}
+
+
 def _held_by_id(work: list[Work]) -> dict[str, TargetLoad]:
     return {
         item.target_id: TargetLoad(item.requests, item.token_layers, item.as_first)
--- a/radishfield/forwarding/_peer_messages.py
+++ b/radishfield/forwarding/_peer_messages.py
@@ -64,11 +64,12 @@
 
 
 class PeerSum(msgspec.Struct, array_like=True, tag="sum"):
-    """The work of all hosts of a zone, added up ``age_s`` ago."""
+    """The work of all hosts of a zone, and their use of links, as ``age_s`` ago."""
 
     zone: str
     age_s: float
     work: list[Work]
+    links: list[LinkShare] = []
 
 
 class PeerStatus(msgspec.Struct, array_like=True, tag="status"):
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -1,5 +1,6 @@
 """What this host believes at the moment: configuration, targets, load, peers."""
 
+import itertools
 import math
 import random
 from collections.abc import Callable
@@ -11,11 +12,14 @@
 from radishfield.forwarding._peer_messages import TargetNews
 from radishfield.limits import RetryAllowance, RetryBudget, RetryUse
 from radishfield.routing import (
+    TELL_S,
     AdmissionQueue,
+    CrossingGate,
     EngineSpec,
     Freshness,
     LinkUsage,
     LoadTable,
+    Pair,
     Path,
     PathFinder,
     RouteRule,
@@ -24,7 +28,9 @@
     TargetDirectory,
     TargetRecord,
     WatchDuty,
+    draw,
     pair_of,
+    room_prompts,
     sends_callers_away,
     takes_work,
 )
@@ -126,6 +132,7 @@
     directory: TargetDirectory = field(default_factory=TargetDirectory)
     load: LoadTable = field(default_factory=LoadTable)
     links: LinkUsage = field(default_factory=LinkUsage)
+    gate: CrossingGate = field(default_factory=CrossingGate)
     pace_by_id: dict[str, float] = field(default_factory=dict)
     hosts: int = 1
     leaving_since: float | None = None
@@ -213,19 +220,49 @@
         full = self.full_by_id.get(target_id)
         return full is not None and now < full.until
 
-    def path_finder(self, engine: EngineSpec) -> PathFinder:
-        """Return a finder of paths over the load and the links as they are now."""
-        shares = self.links.shares(self.clock.now())
-        return PathFinder(engine, self.load, self.zone, shares)
+    def path_finder(self, engine: EngineSpec, movers: int = 0) -> PathFinder:
+        """Return a finder of paths over the load and the links as they are now.
+
+        Parameters
+        ----------
+        movers : int
+            Streams that look for another path at the same moment, at all hosts.
+        """
+        shares = self.links.shares(self.clock.now(), self.zone)
+        closed = self.links.full(shares)
+        for pair in self._pairs(engine) - closed:
+            if not self._may_cross(engine, pair, shares.get(pair, 0.0), movers):
+                closed.add(pair)
+        return PathFinder(engine, self.load, self.zone, shares, closed)
+
+    def _may_cross(
+        self, engine: EngineSpec, pair: Pair, share: float, movers: int
+    ) -> bool:
+        room = room_prompts(share, engine.transfer_ms(engine.usual_prompt))
+        if movers:
+            return draw(room, movers, self.chance)
+        now = self.clock.now()
+        own = self.links.own_crossings(pair, now - TELL_S)
+        waiting = sum(len(queue) for queue in self._queue_by_service.values())
+        contenders = self.hosts * (own + waiting)
+        return self.gate.is_open(pair, room, contenders, now, self.chance)
+
+    def _pairs(self, engine: EngineSpec) -> set[Pair]:
+        """Return the links between the zones in which there are targets."""
+        zones = sorted({record.zone for record in self.directory.all_records()})
+        return {
+            pair_of(zone, other) for zone, other in itertools.combinations(zones, 2)
+        }
 
     def note_crossings(self, engine: EngineSpec, path: Path, tokens: int) -> None:
         """Count a prompt on every link that its path crosses."""
+        now = self.clock.now()
         zones = [self._zone_of(part.target_id) for part in path]
-        for zone, other in zip(zones, zones[1:], strict=False):
+        for zone, other in itertools.pairwise(zones):
             if zone != other:
-                transfer_ms = engine.transfer_ms(tokens)
                 pair = pair_of(zone, other)
-                self.links.crossed(pair, transfer_ms, self.clock.now())
+                self.links.crossed(pair, engine.transfer_ms(tokens), now)
+                self.gate.used(pair, now)
 
     def _zone_of(self, target_id: str) -> str:
         record = self.directory.find(target_id)
--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -324,7 +324,9 @@
     def _lose_part(self, address: str) -> None:
         """Move every stream that passes a dead part around it."""
         record = self._view.directory.at_address(address)
+        movers = 0
         if record is not None:
+            movers = self._view.load.held(record.id).requests
             left_out_s = self._view.directory.suspect(
                 record.id, self._clock.now(), until_asked=True
             )
@@ -338,22 +340,22 @@
             parts = [part.address for part in stream.path]
             if address in parts and not stream.moving:
                 stream.moving = True
-                self._nursery.start_soon(self._move, stream, address)
+                self._nursery.start_soon(self._move, stream, address, movers)
 
-    async def _move(self, stream: ActiveStream, address: str) -> None:
+    async def _move(self, stream: ActiveStream, address: str, movers: int) -> None:
         """Change a stream's path in place; give the attempt up where that fails."""
         try:
-            if not await self._moved(stream, {address}):
+            if not await self._moved(stream, {address}, movers):
                 stream.give_up("no other path")
         finally:
             stream.moving = False
 
-    async def _moved(self, stream: ActiveStream, bad: set[str]) -> bool:
+    async def _moved(self, stream: ActiveStream, bad: set[str], movers: int) -> bool:
         first = self._view.directory.find(stream.path[0].target_id)
         if first is None or first.address in bad:
             return False
         for _ in range(REPATH_TRIES):
-            path = self._other_path(stream, bad)
+            path = self._other_path(stream, bad, movers)
             if path is None:
                 return False
             order = repath_order(stream.call.facts.request_id, path)
@@ -374,12 +376,19 @@
             bad.add(_named_address(answer) or path[-1].address)
         return False
 
-    def _other_path(self, stream: ActiveStream, bad: set[str]) -> Path | None:
-        """Return a path that keeps the first part and avoids the bad ones."""
+    def _other_path(
+        self, stream: ActiveStream, bad: set[str], movers: int
+    ) -> Path | None:
+        """Return a path that keeps the first part and avoids the bad ones.
+
+        All hosts move the streams that passed a lost target at the same moment, and
+        each of them reads its prompt again: unlimited, they fill the links between
+        zones for seconds, and none of them is served.
+        """
         now = self._clock.now()
         records = self._view.directory.usable(stream.call.service.name, now)
         sound = [item for item in records if item.address not in bad]
-        finder = self._view.path_finder(stream.engine)
+        finder = self._view.path_finder(stream.engine, movers)
         held = {part.target_id for part in stream.path}
         return finder.find(
             sound, stream.demand, stream.path[0], self._view.pace_by_id, held
--- a/radishfield/routing/__init__.py
+++ b/radishfield/routing/__init__.py
@@ -5,6 +5,12 @@
 
 from radishfield.routing._admission_queue import AdmissionQueue, QueueEntry
 from radishfield.routing._choice import FailureRates, choose_target
+from radishfield.routing._crossing_gate import (
+    TELL_S,
+    CrossingGate,
+    draw,
+    room_prompts,
+)
 from radishfield.routing._directory import Removal, TargetDirectory
 from radishfield.routing._events import EventSplitter, event_ids
 from radishfield.routing._freshness import Freshness
@@ -16,7 +22,7 @@
     plan_move,
 )
 from radishfield.routing._leaving import END_MARGIN_S, NOTICE_S, takes_work
-from radishfield.routing._links import LinkUsage, crossing_ms, pair_of
+from radishfield.routing._links import LinkSum, LinkUsage, Pair, crossing_ms, pair_of
 from radishfield.routing._load import LoadTable, TargetLoad, ZoneSum
 from radishfield.routing._paths import (
     Demand,
@@ -65,6 +71,10 @@
 from radishfield.routing._watch_duty import WATCHERS_PER_ZONE, WatchDuty, ZoneHost
 
 __all__ = [
+    "TELL_S",
+    "CrossingGate",
+    "draw",
+    "room_prompts",
     "END_MARGIN_S",
     "NOTICE_S",
     "Accelerator",
@@ -84,7 +94,9 @@
     "Path",
     "PathFinder",
     "PathPart",
+    "LinkSum",
     "LinkUsage",
+    "Pair",
     "Removal",
     "RequestLimits",
     "RouteKind",
--- a/radishfield/routing/_links.py
+++ b/radishfield/routing/_links.py
@@ -5,22 +5,32 @@
 stream that crosses waits behind it.  At half of the link's rate that already doubles
 the time of a token; beyond, streams last longer, hold their memory longer, and the
 whole fleet fills up.  A crossing is therefore priced by the wait that it meets and
-makes, and none is added where the link is nearly full.
+makes.
+
+A link is a queue.  When many targets are lost at once every path crosses, and what is
+sent beyond the link's rate stands in it for as long as it takes, wanted or not: each
+stream waits behind prompts whose callers have left, is given up in its turn, and no
+stream is served for as long as prompts are sent.  So a link that is full, or has a
+backlog, is closed to further prompts, whatever other way there is.
 """
 
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 WINDOW_S = 2.0
 """Time over which crossings are averaged: some ten prompts of a usual host."""
 
 FULL_SHARE = 0.7
-"""Share of a link's time from which on nothing more is sent across: the wait behind
-prompts is then over twice a prompt's transfer, for each token."""
+"""Share of a link's time from which on it is closed: the wait behind prompts is then
+over twice a prompt's transfer, for each token."""
+
+LONGEST_BACKLOG_S = 0.1
+"""Backlog from which on a link is closed: a sixth of the time that callers want their
+first event in; some of it is told late."""
 
-FULL_MS = 1000.0
-"""Cost of a crossing over a full link: only where no other path is left."""
+SUM_LIFETIME_S = 1.5
+"""A zone's sum older than this is not used: five times its usual age."""
 
 Pair = tuple[str, str]
 
@@ -30,12 +40,30 @@
     return (zone, other) if zone <= other else (other, zone)
 
 
+@dataclass(slots=True, frozen=True)
+class LinkSum:
+    """The shares of links that all hosts of a zone take, as added up at ``at``."""
+
+    at: float
+    share_by_pair: Mapping[Pair, float]
+
+
+@dataclass(slots=True, frozen=True)
+class _Reported:
+    zone: str
+    share_by_pair: Mapping[Pair, float]
+
+
 @dataclass(slots=True)
 class LinkUsage:
     """Time for which prompts hold the links, by pair of zones."""
 
     _crossings: deque[tuple[float, Pair, float]] = field(default_factory=deque)
-    _reported_by_host: dict[str, Mapping[Pair, float]] = field(default_factory=dict)
+    _reported_by_host: dict[str, _Reported] = field(default_factory=dict)
+    _sum_by_zone: dict[str, LinkSum] = field(default_factory=dict)
+    _told: deque[LinkSum] = field(default_factory=lambda: deque(maxlen=8))
+    _backlog_s_by_pair: dict[Pair, float] = field(default_factory=dict)
+    _advanced_at: float | None = None
 
     def crossed(self, pair: Pair, transfer_ms: float, now: float) -> None:
         """Count a prompt that was sent over a link."""
@@ -50,29 +78,110 @@
             shares[pair] = shares.get(pair, 0.0) + transfer_ms / 1e3 / WINDOW_S
         return shares
 
-    def report_remote(self, host: str, share_by_pair: Mapping[Pair, float]) -> None:
+    def own_crossings(self, pair: Pair, since: float) -> int:
+        """Return how many prompts this host sent over a link since a time."""
+        return sum(at >= since and other == pair for at, other, _ in self._crossings)
+
+    def told_own(self, now: float) -> None:
+        """Note what this host tells of itself now, to take it out of later sums."""
+        self._told.append(LinkSum(now, self.own_shares(now)))
+
+    def report_remote(
+        self, host: str, share_by_pair: Mapping[Pair, float], zone: str = ""
+    ) -> None:
         """Take what another host says of its own prompts."""
-        self._reported_by_host[host] = share_by_pair
+        self._reported_by_host[host] = _Reported(zone, share_by_pair)
 
     def forget(self, host: str) -> None:
         """Drop what a host told that has fallen silent."""
         self._reported_by_host.pop(host, None)
 
-    def shares(self, now: float) -> dict[Pair, float]:
-        """Return the share of each link's time that all hosts' prompts take."""
-        total = self.own_shares(now)
-        for told in self._reported_by_host.values():
-            for pair, share in told.items():
-                total[pair] = total.get(pair, 0.0) + share
+    def sum_of(self, hosts: Iterable[str], now: float) -> dict[Pair, float]:
+        """Return the shares that this host and the hosts given take together."""
+        reports = [self._reported_by_host.get(host) for host in hosts]
+        told = [report.share_by_pair for report in reports if report is not None]
+        return _added_up([self.own_shares(now), *told])
+
+    def take_sum(self, zone: str, item: LinkSum) -> None:
+        """Take a zone's sum, unless a later one is known."""
+        known = self._sum_by_zone.get(zone)
+        if known is None or item.at > known.at:
+            self._sum_by_zone[zone] = item
+
+    def sums(self, now: float) -> dict[str, LinkSum]:
+        """Return the sums by zone that are fresh enough to be used."""
+        return {
+            zone: item
+            for zone, item in self._sum_by_zone.items()
+            if now - item.at < SUM_LIFETIME_S
+        }
+
+    def shares(self, now: float, own_zone: str = "") -> dict[Pair, float]:
+        """Return the share of each link's time that all hosts' prompts take.
+
+        Hosts beyond the own zone are heard one by one too seldom to be added up; a
+        zone that tells a sum is taken by its sum.
+        """
+        sums = self.sums(now)
+        parts = [item.share_by_pair for item in sums.values()]
+        parts += [
+            report.share_by_pair
+            for report in self._reported_by_host.values()
+            if report.zone not in sums
+        ]
+        total = _added_up([self.own_shares(now), *parts])
+        if own_zone in sums:
+            for pair, share in self._own_at(sums[own_zone].at).items():
+                total[pair] = max(0.0, total.get(pair, 0.0) - share)
         return total
 
+    def advance(self, now: float, own_zone: str = "") -> None:
+        """Carry on what still stands in each link: what came less what it carries."""
+        before, self._advanced_at = self._advanced_at, now
+        if before is None:
+            return
+        shares = self.shares(now, own_zone)
+        for pair in shares.keys() | self._backlog_s_by_pair.keys():
+            grown_s = (shares.get(pair, 0.0) - 1.0) * (now - before)
+            backlog_s = self._backlog_s_by_pair.get(pair, 0.0) + grown_s
+            if backlog_s > 0.0:
+                self._backlog_s_by_pair[pair] = backlog_s
+            else:
+                self._backlog_s_by_pair.pop(pair, None)
+
+    def backlog_s(self, pair: Pair) -> float:
+        """Return for how long a link is busy with what was given to it already."""
+        return self._backlog_s_by_pair.get(pair, 0.0)
+
+    def full(self, share_by_pair: Mapping[Pair, float]) -> set[Pair]:
+        """Return the links that are closed to further prompts."""
+        by_share = {p for p, share in share_by_pair.items() if share >= FULL_SHARE}
+        by_backlog = {
+            pair
+            for pair, backlog_s in self._backlog_s_by_pair.items()
+            if backlog_s >= LONGEST_BACKLOG_S
+        }
+        return by_share | by_backlog
+
+    def _own_at(self, at: float) -> Mapping[Pair, float]:
+        """Return what this host had told of itself at a time."""
+        told = [item for item in self._told if item.at <= at]
+        return told[-1].share_by_pair if told else {}
+
 
 def crossing_ms(share: float, transfer_ms: float, delay_ms: float) -> float:
-    """Return what a crossing costs each token of a stream.
+    """Return what a crossing of a link that is not full costs each token of a stream.
 
     Half of it is the wait behind the prompts that are on the link, the other half
     what this stream's own prompt adds to the waits of the others.
     """
-    if share >= FULL_SHARE:
-        return FULL_MS
-    return delay_ms + transfer_ms * (0.1 + share / (1.0 - share))
+    busy = min(share, FULL_SHARE)
+    return delay_ms + transfer_ms * (0.1 + busy / (1.0 - busy))
+
+
+def _added_up(parts: Iterable[Mapping[Pair, float]]) -> dict[Pair, float]:
+    total: dict[Pair, float] = {}
+    for share_by_pair in parts:
+        for pair, share in share_by_pair.items():
+            total[pair] = total.get(pair, 0.0) + share
+    return total
--- a/radishfield/routing/_paths.py
+++ b/radishfield/routing/_paths.py
@@ -12,6 +12,7 @@
 the middle of their stream; one that is full is left out.
 """
 
+import math
 from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 
@@ -83,9 +84,18 @@
 
 
 class PathFinder:
-    """Finds paths over one list of targets; cheap enough to make for a request."""
+    """Finds paths over one list of targets; cheap enough to make for a request.
+
+    Parameters
+    ----------
+    share_by_pair : mapping, optional
+        Share of each link's time that is taken.
+    closed : collection of pairs
+        Links that no prompt may cross now.
+    """
 
     __slots__ = (
+        "_closed",
         "_engine",
         "_first_ids",
         "_load",
@@ -100,7 +110,9 @@
         load: LoadTable,
         zone: str,
         share_by_pair: Mapping[Pair, float] | None = None,
+        closed: Collection[Pair] = (),
     ):
+        self._closed = closed
         self._engine = engine
         self._load = load
         self._zone = zone
@@ -231,6 +243,8 @@
             ),
             key=lambda pair: pair[0],
         )
+        if entry_cost == math.inf:
+            return
         for end in cuts:
             if not start < end <= record.span.end:
                 continue
@@ -248,7 +262,10 @@
         if start == 0:
             # Only the request and its events cross, which no link notices.
             return delay_ms
-        share = self._share_by_pair.get(pair_of(zone, other), 0.0)
+        pair = pair_of(zone, other)
+        if pair in self._closed:
+            return math.inf
+        share = self._share_by_pair.get(pair, 0.0)
         return crossing_ms(share, self._transfer_ms, delay_ms)
 
     def _may_be_first(self, record: TargetRecord) -> bool:
