--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -229,7 +229,7 @@
         # A first target whose attempt broke may be sound: a later part was not.
         excluded = tries.excluded - (firsts or set())
         pool = [record for record in roomy if record.id not in excluded]
-        finder = self._view.path_finder(engine)
+        finder = self._view.path_finder(call.service.name, engine)
         return finder.find(
             pool,
             progress.demand(engine),
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -13,6 +13,7 @@
 from radishfield.limits import RetryAllowance, RetryBudget, RetryUse
 from radishfield.routing import (
     TELL_S,
+    UNSEEN_S,
     AdmissionQueue,
     CrossingGate,
     EngineSpec,
@@ -28,6 +29,7 @@
     TargetDirectory,
     TargetRecord,
     WatchDuty,
+    choice_spread,
     draw,
     pair_of,
     room_prompts,
@@ -35,6 +37,10 @@
     takes_work,
 )
 
+UNSEEN_SHARE = 0.25
+"""Part of the hosts that are taken to have just started a stream where nothing is
+known yet: right after a start all of them would choose the same path."""
+
 FULL_S = 0.25
 """Time after which a target that was full may have room again: a request of usual
 size ends at a busy target every few hundredths of a second."""
@@ -180,11 +186,15 @@
 
     def take_repeat(self, service: str) -> bool:
         """Take one repeat out of the allowance that all hosts share."""
-        others = [
+        others = self._uses_told(service)
+        return self.budget(service).take(self.clock.now(), self.hosts, others)
+
+    def _uses_told(self, service: str) -> list[RetryUse]:
+        """Return what each host that is heard used of a service's allowance."""
+        return [
             by_service.get(service, RetryUse())
             for by_service in self.peers.use_by_service_by_host.values()
         ]
-        return self.budget(service).take(self.clock.now(), self.hosts, others)
 
     def admission_queue(self, service: str) -> AdmissionQueue:
         """Return the line of those that wait for one of a service's paths."""
@@ -220,7 +230,9 @@
         full = self.full_by_id.get(target_id)
         return full is not None and now < full.until
 
-    def path_finder(self, engine: EngineSpec, movers: int = 0) -> PathFinder:
+    def path_finder(
+        self, service: str, engine: EngineSpec, movers: int = 0
+    ) -> PathFinder:
         """Return a finder of paths over the load and the links as they are now.
 
         Parameters
@@ -233,7 +245,16 @@
         for pair in self._pairs(engine) - closed:
             if not self._may_cross(engine, pair, shares.get(pair, 0.0), movers):
                 closed.add(pair)
-        return PathFinder(engine, self.load, self.zone, shares, closed)
+        spread = choice_spread(self._unseen_starts(service) + movers)
+        return PathFinder(
+            engine, self.load, self.zone, shares, closed, spread, self.chance
+        )
+
+    def _unseen_starts(self, service: str) -> float:
+        """Return how many streams all hosts have started that are not told yet."""
+        usual_s = self.admission_queue(service).usual_stream_s
+        by_work = self.load.streams() / usual_s * UNSEEN_S
+        return max(by_work, self.hosts * UNSEEN_SHARE)
 
     def _may_cross(
         self, engine: EngineSpec, pair: Pair, share: float, movers: int
--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -386,9 +386,10 @@
         zones for seconds, and none of them is served.
         """
         now = self._clock.now()
-        records = self._view.directory.usable(stream.call.service.name, now)
+        service = stream.call.service.name
+        records = self._view.directory.usable(service, now)
         sound = [item for item in records if item.address not in bad]
-        finder = self._view.path_finder(stream.engine, movers)
+        finder = self._view.path_finder(service, stream.engine, movers)
         held = {part.target_id for part in stream.path}
         return finder.find(
             sound, stream.demand, stream.path[0], self._view.pace_by_id, held
--- a/radishfield/routing/__init__.py
+++ b/radishfield/routing/__init__.py
@@ -25,9 +25,11 @@
 from radishfield.routing._links import LinkSum, LinkUsage, Pair, crossing_ms, pair_of
 from radishfield.routing._load import LoadTable, TargetLoad, ZoneSum
 from radishfield.routing._paths import (
+    UNSEEN_S,
     Demand,
     PathFinder,
     capacity_token_layers,
+    choice_spread,
     covers_once,
 )
 from radishfield.routing._peer_freshness import (
@@ -72,6 +74,7 @@
 
 __all__ = [
     "TELL_S",
+    "UNSEEN_S",
     "CrossingGate",
     "draw",
     "room_prompts",
@@ -123,6 +126,7 @@
     "ZoneSum",
     "block_layers",
     "capacity_token_layers",
+    "choice_spread",
     "choose_target",
     "covers_once",
     "crossing_ms",
--- a/radishfield/routing/_load.py
+++ b/radishfield/routing/_load.py
@@ -149,10 +149,7 @@
     def held(self, target_id: str) -> TargetLoad:
         """Return all work that is known at a target."""
         own = self.own_by_id.get(target_id)
-        if self._summed_by_id is not None:
-            remote = self._summed_by_id.get(target_id)
-        else:
-            remote = self._remote_by_id.get(target_id)
+        remote = self._others().get(target_id)
         if remote is None:
             return own or TargetLoad()
         if own is None:
@@ -163,6 +160,20 @@
             own.as_first + remote.as_first,
         )
 
+    def streams(self) -> int:
+        """Return how many streams are known to run, each counted at its first part."""
+        return sum(
+            held.as_first
+            for held_by_id in (self.own_by_id, self._others())
+            for held in held_by_id.values()
+        )
+
+    def _others(self) -> Mapping[str, TargetLoad]:
+        """Return the work of the other hosts, by their zones' sums where there are."""
+        if self._summed_by_id is not None:
+            return self._summed_by_id
+        return self._remote_by_id
+
     def _drop(self, host: str) -> None:
         """Take out what a host told last.
 
--- a/radishfield/routing/_paths.py
+++ b/radishfield/routing/_paths.py
@@ -13,6 +13,7 @@
 """
 
 import math
+import random
 from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 
@@ -42,6 +43,37 @@
 one."""
 
 
+UNSEEN_S = 0.4
+"""Mean age of what a host knows of the others' work: half of the time until a status
+or a sum comes, and its way."""
+
+MOST_SPREAD = 0.6
+"""Largest deviation of a target's cost, in natural logarithms.  Beyond it slow cards
+are taken for fast ones, and tokens take a tenth longer."""
+
+HALF_SPREAD_STARTS = 40.0
+"""Unseen starts at which half of that is used: as many as the parts of a usual path
+hold, so that even all of them on one path are no more than it carries."""
+
+
+def choice_spread(unseen: float) -> float:
+    """Return by how much costs are varied by chance from request to request.
+
+    Load pattern: two hundred hosts start as many streams in a second, and all of them
+    know the same of the targets, half a second late.  Each would take the one path
+    that was cheapest then: a hundred streams meet where there is room for forty, are
+    refused or thrown out, and half a second later all of them meet on the next one.
+    With costs varied by chance they take the cheap paths in proportion.  A few hosts
+    that see each other's work keep to the cheapest.
+
+    Parameters
+    ----------
+    unseen : float
+        Streams that other hosts have sent, or send now, and have not told.
+    """
+    return MOST_SPREAD * unseen / (unseen + HALF_SPREAD_STARTS)
+
+
 @dataclass(slots=True, frozen=True)
 class Demand:
     """What a request will take: prompt and expected answer, in tokens."""
@@ -92,14 +124,18 @@
         Share of each link's time that is taken.
     closed : collection of pairs
         Links that no prompt may cross now.
+    spread : float
+        Deviation by which costs are varied, see `choice_spread`.
     """
 
     __slots__ = (
+        "_chance",
         "_closed",
         "_engine",
         "_first_ids",
         "_load",
         "_share_by_pair",
+        "_spread",
         "_transfer_ms",
         "_zone",
     )
@@ -111,7 +147,11 @@
         zone: str,
         share_by_pair: Mapping[Pair, float] | None = None,
         closed: Collection[Pair] = (),
+        spread: float = 0.0,
+        chance: random.Random | None = None,
     ):
+        self._spread = spread
+        self._chance = chance or random.Random()
         self._closed = closed
         self._engine = engine
         self._load = load
@@ -169,7 +209,8 @@
         for record in records:
             cost = self._layer_ms(record, demand, record.id in own_by_id)
             if cost is not None:
-                part_ms_by_id[record.id] = cost * paces.get(record.id, 1.0)
+                cost *= paces.get(record.id, 1.0) * self._varied()
+                part_ms_by_id[record.id] = cost
                 roomy.append(record)
         if first is None:
             way = self._cheapest(roomy, part_ms_by_id, 0, self._zone)
@@ -179,6 +220,11 @@
         way = self._cheapest(others, part_ms_by_id, first.span.end, zone)
         return None if way is None else (first, *_as_path(way))
 
+    def _varied(self) -> float:
+        if not self._spread:
+            return 1.0
+        return math.exp(self._chance.gauss(0.0, self._spread))
+
     def _layer_ms(
         self, record: TargetRecord, demand: Demand, holds_it: bool
     ) -> float | None:
--- a/radishfield/routing/paths_test.py
+++ b/radishfield/routing/paths_test.py
@@ -1,5 +1,6 @@
 """Paths over unequal cards, under load and after losses."""
 
+import random
 import time
 from dataclasses import replace
 
@@ -11,10 +12,12 @@
     LoadTable,
     PathFinder,
     capacity_token_layers,
+    choice_spread,
     covers_once,
     pair_of,
     plan_layout,
 )
+from radishfield.routing._paths import FULL
 from radishfield.routing._types import LayerSpan
 from radishfield.routing.conftest import make_engine, make_target
 
@@ -238,3 +241,55 @@
     ids = [part.target_id for part in finder.find([*old, half, rest], USUAL)]
     assert ids == ["n1", "n2"]
     assert finder.find([old[0], rest], USUAL) is None
+
+
+def large_fleet(engine):
+    """Return five zones of some forty cards each."""
+    counts = {
+        "a": (2, 19, 17),
+        "b": (6, 8, 21),
+        "c": (3, 12, 31),
+        "d": (2, 19, 17),
+        "e": (5, 8, 20),
+    }
+    empty = [
+        make_target(f"{zone}-{kind}-{index}", zone, kind)
+        for zone, of_kinds in counts.items()
+        for kind, count in zip(("a100", "l40s", "l4"), of_kinds, strict=True)
+        for index in range(count)
+    ]
+    return placed(plan_layout(engine, empty))
+
+
+def worst_fill(engine, records, spread, starts):
+    """Return how full a target gets that hosts fill which know nothing new."""
+    chance, load = random.Random(5), LoadTable()
+    unaware = {zone: LoadTable() for zone in "abcde"}
+    for number in range(starts):
+        zone = "abcde"[number % 5]
+        finder = PathFinder(engine, unaware[zone], zone, spread=spread, chance=chance)
+        hold(load, finder.find(records, USUAL), USUAL)
+    by_id = {record.id: record for record in records}
+    return max(
+        held.token_layers / capacity_token_layers(engine, by_id[target_id])
+        for target_id, held in load.own_by_id.items()
+    )
+
+
+def test_hosts_that_choose_at_the_same_moment_do_not_all_choose_the_same(engine):
+    """Two hundred hosts start 150 streams before any has heard of the others'.
+
+    Thirty come in each zone, where one path has room for some forty beside what it
+    runs already; all on the cheapest one, they fill it at once, and are refused.
+    """
+    records = large_fleet(engine)
+    starts = 150
+    assert worst_fill(engine, records, 0.0, starts) > 1.0
+    assert worst_fill(engine, records, choice_spread(starts), starts) < FULL
+
+
+def test_few_hosts_keep_to_the_cheapest_path(engine):
+    """Six hosts see each other's work; a worse path would only cost time."""
+    assert choice_spread(2.0) < 0.05
+    assert choice_spread(0.0) == 0.0
+    assert choice_spread(1e6) <= 0.6
