--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -13,8 +13,8 @@
 from expression import Result
 
 from radishfield.core import Fault, ResultCode
-from radishfield.forwarding._peer_messages import TargetNews
-from radishfield.forwarding._view import RouterView
+from radishfield.forwarding._peer_messages import PeerConfig, TargetNews, config_spec
+from radishfield.forwarding._view import ConfigNews, RouterView
 from radishfield.platform import (
     CONFIG_KIND,
     CONFIG_NAME,
@@ -175,6 +175,7 @@
             store, view, CONFIG_KIND, self._wait_s, self._due_in_s
         )
         self._on_limits = on_limits
+        view.hear_config = self._hear_config
 
     def _wait_s(self) -> float:
         shared = self._view.watch_duty.shared
@@ -188,6 +189,7 @@
             view.freshness.age_s(now),
             view.freshness.bound_s,
             table.config.version if table else 0,
+            now,
         )
         if due_in_s > 0.0:
             view.watch_duty.reading_since = None
@@ -218,10 +220,27 @@
     def _adopt_newest(self, found: list[StoredValue], asked_at: float) -> None:
         usable = True
         for value in found[-1:]:
+            self._view.config_reads += 1
             usable = self._adopt(value, asked_at)
+            if (
+                usable
+                and self._view.watch_duty.shared
+                and self._view.watch_duty.on_duty
+            ):
+                version = self._view.table.config.version
+                self._view.config_news.add(ConfigNews(version, value))
         if usable and self._view.table is not None:
             self._view.freshness.confirm(asked_at, self._view.clock.now())
 
+    def _hear_config(self, message: PeerConfig) -> None:
+        """Take a version that another host passes on; it proves nothing of its age."""
+        table = self._view.table
+        if table is not None and message.version <= table.config.version:
+            return
+        spec = config_spec(message)
+        value = StoredValue(CONFIG_NAME, message.revision, spec)
+        self._adopt(value, self._view.clock.now())
+
     def _adopt(self, value: StoredValue, asked_at: float) -> bool:
         """Put a version in force; return whether the view is the newest now."""
         decoded = decode_config(value.spec)
--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -19,11 +19,13 @@
     DATAGRAM_BYTES,
     Echo,
     LinkShare,
+    PeerConfig,
     PeerNews,
     PeerStatus,
     PeerSum,
     Use,
     Work,
+    config_datagram,
     decoder,
     encoder,
     news_datagrams,
@@ -119,6 +121,7 @@
                 nursery.start_soon(self._receive)
                 nursery.start_soon(self._send_statuses)
                 nursery.start_soon(self._send_news)
+                nursery.start_soon(self._send_config)
                 nursery.start_soon(self._finder.find)
                 task_status.started()
 
@@ -133,7 +136,7 @@
             self._view.load.told_own(self._view.clock.now())
             self._view.links.told_own(self._view.clock.now())
             self._send(status, recipients)
-            if self._view.watch_duty.on_duty and self._view.watch_duty.shared:
+            if self._view.watch_duty.tells_others:
                 self._send_sums(recipients)
             self._view.load.add_up(self._view.zone, self._view.clock.now())
             self._view.links.advance(self._view.clock.now(), self._view.zone)
@@ -169,6 +172,16 @@
             for datagram in news_datagrams(items):
                 self._send(datagram, near)
 
+    async def _send_config(self) -> None:
+        """Pass on a new configuration, so that forty hosts need not read it."""
+        while True:
+            await self._view.config_news.wait()
+            item = self._view.config_news.take()[-1]
+            value = item.value
+            data = config_datagram(item.version, value.revision, value.spec)
+            if data is not None:
+                self._send(data, self._book.present_near(self._view.clock.now()))
+
     def _send(self, data: bytes, peers: Iterable[Peer]) -> None:
         self._socket.send(data, [peer.address for peer in peers])
 
@@ -232,6 +245,8 @@
             match decoder.decode(data):
                 case PeerNews(items):
                     self._view.hear_news(items)
+                case PeerConfig() as message:
+                    self._view.hear_config(message)
                 case PeerSum() as told:
                     self._take_sum(told)
                 case PeerStatus() as status:
@@ -260,7 +275,7 @@
         if status.store_silent_s >= 0:
             peer.store_silent_s = status.store_silent_s
         peer.watches = status.watches
-        if self._view.watch_duty.heard_version(status.config_version):
+        if self._view.watch_duty.heard_version(status.config_version, now):
             self._view.wake_followers()
         echoed_at = self._echoed_at(status, now)
         if echoed_at is not None:
--- a/radishfield/forwarding/_metrics.py
+++ b/radishfield/forwarding/_metrics.py
@@ -34,6 +34,11 @@
             "Calls to the object store that failed.",
             lambda: sum(store_calls.faults_by_code.values()),
         )
+        watch(
+            "config_reads",
+            "Answers of the store that held the configuration.",
+            lambda: view.config_reads,
+        )
         watch("reports", "Targets asked for a report.", lambda: targets.reports)
         watch(
             "orders",
--- a/radishfield/forwarding/_peer_messages.py
+++ b/radishfield/forwarding/_peer_messages.py
@@ -1,5 +1,6 @@
 """The datagrams between entry hosts, as MessagePack."""
 
+import zlib
 from collections.abc import Iterator
 
 import msgspec
@@ -9,6 +10,8 @@
 DATAGRAM_BYTES = 8 << 10
 NEWS_BYTES = DATAGRAM_BYTES - 64
 """The rest is for the frame around the items."""
+MOST_CONFIG_BYTES = 1 << 20
+"""Longest configuration that is inflated: the store holds none that is longer."""
 
 
 class Work(msgspec.Struct, array_like=True):
@@ -63,6 +66,20 @@
     items: list[TargetNews]
 
 
+class PeerConfig(msgspec.Struct, array_like=True, tag="config"):
+    """A version of the configuration, passed on within a zone.
+
+    Attributes
+    ----------
+    body : bytes
+        What lies in its object, as deflated MessagePack.
+    """
+
+    version: int
+    revision: int
+    body: bytes
+
+
 class PeerSum(msgspec.Struct, array_like=True, tag="sum"):
     """The work of all hosts of a zone, and their use of links, as ``age_s`` ago."""
 
@@ -114,7 +131,36 @@
 
 
 encoder = msgspec.msgpack.Encoder()
-decoder = msgspec.msgpack.Decoder(PeerStatus | PeerNews | PeerSum)
+decoder = msgspec.msgpack.Decoder(PeerStatus | PeerNews | PeerConfig | PeerSum)
+
+
+def config_datagram(version: int, revision: int, spec: object) -> bytes | None:
+    """Return a configuration as a datagram, or None where it does not fit one.
+
+    Hosts that are not told read it from the store.
+    """
+    try:
+        body = zlib.compress(encoder.encode(spec))
+    except (OverflowError, ValueError) as problem:
+        # JSON has longer numbers than MessagePack.
+        log_event("config.unsendable", version=version, detail=str(problem))
+        return None
+    if len(body) > NEWS_BYTES:
+        log_event("config.too_long", version=version, bytes=len(body))
+        return None
+    return encoder.encode(PeerConfig(version, revision, body))
+
+
+def config_spec(message: PeerConfig) -> object:
+    """Return what lies in a configuration's object; raise `ValueError` if damaged."""
+    inflater = zlib.decompressobj()
+    try:
+        text = inflater.decompress(message.body, MOST_CONFIG_BYTES)
+    except zlib.error as problem:
+        raise ValueError(str(problem)) from problem
+    if not inflater.eof:
+        raise ValueError("a configuration that is cut off or too long")
+    return msgspec.msgpack.decode(text)
 
 
 def news_datagrams(items: list[TargetNews]) -> Iterator[bytes]:
--- a/radishfield/forwarding/_placer.py
+++ b/radishfield/forwarding/_placer.py
@@ -161,12 +161,21 @@
         task_status.started()
         while True:
             await trio.sleep(LOOK_S)
-            if self._view.table is None or self._view.leaving:
+            if self._view.table is None or self._view.leaving or not self._may_place():
                 continue
             for service in self._view.table.config.service_by_name.values():
                 if service.engine is not None:
                     await self._look(service, service.engine)
 
+    def _may_place(self) -> bool:
+        """Return whether this host is one of the few that place layers.
+
+        Load pattern: two hundred hosts see a target come back empty.  Each makes a
+        plan, and each asks the store for the lease: some four hundred calls for one
+        target.  The hosts that follow the store are enough to take it over.
+        """
+        return self._view.watch_duty.on_duty or bool(self.duties())
+
     async def _look(self, service: ServiceSpec, engine: EngineSpec) -> None:
         now = self._view.clock.now()
         state = self._state_of(service.name)
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -5,12 +5,14 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Generic, TypeVar
 
 import trio
 
 from radishfield.core import Clock
-from radishfield.forwarding._peer_messages import TargetNews
+from radishfield.forwarding._peer_messages import PeerConfig, TargetNews
 from radishfield.limits import RetryAllowance, RetryBudget, RetryUse
+from radishfield.platform import StoredValue
 from radishfield.routing import (
     TELL_S,
     UNSEEN_S,
@@ -37,6 +39,8 @@
     takes_work,
 )
 
+Item = TypeVar("Item")
+
 UNSEEN_SHARE = 0.25
 """Part of the hosts that are taken to have just started a stream where nothing is
 known yet: right after a start all of them would choose the same path."""
@@ -75,16 +79,24 @@
     use_by_service_by_host: dict[str, dict[str, RetryUse]] = field(default_factory=dict)
 
 
-class NewsBox:
-    """What the store told of targets since the other hosts were told last."""
+@dataclass(slots=True, frozen=True)
+class ConfigNews:
+    """A version of the configuration as the store holds it."""
+
+    version: int
+    value: StoredValue
+
+
+class NewsBox(Generic[Item]):
+    """What the store told since the other hosts of the zone were told last."""
 
     __slots__ = ("_came", "_items")
 
     def __init__(self):
-        self._items: list[TargetNews] = []
+        self._items: list[Item] = []
         self._came = trio.Event()
 
-    def add(self, item: TargetNews) -> None:
+    def add(self, item: Item) -> None:
         """Put in what is to be told."""
         self._items.append(item)
         self._came.set()
@@ -93,7 +105,7 @@
         """Wait until there is something to tell."""
         await self._came.wait()
 
-    def take(self) -> list[TargetNews]:
+    def take(self) -> list[Item]:
         """Take all of it out."""
         items, self._items = self._items, []
         self._came = trio.Event()
@@ -113,12 +125,15 @@
         What the hosts that were heard lately say.
     full_by_id : dict
         Targets that refused work for want of room, left out for a moment.
-    news : NewsBox
-        What is to be told to the other hosts of the zone.
+    news, config_news : NewsBox
+        What is to be told to the other hosts of the zone: of targets, and of the
+        configuration.
+    config_reads : int
+        Answers of the store that held the configuration.
     targets_confirmed_at : float
         When the store was last asked for the targets, of the calls it answered.
-    hear_news : callable
-        Takes what another host passes on of targets.
+    hear_news, hear_config : callable
+        Take what another host passes on of targets, and of the configuration.
     duty_reported_at : dict
         When another host last said that it holds a service's placement.
     room_freed : trio.Event
@@ -149,9 +164,12 @@
     followers_woken: trio.Event = field(default_factory=trio.Event)
     peers: PeerView = field(default_factory=PeerView)
     watch_duty: WatchDuty = field(default_factory=WatchDuty)
-    news: NewsBox = field(default_factory=NewsBox)
+    news: NewsBox[TargetNews] = field(default_factory=NewsBox)
+    config_news: NewsBox[ConfigNews] = field(default_factory=NewsBox)
+    config_reads: int = 0
     targets_confirmed_at: float = -math.inf
     hear_news: Callable[[list[TargetNews]], None] = lambda items: None
+    hear_config: Callable[[PeerConfig], None] = lambda message: None
     full_by_id: dict[str, FullTarget] = field(default_factory=dict)
     duty_reported_at: dict[str, float] = field(default_factory=dict)
     _queue_by_service: dict[str, AdmissionQueue] = field(default_factory=dict)
--- /dev/null
+++ b/radishfield/forwarding/peer_messages_test.py
@@ -0,0 +1,45 @@
+"""How a configuration travels between hosts."""
+
+import uuid
+import zlib
+
+import pytest
+
+from radishfield.forwarding._peer_messages import (
+    DATAGRAM_BYTES,
+    MOST_CONFIG_BYTES,
+    PeerConfig,
+    config_datagram,
+    config_spec,
+    decoder,
+)
+
+
+def test_configuration_comes_as_it_was_sent():
+    spec = {"version": 3, "routes": [{"name": f"r{n}"} for n in range(200)]}
+    data = config_datagram(3, 90, spec)
+    assert len(data) < DATAGRAM_BYTES
+    message = decoder.decode(data)
+    assert (message.version, message.revision) == (3, 90)
+    assert config_spec(message) == spec
+
+
+@pytest.mark.parametrize(
+    "spec", [{"keys": [uuid.uuid4().hex for _ in range(900)]}, {"n": 2**80}]
+)
+def test_configuration_that_fits_no_datagram_is_not_sent(spec):
+    assert config_datagram(3, 90, spec) is None
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"no deflated text",
+        zlib.compress(b"x" * 100)[:-5],
+        zlib.compress(b"\x00" * (MOST_CONFIG_BYTES + 1)),
+        zlib.compress(b"\xc1"),
+    ],
+)
+def test_damaged_configuration_is_an_error_and_fills_no_memory(body):
+    with pytest.raises(ValueError):
+        config_spec(PeerConfig(3, 90, body))
--- a/radishfield/forwarding/zone_test.py
+++ b/radishfield/forwarding/zone_test.py
@@ -1,5 +1,7 @@
 """A zone of several hosts: a few follow the store and tell the others."""
 
+import uuid
+
 import trio
 
 from radishfield.forwarding._peer_messages import TargetNews
@@ -79,6 +81,44 @@
     play(tmp_path, scene)
 
 
+def test_change_of_the_configuration_costs_no_call_at_hosts_that_are_told(tmp_path):
+    """Keys are taken away three times; two hundred hosts would read each version.
+
+    Three watchers read it, and pass on what they read within their zone.
+    """
+
+    async def scene(played, routers):
+        # All hosts watch until they hear of each other.
+        await trio.sleep(2.5)
+        told = [r for r in routers if not r.view.watch_duty.on_duty]
+        before = [reads_of_config(r) for r in told]
+        for version in (2, 3, 4):
+            played.store.put("config", "main", config(version, tenants=[]))
+            await played.until(
+                lambda v=version: {r.view.table.config.version for r in routers} == {v},
+                BOUND_S,
+            )
+        assert [reads_of_config(r) for r in told] == before
+
+    play(tmp_path, scene)
+
+
+def test_configuration_that_no_datagram_takes_is_read_from_the_store(tmp_path):
+    async def scene(played, routers):
+        tenants = [{"name": "w", "apiKeys": [uuid.uuid4().hex for _ in range(900)]}]
+        played.store.put("config", "main", config(2, tenants=tenants))
+        await played.until(
+            lambda: {r.view.table.config.version for r in routers} == {2}, BOUND_S
+        )
+
+    play(tmp_path, scene)
+
+
+def reads_of_config(router):
+    """Return how often a router's follower has asked for the configuration."""
+    return router.view.config_reads
+
+
 def test_others_take_over_when_every_watcher_dies(tmp_path):
     """The hosts that followed the store are killed at once.
 
--- a/radishfield/routing/_watch_duty.py
+++ b/radishfield/routing/_watch_duty.py
@@ -8,6 +8,7 @@
 itself; no host depends on another one's word for longer than that takes.
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -24,6 +25,10 @@
 """Part of the bound on keys after which a host confirms its configuration itself.
 The word of a watcher is up to half of the bound old; the rest is for the read."""
 
+TOLD_S = 0.3
+"""Time in which a newer version that was heard of is passed on as well; a tenth of
+the shortest time in which a change has to be in force."""
+
 WATCHER_SILENT_S = 3.0
 """A watcher that had no answer of the store for this long is passed over: a watch
 that waited for 2.5 s and was late by another half second."""
@@ -65,6 +70,8 @@
         same, or this host read it.
     newest_version : int
         Newest version of the configuration that any host was heard to have.
+    newer_heard_at : float
+        When it was heard of first.
     reading_since : float or None
         Since when this host has followed the configuration itself.
     """
@@ -73,8 +80,14 @@
     shared: bool = False
     agreed_at: float | None = None
     newest_version: int = 0
+    newer_heard_at: float = -math.inf
     reading_since: float | None = None
 
+    @property
+    def tells_others(self) -> bool:
+        """Return whether other hosts of the zone depend on this one's word."""
+        return self.on_duty and self.shared
+
     def assign(self, own_id: str, others: Iterable[ZoneHost]) -> bool:
         """Take or leave the duty; return whether that is a change.
 
@@ -91,11 +104,12 @@
         self.on_duty = own_id in sorted([own_id, *able])[:WATCHERS_PER_ZONE]
         return self.on_duty != before
 
-    def heard_version(self, version: int) -> bool:
+    def heard_version(self, version: int, now: float) -> bool:
         """Note a version that another host has; return whether it is a newer one."""
-        newer = version > self.newest_version
-        self.newest_version = max(self.newest_version, version)
-        return newer
+        if version <= self.newest_version:
+            return False
+        self.newest_version, self.newer_heard_at = version, now
+        return True
 
     def told(self, same_targets: bool, list_age_s: float, now: float) -> None:
         """Take a watcher's word on its list of targets."""
@@ -115,8 +129,17 @@
             return 0.0
         return self.agreed_at + AGREEMENT_S - now
 
-    def config_due_in_s(self, age_s: float, bound_s: float, version: int) -> float:
-        """Return after how long it has to ask for the configuration, likewise."""
-        if self.on_duty or version < self.newest_version:
+    def config_due_in_s(
+        self, age_s: float, bound_s: float, version: int, now: float
+    ) -> float:
+        """Return after how long it has to ask for the configuration, likewise.
+
+        A newer version is mostly on its way already; read at once by each host it
+        would cost a call a host.
+        """
+        if self.on_duty:
             return 0.0
-        return bound_s * CONFIG_AGE_SHARE - age_s
+        due_in_s = bound_s * CONFIG_AGE_SHARE - age_s
+        if version < self.newest_version:
+            due_in_s = min(due_in_s, self.newer_heard_at + TOLD_S - now)
+        return due_in_s
