--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -214,6 +214,7 @@
                     for duty, heard_at in self._duty_heard_at.items()
                     if now - heard_at < PASS_DUTY_S
                 ],
+                self._view.directory.answered_lately(now),
             )
         )
 
@@ -295,6 +296,9 @@
         if len(status.lost) <= MOST_REPORTED_LOST:
             for target_id, started_ms in status.lost:
                 self._merge_lost(status.host_id, target_id, started_ms)
+        if status.zone == self._view.zone:
+            for target_id, started_ms in status.answered:
+                self._merge_answered(target_id, started_ms, now)
         for duty in status.duties:
             self._duty_heard_at[duty] = now
         for duty in (*status.duties, *status.passed_duties):
@@ -377,6 +381,11 @@
                 directory_version=directory.version,
             )
 
+    def _merge_answered(self, target_id: str, started_ms: int, now: float) -> None:
+        record = self._view.directory.find(target_id)
+        if record is not None and record.started_ms == started_ms:
+            self._view.directory.answered_elsewhere(target_id, now)
+
 
 def _work_of(held_by_id: Mapping[str, TargetLoad]) -> list[Work]:
     return [
--- a/radishfield/forwarding/_peer_messages.py
+++ b/radishfield/forwarding/_peer_messages.py
@@ -108,6 +108,8 @@
         Seconds since the sender's list was confirmed; negative before.
     passed_duties : list of str
         Duties that the sender has just heard of from their holders.
+    answered : list of tuple
+        Targets that the sender had left out, and that have answered it.
     """
 
     host_id: str
@@ -128,6 +130,7 @@
     targets_digest: int = 0
     targets_age_s: float = -1.0
     passed_duties: list[str] = []
+    answered: list[tuple[str, int]] = []
 
 
 encoder = msgspec.msgpack.Encoder()
--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -44,12 +44,18 @@
 MEASURE_ZONE_S = 10.0
 """Age of a zone's last answer after which one of its targets is asked, so that the
 usual answer time is known when it is needed."""
+MEASURE_LOOK_S = 1.0
+"""Pause between two looks for such zones."""
 GAP_MEMORY = 0.8
 """Weight of the past in a stream's usual pause."""
 REPATH_TRIES = 3
 ASKED_AT_ONCE = 3
 """Lost targets that are asked in one look: a host that is cut off from all of them
 must not spend its time on asking."""
+LEFT_TO_OTHERS_S = 3.0
+"""Time for which a lost target is left to the hosts of the zone that follow the store,
+which ask it and tell of its answer.  Asked by each of two hundred hosts once a second,
+the targets of a zone that is cut off get eight thousand questions a second."""
 MOVED = (200, 202)
 
 
@@ -126,6 +132,7 @@
         "_answered_at_by_zone",
         "_asked_at_by_id",
         "_clock",
+        "_measure_at",
         "_nursery",
         "_probed_at_by_id",
         "_streams",
@@ -142,6 +149,7 @@
         self._probed_at_by_id: dict[str, float] = {}
         self._answer_s_by_zone: dict[str, float] = {}
         self._answered_at_by_zone: dict[str, float] = {}
+        self._measure_at = 0.0
         self._nursery: trio.Nursery | None = None
 
     def add(self, stream: ActiveStream) -> None:
@@ -203,6 +211,9 @@
     def _measure_zones(self) -> None:
         """Ask one target of each zone that has not answered for a while."""
         now = self._clock.now()
+        if now < self._measure_at:
+            return
+        self._measure_at = now + MEASURE_LOOK_S
         due = {
             record.zone: record
             for record in self._view.directory.all_records()
@@ -256,7 +267,8 @@
             Whether more of them are due than are asked in one look.
         """
         now = self._clock.now()
-        due = self._view.directory.to_ask(now)
+        patience_s = 0.0 if self._view.watch_duty.on_duty else LEFT_TO_OTHERS_S
+        due = self._view.directory.to_ask(now, patience_s)
         for target_id in due[:ASKED_AT_ONCE]:
             self._view.directory.asked(target_id, now)
             self._nursery.start_soon(self._ask, target_id)
--- a/radishfield/routing/_directory.py
+++ b/radishfield/routing/_directory.py
@@ -28,6 +28,10 @@
 fails again.  Longer would keep a target out that was started again."""
 
 
+ANSWER_TOLD_S = 2.0
+"""Time for which others are told of an answer: each host of a large zone is told
+twice in it."""
+
 ZONE_LOST = 3
 """Targets of one zone that are lost at the same time, from which on the whole zone
 counts as cut off.  Found out one by one, twenty targets would cost each host twenty
@@ -52,6 +56,12 @@
     first_hand: bool
     inferred: bool = False
     asking: bool = False
+    told: bool = False
+
+    @property
+    def began_at(self) -> float:
+        """Return when the target was found lost, or asked, last."""
+        return self.until - (FIRST_SUSPICION_S if self.asking else self.length_s)
 
 
 @dataclass(slots=True, frozen=True)
@@ -69,6 +79,7 @@
     _entry_by_id: dict[str, _Entry] = field(default_factory=dict)
     _leaving: set[tuple[str, int]] = field(default_factory=set)
     _suspicion_by_id: dict[str, _Suspicion] = field(default_factory=dict)
+    _answered_at_by_id: dict[str, float] = field(default_factory=dict)
     _store_failed_at: float = -1e9
     _digest: tuple[int, int] = (-1, 0)
     version: int = 0
@@ -247,6 +258,8 @@
         suspicion = self._suspicion_by_id.get(target_id)
         if suspicion is None:
             return
+        if suspicion.until_asked:
+            self._answered_at_by_id[target_id] = now
         # The length stays for a while, so that the next one is longer.
         suspicion.until_asked = False
         suspicion.until = min(suspicion.until, now)
@@ -269,16 +282,48 @@
             suspicion.until_asked or now < suspicion.until
         )
 
-    def to_ask(self, now: float) -> list[str]:
-        """Return the targets that are left out until they answer, and are due."""
+    def to_ask(self, now: float, patience_s: float = 0.0) -> list[str]:
+        """Return the targets that are left out until they answer, and are due.
+
+        Parameters
+        ----------
+        patience_s : float
+            Seconds beyond that which this host leaves to others, that ask as well
+            and tell what they find.
+        """
         return [
             target_id
             for target_id, suspicion in self._suspicion_by_id.items()
             if suspicion.until_asked
-            and now >= suspicion.until
+            and now >= suspicion.until + (0.0 if suspicion.told else patience_s)
             and target_id in self._entry_by_id
         ]
 
+    def answered_elsewhere(self, target_id: str, now: float) -> None:
+        """Note that another host of the zone had an answer: it is asked at once.
+
+        The word alone proves nothing for this host, whose own way may be cut.
+        """
+        suspicion = self._suspicion_by_id.get(target_id)
+        if suspicion is None or not suspicion.until_asked:
+            return
+        if now - suspicion.began_at >= FIRST_SUSPICION_S:
+            suspicion.until = min(suspicion.until, now)
+            suspicion.told = True
+
+    def answered_lately(self, now: float) -> list[tuple[str, int]]:
+        """Return the targets that were left out and have answered, for others."""
+        self._answered_at_by_id = {
+            target_id: at
+            for target_id, at in self._answered_at_by_id.items()
+            if now - at < ANSWER_TOLD_S and target_id in self._entry_by_id
+        }
+        return [
+            self._entry_by_id[target_id].record.incarnation
+            for target_id in self._answered_at_by_id
+            if not self.suspected(target_id, now)
+        ]
+
     def asked(self, target_id: str, now: float) -> None:
         """Note that a target is being asked, so that it is not asked twice.
 
@@ -289,6 +334,7 @@
         if suspicion is not None:
             suspicion.until = now + FIRST_SUSPICION_S
             suspicion.asking = True
+            suspicion.told = False
 
     def lost_incarnations(self, now: float) -> list[tuple[str, int]]:
         """Return the targets that this host itself found lost, for other hosts."""
--- a/radishfield/routing/directory_test.py
+++ b/radishfield/routing/directory_test.py
@@ -184,3 +184,44 @@
     for number in range(4):
         directory.suspect(f"t{number}", now=0.0)
     assert len(usable_ids(directory, 0.1)) == 16
+
+
+def test_lost_target_is_asked_by_few_and_taken_back_by_all(target):
+    """A zone of forty hosts loses a target, which is back two seconds later.
+
+    Asked by each host each second it would cost forty questions a second; those that
+    leave it to others ask it as soon as one of them had an answer.
+    """
+    asking, waiting = TargetDirectory(), TargetDirectory()
+    for directory in (asking, waiting):
+        directory.update(target("t1"))
+        directory.suspect("t1", 10.0, until_asked=True)
+    assert asking.to_ask(11.0) == ["t1"]
+    assert waiting.to_ask(11.0, 3.0) == []
+    assert waiting.to_ask(14.0, 3.0) == ["t1"]
+    asking.asked("t1", 12.0)
+    asking.answered("t1", 12.0)
+    assert asking.answered_lately(12.1) == [("t1", 0)]
+    waiting.answered_elsewhere("t1", 12.2)
+    assert waiting.to_ask(12.2, 3.0) == ["t1"]
+    assert waiting.suspected("t1", 12.2)
+    waiting.asked("t1", 12.2)
+    waiting.answered("t1", 12.3)
+    assert not waiting.suspected("t1", 12.3)
+    assert asking.answered_lately(14.5) == []
+
+
+def test_answer_that_another_host_had_is_followed_up_once(target):
+    """This host's own way is cut: the word of others must not have it ask for ever."""
+    directory = TargetDirectory()
+    directory.update(target("t1"))
+    directory.suspect("t1", 10.0, until_asked=True)
+    asked = 0
+    for step in range(20):
+        now = 10.5 + 0.05 * step
+        directory.answered_elsewhere("t1", now)
+        if directory.to_ask(now, 3.0):
+            asked += 1
+            directory.asked("t1", now)
+            directory.suspect("t1", now, until_asked=True)
+    assert asked <= 2
