--- a/radishfield/routing/directory_test.py
+++ b/radishfield/routing/directory_test.py
@@ -212,7 +212,7 @@
 
 
 def test_answer_that_another_host_had_is_followed_up_once(target):
-    """This host's own way is cut: the word of others must not have it ask for ever."""
+    """The way of one host is cut: the word of others must not have it ask for ever."""
     directory = TargetDirectory()
     directory.update(target("t1"))
     directory.suspect("t1", 10.0, until_asked=True)
