--- a/radishfield/routing/_watch_duty.py
+++ b/radishfield/routing/_watch_duty.py
@@ -12,9 +12,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-WATCHERS_PER_ZONE = 3
-"""One may be frozen and one cut off from the store at the same time.  Zones of up to
-three hosts are as if there were no such duty."""
+WATCHERS_PER_ZONE = 2
+"""One may be frozen or cut off from the store.  If both are, the others read the store
+themselves for the second or two until two of them have the duty."""
+
+SMALL_ZONE = 3
+"""Zones of up to so many hosts are as if there were no such duty."""
 
 AGREEMENT_S = 1.2
 """Time without a watcher's word that its list of targets is the same, after which a
@@ -99,9 +102,10 @@
             for host in others
             if not (host.watches and host.silent_s >= WATCHER_SILENT_S)
         ]
-        self.shared = len(able) >= WATCHERS_PER_ZONE
+        self.shared = len(able) >= SMALL_ZONE
         before = self.on_duty
-        self.on_duty = own_id in sorted([own_id, *able])[:WATCHERS_PER_ZONE]
+        watchers = sorted([own_id, *able])[:WATCHERS_PER_ZONE]
+        self.on_duty = not self.shared or own_id in watchers
         return self.on_duty != before
 
     def heard_version(self, version: int, now: float) -> bool:
