--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -57,13 +57,31 @@
 
 
 class _StreamTries(Tries):
-    """The attempts of one stream; keeps the first targets that broke one."""
+    """The attempts of one stream; keeps the first targets that broke one.
+
+    Attributes
+    ----------
+    excluded : set of str
+        First targets that broke an attempt.
+    unreached_zones : set of str
+        Other zones of which a target could not be reached.
+    """
 
-    __slots__ = ("excluded",)
+    __slots__ = ("excluded", "unreached_zones")
 
     def __init__(self):
         super().__init__(NO_PATH_RETRY_S)
         self.excluded: set[str] = set()
+        self.unreached_zones: set[str] = set()
+
+    def leave_zone(self, zone: str) -> None:
+        """Keep to other zones from now on.
+
+        Load pattern: a zone is cut off that holds the fastest targets.  Each path
+        that was cheapest begins at another one of them, and a stream that tries one
+        after the other is refused although its own zone could serve it.
+        """
+        self.unreached_zones.add(zone)
 
     def take(self, result: Result["_WholeFailure", Fault], first_id: str) -> None:
         """Note an attempt that failed, with the first target of its path."""
@@ -146,6 +164,7 @@
             result = await self._attempt(call, engine, placed.ok, progress)
             if result.is_ok() and result.ok is None:
                 return None
+            self._note_unreached(tries, result, placed.ok[0].target_id)
             tries.take(result, placed.ok[0].target_id)
             if not tries.over(call.route):
                 continue
@@ -158,6 +177,19 @@
             await call.responder.whole(answer.status, answer.headers, answer.body)
             return None
 
+    def _note_unreached(
+        self,
+        tries: _StreamTries,
+        result: Result[_WholeFailure | None, Fault],
+        first_id: str,
+    ) -> None:
+        """Note the zone of a first target that could not be reached."""
+        if result.is_ok() or result.error.code is not ResultCode.CONNECT_FAILED:
+            return
+        record = self._view.directory.find(first_id)
+        if record is not None and record.zone != self._view.zone:
+            tries.leave_zone(record.zone)
+
     async def _find_path(
         self,
         call: Call,
@@ -230,12 +262,18 @@
         excluded = tries.excluded - (firsts or set())
         pool = [record for record in roomy if record.id not in excluded]
         finder = self._view.path_finder(call.service.name, engine)
-        return finder.find(
-            pool,
-            progress.demand(engine),
-            pace_by_id=self._view.pace_by_id,
-            first_ids=firsts,
-        )
+        reached = [item for item in pool if item.zone not in tries.unreached_zones]
+        pools = [reached] if len(reached) == len(pool) else [reached, pool]
+        for records in pools:
+            path = finder.find(
+                records,
+                progress.demand(engine),
+                pace_by_id=self._view.pace_by_id,
+                first_ids=firsts,
+            )
+            if path is not None:
+                return path
+        return None
 
     def _is_covered(self, call: Call, engine: EngineSpec) -> bool:
         now = self._view.clock.now()
--- a/radishfield/forwarding/router_test.py
+++ b/radishfield/forwarding/router_test.py
@@ -3,7 +3,8 @@
 import trio
 
 from radishfield.forwarding.conftest import world
-from standins.routed_config import KEY, config, route
+from standins.fleet import free_port
+from standins.routed_config import KEY, config, layered_entry, route
 
 
 def play(tmp_path, scene):
@@ -437,6 +438,28 @@
     play(tmp_path, scene)
 
 
+def test_a_zone_that_is_cut_off_does_not_use_up_a_streams_attempts(tmp_path):
+    """Another zone, with the fastest targets, is cut off; its own could serve.
+
+    Each attempt begins at another target of the lost zone and is refused at once.
+    After four of them the caller would be told that there is no path.
+    """
+
+    async def scene(played):
+        await pool(played, [(0, 40), (40, 80)])
+        for number in range(20):
+            address = f"127.0.0.1:{free_port()}"
+            entry = layered_entry(address, 0, 80) | {"zone": "b"}
+            played.store.put("servers", f"far-{number}", entry)
+        view = played.router.view
+        await played.until(lambda: len(list(view.directory.all_records())) == 22)
+        view.pace_by_id.update({"t1": 50.0, "t2": 50.0})
+        reply = await played.request("/stream/x", "POST", body=b"{}")
+        assert reply.status == 200 and reply.whole
+
+    play(tmp_path, scene)
+
+
 def test_work_ends_when_its_caller_leaves(tmp_path):
     async def scene(played):
         await pool(played, [(0, 80)], events=500)
