--- a/radishfield/core/__init__.py
+++ b/radishfield/core/__init__.py
@@ -4,56 +4,66 @@
 imports from no other part of radishfield.
 """
 
-from radishfield.core._clock import SystemClock, TrioClock
-from radishfield.core._code_help import HELP_BY_CODE, CodeHelp
+from radishfield.core._clock import Clock, SystemClock, TrioClock
 from radishfield.core._codes import OUTCOME_BY_CODE, Outcome, ResultCode
-from radishfield.core._data import (
-    CacheEvent,
-    Finished,
-    Hop,
-    Host,
-    HostState,
-    KvState,
-    LayerRange,
-    Link,
-    LoadReport,
-    Member,
-    MemberState,
-    Priority,
-    Profile,
-    Receipt,
-    Request,
-    Route,
-    Sampling,
-    ServiceAnswer,
-    ServiceRequest,
-    Stage,
-    StreamStart,
-    Target,
-    TargetKind,
-    TargetState,
-    Token,
-    covers_model_once,
-)
 from radishfield.core._errors import Fault, fault
-from radishfield.core._ports import (
-    Clock,
-    HostListing,
-    PeerHandler,
-    PeerPort,
-    PlatformPort,
-    ProfileSource,
-    Serving,
-    StoredListing,
-    StoredObject,
-    TargetOrder,
-    TargetPort,
-    TokenSink,
-    TokenStream,
-    WatchBatch,
+from radishfield.core._lazy import loaded_on_use
+
+_NAMES_BY_MODULE = {
+    "radishfield.core._code_help": (
+        "HELP_BY_CODE",
+        "CodeHelp",
+    ),
+    "radishfield.core._data": (
+        "CacheEvent",
+        "Finished",
+        "Hop",
+        "Host",
+        "HostState",
+        "KvState",
+        "LayerRange",
+        "Link",
+        "LoadReport",
+        "Member",
+        "MemberState",
+        "Priority",
+        "Profile",
+        "Receipt",
+        "Request",
+        "Route",
+        "Sampling",
+        "ServiceAnswer",
+        "ServiceRequest",
+        "Stage",
+        "StreamStart",
+        "Target",
+        "TargetKind",
+        "TargetState",
+        "Token",
+        "covers_model_once",
+    ),
+    "radishfield.core._ports": (
+        "HostListing",
+        "PeerHandler",
+        "PeerPort",
+        "PlatformPort",
+        "ProfileSource",
+        "Serving",
+        "StoredListing",
+        "StoredObject",
+        "TargetOrder",
+        "TargetPort",
+        "TokenSink",
+        "TokenStream",
+        "WatchBatch",
+    ),
+}
+__getattr__ = loaded_on_use(
+    {name: module for module, names in _NAMES_BY_MODULE.items() for name in names}
 )
 
 __all__ = [
+    "loaded_on_use",
     "HELP_BY_CODE",
     "OUTCOME_BY_CODE",
     "CacheEvent",
--- a/radishfield/core/_clock.py
+++ b/radishfield/core/_clock.py
@@ -1,10 +1,18 @@
 """The two clocks: the host's own, and trio's for virtual time in tests."""
 
 import time
+from typing import Protocol
 
 import trio
 
 
+class Clock(Protocol):
+    """Seconds that never go back and that count while the host is suspended."""
+
+    def now(self) -> float:
+        """Return the reading in seconds; only differences have a meaning."""
+
+
 class SystemClock:
     """Seconds since boot, suspension included.
 
--- /dev/null
+++ b/radishfield/core/_lazy.py
@@ -0,0 +1,26 @@
+"""Names of a package that are loaded when they are first used.
+
+A router is started again after each fault, and nobody is served until it is loaded; it
+uses a small part of what the packages hold that it shares with the entry host.
+"""
+
+from collections.abc import Callable, Mapping
+from importlib import import_module
+
+
+def loaded_on_use(module_by_name: Mapping[str, str]) -> Callable[[str], object]:
+    """Return a package's ``__getattr__``.
+
+    Parameters
+    ----------
+    module_by_name : mapping of str to str
+        The module that defines each name.
+    """
+
+    def load(name: str) -> object:
+        module = module_by_name.get(name)
+        if module is None:
+            raise AttributeError(name)
+        return getattr(import_module(module), name)
+
+    return load
--- a/radishfield/core/_ports.py
+++ b/radishfield/core/_ports.py
@@ -30,13 +30,6 @@
 from radishfield.core._errors import Fault
 
 
-class Clock(Protocol):
-    """Seconds that never go back and that count while the host is suspended."""
-
-    def now(self) -> float:
-        """Return the reading in seconds; only differences have a meaning."""
-
-
 class TokenSink(Protocol):
     """Where committed tokens leave towards the caller."""
 
--- a/radishfield/forwarding/__main__.py
+++ b/radishfield/forwarding/__main__.py
@@ -1,10 +1,18 @@
 """``python -m radishfield.forwarding``: run a router with a settings file."""
 
+import gc
 import sys
 
-import click
+# Nothing that is loaded is ever freed; looking for garbage among it takes a twentieth
+# of a start, in which nobody is served.
+gc.disable()
 
-from radishfield.forwarding._router import read_settings, run_router
+import click  # noqa: E402
+
+from radishfield.forwarding._router import read_settings, run_router  # noqa: E402
+
+gc.freeze()
+gc.enable()
 
 
 @click.command()
--- a/radishfield/forwarding/_call.py
+++ b/radishfield/forwarding/_call.py
@@ -1,7 +1,6 @@
 """One caller's request on its way, and the answers that it can be given."""
 
 import random
-from dataclasses import dataclass, field
 
 import msgspec
 
@@ -28,8 +27,7 @@
 together do not return as one wave."""
 
 
-@dataclass(slots=True)
-class Responder:
+class Responder(msgspec.Struct):
     """The caller's end of a request; knows whether an answer has begun.
 
     ``finished`` is set before the last bytes go out: the server tells of the end of
@@ -95,8 +93,7 @@
         return headers
 
 
-@dataclass(slots=True)
-class StreamTimes:
+class StreamTimes(msgspec.Struct):
     """How a stream went, as its caller sees it; for the line at its end.
 
     Attributes
@@ -139,8 +136,7 @@
         }
 
 
-@dataclass(slots=True)
-class Call:
+class Call(msgspec.Struct):
     """A request that was read whole and matched to a route.
 
     Attributes
@@ -171,9 +167,9 @@
     sent: int = 0
     arrived: int = 0
     may_have_run: bool = False
-    tried: set[str] = field(default_factory=set)
-    ran_at: set[str] = field(default_factory=set)
-    times: StreamTimes = field(default_factory=StreamTimes)
+    tried: set[str] = msgspec.field(default_factory=set)
+    ran_at: set[str] = msgspec.field(default_factory=set)
+    times: StreamTimes = msgspec.field(default_factory=StreamTimes)
 
     @property
     def workspace_name(self) -> str:
--- a/radishfield/forwarding/_connections.py
+++ b/radishfield/forwarding/_connections.py
@@ -10,9 +10,9 @@
 from collections import defaultdict
 from collections.abc import AsyncIterator
 from contextlib import aclosing
-from dataclasses import dataclass
 
 import httpcore
+import msgspec
 import trio
 from expression import Error, Ok, Result
 
@@ -46,8 +46,7 @@
 _BROKEN_ERRORS = (*BROKEN_CONNECTION_ERRORS, httpcore.ConnectionNotAvailable)
 
 
-@dataclass(slots=True, frozen=True)
-class Outgoing:
+class Outgoing(msgspec.Struct, frozen=True):
     """A request to a target, as bytes."""
 
     method: str
@@ -56,8 +55,7 @@
     body: bytes = b""
 
 
-@dataclass(slots=True)
-class _Kept:
+class _Kept(msgspec.Struct):
     connection: httpcore.AsyncHTTPConnection
     until: float
 
--- a/radishfield/forwarding/_lease.py
+++ b/radishfield/forwarding/_lease.py
@@ -1,7 +1,5 @@
 """The lease in the store under which one host at a time places a service's layers."""
 
-from dataclasses import dataclass
-
 import msgspec
 
 from radishfield.core import ResultCode
@@ -18,8 +16,7 @@
 """Pause between readings of a lease that another host holds."""
 
 
-@dataclass(slots=True, frozen=True)
-class _Seen:
+class _Seen(msgspec.Struct, frozen=True):
     revision: int
     since: float
 
--- a/radishfield/forwarding/_peers.py
+++ b/radishfield/forwarding/_peers.py
@@ -2,7 +2,8 @@
 
 import math
 import random
-from dataclasses import dataclass
+
+import msgspec
 
 from radishfield.routing import WATCHERS_PER_ZONE, ZoneHost
 
@@ -24,8 +25,7 @@
 share allowances: longer than cuts last, after which both sides spend again."""
 
 
-@dataclass(slots=True)
-class Peer:
+class Peer(msgspec.Struct):
     """Another host, as last heard.
 
     Attributes
--- a/radishfield/forwarding/_placer.py
+++ b/radishfield/forwarding/_placer.py
@@ -8,8 +8,8 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 
+import msgspec
 import trio
 
 from radishfield.core import Fault, ResultCode
@@ -55,8 +55,7 @@
 is no longer waited for: it was refused, or its target is gone."""
 
 
-@dataclass(slots=True)
-class _Ordered:
+class _Ordered(msgspec.Struct):
     """What a target was ordered last.
 
     Attributes
@@ -70,8 +69,7 @@
     loads_until: float
 
 
-@dataclass(slots=True, frozen=True)
-class _Unplaced:
+class _Unplaced(msgspec.Struct, frozen=True):
     """Empty targets that wait for a plan, since when, and when the last came."""
 
     ids: frozenset[str]
@@ -79,8 +77,7 @@
     grown_at: float
 
 
-@dataclass(slots=True, frozen=True)
-class _Planned:
+class _Planned(msgspec.Struct, frozen=True):
     """A plan, and what it was made from.
 
     Made anew at each look by each host, the plan for ninety targets took a
@@ -92,16 +89,14 @@
     assignments: tuple[Assignment, ...]
 
 
-@dataclass(slots=True, frozen=True)
-class _WantedMove:
+class _WantedMove(msgspec.Struct, frozen=True):
     """A move, and since when it has been the best."""
 
     assignment: Assignment
     since: float
 
 
-@dataclass(slots=True)
-class _ServiceState:
+class _ServiceState(msgspec.Struct):
     """What this host knows of the placing of one service.
 
     Attributes
--- a/radishfield/forwarding/_plain.py
+++ b/radishfield/forwarding/_plain.py
@@ -4,8 +4,7 @@
 for again, or ended as a failure, instead of reaching the caller in half.
 """
 
-from dataclasses import dataclass
-
+import msgspec
 import trio
 from expression import Error, Ok, Result
 
@@ -30,8 +29,7 @@
 SERVER_ERROR = 500
 
 
-@dataclass(slots=True, frozen=True)
-class WholeAnswer:
+class WholeAnswer(msgspec.Struct, frozen=True):
     """A target's answer, complete."""
 
     status: int
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -1,8 +1,8 @@
 """Streams over paths of layered targets, kept going while parts of them fail."""
 
 from contextlib import aclosing
-from dataclasses import dataclass
 
+import msgspec
 import trio
 from expression import Error, Ok, Result
 
@@ -47,8 +47,7 @@
 """Streams that fail go on elsewhere; their targets are judged by the watchdog."""
 
 
-@dataclass(slots=True, frozen=True)
-class _WholeFailure:
+class _WholeFailure(msgspec.Struct, frozen=True):
     """A target's own answer that is no stream."""
 
     status: int
--- a/radishfield/forwarding/_targets.py
+++ b/radishfield/forwarding/_targets.py
@@ -1,7 +1,6 @@
 """Sends calls to targets and sorts what comes back by what it proves."""
 
-from dataclasses import dataclass
-
+import msgspec
 import trio
 from expression import Error, Ok, Result
 
@@ -39,8 +38,7 @@
 callers come back once, so they are told to come late rather than in vain."""
 
 
-@dataclass(slots=True, frozen=True)
-class OrderAnswer:
+class OrderAnswer(msgspec.Struct, frozen=True):
     """A target's answer to an order; the body names what stands in the way."""
 
     status: int
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -4,9 +4,9 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
+import msgspec
 import trio
 
 from radishfield.core import Clock
@@ -51,16 +51,14 @@
 LONGEST_FULL_S = 1.0
 
 
-@dataclass(slots=True, frozen=True)
-class FullTarget:
+class FullTarget(msgspec.Struct, frozen=True):
     """Until when a target is left out, and for how long that is."""
 
     until: float
     length_s: float
 
 
-@dataclass(slots=True)
-class PeerView:
+class PeerView(msgspec.Struct):
     """What is known of the other hosts at the moment.
 
     Attributes
@@ -76,11 +74,12 @@
     heard: int = 0
     freshest_s: float = math.inf
     ever_heard: bool = False
-    use_by_service_by_host: dict[str, dict[str, RetryUse]] = field(default_factory=dict)
+    use_by_service_by_host: dict[str, dict[str, RetryUse]] = msgspec.field(
+        default_factory=dict
+    )
 
 
-@dataclass(slots=True, frozen=True)
-class ConfigNews:
+class ConfigNews(msgspec.Struct, frozen=True):
     """A version of the configuration as the store holds it."""
 
     version: int
@@ -112,8 +111,7 @@
         return items
 
 
-@dataclass(slots=True)
-class RouterView:
+class RouterView(msgspec.Struct):
     """Shared by all services of the process; only the followers and peers write it.
 
     Attributes
@@ -150,30 +148,30 @@
     freshness: Freshness
     grace_s: float = 8.0
     table: RoutingTable | None = None
-    directory: TargetDirectory = field(default_factory=TargetDirectory)
-    load: LoadTable = field(default_factory=LoadTable)
-    links: LinkUsage = field(default_factory=LinkUsage)
-    gate: CrossingGate = field(default_factory=CrossingGate)
-    pace_by_id: dict[str, float] = field(default_factory=dict)
+    directory: TargetDirectory = msgspec.field(default_factory=TargetDirectory)
+    load: LoadTable = msgspec.field(default_factory=LoadTable)
+    links: LinkUsage = msgspec.field(default_factory=LinkUsage)
+    gate: CrossingGate = msgspec.field(default_factory=CrossingGate)
+    pace_by_id: dict[str, float] = msgspec.field(default_factory=dict)
     hosts: int = 1
     leaving_since: float | None = None
     in_flight: int = 0
-    chance: random.Random = field(default_factory=random.Random)
-    room_freed: trio.Event = field(default_factory=trio.Event)
-    store_back: trio.Event = field(default_factory=trio.Event)
-    followers_woken: trio.Event = field(default_factory=trio.Event)
-    peers: PeerView = field(default_factory=PeerView)
-    watch_duty: WatchDuty = field(default_factory=WatchDuty)
-    news: NewsBox[TargetNews] = field(default_factory=NewsBox)
-    config_news: NewsBox[ConfigNews] = field(default_factory=NewsBox)
+    chance: random.Random = msgspec.field(default_factory=random.Random)
+    room_freed: trio.Event = msgspec.field(default_factory=trio.Event)
+    store_back: trio.Event = msgspec.field(default_factory=trio.Event)
+    followers_woken: trio.Event = msgspec.field(default_factory=trio.Event)
+    peers: PeerView = msgspec.field(default_factory=PeerView)
+    watch_duty: WatchDuty = msgspec.field(default_factory=WatchDuty)
+    news: NewsBox[TargetNews] = msgspec.field(default_factory=NewsBox)
+    config_news: NewsBox[ConfigNews] = msgspec.field(default_factory=NewsBox)
     config_reads: int = 0
     targets_confirmed_at: float = -math.inf
     hear_news: Callable[[list[TargetNews]], None] = lambda items: None
     hear_config: Callable[[PeerConfig], None] = lambda message: None
-    full_by_id: dict[str, FullTarget] = field(default_factory=dict)
-    duty_reported_at: dict[str, float] = field(default_factory=dict)
-    _queue_by_service: dict[str, AdmissionQueue] = field(default_factory=dict)
-    _budget_by_service: dict[str, RetryBudget] = field(default_factory=dict)
+    full_by_id: dict[str, FullTarget] = msgspec.field(default_factory=dict)
+    duty_reported_at: dict[str, float] = msgspec.field(default_factory=dict)
+    _queue_by_service: dict[str, AdmissionQueue] = msgspec.field(default_factory=dict)
+    _budget_by_service: dict[str, RetryBudget] = msgspec.field(default_factory=dict)
 
     @property
     def leaving(self) -> bool:
--- a/radishfield/limits/_retries.py
+++ b/radishfield/limits/_retries.py
@@ -11,7 +11,8 @@
 
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+
+import msgspec
 
 SAFETY = 0.75
 """Part of a shared allowance that is used: windows slide, and what others told is up
@@ -22,8 +23,7 @@
 more than its even part of what is left."""
 
 
-@dataclass(slots=True, frozen=True)
-class RetryAllowance:
+class RetryAllowance(msgspec.Struct, frozen=True):
     """The allowance of all hosts together.
 
     Attributes
@@ -42,21 +42,19 @@
     safety: float = SAFETY
 
 
-@dataclass(slots=True, frozen=True)
-class RetryUse:
+class RetryUse(msgspec.Struct, frozen=True):
     """First tries and repeats of one host in its last window."""
 
     firsts: int = 0
     repeats: int = 0
 
 
-@dataclass(slots=True)
-class RetryBudget:
+class RetryBudget(msgspec.Struct):
     """One service's repeats at this host, over a sliding window."""
 
     allowance: RetryAllowance
-    _firsts: deque[float] = field(default_factory=deque)
-    _repeats: deque[float] = field(default_factory=deque)
+    _firsts: deque[float] = msgspec.field(default_factory=deque)
+    _repeats: deque[float] = msgspec.field(default_factory=deque)
 
     def first_try(self, now: float) -> None:
         """Count the first send of a request."""
--- a/radishfield/platform/_requests.py
+++ b/radishfield/platform/_requests.py
@@ -2,7 +2,8 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from radishfield.platform import _names as names
 from radishfield.platform._targets import path_text
@@ -41,8 +42,7 @@
 MAX_DEADLINE_MS = 3_600_000.0
 
 
-@dataclass(slots=True, frozen=True)
-class RequestFacts:
+class RequestFacts(msgspec.Struct, frozen=True):
     """What a caller's headers say.
 
     Attributes
@@ -65,8 +65,7 @@
     likely_answer_tokens: int
 
 
-@dataclass(slots=True, frozen=True)
-class SendFacts:
+class SendFacts(msgspec.Struct, frozen=True):
     """What the router tells a target beside the caller's own headers."""
 
     target_id: str
@@ -77,8 +76,7 @@
     priority: int | None = None
 
 
-@dataclass(slots=True, frozen=True)
-class AnswerFacts:
+class AnswerFacts(msgspec.Struct, frozen=True):
     """What a target's status and headers say.
 
     Attributes
--- a/radishfield/platform/_store.py
+++ b/radishfield/platform/_store.py
@@ -1,6 +1,5 @@
 """The platform's object store: its calls, paths and answers."""
 
-from dataclasses import dataclass
 from urllib.parse import quote
 
 import msgspec
@@ -52,8 +51,7 @@
     spec: object
 
 
-@dataclass(slots=True, frozen=True)
-class StoredValue:
+class StoredValue(msgspec.Struct, frozen=True):
     """One object; ``spec`` is what lies in it, or None where it can't be read."""
 
     name: str
@@ -61,24 +59,21 @@
     spec: object
 
 
-@dataclass(slots=True, frozen=True)
-class Change:
+class Change(msgspec.Struct, frozen=True):
     """One object that changed or, with ``deleted``, is gone."""
 
     value: StoredValue
     deleted: bool
 
 
-@dataclass(slots=True, frozen=True)
-class Listing:
+class Listing(msgspec.Struct, frozen=True):
     """All objects of a kind as of a revision of the store."""
 
     values: tuple[StoredValue, ...]
     revision: int
 
 
-@dataclass(slots=True, frozen=True)
-class Changes:
+class Changes(msgspec.Struct, frozen=True):
     """What changed up to a revision of the store; empty if nothing did."""
 
     changes: tuple[Change, ...]
--- a/radishfield/routing/_admission_queue.py
+++ b/radishfield/routing/_admission_queue.py
@@ -14,7 +14,8 @@
 """
 
 from collections import Counter, deque
-from dataclasses import dataclass, field
+
+import msgspec
 
 from radishfield.routing._types import LEAST_CALLER_PATIENCE_S
 
@@ -49,8 +50,7 @@
 has left, most callers do not wait."""
 
 
-@dataclass(slots=True, frozen=True)
-class QueueEntry:
+class QueueEntry(msgspec.Struct, frozen=True):
     """A request in line.
 
     Attributes
@@ -68,13 +68,12 @@
     patience_s: float
 
 
-@dataclass(slots=True)
-class AdmissionQueue:
+class AdmissionQueue(msgspec.Struct):
     """The requests of one service that wait at this host."""
 
-    _entries: dict[int, QueueEntry] = field(default_factory=dict)
-    _running: Counter[str] = field(default_factory=Counter)
-    _freed: deque[float] = field(default_factory=deque)
+    _entries: dict[int, QueueEntry] = msgspec.field(default_factory=dict)
+    _running: Counter[str] = msgspec.field(default_factory=Counter)
+    _freed: deque[float] = msgspec.field(default_factory=deque)
     _numbers: int = 0
     usual_stream_s: float = FIRST_USUAL_STREAM_S
 
--- a/radishfield/routing/_choice.py
+++ b/radishfield/routing/_choice.py
@@ -10,7 +10,8 @@
 
 import random
 from collections.abc import Collection, Sequence
-from dataclasses import dataclass, field
+
+import msgspec
 
 from radishfield.routing._load import LoadTable
 from radishfield.routing._types import TargetRecord
@@ -29,11 +30,10 @@
 """Share of failures from which on a target is taken only if no other is left."""
 
 
-@dataclass(slots=True)
-class FailureRates:
+class FailureRates(msgspec.Struct):
     """Share of failed requests by target, the last ones first."""
 
-    _share_by_id: dict[str, float] = field(default_factory=dict)
+    _share_by_id: dict[str, float] = msgspec.field(default_factory=dict)
 
     def note(self, target_id: str, failed: bool) -> None:
         """Count one request's end."""
--- a/radishfield/routing/_crossing_gate.py
+++ b/radishfield/routing/_crossing_gate.py
@@ -9,7 +9,8 @@
 """
 
 import random
-from dataclasses import dataclass, field
+
+import msgspec
 
 from radishfield.routing._links import FULL_SHARE, WINDOW_S, Pair
 
@@ -18,8 +19,7 @@
 and its way on."""
 
 
-@dataclass(slots=True, frozen=True)
-class _Draw:
+class _Draw(msgspec.Struct, frozen=True):
     """What was drawn for a link, and until when it holds."""
 
     until: float
@@ -38,14 +38,13 @@
     return contenders <= room or chance.random() < room / contenders
 
 
-@dataclass(slots=True)
-class CrossingGate:
+class CrossingGate(msgspec.Struct):
     """One draw for each link, which holds until others know what came of it.
 
     Drawn anew at each look of a waiting stream, every host would come through.
     """
 
-    _draw_by_pair: dict[Pair, _Draw] = field(default_factory=dict)
+    _draw_by_pair: dict[Pair, _Draw] = msgspec.field(default_factory=dict)
 
     def is_open(
         self,
--- a/radishfield/routing/_directory.py
+++ b/radishfield/routing/_directory.py
@@ -10,7 +10,8 @@
 
 import zlib
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+
+import msgspec
 
 from radishfield.routing._types import TargetPhase, TargetRecord
 
@@ -42,14 +43,12 @@
 of a large zone do not cost it the others."""
 
 
-@dataclass(slots=True)
-class _Entry:
+class _Entry(msgspec.Struct):
     record: TargetRecord
     missing_since: float | None = None
 
 
-@dataclass(slots=True)
-class _Suspicion:
+class _Suspicion(msgspec.Struct):
     until: float
     length_s: float
     until_asked: bool
@@ -64,22 +63,20 @@
         return self.until - (FIRST_SUSPICION_S if self.asking else self.length_s)
 
 
-@dataclass(slots=True, frozen=True)
-class Removal:
+class Removal(msgspec.Struct, frozen=True):
     """A target left the list; ``held`` if it is used on for a moment."""
 
     id: str
     held: bool
 
 
-@dataclass(slots=True)
-class TargetDirectory:
+class TargetDirectory(msgspec.Struct):
     """All targets that are known, by id."""
 
-    _entry_by_id: dict[str, _Entry] = field(default_factory=dict)
-    _leaving: set[tuple[str, int]] = field(default_factory=set)
-    _suspicion_by_id: dict[str, _Suspicion] = field(default_factory=dict)
-    _answered_at_by_id: dict[str, float] = field(default_factory=dict)
+    _entry_by_id: dict[str, _Entry] = msgspec.field(default_factory=dict)
+    _leaving: set[tuple[str, int]] = msgspec.field(default_factory=set)
+    _suspicion_by_id: dict[str, _Suspicion] = msgspec.field(default_factory=dict)
+    _answered_at_by_id: dict[str, float] = msgspec.field(default_factory=dict)
     _store_failed_at: float = -1e9
     _digest: tuple[int, int] = (-1, 0)
     version: int = 0
--- a/radishfield/routing/_freshness.py
+++ b/radishfield/routing/_freshness.py
@@ -8,15 +8,15 @@
 """
 
 import math
-from dataclasses import dataclass
+
+import msgspec
 
 MARGIN_S = 0.1
 """What two clocks may drift apart over the bound.  No time on the way needs room:
 the bound is on when a caller sent its request, which was before it arrived here."""
 
 
-@dataclass(slots=True)
-class Freshness:
+class Freshness(msgspec.Struct):
     """When the configuration in force was last known to be the newest.
 
     Attributes
--- a/radishfield/routing/_layout.py
+++ b/radishfield/routing/_layout.py
@@ -13,7 +13,8 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+
+import msgspec
 
 from radishfield.routing._types import EngineSpec, LayerSpan, TargetRecord
 
@@ -27,8 +28,7 @@
 in cuts is worth more than a twentieth of a copy."""
 
 
-@dataclass(slots=True, frozen=True)
-class Assignment:
+class Assignment(msgspec.Struct, frozen=True):
     """A target that should hold layers that it does not hold."""
 
     target: TargetRecord
--- a/radishfield/routing/_links.py
+++ b/radishfield/routing/_links.py
@@ -16,7 +16,8 @@
 
 from collections import deque
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+
+import msgspec
 
 WINDOW_S = 2.0
 """Time over which crossings are averaged: some ten prompts of a usual host."""
@@ -40,29 +41,26 @@
     return (zone, other) if zone <= other else (other, zone)
 
 
-@dataclass(slots=True, frozen=True)
-class LinkSum:
+class LinkSum(msgspec.Struct, frozen=True):
     """The shares of links that all hosts of a zone take, as added up at ``at``."""
 
     at: float
     share_by_pair: Mapping[Pair, float]
 
 
-@dataclass(slots=True, frozen=True)
-class _Reported:
+class _Reported(msgspec.Struct, frozen=True):
     zone: str
     share_by_pair: Mapping[Pair, float]
 
 
-@dataclass(slots=True)
-class LinkUsage:
+class LinkUsage(msgspec.Struct):
     """Time for which prompts hold the links, by pair of zones."""
 
-    _crossings: deque[tuple[float, Pair, float]] = field(default_factory=deque)
-    _reported_by_host: dict[str, _Reported] = field(default_factory=dict)
-    _sum_by_zone: dict[str, LinkSum] = field(default_factory=dict)
-    _told: deque[LinkSum] = field(default_factory=lambda: deque(maxlen=8))
-    _backlog_s_by_pair: dict[Pair, float] = field(default_factory=dict)
+    _crossings: deque[tuple[float, Pair, float]] = msgspec.field(default_factory=deque)
+    _reported_by_host: dict[str, _Reported] = msgspec.field(default_factory=dict)
+    _sum_by_zone: dict[str, LinkSum] = msgspec.field(default_factory=dict)
+    _told: deque[LinkSum] = msgspec.field(default_factory=lambda: deque(maxlen=8))
+    _backlog_s_by_pair: dict[Pair, float] = msgspec.field(default_factory=dict)
     _advanced_at: float | None = None
 
     def crossed(self, pair: Pair, transfer_ms: float, now: float) -> None:
--- a/radishfield/routing/_load.py
+++ b/radishfield/routing/_load.py
@@ -13,7 +13,8 @@
 
 from collections import deque
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+
+import msgspec
 
 REMOTE_LIFETIME_S = 3.0
 """A host that has told nothing for this long holds nothing: it was killed, or is
@@ -23,8 +24,7 @@
 """A sum older than this is not used: five times its usual age in a large zone."""
 
 
-@dataclass(slots=True)
-class TargetLoad:
+class TargetLoad(msgspec.Struct):
     """Requests at a target, and the token-layers that they will fill there."""
 
     requests: int = 0
@@ -38,30 +38,27 @@
         self.as_first += sign if first else 0
 
 
-@dataclass(slots=True, frozen=True)
-class _Reported:
+class _Reported(msgspec.Struct, frozen=True):
     at: float
     held_by_id: Mapping[str, TargetLoad]
     zone: str = ""
 
 
-@dataclass(slots=True, frozen=True)
-class ZoneSum:
+class ZoneSum(msgspec.Struct, frozen=True):
     """The work of all hosts of a zone, as added up at ``at`` on this host's clock."""
 
     at: float
     held_by_id: Mapping[str, TargetLoad]
 
 
-@dataclass(slots=True)
-class LoadTable:
+class LoadTable(msgspec.Struct):
     """Work by target, summed over this host and the others."""
 
-    own_by_id: dict[str, TargetLoad] = field(default_factory=dict)
-    _reported_by_host: dict[str, _Reported] = field(default_factory=dict)
-    _remote_by_id: dict[str, TargetLoad] = field(default_factory=dict)
-    _sum_by_zone: dict[str, ZoneSum] = field(default_factory=dict)
-    _told: deque[_Reported] = field(default_factory=lambda: deque(maxlen=8))
+    own_by_id: dict[str, TargetLoad] = msgspec.field(default_factory=dict)
+    _reported_by_host: dict[str, _Reported] = msgspec.field(default_factory=dict)
+    _remote_by_id: dict[str, TargetLoad] = msgspec.field(default_factory=dict)
+    _sum_by_zone: dict[str, ZoneSum] = msgspec.field(default_factory=dict)
+    _told: deque[_Reported] = msgspec.field(default_factory=lambda: deque(maxlen=8))
     _summed_by_id: dict[str, TargetLoad] | None = None
 
     def started(self, target_id: str, token_layers: float, first: bool) -> None:
--- a/radishfield/routing/_paths.py
+++ b/radishfield/routing/_paths.py
@@ -15,7 +15,8 @@
 import math
 import random
 from collections.abc import Collection, Mapping, Sequence
-from dataclasses import dataclass
+
+import msgspec
 
 from radishfield.routing._links import Pair, crossing_ms, pair_of
 from radishfield.routing._load import LoadTable, TargetLoad
@@ -74,8 +75,7 @@
     return MOST_SPREAD * unseen / (unseen + HALF_SPREAD_STARTS)
 
 
-@dataclass(slots=True, frozen=True)
-class Demand:
+class Demand(msgspec.Struct, frozen=True):
     """What a request will take: prompt and expected answer, in tokens."""
 
     prompt: int
@@ -109,8 +109,7 @@
     )
 
 
-@dataclass(slots=True, frozen=True)
-class _Way:
+class _Way(msgspec.Struct, frozen=True):
     cost: float
     parts: tuple[tuple[TargetRecord, int, int], ...]
 
--- a/radishfield/routing/_peer_freshness.py
+++ b/radishfield/routing/_peer_freshness.py
@@ -9,7 +9,7 @@
 took and whatever the neighbour's clock shows.
 """
 
-from dataclasses import dataclass
+import msgspec
 
 FAILING_S = 1.0
 """Time for which every call to the store has failed, from which on this host sends
@@ -23,8 +23,7 @@
 """A neighbour that had an answer this lately reaches the store."""
 
 
-@dataclass(slots=True, frozen=True)
-class PeerConfirmation:
+class PeerConfirmation(msgspec.Struct, frozen=True):
     """What another host says of its configuration.
 
     Attributes
--- a/radishfield/routing/_silence.py
+++ b/radishfield/routing/_silence.py
@@ -9,7 +9,8 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 PROBE_SHARE = 0.3
 """Part of the longest pause that is still on time, or of the time to a first event,
@@ -44,8 +45,7 @@
 on elsewhere: another path needs about a quarter of it."""
 
 
-@dataclass(slots=True, frozen=True)
-class StreamSilence:
+class StreamSilence(msgspec.Struct, frozen=True):
     """A stream as the watchdog sees it.
 
     Attributes
@@ -126,18 +126,15 @@
     return min(longest_s, max(shortest_s, due_s))
 
 
-@dataclass(slots=True, frozen=True)
-class Wait:
+class Wait(msgspec.Struct, frozen=True):
     """Nothing is to be done."""
 
 
-@dataclass(slots=True, frozen=True)
-class Ask:
+class Ask(msgspec.Struct, frozen=True):
     """Ask the path's first target what stands still."""
 
 
-@dataclass(slots=True, frozen=True)
-class GiveUp:
+class GiveUp(msgspec.Struct, frozen=True):
     """End this attempt and go on at another path."""
 
 
--- a/radishfield/routing/_table.py
+++ b/radishfield/routing/_table.py
@@ -4,18 +4,16 @@
 routes costs a request a few dictionary look-ups, not a scan.
 """
 
-from dataclasses import dataclass
+import msgspec
 
 from radishfield.routing._types import RouteRule, RoutingConfig, Workspace
 
 
-@dataclass(slots=True, frozen=True)
-class UnknownKey:
+class UnknownKey(msgspec.Struct, frozen=True):
     """The request's key belongs to no workspace."""
 
 
-@dataclass(slots=True, frozen=True)
-class NoKeyNeeded:
+class NoKeyNeeded(msgspec.Struct, frozen=True):
     """The route is public, or the configuration has no keys."""
 
 
--- a/radishfield/routing/_types.py
+++ b/radishfield/routing/_types.py
@@ -2,7 +2,8 @@
 
 import enum
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+
+import msgspec
 
 from radishfield.routing._links import Pair, pair_of
 
@@ -32,8 +33,7 @@
     LEAVING = "leaving"
 
 
-@dataclass(slots=True, frozen=True)
-class LayerSpan:
+class LayerSpan(msgspec.Struct, frozen=True):
     """Layers ``first`` to ``end``, the end exclusive."""
 
     first: int
@@ -43,16 +43,14 @@
         return self.end - self.first
 
 
-@dataclass(slots=True, frozen=True)
-class ServiceShare:
+class ServiceShare(msgspec.Struct, frozen=True):
     """A service and the part of a route's requests that go there."""
 
     service: str
     weight: float
 
 
-@dataclass(slots=True, frozen=True)
-class RouteRule:
+class RouteRule(msgspec.Struct, frozen=True):
     """How requests below one path prefix of one host name are served.
 
     Attributes
@@ -107,8 +105,7 @@
         return self.kind is RouteKind.IDEMPOTENT
 
 
-@dataclass(slots=True, frozen=True)
-class Accelerator:
+class Accelerator(msgspec.Struct, frozen=True):
     """A kind of card: its memory, and how much slower than the model's figures."""
 
     name: str
@@ -117,8 +114,7 @@
     read_factor: float
 
 
-@dataclass(slots=True, frozen=True)
-class EngineSpec:
+class EngineSpec(msgspec.Struct, frozen=True):
     """What the targets of a layered model can do.
 
     Attributes
@@ -160,8 +156,8 @@
     concurrent_loads: int
     step_bytes: float = 0.0
     zone_mbps: float = 0.0
-    accelerator_by_name: Mapping[str, Accelerator] = field(default_factory=dict)
-    delay_ms_by_pair: Mapping[Pair, float] = field(default_factory=dict)
+    accelerator_by_name: Mapping[str, Accelerator] = msgspec.field(default_factory=dict)
+    delay_ms_by_pair: Mapping[Pair, float] = msgspec.field(default_factory=dict)
     report_lag_s: float = 0.2
 
     def delay_ms(self, zone: str, other: str) -> float:
@@ -176,8 +172,7 @@
         return tokens * self.step_bytes * 8 / (self.zone_mbps * 1e6) * 1e3
 
 
-@dataclass(slots=True, frozen=True)
-class ServiceSpec:
+class ServiceSpec(msgspec.Struct, frozen=True):
     """A service that routes point to; ``engine`` only where layers are placed."""
 
     name: str
@@ -186,24 +181,21 @@
     engine: EngineSpec | None = None
 
 
-@dataclass(slots=True, frozen=True)
-class Workspace:
+class Workspace(msgspec.Struct, frozen=True):
     """A customer; a ``priority`` of its own goes before its route's."""
 
     name: str
     priority: int | None = None
 
 
-@dataclass(slots=True, frozen=True)
-class RequestLimits:
+class RequestLimits(msgspec.Struct, frozen=True):
     """What a caller may send, and how long a connection may stay idle."""
 
     max_body_bytes: int = 4 << 20
     idle_timeout_s: float = 15.0
 
 
-@dataclass(slots=True, frozen=True)
-class RoutingConfig:
+class RoutingConfig(msgspec.Struct, frozen=True):
     """One version of the configuration, whole and never changed."""
 
     version: int
@@ -214,8 +206,7 @@
     keys_required: bool = False
 
 
-@dataclass(slots=True, frozen=True)
-class TargetRecord:
+class TargetRecord(msgspec.Struct, frozen=True):
     """A target as it last described itself.
 
     Attributes
@@ -242,8 +233,7 @@
         return (self.id, self.started_ms)
 
 
-@dataclass(slots=True, frozen=True)
-class TargetReport:
+class TargetReport(msgspec.Struct, frozen=True):
     """What a target says of its work when asked.
 
     Attributes
@@ -270,8 +260,7 @@
     stalled: tuple[tuple[str, str], ...] = ()
 
 
-@dataclass(slots=True, frozen=True)
-class PathPart:
+class PathPart(msgspec.Struct, frozen=True):
     """One target of a path and the layers that it runs."""
 
     target_id: str
--- a/radishfield/routing/_watch_duty.py
+++ b/radishfield/routing/_watch_duty.py
@@ -10,7 +10,8 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 WATCHERS_PER_ZONE = 2
 """One may be frozen or cut off from the store.  If both are, the others read the store
@@ -41,8 +42,7 @@
 that waited for 2.5 s, and two seconds for words both ways."""
 
 
-@dataclass(slots=True, frozen=True)
-class ZoneHost:
+class ZoneHost(msgspec.Struct, frozen=True):
     """Another host of the zone, as heard lately.
 
     Attributes
@@ -58,8 +58,7 @@
     silent_s: float
 
 
-@dataclass(slots=True)
-class WatchDuty:
+class WatchDuty(msgspec.Struct):
     """What this host does about the store at the moment.
 
     Attributes
--- a/radishfield/routing/layout_test.py
+++ b/radishfield/routing/layout_test.py
@@ -1,10 +1,10 @@
 """Layouts over unequal zones: whole copies in each, within every card's memory."""
 
 from collections import Counter
-from dataclasses import replace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from radishfield.routing import block_layers, next_loads, plan_layout, plan_move
 from radishfield.routing.conftest import CARDS, make_engine, make_target
--- a/radishfield/routing/paths_test.py
+++ b/radishfield/routing/paths_test.py
@@ -2,9 +2,9 @@
 
 import random
 import time
-from dataclasses import replace
 
 import pytest
+from msgspec.structs import replace
 
 from radishfield.routing import (
     Demand,
--- a/radishfield/routing/sizes_test.py
+++ b/radishfield/routing/sizes_test.py
@@ -1,8 +1,9 @@
 """The decisions on fleets, models and routes of quite other sizes than today's."""
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 import pytest
+from msgspec.structs import replace
 
 from radishfield.routing import (
     Accelerator,
--- a/radishfield/settings/__init__.py
+++ b/radishfield/settings/__init__.py
@@ -4,7 +4,7 @@
 of a file's faults come back together, as values.
 """
 
-from radishfield.settings._printer import settings_table, settings_text
+from radishfield.core import loaded_on_use
 from radishfield.settings._reader import EntrySettings
 from radishfield.settings._router import (
     ROUTER_SECTIONS,
@@ -30,6 +30,13 @@
 )
 from radishfield.settings._units import PeerKey
 
+__getattr__ = loaded_on_use(
+    {
+        "settings_table": "radishfield.settings._printer",
+        "settings_text": "radishfield.settings._printer",
+    }
+)
+
 __all__ = [
     "ROUTER_SECTIONS",
     "CallerSettings",
--- a/radishfield/settings/_lists.py
+++ b/radishfield/settings/_lists.py
@@ -172,3 +172,10 @@
 def _refused(text: str, allowed: str) -> Result:
     detail = f"{text[:60]!r} is not allowed; allowed: {allowed}"
     return Error(fault(ResultCode.SETTING_TYPE, detail))
+
+
+LINE_READER_BY_SECTION = {
+    "targets": read_target,
+    "profiles": read_profile,
+    "links": read_link,
+}
--- a/radishfield/settings/_reader.py
+++ b/radishfield/settings/_reader.py
@@ -4,13 +4,12 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from pathlib import Path
-from typing import TypeVar
+from typing import TYPE_CHECKING, TypeVar
 
 from expression import Error, Ok, Result
 
-from radishfield.core import Fault, Link, Profile, ResultCode, Target, fault
+from radishfield.core import Fault, ResultCode, fault
 from radishfield.settings._fields import section_fields
-from radishfield.settings._lists import read_link, read_profile, read_target
 from radishfield.settings._sections import (
     CallerSettings,
     ClaimsSettings,
@@ -27,6 +26,9 @@
     PlatformSettings,
 )
 
+if TYPE_CHECKING:
+    from radishfield.core import Link, Profile, Target
+
 T = TypeVar("T")
 
 SECTION_TYPE_BY_NAME = {
@@ -43,11 +45,7 @@
     "metrics": MetricsSettings,
     "drain": DrainSettings,
 }
-LINE_READER_BY_SECTION = {
-    "targets": read_target,
-    "profiles": read_profile,
-    "links": read_link,
-}
+LINE_SECTIONS = ("targets", "profiles", "links")
 # Below this length a token can be guessed within a day over a network.
 MIN_TOKEN_LENGTH = 16
 
@@ -74,9 +72,9 @@
     log: LogSettings = LogSettings()
     metrics: MetricsSettings = MetricsSettings()
     drain: DrainSettings = DrainSettings()
-    targets: tuple[Target, ...] = ()
-    profiles: tuple[Profile, ...] = ()
-    links: tuple[Link, ...] = ()
+    targets: "tuple[Target, ...]" = ()
+    profiles: "tuple[Profile, ...]" = ()
+    links: "tuple[Link, ...]" = ()
     extra_by_section: Mapping[str, object] = field(default_factory=dict)
 
     @classmethod
@@ -122,9 +120,7 @@
             name: self._section(parser, name, kind)
             for name, kind in self._extra_types.items()
         }
-        lines_by_section = {
-            name: self._lines(parser, name) for name in LINE_READER_BY_SECTION
-        }
+        lines_by_section = {name: self._lines(parser, name) for name in LINE_SECTIONS}
         settings = EntrySettings(
             **value_by_section, **lines_by_section, extra_by_section=extra_by_section
         )
@@ -153,7 +149,7 @@
         return parser
 
     def _check_section_names(self, parser: configparser.ConfigParser) -> None:
-        known = [*SECTION_TYPE_BY_NAME, *LINE_READER_BY_SECTION, *self._extra_types]
+        known = [*SECTION_TYPE_BY_NAME, *LINE_SECTIONS, *self._extra_types]
         for name in parser.sections():
             if name not in known:
                 detail = f"unknown section; allowed: {', '.join(known)}"
@@ -178,8 +174,13 @@
         return kind(**value_by_name)
 
     def _lines(self, parser: configparser.ConfigParser, name: str) -> tuple:
+        if name not in parser:
+            return ()
+        # A router has no such section, and is started without what reads them.
+        from radishfield.settings._lists import LINE_READER_BY_SECTION
+
         values = []
-        for key, text in parser[name].items() if name in parser else ():
+        for key, text in parser[name].items():
             match LINE_READER_BY_SECTION[name](key, text):
                 case Result(tag="ok", ok=value):
                     values.append(value)
--- a/radishfield/telemetry/__init__.py
+++ b/radishfield/telemetry/__init__.py
@@ -1,7 +1,6 @@
 """What an entry host tells about itself: logs, metrics and request records."""
 
-from importlib import import_module
-
+from radishfield.core import loaded_on_use
 from radishfield.telemetry._deferred import DeferredTelemetry
 from radishfield.telemetry._kinds import RequestKind
 from radishfield.telemetry._lines import LineWriter
@@ -18,24 +17,15 @@
     RequestRecords,
 )
 
-_MODULE_BY_LAZY_NAME = {
-    "NullTelemetry": "radishfield.telemetry._metrics",
-    "Telemetry": "radishfield.telemetry._metrics",
-    "TelemetryObserver": "radishfield.telemetry._observer",
-}
-
-
-def __getattr__(name: str):
-    """Load the metrics and the dispatcher's observer on first use.
-
-    The one takes a fifth of a router's start, the other needs the scheduler and
-    with it the graph library, 13 MB that a router never uses.
-    """
-    module = _MODULE_BY_LAZY_NAME.get(name)
-    if module is None:
-        raise AttributeError(name)
-    return getattr(import_module(module), name)
-
+# The metrics take a fifth of a router's start; the observer needs the scheduler and
+# with it the graph library, 13 MB that a router never uses.
+__getattr__ = loaded_on_use(
+    {
+        "NullTelemetry": "radishfield.telemetry._metrics",
+        "Telemetry": "radishfield.telemetry._metrics",
+        "TelemetryObserver": "radishfield.telemetry._observer",
+    }
+)
 
 __all__ = [
     "DeferredTelemetry",
--- a/radishfield/telemetry/_deferred.py
+++ b/radishfield/telemetry/_deferred.py
@@ -8,7 +8,8 @@
 
 from collections import Counter, deque
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from radishfield.core import Outcome, ResultCode
 from radishfield.telemetry._kinds import RequestKind
@@ -18,8 +19,7 @@
 ends a few requests a second, so this holds an hour.  Counters lose nothing."""
 
 
-@dataclass(slots=True, frozen=True)
-class _Watch:
+class _Watch(msgspec.Struct, frozen=True):
     name: str
     description: str
     read: Callable[[], float]
--- a/radishfield/telemetry/_logs.py
+++ b/radishfield/telemetry/_logs.py
@@ -8,7 +8,6 @@
 import logging
 import sys
 from contextvars import ContextVar
-from dataclasses import dataclass
 from datetime import UTC, datetime
 
 import msgspec
@@ -28,8 +27,7 @@
 _logger = logging.getLogger(LOGGER_NAME)
 
 
-@dataclass(slots=True, frozen=True)
-class LogSetup:
+class LogSetup(msgspec.Struct, frozen=True):
     """Where lines go, from which level on, and the host that they name."""
 
     level: str = "info"
--- a/radishfield/telemetry/_records.py
+++ b/radishfield/telemetry/_records.py
@@ -6,7 +6,8 @@
 
 import enum
 from collections import OrderedDict
-from dataclasses import dataclass
+
+import msgspec
 
 from radishfield.core import ResultCode
 
@@ -28,8 +29,7 @@
     ENDED = "ended"
 
 
-@dataclass(slots=True, frozen=True)
-class RecordedEvent:
+class RecordedEvent(msgspec.Struct, frozen=True):
     """One event of a request.
 
     Attributes
@@ -50,8 +50,7 @@
     code: ResultCode | None = None
 
 
-@dataclass(slots=True, frozen=True)
-class RequestRecord:
+class RequestRecord(msgspec.Struct, frozen=True):
     """All that is recorded of one request, in order of time."""
 
     request_id: str
--- a/radishfield/web/_asgi.py
+++ b/radishfield/web/_asgi.py
@@ -1,7 +1,5 @@
 """Small pieces shared by every ASGI application of the project."""
 
-from dataclasses import dataclass
-
 import msgspec
 import trio
 from expression import Error, Ok, Result
@@ -17,8 +15,7 @@
 WEBSOCKET_UNSUPPORTED = 1003
 
 
-@dataclass(slots=True, frozen=True)
-class BodyLimit:
+class BodyLimit(msgspec.Struct, frozen=True):
     """How large a body may be, and how long it may take to arrive."""
 
     max_bytes: int = 1 << 20
--- a/radishfield/web/_budget.py
+++ b/radishfield/web/_budget.py
@@ -7,7 +7,8 @@
 """
 
 import random
-from dataclasses import dataclass
+
+import msgspec
 
 CALLS_PER_S = 5.0
 """A host's steady calls: 340 hosts together stay below the 2,000 reads."""
@@ -19,8 +20,7 @@
 LONGEST_BACKOFF_S = 5.0
 
 
-@dataclass(slots=True)
-class CallBudget:
+class CallBudget(msgspec.Struct):
     """A token bucket; a call that finds it empty is refused, not queued."""
 
     calls_per_s: float = CALLS_PER_S
--- a/radishfield/web/_calls.py
+++ b/radishfield/web/_calls.py
@@ -6,7 +6,6 @@
 """
 
 from collections import Counter
-from dataclasses import dataclass
 from typing import TypeVar
 
 import httpcore
@@ -48,8 +47,7 @@
 _LOST_ERRORS = (*BROKEN_CONNECTION_ERRORS, trio.TooSlowError)
 
 
-@dataclass(slots=True, frozen=True)
-class ApiCall:
+class ApiCall(msgspec.Struct, frozen=True):
     """One call.
 
     Attributes
@@ -67,8 +65,7 @@
     limit_s: float = 2.0
 
 
-@dataclass(slots=True, frozen=True)
-class ApiAddress:
+class ApiAddress(msgspec.Struct, frozen=True):
     """Where the API is, and how it is called.
 
     Attributes
@@ -87,8 +84,7 @@
     max_answer_bytes: int = 8 << 20
 
 
-@dataclass(slots=True, frozen=True)
-class _Answer:
+class _Answer(msgspec.Struct, frozen=True):
     status: int
     body: bytes
 
