--- a/radishfield/forwarding/_placer.py
+++ b/radishfield/forwarding/_placer.py
@@ -50,6 +50,7 @@
 orders it names keeps it from undoing the one that follows."""
 
 
+BEGUN = (200, 202)
 LOAD_SLACK = 2.0
 """Times the usual length of a load after which one that has not shown in the list
 is no longer waited for: it was refused, or its target is gone."""
@@ -200,6 +201,7 @@
             and (ordered := self._ordered_by_id.get(record.id)) is not None
             and ordered.incarnation == record.incarnation
             and now < ordered.loads_until
+            and not self._view.directory.suspected(record.id, now)
             for record in self._view.directory.listed(service)
         )
 
@@ -285,13 +287,12 @@
         self, lease: PlacementLease, engine: EngineSpec, assignment: Assignment
     ) -> None:
         target, now = assignment.target, self._view.clock.now()
-        load_s = engine.load_s * len(assignment.span) / engine.layers
-        self._ordered_by_id[target.id] = _Ordered(
-            target.incarnation, now + ORDER_AGAIN_S, now + LOAD_SLACK * load_s
-        )
+        ordered = _Ordered(target.incarnation, now + ORDER_AGAIN_S, now + ORDER_AGAIN_S)
+        self._ordered_by_id[target.id] = ordered
         fence = lease.fence
         report = await self._targets.report(target)
         if report.is_error():
+            ordered.loads_until = now
             self._left_unplaced(target, report.error)
             return
         if report.ok.busy or report.ok.span != target.span:
@@ -299,6 +300,11 @@
             return
         body = place_order(assignment.span, fence, report.ok.order_count)
         answer = await self._targets.order(target, body)
+        load_s = engine.load_s * len(assignment.span) / engine.layers
+        # An order without an answer may be carried out late or never; the loads of
+        # other targets do not wait for it.
+        began = order_status(answer) in BEGUN
+        ordered.loads_until = now + LOAD_SLACK * load_s if began else now
         log_event(
             "order.place",
             target=target.id,
