--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -19,6 +19,7 @@
     DATAGRAM_BYTES,
     Echo,
     LinkShare,
+    Pace,
     PeerConfig,
     PeerNews,
     PeerStatus,
@@ -57,6 +58,9 @@
 MOST_REPORTED_LOST = 4
 """A host that has lost more targets than this at once is itself the one that is cut
 off; believed, its neighbours would leave out what they reach."""
+MOST_PACES = 40
+"""Slow targets that are told, some 25 bytes each; more of them at a time are a matter
+of the fleet, which no path avoids."""
 MOST_ECHOES = 120
 """Some 30 bytes each: half of a datagram.  A host that is not echoed confirms its
 view with the store."""
@@ -153,7 +157,9 @@
         for each, item in load.sums(now).items():
             shares = link_sums[each].share_by_pair if each in link_sums else {}
             work = _work_of(item.held_by_id)
-            told = PeerSum(each, now - item.at, work, _link_shares_of(shares))
+            told = PeerSum(
+                each, now - item.at, work, _link_shares_of(shares), self._paces(now)
+            )
             data = encoder.encode(told)
             if len(data) > DATAGRAM_BYTES:
                 log_event("sum.too_long", zone=each, bytes=len(data))
@@ -215,6 +221,7 @@
                     if now - heard_at < PASS_DUTY_S
                 ],
                 self._view.directory.answered_lately(now),
+                self._paces(now),
             )
         )
 
@@ -228,6 +235,17 @@
             heard = sorted(heard, reverse=True)[:MOST_ECHOES]
         return [Echo(host_id, sent_at) for _, host_id, sent_at in heard]
 
+    def _paces(self, now: float) -> list[Pace]:
+        return [
+            Pace(target_id, round(pace, 2), round(age_s, 2))
+            for target_id, pace, age_s in self._view.paces.known(now)
+        ][:MOST_PACES]
+
+    def _take_paces(self, paces: list[Pace]) -> None:
+        now = self._view.clock.now()
+        for item in paces:
+            self._view.paces.note(item.target_id, item.pace, now - max(0.0, item.age_s))
+
     def _version(self) -> int:
         table = self._view.table
         return table.config.version if table else 0
@@ -259,6 +277,7 @@
         at = self._view.clock.now() - max(0.0, told.age_s)
         self._view.load.take_sum(told.zone, ZoneSum(at, _held_by_id(told.work)))
         self._view.links.take_sum(told.zone, LinkSum(at, _share_by_pair(told.links)))
+        self._take_paces(told.paces)
 
     def _take(self, status: PeerStatus, address: tuple[str, int]) -> None:
         if status.host_id == self._host_id:
@@ -291,6 +310,7 @@
         self._view.load.report_remote(
             status.host_id, _held_by_id(status.work), now, status.zone
         )
+        self._take_paces(status.paces)
         for incarnation in status.leaving:
             self._view.directory.mark_leaving(incarnation)
         if len(status.lost) <= MOST_REPORTED_LOST:
--- a/radishfield/forwarding/_peer_messages.py
+++ b/radishfield/forwarding/_peer_messages.py
@@ -39,6 +39,14 @@
     share: float
 
 
+class Pace(msgspec.Struct, array_like=True):
+    """How many times slower than its kind a target was, ``age_s`` ago."""
+
+    target_id: str
+    pace: float
+    age_s: float
+
+
 class Echo(msgspec.Struct, array_like=True):
     """A host, and the time on its own clock at which it sent what was heard last."""
 
@@ -87,6 +95,7 @@
     age_s: float
     work: list[Work]
     links: list[LinkShare] = []
+    paces: list[Pace] = []
 
 
 class PeerStatus(msgspec.Struct, array_like=True, tag="status"):
@@ -110,6 +119,8 @@
         Duties that the sender has just heard of from their holders.
     answered : list of tuple
         Targets that the sender had left out, and that have answered it.
+    paces : list of Pace
+        Targets that are slow, or were until just now.
     """
 
     host_id: str
@@ -131,6 +142,7 @@
     targets_age_s: float = -1.0
     passed_duties: list[str] = []
     answered: list[tuple[str, int]] = []
+    paces: list[Pace] = []
 
 
 encoder = msgspec.msgpack.Encoder()
--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -124,6 +124,11 @@
         connections = TargetConnections(clock)
         targets = Targets(connections, view, telemetry)
         watchdog = StreamWatchdog(targets, view)
+        telemetry.watch(
+            "slow_targets_found",
+            "Times that a target was found slower than its kind.",
+            lambda: watchdog.slow_found,
+        )
         placer = Placer(settings.host.id, store, targets, view)
         plain = PlainForwarder(targets, view)
         streams = StreamForwarder(targets, watchdog, view, telemetry)
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -267,7 +267,7 @@
             path = finder.find(
                 records,
                 progress.demand(engine),
-                pace_by_id=self._view.pace_by_id,
+                pace_by_id=self._view.paces.by_id(),
                 first_ids=firsts,
             )
             if path is not None:
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -22,6 +22,7 @@
     Freshness,
     LinkUsage,
     LoadTable,
+    Paces,
     Pair,
     Path,
     PathFinder,
@@ -152,7 +153,7 @@
     load: LoadTable = msgspec.field(default_factory=LoadTable)
     links: LinkUsage = msgspec.field(default_factory=LinkUsage)
     gate: CrossingGate = msgspec.field(default_factory=CrossingGate)
-    pace_by_id: dict[str, float] = msgspec.field(default_factory=dict)
+    paces: Paces = msgspec.field(default_factory=Paces)
     hosts: int = 1
     leaving_since: float | None = None
     in_flight: int = 0
--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -10,6 +10,7 @@
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import repath_order
 from radishfield.routing import (
+    NORMAL_PACE,
     Ask,
     Demand,
     EngineSpec,
@@ -20,6 +21,7 @@
     TargetReport,
     next_look_s,
     next_step,
+    path_ms,
     targets_to_probe,
 )
 from radishfield.telemetry import log_event
@@ -44,6 +46,12 @@
 MEASURE_ZONE_S = 10.0
 """Age of a zone's last answer after which one of its targets is asked, so that the
 usual answer time is known when it is needed."""
+SLOW_LOOK_S = 0.25
+"""Pause between two looks for streams that are too slow: a stream has had five events
+in it, and a slow target is found within a second."""
+ASK_PACE_AGAIN_S = 1.0
+"""Pause between two questions for the pace of one target."""
+LEAST_PATH_S = 1e-4
 MEASURE_LOOK_S = 1.0
 """Pause between two looks for such zones."""
 GAP_MEMORY = 0.8
@@ -135,9 +143,11 @@
         "_measure_at",
         "_nursery",
         "_probed_at_by_id",
+        "_slow_look_at",
         "_streams",
         "_targets",
         "_view",
+        "slow_found",
     )
 
     def __init__(self, targets: Targets, view: RouterView):
@@ -150,6 +160,8 @@
         self._answer_s_by_zone: dict[str, float] = {}
         self._answered_at_by_zone: dict[str, float] = {}
         self._measure_at = 0.0
+        self._slow_look_at = 0.0
+        self.slow_found = 0
         self._nursery: trio.Nursery | None = None
 
     def add(self, stream: ActiveStream) -> None:
@@ -179,6 +191,7 @@
                 self._probe_quiet(silence_by_stream)
                 more_lost = self._ask_lost()
                 self._measure_zones()
+                self._look_for_slow()
                 silences = silence_by_stream.values()
                 pause_s = next_look_s(silences, TICK_S, LONGEST_TICK_S)
                 if more_lost:
@@ -208,6 +221,72 @@
                 self._probed_at_by_id[target_id] = now
                 self._nursery.start_soon(self._probe, target_id)
 
+    def _look_for_slow(self) -> None:
+        """Ask the targets of streams that are slower than their paths explain.
+
+        One in each look: where all streams are slow it is the load, not a target, and
+        hundreds of hosts would ask in vain.
+        """
+        now = self._clock.now()
+        if now < self._slow_look_at:
+            return
+        self._slow_look_at = now + SLOW_LOOK_S
+        paces = self._view.paces
+        paces.expire(now)
+        slow: list[str] = []
+        for stream in self._streams:
+            if stream.engine is None or not stream.usual_gap_s or stream.moving:
+                continue
+            path_s = self._path_s(stream)
+            if paces.is_slow(stream.usual_gap_s, path_s):
+                slow += [part.target_id for part in stream.path]
+            else:
+                paces.learn(stream.usual_gap_s, path_s)
+        if self._view.watch_duty.on_duty:
+            slow += paces.to_ask(now)
+        known = {target_id for target_id, _, age_s in paces.known(now) if age_s < 1.0}
+        due = [
+            target_id
+            for target_id in dict.fromkeys(slow)
+            if target_id not in known
+            and now - self._probed_at_by_id.get(target_id, -1e9) >= ASK_PACE_AGAIN_S
+        ]
+        # Hosts that see the same path slow ask different parts of it.
+        self._view.chance.shuffle(due)
+        for target_id in due[:1]:
+            self._probed_at_by_id[target_id] = now
+            self._nursery.start_soon(self._ask_pace, target_id)
+
+    def _path_s(self, stream: ActiveStream) -> float:
+        """Return what a token over a stream's path should take, in seconds."""
+        directory = self._view.directory
+        records = {
+            part.target_id: record
+            for part in stream.path
+            if (record := directory.find(part.target_id)) is not None
+        }
+        expected_ms = path_ms(stream.engine, records, self._view.load, stream.path)
+        return max(LEAST_PATH_S, expected_ms / 1e3)
+
+    async def _ask_pace(self, target_id: str) -> None:
+        record = self._view.directory.find(target_id)
+        if record is None:
+            return
+        report = await self._targets.report(record)
+        if report.is_ok():
+            self._note_pace(target_id, report.ok)
+
+    def _note_pace(self, target_id: str, report: TargetReport) -> None:
+        if self._view.paces.note(target_id, report.pace, self._clock.now()):
+            is_slow = report.pace > NORMAL_PACE
+            self.slow_found += is_slow
+            log_event(
+                "target.slow" if is_slow else "target.well",
+                target=target_id,
+                pace=round(report.pace, 2),
+                running=report.running,
+            )
+
     def _measure_zones(self) -> None:
         """Ask one target of each zone that has not answered for a while."""
         now = self._clock.now()
@@ -305,7 +384,7 @@
 
     def _take_report(self, first_id: str, report: TargetReport) -> None:
         """Move the streams around the parts for which they wait."""
-        self._view.pace_by_id[first_id] = report.pace
+        self._note_pace(first_id, report)
         stalled_by_id = dict(report.stalled)
         addresses = {
             stalled_by_id.get(stream.call.facts.request_id): None
@@ -404,7 +483,7 @@
         finder = self._view.path_finder(service, stream.engine, movers)
         held = {part.target_id for part in stream.path}
         return finder.find(
-            sound, stream.demand, stream.path[0], self._view.pace_by_id, held
+            sound, stream.demand, stream.path[0], self._view.paces.by_id(), held
         )
 
     def _take_path(self, stream: ActiveStream, path: Path) -> None:
--- a/radishfield/forwarding/router_test.py
+++ b/radishfield/forwarding/router_test.py
@@ -453,7 +453,8 @@
             played.store.put("servers", f"far-{number}", entry)
         view = played.router.view
         await played.until(lambda: len(list(view.directory.all_records())) == 22)
-        view.pace_by_id.update({"t1": 50.0, "t2": 50.0})
+        for near in ("t1", "t2"):
+            view.paces.note(near, 50.0, view.clock.now())
         reply = await played.request("/stream/x", "POST", body=b"{}")
         assert reply.status == 200 and reply.whole
 
--- a/radishfield/routing/__init__.py
+++ b/radishfield/routing/__init__.py
@@ -24,6 +24,7 @@
 from radishfield.routing._leaving import END_MARGIN_S, NOTICE_S, takes_work
 from radishfield.routing._links import LinkSum, LinkUsage, Pair, crossing_ms, pair_of
 from radishfield.routing._load import LoadTable, TargetLoad, ZoneSum
+from radishfield.routing._paces import NORMAL_PACE, Paces
 from radishfield.routing._paths import (
     UNSEEN_S,
     Demand,
@@ -31,6 +32,7 @@
     capacity_token_layers,
     choice_spread,
     covers_once,
+    path_ms,
 )
 from radishfield.routing._peer_freshness import (
     PeerConfirmation,
@@ -73,6 +75,9 @@
 from radishfield.routing._watch_duty import WATCHERS_PER_ZONE, WatchDuty, ZoneHost
 
 __all__ = [
+    "NORMAL_PACE",
+    "Paces",
+    "path_ms",
     "TELL_S",
     "UNSEEN_S",
     "CrossingGate",
--- a/radishfield/routing/_paths.py
+++ b/radishfield/routing/_paths.py
@@ -109,6 +109,23 @@
     )
 
 
+def path_ms(
+    engine: EngineSpec,
+    records: Mapping[str, TargetRecord],
+    load: LoadTable,
+    path: Path,
+) -> float:
+    """Return the time that a token should take over a path, by what it holds."""
+    total = 0.0
+    for part in path:
+        record = records.get(part.target_id)
+        if record is not None:
+            held = load.held(part.target_id)
+            share = len(part.span) / engine.layers
+            total += token_ms(engine, record, held) * share
+    return total
+
+
 class _Way(msgspec.Struct, frozen=True):
     cost: float
     parts: tuple[tuple[TargetRecord, int, int], ...]
@@ -164,7 +181,7 @@
         records: Sequence[TargetRecord],
         demand: Demand,
         first: PathPart | None = None,
-        pace_by_id: dict[str, float] | None = None,
+        pace_by_id: Mapping[str, float] | None = None,
         own_by_id: Collection[str] = (),
         first_ids: Collection[str] | None = None,
     ) -> Path | None:
@@ -198,7 +215,7 @@
         records: Sequence[TargetRecord],
         demand: Demand,
         first: PathPart | None,
-        pace_by_id: dict[str, float] | None,
+        pace_by_id: Mapping[str, float] | None,
         own_by_id: Collection[str],
     ) -> Path | None:
         """Return the cheapest path over targets with the same weights."""
