--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -36,7 +36,6 @@
 from radishfield.limits import RetryUse
 from radishfield.platform import ObjectStore
 from radishfield.routing import (
-    LinkSum,
     Pair,
     PeerConfirmation,
     TargetLoad,
@@ -150,13 +149,13 @@
         load, links = self._view.load, self._view.links
         now, zone = self._view.clock.now(), self._view.zone
         hosts = self._book.near()
-        load.take_sum(zone, ZoneSum(now, load.sum_of(hosts)))
-        links.take_sum(zone, LinkSum(now, links.sum_of(hosts, now)))
+        load.sums.take(zone, ZoneSum(now, load.sum_of(hosts)))
+        links.sums.take(zone, ZoneSum(now, links.sum_of(hosts, now)))
         near = [peer for peer in recipients if peer.zone == zone]
-        link_sums = links.sums(now)
-        for each, item in load.sums(now).items():
-            shares = link_sums[each].share_by_pair if each in link_sums else {}
-            work = _work_of(item.held_by_id)
+        link_sums = links.sums.fresh(now)
+        for each, item in load.sums.fresh(now).items():
+            shares = link_sums[each].by_key if each in link_sums else {}
+            work = _work_of(item.by_key)
             told = PeerSum(
                 each, now - item.at, work, _link_shares_of(shares), self._paces(now)
             )
@@ -275,8 +274,8 @@
 
     def _take_sum(self, told: PeerSum) -> None:
         at = self._view.clock.now() - max(0.0, told.age_s)
-        self._view.load.take_sum(told.zone, ZoneSum(at, _held_by_id(told.work)))
-        self._view.links.take_sum(told.zone, LinkSum(at, _share_by_pair(told.links)))
+        self._view.load.sums.take(told.zone, ZoneSum(at, _held_by_id(told.work)))
+        self._view.links.sums.take(told.zone, ZoneSum(at, _share_by_pair(told.links)))
         self._take_paces(told.paces)
 
     def _take(self, status: PeerStatus, address: tuple[str, int]) -> None:
--- a/radishfield/forwarding/crossings_test.py
+++ b/radishfield/forwarding/crossings_test.py
@@ -14,7 +14,7 @@
 
 from radishfield.forwarding._view import RouterView
 from radishfield.limits import RetryAllowance
-from radishfield.routing import Demand, Freshness, LinkSum, TargetLoad, ZoneSum
+from radishfield.routing import Demand, Freshness, TargetLoad, ZoneSum
 from radishfield.routing.conftest import make_engine, make_target
 
 ZONES = "abcde"
@@ -119,8 +119,8 @@
         self.at(now + TELL_S, self.tell)
 
     def hear(self, view, zone, made_at, shares, held):
-        view.links.take_sum(zone, LinkSum(made_at, shares))
-        view.load.take_sum(zone, ZoneSum(made_at, held))
+        view.links.sums.take(zone, ZoneSum(made_at, shares))
+        view.load.sums.take(zone, ZoneSum(made_at, held))
         view.load.add_up(view.zone, self.clock.now())
         view.links.advance(self.clock.now(), view.zone)
 
--- a/radishfield/routing/__init__.py
+++ b/radishfield/routing/__init__.py
@@ -22,8 +22,8 @@
     plan_move,
 )
 from radishfield.routing._leaving import END_MARGIN_S, NOTICE_S, takes_work
-from radishfield.routing._links import LinkSum, LinkUsage, Pair, crossing_ms, pair_of
-from radishfield.routing._load import LoadTable, TargetLoad, ZoneSum
+from radishfield.routing._links import LinkUsage, Pair, crossing_ms, pair_of
+from radishfield.routing._load import LoadTable, TargetLoad
 from radishfield.routing._paces import NORMAL_PACE, Paces
 from radishfield.routing._paths import (
     UNSEEN_S,
@@ -73,6 +73,7 @@
     Workspace,
 )
 from radishfield.routing._watch_duty import WATCHERS_PER_ZONE, WatchDuty, ZoneHost
+from radishfield.routing._zone_sums import ZoneSum
 
 __all__ = [
     "NORMAL_PACE",
@@ -102,7 +103,6 @@
     "Path",
     "PathFinder",
     "PathPart",
-    "LinkSum",
     "LinkUsage",
     "Pair",
     "Removal",
--- a/radishfield/routing/_links.py
+++ b/radishfield/routing/_links.py
@@ -19,6 +19,8 @@
 
 import msgspec
 
+from radishfield.routing._zone_sums import ZoneSums
+
 WINDOW_S = 2.0
 """Time over which crossings are averaged: some ten prompts of a usual host."""
 
@@ -30,9 +32,6 @@
 """Backlog from which on a link is closed: a sixth of the time that callers want their
 first event in; some of it is told late."""
 
-SUM_LIFETIME_S = 1.5
-"""A zone's sum older than this is not used: five times its usual age."""
-
 Pair = tuple[str, str]
 
 
@@ -41,13 +40,6 @@
     return (zone, other) if zone <= other else (other, zone)
 
 
-class LinkSum(msgspec.Struct, frozen=True):
-    """The shares of links that all hosts of a zone take, as added up at ``at``."""
-
-    at: float
-    share_by_pair: Mapping[Pair, float]
-
-
 class _Reported(msgspec.Struct, frozen=True):
     zone: str
     share_by_pair: Mapping[Pair, float]
@@ -58,8 +50,7 @@
 
     _crossings: deque[tuple[float, Pair, float]] = msgspec.field(default_factory=deque)
     _reported_by_host: dict[str, _Reported] = msgspec.field(default_factory=dict)
-    _sum_by_zone: dict[str, LinkSum] = msgspec.field(default_factory=dict)
-    _told: deque[LinkSum] = msgspec.field(default_factory=lambda: deque(maxlen=8))
+    sums: ZoneSums = msgspec.field(default_factory=ZoneSums)
     _backlog_s_by_pair: dict[Pair, float] = msgspec.field(default_factory=dict)
     _advanced_at: float | None = None
 
@@ -82,7 +73,7 @@
 
     def told_own(self, now: float) -> None:
         """Note what this host tells of itself now, to take it out of later sums."""
-        self._told.append(LinkSum(now, self.own_shares(now)))
+        self.sums.told_own(now, self.own_shares(now))
 
     def report_remote(
         self, host: str, share_by_pair: Mapping[Pair, float], zone: str = ""
@@ -100,28 +91,14 @@
         told = [report.share_by_pair for report in reports if report is not None]
         return _added_up([self.own_shares(now), *told])
 
-    def take_sum(self, zone: str, item: LinkSum) -> None:
-        """Take a zone's sum, unless a later one is known."""
-        known = self._sum_by_zone.get(zone)
-        if known is None or item.at > known.at:
-            self._sum_by_zone[zone] = item
-
-    def sums(self, now: float) -> dict[str, LinkSum]:
-        """Return the sums by zone that are fresh enough to be used."""
-        return {
-            zone: item
-            for zone, item in self._sum_by_zone.items()
-            if now - item.at < SUM_LIFETIME_S
-        }
-
     def shares(self, now: float, own_zone: str = "") -> dict[Pair, float]:
         """Return the share of each link's time that all hosts' prompts take.
 
         Hosts beyond the own zone are heard one by one too seldom to be added up; a
         zone that tells a sum is taken by its sum.
         """
-        sums = self.sums(now)
-        parts = [item.share_by_pair for item in sums.values()]
+        sums = self.sums.fresh(now)
+        parts = [item.by_key for item in sums.values()]
         parts += [
             report.share_by_pair
             for report in self._reported_by_host.values()
@@ -129,7 +106,7 @@
         ]
         total = _added_up([self.own_shares(now), *parts])
         if own_zone in sums:
-            for pair, share in self._own_at(sums[own_zone].at).items():
+            for pair, share in self.sums.own_at(sums[own_zone].at).items():
                 total[pair] = max(0.0, total.get(pair, 0.0) - share)
         return total
 
@@ -161,11 +138,6 @@
         }
         return by_share | by_backlog
 
-    def _own_at(self, at: float) -> Mapping[Pair, float]:
-        """Return what this host had told of itself at a time."""
-        told = [item for item in self._told if item.at <= at]
-        return told[-1].share_by_pair if told else {}
-
 
 def crossing_ms(share: float, transfer_ms: float, delay_ms: float) -> float:
     """Return what a crossing of a link that is not full costs each token of a stream.
--- a/radishfield/routing/_load.py
+++ b/radishfield/routing/_load.py
@@ -5,24 +5,19 @@
 others hold is told by them a few times a second; between two statuses a host
 counts its own work exactly, and the others' as last told.
 
-With tens of hosts in a zone none can hear all of them, and what it has not heard of
-looks like room: everybody took the fastest cards until requests were thrown out of
-them.  There a few hosts, which all others tell, add up the work of their zone, and
-tell the sums.
+In zones of many hosts the sums of zones take the place of single hosts' words.
 """
 
-from collections import deque
 from collections.abc import Iterable, Mapping
 
 import msgspec
 
+from radishfield.routing._zone_sums import ZoneSums
+
 REMOTE_LIFETIME_S = 3.0
 """A host that has told nothing for this long holds nothing: it was killed, or is
 cut off and its work runs out.  Ten statuses at the usual pace."""
 
-SUM_LIFETIME_S = 1.5
-"""A sum older than this is not used: five times its usual age in a large zone."""
-
 
 class TargetLoad(msgspec.Struct):
     """Requests at a target, and the token-layers that they will fill there."""
@@ -44,21 +39,13 @@
     zone: str = ""
 
 
-class ZoneSum(msgspec.Struct, frozen=True):
-    """The work of all hosts of a zone, as added up at ``at`` on this host's clock."""
-
-    at: float
-    held_by_id: Mapping[str, TargetLoad]
-
-
 class LoadTable(msgspec.Struct):
     """Work by target, summed over this host and the others."""
 
     own_by_id: dict[str, TargetLoad] = msgspec.field(default_factory=dict)
     _reported_by_host: dict[str, _Reported] = msgspec.field(default_factory=dict)
     _remote_by_id: dict[str, TargetLoad] = msgspec.field(default_factory=dict)
-    _sum_by_zone: dict[str, ZoneSum] = msgspec.field(default_factory=dict)
-    _told: deque[_Reported] = msgspec.field(default_factory=lambda: deque(maxlen=8))
+    sums: ZoneSums = msgspec.field(default_factory=ZoneSums)
     _summed_by_id: dict[str, TargetLoad] | None = None
 
     def started(self, target_id: str, token_layers: float, first: bool) -> None:
@@ -93,7 +80,7 @@
 
     def told_own(self, now: float) -> None:
         """Note what this host tells of itself now, to take it out of later sums."""
-        self._told.append(_Reported(now, _added_up([self.own_by_id])))
+        self.sums.told_own(now, _added_up([self.own_by_id]))
 
     def sum_of(self, hosts: Iterable[str]) -> dict[str, TargetLoad]:
         """Return the work of this host and of the hosts given."""
@@ -101,20 +88,6 @@
         told = [report.held_by_id for report in reports if report is not None]
         return _added_up([self.own_by_id, *told])
 
-    def sums(self, now: float) -> dict[str, ZoneSum]:
-        """Return the sums by zone that are fresh enough to be used."""
-        return {
-            zone: item
-            for zone, item in self._sum_by_zone.items()
-            if now - item.at < SUM_LIFETIME_S
-        }
-
-    def take_sum(self, zone: str, item: ZoneSum) -> None:
-        """Take a zone's sum, unless a later one is known."""
-        known = self._sum_by_zone.get(zone)
-        if known is None or item.at > known.at:
-            self._sum_by_zone[zone] = item
-
     def add_up(self, own_zone: str, now: float) -> None:
         """Make the sums count, or what single hosts told where there are none.
 
@@ -122,27 +95,22 @@
         What this host holds is counted exactly; so what it had told when its zone's
         sum was made is taken out of that.
         """
-        sums = self.sums(now)
+        sums = self.sums.fresh(now)
         if own_zone not in sums:
             self._summed_by_id = None
             return
-        by_zone = [item.held_by_id for item in sums.values()]
+        by_zone = [item.by_key for item in sums.values()]
         by_host = [
             report.held_by_id
             for report in self._reported_by_host.values()
             if report.zone not in sums
         ]
         total = _added_up(by_zone + by_host)
-        for target_id, held in self._own_at(sums[own_zone].at).items():
+        for target_id, held in self.sums.own_at(sums[own_zone].at).items():
             if target_id in total:
                 _add(total[target_id], held, -1)
         self._summed_by_id = total
 
-    def _own_at(self, at: float) -> Mapping[str, TargetLoad]:
-        """Return what this host had told of itself at a time."""
-        told = [report for report in self._told if report.at <= at]
-        return told[-1].held_by_id if told else {}
-
     def held(self, target_id: str) -> TargetLoad:
         """Return all work that is known at a target."""
         own = self.own_by_id.get(target_id)
--- a/radishfield/routing/links_test.py
+++ b/radishfield/routing/links_test.py
@@ -7,10 +7,10 @@
 from radishfield.routing import (
     CrossingGate,
     Demand,
-    LinkSum,
     LinkUsage,
     LoadTable,
     PathFinder,
+    ZoneSum,
     room_prompts,
 )
 from radishfield.routing.conftest import make_engine, make_target
@@ -26,7 +26,7 @@
     for number in range(5):
         links.report_remote(f"b{number}", {PAIR: 0.02}, "b")
     assert links.shares(10.0, "a")[PAIR] == pytest.approx(0.1)
-    links.take_sum("b", LinkSum(9.8, {PAIR: 0.8}))
+    links.sums.take("b", ZoneSum(9.8, {PAIR: 0.8}))
     assert links.shares(10.0, "a")[PAIR] == pytest.approx(0.8)
     assert links.full(links.shares(10.0, "a")) == {PAIR}
 
@@ -35,7 +35,7 @@
     links = LinkUsage()
     links.crossed(PAIR, PROMPT_MS, 9.0)
     links.told_own(9.1)
-    links.take_sum("a", LinkSum(9.2, {PAIR: 0.5}))
+    links.sums.take("a", ZoneSum(9.2, {PAIR: 0.5}))
     links.crossed(PAIR, PROMPT_MS, 9.5)
     # The sum holds the first prompt, not the second one.
     assert links.shares(9.6, "a")[PAIR] == pytest.approx(0.7)
@@ -44,7 +44,7 @@
 def test_old_sum_gives_way_to_what_single_hosts_told():
     links = LinkUsage()
     links.report_remote("b1", {PAIR: 0.1}, "b")
-    links.take_sum("b", LinkSum(8.0, {PAIR: 0.8}))
+    links.sums.take("b", ZoneSum(8.0, {PAIR: 0.8}))
     assert links.shares(10.0, "a")[PAIR] == pytest.approx(0.1)
 
 
--- a/radishfield/routing/load_test.py
+++ b/radishfield/routing/load_test.py
@@ -34,7 +34,7 @@
     table = LoadTable()
     table.started("t", 100.0, first=True)
     table.told_own(1.0)
-    table.take_sum("a", ZoneSum(1.2, {"t": TargetLoad(5, 500.0, 3)}))
+    table.sums.take("a", ZoneSum(1.2, {"t": TargetLoad(5, 500.0, 3)}))
     table.started("t", 100.0, first=False)
     table.add_up("a", 1.3)
     assert table.held("t") == TargetLoad(6, 600.0, 3)
@@ -46,7 +46,7 @@
 def test_an_old_sum_gives_way_to_what_single_hosts_told():
     table = LoadTable()
     table.report_remote("h", {"t": TargetLoad(1, 10.0, 0)}, 5.0, "a")
-    table.take_sum("a", ZoneSum(5.0, {"t": TargetLoad(7, 70.0, 0)}))
+    table.sums.take("a", ZoneSum(5.0, {"t": TargetLoad(7, 70.0, 0)}))
     table.add_up("a", 5.1)
     assert table.held("t").requests == 7
     table.add_up("a", 6.6)
@@ -58,15 +58,15 @@
     table = LoadTable()
     table.report_remote("b1", {"t": TargetLoad(2, 20.0, 1)}, 5.0, "b")
     table.report_remote("a2", {"t": TargetLoad(3, 30.0, 1)}, 5.0, "a")
-    table.take_sum("a", ZoneSum(5.0, {"t": TargetLoad(7, 70.0, 3)}))
+    table.sums.take("a", ZoneSum(5.0, {"t": TargetLoad(7, 70.0, 3)}))
     table.add_up("a", 5.1)
     assert table.held("t") == TargetLoad(9, 90.0, 4)
 
 
 def test_an_earlier_sum_does_not_replace_a_later_one():
     table = LoadTable()
-    table.take_sum("a", ZoneSum(5.0, {"t": TargetLoad(7, 70.0, 0)}))
-    table.take_sum("a", ZoneSum(4.8, {"t": TargetLoad(2, 20.0, 0)}))
+    table.sums.take("a", ZoneSum(5.0, {"t": TargetLoad(7, 70.0, 0)}))
+    table.sums.take("a", ZoneSum(4.8, {"t": TargetLoad(2, 20.0, 0)}))
     table.add_up("a", 5.1)
     assert table.held("t").requests == 7
 
@@ -116,7 +116,7 @@
                     tables[other].report_remote(f"h{number}", told, now, "a")
         for table in tables:
             if sums:
-                table.take_sum("a", ZoneSum(now, copied(whole)))
+                table.sums.take("a", ZoneSum(now, copied(whole)))
             table.add_up("a", now)
         for table in tables:
             if chance.random() < 3 * ROUND_S / STREAM_S:
