--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -8,6 +8,7 @@
 
 import math
 import random
+from collections import deque
 from collections.abc import Iterable, Mapping
 
 import msgspec
@@ -57,6 +58,8 @@
 MOST_REPORTED_LOST = 4
 """A host that has lost more targets than this at once is itself the one that is cut
 off; believed, its neighbours would leave out what they reach."""
+MOST_LIST_WORDS = 8
+"""Words of watchers that are kept: those of a second and a half."""
 MOST_PACES = 40
 """Slow targets that are told, some 25 bytes each; more of them at a time are a matter
 of the fleet, which no path avoids."""
@@ -65,6 +68,14 @@
 view with the store."""
 
 
+class _ListWord(msgspec.Struct, frozen=True):
+    """A watcher's word on its list, and since when that had been confirmed."""
+
+    digest: int
+    age_s: float
+    heard_at: float
+
+
 class Gossip:
     """Tells the other hosts, and hears them, over UDP."""
 
@@ -77,6 +88,7 @@
         "_duty_heard_at",
         "_finder",
         "_host_id",
+        "_list_words",
         "_round",
         "_socket",
         "_view",
@@ -94,6 +106,7 @@
         self._chance = random.Random()
         self._book = PeerBook(view.zone, self._chance)
         self._finder = PeerFinder(host_id, address, store, view, self._book)
+        self._list_words: deque[_ListWord] = deque(maxlen=MOST_LIST_WORDS)
         self._round = 0
         self._began_at = view.clock.now()
         self._socket: DatagramSocket | None = None
@@ -134,6 +147,7 @@
             self._round += 1
             self._view.load.expire_remote(self._view.clock.now())
             self._sum_up()
+            self._weigh_list_words(self._view.clock.now())
             status = self._status()
             recipients = self._recipients()
             self._view.load.told_own(self._view.clock.now())
@@ -331,9 +345,20 @@
         """
         if not status.watches or status.targets_age_s < 0:
             return
-        same = status.targets_digest == self._view.directory.digest()
         age_s = status.targets_age_s + now - echoed_at
-        self._view.watch_duty.told(same, age_s, now)
+        self._list_words.append(_ListWord(status.targets_digest, age_s, now))
+        self._weigh_list_words(now)
+
+    def _weigh_list_words(self, now: float) -> None:
+        """Take the words on lists that this host has, or has had, by now.
+
+        News of a change often comes after the word of a watcher that knows it.
+        """
+        for word in list(self._list_words):
+            if self._view.directory.has_had(word.digest):
+                self._list_words.remove(word)
+                age_s = word.age_s + now - word.heard_at
+                self._view.watch_duty.told(True, age_s, word.heard_at)
 
     def _echoed_at(self, status: PeerStatus, now: float) -> float | None:
         """Return when this host sent what another had heard last.
--- a/radishfield/routing/_directory.py
+++ b/radishfield/routing/_directory.py
@@ -9,6 +9,7 @@
 """
 
 import zlib
+from collections import deque
 from collections.abc import Iterable, Mapping
 
 import msgspec
@@ -29,6 +30,10 @@
 fails again.  Longer would keep a target out that was started again."""
 
 
+RECENT_DIGESTS = 64
+"""Changes of the list after which an earlier one is forgotten: as many as come in the
+second or two in which a change reaches all hosts of a zone."""
+
 ANSWER_TOLD_S = 2.0
 """Time for which others are told of an answer: each host of a large zone is told
 twice in it."""
@@ -78,7 +83,10 @@
     _suspicion_by_id: dict[str, _Suspicion] = msgspec.field(default_factory=dict)
     _answered_at_by_id: dict[str, float] = msgspec.field(default_factory=dict)
     _store_failed_at: float = -1e9
-    _digest: tuple[int, int] = (-1, 0)
+    _digest: int = 0
+    _recent_digests: deque[int] = msgspec.field(
+        default_factory=lambda: deque(maxlen=RECENT_DIGESTS)
+    )
     version: int = 0
     """Rises with each change of the list, for what is computed from it."""
     list_version: int = 0
@@ -115,21 +123,33 @@
             self._leaving.add(record.incarnation)
         if before is not None and _started_again(before.record, record):
             self._suspicion_by_id.pop(record.id, None)
-        self._entry_by_id[record.id] = _Entry(record)
-        self._list_changed()
+        self._put(record.id, _Entry(record))
         return True
 
-    def _list_changed(self) -> None:
+    def _put(self, target_id: str, entry: _Entry | None) -> None:
+        """Put an entry in place of the one before, or take it off the list."""
+        before = self._entry_by_id.pop(target_id, None)
+        if entry is not None:
+            self._entry_by_id[target_id] = entry
+        self._recent_digests.append(self._digest)
+        for each in (before, entry):
+            if each is not None:
+                self._digest ^= zlib.crc32(repr(each.record).encode())
         self.version += 1
         self.list_version += 1
 
     def digest(self) -> int:
         """Return a number that hosts with the same list share."""
-        if self._digest[0] != self.list_version:
-            records = sorted(repr(entry.record) for entry in self._entry_by_id.values())
-            checksum = zlib.crc32("\n".join(records).encode())
-            self._digest = (self.list_version, checksum)
-        return self._digest[1]
+        return self._digest
+
+    def has_had(self, digest: int) -> bool:
+        """Return whether the list is, or was a few changes ago, the one of a digest.
+
+        Load pattern: targets come by tens, and each change reaches the hosts of a zone
+        at another moment.  No two lists are alike for seconds; taken for hosts that
+        miss something, all of them would read the store.
+        """
+        return digest == self._digest or digest in self._recent_digests
 
     def remove(self, target_id: str, now: float) -> Removal:
         """Take a target off the list, or hold it where the store may be to blame."""
@@ -139,8 +159,7 @@
         if now - self._store_failed_at < AFTER_OUTAGE_S:
             entry.missing_since = now
             return Removal(target_id, held=True)
-        del self._entry_by_id[target_id]
-        self._list_changed()
+        self._put(target_id, None)
         return Removal(target_id, held=False)
 
     def expire_missing(self, now: float) -> list[str]:
@@ -151,8 +170,7 @@
             if entry.missing_since is not None and now - entry.missing_since >= RETURN_S
         ]
         for target_id in late:
-            del self._entry_by_id[target_id]
-            self._list_changed()
+            self._put(target_id, None)
         return late
 
     def mark_leaving(self, incarnation: tuple[str, int]) -> None:
--- a/radishfield/routing/_watch_duty.py
+++ b/radishfield/routing/_watch_duty.py
@@ -117,7 +117,7 @@
     def told(self, same_targets: bool, list_age_s: float, now: float) -> None:
         """Take a watcher's word on its list of targets."""
         if same_targets and 0.0 <= list_age_s < WATCHER_VIEW_S:
-            self.agreed_at = now
+            self.agreed_at = max(now, self.agreed_at or now)
 
     def read_targets(self, now: float) -> None:
         """Note that this host read the list itself: as good as a watcher's word."""
--- a/radishfield/routing/directory_test.py
+++ b/radishfield/routing/directory_test.py
@@ -225,3 +225,36 @@
             directory.asked("t1", now)
             directory.suspect("t1", now, until_asked=True)
     assert asked <= 2
+
+
+def test_list_that_changes_all_the_time_is_known_for_the_watchers_own(target):
+    """Forty targets register within a second, and news of each comes a moment late.
+
+    A host that is one change ahead of a watcher, or behind, has missed nothing; one
+    that missed a change never has the watcher's list.
+    """
+    watcher, host, deaf = TargetDirectory(), TargetDirectory(), TargetDirectory()
+    for number in range(40):
+        told = watcher.digest()
+        watcher.update(target(f"t{number}"))
+        host.update(target(f"t{number}"))
+        assert host.has_had(told)
+        if number != 20:
+            deaf.update(target(f"t{number}"))
+    assert host.digest() == watcher.digest()
+    assert not deaf.has_had(watcher.digest())
+    watcher.remove("t3", 100.0)
+    assert not host.has_had(watcher.digest())
+    host.remove("t3", 100.1)
+    assert host.digest() == watcher.digest()
+
+
+def test_digest_does_not_depend_on_the_order_of_news(target):
+    one, other = TargetDirectory(), TargetDirectory()
+    for name in ("a", "b", "c"):
+        one.update(target(name))
+    for name in ("c", "a", "b"):
+        other.update(target(name))
+    assert one.digest() == other.digest()
+    other.update(target("a", "b"))
+    assert one.digest() != other.digest()
