--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -9,24 +9,28 @@
 import math
 import random
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
 import msgspec
 import trio
 
 from radishfield.forwarding._datagrams import DatagramSocket
+from radishfield.forwarding._peer_amounts import (
+    held_by_id,
+    link_shares_of,
+    share_by_pair,
+    work_of,
+)
 from radishfield.forwarding._peer_finder import PeerFinder, split_peer_address
 from radishfield.forwarding._peer_messages import (
     DATAGRAM_BYTES,
     Echo,
-    LinkShare,
     Pace,
     PeerConfig,
     PeerNews,
     PeerStatus,
     PeerSum,
     Use,
-    Work,
     config_datagram,
     decoder,
     encoder,
@@ -37,12 +41,9 @@
 from radishfield.limits import RetryUse
 from radishfield.platform import ObjectStore
 from radishfield.routing import (
-    Pair,
     PeerConfirmation,
-    TargetLoad,
     ZoneSum,
     confirmed_by_peer_at,
-    pair_of,
 )
 from radishfield.telemetry import DeferredTelemetry, log_event
 
@@ -169,9 +170,9 @@
         link_sums = links.sums.fresh(now)
         for each, item in load.sums.fresh(now).items():
             shares = link_sums[each].by_key if each in link_sums else {}
-            work = _work_of(item.by_key)
+            work = work_of(item.by_key)
             told = PeerSum(
-                each, now - item.at, work, _link_shares_of(shares), self._paces(now)
+                each, now - item.at, work, link_shares_of(shares), self._paces(now)
             )
             data = encoder.encode(told)
             if len(data) > DATAGRAM_BYTES:
@@ -211,7 +212,7 @@
                 self._host_id,
                 self._view.zone,
                 self._address,
-                _work_of(self._view.load.own_by_id),
+                work_of(self._view.load.own_by_id),
                 self._view.directory.leaving_incarnations(),
                 self._view.directory.lost_incarnations(now),
                 self._duties(),
@@ -224,7 +225,7 @@
                     Use(service, use.firsts, use.repeats)
                     for service, use in self._view.retry_use().items()
                 ],
-                _link_shares_of(self._view.links.own_shares(now)),
+                link_shares_of(self._view.links.own_shares(now)),
                 self._view.watch_duty.on_duty,
                 self._view.directory.digest(),
                 _or_negative(now - self._view.targets_confirmed_at),
@@ -288,8 +289,8 @@
 
     def _take_sum(self, told: PeerSum) -> None:
         at = self._view.clock.now() - max(0.0, told.age_s)
-        self._view.load.sums.take(told.zone, ZoneSum(at, _held_by_id(told.work)))
-        self._view.links.sums.take(told.zone, ZoneSum(at, _share_by_pair(told.links)))
+        self._view.load.sums.take(told.zone, ZoneSum(at, held_by_id(told.work)))
+        self._view.links.sums.take(told.zone, ZoneSum(at, share_by_pair(told.links)))
         self._take_paces(told.paces)
 
     def _take(self, status: PeerStatus, address: tuple[str, int]) -> None:
@@ -318,10 +319,10 @@
             use.service: RetryUse(use.firsts, use.repeats) for use in status.uses
         }
         self._view.links.report_remote(
-            status.host_id, _share_by_pair(status.links), status.zone
+            status.host_id, share_by_pair(status.links), status.zone
         )
         self._view.load.report_remote(
-            status.host_id, _held_by_id(status.work), now, status.zone
+            status.host_id, held_by_id(status.work), now, status.zone
         )
         self._take_paces(status.paces)
         for incarnation in status.leaving:
@@ -431,31 +432,6 @@
             self._view.directory.answered_elsewhere(target_id, now)
 
 
-def _work_of(held_by_id: Mapping[str, TargetLoad]) -> list[Work]:
-    return [
-        Work(target_id, held.requests, int(held.token_layers), held.as_first)
-        for target_id, held in held_by_id.items()
-    ]
-
-
-def _link_shares_of(share_by_pair: Mapping[Pair, float]) -> list[LinkShare]:
-    return [
-        LinkShare(zone, other, round(share, 3))
-        for (zone, other), share in share_by_pair.items()
-    ]
-
-
-def _share_by_pair(links: list[LinkShare]) -> dict[Pair, float]:
-    return {pair_of(item.zone, item.other): item.share for item in links}
-
-
-def _held_by_id(work: list[Work]) -> dict[str, TargetLoad]:
-    return {
-        item.target_id: TargetLoad(item.requests, item.token_layers, item.as_first)
-        for item in work
-    }
-
-
 def _or_negative(age_s: float) -> float:
     """Return an age as it is told: negative where nothing was confirmed yet."""
     return age_s if math.isfinite(age_s) else -1.0
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -7,12 +7,13 @@
 from expression import Error, Ok, Result
 
 from radishfield.core import Fault, ResultCode, fault
+from radishfield.forwarding._active_stream import ActiveStream, path_words
 from radishfield.forwarding._call import Call
 from radishfield.forwarding._connections import BrokenAnswerError, Exchange
 from radishfield.forwarding._targets import Targets, final_fault
 from radishfield.forwarding._tries import Tries, target_error
 from radishfield.forwarding._view import RouterView
-from radishfield.forwarding._watchdog import ActiveStream, StreamWatchdog, path_words
+from radishfield.forwarding._watchdog import StreamWatchdog
 from radishfield.routing import (
     AdmissionQueue,
     Demand,
--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -1,19 +1,17 @@
-"""Streams in flight at this host, and the watchdog that looks after silent ones."""
+"""The watchdog that looks after streams in flight which fall silent."""
 
 import msgspec
 import trio
 from expression import Result
 
 from radishfield.core import Clock, Fault
-from radishfield.forwarding._call import Call
+from radishfield.forwarding._active_stream import ActiveStream, path_words
+from radishfield.forwarding._slow_targets import SlowTargets
 from radishfield.forwarding._targets import REPORT_TIMEOUT_S, Targets, order_status
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import repath_order
 from radishfield.routing import (
-    NORMAL_PACE,
     Ask,
-    Demand,
-    EngineSpec,
     GiveUp,
     Path,
     StreamSilence,
@@ -21,7 +19,6 @@
     TargetReport,
     next_look_s,
     next_step,
-    path_ms,
     targets_to_probe,
 )
 from radishfield.telemetry import log_event
@@ -46,16 +43,8 @@
 MEASURE_ZONE_S = 10.0
 """Age of a zone's last answer after which one of its targets is asked, so that the
 usual answer time is known when it is needed."""
-SLOW_LOOK_S = 0.25
-"""Pause between two looks for streams that are too slow: a stream has had five events
-in it, and a slow target is found within a second."""
-ASK_PACE_AGAIN_S = 1.0
-"""Pause between two questions for the pace of one target."""
-LEAST_PATH_S = 1e-4
 MEASURE_LOOK_S = 1.0
 """Pause between two looks for such zones."""
-GAP_MEMORY = 0.8
-"""Weight of the past in a stream's usual pause."""
 REPATH_TRIES = 3
 ASKED_AT_ONCE = 3
 """Lost targets that are asked in one look: a host that is cut off from all of them
@@ -67,71 +56,6 @@
 MOVED = (200, 202)
 
 
-class ActiveStream:
-    """One attempt of a stream: its path, and when it was last heard of."""
-
-    __slots__ = (
-        "call",
-        "demand",
-        "engine",
-        "given_up",
-        "has_events",
-        "heard_at",
-        "moving",
-        "path",
-        "scope",
-        "may_resume",
-        "usual_gap_s",
-    )
-
-    def __init__(
-        self,
-        call: Call,
-        engine: EngineSpec | None,
-        demand: Demand,
-        path: Path,
-        now: float,
-    ):
-        self.call = call
-        self.engine = engine
-        self.demand = demand
-        self.path = path
-        self.heard_at = now
-        self.has_events = False
-        self.given_up = ""
-        self.moving = False
-        self.may_resume = True
-        self.usual_gap_s = 0.0
-        self.scope = trio.CancelScope()
-
-    def heard(self, now: float) -> None:
-        """Note an event."""
-        if self.has_events:
-            gap_s = now - self.heard_at
-            before_s = self.usual_gap_s or gap_s
-            self.usual_gap_s = GAP_MEMORY * before_s + (1 - GAP_MEMORY) * gap_s
-        self.heard_at = now
-        self.has_events = True
-
-    def silence(self, now: float) -> StreamSilence:
-        """Return how the stream stands, for decisions."""
-        route = self.call.route
-        return StreamSilence(
-            target_ids=tuple(part.target_id for part in self.path),
-            silent_s=now - self.heard_at,
-            has_events=self.has_events,
-            usual_gap_s=self.usual_gap_s,
-            allowed_s=route.allowed_silence_s(self.has_events),
-            caller_patience_s=route.caller_patience_s,
-            report_lag_s=self.engine.report_lag_s if self.engine else 0.0,
-        )
-
-    def give_up(self, reason: str) -> None:
-        """End the attempt, so that the stream goes on elsewhere."""
-        self.given_up = reason
-        self.scope.cancel()
-
-
 class StreamWatchdog:
     """Looks at every stream a few times a second."""
 
@@ -143,11 +67,10 @@
         "_measure_at",
         "_nursery",
         "_probed_at_by_id",
-        "_slow_look_at",
+        "_slow_targets",
         "_streams",
         "_targets",
         "_view",
-        "slow_found",
     )
 
     def __init__(self, targets: Targets, view: RouterView):
@@ -160,10 +83,14 @@
         self._answer_s_by_zone: dict[str, float] = {}
         self._answered_at_by_zone: dict[str, float] = {}
         self._measure_at = 0.0
-        self._slow_look_at = 0.0
-        self.slow_found = 0
+        self._slow_targets = SlowTargets(targets, view)
         self._nursery: trio.Nursery | None = None
 
+    @property
+    def slow_found(self) -> int:
+        """Return how often a target was found slower than its kind."""
+        return self._slow_targets.found
+
     def add(self, stream: ActiveStream) -> None:
         """Watch a stream and count its work at the targets of its path."""
         self._streams.add(stream)
@@ -191,7 +118,7 @@
                 self._probe_quiet(silence_by_stream)
                 more_lost = self._ask_lost()
                 self._measure_zones()
-                self._look_for_slow()
+                self._slow_targets.look(self._streams, nursery)
                 silences = silence_by_stream.values()
                 pause_s = next_look_s(silences, TICK_S, LONGEST_TICK_S)
                 if more_lost:
@@ -221,72 +148,6 @@
                 self._probed_at_by_id[target_id] = now
                 self._nursery.start_soon(self._probe, target_id)
 
-    def _look_for_slow(self) -> None:
-        """Ask the targets of streams that are slower than their paths explain.
-
-        One in each look: where all streams are slow it is the load, not a target, and
-        hundreds of hosts would ask in vain.
-        """
-        now = self._clock.now()
-        if now < self._slow_look_at:
-            return
-        self._slow_look_at = now + SLOW_LOOK_S
-        paces = self._view.paces
-        paces.expire(now)
-        slow: list[str] = []
-        for stream in self._streams:
-            if stream.engine is None or not stream.usual_gap_s or stream.moving:
-                continue
-            path_s = self._path_s(stream)
-            if paces.is_slow(stream.usual_gap_s, path_s):
-                slow += [part.target_id for part in stream.path]
-            else:
-                paces.learn(stream.usual_gap_s, path_s)
-        if self._view.watch_duty.on_duty:
-            slow += paces.to_ask(now)
-        known = {target_id for target_id, _, age_s in paces.known(now) if age_s < 1.0}
-        due = [
-            target_id
-            for target_id in dict.fromkeys(slow)
-            if target_id not in known
-            and now - self._probed_at_by_id.get(target_id, -1e9) >= ASK_PACE_AGAIN_S
-        ]
-        # Hosts that see the same path slow ask different parts of it.
-        self._view.chance.shuffle(due)
-        for target_id in due[:1]:
-            self._probed_at_by_id[target_id] = now
-            self._nursery.start_soon(self._ask_pace, target_id)
-
-    def _path_s(self, stream: ActiveStream) -> float:
-        """Return what a token over a stream's path should take, in seconds."""
-        directory = self._view.directory
-        records = {
-            part.target_id: record
-            for part in stream.path
-            if (record := directory.find(part.target_id)) is not None
-        }
-        expected_ms = path_ms(stream.engine, records, self._view.load, stream.path)
-        return max(LEAST_PATH_S, expected_ms / 1e3)
-
-    async def _ask_pace(self, target_id: str) -> None:
-        record = self._view.directory.find(target_id)
-        if record is None:
-            return
-        report = await self._targets.report(record)
-        if report.is_ok():
-            self._note_pace(target_id, report.ok)
-
-    def _note_pace(self, target_id: str, report: TargetReport) -> None:
-        if self._view.paces.note(target_id, report.pace, self._clock.now()):
-            is_slow = report.pace > NORMAL_PACE
-            self.slow_found += is_slow
-            log_event(
-                "target.slow" if is_slow else "target.well",
-                target=target_id,
-                pace=round(report.pace, 2),
-                running=report.running,
-            )
-
     def _measure_zones(self) -> None:
         """Ask one target of each zone that has not answered for a while."""
         now = self._clock.now()
@@ -384,7 +245,7 @@
 
     def _take_report(self, first_id: str, report: TargetReport) -> None:
         """Move the streams around the parts for which they wait."""
-        self._note_pace(first_id, report)
+        self._slow_targets.note(first_id, report)
         stalled_by_id = dict(report.stalled)
         addresses = {
             stalled_by_id.get(stream.call.facts.request_id): None
@@ -503,13 +364,6 @@
             change(part.target_id, token_layers, first=index == 0)
 
 
-def path_words(path: Path) -> str:
-    """Return a path for a log line."""
-    return " ".join(
-        f"{part.target_id}={part.span.first}-{part.span.end}" for part in path
-    )
-
-
 class _Blocked(msgspec.Struct):
     addr: str = ""
 
--- a/radishfield/routing/_paces.py
+++ b/radishfield/routing/_paces.py
@@ -8,6 +8,7 @@
 names the slow one; the host tells it, and all hosts send there less, in proportion.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 
 import msgspec
@@ -95,6 +96,11 @@
             for target_id, known in self._known_by_id.items()
         ]
 
+    def age_s(self, target_id: str, now: float) -> float:
+        """Return how old what is known of a target is; infinite where nothing is."""
+        known = self._known_by_id.get(target_id)
+        return math.inf if known is None else now - known.at
+
     def to_ask(self, now: float) -> list[str]:
         """Return the slow targets whose pace is to be confirmed."""
         return [
