--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -102,6 +102,7 @@
             ),
             Freshness(self._promises.revoke_s),
             self._promises.grace_s,
+            started_at=clock.now(),
         )
         self._caller_config = _CallerListener.from_settings(
             settings.caller.bind, drain_s=0.0
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -14,6 +14,7 @@
 from radishfield.limits import RetryAllowance, RetryBudget, RetryUse
 from radishfield.platform import StoredValue
 from radishfield.routing import (
+    BLIND_SPREAD,
     TELL_S,
     UNSEEN_S,
     AdmissionQueue,
@@ -46,6 +47,13 @@
 """Part of the hosts that are taken to have just started a stream where nothing is
 known yet: right after a start all of them would choose the same path."""
 
+BLIND_S = 2.0
+"""Time after a start in which a host may know nothing of others: until it serves, and
+until their statuses and sums have come."""
+BLIND_STREAMS = 0.5
+"""Streams for each host, below which known work says nothing: a fleet under load runs
+two and more."""
+
 FULL_S = 0.25
 """Time after which a target that was full may have room again: a request of usual
 size ends at a busy target every few hundredths of a second."""
@@ -117,6 +125,8 @@
 
     Attributes
     ----------
+    started_at : float or None
+        When the process started; None where that does not matter.
     hosts : int
         Entry hosts that share the fleet's allowances, this one included; counts
         hosts that are cut off too, since they go on spending.
@@ -148,6 +158,7 @@
     allowance: RetryAllowance
     freshness: Freshness
     grace_s: float = 8.0
+    started_at: float | None = None
     table: RoutingTable | None = None
     directory: TargetDirectory = msgspec.field(default_factory=TargetDirectory)
     load: LoadTable = msgspec.field(default_factory=LoadTable)
@@ -259,14 +270,22 @@
         """
         shares = self.links.shares(self.clock.now(), self.zone)
         closed = self.links.full(shares)
-        for pair in self._pairs(engine) - closed:
+        for pair in self._pairs() - closed:
             if not self._may_cross(engine, pair, shares.get(pair, 0.0), movers):
                 closed.add(pair)
-        spread = choice_spread(self._unseen_starts(service) + movers)
+        spread = BLIND_SPREAD
+        if not self._is_blind():
+            spread = choice_spread(self._unseen_starts(service) + movers)
         return PathFinder(
             engine, self.load, self.zone, shares, closed, spread, self.chance
         )
 
+    def _is_blind(self) -> bool:
+        """Return whether this host has just started and knows no work of others."""
+        if self.started_at is None or self.clock.now() - self.started_at >= BLIND_S:
+            return False
+        return self.load.streams() < self.hosts * BLIND_STREAMS
+
     def _unseen_starts(self, service: str) -> float:
         """Return how many streams all hosts have started that are not told yet."""
         usual_s = self.admission_queue(service).usual_stream_s
@@ -285,7 +304,7 @@
         contenders = self.hosts * (own + waiting)
         return self.gate.is_open(pair, room, contenders, now, self.chance)
 
-    def _pairs(self, engine: EngineSpec) -> set[Pair]:
+    def _pairs(self) -> set[Pair]:
         """Return the links between the zones in which there are targets."""
         zones = sorted({record.zone for record in self.directory.all_records()})
         return {
--- /dev/null
+++ b/radishfield/forwarding/view_test.py
@@ -0,0 +1,31 @@
+"""What a host makes of how much it knows."""
+
+import pytest
+
+from radishfield.forwarding._view import RouterView
+from radishfield.limits import RetryAllowance
+from radishfield.routing import Freshness
+
+
+class StepClock:
+    def __init__(self):
+        self.reading = 100.0
+
+    def now(self):
+        return self.reading
+
+
+@pytest.mark.parametrize(
+    ("age_s", "streams", "blind"),
+    [(0.5, 0, True), (0.5, 10, True), (0.5, 30, False), (2.5, 0, False)],
+)
+def test_host_is_blind_until_it_knows_work_or_had_time_to_hear_of_it(
+    age_s, streams, blind
+):
+    clock = StepClock()
+    view = RouterView("a", clock, RetryAllowance(), Freshness(5.0), started_at=100.0)
+    view.hosts = 40
+    for number in range(streams):
+        view.load.started(f"t{number}", 100.0, first=True)
+    clock.reading += age_s
+    assert view._is_blind() is blind
--- a/radishfield/routing/__init__.py
+++ b/radishfield/routing/__init__.py
@@ -26,6 +26,7 @@
 from radishfield.routing._load import LoadTable, TargetLoad
 from radishfield.routing._paces import NORMAL_PACE, Paces
 from radishfield.routing._paths import (
+    BLIND_SPREAD,
     UNSEEN_S,
     Demand,
     PathFinder,
@@ -76,6 +77,7 @@
 from radishfield.routing._zone_sums import ZoneSum
 
 __all__ = [
+    "BLIND_SPREAD",
     "NORMAL_PACE",
     "Paces",
     "path_ms",
--- a/radishfield/routing/_paths.py
+++ b/radishfield/routing/_paths.py
@@ -57,6 +57,13 @@
 hold, so that even all of them on one path are no more than it carries."""
 
 
+BLIND_SPREAD = 1.5
+"""The same while nothing is known of others.  Load pattern: all hosts have just been
+started again, and a second's callers come back at once.  Each host fills the fastest
+cards, and half of the callers are refused by them four times over.  So wide, paths are
+taken nearly by chance, and all but a few find room at once."""
+
+
 def choice_spread(unseen: float) -> float:
     """Return by how much costs are varied by chance from request to request.
 
--- a/radishfield/routing/paths_test.py
+++ b/radishfield/routing/paths_test.py
@@ -7,6 +7,7 @@
 from msgspec.structs import replace
 
 from radishfield.routing import (
+    BLIND_SPREAD,
     Demand,
     LinkUsage,
     LoadTable,
@@ -288,6 +289,52 @@
     assert worst_fill(engine, records, choice_spread(starts), starts) < FULL
 
 
+def refused(engine, records, spread, streams, hosts=195):
+    """Return how many of some streams find no room in four tries.
+
+    Each host knows its own streams only, and which target was full.
+    """
+    chance, load = random.Random(2), LoadTable()
+    own = [LoadTable() for _ in range(hosts)]
+    room = {record.id: capacity_token_layers(engine, record) for record in records}
+    count = 0
+    for _ in range(streams):
+        host = chance.randrange(hosts)
+        zone = "abcde"[host % 5]
+        full = set()
+        for _ in range(4):
+            finder = PathFinder(engine, own[host], zone, spread=spread, chance=chance)
+            path = finder.find([r for r in records if r.id not in full], USUAL)
+            over = {
+                part.target_id
+                for part in path
+                if load.held(part.target_id).token_layers
+                + USUAL.tokens * len(part.span)
+                > room[part.target_id]
+            }
+            if not over:
+                hold(load, path, USUAL)
+                hold(own[host], path, USUAL)
+                break
+            full |= over
+        else:
+            count += 1
+    return count
+
+
+def test_callers_that_come_back_at_once_to_hosts_that_just_started_find_room(engine):
+    """All hosts were lost; they start again, and 300 callers come in a third of a second.
+
+    No host knows what the others send.  On the cheapest paths they meet at the same
+    fast cards, are refused four times, and are sent away while two thirds of the
+    fleet's memory lies idle.
+    """
+    records = large_fleet(engine)
+    streams = 300
+    assert refused(engine, records, 0.0, streams) > streams * 0.2
+    assert refused(engine, records, BLIND_SPREAD, streams) <= streams * 0.02
+
+
 def test_few_hosts_keep_to_the_cheapest_path(engine):
     """Six hosts see each other's work; a worse path would only cost time."""
     assert choice_spread(2.0) < 0.05
