--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -41,6 +41,7 @@
 from radishfield.limits import RetryUse
 from radishfield.platform import ObjectStore
 from radishfield.routing import (
+    Pair,
     PeerConfirmation,
     ZoneSum,
     confirmed_by_peer_at,
@@ -85,6 +86,7 @@
         "_began_at",
         "_book",
         "_chance",
+        "_closed_links",
         "_duties",
         "_duty_heard_at",
         "_finder",
@@ -107,6 +109,7 @@
         self._chance = random.Random()
         self._book = PeerBook(view.zone, self._chance)
         self._finder = PeerFinder(host_id, address, store, view, self._book)
+        self._closed_links: set[Pair] = set()
         self._list_words: deque[_ListWord] = deque(maxlen=MOST_LIST_WORDS)
         self._round = 0
         self._began_at = view.clock.now()
@@ -158,6 +161,22 @@
                 self._send_sums(recipients)
             self._view.load.add_up(self._view.zone, self._view.clock.now())
             self._view.links.advance(self._view.clock.now(), self._view.zone)
+            self._log_links(self._view.clock.now())
+
+    def _log_links(self, now: float) -> None:
+        """Log which links were closed to prompts, or opened, since the last look."""
+        links = self._view.links
+        shares = links.shares(now, self._view.zone)
+        closed = links.full(shares)
+        for pair in sorted(closed ^ self._closed_links):
+            log_event(
+                "link.closed" if pair in closed else "link.open",
+                zone=pair[0],
+                other=pair[1],
+                share=round(shares.get(pair, 0.0), 2),
+                backlog_s=round(links.backlog_s(pair), 2),
+            )
+        self._closed_links = closed
 
     def _send_sums(self, recipients: list[Peer]) -> None:
         """Add up the work of the zone, and tell it with that of other zones."""
--- a/radishfield/forwarding/gossip_test.py
+++ b/radishfield/forwarding/gossip_test.py
@@ -189,3 +189,19 @@
     assert [peer.address for peer in gossip._recipients()] == [("127.0.0.1", 2)]
     gossip._view.clock.reading = 113.0
     assert gossip._recipients() == []
+
+
+def test_closing_and_opening_of_a_link_are_each_logged_once(gossip, caplog):
+    """A stream waits although targets have room; the log says which link is full."""
+    links, now = gossip._view.links, 110.0
+    with caplog.at_level("INFO"):
+        gossip._log_links(now)
+        links.crossed(("a", "b"), 1500.0, now)
+        gossip._log_links(now)
+        gossip._log_links(now + 0.1)
+        gossip._log_links(now + 3.0)
+    events = [record.getMessage() for record in caplog.records]
+    assert [name for name in events if name.startswith("link")] == [
+        "link.closed",
+        "link.open",
+    ]
