--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -222,11 +222,7 @@
         for value in found[-1:]:
             self._view.config_reads += 1
             usable = self._adopt(value, asked_at)
-            if (
-                usable
-                and self._view.watch_duty.shared
-                and self._view.watch_duty.on_duty
-            ):
+            if usable and self._view.watch_duty.tells_others:
                 version = self._view.table.config.version
                 self._view.config_news.add(ConfigNews(version, value))
         if usable and self._view.table is not None:
