Reproduce the cut streams: a host whose link is taken ends sound streams

What callers see: a begun answer of 60 events ends after 14 with a closed connection. In the first everything that reaches the host waits for 0.3 s, as behind the answer to a large read; the targets go on. In the second the only target of a stream is silent for 0.6 s and speaks again. No repeat is allowed in either.

--- a/radishfield/forwarding/conftest.py
+++ b/radishfield/forwarding/conftest.py
@@ -21,6 +21,32 @@
 from standins.routed_targets import LayeredFleet, LayeredTarget, PlainTarget
 
 
+class HeldLink:
+    """The link of the router's host: while it is taken, no answer gets through."""
+
+    def __init__(self):
+        self._free = trio.Event()
+        self._free.set()
+
+    def around(self, app):
+        """Return an application whose answers pass the link."""
+
+        async def held(scope, receive, send):
+            async def send_when_free(message):
+                await self._free.wait()
+                await send(message)
+
+            await app(scope, receive, send_when_free)
+
+        return held
+
+    async def take(self, seconds: float) -> None:
+        """Take the link for some seconds, as the answer to a large read does."""
+        self._free = trio.Event()
+        await trio.sleep(seconds)
+        self._free.set()
+
+
 @dataclass
 class World:
     """Everything that a test acts on."""
@@ -38,6 +64,7 @@
     router: Router | None = None
     stop: trio.Event = field(default_factory=trio.Event)
     scopes: list[trio.CancelScope] = field(default_factory=list)
+    link: HeldLink = field(default_factory=HeldLink)
 
     async def add_plain(self, target_id: str) -> PlainTarget:
         target = PlainTarget(target_id)
@@ -60,7 +87,8 @@
 
     async def serve(self, app) -> str:
         listener = ListenerConfig.from_settings("127.0.0.1:0", drain_s=0.0)
-        (url,) = await self.nursery.start(serve_app, app, listener, None)
+        held = self.link.around(app)
+        (url,) = await self.nursery.start(serve_app, held, listener, None)
         return url.removeprefix("http://")
 
     async def start_router(self, **promises) -> None:
--- /dev/null
+++ b/radishfield/forwarding/suspicion_test.py
@@ -0,0 +1,84 @@
+"""What a host does to streams in flight when it holds their targets for lost."""
+
+import trio
+
+from radishfield.forwarding.conftest import world
+from standins.routed_config import config, route
+
+EVENTS = 60
+NO_REPEATS = {"retry_ratio": 0, "retry_slack": 0}
+
+
+def play(tmp_path, scene):
+    async def main():
+        with trio.fail_after(20):
+            async with world(tmp_path) as played:
+                await scene(played)
+
+    trio.run(main)
+
+
+async def pool(played, targets=2, **promises):
+    """Start a router before targets that each hold the whole model."""
+    routes = [route("stream", "streaming", "pool", gapAimMs=250)]
+    played.store.put("config", "main", config(routes=routes))
+    for number in range(targets):
+        await played.add_layered(f"t{number + 1}", 0, 80, events=EVENTS)
+    await played.start_router(**promises)
+    # The usual time of an answer is measured before it is needed.
+    assert (await stream(played, "warm-up")).whole
+
+
+async def stream(played, request_id="r1"):
+    return await played.request("/stream/x", "POST", request_id=request_id, body=b"{}")
+
+
+async def stream_during(played, trouble):
+    """Return the reply to a stream in whose midst something happens."""
+    replies = []
+
+    async def call():
+        replies.append(await stream(played))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(call)
+        await trio.sleep(0.3)
+        await trouble()
+    return replies[0]
+
+
+def ids(reply):
+    return [line for line in reply.body.split(b"\n") if line.startswith(b"id")]
+
+
+ALL_IDS = [b"id: %d" % number for number in range(1, EVENTS + 1)]
+
+
+def test_a_large_read_on_the_hosts_own_link_cuts_no_stream(tmp_path):
+    """Guards against sound targets held for lost while the host's link is taken."""
+
+    async def scene(played):
+        await pool(played, **NO_REPEATS)
+        reply = await stream_during(played, lambda: played.link.take(0.3))
+        assert reply.whole and ids(reply) == ALL_IDS
+        assert sum(target.runs["r1"] for target in played.layered) == 1
+
+    play(tmp_path, scene)
+
+
+def test_a_stream_is_not_ended_before_another_attempt_is_allowed(tmp_path):
+    """Guards against a cut answer where a silent target speaks again in time."""
+
+    async def scene(played):
+        await pool(played, **NO_REPEATS)
+
+        async def fall_silent():
+            used = next(target for target in played.layered if target.runs["r1"])
+            used.dead = True
+            await trio.sleep(0.6)
+            used.dead = False
+
+        reply = await stream_during(played, fall_silent)
+        assert reply.whole and ids(reply) == ALL_IDS
+
+    play(tmp_path, scene)
