Log how late a host was and what repeats were left

The lines of the incident could not tell whether a target was silent or its host was late, nor what the allowance was when a repeat was refused. target.silent now says how long the answer was waited for, config.in_force how long the decoding took apart from the reading, retry.refused what is left for all hosts, and request.ended of a stream that was given up why (its detail was empty). The counter streams_cut counts begun streams without their last event. No decision changes.

--- a/radishfield/forwarding/_app.py
+++ b/radishfield/forwarding/_app.py
@@ -177,6 +177,7 @@
         self._telemetry.ended(kind, outcome, code, now - arrived_at)
         if 2000 < code < 4000:
             self._telemetry.refused(code)
+        self._view.streams_cut += responder.broken_off
         table = self._view.table
         log_event(
             "request.ended",
--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -239,6 +239,7 @@
 
     def _adopt(self, value: StoredValue, asked_at: float) -> bool:
         """Put a version in force; return whether the view is the newest now."""
+        began_at = self._view.clock.now()
         decoded = decode_config(value.spec)
         if decoded.is_error():
             log_event(
@@ -266,7 +267,8 @@
             revision=value.revision,
             routes=len(config.routes),
             keys=len(config.workspace_by_key),
-            after_s=round(self._view.clock.now() - asked_at, 3),
+            after_s=round(began_at - asked_at, 3),
+            decode_s=round(self._view.clock.now() - began_at, 3),
         )
         return True
 
--- a/radishfield/forwarding/_metrics.py
+++ b/radishfield/forwarding/_metrics.py
@@ -39,6 +39,11 @@
             "Answers of the store that held the configuration.",
             lambda: view.config_reads,
         )
+        watch(
+            "streams_cut",
+            "Streams whose callers had some events and not the last one.",
+            lambda: view.streams_cut,
+        )
         watch("reports", "Targets asked for a report.", lambda: targets.reports)
         watch(
             "orders",
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -311,6 +311,8 @@
         try:
             with stream.scope:
                 result = await self._relay(call, record, stream, progress)
+            if stream.scope.cancelled_caught:
+                result = Error(fault(ResultCode.STREAM_SILENT, stream.given_up))
         finally:
             ended_at = self._view.clock.now()
             queue.ended(call.workspace_name, ended_at, ended_at - now)
@@ -320,7 +322,7 @@
                 "attempt.ended",
                 request=call.facts.request_id,
                 code=int(result.error.code),
-                detail=stream.given_up or result.error.detail,
+                detail=result.error.detail,
                 after_event=progress.last_id,
             )
         return result
--- a/radishfield/forwarding/_targets.py
+++ b/radishfield/forwarding/_targets.py
@@ -104,7 +104,10 @@
         if not self._view.take_repeat(call.service.name):
             self._telemetry.refused(ResultCode.RETRY_BUDGET_SPENT)
             log_event(
-                "retry.refused", request=call.facts.request_id, hosts=self._view.hosts
+                "retry.refused",
+                request=call.facts.request_id,
+                hosts=self._view.hosts,
+                left=round(self._view.repeats_left(call.service.name), 1),
             )
             return False
         self._telemetry.retried(problem.code)
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -139,6 +139,8 @@
         configuration.
     config_reads : int
         Answers of the store that held the configuration.
+    streams_cut : int
+        Streams whose callers had some events and not the last one.
     targets_confirmed_at : float
         When the store was last asked for the targets, of the calls it answered.
     hear_news, hear_config : callable
@@ -168,6 +170,7 @@
     hosts: int = 1
     leaving_since: float | None = None
     in_flight: int = 0
+    streams_cut: int = 0
     chance: random.Random = msgspec.field(default_factory=random.Random)
     room_freed: trio.Event = msgspec.field(default_factory=trio.Event)
     store_back: trio.Event = msgspec.field(default_factory=trio.Event)
@@ -217,6 +220,11 @@
         others = self._uses_told(service)
         return self.budget(service).take(self.clock.now(), self.hosts, others)
 
+    def repeats_left(self, service: str) -> float:
+        """Return the repeats that are left for all hosts together."""
+        others = self._uses_told(service)
+        return self.budget(service).left(self.clock.now(), self.hosts, others)
+
     def _uses_told(self, service: str) -> list[RetryUse]:
         """Return what each host that is heard used of a service's allowance."""
         return [
--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -195,7 +195,7 @@
             self._note_answer(record, answer_s)
             self._take_report(target_id, report.ok)
         elif answer_s < limit_s + LATE_TICK_S:
-            self._lose_first(target_id, f"probe: {report.error.detail}")
+            self._lose_first(target_id, f"probe: {report.error.detail}", answer_s)
             self._lose_part(record.address)
 
     def _ask_lost(self) -> bool:
@@ -234,11 +234,11 @@
                     stream.give_up("silent")
 
     async def _ask(self, first_id: str) -> None:
-        record = self._view.directory.find(first_id)
+        record, asked_at = self._view.directory.find(first_id), self._clock.now()
         report = None if record is None else await self._targets.report(record)
         if report is None or report.is_error():
             detail = "gone" if report is None else report.error.detail
-            self._lose_first(first_id, detail)
+            self._lose_first(first_id, detail, self._clock.now() - asked_at)
             return
         self._view.directory.answered(first_id, self._clock.now())
         self._take_report(first_id, report.ok)
@@ -256,7 +256,7 @@
             if address:
                 self._lose_part(address)
 
-    def _lose_first(self, first_id: str, detail: str) -> None:
+    def _lose_first(self, first_id: str, detail: str, waited_s: float) -> None:
         """Give up the streams whose first target does not answer."""
         left_out_s = self._view.directory.suspect(
             first_id, self._clock.now(), until_asked=True
@@ -265,6 +265,7 @@
             "target.silent",
             target=first_id,
             detail=detail,
+            waited_s=round(waited_s, 3),
             left_out_s=round(left_out_s, 2),
             directory_version=self._view.directory.version,
         )
--- a/radishfield/limits/_retries.py
+++ b/radishfield/limits/_retries.py
@@ -10,7 +10,7 @@
 """
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import msgspec
 
@@ -77,19 +77,22 @@
             What the hosts that are heard of have used.  The even part of those
             that are silent counts as used up.
         """
-        self._forget(now)
         told = list(others)
-        heard = 1 + len(told)
-        firsts = len(self._firsts) + sum(use.firsts for use in told)
-        repeats = len(self._repeats) + sum(use.repeats for use in told)
-        slack = self.allowance.slack * min(1.0, heard / max(1, hosts))
-        left = self.allowance.safety * (self.allowance.ratio * firsts + slack) - repeats
+        left = self.left(now, hosts, told)
         just_taken = sum(1 for at in self._repeats if at > now - LAG_S)
-        if (just_taken + 1) * heard > left + just_taken:
+        if (just_taken + 1) * (1 + len(told)) > left + just_taken:
             return False
         self._repeats.append(now)
         return True
 
+    def left(self, now: float, hosts: int, others: Collection[RetryUse]) -> float:
+        """Return the repeats that are left for all hosts together; see `take`."""
+        self._forget(now)
+        firsts = len(self._firsts) + sum(use.firsts for use in others)
+        repeats = len(self._repeats) + sum(use.repeats for use in others)
+        slack = self.allowance.slack * min(1.0, (1 + len(others)) / max(1, hosts))
+        return self.allowance.safety * (self.allowance.ratio * firsts + slack) - repeats
+
     def give_back(self) -> None:
         """Undo the last repeat: it never reached a target."""
         if self._repeats:
