End a doubted attempt only once another may follow it

Cause: the watchdog cancelled an attempt whose target seemed silent, and only then were the route, a path and a repeat looked for. When many hosts doubt at once the allowance is spent; what was left was to close the caller's connection, although the target went on sending.

Now the stream's forwarder is asked first whether another attempt may follow: attempts left, key and route, a path without the doubted target, and a repeat, which is reserved for it. Else the attempt is kept, which the line stream.kept says, and looked at again. A target that is sound loses nothing; with one that is dead the caller waits for its connection to break, as it would otherwise wait for its own retry. Streams that have not begun end as before, since their callers get an answer that says so.

--- a/radishfield/forwarding/_active_stream.py
+++ b/radishfield/forwarding/_active_stream.py
@@ -1,21 +1,35 @@
 """One attempt of a stream, as those see it that look after streams in flight."""
 
+from collections.abc import Callable
+
 import trio
 
 from radishfield.forwarding._call import Call
 from radishfield.routing import Demand, EngineSpec, Path, StreamSilence
+from radishfield.telemetry import log_event
 
 GAP_MEMORY = 0.8
 """Weight of the past in a stream's usual pause."""
+KEEP_S = 0.25
+"""Time for which an attempt that nothing can follow is kept before that is asked
+again: the answer costs a search for a path."""
 
 
 class ActiveStream:
-    """One attempt of a stream: its path, and when it was last heard of."""
+    """One attempt of a stream: its path, and when it was last heard of.
+
+    Attributes
+    ----------
+    find_obstacle : callable
+        Returns what keeps another attempt from following this one; empty if nothing
+        does, and then what the other one takes is reserved for it.
+    """
 
     __slots__ = (
         "call",
         "demand",
         "engine",
+        "find_obstacle",
         "given_up",
         "has_events",
         "heard_at",
@@ -24,6 +38,7 @@
         "scope",
         "may_resume",
         "usual_gap_s",
+        "_kept_until",
     )
 
     def __init__(
@@ -33,6 +48,7 @@
         demand: Demand,
         path: Path,
         now: float,
+        find_obstacle: Callable[[], str] = lambda: "",
     ):
         self.call = call
         self.engine = engine
@@ -44,6 +60,8 @@
         self.moving = False
         self.may_resume = True
         self.usual_gap_s = 0.0
+        self.find_obstacle = find_obstacle
+        self._kept_until = now
         self.scope = trio.CancelScope()
 
     def heard(self, now: float) -> None:
@@ -68,10 +86,27 @@
             report_lag_s=self.engine.report_lag_s if self.engine else 0.0,
         )
 
-    def give_up(self, reason: str) -> None:
-        """End the attempt, so that the stream goes on elsewhere."""
-        self.given_up = reason
-        self.scope.cancel()
+    def give_up(self, reason: str, now: float) -> None:
+        """End the attempt, so that the stream goes on elsewhere.
+
+        An attempt that nothing can follow is kept: it may yet go on, and ended it
+        would leave the caller with half an answer.
+        """
+        if now < self._kept_until:
+            return
+        obstacle = self.find_obstacle()
+        if not obstacle:
+            self.given_up = reason
+            self.scope.cancel()
+            return
+        self._kept_until = now + KEEP_S
+        log_event(
+            "stream.kept",
+            request=self.call.facts.request_id,
+            reason=reason,
+            obstacle=obstacle,
+            silent_s=round(now - self.heard_at, 2),
+        )
 
 
 def path_words(path: Path) -> str:
--- a/radishfield/forwarding/_call.py
+++ b/radishfield/forwarding/_call.py
@@ -106,6 +106,8 @@
         Seconds spent in line, over all attempts.
     moved : int
         Times that the path was changed under the running stream.
+    last_event_at : float
+        Reading of the clock at the last event.
     """
 
     first_event_s: float | None = None
@@ -113,15 +115,15 @@
     events: int = 0
     queued_s: float = 0.0
     moved: int = 0
-    _last_at: float = 0.0
+    last_event_at: float = 0.0
 
     def passed(self, events: int, arrived_at: float, now: float) -> None:
         """Note events that go out to the caller."""
         if self.first_event_s is None:
             self.first_event_s = now - arrived_at
         else:
-            self.longest_gap_s = max(self.longest_gap_s, now - self._last_at)
-        self._last_at = now
+            self.longest_gap_s = max(self.longest_gap_s, now - self.last_event_at)
+        self.last_event_at = now
         self.events += events
 
     def words(self) -> dict[str, float | int | None]:
@@ -149,6 +151,8 @@
         Targets that it was sent to, and those that may have run it.
     may_have_run : bool
         Some target may have run it, or run it in part.
+    repeat_reserved : bool
+        A repeat was taken out of the allowance, and not sent yet.
     times : StreamTimes
         How its stream went; untouched for a request with one whole answer.
     """
@@ -167,6 +171,7 @@
     sent: int = 0
     arrived: int = 0
     may_have_run: bool = False
+    repeat_reserved: bool = False
     tried: set[str] = msgspec.field(default_factory=set)
     ran_at: set[str] = msgspec.field(default_factory=set)
     times: StreamTimes = msgspec.field(default_factory=StreamTimes)
@@ -176,6 +181,11 @@
         """Return the workspace's name; empty for a public route."""
         return self.workspace.name if self.workspace else ""
 
+    @property
+    def caller_leaves_at(self) -> float:
+        """Return when the caller of a stream that has begun misses its next event."""
+        return self.times.last_event_at + self.route.caller_patience_s
+
     @property
     def priority(self) -> int:
         """Return the rank, 0 first: the workspace's own goes before the route's."""
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -1,5 +1,6 @@
 """Streams over paths of layered targets, kept going while parts of them fail."""
 
+from collections.abc import Collection
 from contextlib import aclosing
 
 import msgspec
@@ -100,6 +101,10 @@
             most_runs += MORE_RESUMES
         return self.runs >= most_runs or self.refusals > MORE_REFUSALS
 
+    def may_resume(self, route: RouteRule) -> bool:
+        """Return whether an attempt that runs may be followed by another one."""
+        return route.repeatable and self.runs + 1 < route.max_attempts + MORE_RESUMES
+
 
 def _firsts_left(call: Call, directory: TargetDirectory) -> set[str] | None:
     """Return the only targets that may see the request; None for any.
@@ -133,7 +138,10 @@
         """Answer a call."""
         progress = _Progress(call)
         with trio.move_on_after(call.deadline_at - self._view.clock.now()):
-            problem = await self._until_ended(call, progress)
+            try:
+                problem = await self._until_ended(call, progress)
+            finally:
+                self._targets.release_repeat(call)
             if problem is not None:
                 await call.responder.refuse(problem)
             return
@@ -161,7 +169,7 @@
                 return final_fault(call, stop, NO_PATH_RETRY_S)
             if call.sent and not self._targets.may_repeat(call, tries.problem):
                 return final_fault(call, tries.problem, NO_PATH_RETRY_S)
-            result = await self._attempt(call, engine, placed.ok, progress)
+            result = await self._attempt(call, engine, placed.ok, progress, tries)
             if result.is_ok() and result.ok is None:
                 return None
             self._note_unreached(tries, result, placed.ok[0].target_id)
@@ -177,6 +185,35 @@
             await call.responder.whole(answer.status, answer.headers, answer.body)
             return None
 
+    def _obstacle(
+        self,
+        call: Call,
+        engine: EngineSpec | None,
+        progress: "_Progress",
+        tries: _StreamTries,
+        first_id: str,
+    ) -> str:
+        """Return what keeps a stream from going on at another path; empty if nothing.
+
+        One that has not begun may always end: its caller gets an answer that says so.
+        """
+        if not call.responder.started:
+            return ""
+        if not tries.may_resume(call.route):
+            return "no attempt left"
+        stop = self._targets.check(call)
+        if stop is not None:
+            return stop.detail or stop.code.name.lower()
+        if engine is None:
+            has_path = self._single_target(call, tries, {first_id}).is_ok()
+        else:
+            has_path = self._path_now(call, engine, progress, tries, {first_id})
+        if not has_path:
+            return "no other path"
+        if not self._targets.reserve_repeat(call):
+            return "no repeat left"
+        return ""
+
     def _note_unreached(
         self,
         tries: _StreamTries,
@@ -232,17 +269,20 @@
             queue.leave(entry)
             call.times.queued_s += view.clock.now() - entry.since
 
-    def _single_target(self, call: Call, tries: _StreamTries) -> Result[Path, Fault]:
+    def _single_target(
+        self, call: Call, tries: _StreamTries, doubted: Collection[str] = ()
+    ) -> Result[Path, Fault]:
         """Return a path of one target, for a service whose targets serve alone."""
         view = self._view
         firsts = _firsts_left(call, view.directory)
+        excluded = tries.excluded.union(doubted)
         usable = view.directory.usable(call.service.name, view.clock.now())
         record = choose_target(
             [item for item in usable if firsts is None or item.id in firsts],
             view.load,
             NO_FAILURES,
             view.zone,
-            tries.excluded if firsts is None else (),
+            excluded if firsts is None else (),
             view.chance,
         )
         if record is None:
@@ -255,11 +295,12 @@
         engine: EngineSpec | None,
         progress: "_Progress",
         tries: _StreamTries,
+        doubted: Collection[str] = (),
     ) -> Path | None:
         roomy = self._view.usable_with_room(call.service.name)
         firsts = _firsts_left(call, self._view.directory)
         # A first target whose attempt broke may be sound: a later part was not.
-        excluded = tries.excluded - (firsts or set())
+        excluded = tries.excluded.union(doubted) - (firsts or set())
         pool = [record for record in roomy if record.id not in excluded]
         finder = self._view.path_finder(call.service.name, engine)
         reached = [item for item in pool if item.zone not in tries.unreached_zones]
@@ -287,13 +328,25 @@
         return fault(ResultCode.DEADLINE_UNREACHABLE, detail, retry_s)
 
     async def _attempt(
-        self, call: Call, engine: EngineSpec | None, path: Path, progress: "_Progress"
+        self,
+        call: Call,
+        engine: EngineSpec | None,
+        path: Path,
+        progress: "_Progress",
+        tries: _StreamTries,
     ) -> Result[_WholeFailure | None, Fault]:
         record = self._view.directory.find(path[0].target_id)
         if record is None:
             return Error(fault(ResultCode.TARGET_REFUSED, "left before the send"))
         now = self._view.clock.now()
-        stream = ActiveStream(call, engine, progress.demand(engine), path, now)
+        stream = ActiveStream(
+            call,
+            engine,
+            progress.demand(engine),
+            path,
+            now,
+            lambda: self._obstacle(call, engine, progress, tries, record.id),
+        )
         stream.may_resume = call.route.repeatable
         queue = self._view.admission_queue(call.service.name)
         queue.started(call.workspace_name)
--- a/radishfield/forwarding/_targets.py
+++ b/radishfield/forwarding/_targets.py
@@ -101,7 +101,7 @@
         if call.arrived == 0:
             # Nothing has reached a target, so this is still the first arrival.
             return True
-        if not self._view.take_repeat(call.service.name):
+        if not self.reserve_repeat(call):
             self._telemetry.refused(ResultCode.RETRY_BUDGET_SPENT)
             log_event(
                 "retry.refused",
@@ -110,6 +110,7 @@
                 left=round(self._view.repeats_left(call.service.name), 1),
             )
             return False
+        call.repeat_reserved = False
         self._telemetry.retried(problem.code)
         log_event(
             "attempt.repeated",
@@ -119,6 +120,18 @@
         )
         return True
 
+    def reserve_repeat(self, call: Call) -> bool:
+        """Take a repeat that is sent later; False if none is left."""
+        if not call.repeat_reserved:
+            call.repeat_reserved = self._view.take_repeat(call.service.name)
+        return call.repeat_reserved
+
+    def release_repeat(self, call: Call) -> None:
+        """Put a repeat back that was reserved and never sent."""
+        if call.repeat_reserved:
+            call.repeat_reserved = False
+            self._view.budget(call.service.name).give_back()
+
     async def send(
         self,
         call: Call,
--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -231,7 +231,7 @@
                         events=stream.has_events,
                         path=path_words(stream.path),
                     )
-                    stream.give_up("silent")
+                    stream.give_up("silent", now)
 
     async def _ask(self, first_id: str) -> None:
         record, asked_at = self._view.directory.find(first_id), self._clock.now()
@@ -272,7 +272,7 @@
         for stream in list(self._streams):
             silent_s = self._clock.now() - stream.heard_at
             if stream.path[0].target_id == first_id and silent_s > TICK_S * 2:
-                stream.give_up("first target silent")
+                stream.give_up("first target silent", self._clock.now())
 
     def _lose_part(self, address: str) -> None:
         """Move every stream that passes a dead part around it."""
@@ -299,7 +299,7 @@
         """Change a stream's path in place; give the attempt up where that fails."""
         try:
             if not await self._moved(stream, {address}, movers):
-                stream.give_up("no other path")
+                stream.give_up("no other path", self._clock.now())
         finally:
             stream.moving = False
 
