Let a begun stream wait for its resume while its caller waits

What callers saw: a begun answer was cut although the stream could have gone on some tenths of a second later.

Cause: the resume of a begun stream was given the same reasons to end as a new request, which can be refused with a time to come back: no repeat left at that moment, four refusals by full targets, layers whose targets are only suspected, the patience of the line.

A begun stream now waits for a repeat, a path and room until its caller would leave; after four refusals it pauses between two. Layers count as missing only where their targets are off the list. A stream that has not begun is refused at once as before.

--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -13,7 +13,7 @@
 from radishfield.forwarding._connections import BrokenAnswerError, Exchange
 from radishfield.forwarding._targets import Targets, final_fault
 from radishfield.forwarding._tries import Tries, target_error
-from radishfield.forwarding._view import RouterView
+from radishfield.forwarding._view import FULL_S, RouterView
 from radishfield.forwarding._watchdog import StreamWatchdog
 from radishfield.routing import (
     AdmissionQueue,
@@ -92,14 +92,23 @@
         if self.problem.code is not ResultCode.TARGET_REFUSED:
             self.excluded.add(first_id)
 
-    def over(self, route: RouteRule) -> bool:
-        """Return whether the route allows no further attempt."""
+    def over(self, call: Call, now: float) -> bool:
+        """Return whether no further attempt is made.
+
+        Refusals end a stream that has begun only once its caller leaves: nothing ran,
+        and the caller has no use for half an answer.
+        """
+        route = call.route
         if self.runs and not route.repeatable:
             return True
         most_runs = route.max_attempts
         if self.problem.code is not ResultCode.TARGET_ERROR:
             most_runs += MORE_RESUMES
-        return self.runs >= most_runs or self.refusals > MORE_REFUSALS
+        if self.runs >= most_runs:
+            return True
+        if self.refusals <= MORE_REFUSALS:
+            return False
+        return not call.responder.started or now >= call.caller_leaves_at
 
     def may_resume(self, route: RouteRule) -> bool:
         """Return whether an attempt that runs may be followed by another one."""
@@ -168,13 +177,17 @@
             if stop is not None:
                 return final_fault(call, stop, NO_PATH_RETRY_S)
             if call.sent and not self._targets.may_repeat(call, tries.problem):
+                if await self._repeat_is_freed(call):
+                    continue
                 return final_fault(call, tries.problem, NO_PATH_RETRY_S)
             result = await self._attempt(call, engine, placed.ok, progress, tries)
             if result.is_ok() and result.ok is None:
                 return None
             self._note_unreached(tries, result, placed.ok[0].target_id)
             tries.take(result, placed.ok[0].target_id)
-            if not tries.over(call.route):
+            if not tries.over(call, self._view.clock.now()):
+                if tries.refusals > MORE_REFUSALS:
+                    await trio.sleep(FULL_S)
                 continue
             if result.is_error():
                 return final_fault(call, tries.problem, NO_PATH_RETRY_S)
@@ -185,6 +198,21 @@
             await call.responder.whole(answer.status, answer.headers, answer.body)
             return None
 
+    async def _repeat_is_freed(self, call: Call) -> bool:
+        """Wait for a repeat for as long as the caller of a begun stream waits.
+
+        Load pattern: a zone is cut off, all hosts repeat at once, and the allowance is
+        spent for some tenths of a second.  Ended then, each of their streams would
+        reach its caller in half.
+        """
+        if not call.responder.started:
+            return False
+        while self._view.clock.now() < call.caller_leaves_at:
+            await trio.sleep(LOOK_AGAIN_S)
+            if self._targets.reserve_repeat(call):
+                return True
+        return False
+
     def _obstacle(
         self,
         call: Call,
@@ -254,14 +282,14 @@
             if queue.is_hopeless(entry, view.clock.now()) and not progress.begun:
                 return Error(self._full(queue, entry))
             while True:
-                if not self._is_covered(call, engine):
+                if not self._is_covered(call, engine, progress):
                     detail = "layers are missing"
                     return Error(fault(ResultCode.NO_TARGET, detail, NO_PATH_RETRY_S))
                 if queue.may_try(entry):
                     path = self._path_now(call, engine, progress, tries)
                 if path is not None:
                     return Ok(path)
-                if queue.has_expired(entry, view.clock.now()):
+                if self._has_waited_enough(call, progress, queue, entry):
                     return Error(self._full(queue, entry))
                 with trio.move_on_after(LOOK_AGAIN_S):
                     await view.room_freed.wait()
@@ -269,6 +297,18 @@
             queue.leave(entry)
             call.times.queued_s += view.clock.now() - entry.since
 
+    def _has_waited_enough(
+        self,
+        call: Call,
+        progress: "_Progress",
+        queue: AdmissionQueue,
+        entry: QueueEntry,
+    ) -> bool:
+        now = self._view.clock.now()
+        if progress.begun:
+            return now >= call.caller_leaves_at
+        return queue.has_expired(entry, now)
+
     def _single_target(
         self, call: Call, tries: _StreamTries, doubted: Collection[str] = ()
     ) -> Result[Path, Fault]:
@@ -316,10 +356,18 @@
                 return path
         return None
 
-    def _is_covered(self, call: Call, engine: EngineSpec) -> bool:
-        now = self._view.clock.now()
-        records = self._view.directory.usable(call.service.name, now)
-        return _covered(records, engine)
+    def _is_covered(
+        self, call: Call, engine: EngineSpec, progress: "_Progress"
+    ) -> bool:
+        """Return whether there are targets for every layer.
+
+        For a stream that has begun a target that is only suspected counts as well: it
+        may answer again while the caller still waits for the next event.
+        """
+        directory, service = self._view.directory, call.service.name
+        if progress.begun:
+            return _covered(directory.listed(service), engine)
+        return _covered(directory.usable(service, self._view.clock.now()), engine)
 
     def _full(self, queue: AdmissionQueue, entry: QueueEntry) -> Fault:
         now = self._view.clock.now()
--- a/radishfield/forwarding/suspicion_test.py
+++ b/radishfield/forwarding/suspicion_test.py
@@ -3,6 +3,7 @@
 import trio
 
 from radishfield.forwarding.conftest import world
+from radishfield.limits import RetryAllowance
 from standins.routed_config import config, route
 
 EVENTS = 60
@@ -82,3 +83,63 @@
         assert reply.whole and ids(reply) == ALL_IDS
 
     play(tmp_path, scene)
+
+
+def test_a_begun_stream_waits_for_a_repeat_that_is_freed_in_time(tmp_path):
+    """Guards against a cut answer where the allowance is spent for a moment."""
+
+    async def scene(played):
+        await pool(played, **NO_REPEATS)
+        for target in played.layered:
+            target.cut_after = 20
+
+        async def free_repeats():
+            await trio.sleep(0.8)
+            budget = played.router.view.budget("pool")
+            budget.allowance = RetryAllowance(slack=50.0)
+
+        reply = await stream_during(played, free_repeats)
+        assert reply.whole and ids(reply) == ALL_IDS
+
+    play(tmp_path, scene)
+
+
+def test_a_begun_stream_waits_for_targets_that_are_only_suspected(tmp_path):
+    """Guards against a cut answer while all targets of a layer are left out."""
+
+    async def scene(played):
+        await pool(played)
+        view = played.router.view
+
+        async def break_and_suspect():
+            for target in played.layered:
+                target.cut_after = 1
+                view.directory.suspect(target.id, view.clock.now())
+            await trio.sleep(0.2)
+
+        reply = await stream_during(played, break_and_suspect)
+        assert reply.whole and ids(reply) == ALL_IDS
+
+    play(tmp_path, scene)
+
+
+def test_a_begun_stream_outlives_refusals_of_its_resume(tmp_path):
+    """Guards against a cut answer where each target is full when it is asked."""
+
+    async def scene(played):
+        await pool(played, targets=6)
+
+        async def fill():
+            used = next(target for target in played.layered if target.runs["r1"])
+            for target in played.layered:
+                target.places = 1
+                target._path_by_request["other"] = []
+            used.cut_after = 1
+            await trio.sleep(1.0)
+            for target in played.layered:
+                target.places = 0
+
+        reply = await stream_during(played, fill)
+        assert reply.whole and ids(reply) == ALL_IDS
+
+    play(tmp_path, scene)
