Hold a target for silent only while its host hears others

What callers saw: streams of sound targets were sent on or cut whenever their host read a large configuration.

Cause: a probe waited for five usual answer times, 0.02 to 0.11 s, and what was late by then counted as silent. A version of some 0.4 MB takes a link of 10 Mbit/s a third of a second and its decoding the event loop; all answers and events lie behind it.

An answer that is late is now a verdict only once another target, asked after it, has answered: over the same link, to the same loop. An event that comes through the target in the meantime clears it. A refused or reset connection still proves something at once. The same holds for the longer questions of streams that are silent and of targets that are left out. The line target.unheard and the counter targets_unheard say when no verdict was found.

The test failed before: sound targets were left out after 0.3 s in which the host's link was taken.

--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -130,6 +130,11 @@
             "Times that a target was found slower than its kind.",
             lambda: watchdog.slow_found,
         )
+        telemetry.watch(
+            "targets_unheard",
+            "Times that a target's answer was late and this host heard no other.",
+            lambda: watchdog.unheard,
+        )
         placer = Placer(settings.host.id, store, targets, view)
         plain = PlainForwarder(targets, view)
         streams = StreamForwarder(targets, watchdog, view, telemetry)
--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -2,10 +2,12 @@
 
 import msgspec
 import trio
-from expression import Result
+from expression import Error, Result
 
-from radishfield.core import Clock, Fault
+from radishfield.core import Clock, Fault, ResultCode, fault
 from radishfield.forwarding._active_stream import ActiveStream, path_words
+from radishfield.forwarding._connections import CONNECT_TIMEOUT_S
+from radishfield.forwarding._control_probe import ControlProbe
 from radishfield.forwarding._slow_targets import SlowTargets
 from radishfield.forwarding._targets import REPORT_TIMEOUT_S, Targets, order_status
 from radishfield.forwarding._view import RouterView
@@ -45,6 +47,8 @@
 usual answer time is known when it is needed."""
 MEASURE_LOOK_S = 1.0
 """Pause between two looks for such zones."""
+CONTROL_TIMEOUT_S = REPORT_TIMEOUT_S
+"""Time that an answer is waited for beyond its limit, while another target is asked."""
 REPATH_TRIES = 3
 ASKED_AT_ONCE = 3
 """Lost targets that are asked in one look: a host that is cut off from all of them
@@ -63,7 +67,9 @@
         "_answer_s_by_zone",
         "_answered_at_by_zone",
         "_asked_at_by_id",
+        "_asking",
         "_clock",
+        "_control",
         "_measure_at",
         "_nursery",
         "_probed_at_by_id",
@@ -71,6 +77,7 @@
         "_streams",
         "_targets",
         "_view",
+        "unheard",
     )
 
     def __init__(self, targets: Targets, view: RouterView):
@@ -78,6 +85,9 @@
         self._view = view
         self._clock: Clock = view.clock
         self._streams: set[ActiveStream] = set()
+        self._control = ControlProbe(targets, view)
+        self._asking: set[str] = set()
+        self.unheard = 0
         self._asked_at_by_id: dict[str, float] = {}
         self._probed_at_by_id: dict[str, float] = {}
         self._answer_s_by_zone: dict[str, float] = {}
@@ -189,15 +199,72 @@
         if record is None:
             return
         asked_at, limit_s = self._clock.now(), self._probe_limit_s(record.zone)
-        report = await self._targets.report(record, limit_s)
-        answer_s = self._clock.now() - asked_at
-        if report.is_ok():
-            self._note_answer(record, answer_s)
+        report = await self._question(record, limit_s)
+        waited_s = self._clock.now() - asked_at
+        if report is None:
+            self._log_unheard(target_id, waited_s)
+        elif report.is_ok():
+            self._note_answer(record, waited_s)
             self._take_report(target_id, report.ok)
-        elif answer_s < limit_s + LATE_TICK_S:
-            self._lose_first(target_id, f"probe: {report.error.detail}", answer_s)
+        else:
+            self._lose_first(target_id, f"probe: {report.error.detail}", waited_s)
             self._lose_part(record.address)
 
+    async def _question(
+        self, record: TargetRecord, limit_s: float
+    ) -> Result[TargetReport, Fault] | None:
+        """Ask a target; return its report, its failure, or None for no verdict.
+
+        An answer that is late is a failure only if this host hears others in time.
+        """
+        asked_at = self._clock.now()
+        answer = _Answer()
+        self._asking.add(record.id)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._report_into, record, answer)
+                with trio.move_on_after(limit_s):
+                    await answer.came.wait()
+                if answer.failed_or_late(self._clock.now() - asked_at, limit_s):
+                    await self._judge_late(record, asked_at, answer)
+                nursery.cancel_scope.cancel()
+        finally:
+            self._asking.discard(record.id)
+        return answer.result
+
+    async def _report_into(self, record: TargetRecord, answer: "_Answer") -> None:
+        limit_s = REPORT_TIMEOUT_S + CONTROL_TIMEOUT_S
+        answer.result = await self._targets.report(record, limit_s)
+        answer.came.set()
+
+    async def _judge_late(
+        self, record: TargetRecord, asked_at: float, answer: "_Answer"
+    ) -> None:
+        """Wait for an answer that is late, or for another target's that proves it."""
+        hears = await self._control.hears(
+            record.id, asked_at, self._asking, self._nursery
+        )
+        if answer.result is not None and answer.result.is_ok():
+            return
+        waited_s = self._clock.now() - asked_at
+        if not hears or self._heard_since(record.id, asked_at):
+            answer.result = None
+        elif answer.result is None:
+            detail = f"no answer in {waited_s:.3f} s"
+            answer.result = Error(fault(ResultCode.STREAM_SILENT, detail))
+
+    def _heard_since(self, target_id: str, asked_at: float) -> bool:
+        """Return whether an event came through a target after it was asked."""
+        return any(
+            stream.has_events and stream.heard_at > asked_at
+            for stream in self._streams
+            if any(part.target_id == target_id for part in stream.path)
+        )
+
+    def _log_unheard(self, target_id: str, waited_s: float) -> None:
+        self.unheard += 1
+        log_event("target.unheard", target=target_id, waited_s=round(waited_s, 3))
+
     def _ask_lost(self) -> bool:
         """Ask targets that are left out whether they answer again.
 
@@ -235,10 +302,16 @@
 
     async def _ask(self, first_id: str) -> None:
         record, asked_at = self._view.directory.find(first_id), self._clock.now()
-        report = None if record is None else await self._targets.report(record)
-        if report is None or report.is_error():
-            detail = "gone" if report is None else report.error.detail
-            self._lose_first(first_id, detail, self._clock.now() - asked_at)
+        if record is None:
+            self._lose_first(first_id, "gone", 0.0)
+            return
+        report = await self._question(record, REPORT_TIMEOUT_S)
+        waited_s = self._clock.now() - asked_at
+        if report is None:
+            self._log_unheard(first_id, waited_s)
+            return
+        if report.is_error():
+            self._lose_first(first_id, report.error.detail, waited_s)
             return
         self._view.directory.answered(first_id, self._clock.now())
         self._take_report(first_id, report.ok)
@@ -365,6 +438,26 @@
             change(part.target_id, token_layers, first=index == 0)
 
 
+class _Answer:
+    """A target's answer, once it came."""
+
+    __slots__ = ("came", "result")
+
+    def __init__(self):
+        self.came = trio.Event()
+        self.result: Result[TargetReport, Fault] | None = None
+
+    def failed_or_late(self, waited_s: float, limit_s: float) -> bool:
+        """Return whether silence is all that there is to judge by.
+
+        A connection that is refused or reset proves something at once; one that could
+        not be opened in its time is silent like any other.
+        """
+        if self.result is None:
+            return True
+        return self.result.is_error() and waited_s >= min(limit_s, CONNECT_TIMEOUT_S)
+
+
 class _Blocked(msgspec.Struct):
     addr: str = ""
 
--- a/radishfield/forwarding/suspicion_test.py
+++ b/radishfield/forwarding/suspicion_test.py
@@ -67,6 +67,21 @@
     play(tmp_path, scene)
 
 
+def test_answers_behind_a_large_read_leave_no_target_out(tmp_path):
+    """Guards against sound targets left out, and streams sent on, for a late host."""
+
+    async def scene(played):
+        await pool(played, targets=4)
+        reply = await stream_during(played, lambda: played.link.take(0.3))
+        view = played.router.view
+        now = view.clock.now()
+        assert not any(view.directory.suspected(t.id, now) for t in played.layered)
+        assert reply.whole
+        assert sum(target.runs["r1"] for target in played.layered) == 1
+
+    play(tmp_path, scene)
+
+
 def test_a_stream_is_not_ended_before_another_attempt_is_allowed(tmp_path):
     """Guards against a cut answer where a silent target speaks again in time."""
 
