Pass on heads and ends of answers whole, whoever ends the attempt

What callers saw: now and then a router's process ended by itself and all of its callers were cut off; or a caller that had every event never got the end.

Cause: a deadline, or an attempt given up, that falls into the turn in which a first event is read cancels the sender between the HTTP server's note that the head is out and its bytes. The next answer on that connection fits no state of the server, its LocalProtocolError escapes the listener, and the process ends. After a hold-up of the event loop both are due in the same turn.

Heads, ends and whole answers are sent shielded; none is larger than what the socket takes or ends with the listener's send timeout. An attempt that was given up while its end was passed on counts as finished. With it the server's timer of idle connections, which the same cancellation used to stop, runs; it waits for twice the callers' limit, since a version that raises the limit does not reach timers that run.

--- a/radishfield/forwarding/_call.py
+++ b/radishfield/forwarding/_call.py
@@ -3,6 +3,7 @@
 import random
 
 import msgspec
+import trio
 
 from radishfield.core import Fault, Outcome, ResultCode
 from radishfield.platform import (
@@ -32,6 +33,8 @@
 
     ``finished`` is set before the last bytes go out: the server tells of the end of
     the exchange as of a caller that leaves, and may cancel the sender within it.
+    Heads and ends are sent whole: a cancellation between the server's note of one and
+    its bytes would leave it with an answer that fits neither, which ends the process.
     """
 
     send: object
@@ -48,15 +51,17 @@
         self.started = True
         passed = self._with_close(caller_headers(headers))
         passed.append((b"content-length", str(len(body)).encode()))
-        await start_answer(self.send, status, passed)
-        self.finished = True
-        await send_chunk(self.send, body, more=False)
+        with trio.CancelScope(shield=True):
+            await start_answer(self.send, status, passed)
+            self.finished = True
+            await send_chunk(self.send, body, more=False)
 
     async def start_stream(self, status: int, headers: Headers) -> None:
         """Pass on the head of a stream."""
         self.started = True
         passed = self._with_close(caller_headers(headers))
-        await start_answer(self.send, status, passed)
+        with trio.CancelScope(shield=True):
+            await start_answer(self.send, status, passed)
 
     async def events(self, events: bytes) -> None:
         """Pass on whole events."""
@@ -65,7 +70,8 @@
     async def end_stream(self) -> None:
         """End a stream that is whole."""
         self.finished = True
-        await send_chunk(self.send, b"", more=False)
+        with trio.CancelScope(shield=True):
+            await send_chunk(self.send, b"", more=False)
 
     async def refuse(self, problem: Fault) -> None:
         """Give an answer of the host's own; a begun answer is cut instead.
@@ -85,7 +91,8 @@
             {"code": int(problem.code), "error": problem.code.name.lower()}
         )
         kind, *rest = self._with_close(headers)
-        await send_bytes(self.send, status, body, kind[1], rest)
+        with trio.CancelScope(shield=True):
+            await send_bytes(self.send, status, body, kind[1], rest)
 
     def _with_close(self, headers: Headers) -> Headers:
         if self.closing():
--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -52,6 +52,9 @@
 IDLE_SLACK_S = 1.0
 """Callers may use a connection again up to the limit on idle ones, so it is closed
 a little later; a close that crosses a request would lose it."""
+IDLE_LIMITS = 2.0
+"""Limits after which an idle connection is closed: a version that raises the limit does
+not reach the timers that run."""
 CLOSE_IDLE_S = 1.0
 RELOAD_LOOK_S = 2.0
 MANY_REQUESTS = 1_000_000_000
@@ -107,7 +110,7 @@
         self._caller_config = _CallerListener.from_settings(
             settings.caller.bind, drain_s=0.0
         )
-        self._caller_config.keep_alive_timeout += IDLE_SLACK_S
+        self._limit_idle(self._caller_config.keep_alive_timeout)
         telemetry = DeferredTelemetry()
         if lines is not None:
             self._kernel.register("lines", lines)
@@ -161,7 +164,7 @@
             register("metrics", HttpListener(page, config))
 
     def _limit_idle(self, idle_s: float) -> None:
-        self._caller_config.keep_alive_timeout = idle_s + IDLE_SLACK_S
+        self._caller_config.keep_alive_timeout = IDLE_LIMITS * idle_s + IDLE_SLACK_S
 
     async def run(self, stop: trio.Event) -> None:
         """Serve until ``stop`` is set, then end what is in flight."""
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -412,7 +412,10 @@
         try:
             with stream.scope:
                 result = await self._relay(call, record, stream, progress)
-            if stream.scope.cancelled_caught:
+            if call.responder.finished:
+                # Given up in the turn in which its end was passed on.
+                result = Ok(None)
+            elif stream.scope.cancelled_caught:
                 result = Error(fault(ResultCode.STREAM_SILENT, stream.given_up))
         finally:
             ended_at = self._view.clock.now()
