End no attempt for a lost target that it does not wait for

What callers saw: a stream was sent on, or cut, although events went on coming.

Cause, three ways in the watchdog: a target that was taken off the list was held for silent without a question, although it serves what it has; a stream whose first part was held for lost was also taken for one that can't be moved, which skipped the check that it had been heard within two looks; and orders to change a path went on for streams that had ended.

A target off the list is left to its connections; only later parts are moved around; an attempt that delivered an event since the move began is kept; and a stream that has ended is neither moved nor given up, which would take a repeat for nothing.

The tests failed before: 2 runs in place of 1, and a cut answer without repeats.

--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -298,12 +298,12 @@
                         events=stream.has_events,
                         path=path_words(stream.path),
                     )
-                    stream.give_up("silent", now)
+                    self._give_up(stream, "silent")
 
     async def _ask(self, first_id: str) -> None:
         record, asked_at = self._view.directory.find(first_id), self._clock.now()
         if record is None:
-            self._lose_first(first_id, "gone", 0.0)
+            # Off the list it serves what it has to the end, or its connections break.
             return
         report = await self._question(record, REPORT_TIMEOUT_S)
         waited_s = self._clock.now() - asked_at
@@ -345,7 +345,7 @@
         for stream in list(self._streams):
             silent_s = self._clock.now() - stream.heard_at
             if stream.path[0].target_id == first_id and silent_s > TICK_S * 2:
-                stream.give_up("first target silent", self._clock.now())
+                self._give_up(stream, "first target silent")
 
     def _lose_part(self, address: str) -> None:
         """Move every stream that passes a dead part around it."""
@@ -363,16 +363,19 @@
                 directory_version=self._view.directory.version,
             )
         for stream in list(self._streams):
-            parts = [part.address for part in stream.path]
+            # A path can't be changed at its first part.
+            parts = [part.address for part in stream.path[1:]]
             if address in parts and not stream.moving:
                 stream.moving = True
                 self._nursery.start_soon(self._move, stream, address, movers)
 
     async def _move(self, stream: ActiveStream, address: str, movers: int) -> None:
         """Change a stream's path in place; give the attempt up where that fails."""
+        began_at = self._clock.now()
         try:
-            if not await self._moved(stream, {address}, movers):
-                stream.give_up("no other path", self._clock.now())
+            moved = await self._moved(stream, {address}, movers)
+            if not moved and stream.heard_at <= began_at:
+                self._give_up(stream, "no other path")
         finally:
             stream.moving = False
 
@@ -381,6 +384,8 @@
         if first is None or first.address in bad:
             return False
         for _ in range(REPATH_TRIES):
+            if stream not in self._streams:
+                return True
             path = self._other_path(stream, bad, movers)
             if path is None:
                 return False
@@ -432,6 +437,10 @@
         # The new parts read the prompt again before the next event.
         stream.heard_at = max(stream.heard_at, self._clock.now() - TICK_S)
 
+    def _give_up(self, stream: ActiveStream, reason: str) -> None:
+        if stream in self._streams:
+            stream.give_up(reason, self._clock.now())
+
     def _count(self, stream: ActiveStream, path: Path, change) -> None:
         for index, part in enumerate(path):
             token_layers = stream.demand.tokens * len(part.span)
--- a/radishfield/forwarding/answers_kept_test.py
+++ b/radishfield/forwarding/answers_kept_test.py
@@ -4,6 +4,7 @@
 import time
 
 import httpcore
+import pytest
 import trio
 
 from radishfield.forwarding._active_stream import ActiveStream
@@ -139,6 +140,30 @@
     play(tmp_path, scene)
 
 
+@pytest.mark.parametrize("slack", ["50", "0"])
+def test_a_stream_is_not_ended_because_its_target_left_the_list(tmp_path, slack):
+    """A target that was taken off the list serves what it has to the end."""
+
+    async def scene(played):
+        played.store.put("config", "main", config())
+        promises = {"retry_slack": slack, "retry_ratio": "0"}
+        await pool(played, targets=2, promises=promises, events=4, gap_s=0.6)
+        replies = []
+
+        async def call():
+            replies.append(await stream(played))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call)
+            await played.until(lambda: any(item.runs for item in played.layered))
+            used = next(item for item in played.layered if item.runs)
+            played.store.remove("servers", used.id)
+        assert is_whole(replies[0], 4)
+        assert sum(sum(item.runs.values()) for item in played.layered) == 1
+
+    play(tmp_path, scene)
+
+
 def test_a_doubted_target_whose_events_go_on_keeps_its_streams(tmp_path, monkeypatch):
     """An event since a question was sent counts for more than the late answer."""
     serve = LayeredTarget._serve
--- a/radishfield/forwarding/suspicion_test.py
+++ b/radishfield/forwarding/suspicion_test.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from radishfield.forwarding._watchdog import StreamWatchdog
 from radishfield.forwarding.conftest import world
 from radishfield.limits import RetryAllowance
 from standins.routed_config import config, route
@@ -158,3 +159,21 @@
         assert reply.whole and ids(reply) == ALL_IDS
 
     play(tmp_path, scene)
+
+
+def test_a_stream_that_was_just_heard_is_not_moved_around_its_first_part(tmp_path):
+    """Guards against the end of a delivering attempt whose path can't be changed."""
+
+    async def scene(played):
+        await pool(played)
+        watchdog = played.router._kernel.find("watchdog", StreamWatchdog)
+
+        async def lose_first_part():
+            used = next(target for target in played.layered if target.runs["r1"])
+            watchdog._lose_part(used.address)
+
+        reply = await stream_during(played, lose_first_part)
+        assert reply.whole
+        assert sum(target.runs["r1"] for target in played.layered) == 1
+
+    play(tmp_path, scene)
