Let a begun stream end under the configuration that admitted it

What callers saw: a begun answer was cut beside a change of the configuration that took its key away or moved or removed its route, although it had been admitted before.

Cause: the check before each send also refused the resume of a stream that had begun, by the newest version. Streams at whose targets nothing broke went on under the old one all the same.

Only the time that is left is checked for a stream that has begun. A request that has not begun is refused as before, also one that waits in line; requests that come after the change are judged by it. A key runs nowhere for what its callers send after the bound, since that counts from the request's own sending.

--- a/radishfield/forwarding/_targets.py
+++ b/radishfield/forwarding/_targets.py
@@ -66,11 +66,15 @@
         """Return why a call may not be sent now, or None.
 
         Asked right before each send: while a request waited or was tried, its key
-        may have been taken away, its route moved, or its time have passed.
+        may have been taken away, its route moved, or its time have passed.  A stream
+        that has begun ends under the configuration that admitted it: those at whose
+        targets nothing breaks do as well.
         """
         now = self._view.clock.now()
         if now >= call.deadline_at:
             return _late(call)
+        if call.responder.started:
+            return None
         table = self._view.table
         path = call.target.partition(b"?")[0].decode("latin-1")
         route = table.match(call.facts.host, path)
--- a/radishfield/forwarding/suspicion_test.py
+++ b/radishfield/forwarding/suspicion_test.py
@@ -1,5 +1,6 @@
 """What a host does to streams in flight when it holds their targets for lost."""
 
+import pytest
 import trio
 
 from radishfield.forwarding._watchdog import StreamWatchdog
@@ -177,3 +178,40 @@
         assert sum(target.runs["r1"] for target in played.layered) == 1
 
     play(tmp_path, scene)
+
+
+def without_the_key():
+    tenants = [{"name": "w1", "apiKeys": ["new"]}]
+    routes = [route("stream", "streaming", "pool", gapAimMs=250)]
+    return config(2, routes=routes, tenants=tenants)
+
+
+def without_the_route():
+    return config(2, routes=[route("other", "streaming", "pool")])
+
+
+def with_the_route_moved():
+    return config(2, routes=[route("stream", "streaming", "portal")])
+
+
+@pytest.mark.parametrize(
+    "newer", [without_the_key, without_the_route, with_the_route_moved]
+)
+def test_a_begun_stream_ends_under_the_configuration_that_admitted_it(tmp_path, newer):
+    """Guards against a resume that is refused by a version that came meanwhile."""
+
+    async def scene(played):
+        await pool(played)
+
+        async def change_and_break():
+            played.store.put("config", "main", newer())
+            view = played.router.view
+            await played.until(lambda: view.table.config.version == 2)
+            next(item for item in played.layered if item.runs["r1"]).cut_after = 1
+
+        reply = await stream_during(played, change_and_break)
+        assert reply.whole and ids(reply) == ALL_IDS
+        again = await stream(played, "r2")
+        assert again.status in (401, 404, 503)
+
+    play(tmp_path, scene)
