Keep a cut stream on its own model version

What callers saw: while a new version of a model was rolled out, a stream whose stage died was cut with 4014 (every attempt failed), although targets of its own version stood by.

Cause: the retry took places from all live versions, the least loaded first. The pipeline refuses to go on with tokens of another version, rightly, so each attempt ended before it was sent, and the idle targets of the new version drew the next one too. The refusals were also counted against those targets as broken streams.

Evidence: a dispatcher on scripted targets, two of version 1 and, from the middle of the answer, four of version 2; the stage dies after one token.

The next attempt's places are now looked for in the version of the last one. Where none of it is left the request ends with NO_TARGET, as docs/PIPELINE.md says.

The test failed before: AssertionError: assert '2' == '1' (radishfield/decisions/scheduler_test.py, test_a_cut_stream_stays_with_its_model_version).

--- a/radishfield/decisions/_failures.py
+++ b/radishfield/decisions/_failures.py
@@ -114,7 +114,7 @@
 
 
 def _next_claim(running: Running, failure: Failure) -> Claim | None:
-    """Return places for the next attempt.
+    """Return places for the next attempt, of the model version of the last one.
 
     Stages behind the dead one still hold their cache and are kept.  Those before
     it have to run all tokens again, for the states that they hand on: the least
@@ -125,10 +125,11 @@
     kept: frozenset[str] = frozenset()
     if failure.committed and failure.target_id in chain:
         kept = frozenset(chain[chain.index(failure.target_id) + 1 :])
-    pool, long = running.pool, running.claim.long
+    pool, long, route = running.pool, running.claim.long, running.claim.route
+    version = None if route is None else route.model_version
     excluded = frozenset((failure.target_id,))
     for choice in (excluded, frozenset()):
-        claim = pool.pick(long, choice, kept, forced=True)
+        claim = pool.pick(long, choice, kept, forced=True, version=version)
         if claim is not None:
             return claim
     return None
--- a/radishfield/decisions/_pool.py
+++ b/radishfield/decisions/_pool.py
@@ -149,14 +149,22 @@
         preferred: frozenset[str] = frozenset(),
         forced: bool = False,
         fast: bool = False,
+        version: str | None = None,
     ) -> Claim | None:
-        """Return places for one attempt, or None if there is no room."""
+        """Return places for one attempt, or None if there is no room.
+
+        Parameters
+        ----------
+        version : str or None
+            The model version to stay with: only it can go on with tokens that it
+            made.
+        """
         if self.full and not forced:
             return None
         if self.kind is TargetKind.SERVICE:
             claim = self._pick_service(long, excluded, forced)
         else:
-            claim = self._pick_route(long, excluded, preferred, forced, fast)
+            claim = self._pick_route(long, excluded, preferred, forced, fast, version)
         self.full = claim is None and not long and not excluded
         return claim
 
@@ -167,8 +175,13 @@
         preferred: frozenset[str],
         forced: bool,
         fast: bool,
+        version: str | None,
     ) -> Claim | None:
-        choosers = self._choosers
+        choosers = [
+            chooser
+            for chooser in self._choosers
+            if version is None or chooser.model_version == version
+        ]
         if len(choosers) > 1:
             choosers = sorted(choosers, key=self._version_load)
         for chooser in choosers:
--- a/radishfield/decisions/scheduler_test.py
+++ b/radishfield/decisions/scheduler_test.py
@@ -126,6 +126,24 @@
     assert all(t.in_flight == 0 for t in scheduler.snapshot(2.0).pools[0].targets)
 
 
+def test_a_cut_stream_stays_with_its_model_version(make_target, make_work, links):
+    """A caller's begun answer is not cut while a new version is rolled out.
+
+    Targets of the new version are idle when one of the old version dies.  Only
+    the old version can go on with the tokens that the caller has, and a route
+    of it is left.
+    """
+    old = [make_target("o1", 0, 20), make_target("o2", 0, 20)]
+    scheduler = Scheduler()
+    scheduler.set_fleet(old, links, "a", 1, 0.0)
+    dispatch = start(scheduler, make_work("r"))
+    new = [make_target(f"n{i}", 0, 20, model_version="2") for i in range(4)]
+    scheduler.set_fleet([*old, *new], links, "a", 1, 1.0)
+    failure = Failure("r", stage_ids(dispatch)[0], FailureKind.BROKEN, True, 7)
+    retry = scheduler.failed(failure, 1.0)
+    assert retry.dispatch.route.model_version == dispatch.route.model_version
+
+
 def test_a_started_request_that_may_not_repeat_ends_unknown(scheduler, make_work):
     dispatch = start(scheduler, make_work("r", idempotent=False))
     failure = Failure("r", stage_ids(dispatch)[0], FailureKind.BROKEN, True, 0)
