Resume every stream that its target forgot

What callers saw: begun answers cut with 4007 (retries take their share already) when a target refused to go on with their streams: it had restarted, or had given up attempts that nobody listened to while the host could not reach it.

Cause: a refusal counted as a repeat, also of a stream that had started, and drew on the budget of repeats (ten, and five in a hundred requests). The broken connection before it would have been a recovery.

A request that never started draws on the budget as before.

The test failed before: "assert False, where False = all(...)" (radishfield/decisions/scheduler_test.py, test_every_stream_that_its_target_forgot_is_resumed).

--- a/radishfield/decisions/_retries.py
+++ b/radishfield/decisions/_retries.py
@@ -9,8 +9,8 @@
   reached a target: it ends, and the caller is told that the outcome is unknown.
 - Nothing is sent again that can no longer finish before its deadline.
 - Repeats draw on a budget of a few in a hundred requests.  Streams cut by a
-  dead stage do not: they are work that was admitted and is partly done, and
-  they are paced by `_recovery` instead.
+  dead stage, or by a target that forgot them, do not: they are work that was
+  admitted and is partly done, and they are paced by `_recovery` instead.
 """
 
 from radishfield.core import Fault, Outcome, ResultCode
@@ -25,6 +25,17 @@
 """Five repeats for a hundred requests of the last ten seconds, and ten besides,
 so that a quiet host may repeat at all.  Each host has its own."""
 
+RECOVERED = frozenset(
+    {
+        FailureKind.BROKEN,
+        FailureKind.CONNECT,
+        FailureKind.SILENT,
+        FailureKind.REFUSED,
+    }
+)
+"""Ways in which a started stream is cut.  A target refuses to go on with one that
+it forgot in a restart, and a full one refuses to resume one."""
+
 CODE_BY_KIND = {
     FailureKind.REFUSED: ResultCode.TARGET_REFUSED,
     FailureKind.CONNECT: ResultCode.CONNECT_FAILED,
@@ -61,5 +72,4 @@
 
 def is_recovery(failure: Failure) -> bool:
     """Tell whether this resumes a cut stream, rather than repeats a request."""
-    broken = (FailureKind.BROKEN, FailureKind.CONNECT, FailureKind.SILENT)
-    return failure.started and failure.kind in broken
+    return failure.started and failure.kind in RECOVERED
--- a/radishfield/decisions/scheduler_test.py
+++ b/radishfield/decisions/scheduler_test.py
@@ -144,6 +144,23 @@
     assert retry.dispatch.route.model_version == dispatch.route.model_version
 
 
+def test_every_stream_that_its_target_forgot_is_resumed(scheduler, make_work):
+    """No caller's begun answer is cut for want of repeats.
+
+    A target has restarted, or given up what nobody listened to, so it refuses
+    to go on with more streams than repeats are left.
+    """
+    decisions = []
+    for index in range(16):
+        name = f"r{index}"
+        dispatch = start(scheduler, make_work(name, max_tokens=5))
+        head = stage_ids(dispatch)[0]
+        failure = Failure(name, head, FailureKind.REFUSED, started=True, committed=4)
+        decisions.append(scheduler.failed(failure, 0.0))
+        scheduler.ended(name, True, 0.0)
+    assert all(isinstance(decision, Retry) for decision in decisions)
+
+
 def test_a_started_request_that_may_not_repeat_ends_unknown(scheduler, make_work):
     dispatch = start(scheduler, make_work("r", idempotent=False))
     failure = Failure("r", stage_ids(dispatch)[0], FailureKind.BROKEN, True, 0)
