End a silent attempt only where another may take its place

What callers saw: begun answers cut with 4004, 4002 or 4014 after their target had not been heard for some seconds, although it went on with them: a target that stood still for 2.5 s, a host that could not hear it, a prompt that is read for over 12 s. It struck requests that may not run twice, and all others where no second target holds the first layers.

Cause: after a silent connection the attempt was asked for again once or twice, and then ended and cancelled at its targets. Only after that was it decided whether another attempt may follow. A connection that was not made within a second counted as a refused one, and a start at the same silent target as a way to go on, until all four attempts were used up.

Evidence: the fakes of proofs/, first stage standing still in mid answer.

The attempt asks the scheduler first. It ends on silence only if the request may be repeated, attempts and time are left, and a route of its version leads past the silent target; otherwise it is asked for again until it answers, a connection is refused, its deadline passes or its caller leaves. Silence of an attempt that goes on counts against its target once, so that a stopped one gets no new work. A new connection that is not made in time is silence now, within the same limit as one that is not answered; a target that vanished without closing anything is therefore given up a second later than before.

The fake of targets in proofs/ follows the port in this: one that stands still takes a new connection and does not answer it for two seconds, as a stopped process does.

The two new tests of the scheduler ask a method that is new.

--- a/proofs/_targets.py
+++ b/proofs/_targets.py
@@ -37,6 +37,7 @@
 # As the real port: a connection without a byte for this long is silent.
 IDLE_LIMIT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
+REOPEN_TIMEOUT_S = 2.0
 STEP_TIMEOUT_S = 1.5
 FROZEN_POLL_S = 0.05
 
@@ -155,6 +156,12 @@
     ):
         """Attach to an attempt that still runs; see `TargetPort`."""
         engine = self.by_id[target.id]
+        with trio.move_on_after(REOPEN_TIMEOUT_S) as limit:
+            while engine.frozen:
+                await trio.sleep(FROZEN_POLL_S)
+        if limit.cancelled_caught:
+            yield Error(fault(ResultCode.STREAM_SILENT, "no answer on reopening"))
+            return
         refusal = await self._reach(engine)
         running = self._attempts.get((request_id, attempt))
         if refusal is not None:
--- a/proofs/recovery_test.py
+++ b/proofs/recovery_test.py
@@ -74,6 +74,35 @@
     assert play(seed, stages, after_s, fail) <= SILENT_BOUND_S
 
 
+@pytest.mark.parametrize("still_s", [2.5, 4.5, 20.0])
+@pytest.mark.parametrize(
+    ("idempotent", "replicas"), [(True, 1), (False, 1), (False, 2)]
+)
+def test_silence_ends_no_answer_that_cannot_go_on_elsewhere(
+    idempotent, replicas, still_s
+):
+    """The caller sees one whole answer, which was started once.
+
+    Its first stage stands still in mid answer, or the host can't hear it for a
+    while.  The request may not run twice, or there is no other first stage.
+    """
+    world = ServingWorld(1, 2, replicas)
+    caller = world.send(idempotent, TOKENS, 60.0, 0.0)
+    world.loop.pass_time(0.035)
+    (start,) = world.targets.record.starts
+    head = world.targets.by_id[start.target_ids[0]]
+    head.frozen = True
+    world.loop.pass_time(still_s)
+    told_meanwhile = caller.answer
+    head.frozen = False
+    world.loop.pass_time(2 * IDLE_LIMIT_S)
+    world.check()
+    world.loop.close()
+    assert told_meanwhile is None, told_meanwhile
+    assert caller.answer is not None and caller.answer.is_ok(), caller.answer
+    assert len(world.targets.record.starts) == 1
+
+
 @ci_profile(60)
 @given(
     seed=st.integers(0, 9),
--- a/radishfield/core/_ports.py
+++ b/radishfield/core/_ports.py
@@ -90,7 +90,8 @@
         Nothing is started: the first stage sends the attempt's tokens from
         ``position`` on, or refuses with ``TARGET_REFUSED`` if it has no such
         attempt.  It answers connections that went silent, and it is safe for
-        requests that may not run twice.
+        requests that may not run twice.  A target that neither answers nor
+        refuses in time is ``STREAM_SILENT``: the attempt may still run.
         """
 
     async def cancel(
--- a/radishfield/decisions/_failures.py
+++ b/radishfield/decisions/_failures.py
@@ -65,6 +65,25 @@
             return _give_up(work, end_fault(failure, code, running.ever_started))
         return self._retry(running, claim, failure, recovering, now)
 
+    def may_replace(self, running: Running, failure: Failure, now: float) -> bool:
+        """Tell whether a silent attempt may end, since another can follow it.
+
+        A start at the same target would not help: if it answers that one, it
+        answers a new connection to the attempt that it has.  What follows a
+        silence is a recovery, so the budget of repeats is not asked.
+        """
+        work, attempt = running.dispatch.work, running.dispatch.attempt
+        if forbids(work, failure, attempt, True, now) is None:
+            running.pool.end(running.claim)
+            found = _claim_without(running, failure, frozenset((failure.target_id,)))
+            running.pool.begin(running.claim)
+            if found is not None:
+                return True
+        if not running.suspected:
+            running.suspected = True
+            self._blame(running, failure, now)
+        return False
+
     def _blame(self, running: Running, failure: Failure, now: float) -> None:
         pool = running.pool
         if pool.ejector.failed(failure.target_id, failure.kind, now):
@@ -114,22 +133,29 @@
 
 
 def _next_claim(running: Running, failure: Failure) -> Claim | None:
-    """Return places for the next attempt, of the model version of the last one.
+    """Return places for the next attempt; the old ones are given back first."""
+    running.release()
+    excluded = frozenset((failure.target_id,))
+    for choice in (excluded, frozenset()):
+        claim = _claim_without(running, failure, choice)
+        if claim is not None:
+            return claim
+    return None
+
+
+def _claim_without(
+    running: Running, failure: Failure, excluded: frozenset[str]
+) -> Claim | None:
+    """Return places of the present model version, without some targets.
 
     Stages behind the dead one still hold their cache and are kept.  Those before
     it have to run all tokens again, for the states that they hand on: the least
-    loaded ones do that soonest.  The old places are given back first.
+    loaded ones do that soonest.
     """
-    running.release()
     chain = [load.target.id for load in running.claim.loads]
     kept: frozenset[str] = frozenset()
     if failure.committed and failure.target_id in chain:
         kept = frozenset(chain[chain.index(failure.target_id) + 1 :])
     pool, long, route = running.pool, running.claim.long, running.claim.route
     version = None if route is None else route.model_version
-    excluded = frozenset((failure.target_id,))
-    for choice in (excluded, frozenset()):
-        claim = pool.pick(long, choice, kept, forced=True, version=version)
-        if claim is not None:
-            return claim
-    return None
+    return pool.pick(long, excluded, kept, forced=True, version=version)
--- a/radishfield/decisions/_running.py
+++ b/radishfield/decisions/_running.py
@@ -11,7 +11,13 @@
 
 
 class Running:
-    """A request in flight, over all its attempts."""
+    """A request in flight, over all its attempts.
+
+    Attributes
+    ----------
+    suspected : bool
+        Whether its silence since the last token was counted against a target.
+    """
 
     __slots__ = (
         "pool",
@@ -21,6 +27,7 @@
         "cost",
         "tokens",
         "ever_started",
+        "suspected",
         "_held",
         "_sample_at",
         "_sample_tokens",
@@ -37,6 +44,7 @@
         self.cost = cost
         self.tokens = 0
         self.ever_started = False
+        self.suspected = False
         self._held = True
         self._sample_at: float | None = None
         self._sample_tokens = 0
@@ -46,6 +54,7 @@
         """Note a committed position, from 0; return the tokens that were new."""
         new = max(0, position + 1 - self.tokens)
         self.tokens += new
+        self.suspected = False
         self._last_at = now
         if self._sample_at is None:
             self._sample_at, self._sample_tokens = now, self.tokens
@@ -83,6 +92,7 @@
         """Go on with the next attempt; its places are counted by the caller."""
         self.dispatch = dispatch
         self.claim = claim
+        self.suspected = False
         self._held = True
         self._sample_at = None
         self._last_at = at
--- a/radishfield/decisions/_scheduler.py
+++ b/radishfield/decisions/_scheduler.py
@@ -226,6 +226,15 @@
         self._journal.note(failure.request_id, Note(now, step, decision.reason))
         return decision
 
+    def may_replace(self, failure: Failure, now: float) -> bool:
+        """Tell whether another attempt could take a silent one's place now.
+
+        If none could, the attempt has to go on.  `failed` will not hear of the
+        silence then, so it is counted against the target here.
+        """
+        running = self._running_by_request[failure.request_id]
+        return self._failures.may_replace(running, failure, now)
+
     def explain(self, request_id: str) -> tuple[Note, ...]:
         """Return what was decided on a recent request, in order."""
         return self._journal.notes(request_id)
--- a/radishfield/decisions/scheduler_test.py
+++ b/radishfield/decisions/scheduler_test.py
@@ -161,6 +161,57 @@
     assert all(isinstance(decision, Retry) for decision in decisions)
 
 
+def silence(dispatch, committed=1):
+    work, head = dispatch.work, stage_ids(dispatch)[0]
+    return Failure(work.request_id, head, FailureKind.SILENT, True, committed)
+
+
+def test_a_silent_attempt_is_replaced_only_at_another_target(
+    make_target, make_work, links
+):
+    """A caller's begun answer is not given up for a start at the same target.
+
+    Silence may be the host's own fault.  While the target is the only one, its
+    attempt goes on; once another can take its place, it may end.
+    """
+    only, other = make_target("only", 0, 20), make_target("other", 0, 20)
+    scheduler = Scheduler()
+    scheduler.set_fleet([only], links, "a", 1, 0.0)
+    dispatch = start(scheduler, make_work("r"))
+    assert not scheduler.may_replace(silence(dispatch), 1.0)
+    scheduler.set_fleet([only, other], links, "a", 1, 2.0)
+    assert scheduler.may_replace(silence(dispatch), 3.0)
+    assert isinstance(scheduler.failed(silence(dispatch), 3.0), Retry)
+    scheduler.ended("r", True, 4.0)
+    assert all(t.in_flight == 0 for t in scheduler.snapshot(4.0).pools[0].targets)
+
+
+def test_a_silent_target_gets_no_new_work_though_its_attempts_go_on(
+    scheduler, make_work
+):
+    """Callers are not sent to a stopped target by those who still wait for it.
+
+    Its attempts may not run twice, so they go on; each counts once, however
+    often its connection falls silent.
+    """
+    heads = {"a1": [], "a2": []}
+    for index in range(12):
+        dispatch = start(scheduler, make_work(f"r{index}", idempotent=False))
+        heads[stage_ids(dispatch)[0]].append(dispatch)
+    for _ in range(5):
+        assert not scheduler.may_replace(silence(heads["a1"][0]), 1.0)
+    assert "a1" in {
+        stage_ids(start(scheduler, make_work(f"s{index}"), 1.0))[0]
+        for index in range(4)
+    }
+    for dispatch in heads["a1"][1:4]:
+        assert not scheduler.may_replace(silence(dispatch), 1.0)
+    assert "a1" not in {
+        stage_ids(start(scheduler, make_work(f"t{index}"), 1.0))[0]
+        for index in range(4)
+    }
+
+
 def test_a_started_request_that_may_not_repeat_ends_unknown(scheduler, make_work):
     dispatch = start(scheduler, make_work("r", idempotent=False))
     failure = Failure("r", stage_ids(dispatch)[0], FailureKind.BROKEN, True, 0)
--- a/radishfield/edges/_target.py
+++ b/radishfield/edges/_target.py
@@ -1,6 +1,7 @@
 """The targets' edge: the engine's HTTP protocol behind `TargetPort`."""
 
 import itertools
+import math
 from collections.abc import Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import replace
@@ -96,6 +97,10 @@
         "not run".  It has had its time for a first token too: a target that is
         stopped takes the new connection into its kernel's backlog and would
         hold the caller for that long again.  One that runs answers at once.
+
+        A connection that is not made in time proves no more than one that is
+        made and says nothing, so it is silence too; only a refused one says that
+        nothing is there.
         """
         body = wire.Reopen(request_id, attempt, position)
         first_token_s = self._timeouts.idle_s
@@ -103,6 +108,7 @@
             first_token_s = self._timeouts.first_token_s
         timeouts = replace(
             self._timeouts,
+            connect_s=math.inf,
             answer_s=self._timeouts.control_s,
             first_token_s=first_token_s,
         )
--- a/radishfield/edges/target_test.py
+++ b/radishfield/edges/target_test.py
@@ -1,6 +1,8 @@
 """Tests of what each failure of a target proves about a request."""
 
-from contextlib import asynccontextmanager
+import socket
+from contextlib import ExitStack, asynccontextmanager
+from dataclasses import replace
 
 import msgspec
 import pytest
@@ -236,6 +238,32 @@
     trio.run(main)
 
 
+def test_a_target_that_takes_no_new_connection_is_silent_not_gone():
+    """The caller's attempt is not held to be over while its target is held up.
+
+    The target's queue of connections is full, as when it stands still or when
+    this host's link is taken.  Nothing refuses the new connection, so nothing
+    proves that the attempt has ended.
+    """
+
+    async def main():
+        with socket.socket() as listening, ExitStack() as stack:
+            listening.bind(("127.0.0.1", 0))
+            listening.listen(0)
+            for _ in range(4):
+                waiting = stack.enter_context(socket.socket())
+                waiting.setblocking(False)
+                waiting.connect_ex(listening.getsockname())
+            port = listening.getsockname()[1]
+            target = Target("e", "h", "z", f"127.0.0.1:{port}")
+            targets = EngineTargets(replace(QUICK, connect_s=0.1))
+            async with targets.reopen_stream(target, "r", 1, 3) as opened:
+                assert opened.error.code == ResultCode.STREAM_SILENT
+                assert opened.error.outcome == Outcome.UNKNOWN
+
+    trio.run(main)
+
+
 def test_a_slow_prefill_is_not_taken_for_silence():
     """The caller gets the answer though the first token takes its time.
 
--- a/radishfield/serving/_attempt.py
+++ b/radishfield/serving/_attempt.py
@@ -1,7 +1,7 @@
 """One attempt: open a stream, check each token's receipt, pass it on."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from expression import Result
 
@@ -18,14 +18,16 @@
     TokenStream,
 )
 from radishfield.core import ResultCode as Code
-from radishfield.decisions import Dispatch, Scheduler
+from radishfield.decisions import Dispatch, Failure, FailureKind, Scheduler
 from radishfield.pipeline import PipelineState
 from radishfield.serving._observer import Observer
 
 # A connection that went silent, or was reset, is replaced by a new one to the
 # same first stage before the target itself is held to be at fault.  Two tries
 # outlive a path that loses track of one connection twice; a third would only
-# eat into the request's deadline.  A try that is not answered ends them.
+# eat into the request's deadline.  A try that is not answered ends them.  Silence
+# is only a suspicion, though: the host's own link or loop may have been held up.
+# So the tries go on while no other attempt may take this one's place.
 MAX_REOPENS = 2
 PATH_FAILURES = frozenset({Code.STREAM_SILENT, Code.STREAM_BROKEN})
 
@@ -89,7 +91,13 @@
         opening = self._targets.open_stream(head, self._start(dispatch))
         failure = await self._pass_on(opening)
         reopens = 0
-        while self._path_failed(failure) and reopens < MAX_REOPENS:
+        while self._path_failed(failure):
+            # A first stage that gives no answer on a new connection either is at
+            # fault, not the path: a further try would only cost the caller the
+            # same wait again.
+            tries_left = reopens == 0 or (failure.answered and reopens < MAX_REOPENS)
+            if not tries_left and self._may_end(failure, dispatch):
+                return failure
             reopens += 1
             position = self._state.next_position
             self._observer.reopened(self._request, position)
@@ -97,14 +105,23 @@
                 head, self._request.id, dispatch.attempt, position
             )
             again = await self._pass_on(opening)
-            if again is not None and not again.answered:
-                # The first stage does not know the attempt any more, or gives no
-                # answer on a new connection either: it is not the path, and a
-                # further try would only cost the caller the same wait again.
-                return self._failure(again.problem, started=True)
-            failure = again
+            # The attempt was handed over before, whatever this try proves.
+            failure = None if again is None else replace(again, started=True)
         return failure
 
+    def _may_end(self, failure: AttemptFailure, dispatch: Dispatch) -> bool:
+        """Tell whether the attempt broke, or another may take its place."""
+        if failure.problem.code is not Code.STREAM_SILENT:
+            return True
+        silent = Failure(
+            self._request.id,
+            dispatch.route.stages[0].target_id,
+            FailureKind.SILENT,
+            started=True,
+            committed=failure.committed,
+        )
+        return self._scheduler.may_replace(silent, self._clock.now())
+
     def _path_failed(self, failure: AttemptFailure | None) -> bool:
         return (
             failure is not None
--- a/radishfield/serving/dispatcher_test.py
+++ b/radishfield/serving/dispatcher_test.py
@@ -149,6 +149,21 @@
     assert [kind for kind, _, _ in targets.opened] == ["start", "reopen", "start"]
 
 
+def test_silence_alone_does_not_end_an_attempt_that_none_may_follow():
+    """The caller's begun answer is not cut while its target may go on.
+
+    The host hears nothing for a while, on the first connection and on new ones.
+    The request may not run twice, so nothing could take the attempt's place.
+    """
+    silent = fault(ResultCode.STREAM_SILENT)
+    targets = ScriptedTargets([0, silent], silent, silent, [1, silent], silent, [2])
+    result, texts, _ = run_one(targets, idempotent=False)
+    assert result.is_ok(), result
+    assert texts == ["w0", "w1", "w2"]
+    assert [kind for kind, _, _ in targets.opened] == ["start"] + ["reopen"] * 5
+    assert targets.cancelled == []
+
+
 def test_idempotent_request_resumes_elsewhere_after_a_stage_died():
     """The caller sees one whole answer.
 
