Keep attempts while their host hears nobody

What callers saw: begun answers cut with 4014 when their entry host lost its way to every target for some seven seconds: its link was taken, or it was cut off.

Cause: a silent attempt was given up for one at another target, which the host could not reach either. Three connections timed out, and the four attempts were used up, while the first one may still have been running.

Evidence: the fakes of proofs/, two targets that could run the answer, both out of reach in mid answer. After, once a load report had come before: whole after 7 and 20 s, in one start.

Silence ends an attempt only if the host has heard any target, by a load report or a token, since the attempt's last connection was begun. Where it has heard none, it is out of reach itself: the attempt is asked for again, and nothing is counted against the target. Before the first load report the rule is off, as a quiet host without reports hears nobody although all is well.

--- a/proofs/_serving.py
+++ b/proofs/_serving.py
@@ -197,6 +197,17 @@
         self.listed[other.id] = replace(other, speed_tps=other.speed_tps + 1)
         self._tell_targets()
 
+    def tell_load(self) -> None:
+        """Let every target that can be reached tell its load."""
+
+        async def ask() -> list[Result]:
+            engines = self.targets.by_id.values()
+            return [await self.targets.load(engine.target) for engine in engines]
+
+        for report in self.loop.run(ask):
+            if report.is_ok():
+                self.dispatcher.observe_load(report.ok)
+
     def revive(self, target_id: str) -> None:
         """Start a target anew and list it as live."""
         self.targets.revive(target_id)
--- a/proofs/recovery_test.py
+++ b/proofs/recovery_test.py
@@ -103,6 +103,31 @@
     assert len(world.targets.record.starts) == 1
 
 
+@pytest.mark.parametrize("cut_s", [3.0, 7.0, 20.0])
+def test_host_that_hears_nobody_for_a_while_ends_no_answer(cut_s):
+    """The caller sees one whole answer, which was started once.
+
+    The host loses its way to every target in mid answer and gets it back.  Two
+    targets could run the answer, and neither can be reached meanwhile.
+    """
+    world = ServingWorld(1, 1, 2)
+    world.tell_load()
+    caller = world.send(True, TOKENS, 60.0, 0.0)
+    world.loop.pass_time(0.035)
+    for head in world.heads():
+        head.frozen = True
+    world.loop.pass_time(cut_s)
+    told_meanwhile = caller.answer
+    for head in world.heads():
+        head.frozen = False
+    world.loop.pass_time(2 * IDLE_LIMIT_S)
+    world.check()
+    world.loop.close()
+    assert told_meanwhile is None, told_meanwhile
+    assert caller.answer is not None and caller.answer.is_ok(), caller.answer
+    assert len(world.targets.record.starts) == 1
+
+
 @ci_profile(60)
 @given(
     seed=st.integers(0, 9),
--- a/radishfield/decisions/_running.py
+++ b/radishfield/decisions/_running.py
@@ -15,6 +15,8 @@
 
     Attributes
     ----------
+    last_at : float
+        When the last token came, or the attempt began.
     suspected : bool
         Whether its silence since the last token was counted against a target.
     """
@@ -31,7 +33,7 @@
         "_held",
         "_sample_at",
         "_sample_tokens",
-        "_last_at",
+        "last_at",
     )
 
     def __init__(
@@ -48,14 +50,14 @@
         self._held = True
         self._sample_at: float | None = None
         self._sample_tokens = 0
-        self._last_at = now
+        self.last_at = now
 
     def advance(self, position: int, now: float) -> int:
         """Note a committed position, from 0; return the tokens that were new."""
         new = max(0, position + 1 - self.tokens)
         self.tokens += new
         self.suspected = False
-        self._last_at = now
+        self.last_at = now
         if self._sample_at is None:
             self._sample_at, self._sample_tokens = now, self.tokens
         return new
@@ -65,11 +67,11 @@
         tokens = self.tokens - self._sample_tokens
         if tokens < 1 or self._sample_at is None:
             return None
-        elapsed_s = self._last_at - self._sample_at
+        elapsed_s = self.last_at - self._sample_at
         if tokens < SAMPLE_TOKENS and elapsed_s < SAMPLE_TOKENS * self.claim.expected_s:
             return None
         token_s = elapsed_s / tokens
-        self._sample_at, self._sample_tokens = self._last_at, self.tokens
+        self._sample_at, self._sample_tokens = self.last_at, self.tokens
         return token_s
 
     def cost_so_far(self) -> float:
@@ -95,4 +97,4 @@
         self.suspected = False
         self._held = True
         self._sample_at = None
-        self._last_at = at
+        self.last_at = at
--- a/radishfield/decisions/_scheduler.py
+++ b/radishfield/decisions/_scheduler.py
@@ -63,6 +63,7 @@
     __slots__ = (
         "_failures",
         "_fleet",
+        "_heard_at",
         "_journal",
         "_lengths",
         "_pools_by_key",
@@ -76,6 +77,9 @@
     def __init__(self):
         self._failures = FailureDecider()
         self._fleet: tuple | None = None
+        # When any target was heard; None before the first load report, since
+        # without these a quiet host hears nobody although all is well.
+        self._heard_at: float | None = None
         self._journal = Journal()
         self._lengths = LengthEstimate()
         self._pools_by_key: dict[PoolKey, Pool] = {}
@@ -111,6 +115,7 @@
 
     def observe_load(self, report: LoadReport, now: float) -> None:
         """Take in a target's lagging load report."""
+        self._heard_at = now
         for pool in self._pools_by_key.values():
             pool.observe(report, now)
 
@@ -189,6 +194,8 @@
         running = self._running_by_request.get(request_id)
         if running is None:
             return
+        if self._heard_at is not None:
+            self._heard_at = now
         running.pool.drain.passed(running.advance(position, now))
         token_s = running.sample_token_s()
         if token_s is not None:
@@ -226,13 +233,23 @@
         self._journal.note(failure.request_id, Note(now, step, decision.reason))
         return decision
 
-    def may_replace(self, failure: Failure, now: float) -> bool:
+    def may_replace(self, failure: Failure, since: float, now: float) -> bool:
         """Tell whether another attempt could take a silent one's place now.
 
         If none could, the attempt has to go on.  `failed` will not hear of the
-        silence then, so it is counted against the target here.
+        silence then, so it is counted against the target here.  A host that
+        heard no target at all meanwhile is out of reach itself: that says
+        nothing about this target, and a start at another one would be lost.
+
+        Parameters
+        ----------
+        since : float
+            When the attempt's last connection was begun.
         """
         running = self._running_by_request[failure.request_id]
+        quiet_from = max(since, running.last_at)
+        if self._heard_at is not None and self._heard_at <= quiet_from:
+            return False
         return self._failures.may_replace(running, failure, now)
 
     def explain(self, request_id: str) -> tuple[Note, ...]:
--- a/radishfield/decisions/scheduler_test.py
+++ b/radishfield/decisions/scheduler_test.py
@@ -178,14 +178,35 @@
     scheduler = Scheduler()
     scheduler.set_fleet([only], links, "a", 1, 0.0)
     dispatch = start(scheduler, make_work("r"))
-    assert not scheduler.may_replace(silence(dispatch), 1.0)
+    assert not scheduler.may_replace(silence(dispatch), 0.0, 1.0)
     scheduler.set_fleet([only, other], links, "a", 1, 2.0)
-    assert scheduler.may_replace(silence(dispatch), 3.0)
+    assert scheduler.may_replace(silence(dispatch), 2.0, 3.0)
     assert isinstance(scheduler.failed(silence(dispatch), 3.0), Retry)
     scheduler.ended("r", True, 4.0)
     assert all(t.in_flight == 0 for t in scheduler.snapshot(4.0).pools[0].targets)
 
 
+def test_a_host_that_hears_nobody_ends_no_attempt_for_silence(
+    make_target, make_work, make_report, links
+):
+    """Callers' begun answers are not cut because their host was cut off.
+
+    Load reports came before, and none since the last wait began: the host is
+    out of reach itself, and a start elsewhere would meet the same silence.
+    Nor is any target left out for it.
+    """
+    one, two = make_target("one", 0, 20), make_target("two", 0, 20)
+    scheduler = Scheduler()
+    scheduler.set_fleet([one, two], links, "a", 1, 0.0)
+    dispatches = [start(scheduler, make_work(f"r{index}")) for index in range(12)]
+    scheduler.observe_load(make_report(one, 1), 1.0)
+    for dispatch in dispatches:
+        assert not scheduler.may_replace(silence(dispatch), 2.0, 4.0)
+    assert not any(t.ejected for t in scheduler.snapshot(4.0).pools[0].targets)
+    scheduler.progressed(dispatches[1].work.request_id, 1, 5.0)
+    assert scheduler.may_replace(silence(dispatches[0]), 4.0, 6.0)
+
+
 def test_a_silent_target_gets_no_new_work_though_its_attempts_go_on(
     scheduler, make_work
 ):
@@ -199,13 +220,13 @@
         dispatch = start(scheduler, make_work(f"r{index}", idempotent=False))
         heads[stage_ids(dispatch)[0]].append(dispatch)
     for _ in range(5):
-        assert not scheduler.may_replace(silence(heads["a1"][0]), 1.0)
+        assert not scheduler.may_replace(silence(heads["a1"][0]), 0.0, 1.0)
     assert "a1" in {
         stage_ids(start(scheduler, make_work(f"s{index}"), 1.0))[0]
         for index in range(4)
     }
     for dispatch in heads["a1"][1:4]:
-        assert not scheduler.may_replace(silence(dispatch), 1.0)
+        assert not scheduler.may_replace(silence(dispatch), 0.0, 1.0)
     assert "a1" not in {
         stage_ids(start(scheduler, make_work(f"t{index}"), 1.0))[0]
         for index in range(4)
--- a/radishfield/serving/_attempt.py
+++ b/radishfield/serving/_attempt.py
@@ -88,6 +88,7 @@
         match self._state.start_attempt(dispatch.attempt, dispatch.route):
             case Result(tag="error", error=problem):
                 return self._failure(problem, started=False)
+        tried_at = self._clock.now()
         opening = self._targets.open_stream(head, self._start(dispatch))
         failure = await self._pass_on(opening)
         reopens = 0
@@ -96,9 +97,10 @@
             # fault, not the path: a further try would only cost the caller the
             # same wait again.
             tries_left = reopens == 0 or (failure.answered and reopens < MAX_REOPENS)
-            if not tries_left and self._may_end(failure, dispatch):
+            if not tries_left and self._may_end(failure, dispatch, tried_at):
                 return failure
             reopens += 1
+            tried_at = self._clock.now()
             position = self._state.next_position
             self._observer.reopened(self._request, position)
             opening = self._targets.reopen_stream(
@@ -109,7 +111,9 @@
             failure = None if again is None else replace(again, started=True)
         return failure
 
-    def _may_end(self, failure: AttemptFailure, dispatch: Dispatch) -> bool:
+    def _may_end(
+        self, failure: AttemptFailure, dispatch: Dispatch, tried_at: float
+    ) -> bool:
         """Tell whether the attempt broke, or another may take its place."""
         if failure.problem.code is not Code.STREAM_SILENT:
             return True
@@ -120,7 +124,7 @@
             started=True,
             committed=failure.committed,
         )
-        return self._scheduler.may_replace(silent, self._clock.now())
+        return self._scheduler.may_replace(silent, tried_at, self._clock.now())
 
     def _path_failed(self, failure: AttemptFailure | None) -> bool:
         return (
