Take the last target of a version back for its own streams

What callers saw: during a rollout, begun answers of the old model version cut with 3004 (no target), although their target was live.

Cause: a target whose streams break twice is left out for some seconds, unless no other can take its part. Targets of another version count there, which is right for new requests. The streams of the old version can't go there, and found no route.

Evidence: one target of version 1 with four streams, one of version 2; all four connections break. Before: one stream resumed, three ended with NO_TARGET. Without the target of version 2, or after the change: four resumed.

Where a cut stream finds no route of its version, the version's targets that are left out are taken back on trial, as is done already where a whole model would be without targets. At worst the stream fails, as it would have.

--- a/radishfield/decisions/_failures.py
+++ b/radishfield/decisions/_failures.py
@@ -133,13 +133,20 @@
 
 
 def _next_claim(running: Running, failure: Failure) -> Claim | None:
-    """Return places for the next attempt; the old ones are given back first."""
+    """Return places for the next attempt; the old ones are given back first.
+
+    A target may be left out while only another model version can take its part
+    for new requests.  A stream of its own version can't, so it is taken back.
+    """
     running.release()
     excluded = frozenset((failure.target_id,))
     for choice in (excluded, frozenset()):
         claim = _claim_without(running, failure, choice)
         if claim is not None:
             return claim
+    route = running.claim.route
+    if route is not None and running.pool.end_ejections(route.model_version):
+        return _claim_without(running, failure, frozenset())
     return None
 
 
--- a/radishfield/decisions/_pool.py
+++ b/radishfield/decisions/_pool.py
@@ -125,22 +125,36 @@
             load.shared_by(self._hosts, self._hosts / zones)
         self.served = self.covered()
         if not self.served:
-            self._end_ejections()
+            self.end_ejections()
 
-    def _end_ejections(self) -> None:
+    def end_ejections(self, version: str | None = None) -> bool:
         """Take every ejected target back where none but them can serve.
 
         An ejection was right while others took the part.  Once those leave,
         keeping to it would refuse every request while a target that may well
         work again stands by; at worst it fails what would have been refused.
+
+        Parameters
+        ----------
+        version : str or None
+            The only model version that can serve, if others can't.
+
+        Returns
+        -------
+        bool
+            Whether any was taken back.
         """
-        ejected = [
-            load for load in self.loads_by_id.values() if load.usable and load.ejected
+        target_ids = [
+            load.target.id
+            for load in self.loads_by_id.values()
+            if load.usable
+            and load.ejected
+            and version in (None, load.target.model_version)
         ]
-        if ejected:
-            target_ids = [load.target.id for load in ejected]
+        if target_ids:
             self.ejector.release(target_ids)
             self.readmit(target_ids)
+        return bool(target_ids)
 
     def pick(
         self,
--- a/radishfield/decisions/scheduler_test.py
+++ b/radishfield/decisions/scheduler_test.py
@@ -144,6 +144,29 @@
     assert retry.dispatch.route.model_version == dispatch.route.model_version
 
 
+def test_streams_of_an_old_version_are_resumed_at_its_only_target(
+    make_target, make_work, links
+):
+    """Callers' begun answers are not cut because a new version has come.
+
+    The connections to the last target of the old version break at once, and it
+    is left out, since the new version can serve new requests.  These streams
+    can go on nowhere else.
+    """
+    old, new = make_target("old", 0, 20), make_target("new", 0, 20, model_version="2")
+    scheduler = Scheduler()
+    scheduler.set_fleet([old], links, "a", 1, 0.0)
+    names = [f"r{index}" for index in range(4)]
+    for name in names:
+        start(scheduler, make_work(name))
+    scheduler.set_fleet([old, new], links, "a", 1, 1.0)
+    for name in names:
+        failure = Failure(name, "old", FailureKind.BROKEN, started=True, committed=3)
+        decision = scheduler.failed(failure, 2.0)
+        assert isinstance(decision, Retry), decision
+        assert stage_ids(decision.dispatch) == ["old"]
+
+
 def test_every_stream_that_its_target_forgot_is_resumed(scheduler, make_work):
     """No caller's begun answer is cut for want of repeats.
 
