Let a stream's last attempt wait for full targets

What callers saw: begun answers cut with 4014 within milliseconds of a stage's death, because the only other target was full for a moment and had said when to come back.

Cause: a refusal comes at once, and so did the next attempt; the time that the target asked for was not looked at. Three refusals used up the attempts within 10 ms.

The last attempt of a stream that has started waits until the targets that refused may have room, for no more than half of the time that is left. Earlier attempts go on at once, since another target may be free.

The scheduler's new test asks for a field that is new.

--- a/proofs/recovery_test.py
+++ b/proofs/recovery_test.py
@@ -128,6 +128,28 @@
     assert len(world.targets.record.starts) == 1
 
 
+@pytest.mark.parametrize("busy_s", [0.1, 0.5, 0.9])
+def test_answer_goes_on_where_the_only_other_target_is_full_for_a_moment(busy_s):
+    """The caller sees one whole answer although its next target was full.
+
+    The first stage dies in mid answer.  The only other one refuses new work for
+    a moment, and says when to come back.
+    """
+    world = ServingWorld(1, 1, 2)
+    caller = world.send(True, TOKENS, 60.0, 0.0)
+    world.loop.pass_time(0.035)
+    (start,) = world.targets.record.starts
+    (other,) = [h for h in world.heads() if h.target.id not in start.target_ids]
+    other.refusing = True
+    world.targets.kill(start.target_ids[0])
+    world.loop.pass_time(busy_s)
+    other.refusing = False
+    world.loop.pass_time(2.0)
+    world.check()
+    world.loop.close()
+    assert caller.answer is not None and caller.answer.is_ok(), caller.answer
+
+
 @ci_profile(60)
 @given(
     seed=st.integers(0, 9),
--- a/radishfield/decisions/_data.py
+++ b/radishfield/decisions/_data.py
@@ -104,6 +104,8 @@
         Whether any byte of the request may have reached a target.
     committed : int
         Tokens committed so far, over all attempts.
+    retry_after_s : float or None
+        Seconds after which a target that refused asks to be tried again.
     """
 
     request_id: str
@@ -111,6 +113,7 @@
     kind: FailureKind
     started: bool
     committed: int = 0
+    retry_after_s: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/radishfield/decisions/_failures.py
+++ b/radishfield/decisions/_failures.py
@@ -15,6 +15,7 @@
 )
 from radishfield.decisions._precedence import raised
 from radishfield.decisions._recovery import (
+    MAX_DELAY_PART,
     RebuildPacer,
     choose_resumption,
     rebuild_cost,
@@ -22,6 +23,7 @@
 from radishfield.decisions._retries import (
     CODE_BY_KIND,
     HOST_ALLOWANCE,
+    MAX_ATTEMPTS,
     end_fault,
     forbids,
     is_recovery,
@@ -50,6 +52,9 @@
     def decide(self, running: Running, failure: Failure, now: float) -> Retry | GiveUp:
         """Return the next attempt, already counted in flight, or the end."""
         running.ever_started |= failure.started
+        if failure.kind is FailureKind.REFUSED and failure.retry_after_s:
+            room_at = now + failure.retry_after_s
+            running.refused_until = max(running.refused_until, room_at)
         self._blame(running, failure, now)
         work, attempt = running.dispatch.work, running.dispatch.attempt
         problem = forbids(work, failure, attempt, running.ever_started, now)
@@ -103,13 +108,18 @@
             work.prompt_tokens, failure.committed, claim.token_s, alive
         )
         after_s = 0.0
+        left_s = work.deadline - now
         if recovering and not resumption.by_import:
             cost = rebuild_cost(work.prompt_tokens, failure.committed)
-            left_s = work.deadline - now
             after_s = self._pacer.reserve(cost, pool.host_tps, left_s, now)
         way = "import" if resumption.by_import else "rebuild"
         reason = f"{failure.kind}-{way}" if recovering else str(failure.kind)
         attempt = running.dispatch.attempt + 1
+        if recovering and attempt == MAX_ATTEMPTS:
+            # Full targets refuse at once: without a pause they use up all attempts
+            # within milliseconds.
+            wait_s = min(running.refused_until - now, left_s * MAX_DELAY_PART)
+            after_s = max(after_s, wait_s)
         dispatch = Dispatch(
             work,
             attempt,
--- a/radishfield/decisions/_running.py
+++ b/radishfield/decisions/_running.py
@@ -17,6 +17,8 @@
     ----------
     last_at : float
         When the last token came, or the attempt began.
+    refused_until : float
+        When a target that refused an attempt may have room again.
     suspected : bool
         Whether its silence since the last token was counted against a target.
     """
@@ -29,6 +31,7 @@
         "cost",
         "tokens",
         "ever_started",
+        "refused_until",
         "suspected",
         "_held",
         "_sample_at",
@@ -46,6 +49,7 @@
         self.cost = cost
         self.tokens = 0
         self.ever_started = False
+        self.refused_until = now
         self.suspected = False
         self._held = True
         self._sample_at: float | None = None
--- a/radishfield/decisions/scheduler_test.py
+++ b/radishfield/decisions/scheduler_test.py
@@ -167,6 +167,24 @@
         assert stage_ids(decision.dispatch) == ["old"]
 
 
+def test_only_the_last_attempt_of_a_stream_waits_for_full_targets(scheduler, make_work):
+    """A caller's begun answer is neither delayed nor cut by a full target.
+
+    The target refuses it for a second; others are tried at once, and the last
+    attempt is made when there may be room again.
+    """
+    dispatch = start(scheduler, make_work("r"))
+    for attempt, after_s in ((2, 0.0), (3, 0.0), (4, 0.6)):
+        head = stage_ids(dispatch)[0]
+        kind = FailureKind.REFUSED if attempt == 3 else FailureKind.CONNECT
+        hint_s = 1.0 if attempt == 3 else None
+        failure = Failure("r", head, kind, True, 3, hint_s)
+        retry = scheduler.failed(failure, attempt * 0.4)
+        assert retry.after_s == pytest.approx(after_s)
+        dispatch = retry.dispatch
+        assert dispatch.attempt == attempt
+
+
 def test_every_stream_that_its_target_forgot_is_resumed(scheduler, make_work):
     """No caller's begun answer is cut for want of repeats.
 
--- a/radishfield/serving/_run.py
+++ b/radishfield/serving/_run.py
@@ -130,6 +130,7 @@
             FAILURE_KIND_BY_CODE.get(failure.problem.code, FailureKind.BROKEN),
             self.started,
             failure.committed,
+            failure.problem.retry_after_s,
         )
 
 
