--- a/proofs/recovery_test.py
+++ b/proofs/recovery_test.py
@@ -74,6 +74,82 @@
     assert play(seed, stages, after_s, fail) <= SILENT_BOUND_S
 
 
+@pytest.mark.parametrize("still_s", [2.5, 4.5, 20.0])
+@pytest.mark.parametrize(
+    ("idempotent", "replicas"), [(True, 1), (False, 1), (False, 2)]
+)
+def test_silence_ends_no_answer_that_cannot_go_on_elsewhere(
+    idempotent, replicas, still_s
+):
+    """The caller sees one whole answer, which was started once.
+
+    Its first stage stands still in mid answer, or the host can't hear it for a
+    while.  The request may not run twice, or there is no other first stage.
+    """
+    world = ServingWorld(1, 2, replicas)
+    caller = world.send(idempotent, TOKENS, 60.0, 0.0)
+    world.loop.pass_time(0.035)
+    (start,) = world.targets.record.starts
+    head = world.targets.by_id[start.target_ids[0]]
+    head.frozen = True
+    world.loop.pass_time(still_s)
+    told_meanwhile = caller.answer
+    head.frozen = False
+    world.loop.pass_time(2 * IDLE_LIMIT_S)
+    world.check()
+    world.loop.close()
+    assert told_meanwhile is None, told_meanwhile
+    assert caller.answer is not None and caller.answer.is_ok(), caller.answer
+    assert len(world.targets.record.starts) == 1
+
+
+@pytest.mark.parametrize("cut_s", [3.0, 7.0, 20.0])
+def test_host_that_hears_nobody_for_a_while_ends_no_answer(cut_s):
+    """The caller sees one whole answer, which was started once.
+
+    The host loses its way to every target in mid answer and gets it back.  Two
+    targets could run the answer, and neither can be reached meanwhile.
+    """
+    world = ServingWorld(1, 1, 2)
+    world.tell_load()
+    caller = world.send(True, TOKENS, 60.0, 0.0)
+    world.loop.pass_time(0.035)
+    for head in world.heads():
+        head.frozen = True
+    world.loop.pass_time(cut_s)
+    told_meanwhile = caller.answer
+    for head in world.heads():
+        head.frozen = False
+    world.loop.pass_time(2 * IDLE_LIMIT_S)
+    world.check()
+    world.loop.close()
+    assert told_meanwhile is None, told_meanwhile
+    assert caller.answer is not None and caller.answer.is_ok(), caller.answer
+    assert len(world.targets.record.starts) == 1
+
+
+@pytest.mark.parametrize("busy_s", [0.1, 0.5, 0.9])
+def test_answer_goes_on_where_the_only_other_target_is_full_for_a_moment(busy_s):
+    """The caller sees one whole answer although its next target was full.
+
+    The first stage dies in mid answer.  The only other one refuses new work for
+    a moment, and says when to come back.
+    """
+    world = ServingWorld(1, 1, 2)
+    caller = world.send(True, TOKENS, 60.0, 0.0)
+    world.loop.pass_time(0.035)
+    (start,) = world.targets.record.starts
+    (other,) = [h for h in world.heads() if h.target.id not in start.target_ids]
+    other.refusing = True
+    world.targets.kill(start.target_ids[0])
+    world.loop.pass_time(busy_s)
+    other.refusing = False
+    world.loop.pass_time(2.0)
+    world.check()
+    world.loop.close()
+    assert caller.answer is not None and caller.answer.is_ok(), caller.answer
+
+
 @ci_profile(60)
 @given(
     seed=st.integers(0, 9),
--- a/radishfield/decisions/_failures.py
+++ b/radishfield/decisions/_failures.py
@@ -15,6 +15,7 @@
 )
 from radishfield.decisions._precedence import raised
 from radishfield.decisions._recovery import (
+    MAX_DELAY_PART,
     RebuildPacer,
     choose_resumption,
     rebuild_cost,
@@ -22,6 +23,7 @@
 from radishfield.decisions._retries import (
     CODE_BY_KIND,
     HOST_ALLOWANCE,
+    MAX_ATTEMPTS,
     end_fault,
     forbids,
     is_recovery,
@@ -50,6 +52,9 @@
     def decide(self, running: Running, failure: Failure, now: float) -> Retry | GiveUp:
         """Return the next attempt, already counted in flight, or the end."""
         running.ever_started |= failure.started
+        if failure.kind is FailureKind.REFUSED and failure.retry_after_s:
+            room_at = now + failure.retry_after_s
+            running.refused_until = max(running.refused_until, room_at)
         self._blame(running, failure, now)
         work, attempt = running.dispatch.work, running.dispatch.attempt
         problem = forbids(work, failure, attempt, running.ever_started, now)
@@ -65,6 +70,25 @@
             return _give_up(work, end_fault(failure, code, running.ever_started))
         return self._retry(running, claim, failure, recovering, now)
 
+    def may_replace(self, running: Running, failure: Failure, now: float) -> bool:
+        """Tell whether a silent attempt may end, since another can follow it.
+
+        A start at the same target would not help: if it answers that one, it
+        answers a new connection to the attempt that it has.  What follows a
+        silence is a recovery, so the budget of repeats is not asked.
+        """
+        work, attempt = running.dispatch.work, running.dispatch.attempt
+        if forbids(work, failure, attempt, True, now) is None:
+            running.pool.end(running.claim)
+            found = _claim_without(running, failure, frozenset((failure.target_id,)))
+            running.pool.begin(running.claim)
+            if found is not None:
+                return True
+        if not running.suspected:
+            running.suspected = True
+            self._blame(running, failure, now)
+        return False
+
     def _blame(self, running: Running, failure: Failure, now: float) -> None:
         pool = running.pool
         if pool.ejector.failed(failure.target_id, failure.kind, now):
@@ -84,13 +108,18 @@
             work.prompt_tokens, failure.committed, claim.token_s, alive
         )
         after_s = 0.0
+        left_s = work.deadline - now
         if recovering and not resumption.by_import:
             cost = rebuild_cost(work.prompt_tokens, failure.committed)
-            left_s = work.deadline - now
             after_s = self._pacer.reserve(cost, pool.host_tps, left_s, now)
         way = "import" if resumption.by_import else "rebuild"
         reason = f"{failure.kind}-{way}" if recovering else str(failure.kind)
         attempt = running.dispatch.attempt + 1
+        if recovering and attempt == MAX_ATTEMPTS:
+            # Full targets refuse at once: without a pause they use up all attempts
+            # within milliseconds.
+            wait_s = min(running.refused_until - now, left_s * MAX_DELAY_PART)
+            after_s = max(after_s, wait_s)
         dispatch = Dispatch(
             work,
             attempt,
@@ -114,21 +143,36 @@
 
 
 def _next_claim(running: Running, failure: Failure) -> Claim | None:
-    """Return places for the next attempt.
+    """Return places for the next attempt; the old ones are given back first.
 
-    Stages behind the dead one still hold their cache and are kept.  Those before
-    it have to run all tokens again, for the states that they hand on: the least
-    loaded ones do that soonest.  The old places are given back first.
+    A target may be left out while only another model version can take its part
+    for new requests.  A stream of its own version can't, so it is taken back.
     """
     running.release()
-    chain = [load.target.id for load in running.claim.loads]
-    kept: frozenset[str] = frozenset()
-    if failure.committed and failure.target_id in chain:
-        kept = frozenset(chain[chain.index(failure.target_id) + 1 :])
-    pool, long = running.pool, running.claim.long
     excluded = frozenset((failure.target_id,))
     for choice in (excluded, frozenset()):
-        claim = pool.pick(long, choice, kept, forced=True)
+        claim = _claim_without(running, failure, choice)
         if claim is not None:
             return claim
+    route = running.claim.route
+    if route is not None and running.pool.end_ejections(route.model_version):
+        return _claim_without(running, failure, frozenset())
     return None
+
+
+def _claim_without(
+    running: Running, failure: Failure, excluded: frozenset[str]
+) -> Claim | None:
+    """Return places of the present model version, without some targets.
+
+    Stages behind the dead one still hold their cache and are kept.  Those before
+    it have to run all tokens again, for the states that they hand on: the least
+    loaded ones do that soonest.
+    """
+    chain = [load.target.id for load in running.claim.loads]
+    kept: frozenset[str] = frozenset()
+    if failure.committed and failure.target_id in chain:
+        kept = frozenset(chain[chain.index(failure.target_id) + 1 :])
+    pool, long, route = running.pool, running.claim.long, running.claim.route
+    version = None if route is None else route.model_version
+    return pool.pick(long, excluded, kept, forced=True, version=version)
--- a/radishfield/decisions/_pool.py
+++ b/radishfield/decisions/_pool.py
@@ -125,22 +125,36 @@
             load.shared_by(self._hosts, self._hosts / zones)
         self.served = self.covered()
         if not self.served:
-            self._end_ejections()
+            self.end_ejections()
 
-    def _end_ejections(self) -> None:
+    def end_ejections(self, version: str | None = None) -> bool:
         """Take every ejected target back where none but them can serve.
 
         An ejection was right while others took the part.  Once those leave,
         keeping to it would refuse every request while a target that may well
         work again stands by; at worst it fails what would have been refused.
+
+        Parameters
+        ----------
+        version : str or None
+            The only model version that can serve, if others can't.
+
+        Returns
+        -------
+        bool
+            Whether any was taken back.
         """
-        ejected = [
-            load for load in self.loads_by_id.values() if load.usable and load.ejected
+        target_ids = [
+            load.target.id
+            for load in self.loads_by_id.values()
+            if load.usable
+            and load.ejected
+            and version in (None, load.target.model_version)
         ]
-        if ejected:
-            target_ids = [load.target.id for load in ejected]
+        if target_ids:
             self.ejector.release(target_ids)
             self.readmit(target_ids)
+        return bool(target_ids)
 
     def pick(
         self,
@@ -149,14 +163,22 @@
         preferred: frozenset[str] = frozenset(),
         forced: bool = False,
         fast: bool = False,
+        version: str | None = None,
     ) -> Claim | None:
-        """Return places for one attempt, or None if there is no room."""
+        """Return places for one attempt, or None if there is no room.
+
+        Parameters
+        ----------
+        version : str or None
+            The model version to stay with: only it can go on with tokens that it
+            made.
+        """
         if self.full and not forced:
             return None
         if self.kind is TargetKind.SERVICE:
             claim = self._pick_service(long, excluded, forced)
         else:
-            claim = self._pick_route(long, excluded, preferred, forced, fast)
+            claim = self._pick_route(long, excluded, preferred, forced, fast, version)
         self.full = claim is None and not long and not excluded
         return claim
 
@@ -167,8 +189,13 @@
         preferred: frozenset[str],
         forced: bool,
         fast: bool,
+        version: str | None,
     ) -> Claim | None:
-        choosers = self._choosers
+        choosers = [
+            chooser
+            for chooser in self._choosers
+            if version is None or chooser.model_version == version
+        ]
         if len(choosers) > 1:
             choosers = sorted(choosers, key=self._version_load)
         for chooser in choosers:
--- a/radishfield/decisions/_running.py
+++ b/radishfield/decisions/_running.py
@@ -11,7 +11,17 @@
 
 
 class Running:
-    """A request in flight, over all its attempts."""
+    """A request in flight, over all its attempts.
+
+    Attributes
+    ----------
+    last_at : float
+        When the last token came, or the attempt began.
+    refused_until : float
+        When a target that refused an attempt may have room again.
+    suspected : bool
+        Whether its silence since the last token was counted against a target.
+    """
 
     __slots__ = (
         "pool",
@@ -21,10 +31,12 @@
         "cost",
         "tokens",
         "ever_started",
+        "refused_until",
+        "suspected",
         "_held",
         "_sample_at",
         "_sample_tokens",
-        "_last_at",
+        "last_at",
     )
 
     def __init__(
@@ -37,16 +49,19 @@
         self.cost = cost
         self.tokens = 0
         self.ever_started = False
+        self.refused_until = now
+        self.suspected = False
         self._held = True
         self._sample_at: float | None = None
         self._sample_tokens = 0
-        self._last_at = now
+        self.last_at = now
 
     def advance(self, position: int, now: float) -> int:
         """Note a committed position, from 0; return the tokens that were new."""
         new = max(0, position + 1 - self.tokens)
         self.tokens += new
-        self._last_at = now
+        self.suspected = False
+        self.last_at = now
         if self._sample_at is None:
             self._sample_at, self._sample_tokens = now, self.tokens
         return new
@@ -56,11 +71,11 @@
         tokens = self.tokens - self._sample_tokens
         if tokens < 1 or self._sample_at is None:
             return None
-        elapsed_s = self._last_at - self._sample_at
+        elapsed_s = self.last_at - self._sample_at
         if tokens < SAMPLE_TOKENS and elapsed_s < SAMPLE_TOKENS * self.claim.expected_s:
             return None
         token_s = elapsed_s / tokens
-        self._sample_at, self._sample_tokens = self._last_at, self.tokens
+        self._sample_at, self._sample_tokens = self.last_at, self.tokens
         return token_s
 
     def cost_so_far(self) -> float:
@@ -83,6 +98,7 @@
         """Go on with the next attempt; its places are counted by the caller."""
         self.dispatch = dispatch
         self.claim = claim
+        self.suspected = False
         self._held = True
         self._sample_at = None
-        self._last_at = at
+        self.last_at = at
--- a/radishfield/decisions/scheduler_test.py
+++ b/radishfield/decisions/scheduler_test.py
@@ -126,6 +126,154 @@
     assert all(t.in_flight == 0 for t in scheduler.snapshot(2.0).pools[0].targets)
 
 
+def test_a_cut_stream_stays_with_its_model_version(make_target, make_work, links):
+    """A caller's begun answer is not cut while a new version is rolled out.
+
+    Targets of the new version are idle when one of the old version dies.  Only
+    the old version can go on with the tokens that the caller has, and a route
+    of it is left.
+    """
+    old = [make_target("o1", 0, 20), make_target("o2", 0, 20)]
+    scheduler = Scheduler()
+    scheduler.set_fleet(old, links, "a", 1, 0.0)
+    dispatch = start(scheduler, make_work("r"))
+    new = [make_target(f"n{i}", 0, 20, model_version="2") for i in range(4)]
+    scheduler.set_fleet([*old, *new], links, "a", 1, 1.0)
+    failure = Failure("r", stage_ids(dispatch)[0], FailureKind.BROKEN, True, 7)
+    retry = scheduler.failed(failure, 1.0)
+    assert retry.dispatch.route.model_version == dispatch.route.model_version
+
+
+def test_streams_of_an_old_version_are_resumed_at_its_only_target(
+    make_target, make_work, links
+):
+    """Callers' begun answers are not cut because a new version has come.
+
+    The connections to the last target of the old version break at once, and it
+    is left out, since the new version can serve new requests.  These streams
+    can go on nowhere else.
+    """
+    old, new = make_target("old", 0, 20), make_target("new", 0, 20, model_version="2")
+    scheduler = Scheduler()
+    scheduler.set_fleet([old], links, "a", 1, 0.0)
+    names = [f"r{index}" for index in range(4)]
+    for name in names:
+        start(scheduler, make_work(name))
+    scheduler.set_fleet([old, new], links, "a", 1, 1.0)
+    for name in names:
+        failure = Failure(name, "old", FailureKind.BROKEN, started=True, committed=3)
+        decision = scheduler.failed(failure, 2.0)
+        assert isinstance(decision, Retry), decision
+        assert stage_ids(decision.dispatch) == ["old"]
+
+
+def test_only_the_last_attempt_of_a_stream_waits_for_full_targets(scheduler, make_work):
+    """A caller's begun answer is neither delayed nor cut by a full target.
+
+    The target refuses it for a second; others are tried at once, and the last
+    attempt is made when there may be room again.
+    """
+    dispatch = start(scheduler, make_work("r"))
+    for attempt, after_s in ((2, 0.0), (3, 0.0), (4, 0.6)):
+        head = stage_ids(dispatch)[0]
+        kind = FailureKind.REFUSED if attempt == 3 else FailureKind.CONNECT
+        hint_s = 1.0 if attempt == 3 else None
+        failure = Failure("r", head, kind, True, 3, hint_s)
+        retry = scheduler.failed(failure, attempt * 0.4)
+        assert retry.after_s == pytest.approx(after_s)
+        dispatch = retry.dispatch
+        assert dispatch.attempt == attempt
+
+
+def test_every_stream_that_its_target_forgot_is_resumed(scheduler, make_work):
+    """No caller's begun answer is cut for want of repeats.
+
+    A target has restarted, or given up what nobody listened to, so it refuses
+    to go on with more streams than repeats are left.
+    """
+    decisions = []
+    for index in range(16):
+        name = f"r{index}"
+        dispatch = start(scheduler, make_work(name, max_tokens=5))
+        head = stage_ids(dispatch)[0]
+        failure = Failure(name, head, FailureKind.REFUSED, started=True, committed=4)
+        decisions.append(scheduler.failed(failure, 0.0))
+        scheduler.ended(name, True, 0.0)
+    assert all(isinstance(decision, Retry) for decision in decisions)
+
+
+def silence(dispatch, committed=1):
+    work, head = dispatch.work, stage_ids(dispatch)[0]
+    return Failure(work.request_id, head, FailureKind.SILENT, True, committed)
+
+
+def test_a_silent_attempt_is_replaced_only_at_another_target(
+    make_target, make_work, links
+):
+    """A caller's begun answer is not given up for a start at the same target.
+
+    Silence may be the host's own fault.  While the target is the only one, its
+    attempt goes on; once another can take its place, it may end.
+    """
+    only, other = make_target("only", 0, 20), make_target("other", 0, 20)
+    scheduler = Scheduler()
+    scheduler.set_fleet([only], links, "a", 1, 0.0)
+    dispatch = start(scheduler, make_work("r"))
+    assert not scheduler.may_replace(silence(dispatch), 0.0, 1.0)
+    scheduler.set_fleet([only, other], links, "a", 1, 2.0)
+    assert scheduler.may_replace(silence(dispatch), 2.0, 3.0)
+    assert isinstance(scheduler.failed(silence(dispatch), 3.0), Retry)
+    scheduler.ended("r", True, 4.0)
+    assert all(t.in_flight == 0 for t in scheduler.snapshot(4.0).pools[0].targets)
+
+
+def test_a_host_that_hears_nobody_ends_no_attempt_for_silence(
+    make_target, make_work, make_report, links
+):
+    """Callers' begun answers are not cut because their host was cut off.
+
+    Load reports came before, and none since the last wait began: the host is
+    out of reach itself, and a start elsewhere would meet the same silence.
+    Nor is any target left out for it.
+    """
+    one, two = make_target("one", 0, 20), make_target("two", 0, 20)
+    scheduler = Scheduler()
+    scheduler.set_fleet([one, two], links, "a", 1, 0.0)
+    dispatches = [start(scheduler, make_work(f"r{index}")) for index in range(12)]
+    scheduler.observe_load(make_report(one, 1), 1.0)
+    for dispatch in dispatches:
+        assert not scheduler.may_replace(silence(dispatch), 2.0, 4.0)
+    assert not any(t.ejected for t in scheduler.snapshot(4.0).pools[0].targets)
+    scheduler.progressed(dispatches[1].work.request_id, 1, 5.0)
+    assert scheduler.may_replace(silence(dispatches[0]), 4.0, 6.0)
+
+
+def test_a_silent_target_gets_no_new_work_though_its_attempts_go_on(
+    scheduler, make_work
+):
+    """Callers are not sent to a stopped target by those who still wait for it.
+
+    Its attempts may not run twice, so they go on; each counts once, however
+    often its connection falls silent.
+    """
+    heads = {"a1": [], "a2": []}
+    for index in range(12):
+        dispatch = start(scheduler, make_work(f"r{index}", idempotent=False))
+        heads[stage_ids(dispatch)[0]].append(dispatch)
+    for _ in range(5):
+        assert not scheduler.may_replace(silence(heads["a1"][0]), 0.0, 1.0)
+    assert "a1" in {
+        stage_ids(start(scheduler, make_work(f"s{index}"), 1.0))[0]
+        for index in range(4)
+    }
+    for dispatch in heads["a1"][1:4]:
+        assert not scheduler.may_replace(silence(dispatch), 0.0, 1.0)
+    assert "a1" not in {
+        stage_ids(start(scheduler, make_work(f"t{index}"), 1.0))[0]
+        for index in range(4)
+    }
+
+
 def test_a_started_request_that_may_not_repeat_ends_unknown(scheduler, make_work):
     dispatch = start(scheduler, make_work("r", idempotent=False))
     failure = Failure("r", stage_ids(dispatch)[0], FailureKind.BROKEN, True, 0)
