Take a target that answers with any status for alive

What callers saw: requests to a plain service were refused by the few targets that were left in use, after a zone had seemed lost for a moment.

Cause: a lost zone leaves out all of its targets until they answer a question, which is a request for a report. Targets of plain services know none and answer with 400, which counted as silence, first-hand, and was told to the other hosts.

An answer that is no report still proves that the target lives.

The test failed before: the target stayed left out.

--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -310,6 +310,10 @@
         if report is None:
             self._log_unheard(first_id, waited_s)
             return
+        if report.is_error() and report.error.code is ResultCode.MALFORMED_ANSWER:
+            # It lives: targets that serve alone know no reports.
+            self._view.directory.answered(first_id, self._clock.now())
+            return
         if report.is_error():
             self._lose_first(first_id, report.error.detail, waited_s)
             return
--- a/radishfield/forwarding/suspicion_test.py
+++ b/radishfield/forwarding/suspicion_test.py
@@ -215,3 +215,19 @@
         assert again.status in (401, 404, 503)
 
     play(tmp_path, scene)
+
+
+def test_a_target_without_reports_is_taken_back_once_it_answers(tmp_path):
+    """Guards against plain targets left out for good after their zone seemed lost."""
+
+    async def scene(played):
+        played.store.put("config", "main", config())
+        await played.add_plain("p1")
+        await played.start_router()
+        view = played.router.view
+        view.directory.doubt("p1", view.clock.now())
+        await played.until(
+            lambda: not view.directory.suspected("p1", view.clock.now()), limit_s=4.0
+        )
+
+    play(tmp_path, scene)
