End a stream whole that is resumed after its last event

What callers saw: a stream whose connection broke between its last event and its end was answered 502 on the caller's resume, after runs at several targets, or cut by the host's own resume, although nothing was missing.

Cause: an answer without events counted as truncated, also where the request named the last event that its sender has.

Such an answer is whole if its end is told by a length or a last chunk and no event is torn. One whose end is only that of its connection proves nothing and fails as before. The log now tells "ended without events" from "ended within an event".

The test failed before (502).

--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -481,11 +481,21 @@
                     call.times.passed(count, call.arrived_at, stream.heard_at)
         except BrokenAnswerError as problem:
             return Error(fault(ResultCode.STREAM_BROKEN, str(problem)))
-        if splitter.torn or not stream.has_events:
+        if splitter.torn:
             return Error(fault(ResultCode.ANSWER_TRUNCATED, "ended within an event"))
+        if not stream.has_events:
+            # Resumed after its last event, a stream has nothing left to send.
+            if not (progress.resume_after() and exchange.facts.framed):
+                return Error(fault(ResultCode.ANSWER_TRUNCATED, "ended without events"))
+            await self._start(call, exchange)
         await call.responder.end_stream()
         return Ok(None)
 
+    async def _start(self, call: Call, exchange: Exchange) -> None:
+        if not call.responder.started:
+            status = exchange.facts.status
+            await call.responder.start_stream(status, exchange.headers)
+
     async def _pass_on(
         self, call: Call, exchange: Exchange, stream: ActiveStream, events: bytes
     ) -> None:
@@ -494,8 +504,7 @@
             # The head waits for the first event: until then another target can
             # take over without the caller having seen anything.
             self._telemetry.first_token(stream.heard_at - call.arrived_at)
-            status = exchange.facts.status
-            await call.responder.start_stream(status, exchange.headers)
+        await self._start(call, exchange)
         await call.responder.events(events)
 
 
--- a/radishfield/forwarding/answers_kept_test.py
+++ b/radishfield/forwarding/answers_kept_test.py
@@ -193,3 +193,16 @@
         assert sum(sum(item.runs.values()) for item in played.layered) == 8
 
     play(tmp_path, scene)
+
+
+def test_a_stream_resumed_after_its_last_event_ends_whole(tmp_path):
+    """Where nothing is left to send, a target's empty whole answer is the end."""
+
+    async def scene(played):
+        played.store.put("config", "main", config())
+        await pool(played, targets=2)
+        reply = await stream(played, last_event_id="6")
+        assert reply.status == 200 and reply.whole
+        assert sum(sum(item.runs.values()) for item in played.layered) == 1
+
+    play(tmp_path, scene)
--- a/radishfield/platform/_requests.py
+++ b/radishfield/platform/_requests.py
@@ -89,6 +89,8 @@
         Seconds after which the target closes an idle connection.
     encoded : bool
         The body is not the target's own bytes.
+    framed : bool
+        The body's end is told by a length or a last chunk, not by the connection's.
     """
 
     status: int
@@ -98,6 +100,7 @@
     closes: bool
     idle_s: float | None
     encoded: bool
+    framed: bool
 
 
 def read_request(headers: Iterable[tuple[bytes, bytes]]) -> RequestFacts:
@@ -165,6 +168,7 @@
         closes=b"close" in connection,
         idle_s=_idle_s(by_name.get(b"keep-alive", b"")),
         encoded=by_name.get(b"content-encoding", b"identity") != b"identity",
+        framed=b"content-length" in by_name or b"transfer-encoding" in by_name,
     )
 
 
