Refuse what still waits before a leaving host ends

What callers saw: a stream that had been read and stood in line for a path was closed without an answer when its host's grace was over.

Cause: the line looks at paths and patience only; a request that was taken shortly before may have more patience than the host has time.

The test failed before (no answer).

--- a/radishfield/forwarding/_app.py
+++ b/radishfield/forwarding/_app.py
@@ -5,7 +5,7 @@
 from radishfield.core import Fault, ResultCode, fault
 from radishfield.forwarding._call import Call, Responder, status_of
 from radishfield.forwarding._plain import PlainForwarder
-from radishfield.forwarding._streams import StreamForwarder
+from radishfield.forwarding._streams import LEAVING_RETRY_S, StreamForwarder
 from radishfield.forwarding._targets import stale_view
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import RequestFacts, read_request
@@ -27,8 +27,6 @@
 
 UNKNOWN_CONFIG_RETRY_S = 0.7
 """A host reads the configuration within a second of its start."""
-LEAVING_RETRY_S = 0.1
-"""A new connection reaches another host at once."""
 BODY_TIMEOUT_S = 10.0
 
 
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -39,6 +39,8 @@
 RESUMED_PRIORITY = -1
 """Before the most urgent of the routes' own."""
 NO_PATH_RETRY_S = 0.8
+LEAVING_RETRY_S = 0.1
+"""A new connection reaches another host at once."""
 MORE_REFUSALS = 3
 MORE_RESUMES = 2
 """Resumes beside the attempts of the route where the earlier target was lost."""
@@ -289,6 +291,9 @@
                     path = self._path_now(call, engine, progress, tries)
                 if path is not None:
                     return Ok(path)
+                if view.ends_waits():
+                    code = ResultCode.DRAINING
+                    return Error(fault(code, "host leaves", LEAVING_RETRY_S))
                 if self._has_waited_enough(call, progress, queue, entry):
                     return Error(self._full(queue, entry))
                 with trio.move_on_after(LOOK_AGAIN_S):
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -35,6 +35,7 @@
     WatchDuty,
     choice_spread,
     draw,
+    ends_waits,
     pair_of,
     room_prompts,
     sends_callers_away,
@@ -195,10 +196,16 @@
 
     def takes_work(self, longest_s: float) -> bool:
         """Return whether a request that may take so long is still taken."""
-        leaving_for_s = None
-        if self.leaving_since is not None:
-            leaving_for_s = self.clock.now() - self.leaving_since
-        return takes_work(leaving_for_s, self.grace_s, longest_s)
+        return takes_work(self._leaving_for_s(), self.grace_s, longest_s)
+
+    def ends_waits(self) -> bool:
+        """Return whether requests that wait here are refused now."""
+        return ends_waits(self._leaving_for_s(), self.grace_s)
+
+    def _leaving_for_s(self) -> float | None:
+        if self.leaving_since is None:
+            return None
+        return self.clock.now() - self.leaving_since
 
     def sends_callers_away(self) -> bool:
         """Return whether callers are better served by other hosts."""
--- a/radishfield/forwarding/answers_kept_test.py
+++ b/radishfield/forwarding/answers_kept_test.py
@@ -140,6 +140,23 @@
     play(tmp_path, scene)
 
 
+def test_a_stream_in_line_is_answered_before_a_leaving_host_ends(tmp_path):
+    """A request that was read and not passed on is refused, not dropped, at the end."""
+
+    async def scene(played):
+        routes = [route("stream", "streaming", "pool", sloMs=2500, timeoutMs=9000)]
+        played.store.put("config", "main", config(routes=routes))
+        await pool(played, promises={"grace": "4s"})
+        played.router.view.load.started("t1", 1e9, True)
+        played.stop.set()
+        await played.until(lambda: played.router.view.leaving)
+        reply = await stream(played)
+        assert reply is not None and reply.status == 503
+        assert not played.layered[0].runs
+
+    play(tmp_path, scene)
+
+
 @pytest.mark.parametrize("slack", ["50", "0"])
 def test_a_stream_is_not_ended_because_its_target_left_the_list(tmp_path, slack):
     """A target that was taken off the list serves what it has to the end."""
--- a/radishfield/routing/__init__.py
+++ b/radishfield/routing/__init__.py
@@ -21,7 +21,12 @@
     plan_layout,
     plan_move,
 )
-from radishfield.routing._leaving import END_MARGIN_S, NOTICE_S, takes_work
+from radishfield.routing._leaving import (
+    END_MARGIN_S,
+    NOTICE_S,
+    ends_waits,
+    takes_work,
+)
 from radishfield.routing._links import LinkUsage, Pair, crossing_ms, pair_of
 from radishfield.routing._load import LoadTable, TargetLoad
 from radishfield.routing._paces import NORMAL_PACE, Paces
@@ -85,6 +90,7 @@
     "UNSEEN_S",
     "CrossingGate",
     "draw",
+    "ends_waits",
     "room_prompts",
     "END_MARGIN_S",
     "NOTICE_S",
