Keep waiting streams from holding up the line and each other

Cause: a doubted attempt was kept until another path had room, while the room was held by attempts that were kept just so; and a begun stream that waited for its resume stood at the head of the line for up to two seconds, also where no target of a layer could be used, so that new requests behind it found no turn.

An attempt may end once the targets for a path are there, whatever their room; and a begun stream that the line gives up looks on beside it, ten times a second. The line stream.silent is written only for an attempt that ends.

No test failed for it: the tests of begun streams pass as before.

--- a/radishfield/forwarding/_active_stream.py
+++ b/radishfield/forwarding/_active_stream.py
@@ -86,19 +86,19 @@
             report_lag_s=self.engine.report_lag_s if self.engine else 0.0,
         )
 
-    def give_up(self, reason: str, now: float) -> None:
-        """End the attempt, so that the stream goes on elsewhere.
+    def give_up(self, reason: str, now: float) -> bool:
+        """End the attempt, so that the stream goes on elsewhere; False if it is kept.
 
         An attempt that nothing can follow is kept: it may yet go on, and ended it
         would leave the caller with half an answer.
         """
         if now < self._kept_until:
-            return
+            return False
         obstacle = self.find_obstacle()
         if not obstacle:
             self.given_up = reason
             self.scope.cancel()
-            return
+            return True
         self._kept_until = now + KEEP_S
         log_event(
             "stream.kept",
@@ -107,6 +107,7 @@
             obstacle=obstacle,
             silent_s=round(now - self.heard_at, 2),
         )
+        return False
 
 
 def path_words(path: Path) -> str:
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -1,6 +1,5 @@
 """Streams over paths of layered targets, kept going while parts of them fail."""
 
-from collections.abc import Collection
 from contextlib import aclosing
 
 import msgspec
@@ -33,6 +32,8 @@
 from radishfield.telemetry import DeferredTelemetry, log_event
 
 LOOK_AGAIN_S = 0.05
+LOOK_BESIDE_S = 0.1
+"""Pause between two looks for a path beside the line, each of which is a search."""
 LATE_RETRY_SHARE = 0.5
 """Part of a usual stream's length after which a caller that ran out of time may come
 back: half of those that held the places then have ended."""
@@ -234,16 +235,28 @@
         stop = self._targets.check(call)
         if stop is not None:
             return stop.detail or stop.code.name.lower()
-        if engine is None:
-            has_path = self._single_target(call, tries, {first_id}).is_ok()
-        else:
-            has_path = self._path_now(call, engine, progress, tries, {first_id})
-        if not has_path:
+        if not self._has_way_around(call, engine, first_id):
             return "no other path"
         if not self._targets.reserve_repeat(call):
             return "no repeat left"
         return ""
 
+    def _has_way_around(
+        self, call: Call, engine: EngineSpec | None, first_id: str
+    ) -> bool:
+        """Return whether there are targets for a path that begins elsewhere.
+
+        Their room is not asked for: some of it is what the attempt itself holds, and
+        all streams that wait for the same lost target hold theirs.
+        """
+        view, service = self._view, call.service.name
+        usable = view.directory.usable(service, view.clock.now())
+        others = [record for record in usable if record.id != first_id]
+        allowed = _firsts_left(call, view.directory)
+        if allowed is not None:
+            return any(record.id in allowed for record in others)
+        return bool(others) if engine is None else _covered(others, engine)
+
     def _note_unreached(
         self,
         tries: _StreamTries,
@@ -265,9 +278,43 @@
         tries: _StreamTries,
     ) -> Result[Path, Fault]:
         """Return a path, standing in line where all of them are full."""
-        view = self._view
         if engine is None:
             return self._single_target(call, tries)
+        found = await self._stand_in_line(call, engine, progress, tries)
+        if found.is_error() and progress.begun:
+            return await self._wait_beside(call, engine, progress, tries, found.error)
+        return found
+
+    async def _wait_beside(
+        self,
+        call: Call,
+        engine: EngineSpec,
+        progress: "_Progress",
+        tries: _StreamTries,
+        problem: Fault,
+    ) -> Result[Path, Fault]:
+        """Look for a path of a begun stream until its caller leaves.
+
+        It stands beside the line: those in it may find paths that this one can't use.
+        """
+        view, service = self._view, call.service.name
+        while view.clock.now() < call.caller_leaves_at and not view.ends_waits():
+            if not _covered(view.directory.listed(service), engine):
+                break
+            await trio.sleep(LOOK_BESIDE_S)
+            path = self._path_now(call, engine, progress, tries)
+            if path is not None:
+                return Ok(path)
+        return Error(problem)
+
+    async def _stand_in_line(
+        self,
+        call: Call,
+        engine: EngineSpec,
+        progress: "_Progress",
+        tries: _StreamTries,
+    ) -> Result[Path, Fault]:
+        view = self._view
         queue = view.admission_queue(call.service.name)
         path = None if len(queue) else self._path_now(call, engine, progress, tries)
         if path is not None:
@@ -284,7 +331,7 @@
             if queue.is_hopeless(entry, view.clock.now()) and not progress.begun:
                 return Error(self._full(queue, entry))
             while True:
-                if not self._is_covered(call, engine, progress):
+                if not self._is_covered(call, engine):
                     detail = "layers are missing"
                     return Error(fault(ResultCode.NO_TARGET, detail, NO_PATH_RETRY_S))
                 if queue.may_try(entry):
@@ -294,7 +341,7 @@
                 if view.ends_waits():
                     code = ResultCode.DRAINING
                     return Error(fault(code, "host leaves", LEAVING_RETRY_S))
-                if self._has_waited_enough(call, progress, queue, entry):
+                if queue.has_expired(entry, view.clock.now()):
                     return Error(self._full(queue, entry))
                 with trio.move_on_after(LOOK_AGAIN_S):
                     await view.room_freed.wait()
@@ -302,32 +349,17 @@
             queue.leave(entry)
             call.times.queued_s += view.clock.now() - entry.since
 
-    def _has_waited_enough(
-        self,
-        call: Call,
-        progress: "_Progress",
-        queue: AdmissionQueue,
-        entry: QueueEntry,
-    ) -> bool:
-        now = self._view.clock.now()
-        if progress.begun:
-            return now >= call.caller_leaves_at
-        return queue.has_expired(entry, now)
-
-    def _single_target(
-        self, call: Call, tries: _StreamTries, doubted: Collection[str] = ()
-    ) -> Result[Path, Fault]:
+    def _single_target(self, call: Call, tries: _StreamTries) -> Result[Path, Fault]:
         """Return a path of one target, for a service whose targets serve alone."""
         view = self._view
         firsts = _firsts_left(call, view.directory)
-        excluded = tries.excluded.union(doubted)
         usable = view.directory.usable(call.service.name, view.clock.now())
         record = choose_target(
             [item for item in usable if firsts is None or item.id in firsts],
             view.load,
             NO_FAILURES,
             view.zone,
-            excluded if firsts is None else (),
+            tries.excluded if firsts is None else (),
             view.chance,
         )
         if record is None:
@@ -340,12 +372,11 @@
         engine: EngineSpec | None,
         progress: "_Progress",
         tries: _StreamTries,
-        doubted: Collection[str] = (),
     ) -> Path | None:
         roomy = self._view.usable_with_room(call.service.name)
         firsts = _firsts_left(call, self._view.directory)
         # A first target whose attempt broke may be sound: a later part was not.
-        excluded = tries.excluded.union(doubted) - (firsts or set())
+        excluded = tries.excluded - (firsts or set())
         pool = [record for record in roomy if record.id not in excluded]
         finder = self._view.path_finder(call.service.name, engine)
         reached = [item for item in pool if item.zone not in tries.unreached_zones]
@@ -361,18 +392,10 @@
                 return path
         return None
 
-    def _is_covered(
-        self, call: Call, engine: EngineSpec, progress: "_Progress"
-    ) -> bool:
-        """Return whether there are targets for every layer.
-
-        For a stream that has begun a target that is only suspected counts as well: it
-        may answer again while the caller still waits for the next event.
-        """
-        directory, service = self._view.directory, call.service.name
-        if progress.begun:
-            return _covered(directory.listed(service), engine)
-        return _covered(directory.usable(service, self._view.clock.now()), engine)
+    def _is_covered(self, call: Call, engine: EngineSpec) -> bool:
+        now = self._view.clock.now()
+        records = self._view.directory.usable(call.service.name, now)
+        return _covered(records, engine)
 
     def _full(self, queue: AdmissionQueue, entry: QueueEntry) -> Fault:
         now = self._view.clock.now()
--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -290,7 +290,7 @@
                 case Ask() if stream.engine is not None:
                     self._asked_at_by_id[first_id] = now
                     self._nursery.start_soon(self._ask, first_id)
-                case GiveUp():
+                case GiveUp() if self._give_up(stream, "silent"):
                     log_event(
                         "stream.silent",
                         request=stream.call.facts.request_id,
@@ -298,7 +298,6 @@
                         events=stream.has_events,
                         path=path_words(stream.path),
                     )
-                    self._give_up(stream, "silent")
 
     async def _ask(self, first_id: str) -> None:
         record, asked_at = self._view.directory.find(first_id), self._clock.now()
@@ -441,9 +440,8 @@
         # The new parts read the prompt again before the next event.
         stream.heard_at = max(stream.heard_at, self._clock.now() - TICK_S)
 
-    def _give_up(self, stream: ActiveStream, reason: str) -> None:
-        if stream in self._streams:
-            stream.give_up(reason, self._clock.now())
+    def _give_up(self, stream: ActiveStream, reason: str) -> bool:
+        return stream in self._streams and stream.give_up(reason, self._clock.now())
 
     def _count(self, stream: ActiveStream, path: Path, change) -> None:
         for index, part in enumerate(path):
