Free the room of attempts whose target was found lost

An attempt whose target did not answer while its host heard others ends after a second of silence, whatever may follow it; the stream then waits for a repeat without it. A target that this host found lost itself is asked without a control. The wait goes on a little beyond the callers' patience, so that a caller that leaves does so first.

The tests of begun streams hold as they are, also the one whose target is silent for 0.6 s.

--- a/radishfield/forwarding/_active_stream.py
+++ b/radishfield/forwarding/_active_stream.py
@@ -12,7 +12,11 @@
 """Weight of the past in a stream's usual pause."""
 KEEP_S = 0.25
 """Time for which an attempt that nothing can follow is kept before that is asked
-again: the answer costs a search for a path."""
+again."""
+LONGEST_KEPT_S = 1.0
+"""Silence after which an attempt ends whose target was found lost, whatever may follow
+it: lost packets are sent again within this time, and what it holds at the other
+targets of its path is room that new requests lack."""
 
 
 class ActiveStream:
@@ -86,16 +90,21 @@
             report_lag_s=self.engine.report_lag_s if self.engine else 0.0,
         )
 
-    def give_up(self, reason: str, now: float) -> bool:
+    def give_up(self, reason: str, now: float, found_lost: bool = False) -> bool:
         """End the attempt, so that the stream goes on elsewhere; False if it is kept.
 
         An attempt that nothing can follow is kept: it may yet go on, and ended it
         would leave the caller with half an answer.
+
+        Parameters
+        ----------
+        found_lost : bool
+            A target of its path did not answer, though this host heard others.
         """
         if now < self._kept_until:
             return False
         obstacle = self.find_obstacle()
-        if not obstacle:
+        if not obstacle or (found_lost and now - self.heard_at >= LONGEST_KEPT_S):
             self.given_up = reason
             self.scope.cancel()
             return True
--- a/radishfield/forwarding/_call.py
+++ b/radishfield/forwarding/_call.py
@@ -27,6 +27,10 @@
 """Times to come back differ by up to this part, so that callers who were refused
 together do not return as one wave."""
 
+CALLER_SLACK_S = 0.3
+"""A caller counts from when an event reached it, and its leaving takes a moment too:
+ended any sooner, its answer would be cut by this host."""
+
 
 class Responder(msgspec.Struct):
     """The caller's end of a request; knows whether an answer has begun.
@@ -190,8 +194,9 @@
 
     @property
     def caller_leaves_at(self) -> float:
-        """Return when the caller of a stream that has begun misses its next event."""
-        return self.times.last_event_at + self.route.caller_patience_s
+        """Return when the caller of a stream that has begun has left for silence."""
+        patience_s = self.route.caller_patience_s + CALLER_SLACK_S
+        return self.times.last_event_at + patience_s
 
     @property
     def priority(self) -> int:
--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -304,7 +304,11 @@
         if record is None:
             # Off the list it serves what it has to the end, or its connections break.
             return
-        report = await self._question(record, REPORT_TIMEOUT_S)
+        if self._view.directory.found_lost(first_id):
+            # It is left out already: only its answer would tell anything new.
+            report = await self._targets.report(record)
+        else:
+            report = await self._question(record, REPORT_TIMEOUT_S)
         waited_s = self._clock.now() - asked_at
         if report is None:
             self._log_unheard(first_id, waited_s)
@@ -348,7 +352,7 @@
         for stream in list(self._streams):
             silent_s = self._clock.now() - stream.heard_at
             if stream.path[0].target_id == first_id and silent_s > TICK_S * 2:
-                self._give_up(stream, "first target silent")
+                self._give_up(stream, "first target silent", found_lost=True)
 
     def _lose_part(self, address: str) -> None:
         """Move every stream that passes a dead part around it."""
@@ -378,7 +382,7 @@
         try:
             moved = await self._moved(stream, {address}, movers)
             if not moved and stream.heard_at <= began_at:
-                self._give_up(stream, "no other path")
+                self._give_up(stream, "no other path", found_lost=True)
         finally:
             stream.moving = False
 
@@ -440,8 +444,12 @@
         # The new parts read the prompt again before the next event.
         stream.heard_at = max(stream.heard_at, self._clock.now() - TICK_S)
 
-    def _give_up(self, stream: ActiveStream, reason: str) -> bool:
-        return stream in self._streams and stream.give_up(reason, self._clock.now())
+    def _give_up(
+        self, stream: ActiveStream, reason: str, found_lost: bool = False
+    ) -> bool:
+        if stream not in self._streams:
+            return False
+        return stream.give_up(reason, self._clock.now(), found_lost)
 
     def _count(self, stream: ActiveStream, path: Path, change) -> None:
         for index, part in enumerate(path):
--- a/radishfield/routing/_directory.py
+++ b/radishfield/routing/_directory.py
@@ -297,6 +297,11 @@
             suspicion.until_asked or now < suspicion.until
         )
 
+    def found_lost(self, target_id: str) -> bool:
+        """Return whether this host itself found a target lost, and no answer since."""
+        suspicion = self._suspicion_by_id.get(target_id)
+        return suspicion is not None and suspicion.first_hand and suspicion.until_asked
+
     def to_ask(self, now: float, patience_s: float = 0.0) -> list[str]:
         """Return the targets that are left out until they answer, and are due.
 
