Soak: changes of large configurations beside slow links, and a judge of cut streams

A plan of its own in which nothing fails: versions with thousands of routes more, in series, keys and routes that go and come back, and one bandwidth for all bytes that reach a router. Begun streams that end early are judged in every plan, with a short list of excuses.

--- a/proofs/_router_soak.py
+++ b/proofs/_router_soak.py
@@ -5,23 +5,26 @@
 and changes the configuration, several at a time, while callers send all kinds of
 request.  What callers and targets saw is judged: nothing runs twice that may not,
 nothing runs that was told not to have run, answers and streams are whole and their
-own, and once the faults are over every host serves again.
+own, no begun stream ends early without a reason, and once the faults are over every
+host serves again.
 """
 
 import random
 import signal
 from collections import Counter
-from dataclasses import dataclass, field
 from pathlib import Path
 
 import httpcore
 import trio
 
-from proofs._router_relay import Harm, HarmfulRelay
+from proofs._router_relay import Harm, HarmfulRelay, SlowLink
+from proofs._soak_changes import Changes
+from proofs._soak_judge import STORE, Findings, Harms, StreamEnd
+from proofs._soak_plans import Plan
 from radishfield.web import ListenerConfig, serve_app
 from standins.object_store import ObjectStoreApp
 from standins.routed_config import (
-    config,
+    KEY,
     layered_entry,
     request_headers,
     target_entry,
@@ -34,29 +37,24 @@
 MANY_HOSTS = 6
 """So many in one zone share that duty."""
 PORTS_PER_HOST = 3
-CALLERS = 6
-EVENTS = 12
 SETTLE_S = 8.0
 """Time after the last fault in which every host has to serve again: a stopped
 process wakes, views are read anew, targets that were left out are asked."""
 PROMISES = (408, 421, 429, 503)
-
-
-@dataclass(slots=True)
-class Findings:
-    """What was sent, what came back, and what broke a promise."""
-
-    faults: list[str] = field(default_factory=list)
-    broken: list[str] = field(default_factory=list)
-    status_by_request: dict[str, int] = field(default_factory=dict)
-    statuses: Counter[str] = field(default_factory=Counter)
+LOOK_S = 0.01
+BYTES_PER_MBIT = 125_000
 
 
 class Soak:
     """One seeded run, of as many hosts as it is given ports for."""
 
-    def __init__(self, seed: int, folder: Path, ports: list[int], seconds: float):
+    def __init__(
+        self, seed: int, folder: Path, ports: list[int], seconds: float, plan: Plan
+    ):
         self.findings = Findings()
+        self._plan = plan
+        self._harms = Harms()
+        self._ends: list[StreamEnd] = []
         self._chance = random.Random(seed)
         self._folder = folder
         self._ports = ports
@@ -67,7 +65,10 @@
         self._layered: list[LayeredTarget] = []
         self._relays: dict[str, HarmfulRelay] = {}
         self._routers: list[RouterProcess] = []
-        self._version = 1
+        self._link_by_source: dict[str, SlowLink] = {}
+        self._changes = Changes(
+            self._store, self._chance, plan.timeout_ms, self._longest_queue_s
+        )
         self._sent = 0
 
     async def run(self) -> Findings:
@@ -77,10 +78,12 @@
             try:
                 await self._wait_served(20.0)
                 async with trio.open_nursery() as callers:
-                    for number in range(CALLERS):
+                    callers.start_soon(self._note_lateness)
+                    for number in range(self._plan.callers):
                         callers.start_soon(self._call_on, number)
                     await self._harm()
                     callers.cancel_scope.cancel()
+                self._changes.restore()
                 await self._wait_served(SETTLE_S)
                 await self._judge_settled()
             finally:
@@ -91,8 +94,7 @@
         return self.findings
 
     async def _build(self, nursery) -> None:
-        self._store.put("config", "main", config())
-        store = await self._relayed(nursery, "store", self._store)
+        store = await self._relayed(nursery, STORE, self._store)
         for number in range(2):
             target = PlainTarget(f"p{number}")
             target.address = await self._relayed(nursery, target.id, target)
@@ -100,7 +102,8 @@
             entry = target_entry("portal", target.address)
             self._store.put("servers", target.id, entry)
         for number, (first, end) in enumerate([(0, 40), (40, 80)] * 2):
-            target = LayeredTarget(f"t{number}", first=first, end=end, events=EVENTS)
+            target = LayeredTarget(f"t{number}", first=first, end=end)
+            target.events, target.gap_s = self._plan.events, self._plan.gap_s
             target.address = await self._relayed(nursery, target.id, target)
             self._fleet.add(target)
             self._layered.append(target)
@@ -109,19 +112,28 @@
         for number in range(len(self._ports) // PORTS_PER_HOST):
             first = number * PORTS_PER_HOST
             ports = self._ports[first : first + PORTS_PER_HOST]
-            self._routers.append(RouterProcess(number, self._folder, ports, store))
-            self._routers[-1].start()
+            source = ""
+            if self._plan.link_mbps:
+                source = f"127.0.1.{number + 1}"
+                self._link_by_source[source] = SlowLink()
+            router = RouterProcess(
+                number, self._folder, ports, store, self._plan.promises, source
+            )
+            self._routers.append(router)
+            router.start()
 
     async def _relayed(self, nursery, name: str, app) -> str:
         listener = ListenerConfig.from_settings("127.0.0.1:0", drain_s=0.0)
         (url,) = await nursery.start(serve_app, app, listener, None)
-        relay = HarmfulRelay(url.removeprefix("http://"))
+        relay = HarmfulRelay(url.removeprefix("http://"), self._link_by_source)
         await nursery.start(relay.run)
         self._relays[name] = relay
         return relay.address
 
     async def _harm(self) -> None:
         """Start faults that overlap, and end them all."""
+        for link in self._link_by_source.values():
+            self._slow(link)
         async with trio.open_nursery() as nursery:
             with trio.move_on_after(self._seconds):
                 while True:
@@ -129,19 +141,7 @@
                     await trio.sleep(self._chance.uniform(0.3, 1.2))
 
     async def _one_fault(self) -> None:
-        kind = self._chance.choice(
-            [
-                "relay",
-                "relay",
-                "reset",
-                "stop",
-                "kill",
-                "term",
-                "hup",
-                "leave",
-                "config",
-            ]
-        )
+        kind = self._chance.choice(self._plan.kinds)
         lasts_s = self._chance.uniform(0.3, 2.0)
         name = self._chance.choice(list(self._relays))
         router = self._chance.choice(self._routers)
@@ -149,28 +149,52 @@
         match kind:
             case "relay":
                 harms = [harm for harm in Harm if harm is not Harm.NONE]
-                self._relays[name].set(self._chance.choice(harms))
-                await trio.sleep(lasts_s)
-                self._relays[name].set(Harm.NONE)
+                with self._harms.noted(name):
+                    self._relays[name].set(self._chance.choice(harms))
+                    await trio.sleep(lasts_s)
+                    self._relays[name].set(Harm.NONE)
             case "reset":
-                await self._relays[name].reset_open()
+                with self._harms.noted(name):
+                    await self._relays[name].reset_open()
             case "stop":
-                router.signal(signal.SIGSTOP)
-                await trio.sleep(lasts_s)
-                router.signal(signal.SIGCONT)
+                with self._harms.noted(_name(router)):
+                    router.signal(signal.SIGSTOP)
+                    await trio.sleep(lasts_s)
+                    router.signal(signal.SIGCONT)
             case "kill" | "term":
-                router.signal(signal.SIGKILL if kind == "kill" else signal.SIGTERM)
-                await trio.sleep(lasts_s)
-                router.signal(signal.SIGCONT)
-                await trio.sleep(4.0)
-                router.start()
+                with self._harms.noted(_name(router)):
+                    router.signal(signal.SIGKILL if kind == "kill" else signal.SIGTERM)
+                    await trio.sleep(lasts_s)
+                    router.signal(signal.SIGCONT)
+                    await trio.sleep(4.0)
+                    router.start()
             case "hup":
                 router.signal(signal.SIGHUP)
             case "leave":
                 await self._leave_and_return(lasts_s)
             case "config":
-                self._version += self._chance.randint(1, 5)
-                self._store.put("config", "main", config(self._version))
+                self._changes.skip_versions()
+            case "large":
+                await self._changes.grow()
+            case "others" | "used":
+                await self._changes.alter(used=kind == "used")
+            case "link":
+                self._slow(self._chance.choice(list(self._link_by_source.values())))
+
+    def _slow(self, link: SlowLink) -> None:
+        mbps = self._chance.uniform(*self._plan.link_mbps)
+        link.bytes_per_s = mbps * BYTES_PER_MBIT
+
+    def _longest_queue_s(self) -> float:
+        links = self._link_by_source.values()
+        return max((link.queued_s for link in links), default=0.0)
+
+    async def _note_lateness(self) -> None:
+        while True:
+            due = trio.current_time() + LOOK_S
+            await trio.sleep_until(due)
+            late_s = trio.current_time() - due
+            self.findings.late_s = max(self.findings.late_s, late_s)
 
     async def _leave_and_return(self, lasts_s: float) -> None:
         target = self._chance.choice(self._plain)
@@ -184,30 +208,36 @@
 
     async def _call_on(self, caller: int) -> None:
         chance = random.Random(caller)
+        key = self._plan.keys[caller % len(self._plan.keys)]
         while True:
             router = chance.choice(self._routers)
-            kind = chance.choice(["read", "post", "post", "stream"])
+            kind = chance.choice(self._plan.calls)
             async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
-                for _ in range(chance.randint(1, 5)):
-                    await self._call(pool, router.front, kind)
+                for _ in range(chance.randint(1, self._plan.most_calls)):
+                    await self._call(pool, router, kind, key)
                     await trio.sleep(chance.uniform(0.0, 0.05))
 
-    async def _call(self, pool, front: str, kind: str) -> int:
+    async def _call(
+        self, pool, router: RouterProcess, kind: str, key: str = KEY
+    ) -> int:
         """Send one request and judge its answer; return the status, 0 for none."""
         self._sent += 1
         request_id = f"{kind}-{self._sent}"
-        headers = request_headers(request_id, deadline_s=5.0)
+        deadline_s = self._plan.deadline_s
+        headers = request_headers(request_id, key, deadline_s)
         method = "GET" if kind == "read" else "POST"
-        body, status, whole = bytearray(), 0, False
+        body, status, whole, signed = bytearray(), 0, False, False
+        sent_at = trio.current_time()
         try:
-            with trio.fail_after(6.0):
+            with trio.fail_after(deadline_s + 1.0):
                 async with pool.stream(
                     method,
-                    f"http://{front}/{kind}/x",
+                    f"http://{router.front}/{kind}/x",
                     headers=headers,
                     content=None if kind == "read" else b"{}",
                 ) as answer:
                     status = answer.status
+                    signed = b"x-server-stamp" in _by_name(answer)
                     async for chunk in answer.aiter_stream():
                         body += chunk
                     whole = True
@@ -216,12 +246,17 @@
             pass
         if status == 200 and kind == "stream" and not whole:
             self._judge_events(request_id, bytes(body), whole=False)
+        if kind == "stream":
+            times = sent_at, trio.current_time()
+            self._ends.append(
+                StreamEnd(request_id, _name(router), *times, status, signed, whole)
+            )
         self.findings.status_by_request[request_id] = status
         self.findings.statuses[f"{kind} {status}{'' if whole else ' cut'}"] += 1
         return status if whole else 0
 
     def _judge_answer(self, request_id: str, kind: str, answer, body: bytes) -> None:
-        by_name = {name.lower(): value for name, value in answer.headers}
+        by_name = _by_name(answer)
         if by_name.get(b"x-request-id", b"").decode() != request_id:
             self._break(f"{request_id}: an answer to {by_name.get(b'x-request-id')}")
         if answer.status != 200:
@@ -237,7 +272,7 @@
         ids = [int(line[4:]) for line in body.split(b"\n") if line.startswith(b"id: ")]
         if ids != list(range(1, len(ids) + 1)):
             self._break(f"{request_id}: events {ids}")
-        if whole and len(ids) != EVENTS:
+        if whole and len(ids) != self._plan.events:
             self._break(f"{request_id}: whole after {len(ids)} events")
 
     async def _wait_served(self, limit_s: float) -> None:
@@ -254,7 +289,7 @@
     async def _serves(self, router: RouterProcess) -> bool:
         async with httpcore.AsyncConnectionPool() as pool:
             for kind in ("read", "post", "stream"):
-                if await self._call(pool, router.front, kind) != 200:
+                if await self._call(pool, router, kind) != 200:
                     return False
         return True
 
@@ -269,6 +304,8 @@
 
     def _judge(self) -> None:
         """Compare what targets ran with what callers were told."""
+        links = self._link_by_source.values()
+        self.findings.queued_s = max((link.longest_s for link in links), default=0.0)
         runs: Counter[str] = Counter()
         for target in self._plain:
             runs += target.ran
@@ -279,6 +316,33 @@
                 self._break(f"{request_id}: ran {runs[request_id]} times")
             if status in PROMISES and runs[request_id]:
                 self._break(f"{request_id}: told {status} and ran")
+        for end in self._ends:
+            self._judge_end(end)
+
+    def _judge_end(self, end: StreamEnd) -> None:
+        """Judge whether a stream that a target had begun ended early for a reason."""
+        passed = self._fleet.addresses_by_request.get(end.request_id)
+        if not passed or not end.cut:
+            return
+        relays = [
+            name for name, relay in self._relays.items() if relay.address in passed
+        ]
+        if self._harms.excuse(end, relays):
+            self.findings.excused += 1
+            return
+        lasted_s = end.ended_at - end.sent_at
+        self._break(
+            f"{end.request_id}: cut at {end.router} after {lasted_s:.2f} s,"
+            f" status {end.status}, begun at {', '.join(relays)}"
+        )
 
     def _break(self, what: str) -> None:
         self.findings.broken.append(what)
+
+
+def _name(router: RouterProcess) -> str:
+    return f"router-{router.number}"
+
+
+def _by_name(answer) -> dict[bytes, bytes]:
+    return {name.lower(): value for name, value in answer.headers}
--- a/proofs/router_soak.py
+++ b/proofs/router_soak.py
@@ -1,7 +1,8 @@
 """The long soak: ``python -m proofs.router_soak --seeds 50 --first 100``.
 
-Each seed is a run of its own; what breaks is printed with its seed, and the logs
-of its routers stay in the folder that is named.
+Each seed is a run of its own; what breaks is printed with its seed, and the logs of
+its routers stay in the folder that is named.  ``--faults changes`` plays nothing but
+changes of the configuration beside slow links.
 """
 
 import sys
@@ -12,6 +13,7 @@
 import trio
 
 from proofs._router_soak import HOSTS, PORTS_PER_HOST, Soak
+from proofs._soak_plans import PLANS
 from standins.ports import free_ports
 
 
@@ -20,18 +22,22 @@
 @click.option("--first", type=int, default=1)
 @click.option("--hosts", type=int, default=HOSTS)
 @click.option("--seconds", type=float, default=10.0, help="Faults of one run.")
-def main(seeds: int, first: int, hosts: int, seconds: float) -> None:
+@click.option("--faults", type=click.Choice(list(PLANS)), default="faults")
+def main(seeds: int, first: int, hosts: int, seconds: float, faults: str) -> None:
     """Run seeds one after the other, and print what breaks."""
     failed = 0
     for seed in range(first, first + seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        findings = trio.run(
-            Soak(seed, folder, free_ports(hosts * PORTS_PER_HOST), seconds).run
-        )
+        ports = free_ports(hosts * PORTS_PER_HOST)
+        findings = trio.run(Soak(seed, folder, ports, seconds, PLANS[faults]).run)
         failed += bool(findings.broken)
-        faults = len(findings.faults)
         calls = sum(findings.statuses.values())
-        click.echo(f"seed {seed}: {calls} calls, {faults} faults, {folder.name}")
+        click.echo(
+            f"seed {seed}: {calls} calls, {len(findings.faults)} faults,"
+            f" {findings.excused} cuts excused, queued {findings.queued_s:.2f} s,"
+            f" late by {findings.late_s:.3f} s,"
+            f" {folder.name}"
+        )
         for line in findings.broken[:10]:
             click.echo(f"  broken: {line}")
     click.echo(f"{seeds} seeds, {failed} with a broken promise")
--- a/standins/routed_targets.py
+++ b/standins/routed_targets.py
@@ -4,7 +4,7 @@
 a layered model the parts of the path.  Their switches turn on one failure each.
 """
 
-from collections import Counter
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
 import msgspec
@@ -78,16 +78,29 @@
 
 @dataclass(slots=True)
 class LayeredFleet:
-    """The targets of a layered model, which pass tokens to each other."""
+    """The targets of a layered model, which pass tokens to each other.
+
+    Attributes
+    ----------
+    addresses_by_request : dict
+        Targets on the paths of each stream that a target has begun.
+    """
 
     layers: int = 80
     target_by_address: dict[str, "LayeredTarget"] = field(default_factory=dict)
+    addresses_by_request: dict[str, set[str]] = field(
+        default_factory=lambda: defaultdict(set)
+    )
 
     def add(self, target: "LayeredTarget") -> None:
         """Add a target whose address is known."""
         target.fleet = self
         self.target_by_address[target.address] = target
 
+    def note_path(self, request_id: str, parts: list[tuple[str, int, int]]) -> None:
+        """Note the targets that a stream passes from now on."""
+        self.addresses_by_request[request_id] |= {address for address, _, _ in parts}
+
     def faulty_part(self, parts: list[tuple[str, int, int]]) -> tuple[int, str] | None:
         """Return the status and address of the first part that cannot run."""
         for address, first, end in parts:
@@ -191,6 +204,7 @@
         if faulty is not None:
             return 409, {"addr": faulty[1]}
         self._path_by_request[order["id"]] = parts
+        self.fleet.note_path(order["id"], parts)
         self.paths.append(order["path"])
         return 202, {}
 
@@ -211,6 +225,7 @@
         self.runs[request_id] += 1
         self.paths.append(path)
         self._path_by_request[request_id] = parts
+        self.fleet.note_path(request_id, parts)
         try:
             await self._send_events(request_id, headers, send)
         finally:
--- a/standins/router_process.py
+++ b/standins/router_process.py
@@ -5,11 +5,30 @@
 import sys
 from pathlib import Path
 
+USUAL_PROMISES = "retry_slack = 100\n"
+
 
 class RouterProcess:
-    """One router, started, signalled and ended by its own process id."""
+    """One router, started, signalled and ended by its own process id.
+
+    Parameters
+    ----------
+    promises : str
+        Further lines of the settings' section of this name.
+    source : str
+        Address from which it opens connections; blank for any.
+    """
 
-    def __init__(self, number: int, folder: Path, ports: list[int], store: str):
+    def __init__(
+        self,
+        number: int,
+        folder: Path,
+        ports: list[int],
+        store: str,
+        promises: str = USUAL_PROMISES,
+        source: str = "",
+    ):
+        self.number = number
         self.front = f"127.0.0.1:{ports[0]}"
         self._path = folder / f"router-{number}.ini"
         self._log = folder / f"router-{number}.log"
@@ -19,16 +38,19 @@
             f"[readiness]\nbind = 127.0.0.1:{ports[1]}\n"
             f"[gossip]\nbind = 127.0.0.1:{ports[2]}\n"
             f"[platform]\naddress = {store}\n"
-            "[promises]\ngrace = 3s\nretry_slack = 100\n"
+            f"[promises]\ngrace = 3s\n{promises}"
             "[log]\ndestination = stdout\n"
         )
+        self._module = ["radishfield.forwarding"]
+        if source:
+            self._module = ["standins.router_from", source]
         self._process: subprocess.Popen | None = None
 
     def start(self) -> None:
         """Start the process, unless it runs."""
         if self._process is not None and self._process.poll() is None:
             return
-        command = [sys.executable, "-m", "radishfield.forwarding"]
+        command = [sys.executable, "-m", *self._module]
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
                 [*command, "--settings", str(self._path)], stdout=log, stderr=log
