--- a/proofs/_router_soak.py
+++ b/proofs/_router_soak.py
@@ -278,14 +278,18 @@
     async def _wait_served(self, limit_s: float) -> None:
         """Wait until every host answers a request of each kind."""
         with trio.move_on_after(limit_s):
-            for router in self._routers:
-                router.signal(signal.SIGCONT)
-                router.start()
-                while not await self._serves(router):
-                    await trio.sleep(0.2)
+            async with trio.open_nursery() as nursery:
+                for router in self._routers:
+                    nursery.start_soon(self._until_serves, router)
             return
         self._break(f"not every host serves {limit_s} s after the faults")
 
+    async def _until_serves(self, router: RouterProcess) -> None:
+        router.signal(signal.SIGCONT)
+        router.start()
+        while not await self._serves(router):
+            await trio.sleep(0.2)
+
     async def _serves(self, router: RouterProcess) -> bool:
         async with httpcore.AsyncConnectionPool() as pool:
             for kind in ("read", "post", "stream"):
