--- a/proofs/_router_soak.py
+++ b/proofs/_router_soak.py
@@ -84,7 +84,11 @@
                     await self._harm()
                     callers.cancel_scope.cancel()
                 self._changes.restore()
+                settled_at = trio.current_time() + SETTLE_S
                 await self._wait_served(SETTLE_S)
+                if self._link_by_source:
+                    # A host may serve by an older version while it reads the last.
+                    await trio.sleep_until(settled_at)
                 await self._judge_settled()
             finally:
                 for router in self._routers:
