--- a/proofs/_soak_plans.py
+++ b/proofs/_soak_plans.py
@@ -73,7 +73,8 @@
     # Far longer than any read of a configuration may take: no stream is cut for it.
     deadline_s=12.0,
     timeout_ms=12000.0,
-    # One or two repeats for each router: none is needed where nothing fails.
+    # Three repeats in ten seconds for three routers together, and none for six, each
+    # of which has to leave the others theirs: nothing fails, so none is needed.
     promises="retry_slack = 4\nretry_ratio = 0.02\n",
     link_mbps=(5.0, 20.0),
 )
