Read the configuration anew after two watches that failed

What callers saw: a host on a slow link answered 503 for every key, for as long as large versions went on coming and seconds after.

Cause: a watch that failed was asked again from the same version. Its answer brings each version since then, takes longer than the call may, and grows with each that comes, while the bytes of the one before still take the link.

After two failures the newest version alone is read.

--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -53,18 +53,30 @@
 """Wait of a watch after failures.  One that waits is answered only when something
 changes: a store that is back would confirm nothing for as long, and keys would be
 refused meanwhile."""
+FAILED_WATCHES = 2
+"""Watches in a row that fail before a configuration is read anew.  A watch brings each
+version since the last that was read: over a slow link it takes longer than a call may,
+and longer still with each version that comes."""
 LONGEST_PAUSE_S = 1.0
 """Longest pause after failures: a store that is back is noticed within a second."""
 
 
 class StoreFollower:
-    """One watch on one kind of object, kept up through gaps and outages."""
+    """One watch on one kind of object, kept up through gaps and outages.
+
+    Parameters
+    ----------
+    newest_only : bool
+        Only the newest state counts, so that reading all of it anew is no more work
+        than the changes of a while.
+    """
 
     __slots__ = (
         "_chance",
         "_failures",
         "_due_in_s",
         "_kind",
+        "_newest_only",
         "_revision",
         "_store",
         "_view",
@@ -78,9 +90,11 @@
         kind: str,
         wait_s: Callable[[], float],
         due_in_s: Callable[[], float],
+        newest_only: bool = False,
     ):
         self._wait_s = wait_s
         self._due_in_s = due_in_s
+        self._newest_only = newest_only
         self._store = store
         self._view = view
         self._kind = kind
@@ -140,6 +154,8 @@
             self._revision = None
             return
         self._failures += 1
+        if self._newest_only and self._failures >= FAILED_WATCHES:
+            self._revision = None
         if self._failures == 1:
             log_event(
                 "store.lost",
@@ -172,7 +188,7 @@
     ):
         self._view = view
         self._follower = StoreFollower(
-            store, view, CONFIG_KIND, self._wait_s, self._due_in_s
+            store, view, CONFIG_KIND, self._wait_s, self._due_in_s, newest_only=True
         )
         self._on_limits = on_limits
         view.hear_config = self._hear_config
--- a/radishfield/forwarding/follower_test.py
+++ b/radishfield/forwarding/follower_test.py
@@ -11,6 +11,7 @@
 from radishfield.platform import (
     CONFIG_KIND,
     CONFIG_NAME,
+    Change,
     Changes,
     Listing,
     StoredValue,
@@ -86,3 +87,55 @@
     """
     worst = max(ages_after_an_outage(13.0 + step * 0.13) for step in range(20))
     assert worst < SOON_S
+
+
+class SlowLinkStore(FailingStore):
+    """A store whose versions come each second and take some time to be read."""
+
+    LIMIT_S = 1.0
+    VERSION_S = 0.4
+
+    def version(self):
+        return 1 + int(trio.current_time() - self.lost_at + 10.0)
+
+    async def list(self, kind):
+        if self.is_away() or kind != CONFIG_KIND:
+            return await super().list(kind)
+        version = self.version()
+        await trio.sleep(self.VERSION_S)
+        value = StoredValue(CONFIG_NAME, version, config(version))
+        return Ok(Listing((value,), version))
+
+    async def watch(self, kind, revision, wait_s):
+        if self.is_away() or kind != CONFIG_KIND:
+            return await super().watch(kind, revision, wait_s)
+        with trio.move_on_after(wait_s):
+            while self.version() == revision:
+                await trio.sleep(0.05)
+        version = self.version()
+        read_s = (version - revision) * self.VERSION_S
+        await trio.sleep(min(read_s, self.LIMIT_S))
+        if read_s > self.LIMIT_S:
+            return Error(fault(ResultCode.PLATFORM_UNAVAILABLE))
+        value = StoredValue(CONFIG_NAME, version, config(version))
+        found = (Change(value, deleted=False),) if version > revision else ()
+        return Ok(Changes(found, version))
+
+
+def test_a_host_that_missed_versions_on_a_slow_link_catches_up():
+    """Guards against keys refused for good once a watch outlasts its time limit."""
+
+    async def main():
+        trio_clock = TrioClock()
+        view = RouterView("a", trio_clock, RetryAllowance(), Freshness(BOUND_S))
+        began = trio.current_time()
+        store = SlowLinkStore(began + 10.0, began + 15.0)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(ConfigFollower(store, view, lambda idle_s: None).run)
+            await trio.sleep(20.0)
+            ages.append(view.freshness.age_s(trio_clock.now()))
+            nursery.cancel_scope.cancel()
+
+    ages = []
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert ages[0] < BOUND_S / 2
