Ask another zone as well before a target is held for silent

A fault of the verdict by other targets, found in review: with every target of a host's own zone dead, both that were asked instead were dead too, nothing was held for lost within three seconds (33 to 35 lines target.unheard), and callers waited 2.2 to 2.5 s for a path in place of 1.4.

One target of the own zone and one of another are asked, where there are both.

The test failed before: no target was found within a second.

--- a/radishfield/forwarding/_control_probe.py
+++ b/radishfield/forwarding/_control_probe.py
@@ -12,9 +12,6 @@
 from radishfield.forwarding._view import RouterView
 from radishfield.routing import TargetRecord
 
-CONTROLS = 2
-"""Targets that are asked at once, so that one that is lost as well proves nothing."""
-
 
 class _Round:
     """One question to a few targets, and what came of it."""
@@ -68,7 +65,10 @@
         return current.heard
 
     def _choose(self, target_id: str, doubted: set[str]) -> list[TargetRecord]:
-        """Return sound targets, those of the own zone first."""
+        """Return a target of the own zone and one of another, where there are.
+
+        The targets of a whole zone may be lost at once.
+        """
         view, now = self._view, self._view.clock.now()
         others = [
             record
@@ -78,8 +78,10 @@
             and not view.directory.suspected(record.id, now)
         ]
         view.chance.shuffle(others)
-        others.sort(key=lambda item: (item.id in doubted, item.zone != view.zone))
-        return others[:CONTROLS]
+        others.sort(key=lambda item: item.id in doubted)
+        near = [record for record in others if record.zone == view.zone]
+        far = [record for record in others if record.zone != view.zone]
+        return near[:1] + far[:1] if near and far else others[:2]
 
     async def _ask_all(self, current: _Round, records: list[TargetRecord]) -> None:
         try:
--- a/radishfield/forwarding/suspicion_test.py
+++ b/radishfield/forwarding/suspicion_test.py
@@ -32,6 +32,20 @@
     assert (await stream(played, "warm-up")).whole
 
 
+async def pool_of_zones(played, targets_by_zone):
+    """Start a router in zone a before whole targets of several zones."""
+    routes = [route("stream", "streaming", "pool", gapAimMs=250)]
+    played.store.put("config", "main", config(routes=routes))
+    for zone, targets in targets_by_zone.items():
+        for number in range(targets):
+            name = f"{zone}{number}"
+            await played.add_layered(name, 0, 80, events=EVENTS)
+            entry = played.store.spec("servers", name) | {"zone": zone}
+            played.store.put("servers", name, entry)
+    await played.start_router()
+    assert (await stream(played, "warm-up")).whole
+
+
 async def stream(played, request_id="r1"):
     return await played.request("/stream/x", "POST", request_id=request_id, body=b"{}")
 
@@ -217,6 +231,27 @@
     play(tmp_path, scene)
 
 
+def test_a_dead_target_is_found_although_its_whole_zone_is_lost(tmp_path):
+    """Guards against no verdict where the targets that are asked instead are dead."""
+
+    async def scene(played):
+        await pool_of_zones(played, {"a": 4, "b": 2})
+        view = played.router.view
+
+        def found():
+            now = view.clock.now()
+            return any(view.directory.suspected(t.id, now) for t in played.layered)
+
+        async def lose_own_zone():
+            for target in played.layered:
+                target.dead = target.id.startswith("a")
+            await played.until(found, limit_s=1.0)
+
+        assert (await stream_during(played, lose_own_zone)).whole
+
+    play(tmp_path, scene)
+
+
 def test_a_target_without_reports_is_taken_back_once_it_answers(tmp_path):
     """Guards against plain targets left out for good after their zone seemed lost."""
 
