Give a late answer one more way before it is held for silence

Found in review: where a probe has to open a connection and the other target's is kept, the other answer comes one way earlier out of a link that was taken, and the verdict was given at once ("no answer in 0.28 s" for a sound target, in 4 of 4 runs of a scene with a target that takes 0.03 s).

After the other target's answer the own one is waited for by its usual limit. No test: the scene needs connections that are held up apart from their answers.

--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -244,6 +244,10 @@
         hears = await self._control.hears(
             record.id, asked_at, self._asking, self._nursery
         )
+        if hears and answer.result is None:
+            # A new connection takes one way more than the other target's kept one.
+            with trio.move_on_after(self._probe_limit_s(record.zone)):
+                await answer.came.wait()
         if answer.result is not None and answer.result.is_ok():
             return
         waited_s = self._clock.now() - asked_at
