Take any answer to a probe as a sign of life, too

Found in review: the mend for questions to targets that are left out did not cover the probes of quiet streams. The case of the test for probes failed before.

--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -206,7 +206,7 @@
         elif report.is_ok():
             self._note_answer(record, waited_s)
             self._take_report(target_id, report.ok)
-        else:
+        elif not _proves_life(report.error):
             self._lose_first(target_id, f"probe: {report.error.detail}", waited_s)
             self._lose_part(record.address)
 
@@ -317,8 +317,7 @@
         if report is None:
             self._log_unheard(first_id, waited_s)
             return
-        if report.is_error() and report.error.code is ResultCode.MALFORMED_ANSWER:
-            # It lives: targets that serve alone know no reports.
+        if report.is_error() and _proves_life(report.error):
             self._view.directory.answered(first_id, self._clock.now())
             return
         if report.is_error():
@@ -481,6 +480,11 @@
         return self.result.is_error() and waited_s >= min(limit_s, CONNECT_TIMEOUT_S)
 
 
+def _proves_life(problem: Fault) -> bool:
+    """Return whether a target answered; those that serve alone know no reports."""
+    return problem.code is ResultCode.MALFORMED_ANSWER
+
+
 class _Blocked(msgspec.Struct):
     addr: str = ""
 
--- a/radishfield/forwarding/suspicion_test.py
+++ b/radishfield/forwarding/suspicion_test.py
@@ -252,6 +252,22 @@
     play(tmp_path, scene)
 
 
+@pytest.mark.parametrize("ask", ["_ask", "_probe"])
+def test_any_answer_of_a_target_proves_that_it_lives(tmp_path, ask):
+    """Guards against sound targets left out for a status that is no report."""
+
+    async def scene(played):
+        played.store.put("config", "main", config())
+        await played.add_plain("p1")
+        await played.start_router()
+        view = played.router.view
+        watchdog = played.router._kernel.find("watchdog", StreamWatchdog)
+        await getattr(watchdog, ask)("p1")
+        assert not view.directory.suspected("p1", view.clock.now())
+
+    play(tmp_path, scene)
+
+
 def test_a_target_without_reports_is_taken_back_once_it_answers(tmp_path):
     """Guards against plain targets left out for good after their zone seemed lost."""
 
