Pause longer after each refusal of a resume

The pause after the fourth refusal doubles up to a second.

The test failed before (12 repeats, 8 allowed).

--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -12,7 +12,7 @@
 from radishfield.forwarding._connections import BrokenAnswerError, Exchange
 from radishfield.forwarding._targets import Targets, final_fault
 from radishfield.forwarding._tries import Tries, target_error
-from radishfield.forwarding._view import FULL_S, RouterView
+from radishfield.forwarding._view import FULL_S, LONGEST_FULL_S, RouterView
 from radishfield.forwarding._watchdog import StreamWatchdog
 from radishfield.routing import (
     AdmissionQueue,
@@ -113,7 +113,15 @@
             return False
         return not call.responder.started or now >= call.caller_leaves_at
 
-    def may_resume(self, route: RouteRule) -> bool:
+    def pause_s(self) -> float:
+        """Return the pause before the next attempt, longer after many refusals.
+
+        Each of them is a repeat that another stream lacks.
+        """
+        more = self.refusals - MORE_REFUSALS
+        return min(LONGEST_FULL_S, FULL_S * 2 ** (more - 1)) if more > 0 else 0.0
+
+    def allows_another(self, route: RouteRule) -> bool:
         """Return whether an attempt that runs may be followed by another one."""
         return route.repeatable and self.runs + 1 < route.max_attempts + MORE_RESUMES
 
@@ -189,8 +197,7 @@
             self._note_unreached(tries, result, placed.ok[0].target_id)
             tries.take(result, placed.ok[0].target_id)
             if not tries.over(call, self._view.clock.now()):
-                if tries.refusals > MORE_REFUSALS:
-                    await trio.sleep(FULL_S)
+                await trio.sleep(tries.pause_s())
                 continue
             if result.is_error():
                 return final_fault(call, tries.problem, NO_PATH_RETRY_S)
@@ -230,7 +237,7 @@
         """
         if not call.responder.started:
             return ""
-        if not tries.may_resume(call.route):
+        if not tries.allows_another(call.route):
             return "no attempt left"
         stop = self._targets.check(call)
         if stop is not None:
--- a/radishfield/forwarding/suspicion_test.py
+++ b/radishfield/forwarding/suspicion_test.py
@@ -252,6 +252,27 @@
     play(tmp_path, scene)
 
 
+def test_refused_resumes_of_one_stream_leave_repeats_to_others(tmp_path):
+    """Guards against an allowance that one stream spends at full targets."""
+
+    async def scene(played):
+        await pool(played, targets=6, retry_ratio=0, retry_slack=50)
+        budget, now = played.router.view.budget("pool"), played.router.view.clock.now
+
+        async def fill():
+            used = next(target for target in played.layered if target.runs["r1"])
+            for target in played.layered:
+                target.places = 1
+                target._path_by_request["other"] = []
+            used.cut_after = 1
+            await trio.sleep(2.6)
+
+        await stream_during(played, fill)
+        assert budget.use(now()).repeats <= 8
+
+    play(tmp_path, scene)
+
+
 @pytest.mark.parametrize("ask", ["_ask", "_probe"])
 def test_any_answer_of_a_target_proves_that_it_lives(tmp_path, ask):
     """Guards against sound targets left out for a status that is no report."""
