Pass on an answer's head and its first event together

Found in review: an attempt given up in the turn of its first event could still pass on the head, since heads are shielded, and not the event. Its caller got a 200 without any event and a cut, with nothing reserved for a resume.

A cancellation is looked for before the head; head and first event then go out under one shield. The test failed before (200 in place of 502).

--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -52,7 +52,7 @@
 IDLE_SLACK_S = 1.0
 """Callers may use a connection again up to the limit on idle ones, so it is closed
 a little later; a close that crosses a request would lose it."""
-IDLE_LIMITS = 2.0
+IDLE_LIMIT_FACTOR = 2.0
 """Limits after which an idle connection is closed: a version that raises the limit does
 not reach the timers that run."""
 CLOSE_IDLE_S = 1.0
@@ -135,7 +135,7 @@
         )
         telemetry.watch(
             "targets_unheard",
-            "Times that a target's answer was late and this host heard no other.",
+            "Late answers of targets that were no verdict: this host was late itself.",
             lambda: watchdog.unheard,
         )
         placer = Placer(settings.host.id, store, targets, view)
@@ -164,7 +164,8 @@
             register("metrics", HttpListener(page, config))
 
     def _limit_idle(self, idle_s: float) -> None:
-        self._caller_config.keep_alive_timeout = IDLE_LIMITS * idle_s + IDLE_SLACK_S
+        keep_alive_s = IDLE_LIMIT_FACTOR * idle_s + IDLE_SLACK_S
+        self._caller_config.keep_alive_timeout = keep_alive_s
 
     async def run(self, stop: trio.Event) -> None:
         """Serve until ``stop`` is set, then end what is in flight."""
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -535,12 +535,16 @@
         self, call: Call, exchange: Exchange, stream: ActiveStream, events: bytes
     ) -> None:
         stream.heard(self._view.clock.now())
-        if not call.responder.started:
-            # The head waits for the first event: until then another target can
-            # take over without the caller having seen anything.
-            self._telemetry.first_token(stream.heard_at - call.arrived_at)
-        await self._start(call, exchange)
-        await call.responder.events(events)
+        if call.responder.started:
+            await call.responder.events(events)
+            return
+        # The head waits for the first event: until then another target can take
+        # over without the caller having seen anything.  Neither goes out alone.
+        await trio.lowlevel.checkpoint_if_cancelled()
+        self._telemetry.first_token(stream.heard_at - call.arrived_at)
+        with trio.CancelScope(shield=True):
+            await self._start(call, exchange)
+            await call.responder.events(events)
 
 
 class _Progress:
--- a/radishfield/forwarding/answers_kept_test.py
+++ b/radishfield/forwarding/answers_kept_test.py
@@ -75,6 +75,25 @@
     play(tmp_path, scene)
 
 
+def test_an_answers_head_never_goes_out_without_its_first_event(tmp_path, monkeypatch):
+    """A stream that can't go on is refused while its caller has nothing of it."""
+    heard = ActiveStream.heard
+
+    def give_up(active, now):
+        heard(active, now)
+        active.give_up("silent", active.heard_at)
+
+    monkeypatch.setattr(ActiveStream, "heard", give_up)
+
+    async def scene(played):
+        played.store.put("config", "main", config())
+        await pool(played, promises={"retry_slack": "0", "retry_ratio": "0"})
+        reply = await stream(played)
+        assert reply is not None and reply.status == 502
+
+    play(tmp_path, scene)
+
+
 def answer_after(listener, wait_s):
     """Answer one request with a first event, from outside the event loop."""
     connection, _ = listener.accept()
