Give paths, tries, progress and questions of streams modules of their own

Where a path comes from, what came of the attempts, what the caller has, and how targets are asked and judged are modules now; the control probe is called a witness, since control means something else here, and the question whether an attempt may end is named after what it does, prepare_successor. Moves and names only.

--- a/radishfield/forwarding/_active_stream.py
+++ b/radishfield/forwarding/_active_stream.py
@@ -10,7 +10,7 @@
 
 GAP_MEMORY = 0.8
 """Weight of the past in a stream's usual pause."""
-KEEP_S = 0.25
+KEPT_LOOK_S = 0.25
 """Time for which an attempt that nothing can follow is kept before that is asked
 again."""
 LONGEST_KEPT_S = 1.0
@@ -24,16 +24,16 @@
 
     Attributes
     ----------
-    find_obstacle : callable
-        Returns what keeps another attempt from following this one; empty if nothing
-        does, and then what the other one takes is reserved for it.
+    prepare_successor : callable
+        Reserves what another attempt takes; returns what keeps it from following this
+        one, or nothing.
     """
 
     __slots__ = (
         "call",
         "demand",
         "engine",
-        "find_obstacle",
+        "prepare_successor",
         "given_up",
         "has_events",
         "heard_at",
@@ -52,7 +52,7 @@
         demand: Demand,
         path: Path,
         now: float,
-        find_obstacle: Callable[[], str] = lambda: "",
+        prepare_successor: Callable[[], str] = lambda: "",
     ):
         self.call = call
         self.engine = engine
@@ -64,7 +64,7 @@
         self.moving = False
         self.may_resume = True
         self.usual_gap_s = 0.0
-        self.find_obstacle = find_obstacle
+        self.prepare_successor = prepare_successor
         self._kept_until = now
         self.scope = trio.CancelScope()
 
@@ -103,12 +103,12 @@
         """
         if now < self._kept_until:
             return False
-        obstacle = self.find_obstacle()
+        obstacle = self.prepare_successor()
         if not obstacle or (found_lost and now - self.heard_at >= LONGEST_KEPT_S):
             self.given_up = reason
             self.scope.cancel()
             return True
-        self._kept_until = now + KEEP_S
+        self._kept_until = now + KEPT_LOOK_S
         log_event(
             "stream.kept",
             request=self.call.facts.request_id,
--- /dev/null
+++ b/radishfield/forwarding/_stream_progress.py
@@ -0,0 +1,54 @@
+"""What of a stream its caller has."""
+
+from radishfield.forwarding._call import Call
+from radishfield.routing import Demand, EngineSpec, event_ids
+
+
+class StreamProgress:
+    """What of a stream the caller has."""
+
+    __slots__ = ("_call", "_events", "last_id")
+
+    def __init__(self, call: Call):
+        given = call.facts.last_event_id.strip()
+        self._call = call
+        self._events = 0
+        self.last_id: int | None = int(given) if given.isdigit() else None
+
+    @property
+    def begun(self) -> bool:
+        """Return whether the caller has any event of this answer."""
+        return self._events > 0
+
+    def resume_after(self) -> bytes:
+        """Return the id after which a target is to go on; empty for the start."""
+        if self._events == 0:
+            return self._call.facts.last_event_id
+        return b"" if self.last_id is None else str(self.last_id).encode()
+
+    def follows(self, events: bytes) -> bool:
+        """Return whether events go on right after what the caller has."""
+        expected = self.last_id
+        for event_id in event_ids(events):
+            if expected is not None and event_id != expected + 1:
+                return False
+            expected = event_id
+        return True
+
+    def passed(self, events: bytes) -> int:
+        """Note events that went out to the caller; return how many."""
+        ids = event_ids(events)
+        self._events += len(ids)
+        if ids:
+            self.last_id = ids[-1]
+        return len(ids)
+
+    def demand(self, engine: EngineSpec | None) -> Demand:
+        """Return what the request will fill at each target of its path."""
+        facts = self._call.facts
+        if engine is None:
+            return Demand(facts.prompt_tokens, facts.likely_answer_tokens)
+        answer = facts.likely_answer_tokens or engine.usual_answer
+        if facts.most_answer_tokens:
+            answer = min(answer, facts.most_answer_tokens)
+        return Demand(facts.prompt_tokens or engine.usual_prompt, answer)
--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -2,12 +2,11 @@
 
 import msgspec
 import trio
-from expression import Error, Result
+from expression import Result
 
-from radishfield.core import Clock, Fault, ResultCode, fault
+from radishfield.core import Clock, Fault, ResultCode
 from radishfield.forwarding._active_stream import ActiveStream, path_words
-from radishfield.forwarding._connections import CONNECT_TIMEOUT_S
-from radishfield.forwarding._control_probe import ControlProbe
+from radishfield.forwarding._questions import TargetQuestions
 from radishfield.forwarding._slow_targets import SlowTargets
 from radishfield.forwarding._targets import REPORT_TIMEOUT_S, Targets, order_status
 from radishfield.forwarding._view import RouterView
@@ -35,20 +34,11 @@
 in its sockets, and every stream would seem silent."""
 PROBE_AGAIN_S = 0.1
 """Pause between two probes of a target that answers."""
-LEAST_PROBE_S = 0.02
-"""Shortest time that a probe waits: a live target of the zone answers in two
-milliseconds, a busy host reads the answer some later."""
-USUAL_ANSWERS = 5.0
-"""Usual answer times of its zone that a probe waits for."""
-ANSWER_MEMORY = 0.8
-"""Weight of the past in a zone's usual answer time."""
 MEASURE_ZONE_S = 10.0
 """Age of a zone's last answer after which one of its targets is asked, so that the
 usual answer time is known when it is needed."""
 MEASURE_LOOK_S = 1.0
 """Pause between two looks for such zones."""
-CONTROL_TIMEOUT_S = REPORT_TIMEOUT_S
-"""Time that an answer is waited for beyond its limit, while another target is asked."""
 REPATH_TRIES = 3
 ASKED_AT_ONCE = 3
 """Lost targets that are asked in one look: a host that is cut off from all of them
@@ -64,15 +54,12 @@
     """Looks at every stream a few times a second."""
 
     __slots__ = (
-        "_answer_s_by_zone",
-        "_answered_at_by_zone",
         "_asked_at_by_id",
-        "_asking",
         "_clock",
-        "_control",
         "_measure_at",
         "_nursery",
         "_probed_at_by_id",
+        "_questions",
         "_slow_targets",
         "_streams",
         "_targets",
@@ -85,13 +72,10 @@
         self._view = view
         self._clock: Clock = view.clock
         self._streams: set[ActiveStream] = set()
-        self._control = ControlProbe(targets, view)
-        self._asking: set[str] = set()
+        self._questions = TargetQuestions(targets, view, self._heard_since)
         self.unheard = 0
         self._asked_at_by_id: dict[str, float] = {}
         self._probed_at_by_id: dict[str, float] = {}
-        self._answer_s_by_zone: dict[str, float] = {}
-        self._answered_at_by_zone: dict[str, float] = {}
         self._measure_at = 0.0
         self._slow_targets = SlowTargets(targets, view)
         self._nursery: trio.Nursery | None = None
@@ -168,95 +152,39 @@
             record.zone: record
             for record in self._view.directory.all_records()
             if record.span is not None
-            and now - self._answered_at_by_zone.get(record.zone, -1e9) > MEASURE_ZONE_S
+            and self._questions.unanswered_s(record.zone) > MEASURE_ZONE_S
             and not self._view.directory.suspected(record.id, now)
         }
         for zone, record in due.items():
-            self._answered_at_by_zone[zone] = now
+            self._questions.note_asked(zone)
             self._nursery.start_soon(self._measure, record)
 
     async def _measure(self, record: TargetRecord) -> None:
         asked_at = self._clock.now()
         report = await self._targets.report(record)
         if report.is_ok():
-            self._note_answer(record, self._clock.now() - asked_at)
-
-    def _note_answer(self, record: TargetRecord, answer_s: float) -> None:
-        before_s = self._answer_s_by_zone.get(record.zone, answer_s)
-        usual_s = ANSWER_MEMORY * before_s + (1 - ANSWER_MEMORY) * answer_s
-        self._answer_s_by_zone[record.zone] = usual_s
-        self._answered_at_by_zone[record.zone] = self._clock.now()
-
-    def _probe_limit_s(self, zone: str) -> float:
-        usual_s = self._answer_s_by_zone.get(zone)
-        if usual_s is None:
-            return REPORT_TIMEOUT_S
-        return min(REPORT_TIMEOUT_S, max(LEAST_PROBE_S, USUAL_ANSWERS * usual_s))
+            answer_s = self._clock.now() - asked_at
+            self._questions.note_answer(record.zone, answer_s)
 
     async def _probe(self, target_id: str) -> None:
         """Ask a target whether it lives; move its streams away if it does not."""
         record = self._view.directory.find(target_id)
         if record is None:
             return
-        asked_at, limit_s = self._clock.now(), self._probe_limit_s(record.zone)
-        report = await self._question(record, limit_s)
+        asked_at, limit_s = self._clock.now(), self._questions.probe_limit_s(
+            record.zone
+        )
+        report = await self._questions.ask(record, limit_s, self._nursery)
         waited_s = self._clock.now() - asked_at
         if report is None:
             self._log_unheard(target_id, waited_s)
         elif report.is_ok():
-            self._note_answer(record, waited_s)
+            self._questions.note_answer(record.zone, waited_s)
             self._take_report(target_id, report.ok)
         elif not _proves_life(report.error):
             self._lose_first(target_id, f"probe: {report.error.detail}", waited_s)
             self._lose_part(record.address)
 
-    async def _question(
-        self, record: TargetRecord, limit_s: float
-    ) -> Result[TargetReport, Fault] | None:
-        """Ask a target; return its report, its failure, or None for no verdict.
-
-        An answer that is late is a failure only if this host hears others in time.
-        """
-        asked_at = self._clock.now()
-        answer = _Answer()
-        self._asking.add(record.id)
-        try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._report_into, record, answer)
-                with trio.move_on_after(limit_s):
-                    await answer.came.wait()
-                if answer.failed_or_late(self._clock.now() - asked_at, limit_s):
-                    await self._judge_late(record, asked_at, answer)
-                nursery.cancel_scope.cancel()
-        finally:
-            self._asking.discard(record.id)
-        return answer.result
-
-    async def _report_into(self, record: TargetRecord, answer: "_Answer") -> None:
-        limit_s = REPORT_TIMEOUT_S + CONTROL_TIMEOUT_S
-        answer.result = await self._targets.report(record, limit_s)
-        answer.came.set()
-
-    async def _judge_late(
-        self, record: TargetRecord, asked_at: float, answer: "_Answer"
-    ) -> None:
-        """Wait for an answer that is late, or for another target's that proves it."""
-        hears = await self._control.hears(
-            record.id, asked_at, self._asking, self._nursery
-        )
-        if hears and answer.result is None:
-            # A new connection takes one way more than the other target's kept one.
-            with trio.move_on_after(self._probe_limit_s(record.zone)):
-                await answer.came.wait()
-        if answer.result is not None and answer.result.is_ok():
-            return
-        waited_s = self._clock.now() - asked_at
-        if not hears or self._heard_since(record.id, asked_at):
-            answer.result = None
-        elif answer.result is None:
-            detail = f"no answer in {waited_s:.3f} s"
-            answer.result = Error(fault(ResultCode.STREAM_SILENT, detail))
-
     def _heard_since(self, target_id: str, asked_at: float) -> bool:
         """Return whether an event came through a target after it was asked."""
         return any(
@@ -312,7 +240,7 @@
             # It is left out already: only its answer would tell anything new.
             report = await self._targets.report(record)
         else:
-            report = await self._question(record, REPORT_TIMEOUT_S)
+            report = await self._questions.ask(record, REPORT_TIMEOUT_S, self._nursery)
         waited_s = self._clock.now() - asked_at
         if report is None:
             self._log_unheard(first_id, waited_s)
@@ -460,26 +388,6 @@
             change(part.target_id, token_layers, first=index == 0)
 
 
-class _Answer:
-    """A target's answer, once it came."""
-
-    __slots__ = ("came", "result")
-
-    def __init__(self):
-        self.came = trio.Event()
-        self.result: Result[TargetReport, Fault] | None = None
-
-    def failed_or_late(self, waited_s: float, limit_s: float) -> bool:
-        """Return whether silence is all that there is to judge by.
-
-        A connection that is refused or reset proves something at once; one that could
-        not be opened in its time is silent like any other.
-        """
-        if self.result is None:
-            return True
-        return self.result.is_error() and waited_s >= min(limit_s, CONNECT_TIMEOUT_S)
-
-
 def _proves_life(problem: Fault) -> bool:
     """Return whether a target answered; those that serve alone know no reports."""
     return problem.code is ResultCode.MALFORMED_ANSWER
--- a/radishfield/forwarding/_control_probe.py
+++ b/radishfield/forwarding/_witness_probe.py
@@ -25,8 +25,8 @@
         self.done = trio.Event()
 
 
-class ControlProbe:
-    """Asks targets that are not in doubt; probes of one moment share the answer."""
+class WitnessProbe:
+    """Asks targets that are not in doubt; questions of one moment share the answer."""
 
     __slots__ = ("_round", "_targets", "_view")
 
