--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -171,9 +171,8 @@
         record = self._view.directory.find(target_id)
         if record is None:
             return
-        asked_at, limit_s = self._clock.now(), self._questions.probe_limit_s(
-            record.zone
-        )
+        asked_at = self._clock.now()
+        limit_s = self._questions.probe_limit_s(record.zone)
         report = await self._questions.ask(record, limit_s, self._nursery)
         waited_s = self._clock.now() - asked_at
         if report is None:
