Try the only target again for a stream that has begun

What callers saw: a begun answer was cut 1.3 s after its only target's connection broke, or at once where the service has no layers, although the target took other requests.

Cause: a target that broke an attempt is left out for the rest of the stream, and a service without layers was not waited for at all. Found by reading and by a trial in review.

Where no other path is found while the stream stands in line, targets that broke an attempt are tried again until the caller leaves.

--- a/radishfield/forwarding/_stream_paths.py
+++ b/radishfield/forwarding/_stream_paths.py
@@ -50,8 +50,9 @@
     ) -> Result[Path, Fault]:
         """Return a path, standing in line where all of them are full."""
         if engine is None:
-            return self._single_target(call, tries)
-        found = await self._stand_in_line(call, engine, progress, tries)
+            found = self._single_target(call, tries)
+        else:
+            found = await self._stand_in_line(call, engine, progress, tries)
         if found.is_error() and progress.begun:
             return await self._wait_beside(call, engine, progress, tries, found.error)
         return found
@@ -59,7 +60,7 @@
     async def _wait_beside(
         self,
         call: Call,
-        engine: EngineSpec,
+        engine: EngineSpec | None,
         progress: StreamProgress,
         tries: StreamTries,
         problem: Fault,
@@ -67,15 +68,22 @@
         """Look for a path of a begun stream until its caller leaves.
 
         It stands beside the line: those in it may find paths that this one can't use.
+        A target that broke an attempt is tried again, since no other one is left.
         """
         view, service = self._view, call.service.name
+        tries.excluded.clear()
         while view.clock.now() < call.caller_leaves_at and not view.ends_waits():
-            if not _covered(view.directory.listed(service), engine):
+            listed = view.directory.listed(service)
+            if engine is not None and not _covered(listed, engine):
                 break
             await trio.sleep(LOOK_BESIDE_S)
-            path = self._path_now(call, engine, progress, tries)
-            if path is not None:
-                return Ok(path)
+            if engine is None:
+                found = self._single_target(call, tries)
+            else:
+                found = self._path_now(call, engine, progress, tries)
+                found = Error(problem) if found is None else Ok(found)
+            if found.is_ok():
+                return found
         return Error(problem)
 
     async def _stand_in_line(
--- a/radishfield/forwarding/suspicion_test.py
+++ b/radishfield/forwarding/suspicion_test.py
@@ -154,6 +154,27 @@
     play(tmp_path, scene)
 
 
+@pytest.mark.parametrize("layered", [True, False])
+def test_a_begun_stream_goes_on_at_the_only_target_whose_connection_broke(
+    tmp_path, layered
+):
+    """Guards against a cut answer although its target serves again at once."""
+
+    async def scene(played):
+        routes = [route("stream", "streaming", "pool", gapAimMs=250)]
+        services = [{"name": "pool", "healthPath": "/h", "maxConns": 100}]
+        whole = config(routes=routes)
+        changes = {} if layered else {"services": services}
+        played.store.put("config", "main", whole | changes)
+        await played.add_layered("t1", 0, 80, events=EVENTS)
+        await played.start_router()
+        played.layered[0].cut_after = 20
+        reply = await stream(played)
+        assert reply.whole and ids(reply) == ALL_IDS
+
+    play(tmp_path, scene)
+
+
 def test_a_begun_stream_outlives_refusals_of_its_resume(tmp_path):
     """Guards against a cut answer where each target is full when it is asked."""
 
