--- a/radishfield/forwarding/answers_kept_test.py
+++ b/radishfield/forwarding/answers_kept_test.py
@@ -10,7 +10,7 @@
 from radishfield.forwarding._active_stream import ActiveStream
 from radishfield.forwarding._call import Responder
 from radishfield.forwarding._watchdog import StreamWatchdog
-from radishfield.forwarding.conftest import world
+from radishfield.forwarding.conftest import play
 from standins.routed_config import config, route, target_entry
 from standins.routed_targets import LayeredTarget
 
@@ -18,15 +18,6 @@
 """What a caller's request raises here where the connection ends without an answer."""
 
 
-def play(tmp_path, scene):
-    async def main():
-        with trio.fail_after(20):
-            async with world(tmp_path) as played:
-                await scene(played)
-
-    trio.run(main)
-
-
 async def pool(played, targets=1, promises=(), **changes):
     """Start a host with targets that each hold every layer."""
     for number in range(targets):
--- a/radishfield/forwarding/conftest.py
+++ b/radishfield/forwarding/conftest.py
@@ -219,3 +219,14 @@
     async with trio.open_nursery() as nursery:
         yield World(store, LayeredFleet(), nursery, tmp_path)
         nursery.cancel_scope.cancel()
+
+
+def play(tmp_path, scene, limit_s=20.0):
+    """Play a scene in a world of its own, within a time limit."""
+
+    async def main():
+        with trio.fail_after(limit_s):
+            async with world(tmp_path) as played:
+                await scene(played)
+
+    trio.run(main)
--- a/radishfield/forwarding/router_test.py
+++ b/radishfield/forwarding/router_test.py
@@ -2,20 +2,11 @@
 
 import trio
 
-from radishfield.forwarding.conftest import world
+from radishfield.forwarding.conftest import play
 from standins.fleet import free_port
 from standins.routed_config import KEY, config, layered_entry, route
 
 
-def play(tmp_path, scene):
-    async def main():
-        with trio.fail_after(20):
-            async with world(tmp_path) as played:
-                await scene(played)
-
-    trio.run(main)
-
-
 async def portal(played, targets=2, **promises):
     played.store.put("config", "main", config())
     for number in range(targets):
--- a/radishfield/forwarding/suspicion_test.py
+++ b/radishfield/forwarding/suspicion_test.py
@@ -4,7 +4,7 @@
 import trio
 
 from radishfield.forwarding._watchdog import StreamWatchdog
-from radishfield.forwarding.conftest import world
+from radishfield.forwarding.conftest import play
 from radishfield.limits import RetryAllowance
 from standins.routed_config import config, route
 
@@ -12,15 +12,6 @@
 NO_REPEATS = {"retry_ratio": 0, "retry_slack": 0}
 
 
-def play(tmp_path, scene):
-    async def main():
-        with trio.fail_after(20):
-            async with world(tmp_path) as played:
-                await scene(played)
-
-    trio.run(main)
-
-
 async def pool(played, targets=2, **promises):
     """Start a router before targets that each hold the whole model."""
     routes = [route("stream", "streaming", "pool", gapAimMs=250)]
