Log a request's digest, and whether a target ended when its connection broke

Two attempts of callers that are the same request could not be recognized in the logs, and the end of a target looked like the reset of a connection, so the incident's hypotheses could not be told apart. request.ended now carries a digest of path, caller and body, and attempt.broken says what a look at the target's address found: a refused connection or another start means that it ended, an answer that it lives, silence nothing.

No decision depends on it yet. Only the next attempt may begin up to 0.1 s later, while the look is on its way.

--- a/radishfield/forwarding/_app.py
+++ b/radishfield/forwarding/_app.py
@@ -9,6 +9,7 @@
 from radishfield.forwarding._streams import StreamForwarder
 from radishfield.forwarding._targets import stale_view
 from radishfield.forwarding._view import RouterView
+from radishfield.limits import request_digest
 from radishfield.platform import RequestFacts, read_request
 from radishfield.routing import NoKeyNeeded, RouteKind, UnknownKey, Workspace
 from radishfield.telemetry import (
@@ -132,6 +133,7 @@
             return fault(ResultCode.DRAINING, "host leaves", LEAVING_RETRY_S)
         service = self._view.pick_service(route)
         query = scope["query_string"]
+        target = scope["raw_path"] + (b"?" + query if query else b"")
         wait_s = min(facts.deadline_s or math.inf, route.timeout_s)
         return Call(
             facts=facts,
@@ -139,12 +141,13 @@
             service=service,
             workspace=workspace,
             method=scope["method"],
-            target=scope["raw_path"] + (b"?" + query if query else b""),
+            target=target,
             headers=list(scope["headers"]),
             body=body,
             arrived_at=arrived_at,
             deadline_at=arrived_at + wait_s,
             responder=responder,
+            digest=_digest(facts.host, target, workspace, body),
         )
 
     def _unknown_key(self, version: int) -> Fault:
@@ -181,6 +184,7 @@
         log_event(
             "request.ended",
             request=facts.request_id,
+            digest=call.digest if call else "",
             code=int(code),
             outcome=str(outcome),
             status=status_of(problem) if problem else 200,
@@ -213,6 +217,11 @@
     return {"gap_objective_s": call.route.longest_gap_s, **call.times.words()}
 
 
+def _digest(host: str, target: bytes, workspace: Workspace | None, body: bytes) -> str:
+    caller = workspace.name if workspace else ""
+    return request_digest([host.encode(), target, caller.encode(), body])
+
+
 def _rounded(age_s: float) -> float | None:
     return None if math.isinf(age_s) else round(age_s, 2)
 
--- a/radishfield/forwarding/_call.py
+++ b/radishfield/forwarding/_call.py
@@ -160,6 +160,8 @@
         Times that the request was sent to a target, and that it reached one.
     tried, ran_at : set of str
         Targets that it was sent to, and those that may have run it.
+    digest : str
+        What it shares with the same request of the same caller under another id.
     may_have_run : bool
         Some target may have run it, or run it in part.
     repeat_reserved : bool
@@ -179,6 +181,7 @@
     arrived_at: float
     deadline_at: float
     responder: Responder
+    digest: str = ""
     sent: int = 0
     arrived: int = 0
     may_have_run: bool = False
--- a/radishfield/forwarding/_plain.py
+++ b/radishfield/forwarding/_plain.py
@@ -10,6 +10,7 @@
 
 from radishfield.core import Fault, ResultCode, fault
 from radishfield.forwarding._call import Call
+from radishfield.forwarding._crash_guard import CrashGuard
 from radishfield.forwarding._targets import Targets, final_fault
 from radishfield.forwarding._tries import Tries, target_error
 from radishfield.forwarding._view import RouterView
@@ -74,9 +75,10 @@
 class PlainForwarder:
     """Serves calls to services whose targets each serve a request alone."""
 
-    __slots__ = ("_failures", "_targets", "_view")
+    __slots__ = ("_crashes", "_failures", "_targets", "_view")
 
-    def __init__(self, targets: Targets, view: RouterView):
+    def __init__(self, targets: Targets, crashes: CrashGuard, view: RouterView):
+        self._crashes = crashes
         self._targets = targets
         self._view = view
         self._failures = FailureRates()
@@ -184,6 +186,8 @@
         finally:
             self._view.load.ended(record.id, 0.0, first=True)
         self._note(record, result)
+        if result.is_error():
+            await self._crashes.note_end(call, record, result.error)
         return result
 
     async def _exchange(
--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -11,12 +11,14 @@
 from radishfield.core import Fault, SystemClock
 from radishfield.forwarding._app import ReadinessApp, RouterApp
 from radishfield.forwarding._connections import TargetConnections
+from radishfield.forwarding._crash_guard import CrashGuard
 from radishfield.forwarding._follower import ConfigFollower, TargetFollower
 from radishfield.forwarding._gossip import Gossip
 from radishfield.forwarding._metrics import MetricsPage
 from radishfield.forwarding._placer import Placer
 from radishfield.forwarding._plain import PlainForwarder
 from radishfield.forwarding._streams import StreamForwarder
+from radishfield.forwarding._target_ends import TargetEnds
 from radishfield.forwarding._targets import Targets
 from radishfield.forwarding._view import RouterView
 from radishfield.forwarding._watchdog import StreamWatchdog
@@ -139,11 +141,13 @@
             lambda: watchdog.unheard,
         )
         placer = Placer(settings.host.id, store, targets, view)
-        plain = PlainForwarder(targets, view)
-        streams = StreamForwarder(targets, watchdog, view, telemetry)
+        crashes = CrashGuard(TargetEnds(targets), view)
+        plain = PlainForwarder(targets, crashes, view)
+        streams = StreamForwarder(targets, watchdog, crashes, view, telemetry)
         register("config", ConfigFollower(store, view, self._limit_idle))
         register("targets", TargetFollower(store, view))
         register("watchdog", watchdog)
+        register("crashes", crashes)
         register("placer", placer)
         register("connections", IdleConnections(connections))
         gossip = settings.section("gossip", GossipSettings)
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -9,6 +9,7 @@
 from radishfield.forwarding._active_stream import ActiveStream, path_words
 from radishfield.forwarding._call import Call
 from radishfield.forwarding._connections import BrokenAnswerError, Exchange
+from radishfield.forwarding._crash_guard import CrashGuard
 from radishfield.forwarding._stream_paths import LOOK_AGAIN_S, StreamPaths
 from radishfield.forwarding._stream_progress import StreamProgress
 from radishfield.forwarding._stream_tries import (
@@ -35,15 +36,24 @@
 class StreamForwarder:
     """Serves calls whose answer is a stream of events."""
 
-    __slots__ = ("_paths", "_watchdog", "_targets", "_telemetry", "_view")
+    __slots__ = (
+        "_crashes",
+        "_paths",
+        "_targets",
+        "_telemetry",
+        "_view",
+        "_watchdog",
+    )
 
     def __init__(
         self,
         targets: Targets,
         watchdog: StreamWatchdog,
+        crashes: CrashGuard,
         view: RouterView,
         telemetry: DeferredTelemetry,
     ):
+        self._crashes = crashes
         self._paths = StreamPaths(view)
         self._targets = targets
         self._watchdog = watchdog
@@ -204,6 +214,7 @@
             queue.ended(call.workspace_name, ended_at, ended_at - now)
             self._watchdog.remove(stream)
         if result.is_error():
+            await self._crashes.note_end(call, record, result.error)
             log_event(
                 "attempt.ended",
                 request=call.facts.request_id,
--- a/radishfield/limits/__init__.py
+++ b/radishfield/limits/__init__.py
@@ -3,6 +3,7 @@
 Nothing here does I/O or reads a clock.
 """
 
+from radishfield.limits._request_digest import request_digest
 from radishfield.limits._retries import RetryAllowance, RetryBudget, RetryUse
 
-__all__ = ["RetryAllowance", "RetryBudget", "RetryUse"]
+__all__ = ["RetryAllowance", "RetryBudget", "RetryUse", "request_digest"]
