--- a/radishfield/forwarding/conftest.py
+++ b/radishfield/forwarding/conftest.py
@@ -61,6 +61,8 @@
     ready: str = ""
     gossip: str = ""
     metrics: str = ""
+    fronts: list[str] = field(default_factory=list)
+    ended: list[str] = field(default_factory=list)
     router: Router | None = None
     stop: trio.Event = field(default_factory=trio.Event)
     scopes: list[trio.CancelScope] = field(default_factory=list)
@@ -68,7 +70,7 @@
 
     async def add_plain(self, target_id: str) -> PlainTarget:
         target = PlainTarget(target_id)
-        target.address = await self.serve(target)
+        target.address = await self.serve_until_crash(target)
         self.plain.append(target)
         entry = target_entry("portal", target.address)
         self.store.put("servers", target_id, entry)
@@ -78,19 +80,36 @@
         self, target_id: str, first: int, end: int, **changes
     ) -> LayeredTarget:
         target = LayeredTarget(target_id, first=first, end=end, **changes)
-        target.address = await self.serve(target)
+        target.address = await self.serve_until_crash(target)
         self.fleet.add(target)
         self.layered.append(target)
         entry = layered_entry(target.address, first, end)
         self.store.put("servers", target_id, entry)
         return target
 
-    async def serve(self, app) -> str:
+    async def serve(self, app, nursery: trio.Nursery | None = None) -> str:
         listener = ListenerConfig.from_settings("127.0.0.1:0", drain_s=0.0)
         held = self.link.around(app)
-        (url,) = await self.nursery.start(serve_app, held, listener, None)
+        nursery = nursery or self.nursery
+        (url,) = await nursery.start(serve_app, held, listener, None)
         return url.removeprefix("http://")
 
+    async def serve_until_crash(self, target: PlainTarget | LayeredTarget) -> str:
+        """Serve a target; its crash ends its listener and all its connections."""
+        scope = trio.CancelScope()
+
+        def crash():
+            self.ended.append(target.id)
+            scope.cancel()
+
+        async def run(*, task_status=trio.TASK_STATUS_IGNORED):
+            with scope:
+                async with trio.open_nursery() as nursery:
+                    task_status.started(await self.serve(target, nursery))
+
+        target.crash = crash
+        return await self.nursery.start(run)
+
     async def start_router(self, **promises) -> None:
         self.front, self.ready = (f"127.0.0.1:{free_port()}" for _ in range(2))
         store = await self.serve(self.store)
@@ -107,6 +126,7 @@
         routers = []
         for number in range(hosts):
             front, ready = (f"127.0.0.1:{free_port()}" for _ in range(2))
+            self.fronts.append(front)
             router = self._new_router(f"host-{number}", front, ready, store, {})
             self.scopes.append(trio.CancelScope())
             self.nursery.start_soon(self._run_in, self.scopes[-1], router)
--- a/standins/routed_targets.py
+++ b/standins/routed_targets.py
@@ -5,6 +5,7 @@
 """
 
 from collections import Counter, defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -24,6 +25,9 @@
 TEXT = b"text/plain"
 EVENT_STREAM = b"text/event-stream"
 STALL_S = 2.0
+CRASHING_BODY = b"crashes what runs it"
+"""Body of requests under which targets end, once they have begun to run them."""
+CRASH_AFTER_S = 0.05
 
 
 @dataclass(slots=True)
@@ -35,11 +39,14 @@
     failures : list of str
         What goes wrong with the next requests, one each: ``error``, ``refuse``,
         ``silent``, ``wrong-id``, ``cut``.
+    crash : callable
+        Ends the target and its connections.
     """
 
     id: str
     address: str = ""
     work_s: float = 0.01
+    crash: Callable[[], None] = lambda: None
     failures: list[str] = field(default_factory=list)
     ran: Counter[str] = field(default_factory=Counter)
     seen_headers: list[dict[bytes, bytes]] = field(default_factory=list)
@@ -51,7 +58,7 @@
     async def _serve(self, scope, receive, send) -> None:
         headers = dict(scope["headers"])
         self.seen_headers.append(headers)
-        await read_body(receive, BodyLimit())
+        body = await read_body(receive, BodyLimit())
         if headers.get(b"x-expect-instance") != self.id.encode():
             await send_json(send, 421, {})
             return
@@ -62,6 +69,9 @@
             return
         self.ran[request_id.decode()] += 1
         await trio.sleep(self.work_s)
+        if body.ok == CRASHING_BODY:
+            self.crash()
+            await trio.sleep_forever()
         if failure == "silent":
             await trio.sleep_forever()
         if failure == "wrong-id":
@@ -124,6 +134,8 @@
         Break off the next stream, within an event, after so many events.
     places : int
         Streams that it takes as a first part at a time; 0 for any number.
+    crash : callable
+        Ends the target and its connections.
     """
 
     id: str
@@ -135,6 +147,7 @@
     dead: bool = False
     cut_after: int = 0
     places: int = 0
+    crash: Callable[[], None] = lambda: None
     orders: int = 0
     born: int = 1
     order_log: list[dict] = field(default_factory=list)
@@ -161,7 +174,8 @@
                 await send_json(send, status, answer)
             case _:
                 headers = dict(scope["headers"])
-                work = lambda: self._stream(headers, send)  # noqa: E731
+                crashes = body.ok == CRASHING_BODY
+                work = lambda: self._stream(headers, send, crashes)  # noqa: E731
                 await run_until_disconnect(receive, work)
 
     def _report(self) -> dict:
@@ -208,7 +222,7 @@
         self.paths.append(order["path"])
         return 202, {}
 
-    async def _stream(self, headers: dict[bytes, bytes], send) -> None:
+    async def _stream(self, headers: dict[bytes, bytes], send, crashes: bool) -> None:
         if headers.get(b"x-expect-instance") != self.id.encode():
             await send_json(send, 421, {})
             return
@@ -227,6 +241,9 @@
         self._path_by_request[request_id] = parts
         self.fleet.note_path(request_id, parts)
         try:
+            if crashes:
+                await trio.sleep(CRASH_AFTER_S)
+                self.crash()
             await self._send_events(request_id, headers, send)
         finally:
             self._path_by_request.pop(request_id, None)
