Refuse a request at all hosts once three targets have ended under it

Callers saw minutes without a first layer anywhere: one request ended each target that began to run it, its attempts were sent on to two to five targets each, and each attempt of its caller found out anew at another host.

Cause: whether an attempt's end is the target's failure or the request's can only be seen over all hosts and attempts, and each host decided alone and kept nothing.

Now a host that finds a target ended under a request (new connections refused, or another start answers) counts it by the request's digest and tells all hosts; three ends refuse the request everywhere, in line or on its way too, with 503 where nothing ran in this attempt. A host that missed the news is told again by checksum, and the store keeps what is refused, for a host that starts alone and a zone that is cut off. Nobody innocent pays: ends that another request shares and exceeds explain nothing, a request that outlives its start anywhere is cleared, targets that leave, connections that were reset and links that are cut don't count. What is known is bounded and forgotten in time.

--- a/radishfield/core/_code_help.py
+++ b/radishfield/core/_code_help.py
@@ -167,6 +167,10 @@
         "Every attempt failed that the request may have.",
         _ASK_FIRST + " `radishfield explain` shows each attempt.",
     ),
+    ResultCode.CRASHES_TARGETS: CodeHelp(
+        "Targets ended under this request; it is sent to no further one.",
+        "Change the request; `request.refused` in the log names the targets.",
+    ),
     ResultCode.PLATFORM_UNAVAILABLE: CodeHelp(
         "The platform's object API does not answer.",
         "Try again; traffic goes on without it.",
--- a/radishfield/core/_codes.py
+++ b/radishfield/core/_codes.py
@@ -67,6 +67,7 @@
     TARGET_ERROR = 4012
     ANSWER_TOO_LARGE = 4013
     RETRIES_EXHAUSTED = 4014
+    CRASHES_TARGETS = 4015
 
     # 5xxx: the platform's object API.
     PLATFORM_UNAVAILABLE = 5001
@@ -123,6 +124,7 @@
         ResultCode.TARGET_ERROR,
         ResultCode.ANSWER_TOO_LARGE,
         ResultCode.RETRIES_EXHAUSTED,
+        ResultCode.CRASHES_TARGETS,
         ResultCode.PLATFORM_AMBIGUOUS,
         ResultCode.CHANGE_AMBIGUOUS,
         ResultCode.INTERNAL,
--- a/radishfield/forwarding/_active_stream.py
+++ b/radishfield/forwarding/_active_stream.py
@@ -5,6 +5,7 @@
 import trio
 
 from radishfield.forwarding._call import Call
+from radishfield.limits import OUTLIVED_S
 from radishfield.routing import Demand, EngineSpec, Path, StreamSilence
 from radishfield.telemetry import log_event
 
@@ -42,6 +43,7 @@
         "scope",
         "may_resume",
         "usual_gap_s",
+        "_first_event_at",
         "_kept_until",
     )
 
@@ -65,6 +67,7 @@
         self.may_resume = True
         self.usual_gap_s = 0.0
         self.prepare_successor = prepare_successor
+        self._first_event_at: float | None = None
         self._kept_until = now
         self.scope = trio.CancelScope()
 
@@ -74,9 +77,23 @@
             gap_s = now - self.heard_at
             before_s = self.usual_gap_s or gap_s
             self.usual_gap_s = GAP_MEMORY * before_s + (1 - GAP_MEMORY) * gap_s
+        else:
+            self._first_event_at = now
         self.heard_at = now
         self.has_events = True
 
+    @property
+    def outlived_start(self) -> bool:
+        """Return whether its target lives on well after it began to run."""
+        began_at = self._first_event_at
+        return began_at is not None and self.heard_at - began_at >= OUTLIVED_S
+
+    def stop(self, reason: str) -> None:
+        """End the attempt for good, unless its target has begun to answer."""
+        if not self.has_events:
+            self.given_up = reason
+            self.scope.cancel()
+
     def silence(self, now: float) -> StreamSilence:
         """Return how the stream stands, for decisions."""
         route = self.call.route
--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -14,6 +14,7 @@
 import msgspec
 import trio
 
+from radishfield.forwarding._crash_gossip import CrashGossip
 from radishfield.forwarding._datagrams import DatagramSocket
 from radishfield.forwarding._peer_amounts import (
     held_by_id,
@@ -27,6 +28,7 @@
     Echo,
     Pace,
     PeerConfig,
+    PeerCrashes,
     PeerNews,
     PeerStatus,
     PeerSum,
@@ -87,6 +89,7 @@
         "_book",
         "_chance",
         "_closed_links",
+        "_crashes",
         "_duties",
         "_duty_heard_at",
         "_finder",
@@ -109,6 +112,7 @@
         self._chance = random.Random()
         self._book = PeerBook(view.zone, self._chance)
         self._finder = PeerFinder(host_id, address, store, view, self._book)
+        self._crashes = CrashGossip(host_id, view, self._book, self._send)
         self._closed_links: set[Pair] = set()
         self._list_words: deque[_ListWord] = deque(maxlen=MOST_LIST_WORDS)
         self._round = 0
@@ -142,6 +146,7 @@
                 nursery.start_soon(self._send_statuses)
                 nursery.start_soon(self._send_news)
                 nursery.start_soon(self._send_config)
+                nursery.start_soon(self._crashes.tell_news)
                 nursery.start_soon(self._finder.find)
                 task_status.started()
 
@@ -255,6 +260,7 @@
                 ],
                 self._view.directory.answered_lately(now),
                 self._paces(now),
+                self._view.crashes.checksum(),
             )
         )
 
@@ -299,6 +305,8 @@
                     self._view.hear_news(items)
                 case PeerConfig() as message:
                     self._view.hear_config(message)
+                case PeerCrashes() as message:
+                    self._crashes.hear(message)
                 case PeerSum() as told:
                     self._take_sum(told)
                 case PeerStatus() as status:
@@ -344,6 +352,7 @@
             status.host_id, held_by_id(status.work), now, status.zone
         )
         self._take_paces(status.paces)
+        self._crashes.compare(status.host_id, peer, status.crashes_checksum)
         for incarnation in status.leaving:
             self._view.directory.mark_leaving(incarnation)
         if len(status.lost) <= MOST_REPORTED_LOST:
--- a/radishfield/forwarding/_peer_messages.py
+++ b/radishfield/forwarding/_peer_messages.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from radishfield.limits import CrashReport
 from radishfield.telemetry import log_event
 
 DATAGRAM_BYTES = 8 << 10
@@ -88,6 +89,14 @@
     body: bytes
 
 
+class PeerCrashes(msgspec.Struct, array_like=True, tag="crashes"):
+    """What a host knows of requests under which targets ended."""
+
+    host_id: str
+    zone: str
+    reports: list[CrashReport]
+
+
 class PeerSum(msgspec.Struct, array_like=True, tag="sum"):
     """The work of all hosts of a zone, and their use of links, as ``age_s`` ago."""
 
@@ -121,6 +130,8 @@
         Targets that the sender had left out, and that have answered it.
     paces : list of Pace
         Targets that are slow, or were until just now.
+    crashes_checksum : int
+        What hosts share that know of the same targets' ends under requests.
     """
 
     host_id: str
@@ -143,10 +154,13 @@
     passed_duties: list[str] = []
     answered: list[tuple[str, int]] = []
     paces: list[Pace] = []
+    crashes_checksum: int = 0
 
 
 encoder = msgspec.msgpack.Encoder()
-decoder = msgspec.msgpack.Decoder(PeerStatus | PeerNews | PeerConfig | PeerSum)
+decoder = msgspec.msgpack.Decoder(
+    PeerStatus | PeerNews | PeerConfig | PeerSum | PeerCrashes
+)
 
 
 def config_datagram(version: int, revision: int, spec: object) -> bytes | None:
--- a/radishfield/forwarding/_plain.py
+++ b/radishfield/forwarding/_plain.py
@@ -11,6 +11,7 @@
 from radishfield.core import Fault, ResultCode, fault
 from radishfield.forwarding._call import Call
 from radishfield.forwarding._crash_guard import CrashGuard
+from radishfield.forwarding._crash_refusal import crash_refusal
 from radishfield.forwarding._targets import Targets, final_fault
 from radishfield.forwarding._tries import Tries, target_error
 from radishfield.forwarding._view import RouterView
@@ -96,6 +97,7 @@
         """Try targets until one answers, or no further try is allowed."""
         tries = _PlainTries()
         while True:
+            await self._crashes.settle(call)
             stop = self._targets.check(call)
             if stop is not None:
                 tries.stop(stop)
@@ -110,6 +112,8 @@
                 return result
             tries.take(result)
             if tries.over(call):
+                await self._crashes.settle(call)
+                tries.problem = crash_refusal(self._view, call) or tries.problem
                 break
         if tries.failed_answer is not None:
             return Ok(tries.failed_answer)
@@ -160,6 +164,8 @@
     def _hedge_target(self, call: Call) -> TargetRecord | None:
         if self._targets.check(call) is not None:
             return None
+        if self._view.crashes.settles_in_s(call.digest, self._view.clock.now()) > 0:
+            return None
         other = self._choose(call)
         silent = fault(ResultCode.STREAM_SILENT)
         if other is None or not self._targets.may_repeat(call, silent):
@@ -181,12 +187,17 @@
         result = Error(fault(ResultCode.DEADLINE_PASSED))
         left_s = call.deadline_at - self._view.clock.now()
         try:
-            with trio.move_on_after(max(0.0, left_s)):
-                result = await self._exchange(call, record)
+            with trio.move_on_after(max(0.0, left_s)) as scope:
+                with self._crashes.running(call, lambda reason: scope.cancel()):
+                    result = await self._exchange(call, record)
+            if scope.cancelled_caught and self._view.clock.now() < call.deadline_at:
+                result = Error(fault(ResultCode.CRASHES_TARGETS, "stopped"))
         finally:
             self._view.load.ended(record.id, 0.0, first=True)
         self._note(record, result)
-        if result.is_error():
+        if not _failed(result):
+            self._crashes.outlived(call)
+        elif result.is_error():
             await self._crashes.note_end(call, record, result.error)
         return result
 
--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -12,6 +12,7 @@
 from radishfield.forwarding._app import ReadinessApp, RouterApp
 from radishfield.forwarding._connections import TargetConnections
 from radishfield.forwarding._crash_guard import CrashGuard
+from radishfield.forwarding._crash_records import CrashRecords
 from radishfield.forwarding._follower import ConfigFollower, TargetFollower
 from radishfield.forwarding._gossip import Gossip
 from radishfield.forwarding._metrics import MetricsPage
@@ -141,7 +142,19 @@
             lambda: watchdog.unheard,
         )
         placer = Placer(settings.host.id, store, targets, view)
-        crashes = CrashGuard(TargetEnds(targets), view)
+        crashes = CrashGuard(
+            settings.host.id, TargetEnds(targets), CrashRecords(store, view), view
+        )
+        telemetry.watch(
+            "target_ends_counted",
+            "Ends of targets that this host counted under the requests they ran.",
+            lambda: crashes.counted,
+        )
+        telemetry.watch(
+            "suspected_requests",
+            "Requests under which targets ended, now.",
+            lambda: len(view.crashes),
+        )
         plain = PlainForwarder(targets, crashes, view)
         streams = StreamForwarder(targets, watchdog, crashes, view, telemetry)
         register("config", ConfigFollower(store, view, self._limit_idle))
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -10,6 +10,7 @@
 from radishfield.forwarding._call import Call
 from radishfield.forwarding._connections import BrokenAnswerError, Exchange
 from radishfield.forwarding._crash_guard import CrashGuard
+from radishfield.forwarding._crash_refusal import crash_refusal
 from radishfield.forwarding._stream_paths import LOOK_AGAIN_S, StreamPaths
 from radishfield.forwarding._stream_progress import StreamProgress
 from radishfield.forwarding._stream_tries import (
@@ -83,6 +84,7 @@
         engine = call.service.engine
         tries = StreamTries()
         while True:
+            await self._crashes.settle(call)
             stop = self._targets.check(call)
             if stop is not None:
                 return final_fault(call, stop, NO_PATH_RETRY_S)
@@ -106,7 +108,9 @@
                 await trio.sleep(tries.pause_s())
                 continue
             if result.is_error():
-                return final_fault(call, tries.problem, NO_PATH_RETRY_S)
+                await self._crashes.settle(call)
+                problem = crash_refusal(self._view, call) or tries.problem
+                return final_fault(call, problem, NO_PATH_RETRY_S)
             if call.responder.started:
                 return tries.problem
             # The target's own failure, with its signature.
@@ -202,7 +206,7 @@
         )
         result = Error(fault(ResultCode.STREAM_SILENT))
         try:
-            with stream.scope:
+            with stream.scope, self._crashes.running(call, stream.stop):
                 result = await self._relay(call, record, stream, progress)
             if call.responder.finished:
                 # Given up in the turn in which its end was passed on.
@@ -214,7 +218,8 @@
             queue.ended(call.workspace_name, ended_at, ended_at - now)
             self._watchdog.remove(stream)
         if result.is_error():
-            await self._crashes.note_end(call, record, result.error)
+            if not stream.outlived_start:
+                await self._crashes.note_end(call, record, result.error)
             log_event(
                 "attempt.ended",
                 request=call.facts.request_id,
@@ -281,6 +286,8 @@
             if not (progress.resume_after() and exchange.facts.framed):
                 return Error(fault(ResultCode.ANSWER_TRUNCATED, "ended without events"))
             await self._start(call, exchange)
+        else:
+            self._crashes.outlived(call)
         await call.responder.end_stream()
         return Ok(None)
 
@@ -292,7 +299,10 @@
     async def _pass_on(
         self, call: Call, exchange: Exchange, stream: ActiveStream, events: bytes
     ) -> None:
+        outlived_before = stream.outlived_start
         stream.heard(self._view.clock.now())
+        if stream.outlived_start and not outlived_before:
+            self._crashes.outlived(call)
         if call.responder.started:
             await call.responder.events(events)
             return
--- a/radishfield/forwarding/_targets.py
+++ b/radishfield/forwarding/_targets.py
@@ -7,6 +7,7 @@
 from radishfield.core import Fault, Outcome, ResultCode, fault
 from radishfield.forwarding._call import Call
 from radishfield.forwarding._connections import Exchange, Outgoing, TargetConnections
+from radishfield.forwarding._crash_refusal import crash_refusal
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import (
     ORDER_PATH,
@@ -68,11 +69,15 @@
         Asked right before each send: while a request waited or was tried, its key
         may have been taken away, its route moved, or its time have passed.  A stream
         that has begun ends under the configuration that admitted it: those at whose
-        targets nothing breaks do as well.
+        targets nothing breaks do as well.  Nothing that ends its targets goes on,
+        begun or not.
         """
         now = self._view.clock.now()
         if now >= call.deadline_at:
             return _late(call)
+        refusal = crash_refusal(self._view, call)
+        if refusal is not None:
+            return refusal
         if call.responder.started:
             return None
         table = self._view.table
--- a/radishfield/forwarding/conftest.py
+++ b/radishfield/forwarding/conftest.py
@@ -120,14 +120,21 @@
         await self.until(lambda: self.knows_all(self.router))
         await self.until_listening(self.metrics)
 
-    async def start_zone(self, hosts: int) -> list[Router]:
-        """Start a zone of hosts; each stays until its scope is cancelled."""
+    async def start_zone(self, hosts: int, gossip: bool = True) -> list[Router]:
+        """Start a zone of hosts; each stays until its scope is cancelled.
+
+        Parameters
+        ----------
+        gossip : bool
+            The hosts reach each other.
+        """
         store = await self.serve(self.store)
         routers = []
-        for number in range(hosts):
+        for _ in range(hosts):
+            number = len(self.fronts)
             front, ready = (f"127.0.0.1:{free_port()}" for _ in range(2))
             self.fronts.append(front)
-            router = self._new_router(f"host-{number}", front, ready, store, {})
+            router = self._new_router(f"host-{number}", front, ready, store, {}, gossip)
             self.scopes.append(trio.CancelScope())
             self.nursery.start_soon(self._run_in, self.scopes[-1], router)
             routers.append(router)
@@ -146,7 +153,13 @@
         return router.view.table is not None and listed == known
 
     def _new_router(
-        self, host_id: str, front: str, ready: str, store: str, promises: dict
+        self,
+        host_id: str,
+        front: str,
+        ready: str,
+        store: str,
+        promises: dict,
+        gossip: bool = True,
     ) -> Router:
         self.gossip, self.metrics = (f"127.0.0.1:{free_port()}" for _ in range(2))
         lines = [f"{name} = {value}" for name, value in promises.items()]
@@ -155,7 +168,7 @@
                 f"[host]\nid = {host_id}\nzone = a",
                 f"[caller]\nbind = {front}",
                 f"[readiness]\nbind = {ready}",
-                f"[gossip]\nbind = {self.gossip}",
+                f"[gossip]\nbind = {self.gossip if gossip else ''}",
                 f"[metrics]\nbind = {self.metrics}",
                 f"[platform]\naddress = {store}",
                 "[promises]",
--- a/radishfield/forwarding/crashes_test.py
+++ b/radishfield/forwarding/crashes_test.py
@@ -3,7 +3,8 @@
 import trio
 
 from radishfield.forwarding.conftest import world
-from standins.routed_config import config
+from radishfield.limits import CrashReport, ToldEnd, request_digest
+from standins.routed_config import HOST_NAME, config
 from standins.routed_targets import CRASHING_BODY
 
 HOSTS = 3
@@ -85,3 +86,200 @@
         assert {reply.status for reply in replies[-HOSTS:]} == {503}
 
     play(tmp_path, scene)
+
+
+def test_host_that_starts_after_all_others_were_killed_refuses_at_once(tmp_path):
+    """Guards against three more targets lost because no neighbour is left to tell."""
+
+    async def scene(played):
+        await crash_everywhere(played, "/stream/x", rounds=1)
+        kind = "radishfield-crashes"
+        await played.until(lambda: played.store.names(kind))
+        for killed in played.scopes:
+            killed.cancel()
+        ended = len(played.ended)
+        await played.start_zone(1)
+        await trio.sleep(PAUSE_S)
+        reply = await crash(played, "/stream/x", HOSTS, 0)
+        assert reply.status == 503
+        assert len(played.ended) == ended
+
+    play(tmp_path, scene)
+
+
+def test_host_that_is_cut_off_from_the_others_learns_from_the_store(tmp_path):
+    """Guards against each side of a cut finding out at three targets of its own."""
+
+    async def scene(played):
+        await played.start_zone(1, gossip=False)
+        await crash_everywhere(played, "/read/x", rounds=1)
+        await crash(played, "/read/x", HOSTS, 1)
+        # Two tell the host to look; what it finds proves the rest.
+        assert len(played.ended) <= MOST_ENDED + 2
+        assert (await crash(played, "/read/x", HOSTS, 2)).status == 503
+        assert len(played.ended) <= MOST_ENDED + 2
+
+    play(tmp_path, scene)
+
+
+def prove(router, digest):
+    """Have a host hear that three targets ended under a request."""
+    ends = [ToldEnd(f"gone-{number}", 1, "host-9", 1.0) for number in range(3)]
+    router.view.learn_crashes([CrashReport(digest, ends)], "host-9")
+
+
+async def answer_after_proof(played, router, sent_before):
+    """Return the reply to a request that is proven guilty after it was sent."""
+    replies = []
+
+    async def call():
+        replies.append(await crash(played, "/stream/x", 0, 0))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(call)
+        await sent_before()
+        prove(router, STREAM_DIGEST)
+        proven_at = trio.current_time()
+        await played.until(lambda: replies, 1.0)
+    assert trio.current_time() - proven_at < 0.5
+    return replies[0]
+
+
+STREAM_DIGEST = request_digest([HOST_NAME.encode(), b"/stream/x", b"w1", CRASHING_BODY])
+
+
+def test_request_in_line_hears_at_once_that_it_is_refused(tmp_path):
+    """Guards against a request that waits out its line before it is refused."""
+
+    async def scene(played):
+        played.store.put("config", "main", config())
+        await played.add_layered("full", 0, 80, events=200, places=1)
+        await played.start_router()
+        taken = lambda: played.request("/stream/y", "POST", body=b"{}")  # noqa: E731
+        played.nursery.start_soon(taken)
+        await trio.sleep(0.2)
+
+        async def in_line():
+            await trio.sleep(0.3)
+
+        played.fronts = [played.front]
+        reply = await answer_after_proof(played, played.router, in_line)
+        assert (reply.status, played.ended) == (503, [])
+        assert float(reply.headers["retry-after"]) > 60.0
+
+    play_alone(tmp_path, scene)
+
+
+def test_request_on_its_way_is_called_back_before_its_target_runs_it(tmp_path):
+    """Guards against a target lost to a request that was sent before the proof."""
+
+    async def scene(played):
+        played.store.put("config", "main", config())
+        target = await played.add_layered("slow", 0, 80)
+        target.crash_after_s = 1.5
+        await played.start_router()
+
+        async def sent():
+            await played.until(lambda: target.runs)
+
+        played.fronts = [played.front]
+        reply = await answer_after_proof(played, played.router, sent)
+        assert (reply.status, target.ended_runs) == (502, 1)
+        await trio.sleep(1.5)
+        assert played.ended == []
+
+    play_alone(tmp_path, scene)
+
+
+def play_alone(tmp_path, scene):
+    """Play a scene that starts its own router."""
+
+    async def main():
+        with trio.fail_after(20.0):
+            async with world(tmp_path) as played:
+                await scene(played)
+
+    trio.run(main)
+
+
+def test_streams_beside_a_crashing_request_go_on_and_are_served_again(tmp_path):
+    """Guards against neighbours refused that lost their targets to another request."""
+
+    async def scene(played):
+        for target in played.layered:
+            target.events = 40
+        statuses = []
+
+        async def neighbour(number):
+            name, host = f"beside-{number}", played.fronts[number % HOSTS]
+            for _ in range(2):
+                reply = await played.request(
+                    "/stream/x",
+                    "POST",
+                    request_id=name,
+                    body=name.encode(),
+                    address=host,
+                )
+                statuses.append((reply.status, reply.whole))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(6):
+                nursery.start_soon(neighbour, number)
+            await trio.sleep(0.1)
+            nursery.start_soon(crash_everywhere, played, "/stream/x")
+        assert len(played.ended) <= MOST_ENDED
+        assert statuses == [(200, True)] * 12
+
+    play(tmp_path, scene)
+
+
+def test_connections_that_break_at_living_targets_prove_nothing(tmp_path):
+    """Guards against a reset connection taken for the end of its target."""
+
+    async def scene(played):
+        for number in range(4):
+            for target in played.layered:
+                target.cut_after = 2
+            host = played.fronts[number % HOSTS]
+            await played.request("/stream/x", "POST", body=b"{}", address=host)
+        for target in played.layered:
+            target.cut_after = 0
+        for host in played.fronts:
+            reply = await played.request("/stream/x", "POST", body=b"{}", address=host)
+            assert (reply.status, reply.whole) == (200, True)
+
+    play(tmp_path, scene)
+
+
+def test_popular_request_is_served_while_targets_end_for_other_reasons(tmp_path):
+    """Guards against a request refused that was in flight wherever targets ended."""
+
+    async def scene(played):
+        for target in played.layered:
+            target.events, target.gap_s = 100, 0.03
+        statuses = []
+
+        async def caller(number):
+            reply = await played.request(
+                "/stream/x",
+                "POST",
+                request_id=f"popular-{number}",
+                body=b"popular",
+                address=played.fronts[number % HOSTS],
+            )
+            statuses.append((reply.status, reply.whole))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(12):
+                nursery.start_soon(caller, number)
+                await trio.sleep(0.15)
+            # A fourth of a zone's targets lost would have the zone taken for cut off.
+            for target in played.layered[:3]:
+                target.crash()
+            await trio.sleep(0.5)
+            for number in range(12, 18):
+                nursery.start_soon(caller, number)
+                await trio.sleep(0.05)
+        assert statuses == [(200, True)] * 18
+
+    play(tmp_path, scene)
--- a/radishfield/platform/_store.py
+++ b/radishfield/platform/_store.py
@@ -144,6 +144,12 @@
         answer = await self._call("replace", "PUT", _path(kind, name), body)
         return answer.bind(_decode_value)
 
+    async def remove(self, kind: str, name: str, revision: int) -> Result[None, Fault]:
+        """Remove an object if its revision is still the one that was read."""
+        path = f"{_path(kind, name)}?revision={revision}"
+        answer = await self._call("remove", "DELETE", path)
+        return answer.map(lambda body: None)
+
     async def _call(
         self,
         call: str,
--- a/radishfield/routing/_directory.py
+++ b/radishfield/routing/_directory.py
@@ -179,6 +179,12 @@
             self._leaving.add(incarnation)
             self.version += 1
 
+    def leaves(self, record: TargetRecord) -> bool:
+        """Return whether this start of a target leaves, or is off the list."""
+        entry = self._entry_by_id.get(record.id)
+        listed = entry is not None and entry.record.incarnation == record.incarnation
+        return not listed or record.incarnation in self._leaving
+
     def leaving_incarnations(self) -> list[tuple[str, int]]:
         """Return the listed targets that leave, each with its start."""
         return [
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -85,6 +85,10 @@
         self._forgotten = self.revision
         self._wake()
 
+    def names(self, kind: str) -> list[str]:
+        """Return the names of a kind's objects."""
+        return list(self._items[kind])
+
     def spec(self, kind: str, name: str) -> object:
         """Return what lies in an object, or None."""
         item = self._items[kind].get(name)
@@ -133,8 +137,19 @@
                 return self._create(kind, new)
             case ("PUT", [kind, name]):
                 return self._replace(kind, name, msgspec.json.decode(body))
+            case ("DELETE", [kind, name]):
+                return self._delete(kind, name, query.get("revision"))
         return 404, {}
 
+    def _delete(self, kind: str, name: str, revision: str | None):
+        item = self._items[kind].get(name)
+        if item is None:
+            return 404, {}
+        if revision is not None and int(revision) != item["metadata"]["revision"]:
+            return 409, item
+        self.remove(kind, name)
+        return 200, item
+
     def _create(self, kind: str, new: dict):
         name = new["metadata"]["name"]
         if name in self._items[kind]:
--- a/standins/routed_targets.py
+++ b/standins/routed_targets.py
@@ -136,6 +136,8 @@
         Streams that it takes as a first part at a time; 0 for any number.
     crash : callable
         Ends the target and its connections.
+    ended_runs : int
+        Runs that are over, also those whose caller has left.
     """
 
     id: str
@@ -148,6 +150,8 @@
     cut_after: int = 0
     places: int = 0
     crash: Callable[[], None] = lambda: None
+    crash_after_s: float = CRASH_AFTER_S
+    ended_runs: int = 0
     orders: int = 0
     born: int = 1
     order_log: list[dict] = field(default_factory=list)
@@ -242,10 +246,11 @@
         self.fleet.note_path(request_id, parts)
         try:
             if crashes:
-                await trio.sleep(CRASH_AFTER_S)
+                await trio.sleep(self.crash_after_s)
                 self.crash()
             await self._send_events(request_id, headers, send)
         finally:
+            self.ended_runs += 1
             self._path_by_request.pop(request_id, None)
 
     async def _send_events(self, request_id: str, headers, send) -> None:
