Share the guard against crashing requests between both programs

The book of ends, the digest and the look at an address move to a package of their own, radishfield/crashes, with the guard that acts on them: it stops runs, lets suspected requests wait until all hosts have told, and refuses. The entry host needs the same.

One fault found on the way, by the entry host's test in virtual time: a request that waited out exactly the time in which others may explain its ends was sent on once more, since wait and verdict compared floating-point sums that differ in the last bit. Both now use the same sum. A refused connection is also no proof any more while the target answers on a kept one: it may be full.

Tests: a host that missed the news is told again by checksum; news from another zone is passed on within the own.

--- a/radishfield/limits/_crashes.py
+++ b/radishfield/crashes/_book.py
@@ -144,7 +144,7 @@
         ends = {
             key: end
             for key, end in self._ends_by_digest[digest].items()
-            if now - end.at >= SETTLE_S
+            if end.at + SETTLE_S <= now
         }
         if len(ends) < PROVEN_ENDS or self._explained(digest, ends.keys()):
             return None
--- a/radishfield/limits/crashes_test.py
+++ b/radishfield/crashes/book_test.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from radishfield.limits import CrashBook, TargetEnd
-from radishfield.limits._crashes import (
+from radishfield.crashes import CrashBook, TargetEnd
+from radishfield.crashes._book import (
     IMMUNE_S,
     MOST_SURVIVORS,
     MOST_SUSPECTS,
--- a/radishfield/forwarding/_active_stream.py
+++ b/radishfield/forwarding/_active_stream.py
@@ -4,8 +4,8 @@
 
 import trio
 
+from radishfield.crashes import OUTLIVED_S
 from radishfield.forwarding._call import Call
-from radishfield.limits import OUTLIVED_S
 from radishfield.routing import Demand, EngineSpec, Path, StreamSilence
 from radishfield.telemetry import log_event
 
@@ -88,10 +88,10 @@
         began_at = self._first_event_at
         return began_at is not None and self.heard_at - began_at >= OUTLIVED_S
 
-    def stop(self, reason: str) -> None:
+    def stop(self) -> None:
         """End the attempt for good, unless its target has begun to answer."""
         if not self.has_events:
-            self.given_up = reason
+            self.given_up = "targets ended under it"
             self.scope.cancel()
 
     def silence(self, now: float) -> StreamSilence:
--- a/radishfield/forwarding/_app.py
+++ b/radishfield/forwarding/_app.py
@@ -3,13 +3,13 @@
 import math
 
 from radishfield.core import Fault, ResultCode, fault
+from radishfield.crashes import request_digest
 from radishfield.forwarding._call import Call, Responder, status_of
 from radishfield.forwarding._plain import PlainForwarder
 from radishfield.forwarding._stream_paths import LEAVING_RETRY_S
 from radishfield.forwarding._streams import StreamForwarder
 from radishfield.forwarding._targets import stale_view
 from radishfield.forwarding._view import RouterView
-from radishfield.limits import request_digest
 from radishfield.platform import RequestFacts, read_request
 from radishfield.routing import NoKeyNeeded, RouteKind, UnknownKey, Workspace
 from radishfield.telemetry import (
--- a/radishfield/forwarding/_crash_gossip.py
+++ b/radishfield/forwarding/_crash_gossip.py
@@ -9,10 +9,10 @@
 
 import msgspec
 
+from radishfield.crashes import CrashReport
 from radishfield.forwarding._peer_messages import NEWS_BYTES, PeerCrashes, encoder
 from radishfield.forwarding._peers import Peer, PeerBook
 from radishfield.forwarding._view import RouterView
-from radishfield.limits import CrashReport
 
 TELL_AGAIN_S = 1.0
 """Shortest pause between two repairs of one host: its next status shows what came."""
@@ -41,29 +41,25 @@
 
     def hear(self, message: PeerCrashes) -> None:
         """Take in what another host knows, and pass it on within the zone."""
-        news = self._view.learn_crashes(message.reports, message.host_id)
+        news = self._view.crashes.learn(message.reports, message.host_id)
         if news and message.zone != self._view.zone:
             self._tell(news, self._near())
-        for report in message.reports:
-            if self._view.crashes.contradicts(report):
-                self._view.crash_news.add(report.digest)
 
     def compare(self, host_id: str, peer: Peer, checksum: int) -> None:
         """Tell a host what it may have missed, if it knows something else."""
         now = self._view.clock.now()
-        if checksum == self._view.crashes.checksum():
+        if checksum == self._view.crashes.book.checksum():
             return
         if now - self._told_at_by_host.get(host_id, -TELL_AGAIN_S) < TELL_AGAIN_S:
             return
         self._told_at_by_host[host_id] = now
-        self._tell(self._view.crashes.lasting(), [peer])
+        self._tell(self._view.crashes.book.lasting(), [peer])
 
     def _near(self) -> list[Peer]:
         return self._book.present_near(self._view.clock.now())
 
     def _tell(self, digests: Iterable[str], peers: list[Peer]) -> None:
-        now = self._view.clock.now()
-        reports = [self._view.crashes.report(digest, now) for digest in digests]
+        reports = [self._view.crashes.report(digest) for digest in digests]
         for batch in _batches(reports):
             message = PeerCrashes(self._host_id, self._view.zone, batch)
             self._send(encoder.encode(message), peers)
--- a/radishfield/forwarding/_crash_records.py
+++ b/radishfield/forwarding/_crash_records.py
@@ -11,8 +11,8 @@
 import msgspec
 
 from radishfield.core import ResultCode
+from radishfield.crashes import REFUSED_S, CrashReport, ToldEnd
 from radishfield.forwarding._view import RouterView
-from radishfield.limits import REFUSED_S, CrashReport, ToldEnd
 from radishfield.platform import ObjectStore, StoredValue
 from radishfield.telemetry import log_event
 
@@ -44,7 +44,7 @@
 
     async def write(self, digest: str) -> bool:
         """Write down why a request is refused; return whether the store has it."""
-        report = self._view.crashes.report(digest, self._view.clock.now())
+        report = self._view.crashes.report(digest)
         unix_s = time.time()
         ends = [
             _StoredEnd(end.target_id, end.started_ms, end.told_by, unix_s - end.age_s)
@@ -90,4 +90,4 @@
             ToldEnd(end.target, end.started_ms, end.told_by, age_s)
             for end, age_s in zip(body.ends, ages, strict=True)
         ]
-        self._view.learn_crashes([CrashReport(value.name, ends)], "store")
+        self._view.crashes.learn([CrashReport(value.name, ends)], "store")
--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -260,7 +260,7 @@
                 ],
                 self._view.directory.answered_lately(now),
                 self._paces(now),
-                self._view.crashes.checksum(),
+                self._view.crashes.book.checksum(),
             )
         )
 
--- a/radishfield/forwarding/_peer_messages.py
+++ b/radishfield/forwarding/_peer_messages.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from radishfield.limits import CrashReport
+from radishfield.crashes import CrashReport
 from radishfield.telemetry import log_event
 
 DATAGRAM_BYTES = 8 << 10
--- a/radishfield/forwarding/_plain.py
+++ b/radishfield/forwarding/_plain.py
@@ -10,8 +10,7 @@
 
 from radishfield.core import Fault, ResultCode, fault
 from radishfield.forwarding._call import Call
-from radishfield.forwarding._crash_guard import CrashGuard
-from radishfield.forwarding._crash_refusal import crash_refusal
+from radishfield.forwarding._crash_watch import CrashWatch
 from radishfield.forwarding._targets import Targets, final_fault
 from radishfield.forwarding._tries import Tries, target_error
 from radishfield.forwarding._view import RouterView
@@ -78,7 +77,7 @@
 
     __slots__ = ("_crashes", "_failures", "_targets", "_view")
 
-    def __init__(self, targets: Targets, crashes: CrashGuard, view: RouterView):
+    def __init__(self, targets: Targets, crashes: CrashWatch, view: RouterView):
         self._crashes = crashes
         self._targets = targets
         self._view = view
@@ -97,7 +96,7 @@
         """Try targets until one answers, or no further try is allowed."""
         tries = _PlainTries()
         while True:
-            await self._crashes.settle(call)
+            await self._view.crashes.settle(call.digest, call.deadline_at)
             stop = self._targets.check(call)
             if stop is not None:
                 tries.stop(stop)
@@ -112,8 +111,8 @@
                 return result
             tries.take(result)
             if tries.over(call):
-                await self._crashes.settle(call)
-                tries.problem = crash_refusal(self._view, call) or tries.problem
+                await self._view.crashes.settle(call.digest, call.deadline_at)
+                tries.problem = self._view.crash_refusal(call) or tries.problem
                 break
         if tries.failed_answer is not None:
             return Ok(tries.failed_answer)
@@ -164,7 +163,7 @@
     def _hedge_target(self, call: Call) -> TargetRecord | None:
         if self._targets.check(call) is not None:
             return None
-        if self._view.crashes.settles_in_s(call.digest, self._view.clock.now()) > 0:
+        if not self._view.crashes.is_settled(call.digest):
             return None
         other = self._choose(call)
         silent = fault(ResultCode.STREAM_SILENT)
@@ -188,7 +187,7 @@
         left_s = call.deadline_at - self._view.clock.now()
         try:
             with trio.move_on_after(max(0.0, left_s)) as scope:
-                with self._crashes.running(call, lambda reason: scope.cancel()):
+                with self._view.crashes.running(call.digest, scope.cancel):
                     result = await self._exchange(call, record)
             if scope.cancelled_caught and self._view.clock.now() < call.deadline_at:
                 result = Error(fault(ResultCode.CRASHES_TARGETS, "stopped"))
@@ -196,7 +195,7 @@
             self._view.load.ended(record.id, 0.0, first=True)
         self._note(record, result)
         if not _failed(result):
-            self._crashes.outlived(call)
+            self._view.crashes.outlived(call.digest, call.facts.request_id)
         elif result.is_error():
             await self._crashes.note_end(call, record, result.error)
         return result
--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -11,8 +11,8 @@
 from radishfield.core import Fault, SystemClock
 from radishfield.forwarding._app import ReadinessApp, RouterApp
 from radishfield.forwarding._connections import TargetConnections
-from radishfield.forwarding._crash_guard import CrashGuard
 from radishfield.forwarding._crash_records import CrashRecords
+from radishfield.forwarding._crash_watch import CrashWatch
 from radishfield.forwarding._follower import ConfigFollower, TargetFollower
 from radishfield.forwarding._gossip import Gossip
 from radishfield.forwarding._metrics import MetricsPage
@@ -109,6 +109,7 @@
             Freshness(self._promises.revoke_s),
             self._promises.grace_s,
             started_at=clock.now(),
+            host_id=settings.host.id,
         )
         self._caller_config = _CallerListener.from_settings(
             settings.caller.bind, drain_s=0.0
@@ -142,18 +143,18 @@
             lambda: watchdog.unheard,
         )
         placer = Placer(settings.host.id, store, targets, view)
-        crashes = CrashGuard(
+        crashes = CrashWatch(
             settings.host.id, TargetEnds(targets), CrashRecords(store, view), view
         )
         telemetry.watch(
             "target_ends_counted",
             "Ends of targets that this host counted under the requests they ran.",
-            lambda: crashes.counted,
+            lambda: view.crashes.counted,
         )
         telemetry.watch(
             "suspected_requests",
             "Requests under which targets ended, now.",
-            lambda: len(view.crashes),
+            lambda: len(view.crashes.book),
         )
         plain = PlainForwarder(targets, crashes, view)
         streams = StreamForwarder(targets, watchdog, crashes, view, telemetry)
--- a/radishfield/forwarding/_stream_paths.py
+++ b/radishfield/forwarding/_stream_paths.py
@@ -5,7 +5,6 @@
 
 from radishfield.core import Fault, ResultCode, fault
 from radishfield.forwarding._call import Call
-from radishfield.forwarding._crash_refusal import crash_refusal
 from radishfield.forwarding._stream_progress import StreamProgress
 from radishfield.forwarding._stream_tries import NO_PATH_RETRY_S, StreamTries
 from radishfield.forwarding._view import RouterView
@@ -78,7 +77,7 @@
             if engine is not None and not _covered(listed, engine):
                 break
             await trio.sleep(LOOK_BESIDE_S)
-            refusal = crash_refusal(view, call)
+            refusal = view.crash_refusal(call)
             if refusal is not None:
                 return Error(refusal)
             if engine is None:
@@ -117,7 +116,7 @@
                 if not self._is_covered(call, engine):
                     detail = "layers are missing"
                     return Error(fault(ResultCode.NO_TARGET, detail, NO_PATH_RETRY_S))
-                refusal = crash_refusal(view, call)
+                refusal = view.crash_refusal(call)
                 if refusal is not None:
                     return Error(refusal)
                 if queue.may_try(entry):
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -9,8 +9,7 @@
 from radishfield.forwarding._active_stream import ActiveStream, path_words
 from radishfield.forwarding._call import Call
 from radishfield.forwarding._connections import BrokenAnswerError, Exchange
-from radishfield.forwarding._crash_guard import CrashGuard
-from radishfield.forwarding._crash_refusal import crash_refusal
+from radishfield.forwarding._crash_watch import CrashWatch
 from radishfield.forwarding._stream_paths import LOOK_AGAIN_S, StreamPaths
 from radishfield.forwarding._stream_progress import StreamProgress
 from radishfield.forwarding._stream_tries import (
@@ -50,7 +49,7 @@
         self,
         targets: Targets,
         watchdog: StreamWatchdog,
-        crashes: CrashGuard,
+        crashes: CrashWatch,
         view: RouterView,
         telemetry: DeferredTelemetry,
     ):
@@ -84,7 +83,7 @@
         engine = call.service.engine
         tries = StreamTries()
         while True:
-            await self._crashes.settle(call)
+            await self._view.crashes.settle(call.digest, call.deadline_at)
             stop = self._targets.check(call)
             if stop is not None:
                 return final_fault(call, stop, NO_PATH_RETRY_S)
@@ -108,8 +107,8 @@
                 await trio.sleep(tries.pause_s())
                 continue
             if result.is_error():
-                await self._crashes.settle(call)
-                problem = crash_refusal(self._view, call) or tries.problem
+                await self._view.crashes.settle(call.digest, call.deadline_at)
+                problem = self._view.crash_refusal(call) or tries.problem
                 return final_fault(call, problem, NO_PATH_RETRY_S)
             if call.responder.started:
                 return tries.problem
@@ -206,7 +205,7 @@
         )
         result = Error(fault(ResultCode.STREAM_SILENT))
         try:
-            with stream.scope, self._crashes.running(call, stream.stop):
+            with stream.scope, self._view.crashes.running(call.digest, stream.stop):
                 result = await self._relay(call, record, stream, progress)
             if call.responder.finished:
                 # Given up in the turn in which its end was passed on.
@@ -287,7 +286,7 @@
                 return Error(fault(ResultCode.ANSWER_TRUNCATED, "ended without events"))
             await self._start(call, exchange)
         else:
-            self._crashes.outlived(call)
+            self._view.crashes.outlived(call.digest, call.facts.request_id)
         await call.responder.end_stream()
         return Ok(None)
 
@@ -302,7 +301,7 @@
         outlived_before = stream.outlived_start
         stream.heard(self._view.clock.now())
         if stream.outlived_start and not outlived_before:
-            self._crashes.outlived(call)
+            self._view.crashes.outlived(call.digest, call.facts.request_id)
         if call.responder.started:
             await call.responder.events(events)
             return
--- a/radishfield/forwarding/_target_ends.py
+++ b/radishfield/forwarding/_target_ends.py
@@ -1,8 +1,6 @@
 """Tells the end of a target from the end of a connection to it.
 
-A process that has ended listens no more, and its host refuses new connections at once.
-A connection that was only reset leaves a target that answers; behind a link that is cut
-nothing answers at all, which proves nothing.
+Its address tells whether anybody listens there, and its report which start does.
 """
 
 import enum
@@ -10,14 +8,12 @@
 import trio
 
 from radishfield.core import ResultCode
+from radishfield.crashes import listens
 from radishfield.forwarding._targets import Targets
 from radishfield.routing import TargetRecord
 from radishfield.telemetry import log_event
 from radishfield.web import split_address
 
-LISTEN_TIMEOUT_S = 0.4
-"""A host of the region accepts or refuses a connection within milliseconds."""
-
 
 class TargetState(enum.StrEnum):
     """What a look at a target's address shows after a connection to it broke."""
@@ -52,19 +48,19 @@
         return look.state
 
     async def _look(self, record: TargetRecord) -> TargetState:
-        listens = await _listens(record.address)
-        if listens is None:
+        is_open = await listens(*split_address(record.address))
+        if is_open is None:
             return TargetState.UNKNOWN
-        if not listens:
-            return TargetState.ENDED
+        # Kept connections serve on at a target that only refuses new ones.
         report = await self._targets.report(record)
-        if report.is_error():
-            # A target that serves alone knows no reports, and says so.
-            answered = report.error.code is ResultCode.MALFORMED_ANSWER
-            return TargetState.ALIVE if answered else TargetState.UNKNOWN
-        if report.ok.started_ms != record.started_ms:
+        if report.is_ok():
+            same_start = report.ok.started_ms == record.started_ms
+            return TargetState.ALIVE if same_start else TargetState.ENDED
+        if not is_open:
             return TargetState.ENDED
-        return TargetState.ALIVE
+        # A target that serves alone knows no reports, and says so.
+        answered = report.error.code is ResultCode.MALFORMED_ANSWER
+        return TargetState.ALIVE if answered else TargetState.UNKNOWN
 
 
 class _Look:
@@ -73,16 +69,3 @@
     def __init__(self):
         self.done = trio.Event()
         self.state = TargetState.UNKNOWN
-
-
-async def _listens(address: str) -> bool | None:
-    """Return whether anybody listens; None where nobody answers in time."""
-    with trio.move_on_after(LISTEN_TIMEOUT_S), trio.socket.socket() as sock:
-        try:
-            await sock.connect(split_address(address))
-        except ConnectionRefusedError:
-            return False
-        except OSError:
-            return None
-        return True
-    return None
--- a/radishfield/forwarding/_targets.py
+++ b/radishfield/forwarding/_targets.py
@@ -7,7 +7,6 @@
 from radishfield.core import Fault, Outcome, ResultCode, fault
 from radishfield.forwarding._call import Call
 from radishfield.forwarding._connections import Exchange, Outgoing, TargetConnections
-from radishfield.forwarding._crash_refusal import crash_refusal
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import (
     ORDER_PATH,
@@ -75,7 +74,7 @@
         now = self._view.clock.now()
         if now >= call.deadline_at:
             return _late(call)
-        refusal = crash_refusal(self._view, call)
+        refusal = self._view.crash_refusal(call)
         if refusal is not None:
             return refusal
         if call.responder.started:
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -9,15 +9,11 @@
 import msgspec
 import trio
 
-from radishfield.core import Clock
+from radishfield.core import Clock, Fault
+from radishfield.crashes import CrashGuard
+from radishfield.forwarding._call import Call
 from radishfield.forwarding._peer_messages import PeerConfig, TargetNews
-from radishfield.limits import (
-    CrashBook,
-    CrashReport,
-    RetryAllowance,
-    RetryBudget,
-    RetryUse,
-)
+from radishfield.limits import RetryAllowance, RetryBudget, RetryUse
 from radishfield.platform import StoredValue
 from radishfield.routing import (
     BLIND_SPREAD,
@@ -47,7 +43,6 @@
     sends_callers_away,
     takes_work,
 )
-from radishfield.telemetry import log_event
 
 Item = TypeVar("Item")
 
@@ -145,12 +140,10 @@
     news, config_news : NewsBox
         What is to be told to the other hosts of the zone: of targets, and of the
         configuration.
-    crashes : CrashBook
+    crashes : CrashGuard
         Requests under which targets ended.
     crash_news : NewsBox
         Digests of those of which the other hosts are to be told.
-    crashes_changed : trio.Event
-        Set, and replaced, when something was learned of such requests.
     config_reads : int
         Answers of the store that held the configuration.
     streams_cut : int
@@ -193,9 +186,9 @@
     watch_duty: WatchDuty = msgspec.field(default_factory=WatchDuty)
     news: NewsBox[TargetNews] = msgspec.field(default_factory=NewsBox)
     config_news: NewsBox[ConfigNews] = msgspec.field(default_factory=NewsBox)
-    crashes: CrashBook = msgspec.field(default_factory=CrashBook)
+    host_id: str = ""
+    crashes: CrashGuard | None = None
     crash_news: NewsBox[str] = msgspec.field(default_factory=NewsBox)
-    crashes_changed: trio.Event = msgspec.field(default_factory=trio.Event)
     config_reads: int = 0
     targets_confirmed_at: float = -math.inf
     hear_news: Callable[[list[TargetNews]], None] = lambda items: None
@@ -205,6 +198,11 @@
     _queue_by_service: dict[str, AdmissionQueue] = msgspec.field(default_factory=dict)
     _budget_by_service: dict[str, RetryBudget] = msgspec.field(default_factory=dict)
 
+    def __post_init__(self):
+        if self.crashes is None:
+            self.crashes = CrashGuard(self.host_id, self.clock)
+        self.crashes.tell = self.crash_news.add
+
     @property
     def leaving(self) -> bool:
         """Return whether this host was told to leave."""
@@ -373,27 +371,11 @@
         known = self.table.config.service_by_name.get(share.service)
         return known or ServiceSpec(share.service, "", 100)
 
-    def learn_crashes(self, reports: list[CrashReport], told_by: str) -> list[str]:
-        """Take what others know of requests; return the digests that were news."""
-        now = self.clock.now()
-        news = [report.digest for report in reports if self.crashes.merge(report, now)]
-        for digest in news:
-            known = self.crashes.report(digest, now)
-            log_event(
-                "crashes.told",
-                digest=digest,
-                told_by=told_by,
-                ends=len(known.ends),
-                survived=known.survived_age_s >= 0,
-            )
-        if news:
-            self.wake_crash_guard()
-        return news
-
-    def wake_crash_guard(self) -> None:
-        """Have it looked at once which requests are refused now."""
-        event, self.crashes_changed = self.crashes_changed, trio.Event()
-        event.set()
+    def crash_refusal(self, call: Call) -> Fault | None:
+        """Return why a call is sent to no further target for those that ended."""
+        return self.crashes.refusal(
+            call.digest, call.facts.request_id, call.may_have_run
+        )
 
     def note_store_back(self) -> None:
         """End the pauses of whoever waits for the store."""
--- a/radishfield/forwarding/crashes_test.py
+++ b/radishfield/forwarding/crashes_test.py
@@ -1,9 +1,17 @@
 """Requests under which targets end, seen by several hosts."""
 
+import random
+
 import trio
 
+from radishfield.crashes import CrashReport, ToldEnd, request_digest
+from radishfield.forwarding._crash_gossip import CrashGossip
+from radishfield.forwarding._peer_messages import PeerCrashes
+from radishfield.forwarding._peers import Peer, PeerBook
+from radishfield.forwarding._view import RouterView
 from radishfield.forwarding.conftest import world
-from radishfield.limits import CrashReport, ToldEnd, request_digest
+from radishfield.limits import RetryAllowance
+from radishfield.routing import Freshness
 from standins.routed_config import HOST_NAME, config
 from standins.routed_targets import CRASHING_BODY
 
@@ -125,7 +133,7 @@
 def prove(router, digest):
     """Have a host hear that three targets ended under a request."""
     ends = [ToldEnd(f"gone-{number}", 1, "host-9", 1.0) for number in range(3)]
-    router.view.learn_crashes([CrashReport(digest, ends)], "host-9")
+    router.view.crashes.learn([CrashReport(digest, ends)], "host-9")
 
 
 async def answer_after_proof(played, router, sent_before):
@@ -283,3 +291,54 @@
         assert statuses == [(200, True)] * 18
 
     play(tmp_path, scene)
+
+
+def test_host_that_missed_the_news_is_told_again(tmp_path):
+    """Guards against a host that woke, or came back, and never hears of it."""
+
+    async def main():
+        with trio.fail_after(20.0):
+            async with world(tmp_path) as played:
+                played.store.put("config", "main", config())
+                routers = await played.start_zone(HOSTS)
+                ends = [ToldEnd(f"gone-{number}", 1, "host-9", 1.0) for number in "abc"]
+                # Learned without a word to the others.
+                routers[0].view.crashes.book.merge(
+                    CrashReport(STREAM_DIGEST, ends),
+                    routers[0].view.clock.now(),
+                )
+                await played.until(
+                    lambda: all(knows(router) for router in routers), limit_s=4.0
+                )
+
+    trio.run(main)
+
+
+def knows(router):
+    view = router.view
+    return view.crashes.book.verdict(STREAM_DIGEST, view.clock.now()) is not None
+
+
+def test_news_from_another_zone_is_passed_on_within_the_own(tmp_path):
+    """Guards against zones of many hosts of which only two hear what others saw."""
+
+    class Clock:
+        def now(self):
+            return 100.0
+
+    view = RouterView("a", Clock(), RetryAllowance(), Freshness(5.0), host_id="here")
+    book = PeerBook("a", random.Random(1))
+    for number in range(5):
+        book.peer_by_id[f"near-{number}"] = Peer(("127.0.0.1", number), "a", 99.0)
+    book.peer_by_id["far"] = Peer(("127.0.0.1", 9), "b", 99.0)
+    sent = []
+    gossip = CrashGossip("here", view, book, lambda data, peers: sent.append(peers))
+    report = CrashReport("d", [ToldEnd("t1", 1, "far", 0.0)])
+    gossip.hear(PeerCrashes("far", "b", [report]))
+    (recipients,) = sent
+    assert {peer.zone for peer in recipients} == {"a"}
+    assert len(recipients) == 5
+    # Heard again, from wherever, it goes no further.
+    gossip.hear(PeerCrashes("far", "b", [report]))
+    gossip.hear(PeerCrashes("near-1", "a", [report]))
+    assert len(sent) == 1
