Refuse a request that crashes targets at the entry hosts, too

The entry host counted attempts of one request at one host: four targets each time the request came, without end, as the router did (fault class: each host decides alone what only all hosts together see).

Hosts tell each other in datagrams at once, and again each second for those that start or come back. Nothing is written to the platform: a fleet whose hosts were all killed together starts to count anew.

Seven tests in virtual time: a stream, a plain call and a request that may run once each end three targets of eight over two or three hosts, where there was nothing to stop them before; in line, on its way, missed news, living targets.

--- a/radishfield/fleet/__init__.py
+++ b/radishfield/fleet/__init__.py
@@ -60,6 +60,7 @@
 from radishfield.fleet._spread import (
     FactSpreader,
     SpreadSettings,
+    choose_fan_out,
 )
 from radishfield.fleet._status import (
     Drain,
@@ -118,6 +119,7 @@
     "ZoneStatus",
     "drain_name",
     "ranked",
+    "choose_fan_out",
     "read_packed",
     "write_settled",
 ]
--- a/radishfield/scripts/_wiring.py
+++ b/radishfield/scripts/_wiring.py
@@ -10,6 +10,7 @@
     StoredObject,
     SystemClock,
 )
+from radishfield.crashes import CrashGuard
 from radishfield.decisions import Scheduler
 from radishfield.edges import (
     AbsentPlatform,
@@ -50,7 +51,13 @@
 )
 from radishfield.kernel import Kernel
 from radishfield.scripts._fleet_metrics import watch_fleet
-from radishfield.serving import Dispatcher, FleetView
+from radishfield.serving import (
+    CrashSharing,
+    Dispatcher,
+    FleetView,
+    TargetCrashes,
+    look_at_address,
+)
 from radishfield.settings import EntrySettings, MetricsExport
 from radishfield.telemetry import (
     NullTelemetry,
@@ -236,6 +243,10 @@
         kernel.register("targets", EngineTargets())
         kernel.register("claims", self._claims())
         self._add_placement()
+        guard = CrashGuard(self._settings.host.id, clock)
+        host, peers = self._settings.host, kernel.find("peers", object)
+        spread = SpreadSettings(host.id, host.zone)
+        kernel.register("crash-sharing", CrashSharing(spread, peers, guard))
         dispatcher = Dispatcher(
             Scheduler(),
             kernel.find("targets", EngineTargets),
@@ -243,6 +254,7 @@
             kernel.find("claims", Claims),
             claim_s=self._settings.claims.keep_s,
             observer=TelemetryObserver(telemetry, records, clock),
+            crashes=TargetCrashes(guard, look_at_address),
         )
         kernel.register("dispatcher", dispatcher)
         self._add_views()
--- a/radishfield/serving/__init__.py
+++ b/radishfield/serving/__init__.py
@@ -1,5 +1,8 @@
 """The way of one request through the system, from admission to its end."""
 
+from radishfield.serving._crash_sharing import (
+    CrashSharing,
+)
 from radishfield.serving._dispatcher import (
     Dispatcher,
 )
@@ -7,9 +10,16 @@
     FleetView,
     links_between,
 )
+from radishfield.serving._target_crashes import (
+    TargetCrashes,
+    look_at_address,
+)
 
 __all__ = [
+    "CrashSharing",
     "Dispatcher",
     "FleetView",
+    "TargetCrashes",
     "links_between",
+    "look_at_address",
 ]
--- a/radishfield/serving/_attempt.py
+++ b/radishfield/serving/_attempt.py
@@ -18,9 +18,11 @@
     TokenStream,
 )
 from radishfield.core import ResultCode as Code
+from radishfield.crashes import OUTLIVED_S, CrashGuard
 from radishfield.decisions import Dispatch, Failure, FailureKind, Scheduler
 from radishfield.pipeline import PipelineState
 from radishfield.serving._observer import Observer
+from radishfield.serving._target_crashes import digest_of
 
 # A connection that went silent, or was reset, is replaced by a new one to the
 # same first stage before the target itself is held to be at fault.  Two tries
@@ -44,12 +46,15 @@
         Tokens committed so far, over all attempts.
     answered : bool
         Whether the target answered the opening of its last connection.
+    outlived_start : bool
+        Whether the target lived on well after it began to run the request.
     """
 
     problem: Fault
     started: bool
     committed: int = 0
     answered: bool = True
+    outlived_start: bool = False
 
 
 class Attempt:
@@ -63,6 +68,9 @@
         "_clock",
         "_observer",
         "_scheduler",
+        "_began_at",
+        "_crashes",
+        "_outlived_start",
     )
 
     def __init__(
@@ -74,6 +82,7 @@
         clock: Clock,
         observer: Observer,
         scheduler: Scheduler,
+        crashes: CrashGuard,
     ):
         self._request = request
         self._state = state
@@ -82,6 +91,9 @@
         self._clock = clock
         self._observer = observer
         self._scheduler = scheduler
+        self._crashes = crashes
+        self._began_at: float | None = None
+        self._outlived_start = False
 
     async def run(self, head: Target, dispatch: Dispatch) -> AttemptFailure | None:
         """Run to the last token; None means that the request has finished."""
@@ -89,6 +101,8 @@
             case Result(tag="error", error=problem):
                 return self._failure(problem, started=False)
         tried_at = self._clock.now()
+        self._began_at = None
+        self._outlived_start = False
         opening = self._targets.open_stream(head, self._start(dispatch))
         failure = await self._pass_on(opening)
         reopens = 0
@@ -159,7 +173,13 @@
     def _failure(
         self, problem: Fault, started: bool, answered: bool = True
     ) -> AttemptFailure:
-        return AttemptFailure(problem, started, self._state.next_position, answered)
+        return AttemptFailure(
+            problem,
+            started,
+            self._state.next_position,
+            answered,
+            self._outlived_start,
+        )
 
     async def _read(self, stream: TokenStream) -> Fault | None:
         while self._state.finish is None:
@@ -176,7 +196,16 @@
 
     async def _hand_on(self, tokens: Sequence[Token]) -> None:
         now = self._clock.now()
+        self._note_life(now)
         for token in tokens:
             self._scheduler.progressed(self._request.id, token.position, now)
             self._observer.token(self._request, token)
             await self._sink.push(token)
+
+    def _note_life(self, now: float) -> None:
+        """Note that the target lives on after it began to run the request."""
+        if self._began_at is None:
+            self._began_at = now
+        if not self._outlived_start and now - self._began_at >= OUTLIVED_S:
+            self._outlived_start = True
+            self._crashes.outlived(digest_of(self._request), self._request.id)
--- a/radishfield/serving/_dispatcher.py
+++ b/radishfield/serving/_dispatcher.py
@@ -31,6 +31,7 @@
     TokenSink,
     fault,
 )
+from radishfield.crashes import CrashGuard
 from radishfield.decisions import Dispatch, Retry, Scheduler, Work
 from radishfield.fleet import Claimed, Replay
 from radishfield.pipeline import PipelineState
@@ -41,6 +42,7 @@
 from radishfield.serving._observer import AnyRequest, NullObserver, Observer
 from radishfield.serving._queue import DispatchQueue
 from radishfield.serving._run import AttemptRunner, RequestRun, RetryPreparer
+from radishfield.serving._target_crashes import TargetCrashes
 
 A = TypeVar("A")
 
@@ -69,6 +71,7 @@
         "_scheduler",
         "_targets",
         "_clock",
+        "_crashes",
         "_claims",
         "_observer",
         "_claim_s",
@@ -86,6 +89,7 @@
         claims: ClaimPort | None = None,
         observer: Observer | None = None,
         claim_s: float = CLAIM_S,
+        crashes: TargetCrashes | None = None,
     ):
         self._scheduler = scheduler
         self._targets = targets
@@ -93,6 +97,7 @@
         self._claims = claims or NoClaims()
         self._observer = observer or NullObserver()
         self._claim_s = claim_s
+        self._crashes = crashes or TargetCrashes(CrashGuard("", clock))
         self._queue = DispatchQueue(scheduler, clock)
         self._canceller = Canceller(targets)
         self._targets_by_id: dict[str, Target] = {}
@@ -117,6 +122,7 @@
     ) -> None:
         """Replace the view of targets; requests in flight keep their routes."""
         self._targets_by_id = {target.id: target for target in targets}
+        self._crashes.set_targets(targets)
         now = self._clock.now()
         self._scheduler.set_fleet(targets, links, zone, entry_hosts, now)
         self._queue.pump()
@@ -146,6 +152,7 @@
             self._clock,
             self._observer,
             self._scheduler,
+            self._crashes.guard,
         )
 
         async def one(dispatch: Dispatch) -> AttemptFailure | None:
@@ -173,7 +180,7 @@
             kept = KeptAnswer(list(state.committed), state.finish or "stop")
             return msgspec.msgpack.encode(kept)
 
-        run = self._new_run(request, _work_of(request))
+        run = self._new_run(request, _work_of(request), lambda: bool(state.committed))
         return await self._serve(run, _Way(one, prepare, answer, keep, replay))
 
     async def call_service(
@@ -204,12 +211,21 @@
         def answer() -> ServiceAnswer:
             return answers[0]
 
-        run = self._new_run(request, _work_of_call(request))
+        run = self._new_run(request, _work_of_call(request), lambda: False)
         return await self._serve(run, _Way(one, prepare, answer, keep, replay))
 
-    def _new_run(self, request: AnyRequest, work: Work) -> RequestRun:
+    def _new_run(
+        self, request: AnyRequest, work: Work, begun: Callable[[], bool]
+    ) -> RequestRun:
         return RequestRun(
-            request, work, self._scheduler, self._queue, self._observer, self._clock
+            request,
+            work,
+            self._scheduler,
+            self._queue,
+            self._observer,
+            self._clock,
+            self._crashes,
+            begun,
         )
 
     async def _attempt(
--- a/radishfield/serving/_run.py
+++ b/radishfield/serving/_run.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from radishfield.core import Clock, Fault, Outcome, ResultCode
+from radishfield.core import Clock, Fault, Outcome, ResultCode, fault
 from radishfield.decisions import (
     Dispatch,
     Failure,
@@ -18,6 +18,7 @@
 from radishfield.serving._attempt import AttemptFailure
 from radishfield.serving._observer import AnyRequest, Observer
 from radishfield.serving._queue import DispatchQueue
+from radishfield.serving._target_crashes import TargetCrashes, digest_of
 
 FAILURE_KIND_BY_CODE = {
     ResultCode.TARGET_REFUSED: FailureKind.REFUSED,
@@ -46,6 +47,9 @@
         "request",
         "work",
         "started",
+        "_begun",
+        "_crashes",
+        "_digest",
         "_scheduler",
         "_queue",
         "_observer",
@@ -60,6 +64,8 @@
         queue: DispatchQueue,
         observer: Observer,
         clock: Clock,
+        crashes: TargetCrashes,
+        begun: Callable[[], bool],
     ):
         self.request = request
         self.work = work
@@ -68,6 +74,9 @@
         self._queue = queue
         self._observer = observer
         self._clock = clock
+        self._crashes = crashes
+        self._digest = digest_of(request)
+        self._begun = begun
 
     async def run(
         self,
@@ -75,7 +84,14 @@
         prepare: Callable[[Retry], Awaitable],
     ) -> Fault | None:
         """Return None once finished, or the fault to tell the caller."""
-        turn = await self._queue.wait_turn(self.work)
+        refusal = self._refusal()
+        if refusal is not None:
+            return refusal
+        turn = None
+        with trio.CancelScope() as scope, self._stopped_by(scope.cancel):
+            turn = await self._queue.wait_turn(self.work)
+        if turn is None:
+            return self._refusal()
         if turn.is_error():
             return self.honest(turn.error)
         finished = False
@@ -87,6 +103,14 @@
             self._scheduler.ended(self.work.request_id, finished, self._clock.now())
             self._queue.pump()
 
+    def _refusal(self) -> Fault | None:
+        """Return why the request is sent to no further target, or None."""
+        guard = self._crashes.guard
+        return guard.refusal(self._digest, self.request.id, self.started)
+
+    def _stopped_by(self, stop: Callable[[], None]):
+        return self._crashes.guard.running(self._digest, stop)
+
     def honest(self, problem: Fault) -> Fault:
         """Return the fault with the outcome that this run has proven."""
         outcome = Outcome.UNKNOWN if self.started else Outcome.NOT_RUN
@@ -99,15 +123,26 @@
         prepare: RetryPreparer,
     ) -> Fault | None:
         while True:
+            await self._crashes.guard.settle(self._digest, self.work.deadline)
+            refusal = self._refusal()
+            if refusal is not None:
+                return refusal
             self._observer.dispatched(self.request, dispatch)
             failure = await self._one(dispatch, attempt)
             if failure is None:
                 return None
+            if failure.problem.code is ResultCode.CRASHES_TARGETS:
+                return self._refusal() or self.honest(failure.problem)
             report = self._report(dispatch, failure)
+            if failure.started and not failure.outlived_start:
+                await self._crashes.note_failure(
+                    self._digest, report.target_id, failure.problem
+                )
             self._observer.attempt_failed(self.request, report, failure.problem)
             decision = self._scheduler.failed(report, self._clock.now())
             if isinstance(decision, GiveUp):
-                return self.honest(decision.fault)
+                await self._crashes.guard.settle(self._digest, self.work.deadline)
+                return self._refusal() or self.honest(decision.fault)
             self._observer.retried(self.request, decision, failure.problem)
             await trio.sleep(decision.after_s)
             await prepare(decision)
@@ -118,7 +153,12 @@
     ) -> AttemptFailure | None:
         started_before = self.started
         self.started = True
-        failure = await attempt(dispatch)
+        failure = AttemptFailure(fault(ResultCode.CRASHES_TARGETS, "stopped"), True)
+        with trio.CancelScope() as scope:
+            with self._stopped_by(lambda: self._begun() or scope.cancel()):
+                failure = await attempt(dispatch)
+        if failure is None:
+            self._crashes.guard.outlived(self._digest, self.request.id)
         if failure is not None and not failure.started:
             self.started = started_before
         return failure
--- /dev/null
+++ b/radishfield/serving/crashes_test.py
@@ -0,0 +1,292 @@
+"""Requests that end the targets which run them, at entry hosts that tell each other."""
+
+from contextlib import asynccontextmanager
+
+import trio
+import trio.testing
+from expression import Error, Ok
+
+from radishfield.core import (
+    LayerRange,
+    Member,
+    Outcome,
+    Profile,
+    Request,
+    ResultCode,
+    ServiceRequest,
+    Target,
+    TargetKind,
+    TrioClock,
+    fault,
+)
+from radishfield.crashes import CrashGuard, CrashReport, ToldEnd
+from radishfield.decisions import Scheduler
+from radishfield.fleet import SpreadSettings
+from radishfield.serving import CrashSharing, Dispatcher, TargetCrashes
+from radishfield.serving._target_crashes import digest_of
+
+TARGETS = 8
+LAYERS = LayerRange(0, 4)
+DEADLINE_S = 30.0
+
+
+class CrashingTargets:
+    """Targets that end when they begin to run a request, or hold it for ever."""
+
+    def __init__(self, holds=False):
+        self.ended = []
+        self.opened = []
+        self._holds = holds
+
+    @asynccontextmanager
+    async def open_stream(self, target, start):
+        self.opened.append(target.id)
+        if self._holds:
+            await trio.sleep_forever()
+        if target.id in self.ended:
+            yield Error(fault(ResultCode.CONNECT_FAILED))
+            return
+        self.ended.append(target.id)
+        yield Ok(BrokenStream())
+
+    @asynccontextmanager
+    async def reopen_stream(self, target, request_id, attempt, position):
+        yield Error(fault(ResultCode.CONNECT_FAILED))
+
+    async def call(self, target, request):
+        if target.id in self.ended:
+            return Error(fault(ResultCode.CONNECT_FAILED))
+        self.ended.append(target.id)
+        return Error(fault(ResultCode.STREAM_BROKEN))
+
+    async def cancel(self, target, request_id, attempt):
+        return Ok(None)
+
+    async def look(self, target):
+        return target.id not in self.ended
+
+
+class BrokenStream:
+    async def next_tokens(self):
+        return Error(fault(ResultCode.STREAM_BROKEN))
+
+
+class Peers:
+    """The network between hosts that all reach each other."""
+
+    def __init__(self):
+        self.handler_by_host = {}
+        self.cut = set()
+
+    def of(self, host_id):
+        return PeersOfHost(self, host_id)
+
+
+class PeersOfHost:
+    def __init__(self, peers, host_id):
+        self._peers = peers
+        self._host_id = host_id
+
+    def members(self):
+        return [Member(each, "a", each, 1) for each in self._peers.handler_by_host]
+
+    def hear(self, topic, handler):
+        self._peers.handler_by_host[self._host_id] = handler
+
+    async def tell(self, members, topic, payload):
+        for member in members:
+            if not {member, self._host_id} & self._peers.cut:
+                self._peers.handler_by_host[member](self._host_id, payload)
+
+
+def target(number, kind):
+    name = f"t{number}"
+    return Target(
+        name, name, "a", "127.0.0.1:1", kind, model="m", layers=LAYERS, model_layers=4
+    )
+
+
+async def add_host(
+    nursery, peers, targets, name, kind=TargetKind.ENGINE, count=TARGETS
+):
+    """Start an entry host's dispatcher; return it with its guard."""
+    guard = CrashGuard(name, TrioClock())
+    sharing = CrashSharing(SpreadSettings(name, "a"), peers.of(name), guard)
+    await nursery.start(sharing.run)
+    dispatcher = Dispatcher(
+        Scheduler(), targets, TrioClock(), crashes=TargetCrashes(guard, targets.look)
+    )
+    await nursery.start(dispatcher.run)
+    dispatcher.set_targets([target(number, kind) for number in range(count)], "a")
+    return dispatcher, guard
+
+
+def request(name, idempotent=True):
+    now = trio.current_time()
+    profile = Profile("p", "m", idempotent=idempotent)
+    return Request(
+        name, "w", profile, "hello", 3, now, now + DEADLINE_S, body_digest="same"
+    )
+
+
+def service_request(name):
+    now = trio.current_time()
+    profile = Profile("p", "m", TargetKind.SERVICE)
+    return ServiceRequest(
+        name, "w", profile, "POST", "/x", b"", now, now + DEADLINE_S, body_digest="same"
+    )
+
+
+def run(scene):
+    async def main():
+        with trio.fail_after(300):
+            async with trio.open_nursery() as nursery:
+                await scene(nursery, Peers())
+                nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.01))
+
+
+def assert_refused_unrun(result):
+    assert result.error.code is ResultCode.CRASHES_TARGETS
+    assert result.error.outcome is Outcome.NOT_RUN
+    assert result.error.retry_after_s > 60
+
+
+def test_stream_that_crashes_its_targets_is_sent_on_by_no_host():
+    """Guards against each entry host finding out anew at four more targets."""
+
+    async def scene(nursery, peers):
+        targets = CrashingTargets()
+        hosts = [await add_host(nursery, peers, targets, name) for name in "ab"]
+        first = await hosts[0][0].generate(request("r1"), None)
+        assert first.error.code is ResultCode.CRASHES_TARGETS
+        assert first.error.outcome is Outcome.UNKNOWN
+        assert len(targets.ended) == 3
+        assert_refused_unrun(await hosts[1][0].generate(request("r2"), None))
+        assert len(targets.ended) == 3
+
+    run(scene)
+
+
+def test_plain_call_that_crashes_its_targets_is_sent_on_by_no_host():
+    """Guards against the same for plain services."""
+
+    async def scene(nursery, peers):
+        targets = CrashingTargets()
+        kind = TargetKind.SERVICE
+        hosts = [await add_host(nursery, peers, targets, name, kind) for name in "ab"]
+        for number in range(3):
+            dispatcher, _ = hosts[number % 2]
+            await dispatcher.call_service(service_request(f"r{number}"))
+            await trio.sleep(1.0)
+        assert len(targets.ended) == 3
+        assert_refused_unrun(await hosts[0][0].call_service(service_request("r9")))
+
+    run(scene)
+
+
+def test_attempts_that_may_run_once_are_counted_over_hosts():
+    """Guards against unrepeatable requests that come again and cost a target each."""
+
+    async def scene(nursery, peers):
+        targets = CrashingTargets()
+        hosts = [await add_host(nursery, peers, targets, name) for name in "abc"]
+        for number in range(6):
+            dispatcher, _ = hosts[number % 3]
+            await dispatcher.generate(request(f"r{number}", idempotent=False), None)
+            await trio.sleep(0.5)
+        assert len(targets.ended) == 3
+
+    run(scene)
+
+
+def test_host_that_missed_the_news_is_told_again():
+    """Guards against a host that starts, or comes back, and finds out for itself."""
+
+    async def scene(nursery, peers):
+        targets = CrashingTargets()
+        hosts = [await add_host(nursery, peers, targets, name) for name in "ab"]
+        peers.cut = {"b"}
+        await hosts[0][0].generate(request("r1"), None)
+        late, _ = await add_host(nursery, peers, targets, "c")
+        peers.cut = set()
+        await trio.sleep(3.0)
+        for dispatcher in (hosts[1][0], late):
+            assert_refused_unrun(await dispatcher.generate(request("r2"), None))
+        assert len(targets.ended) == 3
+
+    run(scene)
+
+
+def prove(guard, digest):
+    ends = [ToldEnd(f"gone-{number}", 1, "z", 1.0) for number in range(3)]
+    guard.learn([CrashReport(digest, ends)], "z")
+
+
+async def answer_after_proof(nursery, dispatcher, guard, name="r1"):
+    """Return the result of a request that is proven guilty after it was sent."""
+    results = []
+    asked = request(name)
+
+    async def call():
+        results.append(await dispatcher.generate(asked, None))
+
+    nursery.start_soon(call)
+    await trio.sleep(0.5)
+    prove(guard, digest_of(asked))
+    await trio.sleep(0.5)
+    return results[0]
+
+
+def test_request_in_line_hears_at_once_that_it_is_refused():
+    """Guards against a request that waits out its line before it is refused."""
+
+    async def scene(nursery, peers):
+        targets = CrashingTargets(holds=True)
+        dispatcher, guard = await add_host(nursery, peers, targets, "a", count=1)
+        profile = Profile("p", "m")
+        for number in range(40):
+            digest = f"other-{number}"
+            other = Request(digest, "w", profile, "", 3, 0.0, 100.0, body_digest=digest)
+            nursery.start_soon(dispatcher.generate, other, None)
+        await trio.sleep(0.1)
+        opened = len(targets.opened)
+        result = await answer_after_proof(nursery, dispatcher, guard)
+        assert_refused_unrun(result)
+        assert len(targets.opened) == opened
+
+    run(scene)
+
+
+def test_request_on_its_way_is_called_back_before_its_target_runs_it():
+    """Guards against a target lost to a request that was sent before the proof."""
+
+    async def scene(nursery, peers):
+        targets = CrashingTargets(holds=True)
+        dispatcher, guard = await add_host(nursery, peers, targets, "a")
+        result = await answer_after_proof(nursery, dispatcher, guard)
+        assert result.error.code is ResultCode.CRASHES_TARGETS
+        assert result.error.outcome is Outcome.UNKNOWN
+
+    run(scene)
+
+
+def test_connections_that_break_at_living_targets_prove_nothing():
+    """Guards against a reset connection taken for the end of its target."""
+
+    async def scene(nursery, peers):
+        targets = CrashingTargets()
+        targets.look = lives
+        dispatcher, guard = await add_host(nursery, peers, targets, "a")
+        for number in range(3):
+            result = await dispatcher.generate(request(f"r{number}"), None)
+            assert result.error.code is not ResultCode.CRASHES_TARGETS
+            await trio.sleep(10.0)
+        assert len(guard.book) == 0
+
+    run(scene)
+
+
+async def lives(target):
+    return True
