Take no living target for ended where its entry names no start; a soak of crashes

A look compared the start in a target's report with that in its entry. Where the entry names none, each living target whose connection was reset counted as ended, and three resets could have refused a sound request. The test of connections that break at living targets now asks that nothing is counted; it failed before.

The soak gets a plan of requests that crash targets, beside relays, resets, stopped, killed and leaving routers; it judges that hosts in touch send one on at most three times later than three seconds after its third end, and that no other request is refused for it.

--- a/proofs/_router_soak.py
+++ b/proofs/_router_soak.py
@@ -19,6 +19,7 @@
 
 from proofs._router_relay import Harm, HarmfulRelay, SlowLink
 from proofs._soak_changes import Changes
+from proofs._soak_crashes import CrashLog
 from proofs._soak_judge import STORE, Findings, Harms, StreamEnd
 from proofs._soak_plans import Plan
 from radishfield.web import ListenerConfig, serve_app
@@ -29,7 +30,12 @@
     request_headers,
     target_entry,
 )
-from standins.routed_targets import LayeredFleet, LayeredTarget, PlainTarget
+from standins.routed_targets import (
+    CRASHING_BODY,
+    LayeredFleet,
+    LayeredTarget,
+    PlainTarget,
+)
 from standins.router_process import RouterProcess
 
 HOSTS = 3
@@ -65,6 +71,8 @@
         self._layered: list[LayeredTarget] = []
         self._relays: dict[str, HarmfulRelay] = {}
         self._routers: list[RouterProcess] = []
+        self._crashes = CrashLog()
+        self._restarts: trio.Nursery | None = None
         self._link_by_source: dict[str, SlowLink] = {}
         self._changes = Changes(
             self._store, self._chance, plan.timeout_ms, self._longest_queue_s
@@ -98,21 +106,13 @@
         return self.findings
 
     async def _build(self, nursery) -> None:
+        self._restarts = nursery
         store = await self._relayed(nursery, STORE, self._store)
-        for number in range(2):
-            target = PlainTarget(f"p{number}")
-            target.address = await self._relayed(nursery, target.id, target)
-            self._plain.append(target)
-            entry = target_entry("portal", target.address)
-            self._store.put("servers", target.id, entry)
-        for number, (first, end) in enumerate([(0, 40), (40, 80)] * 2):
-            target = LayeredTarget(f"t{number}", first=first, end=end)
-            target.events, target.gap_s = self._plan.events, self._plan.gap_s
-            target.address = await self._relayed(nursery, target.id, target)
-            self._fleet.add(target)
-            self._layered.append(target)
-            entry = layered_entry(target.address, first, end)
-            self._store.put("servers", target.id, entry)
+        for number in range(2 + self._plan.spares):
+            await self._add_plain(f"p{number}")
+        spans = [(0, 40), (40, 80)] * (2 + self._plan.spares // 2)
+        for number, (first, end) in enumerate(spans):
+            await self._add_layered(f"t{number}", first, end)
         for number in range(len(self._ports) // PORTS_PER_HOST):
             first = number * PORTS_PER_HOST
             ports = self._ports[first : first + PORTS_PER_HOST]
@@ -126,6 +126,51 @@
             self._routers.append(router)
             router.start()
 
+    async def _add_plain(self, target_id: str) -> None:
+        target = PlainTarget(target_id)
+        await self._serve_until_crash(target, self._add_plain)
+        self._plain.append(target)
+        entry = target_entry("portal", target.address)
+        self._store.put("servers", target_id, entry)
+
+    async def _add_layered(self, target_id: str, first: int, end: int) -> None:
+        target = LayeredTarget(target_id, first=first, end=end)
+        target.events, target.gap_s = self._plan.events, self._plan.gap_s
+        await self._serve_until_crash(target, self._add_layered, first, end)
+        self._fleet.add(target)
+        self._layered.append(target)
+        entry = layered_entry(target.address, first, end)
+        self._store.put("servers", target_id, entry)
+
+    async def _serve_until_crash(self, target, add_again, *span: int) -> None:
+        """Serve a target; a crash ends it, and another one comes in its place."""
+        scope = trio.CancelScope()
+
+        async def run(*, task_status):
+            with scope:
+                async with trio.open_nursery() as nursery:
+                    address = await self._relayed(nursery, target.id, target)
+                    task_status.started(address)
+                    await trio.sleep_forever()
+
+        def crash(request_id: str) -> None:
+            self._crashes.ended(target.id, request_id, trio.current_time())
+            if scope.cancel_called:
+                return
+            self._fleet.target_by_address.pop(target.address, None)
+            scope.cancel()
+            self._restarts.start_soon(self._replace, target.id, add_again, *span)
+
+        target.crash = crash
+        target.address = await self._restarts.start(run)
+
+    async def _replace(self, target_id: str, add_again, *span: int) -> None:
+        with self._harms.noted(target_id):
+            await trio.sleep(self._chance.uniform(0.5, 2.5))
+            self._store.remove("servers", target_id)
+            self._relays.pop(target_id, None)
+            await add_again(f"{target_id}+", *span)
+
     async def _relayed(self, nursery, name: str, app) -> str:
         listener = ListenerConfig.from_settings("127.0.0.1:0", drain_s=0.0)
         (url,) = await nursery.start(serve_app, app, listener, None)
@@ -172,6 +217,8 @@
                     router.signal(signal.SIGCONT)
                     await trio.sleep(4.0)
                     router.start()
+            case "crash":
+                await self._crash(self._chance.choice(("read", "post", "stream")))
             case "hup":
                 router.signal(signal.SIGHUP)
             case "leave":
@@ -185,6 +232,15 @@
             case "link":
                 self._slow(self._chance.choice(list(self._link_by_source.values())))
 
+    async def _crash(self, kind: str) -> None:
+        """Send a request that crashes targets again and again, through any router."""
+        path = f"{kind}/crash-{self._chance.randint(1, 2)}"
+        async with httpcore.AsyncConnectionPool() as pool:
+            for _ in range(self._chance.randint(2, 5)):
+                router = self._chance.choice(self._routers)
+                await self._call(pool, router, kind, path=path, body=CRASHING_BODY)
+                await trio.sleep(self._chance.uniform(0.0, 1.0))
+
     def _slow(self, link: SlowLink) -> None:
         mbps = self._chance.uniform(*self._plan.link_mbps)
         link.bytes_per_s = mbps * BYTES_PER_MBIT
@@ -222,41 +278,51 @@
                     await trio.sleep(chance.uniform(0.0, 0.05))
 
     async def _call(
-        self, pool, router: RouterProcess, kind: str, key: str = KEY
+        self,
+        pool,
+        router: RouterProcess,
+        kind: str,
+        key: str = KEY,
+        path: str = "",
+        body: bytes = b"{}",
     ) -> int:
         """Send one request and judge its answer; return the status, 0 for none."""
         self._sent += 1
         request_id = f"{kind}-{self._sent}"
+        crashes = body == CRASHING_BODY
+        self._crashes.sent(request_id, path, _name(router))
         deadline_s = self._plan.deadline_s
         headers = request_headers(request_id, key, deadline_s)
         method = "GET" if kind == "read" else "POST"
-        body, status, whole, signed = bytearray(), 0, False, False
+        received, status, whole, signed = bytearray(), 0, False, False
         sent_at = trio.current_time()
         try:
             with trio.fail_after(deadline_s + 1.0):
                 async with pool.stream(
                     method,
-                    f"http://{router.front}/{kind}/x",
+                    f"http://{router.front}/{path or f'{kind}/x'}",
                     headers=headers,
-                    content=None if kind == "read" else b"{}",
+                    content=None if kind == "read" and not crashes else body,
                 ) as answer:
                     status = answer.status
                     signed = b"x-server-stamp" in _by_name(answer)
                     async for chunk in answer.aiter_stream():
-                        body += chunk
+                        received += chunk
                     whole = True
-                    self._judge_answer(request_id, kind, answer, bytes(body))
+                    if not crashes:
+                        self._judge_answer(request_id, kind, answer, bytes(received))
         except (httpcore.NetworkError, httpcore.ProtocolError, trio.TooSlowError):
             pass
         if status == 200 and kind == "stream" and not whole:
-            self._judge_events(request_id, bytes(body), whole=False)
-        if kind == "stream":
+            self._judge_events(request_id, bytes(received), whole=False)
+        if kind == "stream" and not crashes:
             times = sent_at, trio.current_time()
             self._ends.append(
                 StreamEnd(request_id, _name(router), *times, status, signed, whole)
             )
         self.findings.status_by_request[request_id] = status
-        self.findings.statuses[f"{kind} {status}{'' if whole else ' cut'}"] += 1
+        name = f"{kind} crash" if crashes else kind
+        self.findings.statuses[f"{name} {status}{'' if whole else ' cut'}"] += 1
         return status if whole else 0
 
     def _judge_answer(self, request_id: str, kind: str, answer, body: bytes) -> None:
@@ -264,6 +330,8 @@
         if by_name.get(b"x-request-id", b"").decode() != request_id:
             self._break(f"{request_id}: an answer to {by_name.get(b'x-request-id')}")
         if answer.status != 200:
+            if b'"code":4015' in body:
+                self._break(f"{request_id}: refused for a crash of another request")
             return
         if b"x-server-stamp" not in by_name:
             self._break(f"{request_id}: a success that no target signed")
@@ -326,6 +394,9 @@
                 self._break(f"{request_id}: told {status} and ran")
         for end in self._ends:
             self._judge_end(end)
+        self.findings.crashes = len(self._crashes)
+        for finding in self._crashes.findings(self._harms):
+            self._break(finding)
 
     def _judge_end(self, end: StreamEnd) -> None:
         """Judge whether a stream that a target had begun ended early for a reason."""
--- a/proofs/_soak_judge.py
+++ b/proofs/_soak_judge.py
@@ -30,6 +30,8 @@
     ----------
     excused : int
         Begun streams that ended early and had a reason to.
+    crashes : int
+        Targets that ended under requests which crash them.
     queued_s : float
         Longest wait of a byte before a router's link.
     late_s : float
@@ -42,6 +44,7 @@
     status_by_request: dict[str, int] = field(default_factory=dict)
     statuses: Counter[str] = field(default_factory=Counter)
     excused: int = 0
+    crashes: int = 0
     queued_s: float = 0.0
     late_s: float = 0.0
 
--- a/proofs/_soak_plans.py
+++ b/proofs/_soak_plans.py
@@ -30,6 +30,8 @@
         Timeout of the stream's route.
     promises : str
         Lines of the routers' settings.
+    spares : int
+        Further targets of each kind: what requests that crash targets leave.
     link_mbps : tuple of float
         Bounds of the bandwidth of each router's link; empty for no bound.
     """
@@ -44,6 +46,7 @@
     deadline_s: float = 5.0
     timeout_ms: float = 4000.0
     promises: str = USUAL_PROMISES
+    spares: int = 0
     link_mbps: tuple[float, ...] = field(default=())
 
 
@@ -80,4 +83,10 @@
 )
 """Nothing fails: only the configuration changes, and each router's link is slow."""
 
-PLANS = {"faults": FAULTS, "changes": CHANGES}
+CRASHES = Plan(
+    kinds=("crash", "crash", "crash", "relay", "reset", "kill", "stop", "hup", "term"),
+    spares=4,
+)
+"""Requests that crash targets, beside faults that look like crashes and are none."""
+
+PLANS = {"faults": FAULTS, "changes": CHANGES, "crashes": CRASHES}
--- a/proofs/router_soak_test.py
+++ b/proofs/router_soak_test.py
@@ -4,7 +4,7 @@
 import trio
 
 from proofs._router_soak import HOSTS, MANY_HOSTS, PORTS_PER_HOST, Soak
-from proofs._soak_plans import CHANGES, FAULTS, Plan
+from proofs._soak_plans import CHANGES, CRASHES, FAULTS, Plan
 from standins.ports import free_ports
 
 
@@ -36,3 +36,12 @@
     assert findings.broken == []
     assert findings.excused == 0
     assert findings.statuses["stream 200"] > 20
+
+
+@pytest.mark.parametrize(("seed", "hosts"), [(1, HOSTS), (2, MANY_HOSTS)])
+def test_requests_that_crash_targets_are_sent_on_by_no_host(seed, hosts, tmp_path):
+    """Guards against targets lost without end, and neighbours refused for it."""
+    findings = _played(seed, hosts, tmp_path, CRASHES)
+    assert findings.broken == []
+    assert findings.crashes > 3
+    assert findings.statuses["stream 200"] > 20
--- a/radishfield/forwarding/_target_ends.py
+++ b/radishfield/forwarding/_target_ends.py
@@ -54,8 +54,7 @@
         # Kept connections serve on at a target that only refuses new ones.
         report = await self._targets.report(record)
         if report.is_ok():
-            same_start = report.ok.started_ms == record.started_ms
-            return TargetState.ALIVE if same_start else TargetState.ENDED
+            return _state_of(record.started_ms, report.ok.started_ms)
         if not is_open:
             return TargetState.ENDED
         # A target that serves alone knows no reports, and says so.
@@ -69,3 +68,9 @@
     def __init__(self):
         self.done = trio.Event()
         self.state = TargetState.UNKNOWN
+
+
+def _state_of(listed_ms: int, reported_ms: int) -> TargetState:
+    """Return what a report says of the start that is listed; 0 where it names none."""
+    another = listed_ms and reported_ms and listed_ms != reported_ms
+    return TargetState.ENDED if another else TargetState.ALIVE
--- a/radishfield/forwarding/conftest.py
+++ b/radishfield/forwarding/conftest.py
@@ -62,6 +62,7 @@
     gossip: str = ""
     metrics: str = ""
     fronts: list[str] = field(default_factory=list)
+    routers: list[Router] = field(default_factory=list)
     ended: list[str] = field(default_factory=list)
     router: Router | None = None
     stop: trio.Event = field(default_factory=trio.Event)
@@ -98,7 +99,7 @@
         """Serve a target; its crash ends its listener and all its connections."""
         scope = trio.CancelScope()
 
-        def crash():
+        def crash(request_id=""):
             self.ended.append(target.id)
             scope.cancel()
 
@@ -138,6 +139,7 @@
             self.scopes.append(trio.CancelScope())
             self.nursery.start_soon(self._run_in, self.scopes[-1], router)
             routers.append(router)
+        self.routers += routers
         for router in routers:
             await self.until(lambda router=router: self.knows_all(router))
         return routers
--- a/radishfield/forwarding/crashes_test.py
+++ b/radishfield/forwarding/crashes_test.py
@@ -255,6 +255,7 @@
         for host in played.fronts:
             reply = await played.request("/stream/x", "POST", body=b"{}", address=host)
             assert (reply.status, reply.whole) == (200, True)
+        assert not any(router.view.crashes.counted for router in played.routers)
 
     play(tmp_path, scene)
 
--- a/standins/routed_targets.py
+++ b/standins/routed_targets.py
@@ -40,13 +40,13 @@
         What goes wrong with the next requests, one each: ``error``, ``refuse``,
         ``silent``, ``wrong-id``, ``cut``.
     crash : callable
-        Ends the target and its connections.
+        Ends the target and its connections, under a request with this id.
     """
 
     id: str
     address: str = ""
     work_s: float = 0.01
-    crash: Callable[[], None] = lambda: None
+    crash: Callable[[str], None] = lambda request_id: None
     failures: list[str] = field(default_factory=list)
     ran: Counter[str] = field(default_factory=Counter)
     seen_headers: list[dict[bytes, bytes]] = field(default_factory=list)
@@ -70,7 +70,7 @@
         self.ran[request_id.decode()] += 1
         await trio.sleep(self.work_s)
         if body.ok == CRASHING_BODY:
-            self.crash()
+            self.crash(request_id.decode())
             await trio.sleep_forever()
         if failure == "silent":
             await trio.sleep_forever()
@@ -111,13 +111,21 @@
         """Note the targets that a stream passes from now on."""
         self.addresses_by_request[request_id] |= {address for address, _, _ in parts}
 
-    def faulty_part(self, parts: list[tuple[str, int, int]]) -> tuple[int, str] | None:
-        """Return the status and address of the first part that cannot run."""
+    def faulty_part(
+        self, parts: list[tuple[str, int, int]], running: bool = False
+    ) -> tuple[int, str] | None:
+        """Return the status and address of the first part that cannot run.
+
+        Layers that were given up wait for the streams that pass through them.
+        """
         for address, first, end in parts:
             target = self.target_by_address.get(address)
             if target is None or target.dead:
                 return 503, address
-            if not target.first <= first < end <= target.end:
+            spans = [(target.first, target.end)]
+            if running:
+                spans += target.past_spans
+            if not any(held <= first < end <= last for held, last in spans):
                 return 421, address
         return None
 
@@ -135,7 +143,9 @@
     places : int
         Streams that it takes as a first part at a time; 0 for any number.
     crash : callable
-        Ends the target and its connections.
+        Ends the target and its connections, under a request with this id.
+    past_spans : list of tuple
+        Layers that it was ordered to give up.
     ended_runs : int
         Runs that are over, also those whose caller has left.
     """
@@ -149,9 +159,10 @@
     dead: bool = False
     cut_after: int = 0
     places: int = 0
-    crash: Callable[[], None] = lambda: None
+    crash: Callable[[str], None] = lambda request_id: None
     crash_after_s: float = CRASH_AFTER_S
     ended_runs: int = 0
+    past_spans: list[tuple[int, int]] = field(default_factory=list)
     orders: int = 0
     born: int = 1
     order_log: list[dict] = field(default_factory=list)
@@ -186,7 +197,7 @@
         stalled = [
             {"id": request_id, "addr": fault[1]}
             for request_id, parts in self._path_by_request.items()
-            if (fault := self.fleet.faulty_part(parts)) is not None
+            if (fault := self.fleet.faulty_part(parts, running=True)) is not None
         ]
         held = {"from": self.first, "target": self.end, "version": 1}
         return {
@@ -210,6 +221,7 @@
             return 409, {}
         if (order["from"], order["target"]) == (self.first, self.end):
             return 200, {}
+        self.past_spans.append((self.first, self.end))
         self.first, self.end = order["from"], order["target"]
         self.orders += 1
         return 202, {}
@@ -247,7 +259,7 @@
         try:
             if crashes:
                 await trio.sleep(self.crash_after_s)
-                self.crash()
+                self.crash(request_id)
             await self._send_events(request_id, headers, send)
         finally:
             self.ended_runs += 1
@@ -265,7 +277,7 @@
             await trio.sleep(self.gap_s)
             stalled_s = 0.0
             while self.dead or self.fleet.faulty_part(
-                self._path_by_request[request_id]
+                self._path_by_request[request_id], running=True
             ):
                 await trio.sleep(0.02)
                 stalled_s += 0.02
