--- a/standins/router_process.py
+++ b/standins/router_process.py
@@ -48,7 +48,7 @@
 
     def start(self) -> None:
         """Start the process, unless it runs."""
-        if self._process is not None and self._process.poll() is None:
+        if self.runs:
             return
         command = [sys.executable, "-m", *self._module]
         with self._log.open("ab") as log:
@@ -56,9 +56,14 @@
                 [*command, "--settings", str(self._path)], stdout=log, stderr=log
             )
 
+    @property
+    def runs(self) -> bool:
+        """Return whether the process runs."""
+        return self._process is not None and self._process.poll() is None
+
     def signal(self, number: int) -> None:
         """Signal the process, if it runs."""
-        if self._process is not None and self._process.poll() is None:
+        if self.runs:
             self._process.send_signal(number)
 
     def end(self) -> None:
