Explain a neighbour's ends by the request that crashed its targets, one by one

A request that ran beside a crashing one at three targets, and lost a fourth for another reason, was refused: its ends were not all ends of the other one. Ends under a request that is refused and has more of them now prove nothing against anybody else, whatever else that one lost.

The guard also looks again only when something can have changed: it woke twenty times a second for as long as any request was suspected.

--- a/radishfield/crashes/_book.py
+++ b/radishfield/crashes/_book.py
@@ -141,24 +141,50 @@
         """Return why a request is refused; None where it is not."""
         if len(self._ends_by_digest.get(digest, ())) < PROVEN_ENDS:
             return None
-        ends = {
-            key: end
-            for key, end in self._ends_by_digest[digest].items()
-            if end.at + SETTLE_S <= now
-        }
-        if len(ends) < PROVEN_ENDS or self._explained(digest, ends.keys()):
+        ends = self._proof_by_digest(now).get(digest)
+        if ends is None:
             return None
-        until = max(end.at for end in ends.values()) + REFUSED_S
-        return Verdict(tuple(ends.values()), until) if now < until else None
+        until = max(end.at for end in ends) + REFUSED_S
+        return Verdict(ends, until) if now < until else None
+
+    def refused(self, now: float) -> dict[str, Verdict]:
+        """Return why requests are refused, by digest."""
+        verdict_by_digest = {
+            digest: self.verdict(digest, now) for digest in self._proof_by_digest(now)
+        }
+        return {each: verdict for each, verdict in verdict_by_digest.items() if verdict}
 
-    def _explained(self, digest: str, targets) -> bool:
-        """Return whether another request was at each of the targets that ended."""
-        for other, ends in self._ends_by_digest.items():
-            if other == digest or not targets <= ends.keys():
+    def _proof_by_digest(self, now: float) -> dict[str, tuple[TargetEnd, ...]]:
+        """Return the ends that prove something, by the digest of their request.
+
+        Whoever has the most ends goes first, and explains those that others share
+        with it.
+        """
+        suspects = [
+            (digest, ends)
+            for digest, ends in self._ends_by_digest.items()
+            if len(ends) >= PROVEN_ENDS
+        ]
+        suspects.sort(key=lambda item: -len(item[1]))
+        proof_by_digest: dict[str, tuple[TargetEnd, ...]] = {}
+        for digest, ends in suspects:
+            if _is_undecided(ends, suspects):
                 continue
-            if len(ends) > len(targets) or len(targets) < MOST_TRIALS:
-                return True
-        return False
+            explained = set().union(
+                *(
+                    self._ends_by_digest[other].keys()
+                    for other in proof_by_digest
+                    if len(self._ends_by_digest[other]) > len(ends)
+                )
+            )
+            proof = tuple(
+                end
+                for key, end in ends.items()
+                if key not in explained and end.at + SETTLE_S <= now
+            )
+            if len(proof) >= PROVEN_ENDS:
+                proof_by_digest[digest] = proof
+        return proof_by_digest
 
     def settles_in_s(self, digest: str, now: float) -> float:
         """Return for how long it can't be told yet whether a request is refused."""
@@ -168,13 +194,14 @@
         newest_at = max(end.at for end in ends.values())
         return max(0.0, newest_at + SETTLE_S - now)
 
-    def refused(self, now: float) -> list[str]:
-        """Return the digests of the requests that are refused."""
-        return [
-            digest
+    def next_settled_in_s(self, now: float) -> float | None:
+        """Return after how long another request may be refused; None if none may."""
+        waits_s = [
+            self.settles_in_s(digest, now)
             for digest, ends in self._ends_by_digest.items()
-            if len(ends) >= PROVEN_ENDS and self.verdict(digest, now) is not None
+            if len(ends) >= PROVEN_ENDS
         ]
+        return min((wait_s for wait_s in waits_s if wait_s > 0), default=None)
 
     def report(self, digest: str, now: float) -> CrashReport:
         """Return what this host knows of a request."""
@@ -241,3 +268,15 @@
         if len(self._ends_by_digest) >= MOST_SUSPECTS:
             least = min(self._ends_by_digest.items(), key=lambda item: len(item[1]))
             del self._ends_by_digest[least[0]]
+
+
+def _is_undecided(ends, suspects) -> bool:
+    """Return whether another request was at each of the targets that ended.
+
+    Requests that share all their ends are told apart by the next one, mostly.
+    """
+    if len(ends) >= MOST_TRIALS:
+        return False
+    return any(
+        other is not ends and ends.keys() <= other.keys() for _, other in suspects
+    )
--- a/radishfield/crashes/_guard.py
+++ b/radishfield/crashes/_guard.py
@@ -10,8 +10,6 @@
 from radishfield.telemetry import log_event
 
 FORGET_LOOK_S = 1.0
-SETTLE_LOOK_S = 0.05
-"""Pause between two looks at requests whose last end may be another one's."""
 
 
 class CrashGuard:
@@ -62,15 +60,16 @@
             changed = self._changed
             self.book.forget(self._clock.now())
             self._look(on_refused)
-            pause_s = SETTLE_LOOK_S if len(self.book) else FORGET_LOOK_S
+            pause_s = self.book.next_settled_in_s(self._clock.now()) or FORGET_LOOK_S
             with trio.move_on_after(pause_s):
                 await changed.wait()
 
     def _look(self, on_refused: Callable[[str, Verdict], None]) -> None:
         now = self._clock.now()
-        refused = set(self.book.refused(now))
+        verdict_by_digest = self.book.refused(now)
+        refused = set(verdict_by_digest)
         for digest in refused - self._refused:
-            verdict = self.book.verdict(digest, now)
+            verdict = verdict_by_digest[digest]
             log_event(
                 "request.condemned",
                 digest=digest,
--- a/radishfield/crashes/book_test.py
+++ b/radishfield/crashes/book_test.py
@@ -71,6 +71,14 @@
     assert not is_refused(book, "beside")
 
 
+def test_neighbour_that_lost_one_more_target_is_not_refused_for_the_shared_ones():
+    """Guards against a neighbour refused for a target that ended for other reasons."""
+    shared = ["t1", "t2", "t3"]
+    book = book_of({"bad": [*shared, "t4", "t5"], "beside": [*shared, "t9"]})
+    assert is_refused(book, "bad")
+    assert not is_refused(book, "beside")
+
+
 def test_requests_that_never_part_are_refused_after_a_few_trials():
     """Guards against a pair of requests that crash targets together without end."""
     targets = [f"t{number}" for number in range(MOST_TRIALS)]
