--- a/standins/router_process.py
+++ b/standins/router_process.py
@@ -56,6 +56,11 @@
                 [*command, "--settings", str(self._path)], stdout=log, stderr=log
             )
 
+    @property
+    def pid(self) -> int:
+        """Return the id of the process that was started last; 0 before."""
+        return self._process.pid if self._process is not None else 0
+
     @property
     def runs(self) -> bool:
         """Return whether the process runs."""
