Write down again what is refused for a second time

A record of an earlier refusal stood in the way of a new one: the host took the conflict for written, and hosts that start drop the record as too old and ask targets anew. It is replaced now; the test failed before. Faults of the store here leave a line each; records that are too old are removed and damaged ones passed over, with a test that holds both before and after.

--- a/radishfield/forwarding/_crash_records.py
+++ b/radishfield/forwarding/_crash_records.py
@@ -9,8 +9,9 @@
 import time
 
 import msgspec
+from expression import Result
 
-from radishfield.core import ResultCode
+from radishfield.core import Fault, ResultCode
 from radishfield.crashes import REFUSED_S, CrashReport, ToldEnd
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import ObjectStore, StoredValue
@@ -51,17 +52,22 @@
             for end in report.ends
         ]
         body = msgspec.to_builtins(_Body(ends))
-        created = await self._store.create(CRASHES_KIND, digest, body)
-        if created.is_ok() or created.error.code is ResultCode.PLATFORM_CONFLICT:
+        written = await self._store.create(CRASHES_KIND, digest, body)
+        if _conflicts(written):
+            written = await self._replace(digest, body)
+        if written.is_ok() or _conflicts(written):
             return True
-        log_event(
-            "crashes.unwritten",
-            digest=digest,
-            code=int(created.error.code),
-            detail=created.error.detail,
-        )
+        _log_fault("crashes.unwritten", written.error, digest)
         return False
 
+    async def _replace(self, digest: str, body: object) -> Result[object, Fault]:
+        """Write over what was written when the request was refused before."""
+        read = await self._store.read(CRASHES_KIND, digest)
+        if read.is_error():
+            return read
+        revision = read.ok.revision
+        return await self._store.replace(CRASHES_KIND, digest, body, revision)
+
     async def read(self) -> bool:
         """Take in what is written; return whether the store answered."""
         now = self._view.clock.now()
@@ -70,6 +76,7 @@
         self._read_at = now
         listing = await self._store.list(CRASHES_KIND)
         if listing.is_error():
+            _log_fault("crashes.unread", listing.error)
             return False
         for value in listing.ok.values:
             await self._take(value)
@@ -84,10 +91,20 @@
         unix_s = time.time()
         ages = [max(0.0, unix_s - end.unix_s) for end in body.ends]
         if min(ages, default=REFUSED_S) >= REFUSED_S:
-            await self._store.remove(CRASHES_KIND, value.name, value.revision)
+            removed = await self._store.remove(CRASHES_KIND, value.name, value.revision)
+            if removed.is_error():
+                _log_fault("crashes.unremoved", removed.error, value.name)
             return
         ends = [
             ToldEnd(end.target, end.started_ms, end.told_by, age_s)
             for end, age_s in zip(body.ends, ages, strict=True)
         ]
         self._view.crashes.learn([CrashReport(value.name, ends)], "store")
+
+
+def _conflicts(written: Result[object, Fault]) -> bool:
+    return written.is_error() and written.error.code is ResultCode.PLATFORM_CONFLICT
+
+
+def _log_fault(event: str, problem: Fault, digest: str = "") -> None:
+    log_event(event, digest=digest, code=int(problem.code), detail=problem.detail)
--- a/radishfield/forwarding/crashes_test.py
+++ b/radishfield/forwarding/crashes_test.py
@@ -349,3 +349,41 @@
     gossip.hear(PeerCrashes("far", "b", [report]))
     gossip.hear(PeerCrashes("near-1", "a", [report]))
     assert len(sent) == 1
+
+
+def test_request_that_is_refused_again_is_written_down_again(tmp_path):
+    """Guards against a record of an earlier time, which hosts that start drop."""
+    long_ago = {"target": "t0", "started_ms": 1, "told_by": "host-9", "unix_s": 1.0}
+
+    async def scene(played):
+        kind = "radishfield-crashes"
+        played.store.put("config", "main", config())
+        await played.start_router()
+        played.store.put(kind, STREAM_DIGEST, {"ends": [long_ago]})
+        crashes = played.router.view.crashes
+        for number in range(3):
+            crashes.count(STREAM_DIGEST, f"t{number}", 1)
+        await played.until(
+            lambda: len(played.store.spec(kind, STREAM_DIGEST)["ends"]) == 3
+        )
+
+    play_alone(tmp_path, scene)
+
+
+def test_records_that_are_too_old_or_damaged_refuse_nothing(tmp_path):
+    """Guards against a request refused for ever, and a start that a record breaks."""
+    kind, old = "radishfield-crashes", "0" * 24
+    ends = [
+        {"target": f"t{number}", "started_ms": 1, "told_by": "h", "unix_s": 1.0}
+        for number in range(3)
+    ]
+
+    async def scene(played):
+        played.store.put("config", "main", config())
+        played.store.put(kind, old, {"ends": ends})
+        played.store.put(kind, STREAM_DIGEST, {"ends": "damaged"})
+        await played.start_router()
+        await played.until(lambda: played.store.names(kind) == [STREAM_DIGEST])
+        assert len(played.router.view.crashes.book) == 0
+
+    play_alone(tmp_path, scene)
