Give no empty answer for a request that is cleared as it is taken out of line

An entry host's request that was stopped in line, and cleared in the same turn of the event loop, came back as finished with nothing in it: 'no fault' was taken for 'done'.

--- a/radishfield/serving/_run.py
+++ b/radishfield/serving/_run.py
@@ -91,7 +91,9 @@
         with trio.CancelScope() as scope, self._stopped_by(scope.cancel):
             turn = await self._queue.wait_turn(self.work)
         if turn is None:
-            return self._refusal()
+            # It may have been cleared since; this run is over all the same.
+            stopped = fault(ResultCode.CRASHES_TARGETS, "stopped in line")
+            return self._refusal() or self.honest(stopped)
         if turn.is_error():
             return self.honest(turn.error)
         finished = False
--- a/radishfield/serving/crashes_test.py
+++ b/radishfield/serving/crashes_test.py
@@ -239,17 +239,22 @@
     return results[0]
 
 
+def fill_line(nursery, dispatcher):
+    """Send so many requests that the next one has to wait."""
+    profile = Profile("p", "m")
+    for number in range(40):
+        digest = f"other-{number}"
+        other = Request(digest, "w", profile, "", 3, 0.0, 100.0, body_digest=digest)
+        nursery.start_soon(dispatcher.generate, other, None)
+
+
 def test_request_in_line_hears_at_once_that_it_is_refused():
     """Guards against a request that waits out its line before it is refused."""
 
     async def scene(nursery, peers):
         targets = CrashingTargets(holds=True)
         dispatcher, guard = await add_host(nursery, peers, targets, "a", count=1)
-        profile = Profile("p", "m")
-        for number in range(40):
-            digest = f"other-{number}"
-            other = Request(digest, "w", profile, "", 3, 0.0, 100.0, body_digest=digest)
-            nursery.start_soon(dispatcher.generate, other, None)
+        fill_line(nursery, dispatcher)
         await trio.sleep(0.1)
         opened = len(targets.opened)
         result = await answer_after_proof(nursery, dispatcher, guard)
@@ -259,6 +264,32 @@
     run(scene)
 
 
+def test_request_that_is_cleared_as_it_is_taken_out_of_line_is_not_finished():
+    """Guards against an empty answer given as whole to a request that never ran."""
+
+    async def scene(nursery, peers):
+        targets = CrashingTargets(holds=True)
+        dispatcher, guard = await add_host(nursery, peers, targets, "a", count=0)
+        asked, results = request("r1"), []
+
+        async def call():
+            results.append(await dispatcher.generate(asked, None))
+
+        dispatcher.set_targets([target(0, TargetKind.ENGINE)], "a")
+        fill_line(nursery, dispatcher)
+        await trio.sleep(0.1)
+        nursery.start_soon(call)
+        await trio.sleep(0.5)
+        ends = [ToldEnd(f"gone-{number}", 1, "z", 1.0) for number in range(3)]
+        now = trio.current_time()
+        guard.book.merge(CrashReport(digest_of(asked), ends), now)
+        guard._look(lambda digest, verdict: guard.outlived(digest, "r0"))
+        await trio.sleep(0.1)
+        assert results[0].error.outcome is Outcome.NOT_RUN
+
+    run(scene)
+
+
 def test_request_on_its_way_is_called_back_before_its_target_runs_it():
     """Guards against a target lost to a request that was sent before the proof."""
 
