Count refusals of crashing requests among the reasons; plainer names of their lines

The counter of refusals left 4015 out, though the router's page names it there: a reason to refuse was taken by its range of numbers. The codes are listed once now; the test asks the metrics page and failed before.

--- a/radishfield/core/__init__.py
+++ b/radishfield/core/__init__.py
@@ -5,7 +5,12 @@
 """
 
 from radishfield.core._clock import Clock, SystemClock, TrioClock
-from radishfield.core._codes import OUTCOME_BY_CODE, Outcome, ResultCode
+from radishfield.core._codes import (
+    OUTCOME_BY_CODE,
+    REFUSAL_CODES,
+    Outcome,
+    ResultCode,
+)
 from radishfield.core._errors import Fault, fault
 from radishfield.core._lazy import loaded_on_use
 
@@ -66,6 +71,7 @@
     "loaded_on_use",
     "HELP_BY_CODE",
     "OUTCOME_BY_CODE",
+    "REFUSAL_CODES",
     "CacheEvent",
     "Clock",
     "CodeHelp",
--- a/radishfield/core/_codes.py
+++ b/radishfield/core/_codes.py
@@ -142,3 +142,9 @@
 
 
 OUTCOME_BY_CODE = {code: _outcome(code) for code in ResultCode}
+
+REFUSAL_CODES = (
+    *(code for code in ResultCode if 2000 < code < 4000),
+    ResultCode.CRASHES_TARGETS,
+)
+"""Codes of requests that the system itself keeps from targets."""
--- a/radishfield/crashes/_guard.py
+++ b/radishfield/crashes/_guard.py
@@ -71,7 +71,7 @@
         for digest in refused - self._refused:
             verdict = verdict_by_digest[digest]
             log_event(
-                "request.condemned",
+                "request.blocked",
                 digest=digest,
                 ends=ends_words(verdict, now),
                 until_s=round(verdict.until - now),
@@ -80,7 +80,7 @@
                 stop()
             on_refused(digest, verdict)
         for digest in self._refused - refused:
-            log_event("request.released", digest=digest)
+            log_event("request.unblocked", digest=digest)
         self._refused = refused
 
     @contextmanager
--- a/radishfield/forwarding/_app.py
+++ b/radishfield/forwarding/_app.py
@@ -2,7 +2,7 @@
 
 import math
 
-from radishfield.core import Fault, ResultCode, fault
+from radishfield.core import REFUSAL_CODES, Fault, ResultCode, fault
 from radishfield.crashes import request_digest
 from radishfield.forwarding._call import Call, Responder, status_of
 from radishfield.forwarding._plain import PlainForwarder
@@ -177,7 +177,7 @@
             kind = RequestKind.MODEL if streamed else RequestKind.SERVICE
         outcome = (problem or fault(ResultCode.FINISHED)).outcome
         self._telemetry.ended(kind, outcome, code, now - arrived_at)
-        if 2000 < code < 4000:
+        if code in REFUSAL_CODES:
             self._telemetry.refused(code)
         self._view.streams_cut += responder.broken_off
         table = self._view.table
--- a/radishfield/forwarding/_target_ends.py
+++ b/radishfield/forwarding/_target_ends.py
@@ -44,7 +44,7 @@
         finally:
             del self._look_by_incarnation[record.incarnation]
             look.done.set()
-        log_event("target.looked_at", target=record.id, state=str(look.state))
+        log_event("target.checked", target=record.id, state=str(look.state))
         return look.state
 
     async def _look(self, record: TargetRecord) -> TargetState:
--- a/radishfield/forwarding/crashes_test.py
+++ b/radishfield/forwarding/crashes_test.py
@@ -76,6 +76,10 @@
         replies = await crash_everywhere(played, "/stream/x")
         assert len(played.ended) <= MOST_ENDED
         assert {reply.status for reply in replies[-HOSTS:]} == {503}
+        page = await played.request("/metrics", address=played.metrics)
+        counter = b'radishfield_refusals_total{code="4015"'
+        (line,) = [each for each in page.body.splitlines() if counter in each]
+        assert float(line.split()[-1]) > 0
 
     play(tmp_path, scene)
 
--- a/radishfield/telemetry/_metrics.py
+++ b/radishfield/telemetry/_metrics.py
@@ -15,7 +15,7 @@
 from opentelemetry.sdk.metrics import MeterProvider
 from prometheus_client import CollectorRegistry, generate_latest
 
-from radishfield.core import Outcome, ResultCode
+from radishfield.core import REFUSAL_CODES, Outcome, ResultCode
 from radishfield.telemetry._kinds import RequestKind
 
 # A prime, so that the sample does not keep step with tokens per chunk.
@@ -26,7 +26,6 @@
 TOKEN_GAP_BOUNDS_S = (0.005, 0.01, 0.02, 0.03, 0.043, 0.06, 0.1, 0.25, 1.0, 5.0)
 REQUEST_BOUNDS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 300.0)
 
-REFUSAL_CODES = tuple(code for code in ResultCode if 2000 < code < 4000)
 RETRY_CODES = tuple(code for code in ResultCode if 4000 < code < 5000)
 
 
