Read again what is refused after a read at the start that failed

A host that started while the store was away never learned which requests are refused: its first read failed, and the retry came within the pause between two reads, which counts as read. A read that failed leaves no pause now. Found in reading the change; the new test failed before and passes now, with the other scenes of the file.

--- a/radishfield/forwarding/_crash_records.py
+++ b/radishfield/forwarding/_crash_records.py
@@ -77,6 +77,7 @@
         listing = await self._store.list(CRASHES_KIND)
         if listing.is_error():
             _log_fault("crashes.unread", listing.error)
+            self._read_at = -READ_AGAIN_S
             return False
         for value in listing.ok.values:
             await self._take(value)
--- a/radishfield/forwarding/crashes_test.py
+++ b/radishfield/forwarding/crashes_test.py
@@ -1,6 +1,7 @@
 """Requests under which targets end, seen by several hosts."""
 
 import random
+import time
 
 import trio
 
@@ -395,3 +396,23 @@
         assert len(played.router.view.crashes.book) == 0
 
     play_alone(tmp_path, scene)
+
+
+def test_host_that_starts_while_the_store_is_away_reads_it_later(tmp_path):
+    """Guards against a failed read at the start that is taken for a read."""
+    ends = [
+        {"target": f"t{n}", "started_ms": 1, "told_by": "h", "unix_s": time.time() - 5}
+        for n in range(3)
+    ]
+
+    async def scene(played):
+        played.store.put("config", "main", config())
+        played.store.put("radishfield-crashes", STREAM_DIGEST, {"ends": ends})
+        played.store.switches.status = 503
+        played.nursery.start_soon(played.start_router)
+        await played.until(lambda: played.router is not None)
+        await trio.sleep(1.5)
+        played.store.switches.status = 0
+        await played.until(lambda: knows(played.router))
+
+    play_alone(tmp_path, scene)
