Log how old the list of targets is at each attempt, and where a change came from

The record of requests that reached a leaving target fits three causes that the logs can't tell apart: a watch that is never answered, a watcher that vouches for an old list, and a store that is believed to be failing. attempt.sent, now also of plain requests, names the age of the list; target.changed and target.removed name their source; target.reported_leaving says from whom a host learned it first; store.lost says how long the lost call was pending. A gauge shows the age of the list. No decision is changed.

--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -78,6 +78,7 @@
         "_due_in_s",
         "_kind",
         "_newest_only",
+        "_requested_at",
         "_revision",
         "_store",
         "_view",
@@ -101,6 +102,7 @@
         self._kind = kind
         self._revision: int | None = None
         self._failures = 0
+        self._requested_at = 0.0
         self._rng = random.Random()
 
     async def follow(
@@ -121,7 +123,7 @@
                 with trio.move_on_after(max(due_in_s, MIN_DUTY_CHECK_S)):
                     await self._view.followers_woken.wait()
                 continue
-            requested_at = self._view.clock.now()
+            requested_at = self._requested_at = self._view.clock.now()
             # A recovery signalled while this call is still failing must not be missed.
             store_back = self._view.store_back
             if self._revision is None:
@@ -163,6 +165,7 @@
                 kind=self._kind,
                 code=int(problem.code),
                 detail=problem.detail,
+                pending_s=round(self._view.clock.now() - self._requested_at, 2),
             )
         on_failure(problem)
         pause_s = min(MAX_PAUSE_S, backoff_s(self._failures, self._rng))
@@ -334,7 +337,7 @@
         self._listed_revision = listing.revision
         self._revision_by_id = {value.name: value.revision for value in listing.values}
         for removal in self._view.directory.replace_all(record_by_id, now):
-            self._log_removal(removal, listing.revision)
+            self._log_removal(removal, listing.revision, "listing")
         log_event(
             "targets.listed", targets=len(record_by_id), revision=listing.revision
         )
@@ -348,9 +351,9 @@
             known = self._revision_by_id.get(value.name, 0)
             self._revision_by_id[value.name] = max(known, value.revision)
             if change.deleted:
-                changed = self._remove(value.name, changes.revision)
+                changed = self._remove(value.name, changes.revision, "store")
             else:
-                changed = self._update(value)
+                changed = self._update(value, "store")
             if changed and self._view.watch_duty.shared:
                 spec = None if change.deleted else value.spec
                 revision = self._revision_by_id[value.name]
@@ -368,19 +371,20 @@
                 continue
             self._revision_by_id[item.target_id] = item.revision
             if item.spec is None:
-                self._remove(item.target_id, item.revision)
+                self._remove(item.target_id, item.revision, "peer")
             else:
-                self._update(StoredValue(item.target_id, item.revision, item.spec))
+                value = StoredValue(item.target_id, item.revision, item.spec)
+                self._update(value, "peer")
         self._view.notify_capacity_freed()
 
-    def _update(self, value: StoredValue) -> bool:
+    def _update(self, value: StoredValue, source: str) -> bool:
         """Apply a target's entry; return whether the list changed."""
         decoded = decode_target(value.name, value.spec)
         if decoded.is_error():
             log_event(
                 "target.unreadable", target=value.name, detail=decoded.error.detail
             )
-            return self._remove(value.name, value.revision)
+            return self._remove(value.name, value.revision, source)
         record = decoded.ok
         before = self._view.directory.find(record.id)
         changed = self._view.directory.update(record)
@@ -399,18 +403,23 @@
                 span=f"{record.span.first}-{record.span.end}" if record.span else "",
                 started_ms=record.started_ms,
                 revision=value.revision,
+                source=source,
             )
         return changed
 
-    def _remove(self, target_id: str, revision: int) -> bool:
+    def _remove(self, target_id: str, revision: int, source: str) -> bool:
         """Remove a target from the list; return whether it is gone from it now."""
         removal = self._view.directory.remove(target_id, self._view.clock.now())
-        self._log_removal(removal, revision)
+        self._log_removal(removal, revision, source)
         return not removal.held
 
-    def _log_removal(self, removal: Removal, revision: int) -> None:
+    def _log_removal(self, removal: Removal, revision: int, source: str) -> None:
         log_event(
-            "target.removed", target=removal.id, held=removal.held, revision=revision
+            "target.removed",
+            target=removal.id,
+            held=removal.held,
+            revision=revision,
+            source=source,
         )
 
     def _handle_failure(self, problem: Fault) -> None:
--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -367,7 +367,13 @@
         self._record_slowdowns(status.slowdowns)
         self._crashes.compare(status.host_id, peer, status.crashes_checksum)
         for incarnation in status.leaving:
-            self._view.directory.mark_leaving(incarnation)
+            if self._view.directory.mark_leaving(incarnation):
+                log_event(
+                    "target.reported_leaving",
+                    target=incarnation[0],
+                    by=status.host_id,
+                    directory_version=self._view.directory.version,
+                )
         if len(status.lost) <= MAX_REPORTED_UNREACHABLE:
             for target_id, started_ms in status.lost:
                 self._merge_unreachable(status.host_id, target_id, started_ms)
--- a/radishfield/forwarding/_metrics.py
+++ b/radishfield/forwarding/_metrics.py
@@ -51,6 +51,11 @@
             lambda: sum(targets.orders_by_status.values()),
         )
         watch("connections_opened", "To targets.", lambda: connections.opened)
+        watch(
+            "targets_age_seconds",
+            "Seconds since the list of targets was last known to be current.",
+            view.list_age_s,
+        )
         watch("in_flight", "Requests in flight.", lambda: view.in_flight)
         watch("known_hosts", "Entry hosts, this one included.", lambda: view.hosts)
         watch(
--- a/radishfield/forwarding/_plain.py
+++ b/radishfield/forwarding/_plain.py
@@ -16,6 +16,7 @@
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import Headers
 from radishfield.routing import FailureRates, TargetRecord, choose_target
+from radishfield.telemetry import log_event
 
 NO_TARGET_RETRY_S = 0.6
 """An unreachable target is replaced or found alive within about a second."""
@@ -185,6 +186,13 @@
         self, call: Call, record: TargetRecord
     ) -> Result[CompleteAnswer, Fault]:
         self._view.load.started(record.id, 0.0, first=True)
+        log_event(
+            "attempt.sent",
+            request=call.facts.request_id,
+            path=record.id,
+            directory_version=self._view.directory.version,
+            list_age_s=round(self._view.list_age_s(), 2),
+        )
         result = Error(fault(ResultCode.DEADLINE_PASSED))
         left_s = call.deadline_at - self._view.clock.now()
         try:
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -211,6 +211,7 @@
             path=format_path(path),
             resumed_after=progress.last_id,
             directory_version=self._view.directory.version,
+            list_age_s=round(self._view.list_age_s(), 2),
         )
         result = Error(fault(ResultCode.STREAM_SILENT))
         try:
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -226,6 +226,11 @@
             return None
         return self.clock.now() - self.leaving_since
 
+    def list_age_s(self) -> float:
+        """Return the seconds since the list of targets was last known to be current."""
+        confirmed_at = max(self.targets_confirmed_at, self.watch_duty.list_confirmed_at)
+        return self.clock.now() - confirmed_at
+
     def sends_callers_away(self) -> bool:
         """Return whether callers are better served by other hosts."""
         now, peers = self.clock.now(), self.peers
--- a/radishfield/routing/_directory.py
+++ b/radishfield/routing/_directory.py
@@ -177,11 +177,13 @@
             self._put(target_id, None)
         return expired_ids
 
-    def mark_leaving(self, incarnation: tuple[str, int]) -> None:
-        """Record another host's report that this incarnation of a target leaves."""
-        if incarnation not in self._leaving:
-            self._leaving.add(incarnation)
-            self.version += 1
+    def mark_leaving(self, incarnation: tuple[str, int]) -> bool:
+        """Record a report that this incarnation leaves; return whether it is new."""
+        if incarnation in self._leaving:
+            return False
+        self._leaving.add(incarnation)
+        self.version += 1
+        return True
 
     def leaves(self, record: TargetRecord) -> bool:
         """Return whether this incarnation of a target leaves or is not listed."""
--- a/radishfield/routing/_watch_duty.py
+++ b/radishfield/routing/_watch_duty.py
@@ -77,6 +77,8 @@
         When that version was first reported.
     reading_since : float or None
         Since when this host has watched the configuration itself.
+    list_confirmed_at : float
+        When a watcher had the store confirm the list that this host has.
     """
 
     on_duty: bool = True
@@ -85,6 +87,7 @@
     newest_version: int = 0
     newer_heard_at: float = -math.inf
     reading_since: float | None = None
+    list_confirmed_at: float = -math.inf
 
     @property
     def reports_to_zone(self) -> bool:
@@ -119,6 +122,7 @@
         """Apply a watcher's report on its list of targets."""
         if same_targets and 0.0 <= list_age_s < MAX_LIST_AGE_S:
             self.agreed_at = max(now, self.agreed_at or now)
+            self.list_confirmed_at = max(self.list_confirmed_at, now - list_age_s)
 
     def read_targets(self, now: float) -> None:
         """Record that this host read the list, which counts like a watcher's report."""
