Wait for no watch of the targets longer than the promise allows

Callers' work reached a target 2,090 ms after the store had acknowledged that it leaves; 2,000 ms are promised. A watch that is never answered, since its connection fell silent, was waited for 2.5 s and a margin of 1 s, then came a pause. All hosts send their watches again together after a change, so all were blind together, beyond the three seconds that excuse a loss of connections.

The promise is a setting now, drain, and the sum of all delays on the way of a change stands beside the constants: a watch waits until the list is as old as the promise less the rest allows, its answer may be late by 0.3 s, and the call after a first failure goes out at once on a new connection. The margin widens to 1 s while two calls in a row are late, so that a slow store is still read. An unanswered call is thus found 0.7 s before the promise ends, which leaves the time of the request's own connection.

--- a/radishfield/forwarding/_connections.py
+++ b/radishfield/forwarding/_connections.py
@@ -18,11 +18,10 @@
 
 from radishfield.core import Clock, Fault, ResultCode, fault
 from radishfield.platform import AnswerFacts, Headers, read_answer
+from radishfield.routing import MAX_DELIVERY_S
 from radishfield.web import BROKEN_CONNECTION_ERRORS, split_address
 
-CONNECT_TIMEOUT_S = 0.4
-"""Targets of a region answer within a millisecond.  A lost packet costs a second, and
-another target can answer well before that."""
+CONNECT_TIMEOUT_S = MAX_DELIVERY_S
 MAX_IDLE_S = 2.5
 """Longest idle time of a connection that is reused: half of the shortest idle timeout
 that targets announce."""
--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -26,7 +26,14 @@
     decode_config,
     decode_target,
 )
-from radishfield.routing import Removal, RoutingTable
+from radishfield.routing import (
+    COALESCE_S,
+    AnswerMargin,
+    Removal,
+    RoutingTable,
+    confirmed_at,
+    watch_wait_s,
+)
 from radishfield.telemetry import log_event
 from radishfield.web import backoff_s
 
@@ -37,16 +44,10 @@
 SHARED_CONFIG_WATCH_SHARE = 0.2
 """The same fraction while other hosts depend on this one: its reports take up to a
 second to reach them, so it confirms its view twice as often."""
-TARGETS_WATCH_S = 2.5
-"""Maximum wait of a watch of the targets.  A change ends the watch at once, so this
-only bounds how long a stalled connection goes unnoticed.  Work may reach a target
-that left for two seconds beyond the time that is excused by a partition."""
-COALESCE_S = 0.15
-"""Pause after a change.  In a burst of changes each one would otherwise wake the
-watch of every host separately."""
 MAX_COALESCE_S = 0.6
 """Maximum pause in a burst; the pause doubles with each change.  It gives two calls a
-second, and each change is active well within the two seconds that operators allow."""
+second, and each change is active well within the two seconds that operators allow.
+The pause is shorter where the list has grown old meanwhile."""
 MIN_DUTY_CHECK_S = 0.1
 """Minimum pause between two checks whether a host that does not watch the store has
 to read it."""
@@ -70,13 +71,21 @@
     newest_only : bool
         Only the newest state matters, so listing it costs no more than reading the
         changes of some time.
+    margin : AnswerMargin or None
+        Time by which answers may be late; None for the store's usual limits.
+    confirms_waits : bool
+        An answer without changes confirms the state for the end of its wait.  For
+        keys only the time before the call counts: the answer may have been made early
+        and found after a suspension of the host.
     """
 
     __slots__ = (
         "_rng",
+        "_confirms_waits",
         "_failures",
         "_due_in_s",
         "_kind",
+        "_margin",
         "_newest_only",
         "_requested_at",
         "_revision",
@@ -93,7 +102,11 @@
         wait_s: Callable[[], float],
         due_in_s: Callable[[], float],
         newest_only: bool = False,
+        margin: AnswerMargin | None = None,
+        confirms_waits: bool = False,
     ):
+        self._confirms_waits = confirms_waits
+        self._margin = margin
         self._wait_s = wait_s
         self._due_in_s = due_in_s
         self._newest_only = newest_only
@@ -113,7 +126,7 @@
     ) -> None:
         """Follow until cancelled.
 
-        The callbacks receive the clock reading from before the call was sent.
+        The callbacks receive the time for which the answer confirms the list.
         """
         pause_s = COALESCE_S
         while True:
@@ -126,25 +139,45 @@
             requested_at = self._requested_at = self._view.clock.now()
             # A recovery signalled while this call is still failing must not be missed.
             store_back = self._view.store_back
+            wait_s = 0.0
             if self._revision is None:
-                result = await self._store.list(self._kind)
+                result = await self._list()
                 deliver = on_listing
             else:
                 wait_s = RECOVERY_WATCH_S if self._failures else self._wait_s()
-                result = await self._store.watch(self._kind, self._revision, wait_s)
+                result = await self._watch(wait_s)
                 deliver = on_changes
             if result.is_error():
                 await self._handle_failure(result, on_failure, store_back)
                 continue
+            now = self._view.clock.now()
+            if self._margin is not None:
+                self._margin.record_answer(now - requested_at - wait_s)
             self._record_recovery()
             self._revision = result.ok.revision
-            deliver(result.ok, requested_at)
-            if isinstance(result.ok, Changes) and result.ok.changes:
-                await trio.sleep(pause_s)
+            changed = isinstance(result.ok, Changes) and bool(result.ok.changes)
+            confirms_at = requested_at
+            if self._confirms_waits:
+                confirms_at = confirmed_at(requested_at, wait_s, now, changed)
+            deliver(result.ok, confirms_at)
+            if changed:
+                await trio.sleep(min(pause_s, max(COALESCE_S, self._wait_s())))
                 pause_s = min(MAX_COALESCE_S, pause_s * 2)
             else:
                 pause_s = COALESCE_S
 
+    async def _list(self) -> Result[Listing, Fault]:
+        if self._margin is None:
+            return await self._store.list(self._kind)
+        return await self._store.list(self._kind, self._margin.length_s)
+
+    async def _watch(self, wait_s: float) -> Result[Changes, Fault]:
+        if self._margin is None:
+            return await self._store.watch(self._kind, self._revision, wait_s)
+        return await self._store.watch(
+            self._kind, self._revision, wait_s, self._margin.length_s
+        )
+
     async def _handle_failure(
         self,
         result: Result,
@@ -157,6 +190,8 @@
             self._revision = None
             return
         self._failures += 1
+        if self._margin is not None:
+            self._margin.record_loss(self._failures)
         if self._newest_only and self._failures >= MAX_FAILED_WATCHES:
             self._revision = None
         if self._failures == 1:
@@ -168,6 +203,9 @@
                 pending_s=round(self._view.clock.now() - self._requested_at, 2),
             )
         on_failure(problem)
+        if self._failures == 1:
+            # The connection may have been lost alone; a new one shows it at once.
+            return
         pause_s = min(MAX_PAUSE_S, backoff_s(self._failures, self._rng))
         with trio.move_on_after(pause_s):
             await store_back.wait()
@@ -303,12 +341,21 @@
     def __init__(self, store: ObjectStore, view: RouterView):
         self._view = view
         self._follower = StoreFollower(
-            store, view, TARGETS_KIND, lambda: TARGETS_WATCH_S, self._due_in_s
+            store,
+            view,
+            TARGETS_KIND,
+            self._wait_s,
+            self._due_in_s,
+            margin=AnswerMargin(),
+            confirms_waits=True,
         )
         self._revision_by_id: dict[str, int] = {}
         self._listed_revision = 0
         view.on_target_updates = self._apply_peer_updates
 
+    def _wait_s(self) -> float:
+        return watch_wait_s(self._view.drain_s, self._view.list_age_s())
+
     def _due_in_s(self) -> float:
         return self._view.watch_duty.targets_due_in_s(self._view.clock.now())
 
@@ -321,7 +368,7 @@
                 self._apply_listing, self._apply_changes, self._handle_failure
             )
 
-    def _apply_listing(self, listing: Listing, requested_at: float) -> None:
+    def _apply_listing(self, listing: Listing, confirms_at: float) -> None:
         record_by_id = {}
         for value in listing.values:
             decoded = decode_target(value.name, value.spec)
@@ -332,7 +379,7 @@
                     "target.unreadable", target=value.name, detail=decoded.error.detail
                 )
         now = self._view.clock.now()
-        self._view.targets_confirmed_at = requested_at
+        self._view.targets_confirmed_at = confirms_at
         self._view.watch_duty.read_targets(now)
         self._listed_revision = listing.revision
         self._revision_by_id = {value.name: value.revision for value in listing.values}
@@ -343,8 +390,8 @@
         )
         self._view.notify_capacity_freed()
 
-    def _apply_changes(self, changes: Changes, requested_at: float) -> None:
-        self._view.targets_confirmed_at = requested_at
+    def _apply_changes(self, changes: Changes, confirms_at: float) -> None:
+        self._view.targets_confirmed_at = confirms_at
         self._view.watch_duty.read_targets(self._view.clock.now())
         for change in changes.changes:
             value = change.value
--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -108,6 +108,7 @@
             ),
             Freshness(self._promises.revoke_s),
             self._promises.grace_s,
+            self._promises.drain_s,
             started_at=clock.now(),
             host_id=settings.host.id,
         )
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -130,6 +130,8 @@
     ----------
     started_at : float or None
         When the process started; None if that does not matter.
+    drain_s : float
+        Time for which work may reach a target after its leaving was acknowledged.
     hosts : int
         Entry hosts that share the fleet's retry budgets, this one included; also
         counts partitioned hosts, since they go on spending.
@@ -150,7 +152,7 @@
     streams_cut : int
         Streams whose callers received some events but not the last one.
     targets_confirmed_at : float
-        When the last answered call to the store for the targets was sent.
+        Time for which the store last confirmed the list of targets to this host.
     on_target_updates, on_config : callable
         Apply updates of targets and of the configuration from another host.
     duty_reported_at : dict
@@ -168,6 +170,7 @@
     allowance: RetryAllowance
     freshness: Freshness
     grace_s: float = 8.0
+    drain_s: float = 2.0
     started_at: float | None = None
     table: RoutingTable | None = None
     directory: TargetDirectory = msgspec.field(default_factory=TargetDirectory)
--- a/radishfield/forwarding/follower_test.py
+++ b/radishfield/forwarding/follower_test.py
@@ -34,7 +34,7 @@
     def is_away(self):
         return self.lost_at <= trio.current_time() < self.back_at
 
-    async def list(self, kind):
+    async def list(self, kind, limit_s=2.0):
         if self.is_away():
             return await self.fail(kind)
         values = ()
@@ -42,7 +42,7 @@
             values = (StoredValue(CONFIG_NAME, 1, config()),)
         return Ok(Listing(values, 1))
 
-    async def watch(self, kind, revision, wait_s):
+    async def watch(self, kind, revision, wait_s, margin_s=1.0):
         if self.is_away():
             return await self.fail(kind)
         with trio.move_on_after(wait_s):
@@ -98,7 +98,7 @@
     def version(self):
         return 1 + int(trio.current_time() - self.lost_at + 10.0)
 
-    async def list(self, kind):
+    async def list(self, kind, limit_s=2.0):
         if self.is_away() or kind != CONFIG_KIND:
             return await super().list(kind)
         version = self.version()
@@ -106,7 +106,7 @@
         value = StoredValue(CONFIG_NAME, version, config(version))
         return Ok(Listing((value,), version))
 
-    async def watch(self, kind, revision, wait_s):
+    async def watch(self, kind, revision, wait_s, margin_s=1.0):
         if self.is_away() or kind != CONFIG_KIND:
             return await super().watch(kind, revision, wait_s)
         with trio.move_on_after(wait_s):
--- a/radishfield/platform/_store.py
+++ b/radishfield/platform/_store.py
@@ -94,9 +94,13 @@
         answer = await self._call("read", "GET", _path(kind, name))
         return answer.bind(_decode_value)
 
-    async def list(self, kind: str) -> Result[Listing, Fault]:
+    async def list(
+        self, kind: str, limit_s: float = CALL_TIMEOUT_S
+    ) -> Result[Listing, Fault]:
         """Return all objects of a kind, read page by page.
 
+        Each page has to arrive within ``limit_s``.
+
         The revision is that of the first page, so that a watch from there returns
         again whatever changed while the later pages were read.
         """
@@ -105,7 +109,8 @@
         after = ""
         while True:
             query = f"?after={quote(after, safe='')}" if after else ""
-            answer = await self._call("list", "GET", _path(kind) + query)
+            path = _path(kind) + query
+            answer = await self._call("list", "GET", path, limit_s=limit_s)
             page = answer.bind(_decode_page)
             if page.is_error():
                 return Error(page.error)
@@ -122,11 +127,21 @@
             after = names[-1]
 
     async def watch(
-        self, kind: str, revision: int, wait_s: float
+        self,
+        kind: str,
+        revision: int,
+        wait_s: float,
+        margin_s: float = WATCH_MARGIN_S,
     ) -> Result[Changes, Fault]:
-        """Wait for changes after a revision, for ``wait_s`` seconds at most."""
+        """Wait for changes after a revision, for ``wait_s`` seconds at most.
+
+        Parameters
+        ----------
+        margin_s : float
+            Time by which the answer may be late.
+        """
         query = f"?watch={revision}&waitMs={int(wait_s * 1000)}"
-        limit_s = wait_s + WATCH_MARGIN_S
+        limit_s = wait_s + margin_s
         answer = await self._call("watch", "GET", _path(kind) + query, limit_s=limit_s)
         return answer.bind(_decode_changes)
 
--- a/radishfield/routing/__init__.py
+++ b/radishfield/routing/__init__.py
@@ -29,6 +29,16 @@
     takes_work,
 )
 from radishfield.routing._links import LinkUsage, Pair, crossing_ms, pair_of
+from radishfield.routing._list_freshness import (
+    ANSWER_MARGIN_S,
+    COALESCE_S,
+    LATENESS_S,
+    MAX_ANSWER_MARGIN_S,
+    MAX_DELIVERY_S,
+    AnswerMargin,
+    confirmed_at,
+    watch_wait_s,
+)
 from radishfield.routing._load import LoadTable, TargetLoad
 from radishfield.routing._paces import MAX_NORMAL_SLOWDOWN, SlowdownTable
 from radishfield.routing._paths import (
@@ -83,6 +93,14 @@
 from radishfield.routing._zone_sums import ZoneTotal
 
 __all__ = [
+    "ANSWER_MARGIN_S",
+    "COALESCE_S",
+    "LATENESS_S",
+    "MAX_ANSWER_MARGIN_S",
+    "MAX_DELIVERY_S",
+    "AnswerMargin",
+    "confirmed_at",
+    "watch_wait_s",
     "STARTUP_SPREAD",
     "MAX_NORMAL_SLOWDOWN",
     "SlowdownTable",
--- a/radishfield/settings/_router.py
+++ b/radishfield/settings/_router.py
@@ -33,6 +33,8 @@
     ----------
     revoke_s : float
         Time after which no router runs requests with a revoked key.
+    drain_s : float
+        Time after which no work reaches a target whose leaving was acknowledged.
     grace_s : float
         Time between the shutdown signal and the end of the process.
     retry_ratio, retry_window_s, retry_slack : float
@@ -41,6 +43,7 @@
     """
 
     revoke_s: ShortTime = 5.0
+    drain_s: ShortTime = 2.0
     grace_s: Annotated[float, Meta(ge=0.5, le=600.0, extra=DURATION)] = 8.0
     retry_ratio: Ratio = 0.2
     retry_window_s: LongTime = 10.0
