Count a list of targets from the store's call, whoever reports it

Callers' work went to a target for up to 3.1 s after its leaving was acknowledged, at hosts that could read the store at any time. A host that does not watch the store took its list for current while any watcher reported the same one, up to 4.5 s after that watcher's last call and for 1.2 s more. Two watchers that are cut off from the store, or one that hangs while the other dies, so kept a zone from reading.

A report now counts from the time for which the store confirmed the list to the watcher, and a host reads the list itself as soon as its age would break the promise (1.1 s of 2 s). So that this costs no calls in calm, watchers report each confirmation at once in a small datagram, and their watch waits for no longer than leaves time for the report. Connections to the store that were idle for two seconds are not used again: a dead one would add a lost call.

--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -28,6 +28,7 @@
 )
 from radishfield.routing import (
     COALESCE_S,
+    MIN_DUTY_CHECK_S,
     AnswerMargin,
     Removal,
     RoutingTable,
@@ -48,9 +49,6 @@
 """Maximum pause in a burst; the pause doubles with each change.  It gives two calls a
 second, and each change is active well within the two seconds that operators allow.
 The pause is shorter where the list has grown old meanwhile."""
-MIN_DUTY_CHECK_S = 0.1
-"""Minimum pause between two checks whether a host that does not watch the store has
-to read it."""
 RECOVERY_WATCH_S = 0.0
 """Wait of a watch after failures.  A watch that waits is answered only when something
 changes, so the view would stay unconfirmed for that long after the store has
@@ -354,10 +352,17 @@
         view.on_target_updates = self._apply_peer_updates
 
     def _wait_s(self) -> float:
-        return watch_wait_s(self._view.drain_s, self._view.list_age_s())
+        view = self._view
+        return watch_wait_s(view.drain_s, view.list_age_s(), view.watch_duty.shared)
 
     def _due_in_s(self) -> float:
-        return self._view.watch_duty.targets_due_in_s(self._view.clock.now())
+        view = self._view
+        return view.watch_duty.targets_due_in_s(view.clock.now(), view.drain_s)
+
+    def _confirm(self, confirms_at: float) -> None:
+        self._view.watch_duty.record_list_confirmation(confirms_at)
+        if self._view.watch_duty.reports_to_zone:
+            self._view.list_confirmations.add(confirms_at)
 
     async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED):
         """Follow until cancelled."""
@@ -379,20 +384,17 @@
                     "target.unreadable", target=value.name, detail=decoded.error.detail
                 )
         now = self._view.clock.now()
-        self._view.targets_confirmed_at = confirms_at
-        self._view.watch_duty.read_targets(now)
         self._listed_revision = listing.revision
         self._revision_by_id = {value.name: value.revision for value in listing.values}
         for removal in self._view.directory.replace_all(record_by_id, now):
             self._log_removal(removal, listing.revision, "listing")
+        self._confirm(confirms_at)
         log_event(
             "targets.listed", targets=len(record_by_id), revision=listing.revision
         )
         self._view.notify_capacity_freed()
 
     def _apply_changes(self, changes: Changes, confirms_at: float) -> None:
-        self._view.targets_confirmed_at = confirms_at
-        self._view.watch_duty.read_targets(self._view.clock.now())
         for change in changes.changes:
             value = change.value
             known = self._revision_by_id.get(value.name, 0)
@@ -405,6 +407,7 @@
                 spec = None if change.deleted else value.spec
                 revision = self._revision_by_id[value.name]
                 self._view.target_updates.add(TargetUpdate(value.name, revision, spec))
+        self._confirm(confirms_at)
         if changes.changes:
             self._view.notify_capacity_freed()
 
--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -28,6 +28,7 @@
     Echo,
     PeerConfig,
     PeerCrashes,
+    PeerListConfirmation,
     PeerStatus,
     PeerTargetUpdates,
     PeerZoneTotal,
@@ -63,7 +64,7 @@
 MAX_REPORTED_UNREACHABLE = 4
 """A host that reports more unreachable targets at once than this is itself partitioned.
 If its report were applied, neighbours would exclude targets that they can reach."""
-MAX_LIST_CONFIRMATIONS = 8
+MAX_LIST_CONFIRMATIONS = 24
 """Confirmations by watchers that are kept: those of about one and a half seconds."""
 MAX_SLOWDOWNS = 40
 """Maximum number of slow targets in a message, some 25 bytes each.  If more are slow
@@ -74,11 +75,10 @@
 
 
 class _ListConfirmation(msgspec.Struct, frozen=True):
-    """A watcher's digest of its list of targets, and the age of its confirmation."""
+    """A watcher's digest of its list, and the time for which the store confirmed it."""
 
     digest: int
-    age_s: float
-    received_at: float
+    confirmed_at: float
 
 
 class Gossip:
@@ -148,6 +148,7 @@
                 nursery.start_soon(self._receive)
                 nursery.start_soon(self._send_statuses)
                 nursery.start_soon(self._send_target_updates)
+                nursery.start_soon(self._send_list_confirmations)
                 nursery.start_soon(self._send_config)
                 nursery.start_soon(self._crashes.send_new_reports)
                 nursery.start_soon(self._finder.find)
@@ -159,7 +160,7 @@
             self._round += 1
             self._view.load.expire_remote(self._view.clock.now())
             self._update_peer_summary()
-            self._apply_list_confirmations(self._view.clock.now())
+            self._apply_list_confirmations()
             status = self._status()
             recipients = self._recipients()
             self._view.load.told_own(self._view.clock.now())
@@ -223,6 +224,24 @@
             for datagram in update_datagrams(updates):
                 self._send(datagram, peers)
 
+    async def _send_list_confirmations(self) -> None:
+        """Report each confirmation of the list at once to every host of the zone.
+
+        Statuses reach the hosts of a large zone in turn.  A list that is confirmed
+        only by them would be so old that every host would have to read the store.
+        """
+        while True:
+            await self._view.list_confirmations.wait()
+            confirmed_at = self._view.list_confirmations.take()[-1]
+            now = self._view.clock.now()
+            message = PeerListConfirmation(
+                self._host_id,
+                self._view.directory.digest(),
+                now - confirmed_at,
+                self._echoes(self._book.present_own_zone(now)),
+            )
+            self._send(encoder.encode(message), self._book.present_zone_peers(now))
+
     async def _send_config(self) -> None:
         """Forward a new configuration, so that forty hosts need not read it."""
         while True:
@@ -251,7 +270,7 @@
                 self._version(),
                 _or_negative(self._view.freshness.age_s(now)),
                 _or_negative(self._view.freshness.silent_s(now)),
-                self._echoes(now),
+                self._echoes(self._book.alive(now)),
                 [
                     Use(service, use.firsts, use.repeats)
                     for service, use in self._view.retry_use().items()
@@ -259,7 +278,7 @@
                 encode_link_shares(self._view.links.own_shares(now)),
                 self._view.watch_duty.on_duty,
                 self._view.directory.digest(),
-                _or_negative(now - self._view.targets_confirmed_at),
+                _or_negative(self._view.list_age_s()),
                 [
                     duty
                     for duty, received_at in self._duty_received_at.items()
@@ -271,11 +290,11 @@
             )
         )
 
-    def _echoes(self, now: float) -> list[Echo]:
-        """Return the live hosts; if too many for a datagram, the most recent ones."""
+    def _echoes(self, peer_by_id: dict[str, Peer]) -> list[Echo]:
+        """Return echoes of hosts; if too many for a datagram, the most recent ones."""
         received = [
             (peer.received_at, host_id, peer.sent_at)
-            for host_id, peer in self._book.alive(now).items()
+            for host_id, peer in peer_by_id.items()
         ]
         if len(received) > MAX_ECHOES:
             received = sorted(received, reverse=True)[:MAX_ECHOES]
@@ -312,6 +331,9 @@
             match decoder.decode(data):
                 case PeerTargetUpdates(items):
                     self._view.on_target_updates(items)
+                    self._apply_list_confirmations()
+                case PeerListConfirmation() as message:
+                    self._apply_list_confirmation(message)
                 case PeerConfig() as message:
                     self._view.on_config(message)
                 case PeerCrashes() as message:
@@ -351,10 +373,12 @@
         peer.watches = status.watches
         if self._view.watch_duty.record_peer_version(status.config_version, now):
             self._view.wake_followers()
-        echoed_at = self._echoed_at(status, now)
+        echoed_at = self._echoed_at(status.echoes, now)
         if echoed_at is not None:
             self._merge_freshness(status, echoed_at)
-            self._add_list_confirmation(status, echoed_at, now)
+            if status.watches and status.targets_age_s >= 0:
+                confirmed_at = echoed_at - status.targets_age_s
+                self._add_list_confirmation(status.targets_digest, confirmed_at)
         self._view.peers.use_by_service_by_host[status.host_id] = {
             use.service: RetryUse(use.firsts, use.repeats) for use in status.uses
         }
@@ -385,24 +409,23 @@
         for duty in (*status.duties, *status.forwarded_duties):
             self._view.duty_reported_at[duty] = now
 
-    def _add_list_confirmation(
-        self, status: PeerStatus, echoed_at: float, now: float
-    ) -> None:
-        """Store a watcher's confirmation of its list, dated by this host's own status.
+    def _apply_list_confirmation(self, message: PeerListConfirmation) -> None:
+        """Date a watcher's confirmation of its list by this host's own status.
 
-        A host that was suspended finds old statuses in its socket.  They echo what
+        A host that was suspended finds old datagrams in its socket.  They echo what
         it sent before; dated by arrival, they would make it use for seconds a list
         that has changed since.
         """
-        if not status.watches or status.targets_age_s < 0:
-            return
-        age_s = status.targets_age_s + now - echoed_at
-        self._list_confirmations.append(
-            _ListConfirmation(status.targets_digest, age_s, now)
-        )
-        self._apply_list_confirmations(now)
+        echoed_at = self._echoed_at(message.echoes, self._view.clock.now())
+        if echoed_at is not None:
+            confirmed_at = echoed_at - max(0.0, message.age_s)
+            self._add_list_confirmation(message.digest, confirmed_at)
+
+    def _add_list_confirmation(self, digest: int, confirmed_at: float) -> None:
+        self._list_confirmations.append(_ListConfirmation(digest, confirmed_at))
+        self._apply_list_confirmations()
 
-    def _apply_list_confirmations(self, now: float) -> None:
+    def _apply_list_confirmations(self) -> None:
         """Apply the confirmations of lists that this host has now or had recently.
 
         An update often arrives after the confirmation of a watcher that has it.
@@ -410,16 +433,17 @@
         for confirmation in list(self._list_confirmations):
             if self._view.directory.matches_recent_digest(confirmation.digest):
                 self._list_confirmations.remove(confirmation)
-                age_s = confirmation.age_s + now - confirmation.received_at
-                self._view.watch_duty.told(True, age_s, confirmation.received_at)
+                self._view.watch_duty.record_list_confirmation(
+                    confirmation.confirmed_at
+                )
 
-    def _echoed_at(self, status: PeerStatus, now: float) -> float | None:
+    def _echoed_at(self, echoes: list[Echo], now: float) -> float | None:
         """Return when this host sent the status that another received last.
 
         An echo of a status from an earlier process of this host is ignored: after a
         power loss the clock may have restarted, and the echoed time may lie ahead.
         """
-        for echo in status.echoes:
+        for echo in echoes:
             if echo.host_id == self._host_id:
                 return echo.sent_at if self._started_at <= echo.sent_at <= now else None
         return None
--- a/radishfield/forwarding/_peer_messages.py
+++ b/radishfield/forwarding/_peer_messages.py
@@ -107,6 +107,15 @@
     slowdowns: list[TargetSlowdown] = []
 
 
+class PeerListConfirmation(msgspec.Struct, array_like=True, tag="list"):
+    """A watcher's list of targets, which the store confirmed ``age_s`` ago."""
+
+    host_id: str
+    digest: int
+    age_s: float
+    echoes: list[Echo]
+
+
 class PeerStatus(msgspec.Struct, array_like=True, tag="status"):
     """The complete state of one host.
 
@@ -160,7 +169,12 @@
 
 encoder = msgspec.msgpack.Encoder()
 decoder = msgspec.msgpack.Decoder(
-    PeerStatus | PeerTargetUpdates | PeerConfig | PeerZoneTotal | PeerCrashes
+    PeerStatus
+    | PeerTargetUpdates
+    | PeerListConfirmation
+    | PeerConfig
+    | PeerZoneTotal
+    | PeerCrashes
 )
 
 
--- a/radishfield/forwarding/_peers.py
+++ b/radishfield/forwarding/_peers.py
@@ -81,9 +81,17 @@
             if peer.zone == self._zone
         }
 
+    def present_own_zone(self, now: float) -> dict[str, Peer]:
+        """Return the hosts of the own zone that receive updates, by id."""
+        return {
+            host_id: peer
+            for host_id, peer in self.own_zone_peers().items()
+            if peer.is_present(now)
+        }
+
     def present_zone_peers(self, now: float) -> list[Peer]:
         """Return the hosts of the own zone that receive updates."""
-        return [peer for peer in self.own_zone_peers().values() if peer.is_present(now)]
+        return list(self.present_own_zone(now).values())
 
     def alive(self, now: float) -> dict[str, Peer]:
         """Return the hosts that sent a status recently, by id."""
--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -26,7 +26,7 @@
 from radishfield.kernel import Kernel
 from radishfield.limits import RetryAllowance
 from radishfield.platform import READY_PATH, ObjectStore
-from radishfield.routing import END_MARGIN_S, NOTICE_S, Freshness
+from radishfield.routing import END_MARGIN_S, NOTICE_S, STORE_IDLE_S, Freshness
 from radishfield.settings import (
     ROUTER_SECTIONS,
     EntrySettings,
@@ -128,7 +128,8 @@
         budget = CallBudget(
             settings.platform.max_calls_per_s, STORE_BURST, STORE_BURST, clock.now()
         )
-        store_calls = ApiCaller(ApiAddress(settings.platform.address), budget, clock)
+        address = ApiAddress(settings.platform.address, keepalive_s=STORE_IDLE_S)
+        store_calls = ApiCaller(address, budget, clock)
         store = ObjectStore(store_calls)
         connections = TargetConnections(clock)
         targets = Targets(connections, view, telemetry)
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -151,8 +151,9 @@
         Answers of the store that held the configuration.
     streams_cut : int
         Streams whose callers received some events but not the last one.
-    targets_confirmed_at : float
-        Time for which the store last confirmed the list of targets to this host.
+    list_confirmations : UpdateBuffer
+        Times for which the store confirmed the list, to be sent to the other hosts of
+        the zone.
     on_target_updates, on_config : callable
         Apply updates of targets and of the configuration from another host.
     duty_reported_at : dict
@@ -198,7 +199,9 @@
     crashes: CrashGuard | None = None
     crash_updates: UpdateBuffer[str] = msgspec.field(default_factory=UpdateBuffer)
     config_reads: int = 0
-    targets_confirmed_at: float = -math.inf
+    list_confirmations: UpdateBuffer[float] = msgspec.field(
+        default_factory=UpdateBuffer
+    )
     on_target_updates: Callable[[list[TargetUpdate]], None] = lambda items: None
     on_config: Callable[[PeerConfig], None] = lambda message: None
     full_by_id: dict[str, FullTarget] = msgspec.field(default_factory=dict)
@@ -231,8 +234,7 @@
 
     def list_age_s(self) -> float:
         """Return the seconds since the list of targets was last known to be current."""
-        confirmed_at = max(self.targets_confirmed_at, self.watch_duty.list_confirmed_at)
-        return self.clock.now() - confirmed_at
+        return self.clock.now() - self.watch_duty.list_confirmed_at
 
     def sends_callers_away(self) -> bool:
         """Return whether callers are better served by other hosts."""
--- a/radishfield/forwarding/gossip_test.py
+++ b/radishfield/forwarding/gossip_test.py
@@ -1,11 +1,14 @@
 """Tests of how a host applies the datagrams of its peers."""
 
+import math
+
 import pytest
 
 from radishfield.forwarding._gossip import Gossip
 from radishfield.forwarding._peer_messages import (
     DATAGRAM_BYTES,
     Echo,
+    PeerListConfirmation,
     PeerStatus,
     PeerZoneTotal,
     Use,
@@ -158,12 +161,28 @@
     duty, view = gossip._view.watch_duty, gossip._view
     digest = view.directory.digest()
     confirmation = {"watches": True, "targets_digest": digest, "targets_age_s": 0.5}
+    duty.on_duty = False
     apply_status(gossip, status(**confirmation))
-    assert duty.agreed_at is None
+    assert duty.list_confirmed_at == -math.inf
     apply_status(gossip, status(**confirmation, echoes=[Echo("me", 104.0)]))
-    assert duty.agreed_at is None
+    assert duty.targets_due_in_s(110.0, 2.0) <= 0
     apply_status(gossip, status(**confirmation, echoes=[Echo("me", 109.5)]))
-    assert duty.agreed_at == 110.0
+    assert duty.list_confirmed_at == 109.0
+    assert duty.targets_due_in_s(110.0, 2.0) > 0
+
+
+def test_a_confirmation_of_a_list_counts_from_the_call_of_the_watcher(gossip):
+    """Guards against trust in a watcher whose own view of the store is old."""
+    duty, view = gossip._view.watch_duty, gossip._view
+    duty.on_duty = False
+    digest, echoes = view.directory.digest(), [Echo("me", 109.8)]
+    gossip._apply_list_confirmation(PeerListConfirmation("w", digest, 4.0, echoes))
+    assert duty.list_confirmed_at == pytest.approx(105.8)
+    assert duty.targets_due_in_s(110.0, 2.0) <= 0
+    gossip._apply_list_confirmation(PeerListConfirmation("w", digest, 0.1, echoes))
+    assert duty.list_confirmed_at == pytest.approx(109.7)
+    gossip._apply_list_confirmation(PeerListConfirmation("w", digest + 1, 0.0, echoes))
+    assert duty.list_confirmed_at == pytest.approx(109.7)
 
 
 def test_a_status_fits_its_datagram_with_hundreds_of_hosts(gossip):
--- a/radishfield/forwarding/leaving_test.py
+++ b/radishfield/forwarding/leaving_test.py
@@ -207,3 +207,23 @@
         return await scene.worst_delay_s(left_at)
 
     assert late_cases(monkeypatch, [(4,), (9,), (40,)], scenario) == {}
+
+
+def test_calls_of_a_zone_of_forty_hosts_stay_below_the_rates_of_the_store(monkeypatch):
+    """Guards against a fresh list that is paid for with calls of every host."""
+
+    async def scenario(scene, hosts, cuts):
+        zone, seconds = scene.zone, 10.0
+        if cuts:
+            for host in scene.watchers:
+                host.scope.cancel()
+        before = zone.calls()
+        await trio.sleep(seconds)
+        return (zone.calls() - before) / seconds
+
+    calm = play(monkeypatch, (40, False), scenario)
+    without_watchers = play(monkeypatch, (40, True), scenario)
+    # Two watchers of two kinds; the store of five such zones takes 16,000 reads a
+    # second, that of the smallest fleet 2,000.
+    assert calm < 8.0
+    assert without_watchers < 40.0
--- a/radishfield/routing/__init__.py
+++ b/radishfield/routing/__init__.py
@@ -35,8 +35,12 @@
     LATENESS_S,
     MAX_ANSWER_MARGIN_S,
     MAX_DELIVERY_S,
+    MIN_DUTY_CHECK_S,
+    REPORT_DELAY_S,
+    STORE_IDLE_S,
     AnswerMargin,
     confirmed_at,
+    max_unread_age_s,
     watch_wait_s,
 )
 from radishfield.routing._load import LoadTable, TargetLoad
@@ -93,6 +97,10 @@
 from radishfield.routing._zone_sums import ZoneTotal
 
 __all__ = [
+    "max_unread_age_s",
+    "STORE_IDLE_S",
+    "REPORT_DELAY_S",
+    "MIN_DUTY_CHECK_S",
     "ANSWER_MARGIN_S",
     "COALESCE_S",
     "LATENESS_S",
--- a/radishfield/routing/_list_freshness.py
+++ b/radishfield/routing/_list_freshness.py
@@ -12,7 +12,18 @@
         + MAX_DELIVERY_S + LATENESS_S  <=  promise
 
 The first margin is that of the watch, the second that of the call that follows it on
-a new connection.
+a new connection.  At a host that relies on the reports of others::
+
+    max_unread_age_s + MIN_DUTY_CHECK_S + ANSWER_MARGIN_S
+        + MAX_DELIVERY_S + LATENESS_S  <=  promise
+
+Its calls are few, so each has a new connection, unless the last one was so recent that
+a loss of connections since then still excuses the host (`STORE_IDLE_S`).  A report
+counts from the time for which the store confirmed the list to the host that reports,
+not from its arrival, so no host can vouch for a list that it did not read.  A host that
+hears one watcher never has to read the list itself, since::
+
+    shared_watch_wait_s + COALESCE_S + REPORT_DELAY_S  <=  max_unread_age_s
 """
 
 import msgspec
@@ -30,6 +41,14 @@
 that."""
 LATENESS_S = 0.1
 """Time by which the event loop of a busy host may run its tasks late."""
+MIN_DUTY_CHECK_S = 0.1
+"""Minimum pause between two checks whether a host that does not watch the store has
+to read it."""
+STORE_IDLE_S = 2.0
+"""Idle time after which a connection to the store is not used again."""
+REPORT_DELAY_S = 0.35
+"""Maximum age of a watcher's report when it arrives.  The watcher echoes this host's
+last status, which is up to 0.28 s old and was read in a batch, as the report is."""
 MAX_WATCH_S = 2.5
 """Maximum wait of a watch, however long the promise is."""
 MIN_WATCH_S = 0.25
@@ -39,7 +58,7 @@
 _FIXED_DELAYS_S = COALESCE_S + 2 * ANSWER_MARGIN_S + MAX_DELIVERY_S + LATENESS_S
 
 
-def watch_wait_s(promise_s: float, age_s: float) -> float:
+def watch_wait_s(promise_s: float, age_s: float, shared: bool = False) -> float:
     """Return for how long a watch of the targets may wait.
 
     Parameters
@@ -48,11 +67,23 @@
         Time for which work may reach a target after its leaving was acknowledged.
     age_s : float
         Age of the list when the watch is sent; the older, the shorter it waits.
+    shared : bool
+        Other hosts rely on the reports of this one.
     """
-    longest_s = min(MAX_WATCH_S, max(MIN_WATCH_S, promise_s - _FIXED_DELAYS_S))
+    longest_s = promise_s - _FIXED_DELAYS_S
+    if shared:
+        reported_s = max_unread_age_s(promise_s) - COALESCE_S - REPORT_DELAY_S
+        longest_s = min(longest_s, reported_s)
+    longest_s = min(MAX_WATCH_S, max(MIN_WATCH_S, longest_s))
     return min(longest_s, max(0.0, longest_s - age_s))
 
 
+def max_unread_age_s(promise_s: float) -> float:
+    """Return the age of its list at which a host that is not told reads the store."""
+    read_s = MIN_DUTY_CHECK_S + ANSWER_MARGIN_S
+    return max(MIN_WATCH_S, promise_s - read_s - MAX_DELIVERY_S - LATENESS_S)
+
+
 def confirmed_at(
     requested_at: float, wait_s: float, answered_at: float, changed: bool
 ) -> float:
--- a/radishfield/routing/_watch_duty.py
+++ b/radishfield/routing/_watch_duty.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from radishfield.routing._list_freshness import max_unread_age_s
+
 WATCHERS_PER_ZONE = 2
 """One may be frozen or disconnected from the store.  If both are, the others read the
 store themselves for the second or two until two of them become watchers."""
@@ -20,11 +22,6 @@
 SMALL_ZONE_HOSTS = 3
 """In zones of up to this many hosts, all hosts watch the store."""
 
-MAX_AGREEMENT_AGE_S = 1.2
-"""Time without a watcher's report of an identical list of targets after which a host
-reads the list itself.  Each watcher reports every 0.8 s in a zone of forty hosts; a
-lost update about a leaving target may go unnoticed for at most two seconds."""
-
 CONFIG_AGE_SHARE = 0.6
 """Share of the bound on keys after which a host confirms its configuration itself.
 A watcher's report is up to half of the bound old; the rest is left for the read."""
@@ -38,10 +35,6 @@
 """A watcher without an answer from the store for this long is skipped: a watch waits
 2.5 s and may be late by another half second."""
 
-MAX_LIST_AGE_S = 4.5
-"""A list that was confirmed longer ago than this proves nothing to other hosts: a watch
-waits 2.5 s, and messages in both directions take two seconds."""
-
 
 class ZoneHost(msgspec.Struct, frozen=True):
     """State of another host of the zone, from its latest messages.
@@ -68,26 +61,23 @@
         This host watches the store for its zone.
     shared : bool
         Some hosts of the zone depend on reports from watchers.
-    agreed_at : float or None
-        When the list of targets was last known to match the store: a watcher had the
-        same list, or this host read it.
+    list_confirmed_at : float
+        Time for which the list of targets is known to match the store: this host read
+        it, or a watcher with the same list did.
     newest_version : int
         Newest version of the configuration that any host has reported.
     newer_heard_at : float
         When that version was first reported.
     reading_since : float or None
         Since when this host has watched the configuration itself.
-    list_confirmed_at : float
-        When a watcher had the store confirm the list that this host has.
     """
 
     on_duty: bool = True
     shared: bool = False
-    agreed_at: float | None = None
+    list_confirmed_at: float = -math.inf
     newest_version: int = 0
     newer_heard_at: float = -math.inf
     reading_since: float | None = None
-    list_confirmed_at: float = -math.inf
 
     @property
     def reports_to_zone(self) -> bool:
@@ -118,24 +108,18 @@
         self.newest_version, self.newer_heard_at = version, now
         return True
 
-    def told(self, same_targets: bool, list_age_s: float, now: float) -> None:
-        """Apply a watcher's report on its list of targets."""
-        if same_targets and 0.0 <= list_age_s < MAX_LIST_AGE_S:
-            self.agreed_at = max(now, self.agreed_at or now)
-            self.list_confirmed_at = max(self.list_confirmed_at, now - list_age_s)
+    def record_list_confirmation(self, confirmed_at: float) -> None:
+        """Record that the list of targets matched the store at this time."""
+        self.list_confirmed_at = max(self.list_confirmed_at, confirmed_at)
 
-    def read_targets(self, now: float) -> None:
-        """Record that this host read the list, which counts like a watcher's report."""
-        self.agreed_at = now
-
-    def targets_due_in_s(self, now: float) -> float:
+    def targets_due_in_s(self, now: float, promise_s: float) -> float:
         """Return the seconds until this host has to read the targets from the store.
 
         Zero or less means at once.  A watcher's report in the meantime postpones it.
         """
-        if self.on_duty or self.agreed_at is None:
+        if self.on_duty:
             return 0.0
-        return self.agreed_at + MAX_AGREEMENT_AGE_S - now
+        return self.list_confirmed_at + max_unread_age_s(promise_s) - now
 
     def config_due_in_s(
         self, age_s: float, bound_s: float, version: int, now: float
--- a/radishfield/routing/list_freshness_test.py
+++ b/radishfield/routing/list_freshness_test.py
@@ -8,8 +8,11 @@
     LATENESS_S,
     MAX_ANSWER_MARGIN_S,
     MAX_DELIVERY_S,
+    MIN_DUTY_CHECK_S,
+    REPORT_DELAY_S,
     AnswerMargin,
     confirmed_at,
+    max_unread_age_s,
     watch_wait_s,
 )
 
@@ -24,6 +27,21 @@
     assert COALESCE_S + calls_s + MAX_DELIVERY_S + LATENESS_S <= promise_s
 
 
+@pytest.mark.parametrize("promise_s", PROMISES_S)
+def test_delays_of_a_host_that_is_told_add_up_to_no_more_than_the_promise(promise_s):
+    """Guards against work for a target that left while no watcher saw it."""
+    read_s = MIN_DUTY_CHECK_S + ANSWER_MARGIN_S
+    known_s = max_unread_age_s(promise_s) + read_s
+    assert known_s + MAX_DELIVERY_S + LATENESS_S <= promise_s
+
+
+@pytest.mark.parametrize("promise_s", PROMISES_S)
+def test_a_host_that_hears_one_watcher_never_has_to_read(promise_s):
+    """Guards against calls of every host where one of two watchers fails."""
+    reported_s = watch_wait_s(promise_s, 0.0, shared=True) + COALESCE_S + REPORT_DELAY_S
+    assert reported_s <= max_unread_age_s(promise_s)
+
+
 def test_a_watch_waits_less_the_older_the_list_is():
     longest_s = watch_wait_s(2.0, 0.0)
     assert watch_wait_s(2.0, 0.2) == pytest.approx(longest_s - 0.2)
--- a/radishfield/routing/watch_duty_test.py
+++ b/radishfield/routing/watch_duty_test.py
@@ -44,25 +44,24 @@
     assert not duty.on_duty
 
 
-def test_targets_are_read_unless_a_watcher_has_the_same_recent_list():
+def test_targets_are_read_unless_a_watcher_had_the_same_list_confirmed():
     """If an update about a leaving target is lost, the lists differ and are reread."""
     duty = WatchDuty()
     duty.assign("d", hosts("a", "b", "c"))
-    assert duty.targets_due_in_s(100.0) <= 0
-    duty.told(True, 1.0, 100.0)
-    assert duty.targets_due_in_s(101.0) > 0
-    duty.told(False, 1.0, 101.0)
-    duty.told(True, 9.0, 101.1)
-    duty.told(True, -1.0, 101.1)
-    assert duty.targets_due_in_s(101.3) <= 0
+    assert duty.targets_due_in_s(100.0, 2.0) <= 0
+    duty.record_list_confirmation(99.5)
+    assert duty.targets_due_in_s(100.5, 2.0) > 0
+    duty.record_list_confirmation(98.0)
+    assert duty.targets_due_in_s(100.5, 2.0) > 0
+    assert duty.targets_due_in_s(100.7, 2.0) <= 0
 
 
 def test_a_host_without_reports_reads_targets_repeatedly():
     duty = WatchDuty()
     duty.assign("d", hosts("a", "b", "c"))
-    duty.read_targets(100.0)
-    assert duty.targets_due_in_s(101.0) > 0
-    assert duty.targets_due_in_s(101.3) <= 0
+    duty.record_list_confirmation(100.0)
+    assert duty.targets_due_in_s(101.0, 2.0) > 0
+    assert duty.targets_due_in_s(101.3, 2.0) <= 0
 
 
 def test_a_configuration_is_read_if_no_host_confirms_it():
--- a/radishfield/web/_calls.py
+++ b/radishfield/web/_calls.py
@@ -75,6 +75,8 @@
         Name under which the other side counts the calls; empty for none.
     connect_s : float
         Seconds allowed to open a connection.
+    keepalive_s : float
+        Idle time after which a connection is not used again.
     max_answer_bytes : int
         A longer answer is treated as broken.
     """
@@ -82,6 +84,7 @@
     address: str
     caller: str = ""
     connect_s: float = 1.0
+    keepalive_s: float = KEEPALIVE_S
     max_answer_bytes: int = 8 << 20
 
 
@@ -95,11 +98,11 @@
 
     __slots__ = ("in_flight", "pool", "retired")
 
-    def __init__(self):
+    def __init__(self, keepalive_s: float):
         self.pool = httpcore.AsyncConnectionPool(
             max_connections=MAX_CONNECTIONS,
             max_keepalive_connections=MAX_IDLE_CONNECTIONS,
-            keepalive_expiry=KEEPALIVE_S,
+            keepalive_expiry=keepalive_s,
         )
         self.in_flight = 0
         self.retired = False
@@ -136,7 +139,7 @@
         self._address = address
         self._budget = budget
         self._clock = clock
-        self._connections = _ConnectionPool()
+        self._connections = _ConnectionPool(address.keepalive_s)
         self.calls_by_kind: Counter[str] = Counter()
         self.faults_by_code: Counter[ResultCode] = Counter()
         self.last_answer_at: float | None = None
@@ -209,7 +212,7 @@
         """
         if connections is self._connections:
             connections.retired = True
-            self._connections = _ConnectionPool()
+            self._connections = _ConnectionPool(self._address.keepalive_s)
 
 
 def decode_answer(body: bytes, kind: type[T]) -> Result[T, Fault]:
