Take no earlier list for the current one once it was replaced

A host compares the digest of its list with that of a watcher, and accepts an earlier digest of its own, since changes reach the hosts of a zone at different times. A target that is added and removed again brings the list back to an earlier digest. A host that missed the removal, as its datagram was lost or a watcher held the target for a moment, then found its own earlier list in each report and never read the store.

An earlier digest now counts only if this host's list had it at the time for which the store confirmed the watcher's; before that the list of the store may have returned to it.

--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -437,7 +437,7 @@
             return self._remove(value.name, value.revision, source)
         record = decoded.ok
         before = self._view.directory.find(record.id)
-        changed = self._view.directory.update(record)
+        changed = self._view.directory.update(record, self._view.clock.now())
         if (
             before is None
             or before.phase is not record.phase
--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -431,11 +431,10 @@
         An update often arrives after the confirmation of a watcher that has it.
         """
         for confirmation in list(self._list_confirmations):
-            if self._view.directory.matches_recent_digest(confirmation.digest):
+            confirmed_at = confirmation.confirmed_at
+            if self._view.directory.was_current(confirmation.digest, confirmed_at):
                 self._list_confirmations.remove(confirmation)
-                self._view.watch_duty.record_list_confirmation(
-                    confirmation.confirmed_at
-                )
+                self._view.watch_duty.record_list_confirmation(confirmed_at)
 
     def _echoed_at(self, echoes: list[Echo], now: float) -> float | None:
         """Return when this host sent the status that another received last.
--- a/radishfield/routing/_directory.py
+++ b/radishfield/routing/_directory.py
@@ -9,6 +9,7 @@
 register again.
 """
 
+import math
 import zlib
 from collections import deque
 from collections.abc import Iterable, Mapping
@@ -70,6 +71,13 @@
         return self.until - (MIN_SUSPICION_S if self.probing else self.length_s)
 
 
+class _EarlierDigest(msgspec.Struct, frozen=True):
+    """Digest of an earlier list, and when the list changed to another one."""
+
+    digest: int
+    replaced_at: float
+
+
 class Removal(msgspec.Struct, frozen=True):
     """A target that left the list; ``held`` if it is still used for a short time."""
 
@@ -86,7 +94,7 @@
     _answered_at_by_id: dict[str, float] = msgspec.field(default_factory=dict)
     _store_failed_at: float = -1e9
     _digest: int = 0
-    _recent_digests: deque[int] = msgspec.field(
+    _recent_digests: deque[_EarlierDigest] = msgspec.field(
         default_factory=lambda: deque(maxlen=MAX_RECENT_DIGESTS)
     )
     version: int = 0
@@ -109,10 +117,10 @@
             if target_id not in record_by_id and entry.missing_since is None
         ]
         for record in record_by_id.values():
-            self.update(record)
+            self.update(record, now)
         return removals
 
-    def update(self, record: TargetRecord) -> bool:
+    def update(self, record: TargetRecord, now: float = -math.inf) -> bool:
         """Apply a target's newest entry; return whether it differs from the last one.
 
         Each heartbeat rewrites the entry.  If that counted as a change, all plans
@@ -126,15 +134,15 @@
             self._leaving.add(record.incarnation)
         if before is not None and _restarted(before.record, record):
             self._suspicion_by_id.pop(record.id, None)
-        self._put(record.id, _Entry(record))
+        self._put(record.id, _Entry(record), now)
         return True
 
-    def _put(self, target_id: str, entry: _Entry | None) -> None:
+    def _put(self, target_id: str, entry: _Entry | None, now: float) -> None:
         """Replace a target's entry, or remove it from the list if None."""
         before = self._entry_by_id.pop(target_id, None)
         if entry is not None:
             self._entry_by_id[target_id] = entry
-        self._recent_digests.append(self._digest)
+        self._recent_digests.append(_EarlierDigest(self._digest, now))
         for each in (before, entry):
             if each is not None:
                 self._digest ^= zlib.crc32(repr(each.record).encode())
@@ -145,14 +153,19 @@
         """Return a checksum that is equal on hosts with the same list."""
         return self._digest
 
-    def matches_recent_digest(self, digest: int) -> bool:
-        """Return whether a digest is that of the current list or of a recent one.
+    def was_current(self, digest: int, at: float) -> bool:
+        """Return whether this list had a digest at a time, or was newer.
 
         When targets are added by tens, each change reaches the hosts of a zone at a
         different time and no two lists are equal for seconds.  If those hosts were
-        assumed to have missed an update, all of them would read the store.
+        assumed to have missed an update, all of them would read the store.  A list
+        that was replaced before that time proves nothing: the list of the store may
+        have returned to an earlier state, by a removal that this host missed.
         """
-        return digest == self._digest or digest in self._recent_digests
+        return digest == self._digest or any(
+            earlier.digest == digest and earlier.replaced_at >= at
+            for earlier in self._recent_digests
+        )
 
     def remove(self, target_id: str, now: float) -> Removal:
         """Remove a target, or hold it if a store outage may have expired its entry."""
@@ -162,7 +175,7 @@
         if now - self._store_failed_at < OUTAGE_EXPIRY_S:
             entry.missing_since = now
             return Removal(target_id, held=True)
-        self._put(target_id, None)
+        self._put(target_id, None, now)
         return Removal(target_id, held=False)
 
     def expire_missing(self, now: float) -> list[str]:
@@ -174,7 +187,7 @@
             and now - entry.missing_since >= REGISTRATION_GRACE_S
         ]
         for target_id in expired_ids:
-            self._put(target_id, None)
+            self._put(target_id, None, now)
         return expired_ids
 
     def mark_leaving(self, incarnation: tuple[str, int]) -> bool:
--- a/radishfield/routing/directory_test.py
+++ b/radishfield/routing/directory_test.py
@@ -235,20 +235,34 @@
     """
     watcher, host, incomplete = TargetDirectory(), TargetDirectory(), TargetDirectory()
     for number in range(40):
+        now = 100.0 + number * 0.02
         reported_digest = watcher.digest()
-        watcher.update(target(f"t{number}"))
-        host.update(target(f"t{number}"))
-        assert host.matches_recent_digest(reported_digest)
+        watcher.update(target(f"t{number}"), now)
+        host.update(target(f"t{number}"), now)
+        assert host.was_current(reported_digest, now)
         if number != 20:
-            incomplete.update(target(f"t{number}"))
+            incomplete.update(target(f"t{number}"), now)
     assert host.digest() == watcher.digest()
-    assert not incomplete.matches_recent_digest(watcher.digest())
-    watcher.remove("t3", 100.0)
-    assert not host.matches_recent_digest(watcher.digest())
-    host.remove("t3", 100.1)
+    assert not incomplete.was_current(watcher.digest(), 100.0)
+    watcher.remove("t3", 110.0)
+    assert not host.was_current(watcher.digest(), 110.0)
+    host.remove("t3", 110.1)
     assert host.digest() == watcher.digest()
 
 
+def test_a_digest_from_before_a_change_proves_nothing_later(target):
+    """Guards against trust in a list that returned to an earlier state.
+
+    A target is added and removed again, and this host missed the removal.
+    """
+    host = TargetDirectory()
+    host.update(target("t1"), 100.0)
+    before = host.digest()
+    host.update(target("t2"), 101.0)
+    assert host.was_current(before, 100.9)
+    assert not host.was_current(before, 102.0)
+
+
 def test_digest_does_not_depend_on_the_order_of_updates(target):
     one, other = TargetDirectory(), TargetDirectory()
     for name in ("a", "b", "c"):
