Hold a missing target only while an outage excuses it

Callers' work went to a target that was gone for 1.6 to 2.2 s after its removal was acknowledged, and then took up to 0.5 s to arrive; two seconds are promised. A target that is missing from the list is used for 1.5 s more if a call to the store had failed within four seconds, since its entry may have expired in an outage. One call that was lost with its connection counted as an outage, and four seconds reach beyond the time for which one excuses anything.

Two failed calls in a row show an outage now, the time counts from when the last one was sent, and is 2.8 s; the sum that keeps the promise stands beside the constants. As hosts read the store sooner than before, more of them hold targets in an outage, so a held target is no part of the list that hosts compare, and its return is forwarded.

--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -28,6 +28,7 @@
 )
 from radishfield.routing import (
     COALESCE_S,
+    EXPIRY_CHECK_S,
     MIN_DUTY_CHECK_S,
     AnswerMargin,
     Removal,
@@ -66,6 +67,10 @@
 
     Parameters
     ----------
+    failures : int
+        Calls in a row that were not answered.
+    requested_at : float
+        When the last call was sent.
     newest_only : bool
         Only the newest state matters, so listing it costs no more than reading the
         changes of some time.
@@ -80,16 +85,16 @@
     __slots__ = (
         "_rng",
         "_confirms_waits",
-        "_failures",
         "_due_in_s",
         "_kind",
         "_margin",
         "_newest_only",
-        "_requested_at",
         "_revision",
         "_store",
         "_view",
         "_wait_s",
+        "failures",
+        "requested_at",
     )
 
     def __init__(
@@ -112,8 +117,8 @@
         self._view = view
         self._kind = kind
         self._revision: int | None = None
-        self._failures = 0
-        self._requested_at = 0.0
+        self.failures = 0
+        self.requested_at = 0.0
         self._rng = random.Random()
 
     async def follow(
@@ -134,7 +139,7 @@
                 with trio.move_on_after(max(due_in_s, MIN_DUTY_CHECK_S)):
                     await self._view.followers_woken.wait()
                 continue
-            requested_at = self._requested_at = self._view.clock.now()
+            requested_at = self.requested_at = self._view.clock.now()
             # A recovery signalled while this call is still failing must not be missed.
             store_back = self._view.store_back
             wait_s = 0.0
@@ -142,7 +147,7 @@
                 result = await self._list()
                 deliver = on_listing
             else:
-                wait_s = RECOVERY_WATCH_S if self._failures else self._wait_s()
+                wait_s = RECOVERY_WATCH_S if self.failures else self._wait_s()
                 result = await self._watch(wait_s)
                 deliver = on_changes
             if result.is_error():
@@ -187,32 +192,32 @@
             log_event("store.history_gone", kind=self._kind, revision=self._revision)
             self._revision = None
             return
-        self._failures += 1
+        self.failures += 1
         if self._margin is not None:
-            self._margin.record_loss(self._failures)
-        if self._newest_only and self._failures >= MAX_FAILED_WATCHES:
+            self._margin.record_loss(self.failures)
+        if self._newest_only and self.failures >= MAX_FAILED_WATCHES:
             self._revision = None
-        if self._failures == 1:
+        if self.failures == 1:
             log_event(
                 "store.lost",
                 kind=self._kind,
                 code=int(problem.code),
                 detail=problem.detail,
-                pending_s=round(self._view.clock.now() - self._requested_at, 2),
+                pending_s=round(self._view.clock.now() - self.requested_at, 2),
             )
         on_failure(problem)
-        if self._failures == 1:
+        if self.failures == 1:
             # The connection may have been lost alone; a new one shows it at once.
             return
-        pause_s = min(MAX_PAUSE_S, backoff_s(self._failures, self._rng))
+        pause_s = min(MAX_PAUSE_S, backoff_s(self.failures, self._rng))
         with trio.move_on_after(pause_s):
             await store_back.wait()
 
     def _record_recovery(self) -> None:
-        if self._failures:
-            log_event("store.regained", kind=self._kind, failures=self._failures)
+        if self.failures:
+            log_event("store.regained", kind=self._kind, failures=self.failures)
             self._view.notify_store_back()
-        self._failures = 0
+        self.failures = 0
 
 
 class ConfigFollower:
@@ -473,11 +478,14 @@
         )
 
     def _handle_failure(self, problem: Fault) -> None:
-        self._view.directory.record_store_failure(self._view.clock.now())
+        follower = self._follower
+        self._view.directory.record_store_failure(
+            follower.requested_at, follower.failures
+        )
 
     async def _expire(self) -> None:
         while True:
-            await trio.sleep(0.2)
+            await trio.sleep(EXPIRY_CHECK_S)
             for target_id in self._view.directory.expire_missing(
                 self._view.clock.now()
             ):
--- a/radishfield/routing/__init__.py
+++ b/radishfield/routing/__init__.py
@@ -12,7 +12,14 @@
     draw,
     free_prompt_capacity,
 )
-from radishfield.routing._directory import Removal, TargetDirectory
+from radishfield.routing._directory import (
+    EXPIRY_CHECK_S,
+    OUTAGE_EXPIRY_S,
+    REGISTRATION_GRACE_S,
+    STORE_CALM_S,
+    Removal,
+    TargetDirectory,
+)
 from radishfield.routing._events import EventSplitter, event_ids
 from radishfield.routing._freshness import Freshness
 from radishfield.routing._layout import (
@@ -97,6 +104,10 @@
 from radishfield.routing._zone_sums import ZoneTotal
 
 __all__ = [
+    "STORE_CALM_S",
+    "REGISTRATION_GRACE_S",
+    "OUTAGE_EXPIRY_S",
+    "EXPIRY_CHECK_S",
     "max_unread_age_s",
     "STORE_IDLE_S",
     "REPORT_DELAY_S",
--- a/radishfield/routing/_directory.py
+++ b/radishfield/routing/_directory.py
@@ -20,12 +20,27 @@
 
 REGISTRATION_GRACE_S = 1.5
 """Time for which a missing target is still used.  Live targets register again within
-two seconds of the store's return, and work may reach a target that is gone for as
-long; the remaining half second allows for the transit of requests."""
+two seconds of the store's return."""
 
-OUTAGE_EXPIRY_S = 4.0
-"""Time after the store's last failure in which expired entries are attributed to the
-outage: three missed heartbeats, after which the store drops an entry."""
+EXPIRY_CHECK_S = 0.1
+"""Interval between checks for missing targets that did not register again."""
+
+OUTAGE_EXPIRY_S = 2.8
+"""Time after the last failed call was sent in which a missing target is attributed to
+an outage.  The store was away then, and a removal that it acknowledges within three
+seconds of its return is not bound by the promise to use no target that is gone.  So
+the promise is kept while::
+
+    OUTAGE_EXPIRY_S + REGISTRATION_GRACE_S + EXPIRY_CHECK_S
+        + MAX_DELIVERY_S + LATENESS_S  <=  STORE_CALM_S + promise
+"""
+
+STORE_CALM_S = 3.0
+"""Time after an outage from which on acknowledgements of the store are promises."""
+
+OUTAGE_FAILURES = 2
+"""Failed calls in a row that show an outage.  A single one is that of a lost
+connection: the call that follows it at once on a new connection is answered."""
 
 MIN_SUSPICION_S = 1.0
 MAX_SUSPICION_S = 4.0
@@ -103,9 +118,10 @@
     list_version: int = 0
     """Increases only when a target is added or removed or its record changes."""
 
-    def record_store_failure(self, now: float) -> None:
-        """Record that the store did not answer."""
-        self._store_failed_at = now
+    def record_store_failure(self, requested_at: float, failures: int) -> None:
+        """Record that a call was not answered, the last of so many in a row."""
+        if failures >= OUTAGE_FAILURES:
+            self._store_failed_at = requested_at
 
     def replace_all(
         self, record_by_id: Mapping[str, TargetRecord], now: float
@@ -128,8 +144,11 @@
         """
         before = self._entry_by_id.get(record.id)
         if before is not None and before.record == record:
-            before.missing_since = None
-            return False
+            came_back = before.missing_since is not None
+            if came_back:
+                before.missing_since = None
+                self._toggle_in_digest([record], now)
+            return came_back
         if record.phase is TargetPhase.LEAVING:
             self._leaving.add(record.incarnation)
         if before is not None and _restarted(before.record, record):
@@ -142,15 +161,25 @@
         before = self._entry_by_id.pop(target_id, None)
         if entry is not None:
             self._entry_by_id[target_id] = entry
-        self._recent_digests.append(_EarlierDigest(self._digest, now))
-        for each in (before, entry):
-            if each is not None:
-                self._digest ^= zlib.crc32(repr(each.record).encode())
+        known = [each for each in (before, entry) if each is not None]
+        listed = [each.record for each in known if each.missing_since is None]
+        self._toggle_in_digest(listed, now)
         self.version += 1
         self.list_version += 1
 
+    def _toggle_in_digest(self, records: Iterable[TargetRecord], now: float) -> None:
+        """Add each record to the digest of the list, or take it out."""
+        self._recent_digests.append(_EarlierDigest(self._digest, now))
+        for record in records:
+            self._digest ^= zlib.crc32(repr(record).encode())
+
     def digest(self) -> int:
-        """Return a checksum that is equal on hosts with the same list."""
+        """Return a checksum that is equal on hosts that know the same list.
+
+        Held targets are left out: if they counted, a host that holds one would take
+        the list of a host at which it has registered again for its own, and would
+        drop it.
+        """
         return self._digest
 
     def was_current(self, digest: int, at: float) -> bool:
@@ -173,7 +202,9 @@
         if entry is None:
             return Removal(target_id, held=False)
         if now - self._store_failed_at < OUTAGE_EXPIRY_S:
-            entry.missing_since = now
+            if entry.missing_since is None:
+                entry.missing_since = now
+                self._toggle_in_digest([entry.record], now)
             return Removal(target_id, held=True)
         self._put(target_id, None, now)
         return Removal(target_id, held=False)
--- a/radishfield/routing/directory_test.py
+++ b/radishfield/routing/directory_test.py
@@ -46,7 +46,7 @@
     targets have registered again, although all of them are alive.
     """
     directory = directory_of(make_target("t1"), make_target("t2"))
-    directory.record_store_failure(now=100.0)
+    directory.record_store_failure(requested_at=100.0, failures=2)
     removals = directory.replace_all({}, now=101.0)
     assert all(removal.held for removal in removals)
     assert usable_ids(directory, 101.0) == ["t1", "t2"]
@@ -56,6 +56,32 @@
     assert usable_ids(directory, 102.6) == ["t2"]
 
 
+def test_a_held_target_is_not_part_of_the_list_that_hosts_compare():
+    """Guards against dropping a target that has registered again at other hosts.
+
+    A host that holds it has to see that its list differs from theirs.
+    """
+    holding, other = directory_of(make_target("t1")), directory_of(make_target("t1"))
+    holding.record_store_failure(requested_at=100.0, failures=2)
+    holding.remove("t1", now=100.5)
+    assert holding.digest() != other.digest()
+    assert holding.update(make_target("t1"), 101.0)
+    assert holding.digest() == other.digest()
+    holding.remove("t1", now=101.5)
+    assert holding.expire_missing(103.5) == ["t1"]
+    other.remove("t1", now=103.5)
+    assert holding.digest() == other.digest()
+
+
+def test_a_removal_is_no_expiry_after_one_lost_call_or_long_after_an_outage():
+    """Guards against using a target that is gone beyond the promised time."""
+    directory = directory_of(make_target("t1"), make_target("t2"))
+    directory.record_store_failure(requested_at=100.0, failures=1)
+    assert not directory.remove("t1", now=100.5).held
+    directory.record_store_failure(requested_at=100.0, failures=2)
+    assert not directory.remove("t2", now=103.0).held
+
+
 def test_an_unreachable_target_is_excluded_for_longer_each_time():
     directory = directory_of(make_target("t1"))
     assert directory.suspect("t1", now=0.0) == 1.0
--- a/radishfield/routing/list_freshness_test.py
+++ b/radishfield/routing/list_freshness_test.py
@@ -5,11 +5,15 @@
 from radishfield.routing import (
     ANSWER_MARGIN_S,
     COALESCE_S,
+    EXPIRY_CHECK_S,
     LATENESS_S,
     MAX_ANSWER_MARGIN_S,
     MAX_DELIVERY_S,
     MIN_DUTY_CHECK_S,
+    OUTAGE_EXPIRY_S,
+    REGISTRATION_GRACE_S,
     REPORT_DELAY_S,
+    STORE_CALM_S,
     AnswerMargin,
     confirmed_at,
     max_unread_age_s,
@@ -42,6 +46,13 @@
     assert reported_s <= max_unread_age_s(promise_s)
 
 
+@pytest.mark.parametrize("promise_s", PROMISES_S)
+def test_a_target_that_is_gone_is_held_no_longer_than_the_promise(promise_s):
+    """Guards against holding a removal that the store acknowledged after an outage."""
+    held_s = OUTAGE_EXPIRY_S + REGISTRATION_GRACE_S + EXPIRY_CHECK_S
+    assert held_s + MAX_DELIVERY_S + LATENESS_S <= STORE_CALM_S + promise_s
+
+
 def test_a_watch_waits_less_the_older_the_list_is():
     longest_s = watch_wait_s(2.0, 0.0)
     assert watch_wait_s(2.0, 0.2) == pytest.approx(longest_s - 0.2)
