--- a/radishfield/forwarding/leaving_test.py
+++ b/radishfield/forwarding/leaving_test.py
@@ -211,6 +211,27 @@
     assert late_cases(monkeypatch, [(4,), (9,), (40,)], scenario) == {}
 
 
+def test_a_change_in_a_gap_of_the_history_reaches_every_host(monkeypatch):
+    """Guards against a change that hosts find by a listing and tell nobody.
+
+    Watches hear nothing for a second.  Then the store drops its history and cuts
+    them, so that the hosts which follow it list the targets anew.
+    """
+
+    async def scenario(scene, hosts, left_after_s, removed):
+        store = scene.zone.store
+        store.switches.deaf_watches = True
+        await trio.sleep(left_after_s)
+        left_at = scene.leave(**({} if removed else {"state": "draining"}))
+        await trio.sleep(1.0 - left_after_s)
+        store.switches.deaf_watches = False
+        store.forget_history()
+        return await scene.worst_delay_s(left_at)
+
+    cases = itertools.product(ZONE_SIZES, (0.01, 0.3, 0.9), (False, True))
+    assert late_cases(monkeypatch, cases, scenario) == {}
+
+
 def test_calls_of_a_zone_of_forty_hosts_stay_below_the_rates_of_the_store(monkeypatch):
     """Guards against a fresh list that is paid for with calls of every host."""
 
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -28,11 +28,14 @@
         Number of next writes that take effect but are not answered.
     silent : bool
         No call is answered.
+    deaf_watches : bool
+        Watches hear of no change and are answered as if there were none.
     """
 
     status: int = 0
     lost_answers: int = 0
     silent: bool = False
+    deaf_watches: bool = False
     page_items: int = 500
 
 
@@ -179,15 +182,20 @@
     async def _watch(self, kind: str, query: dict):
         since = int(query["watch"])
         with trio.move_on_after(int(query["waitMs"]) / 1000):
-            while not self._events(kind, since) and since >= self._dropped_until:
+            while not self._heard(kind, since) and since >= self._dropped_until:
                 await self._changed.wait()
         if since < self._dropped_until:
             return 410, {}
         events = [
             {"object": change.item, "deleted": change.deleted}
-            for change in self._events(kind, since)
+            for change in self._heard(kind, since)
         ]
-        return 200, {"events": events, "currentRev": self.revision}
+        current = since if self.switches.deaf_watches else self.revision
+        return 200, {"events": events, "currentRev": current}
+
+    def _heard(self, kind: str, since: int) -> list[_Change]:
+        """Return the changes that a watch is told of."""
+        return [] if self.switches.deaf_watches else self._events(kind, since)
 
     def _events(self, kind: str, since: int) -> list[_Change]:
         return [
