Forward to the zone what a listing changes

Callers' work could reach a target up to 2.3 s after its removal was acknowledged, where two seconds are promised. The hosts that follow the store forwarded the changes that a watch returned, but not those that they found by listing all targets after the store had dropped its history. The others of the zone noticed only when their list had grown too old.

A host that reports to its zone now forwards the targets that a listing adds, changes or removes; not those of its first one, which all hosts read alike.

--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -32,6 +32,7 @@
     MIN_DUTY_CHECK_S,
     AnswerMargin,
     Removal,
+    Replacement,
     RoutingTable,
     confirmed_at,
     watch_wait_s,
@@ -392,16 +393,35 @@
                     "target.unreadable", target=value.name, detail=decoded.error.detail
                 )
         now = self._view.clock.now()
+        is_first = not self._listed_revision
         self._listed_revision = listing.revision
         self._revision_by_id = {value.name: value.revision for value in listing.values}
-        for removal in self._view.directory.replace_all(record_by_id, now):
+        replacement = self._view.directory.replace_all(record_by_id, now)
+        for removal in replacement.removals:
             self._log_removal(removal, listing.revision, "listing")
+        if self._view.watch_duty.reports_to_zone and not is_first:
+            self._forward_replacement(listing, replacement)
         self._confirm(confirms_at)
         log_event(
             "targets.listed", targets=len(record_by_id), revision=listing.revision
         )
         self._view.notify_capacity_freed()
 
+    def _forward_replacement(self, listing: Listing, replacement: Replacement) -> None:
+        """Forward what a listing changed after the store's history was lost."""
+        value_by_id = {value.name: value for value in listing.values}
+        updates = [
+            TargetUpdate(each, value_by_id[each].revision, value_by_id[each].spec)
+            for each in replacement.changed_ids
+        ]
+        updates += [
+            TargetUpdate(removal.id, listing.revision, None)
+            for removal in replacement.removals
+            if not removal.held
+        ]
+        for update in updates:
+            self._view.target_updates.add(update)
+
     def _apply_changes(self, changes: Changes, confirms_at: float) -> None:
         for change in changes.changes:
             value = change.value
--- a/radishfield/routing/__init__.py
+++ b/radishfield/routing/__init__.py
@@ -18,6 +18,7 @@
     REGISTRATION_GRACE_S,
     STORE_CALM_S,
     Removal,
+    Replacement,
     TargetDirectory,
 )
 from radishfield.routing._events import EventSplitter, event_ids
@@ -104,6 +105,7 @@
 from radishfield.routing._zone_sums import ZoneTotal
 
 __all__ = [
+    "Replacement",
     "STORE_CALM_S",
     "REGISTRATION_GRACE_S",
     "OUTAGE_EXPIRY_S",
--- a/radishfield/routing/_directory.py
+++ b/radishfield/routing/_directory.py
@@ -100,6 +100,21 @@
     held: bool
 
 
+class Replacement(msgspec.Struct, frozen=True):
+    """What a complete listing changed.
+
+    Attributes
+    ----------
+    changed_ids : list of str
+        Targets that are new, differ, or were held and are listed again.
+    removals : list of Removal
+        Targets that are no longer listed.
+    """
+
+    changed_ids: list[str]
+    removals: list[Removal]
+
+
 class TargetDirectory(msgspec.Struct):
     """All known targets by id."""
 
@@ -125,16 +140,19 @@
 
     def replace_all(
         self, record_by_id: Mapping[str, TargetRecord], now: float
-    ) -> list[Removal]:
-        """Apply a complete listing; return the targets that are missing from it."""
+    ) -> Replacement:
+        """Apply a complete listing; return what it changed."""
         removals = [
             self.remove(target_id, now)
             for target_id, entry in list(self._entry_by_id.items())
             if target_id not in record_by_id and entry.missing_since is None
         ]
-        for record in record_by_id.values():
-            self.update(record, now)
-        return removals
+        changed_ids = [
+            target_id
+            for target_id, record in record_by_id.items()
+            if self.update(record, now)
+        ]
+        return Replacement(changed_ids, removals)
 
     def update(self, record: TargetRecord, now: float = -math.inf) -> bool:
         """Apply a target's newest entry; return whether it differs from the last one.
--- a/radishfield/routing/directory_test.py
+++ b/radishfield/routing/directory_test.py
@@ -47,7 +47,7 @@
     """
     directory = directory_of(make_target("t1"), make_target("t2"))
     directory.record_store_failure(requested_at=100.0, failures=2)
-    removals = directory.replace_all({}, now=101.0)
+    removals = directory.replace_all({}, now=101.0).removals
     assert all(removal.held for removal in removals)
     assert usable_ids(directory, 101.0) == ["t1", "t2"]
     directory.update(make_target("t2"))
