Decode the limit that a target names, and log when it changes

Targets in need name the requests a second that they take from all hosts together. Nothing read the header, so no log could show whether a host knew of a limit, since when, and by which kind of answer. The adapter reads it now; target.limit is logged when it changes or is no longer named, with a text that is no decimal number as it stands. No decision is changed.

--- a/radishfield/forwarding/_targets.py
+++ b/radishfield/forwarding/_targets.py
@@ -11,9 +11,11 @@
 from radishfield.platform import (
     ORDER_PATH,
     REPORT_PATH,
+    AnswerFacts,
     TargetRequestFacts,
     decode_report,
     order_headers,
+    parse_rate_limit,
     target_headers,
 )
 from radishfield.routing import (
@@ -48,7 +50,14 @@
 class Targets:
     """Client for the targets: sends calls, report requests and orders."""
 
-    __slots__ = ("_connections", "_telemetry", "_view", "orders_by_status", "reports")
+    __slots__ = (
+        "_connections",
+        "_named_limit_by_id",
+        "_telemetry",
+        "_view",
+        "orders_by_status",
+        "reports",
+    )
 
     def __init__(
         self,
@@ -59,6 +68,7 @@
         self._connections = connections
         self._view = view
         self._telemetry = telemetry
+        self._named_limit_by_id: dict[str, str] = {}
         self.reports = 0
         self.orders_by_status: dict[int, int] = {}
 
@@ -174,6 +184,8 @@
         fresh = not call.route.repeatable
         call.arrived += 1
         sent = await self._connections.send(record.address, outgoing, fresh)
+        if sent.is_ok():
+            self._note_rate_limit(record, sent.ok.facts)
         if sent.is_error():
             if sent.error.code is ResultCode.CONNECT_FAILED:
                 call.arrived -= 1
@@ -237,11 +249,29 @@
             sent = await self._connections.send(record.address, outgoing, fresh=False)
             if sent.is_error():
                 return sent
+            self._note_rate_limit(record, sent.ok.facts)
             body = await sent.ok.read()
             await sent.ok.close(reusable=body.is_ok())
             return body.map(lambda content: OrderAnswer(sent.ok.facts.status, content))
         return Error(fault(ResultCode.STREAM_SILENT, f"no answer within {limit_s} s"))
 
+    def _note_rate_limit(self, record: TargetRecord, facts: AnswerFacts) -> None:
+        """Log the limit that a target names in an answer, if it differs."""
+        if facts.status == MISDIRECTED:
+            return
+        before = self._named_limit_by_id.get(record.id, "")
+        if facts.rate_limit == before:
+            return
+        self._named_limit_by_id[record.id] = facts.rate_limit
+        log_event(
+            "target.limit",
+            target=record.id,
+            named=facts.rate_limit,
+            before=before,
+            per_s=parse_rate_limit(facts.rate_limit),
+            status=facts.status,
+        )
+
     def _handle_send_failure(
         self, call: Call, record: TargetRecord, problem: Fault
     ) -> None:
--- a/radishfield/platform/_requests.py
+++ b/radishfield/platform/_requests.py
@@ -1,6 +1,7 @@
 """Reads and writes the headers of requests and answers."""
 
 import math
+import re
 from collections.abc import Iterable
 
 import msgspec
@@ -39,6 +40,7 @@
         b"expect",
     }
 )
+_DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}", re.ASCII)
 MAX_DEADLINE_MS = 3_600_000.0
 
 
@@ -91,6 +93,9 @@
         The body has a content encoding, so its bytes are not the target's own.
     framed : bool
         A length or a last chunk marks the body's end, not the end of the connection.
+    rate_limit : str
+        The requests per second that the target takes from all hosts together, as it
+        names them; empty if it names none.
     """
 
     status: int
@@ -101,6 +106,7 @@
     idle_s: float | None
     encoded: bool
     framed: bool
+    rate_limit: str = ""
 
 
 def read_request(headers: Iterable[tuple[bytes, bytes]]) -> RequestFacts:
@@ -171,9 +177,18 @@
         idle_s=_parse_idle_s(by_name.get(b"keep-alive", b"")),
         encoded=by_name.get(b"content-encoding", b"identity") != b"identity",
         framed=b"content-length" in by_name or b"transfer-encoding" in by_name,
+        rate_limit=by_name.get(names.RATE_LIMIT, b"").decode("latin-1").strip(),
     )
 
 
+def parse_rate_limit(text: str) -> float | None:
+    """Return a named limit in requests per second; None if it is no decimal number."""
+    if _DECIMAL.fullmatch(text) is None:
+        return None
+    value = float(text)
+    return value if math.isfinite(value) else None
+
+
 def caller_headers(headers: Headers) -> Headers:
     """Return a target's headers in the form that the caller receives.
 
--- a/radishfield/platform/adapter_test.py
+++ b/radishfield/platform/adapter_test.py
@@ -14,6 +14,7 @@
     decode_target,
     encode_place_order,
     encode_repath_order,
+    parse_rate_limit,
     read_answer,
     read_request,
     router_answer_headers,
@@ -234,3 +235,18 @@
     assert report.stalled == (("r1", "10.0.0.2:80"),)
     assert decode_report(b"[]").is_error()
     assert decode_report(b"\xff").is_error()
+
+
+@pytest.mark.parametrize(
+    ("text", "per_s"), [("3", 3.0), ("4.4", 4.4), ("0", 0.0), (".5", 0.5), ("2.", 2.0)]
+)
+def test_a_named_rate_limit_is_read(text, per_s):
+    facts = read_answer(200, [(b"Server-Limit", f" {text} ".encode())])
+    assert parse_rate_limit(facts.rate_limit) == per_s
+
+
+@pytest.mark.parametrize(
+    "text", ["", "many", "-1", "+1", "1e9", "nan", "inf", "1,5", "1 2", "٣", "9" * 40]
+)
+def test_a_rate_limit_that_is_no_decimal_number_is_not_read(text):
+    assert parse_rate_limit(text) is None
