--- a/standins/routed_targets.py
+++ b/standins/routed_targets.py
@@ -41,11 +41,17 @@
         ``silent``, ``wrong-id``, ``cut`` (a truncated answer).
     crash : callable
         Ends the target and its connections, under a request with this id.
+    limit : str
+        Requests per second from all hosts together, named in every answer.
+    arrived_at : list of float
+        Times at which requests of any kind arrived.
     """
 
     id: str
     address: str = ""
     work_s: float = 0.01
+    limit: str = ""
+    arrived_at: list[float] = field(default_factory=list)
     crash: Callable[[str], None] = lambda request_id: None
     failures: list[str] = field(default_factory=list)
     ran: Counter[str] = field(default_factory=Counter)
@@ -53,9 +59,10 @@
 
     async def __call__(self, scope, receive, send):
         """Serve one scope of the HTTP server."""
-        await serve_scope(scope, receive, send, self._serve)
+        await serve_scope(scope, receive, with_limit(send, self), self._serve)
 
     async def _serve(self, scope, receive, send) -> None:
+        self.arrived_at.append(trio.current_time())
         headers = dict(scope["headers"])
         self.seen_headers.append(headers)
         body = await read_body(receive, BodyLimit())
@@ -111,6 +118,13 @@
         """Record the targets on a stream's new path."""
         self.addresses_by_request[request_id] |= {address for address, _, _ in stages}
 
+    def record_parts(self, stages: list[tuple[str, int, int]], known: set[str]) -> None:
+        """Record a stream's arrival at the stages that it did not pass before."""
+        for address, _, _ in stages:
+            if address not in known and address in self.target_by_address:
+                target = self.target_by_address[address]
+                target.arrived_at.append(trio.current_time())
+
     def find_faulty_stage(
         self, stages: list[tuple[str, int, int]], running: bool = False
     ) -> tuple[int, str] | None:
@@ -149,10 +163,16 @@
         Layers that it was ordered to release.
     ended_runs : int
         Number of ended runs, including those whose caller has disconnected.
+    limit : str
+        Requests per second from all hosts together, named in every answer.
+    arrived_at : list of float
+        Times at which requests of any kind arrived, as a part of a path too.
     """
 
     id: str
     address: str = ""
+    limit: str = ""
+    arrived_at: list[float] = field(default_factory=list)
     first: int = 0
     end: int = 0
     events: int = 6
@@ -176,9 +196,10 @@
 
     async def __call__(self, scope, receive, send):
         """Serve one scope of the HTTP server."""
-        await serve_scope(scope, receive, send, self._serve)
+        await serve_scope(scope, receive, with_limit(send, self), self._serve)
 
     async def _serve(self, scope, receive, send) -> None:
+        self.arrived_at.append(trio.current_time())
         body = await read_body(receive, BodyLimit())
         if self.dead:
             await trio.sleep_forever()
@@ -234,8 +255,10 @@
         faulty_stage = self.fleet.find_faulty_stage(stages)
         if faulty_stage is not None:
             return 409, {"addr": faulty_stage[1]}
+        before = {address for address, _, _ in self._stages_by_request[order["id"]]}
         self._stages_by_request[order["id"]] = stages
         self.fleet.record_path(order["id"], stages)
+        self.fleet.record_parts(stages, before)
         self.paths.append(order["path"])
         return 202, {}
 
@@ -260,6 +283,7 @@
         self.paths.append(path)
         self._stages_by_request[request_id] = stages
         self.fleet.record_path(request_id, stages)
+        self.fleet.record_parts(stages, {self.address})
         try:
             if crashes:
                 await trio.sleep(self.crash_after_s)
@@ -296,6 +320,18 @@
         await send_chunk(send, b"", more=False)
 
 
+def with_limit(send, target: PlainTarget | LayeredTarget):
+    """Return a sender that names the target's limit in the head of each answer."""
+
+    async def send_named(message):
+        if message["type"] == "http.response.start" and target.limit:
+            named = (b"server-limit", target.limit.encode())
+            message = message | {"headers": [*message["headers"], named]}
+        await send(message)
+
+    return send_named
+
+
 def _parse_path(path: str) -> list[tuple[str, int, int]]:
     stages = []
     for item in path.split(",") if path else ():
