Refuse no stream for a limit while another target may be back first

A caller's stream was refused with 503 although a target without a limit held the layers: once in test_streams_of_all_hosts_stay_below_the_limit, beside a load of 20, and not in four further runs. Streams are refused at once where only limited targets hold some layers and a token is not expected in time. That was asked of the targets that are usable now, so one that was suspected for a second counted as missing. It is asked of all listed targets now.

test_streams_wait_for_a_target_without_a_limit_that_is_only_suspected suspects the target by hand and failed before ({503} for {200}).

--- a/radishfield/forwarding/_stream_paths.py
+++ b/radishfield/forwarding/_stream_paths.py
@@ -152,7 +152,8 @@
         view = self._view
         if progress.has_started:
             return False
-        records = view.directory.usable(call.service.name, view.clock.now())
+        # Targets that are suspected or full may be back sooner than a token comes.
+        records = view.directory.listed(call.service.name)
         limited = [item for item in records if view.limits.limit(item) is not None]
         if not limited or _covered(view.with_room(records), engine):
             return False
--- a/radishfield/forwarding/limit_test.py
+++ b/radishfield/forwarding/limit_test.py
@@ -148,6 +148,25 @@
     play(tmp_path, scenario)
 
 
+def test_streams_wait_for_a_target_without_a_limit_that_is_only_suspected(tmp_path):
+    """Guards against refusing streams for a limit while another target is in doubt."""
+
+    async def scenario(testbed):
+        for number, (first, end) in enumerate([(0, 40), (0, 40), (40, 80)]):
+            await testbed.add_layered(f"t{number + 1}", first, end)
+        routers = await testbed.start_zone(HOSTS)
+        testbed.layered[0].limit = "0.5"
+        await load(testbed, "/stream/x", "POST", 20, 1.0, [])
+        for router in routers:
+            view = router.view
+            view.directory.suspect("t2", view.clock.now())
+        replies = []
+        await load(testbed, "/stream/x", "POST", 10, 0.6, replies)
+        assert statuses(replies) == {200}
+
+    play(tmp_path, scenario)
+
+
 def test_a_host_that_starts_knows_the_limit_before_it_sends(tmp_path):
     """Guards against a restarted host that has to exceed a limit to learn of it."""
 
