Let a host that has just started give out no tokens of its zone

A host that starts knows no others for a moment, so it took itself for the issuer of its zone with the whole rate. The pause of a new issuer counts from the start now, too. Asking issuers is a function of its own, and what is known of a target's issuer goes with its limit.

--- a/radishfield/forwarding/_limit_gossip.py
+++ b/radishfield/forwarding/_limit_gossip.py
@@ -1,5 +1,6 @@
 """Exchanges the limits that targets name, and the tokens for them, with other hosts."""
 
+from collections import defaultdict
 from collections.abc import Callable, Iterable
 
 import trio
@@ -72,25 +73,25 @@
             await trio.sleep(ASK_INTERVAL_S)
             now = self._view.clock.now()
             wanted = self._view.limits.wanted(now)[:MAX_LIMITS]
-            if not wanted:
-                continue
-            self._view.limits.asked += len(wanted)
-            limits_by_issuer: dict[str, list[TargetRateLimit]] = {}
-            remote = now - self._remote_asked_at >= REMOTE_ASK_INTERVAL_S
-            if remote:
-                self._remote_asked_at = now
-            for limit in wanted:
-                issuer_id = self._issuer_to_ask(limit, remote)
-                if issuer_id is not None and issuer_id != self._host_id:
-                    item = _encode(limit, now)
-                    limits_by_issuer.setdefault(issuer_id, []).append(item)
-            for issuer_id, items in limits_by_issuer.items():
-                peer = self._book.peer_by_id.get(issuer_id)
-                if peer is not None:
-                    message = PeerTokenRequest(
-                        self._host_id, self._view.zone, now, items
-                    )
-                    self._send(encoder.encode(message), [peer])
+            if wanted:
+                self._view.limits.asked += len(wanted)
+                self._ask_issuers(wanted, now)
+
+    def _ask_issuers(self, wanted: list[RateLimit], now: float) -> None:
+        remote = now - self._remote_asked_at >= REMOTE_ASK_INTERVAL_S
+        if remote:
+            self._remote_asked_at = now
+        limits_by_issuer: dict[str, list[TargetRateLimit]] = defaultdict(list)
+        for limit in wanted:
+            issuer_id = self._issuer_to_ask(limit, remote)
+            if issuer_id is not None:
+                limits_by_issuer[issuer_id].append(_encode(limit, now))
+        for issuer_id, limits in limits_by_issuer.items():
+            # This host is no peer of itself: as the issuer it takes its own tokens.
+            peer = self._book.peer_by_id.get(issuer_id)
+            if peer is not None:
+                message = PeerTokenRequest(self._host_id, self._view.zone, now, limits)
+                self._send(encoder.encode(message), [peer])
 
     def _issuer_to_ask(self, limit: RateLimit, remote: bool) -> str | None:
         """Return the host to ask for a token: now and then one of another zone.
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -218,7 +218,8 @@
             self.crashes = CrashGuard(self.host_id, self.clock)
         self.crashes.announce = self.crash_updates.add
         if self.limits is None:
-            self.limits = TargetLimits.for_host(self.host_id, self.zone)
+            started_at = -math.inf if self.started_at is None else self.started_at
+            self.limits = TargetLimits.for_host(self.host_id, self.zone, started_at)
 
     @property
     def leaving(self) -> bool:
--- a/radishfield/routing/_target_limits.py
+++ b/radishfield/routing/_target_limits.py
@@ -20,6 +20,7 @@
 which holds with ``ISSUERS_S x rate + EXTRA_ISSUERS`` issuers at most.
 """
 
+import math
 import zlib
 from collections.abc import Iterable, Mapping
 
@@ -121,13 +122,15 @@
 
     Attributes
     ----------
+    hosts_changed_at : float
+        When the hosts of the zone that are present last changed, or this one started.
     issued, asked : int
         Tokens that this host gave out to others, and asked for.
     """
 
     own_id: str
     hosts: ZoneHosts
-    hosts_changed_at: float = -1e9
+    hosts_changed_at: float
     issued: int = 0
     asked: int = 0
     _limit_by_id: dict[str, RateLimit] = msgspec.field(default_factory=dict)
@@ -137,9 +140,11 @@
     _issuer_by_id: dict[str, str | None] = msgspec.field(default_factory=dict)
 
     @classmethod
-    def for_host(cls, own_id: str, zone: str) -> "TargetLimits":
+    def for_host(
+        cls, own_id: str, zone: str, started_at: float = -math.inf
+    ) -> "TargetLimits":
         """Return the limits of a host that knows no others yet."""
-        return cls(own_id, ZoneHosts(zone, frozenset([own_id])))
+        return cls(own_id, ZoneHosts(zone, frozenset([own_id])), started_at)
 
     def note_answer(
         self, record: TargetRecord, per_s: float | None, sent_at: float, now: float
@@ -205,6 +210,7 @@
                     self._bucket_by_id,
                     self._expiry_by_id,
                     self._wanted_at_by_id,
+                    self._issuer_by_id,
                 ):
                     by_id.pop(target_id, None)
 
@@ -241,6 +247,7 @@
     def take(self, records: Iterable[TargetRecord], now: float) -> bool:
         """Use a token of each limited target; use none if one of them lacks it."""
         limited = [record for record in records if self.limit(record) is not None]
+        # The list is built whole, so that a token is asked for of each target.
         if not all([self.has_room(record, now) for record in limited]):
             return False
         for record in limited:
