Soak the limits that targets name beside hosts that stop and start

A plan of the soak lets targets name limits for some seconds each while hosts are stopped, killed, told to leave and started again. In any four seconds from one second after the first answer that names it, no target gets more than one and a half times its limit and five requests; hosts that start are not excused.

--- a/proofs/_router_soak.py
+++ b/proofs/_router_soak.py
@@ -21,6 +21,7 @@
 from proofs._soak_changes import Changes
 from proofs._soak_crashes import CrashLog
 from proofs._soak_judge import STORE, FaultLog, Findings, StreamEnd
+from proofs._soak_limits import LimitLog
 from proofs._soak_plans import Plan
 from radishfield.web import ListenerConfig, serve_app
 from standins.object_store import ObjectStoreApp
@@ -73,6 +74,7 @@
         self._crashed_relays: dict[str, FaultyRelay] = {}
         self._routers: list[RouterProcess] = []
         self._crashes = CrashLog()
+        self._limits = LimitLog()
         self._restarts: trio.Nursery | None = None
         self._link_by_source: dict[str, SlowLink] = {}
         self._changes = Changes(
@@ -227,6 +229,8 @@
                     router.start()
             case "crash":
                 await self._crash(self._rng.choice(("read", "post", "stream")))
+            case "limit":
+                await self._limit(self._rng.randint(1, 4), self._rng.uniform(4.0, 8.0))
             case "hup":
                 router.signal(signal.SIGHUP)
             case "leave":
@@ -242,6 +246,17 @@
                     self._rng.choice(list(self._link_by_source.values()))
                 )
 
+    async def _limit(self, per_s: int, duration_s: float) -> None:
+        """Let a target name a limit, unless it names one already."""
+        target = self._rng.choice([*self._plain, *self._layered])
+        if target.limit:
+            return
+        named_at = trio.current_time()
+        target.limit = str(per_s)
+        await trio.sleep(duration_s)
+        target.limit = ""
+        self._limits.record(target, per_s, named_at, trio.current_time())
+
     async def _crash(self, kind: str) -> None:
         """Repeatedly send a request that crashes targets, through any router."""
         path = f"{kind}/crash-{self._rng.randint(1, 2)}"
@@ -411,8 +426,11 @@
         for end in self._stream_ends:
             self._check_stream_end(end)
         self.findings.crashes = len(self._crashes)
+        self.findings.limits = len(self._limits)
         for violation in self._crashes.find_violations(self._fault_log):
             self._add_violation(violation)
+        for violation in self._limits.find_violations():
+            self._add_violation(violation)
 
     def _check_stream_end(self, end: StreamEnd) -> None:
         """Check that a started stream did not end early without a reason."""
--- a/proofs/_soak_judge.py
+++ b/proofs/_soak_judge.py
@@ -32,6 +32,8 @@
         Started streams that ended early and had a reason to.
     crashes : int
         Targets that crashed under requests which crash them.
+    limits : int
+        Times that a target named a limit.
     queued_s : float
         Longest wait of a byte before a router's link.
     late_s : float
@@ -45,6 +47,7 @@
     statuses: Counter[str] = field(default_factory=Counter)
     excused: int = 0
     crashes: int = 0
+    limits: int = 0
     queued_s: float = 0.0
     late_s: float = 0.0
 
--- a/proofs/_soak_plans.py
+++ b/proofs/_soak_plans.py
@@ -89,4 +89,10 @@
 )
 """Requests that crash targets, and faults that only look like crashes."""
 
-PLANS = {"faults": FAULTS, "changes": CHANGES, "crashes": CRASHES}
+LIMITS = Plan(
+    kinds=("limit", "limit", "limit", "kill", "term", "stop", "reset", "hup"),
+    callers=18,
+)
+"""Targets name limits while hosts are stopped, killed and started again."""
+
+PLANS = {"faults": FAULTS, "changes": CHANGES, "crashes": CRASHES, "limits": LIMITS}
--- a/proofs/router_soak.py
+++ b/proofs/router_soak.py
@@ -34,7 +34,8 @@
         calls = sum(findings.statuses.values())
         click.echo(
             f"seed {seed}: {calls} calls, {len(findings.faults)} faults,"
-            f" {findings.crashes} crashes, {findings.excused} cuts excused,"
+            f" {findings.crashes} crashes, {findings.limits} limits,"
+            f" {findings.excused} cuts excused,"
             f" queued {findings.queued_s:.2f} s,"
             f" late by {findings.late_s:.3f} s,"
             f" {folder.name}"
--- a/proofs/router_soak_test.py
+++ b/proofs/router_soak_test.py
@@ -4,7 +4,7 @@
 import trio
 
 from proofs._router_soak import HOSTS, MANY_HOSTS, PORTS_PER_HOST, Soak
-from proofs._soak_plans import CHANGES, CRASHES, FAULTS, Plan
+from proofs._soak_plans import CHANGES, CRASHES, FAULTS, LIMITS, Plan
 from standins.ports import free_ports
 
 
@@ -45,3 +45,12 @@
     assert findings.violations == []
     assert findings.crashes > 3
     assert findings.statuses["stream 200"] > 20
+
+
+@pytest.mark.parametrize(("seed", "hosts"), [(1, HOSTS), (2, MANY_HOSTS)])
+def test_targets_get_no_more_than_the_limits_that_they_name(seed, hosts, tmp_path):
+    """Guards against limits that are forgotten where hosts stop and start."""
+    findings = _run_soak(seed, hosts, tmp_path, LIMITS)
+    assert findings.violations == []
+    assert findings.limits > 1
+    assert findings.statuses["stream 200"] > 20
--- a/standins/routed_targets.py
+++ b/standins/routed_targets.py
@@ -45,6 +45,8 @@
         Requests per second from all hosts together, named in every answer.
     arrived_at : list of float
         Times at which requests of any kind arrived.
+    named_at : list of float
+        Times of the answers that named a limit.
     """
 
     id: str
@@ -52,6 +54,7 @@
     work_s: float = 0.01
     limit: str = ""
     arrived_at: list[float] = field(default_factory=list)
+    named_at: list[float] = field(default_factory=list)
     crash: Callable[[str], None] = lambda request_id: None
     failures: list[str] = field(default_factory=list)
     ran: Counter[str] = field(default_factory=Counter)
@@ -167,12 +170,15 @@
         Requests per second from all hosts together, named in every answer.
     arrived_at : list of float
         Times at which requests of any kind arrived, as a part of a path too.
+    named_at : list of float
+        Times of the answers that named a limit.
     """
 
     id: str
     address: str = ""
     limit: str = ""
     arrived_at: list[float] = field(default_factory=list)
+    named_at: list[float] = field(default_factory=list)
     first: int = 0
     end: int = 0
     events: int = 6
@@ -325,6 +331,7 @@
 
     async def send_named(message):
         if message["type"] == "http.response.start" and target.limit:
+            target.named_at.append(trio.current_time())
             named = (b"server-limit", target.limit.encode())
             message = message | {"headers": [*message["headers"], named]}
         await send(message)
