Split the loop of the store's followers into its steps

The loop that lists or watches a kind had grown by the margin of answers and the time that an answer confirms. The next wait, the call and the record of an answer are functions of their own now; nothing else changes.

--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -143,47 +143,53 @@
                 with trio.move_on_after(max(due_in_s, MIN_DUTY_CHECK_S)):
                     await self._view.followers_woken.wait()
                 continue
-            requested_at = self.requested_at = self._view.clock.now()
+            self.requested_at = self._view.clock.now()
             # A recovery signalled while this call is still failing must not be missed.
             store_back = self._view.store_back
-            wait_s = 0.0
-            if self._revision is None:
-                result = await self._list()
-                deliver = on_listing
-            else:
-                wait_s = RECOVERY_WATCH_S if self.failures else self._wait_s()
-                result = await self._watch(wait_s)
-                deliver = on_changes
+            wait_s = self._next_wait_s()
+            result = await self._request(wait_s)
             if result.is_error():
                 await self._handle_failure(result, on_failure, store_back)
                 continue
-            now = self._view.clock.now()
-            if self._margin is not None:
-                self._margin.record_answer(now - requested_at - wait_s)
-            self._record_recovery()
-            self._revision = result.ok.revision
             changed = isinstance(result.ok, Changes) and bool(result.ok.changes)
-            confirms_at = requested_at
-            if self._confirms_waits:
-                confirms_at = confirmed_at(requested_at, wait_s, now, changed)
-            deliver(result.ok, confirms_at)
+            confirms_at = self._record_answer(wait_s, changed)
+            self._revision = result.ok.revision
+            if isinstance(result.ok, Listing):
+                on_listing(result.ok, confirms_at)
+            else:
+                on_changes(result.ok, confirms_at)
             if changed:
                 await trio.sleep(min(pause_s, max(COALESCE_S, self._wait_s())))
                 pause_s = min(MAX_COALESCE_S, pause_s * 2)
             else:
                 pause_s = COALESCE_S
 
-    async def _list(self) -> Result[Listing, Fault]:
-        if self._margin is None:
-            return await self._store.list(self._kind)
-        return await self._store.list(self._kind, self._margin.length_s)
-
-    async def _watch(self, wait_s: float) -> Result[Changes, Fault]:
-        if self._margin is None:
-            return await self._store.watch(self._kind, self._revision, wait_s)
-        return await self._store.watch(
-            self._kind, self._revision, wait_s, self._margin.length_s
-        )
+    def _next_wait_s(self) -> float:
+        """Return for how long the next call may wait for changes."""
+        if self._revision is None:
+            return 0.0
+        return RECOVERY_WATCH_S if self.failures else self._wait_s()
+
+    async def _request(self, wait_s: float) -> Result[Listing | Changes, Fault]:
+        """List all objects, or watch them from the revision that was read last."""
+        store, margin = self._store, self._margin
+        if self._revision is None and margin is None:
+            return await store.list(self._kind)
+        if self._revision is None:
+            return await store.list(self._kind, margin.length_s)
+        if margin is None:
+            return await store.watch(self._kind, self._revision, wait_s)
+        return await store.watch(self._kind, self._revision, wait_s, margin.length_s)
+
+    def _record_answer(self, wait_s: float, changed: bool) -> float:
+        """Record that the store answered; return the time that its answer confirms."""
+        now = self._view.clock.now()
+        if self._margin is not None:
+            self._margin.record_answer(now - self.requested_at - wait_s)
+        self._record_recovery()
+        if not self._confirms_waits:
+            return self.requested_at
+        return confirmed_at(self.requested_at, wait_s, now, changed)
 
     async def _handle_failure(
         self,
