Hold no target for an outage before the first list

Calls that a host loses before its first listing counted as an outage, so it held what was removed soon after its start for 1.5 s, and its watchers told nobody. No entry that a host knows can have expired before it knew any, so such failures no longer count.

The new test failed before ([1, 1] for [1, 0]).

--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -507,6 +507,9 @@
         )
 
     def _handle_failure(self, problem: Fault) -> None:
+        if not self._listed_revision:
+            # No entry that this host knows can have expired yet.
+            return
         follower = self._follower
         self._view.directory.record_store_failure(
             follower.requested_at, follower.failures
--- a/radishfield/forwarding/follower_test.py
+++ b/radishfield/forwarding/follower_test.py
@@ -17,7 +17,7 @@
     StoredValue,
 )
 from radishfield.routing import Freshness
-from standins.routed_config import config
+from standins.routed_config import config, target_entry
 
 BOUND_S = 5.0
 SOON_S = 1.1
@@ -89,6 +89,49 @@
     assert worst < SOON_S
 
 
+class LateStore:
+    """A store that answers from a time on, and then removes its only target."""
+
+    def __init__(self, answers_at, removed_at):
+        self.answers_at, self.removed_at = answers_at, removed_at
+
+    async def list(self, kind, limit_s=2.0):
+        if trio.current_time() < self.answers_at:
+            await trio.sleep(limit_s)
+            return Error(fault(ResultCode.PLATFORM_UNAVAILABLE))
+        value = StoredValue("p1", 1, target_entry("portal", "10.0.0.1:80"))
+        return Ok(Listing((value,), 1))
+
+    async def watch(self, kind, revision, wait_s, margin_s=1.0):
+        with trio.move_on_after(wait_s):
+            await trio.sleep_until(self.removed_at)
+            if revision == 1:
+                gone = Change(StoredValue("p1", 2, None), deleted=True)
+                return Ok(Changes((gone,), 2))
+            await trio.sleep_forever()
+        return Ok(Changes((), revision))
+
+
+def test_a_host_that_had_to_wait_for_its_first_list_holds_no_target_that_is_gone():
+    """Guards against taking a removal for an expiry in an outage before the start."""
+
+    async def main():
+        view = RouterView("a", TrioClock(), RetryAllowance(), Freshness(BOUND_S))
+        started_at = trio.current_time()
+        store = LateStore(started_at + 1.5, started_at + 2.5)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(TargetFollower(store, view).run)
+            await trio.sleep(2.4)
+            listed.append(len(view.directory.listed("portal")))
+            await trio.sleep(0.3)
+            listed.append(len(view.directory.listed("portal")))
+            nursery.cancel_scope.cancel()
+
+    listed = []
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert listed == [1, 0]
+
+
 class SlowLinkStore(FailingStore):
     """A store with a new version each second, and slow reads of each version."""
 
