Test that no single host that fails hides a leaving target

Each host of a zone of four is killed, cut off from the store or cut off from the others, at four moments of a watch's wait; all others know of a leaving target in time (48 cases).

--- a/radishfield/forwarding/leaving_test.py
+++ b/radishfield/forwarding/leaving_test.py
@@ -175,6 +175,31 @@
     assert late_cases(monkeypatch, cases, scenario) == {}
 
 
+def test_no_single_host_that_fails_hides_a_leaving_target(monkeypatch):
+    """Guards against a promise that rests on one other host, whichever it is."""
+
+    async def scenario(scene, hosts, number, failure, before_s):
+        zone, failing = scene.zone, scene.zone.hosts[number]
+        scene.change_other_target()
+        await trio.sleep(before_s)
+        scene.calm_at[failing.id] = float("inf")
+        match failure:
+            case "killed":
+                failing.scope.cancel()
+            case "cut off from the store":
+                failing.link.cut = True
+            case "cut off from the others":
+                others = [host.id for host in zone.hosts if host is not failing]
+                zone.network.lost |= {(failing.id, other) for other in others}
+                zone.network.lost |= {(other, failing.id) for other in others}
+        await trio.sleep(0.05)
+        return await scene.worst_delay_s(scene.leave(state="draining"), limit_s=3.0)
+
+    failures = ("killed", "cut off from the store", "cut off from the others")
+    cases = itertools.product((4,), range(4), failures, MOMENTS_S)
+    assert late_cases(monkeypatch, cases, scenario) == {}
+
+
 def test_a_lost_call_of_a_host_itself_holds_no_target_that_is_gone(monkeypatch):
     """Guards against taking a removal for an expiry in an outage that never was.
 
