Resume a stream at a third target after two have crashed under it

Callers saw a begun stream cut, or ended with 502, beside a request that crashes targets: one of the twelve replies of the test of streams beside such a request is (200, False).

Cause: a route names how many targets may run a request. At that number a stream may only return to one of them, and a target counted for as long as the store lists it. When the second target crashes before the lease of the first has expired, every target that the stream may use is dead. It waits for them until its caller times out and is cut. The order that decides it: a resumed neighbour and the next attempt of the crashing request choose the same target at two hosts, each before the other has reported its choice. On an idle machine the second choice mostly comes after that report.

Change: a target that its check finds ended is excluded until it answers or is listed with another start, does not count for the route's attempts, and is no evidence that its zone is disconnected, since a refused connection is an answer of its host. Streams that have outlived their start are checked too; such a crash is not counted against the request. The same fault in requests to plain services: they stopped at two targets that had ended. Their attempts have the same bound now as those of streams, two beyond the route's.

The three new tests of streams and plain requests that lose two targets fail before (502, cut).

--- a/radishfield/forwarding/_crash_watch.py
+++ b/radishfield/forwarding/_crash_watch.py
@@ -49,14 +49,29 @@
             await trio.sleep(backoff_s(failures, self._view.rng))
 
     async def check_failed_attempt(
-        self, call: Call, record: TargetRecord, problem: Fault
+        self,
+        call: Call,
+        record: TargetRecord,
+        problem: Fault,
+        outlived_start: bool = False,
     ) -> None:
-        """Check the target of a failed attempt if it may have crashed."""
+        """Check the target of a failed attempt if it may have crashed.
+
+        Parameters
+        ----------
+        outlived_start : bool
+            The target ran the request well past its start, so that a crash is no
+            evidence against the request.
+        """
         if not self._may_have_crashed(record, problem):
             return
+        if outlived_start and problem.code is ResultCode.STREAM_SILENT:
+            return
         checked = trio.Event()
         # The check goes on if the caller leaves: its result matters to other requests.
-        self._nursery.start_soon(self._check_target, call, record, checked)
+        self._nursery.start_soon(
+            self._check_target, call, record, checked, outlived_start
+        )
         with trio.move_on_after(TARGET_CHECK_WAIT_S):
             await checked.wait()
 
@@ -70,13 +85,21 @@
         return problem.code in BROKEN_CODES
 
     async def _check_target(
-        self, call: Call, record: TargetRecord, checked: trio.Event
+        self,
+        call: Call,
+        record: TargetRecord,
+        checked: trio.Event,
+        outlived_start: bool,
     ) -> None:
         state = await self._target_probe.state(record)
         crashes = self._view.crashes
-        counted = state is TargetState.ENDED and crashes.count(
-            call.digest, record.id, record.started_ms
-        )
+        excluded_s = 0.0
+        counted = False
+        if state is TargetState.ENDED:
+            excluded_s = self._view.directory.note_ended(record, self._view.clock.now())
+            counted = not outlived_start and crashes.count(
+                call.digest, record.id, record.started_ms
+            )
         log_event(
             "attempt.broken",
             request=call.facts.request_id,
@@ -84,6 +107,8 @@
             target=record.id,
             target_state=str(state),
             counted=counted,
+            left_out_s=round(excluded_s, 2),
+            directory_version=self._view.directory.version,
         )
         checked.set()
         if counted and len(crashes.report(call.digest).ends) >= READ_FROM_CRASHES:
--- a/radishfield/forwarding/_plain.py
+++ b/radishfield/forwarding/_plain.py
@@ -12,10 +12,15 @@
 from radishfield.forwarding._call import Call
 from radishfield.forwarding._crash_watch import CrashWatch
 from radishfield.forwarding._targets import Targets, final_fault
-from radishfield.forwarding._tries import Attempts, target_error
+from radishfield.forwarding._tries import EXTRA_RUNS, Attempts, target_error
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import Headers
-from radishfield.routing import FailureRates, TargetRecord, choose_target
+from radishfield.routing import (
+    FailureRates,
+    TargetDirectory,
+    TargetRecord,
+    choose_target,
+)
 from radishfield.telemetry import log_event
 
 NO_TARGET_RETRY_S = 0.6
@@ -71,15 +76,20 @@
         else:
             self.count(result.error)
 
-    def is_exhausted(self, call: Call) -> bool:
+    def is_exhausted(self, call: Call, directory: TargetDirectory) -> bool:
         """Return whether the route allows no further attempt.
 
         Targets are counted, not attempts: one attempt may have gone to two targets.
+        Those that have ended since do not count.
         """
         if self.runs and not call.route.repeatable:
             return True
-        seen = len(call.ran_at)
-        return seen >= call.route.max_attempts or self.refusals > MAX_REFUSALS
+        max_attempts = call.route.max_attempts
+        return (
+            len(directory.live_ids(call.ran_at)) >= max_attempts
+            or self.runs >= max_attempts + EXTRA_RUNS
+            or self.refusals > MAX_REFUSALS
+        )
 
 
 class PlainForwarder:
@@ -129,7 +139,7 @@
             if not _failed(result):
                 return result
             attempts.note_failure(result)
-            if attempts.is_exhausted(call):
+            if attempts.is_exhausted(call, self._view.directory):
                 await self._view.crashes.settle(call.digest, call.deadline_at)
                 attempts.problem = self._view.crash_refusal(call) or attempts.problem
                 break
--- a/radishfield/forwarding/_stream_paths.py
+++ b/radishfield/forwarding/_stream_paths.py
@@ -243,9 +243,9 @@
 
     A stream whose later stages fail may be resumed several times, but the route
     limits how many targets see it.  At that limit the stream returns to one of
-    them; targets that have since left the directory do not count.
+    them; targets that have ended or left the directory since do not count.
     """
-    live = {name for name in call.ran_at if directory.find(name) is not None}
+    live = directory.live_ids(call.ran_at)
     return live if len(live) >= call.route.max_attempts else None
 
 
--- a/radishfield/forwarding/_stream_tries.py
+++ b/radishfield/forwarding/_stream_tries.py
@@ -5,15 +5,13 @@
 
 from radishfield.core import Fault, ResultCode
 from radishfield.forwarding._call import Call
-from radishfield.forwarding._tries import Attempts, target_error
+from radishfield.forwarding._tries import EXTRA_RUNS, Attempts, target_error
 from radishfield.forwarding._view import FULL_S, MAX_FULL_S
 from radishfield.routing import RouteRule
 
 NO_PATH_RETRY_S = 0.8
 FULL_CODES = (ResultCode.TARGET_REFUSED, ResultCode.TARGETS_LIMITED)
 MAX_REFUSALS = 3
-EXTRA_RESUMES = 2
-"""Resumes allowed beyond the route's attempts if the earlier target is unreachable."""
 
 
 class TargetFailure(msgspec.Struct, frozen=True):
@@ -70,7 +68,7 @@
             return True
         max_runs = route.max_attempts
         if self.problem.code is not ResultCode.TARGET_ERROR:
-            max_runs += EXTRA_RESUMES
+            max_runs += EXTRA_RUNS
         if self.runs >= max_runs:
             return True
         if self.refusals <= MAX_REFUSALS:
@@ -87,4 +85,4 @@
 
     def allows_retry(self, route: RouteRule) -> bool:
         """Return whether another attempt may follow the running one."""
-        return route.repeatable and self.runs + 1 < route.max_attempts + EXTRA_RESUMES
+        return route.repeatable and self.runs + 1 < route.max_attempts + EXTRA_RUNS
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -227,8 +227,9 @@
             queue.ended(call.workspace_name, ended_at, ended_at - now)
             self._watchdog.remove(stream)
         if result.is_error():
-            if not stream.outlived_start:
-                await self._crashes.check_failed_attempt(call, record, result.error)
+            await self._crashes.check_failed_attempt(
+                call, record, result.error, stream.outlived_start
+            )
             log_event(
                 "attempt.ended",
                 request=call.facts.request_id,
--- a/radishfield/forwarding/_tries.py
+++ b/radishfield/forwarding/_tries.py
@@ -2,6 +2,9 @@
 
 from radishfield.core import Fault, Outcome, ResultCode, fault
 
+EXTRA_RUNS = 2
+"""Attempts allowed beyond the route's if the earlier target is unreachable."""
+
 
 class Attempts:
     """The last failure, and how many attempts may have run.
--- a/radishfield/forwarding/suspicion_test.py
+++ b/radishfield/forwarding/suspicion_test.py
@@ -320,3 +320,67 @@
         )
 
     play(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("lived_s", [0.2, 1.3])
+def test_stream_that_loses_two_targets_is_resumed_at_a_third(tmp_path, lived_s):
+    """Guards against a truncated answer if the route's targets have all crashed."""
+
+    async def scenario(testbed):
+        routes = [route("stream", "streaming", "pool", timeoutMs=9000)]
+        testbed.store.put("config", "main", config(routes=routes))
+        for number in range(4):
+            await testbed.add_layered(f"t{number}", 0, 80, events=200)
+        await testbed.start_router()
+
+        def running():
+            return [
+                target
+                for target in testbed.layered
+                if "r1" in target._stages_by_request
+                and target.id not in testbed.crashed_ids
+            ]
+
+        async def crash_twice():
+            for _ in range(2):
+                await testbed.until(running)
+                await trio.sleep(lived_s)
+                running()[0].crash()
+
+        reply = await stream_during(testbed, crash_twice)
+        assert len(testbed.crashed_ids) == 2
+        assert (reply.status, reply.whole) == (200, True)
+        assert len(event_ids(reply)) == 200
+
+    play(tmp_path, scenario)
+
+
+def test_repeatable_request_that_loses_two_targets_is_served_by_a_third(tmp_path):
+    """Guards against a failure although another target could still answer in time."""
+
+    async def scenario(testbed):
+        testbed.store.put("config", "main", config())
+        for number in range(4):
+            target = await testbed.add_plain(f"p{number}")
+            target.work_s = 0.2
+        await testbed.start_router()
+        replies = []
+
+        async def call():
+            replies.append(await testbed.request("/read/x"))
+
+        def running():
+            return [
+                target
+                for target in testbed.plain
+                if target.ran["r1"] and target.id not in testbed.crashed_ids
+            ]
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call)
+            for _ in range(2):
+                await testbed.until(running)
+                running()[0].crash()
+        assert [reply.status for reply in replies] == [200]
+
+    play(tmp_path, scenario)
--- a/radishfield/routing/_directory.py
+++ b/radishfield/routing/_directory.py
@@ -77,6 +77,7 @@
     until_answered: bool
     first_hand: bool
     inferred: bool = False
+    ended: bool = False
     probing: bool = False
     answer_reported: bool = False
 
@@ -266,6 +267,7 @@
         target_id: str,
         now: float,
         until_answered: bool = False,
+        ended: bool = False,
     ) -> float:
         """Exclude a target after a failure seen by this host; return the seconds.
 
@@ -275,11 +277,17 @@
             Exclude it beyond that time, until it has answered a probe.  A dead
             stage of a path swallows requests for seconds before this is detected,
             so it is not tested with callers' requests.
+        ended : bool
+            Its process has ended: its host refuses connections, so that the loss of
+            such targets does not show that their zone is disconnected.
         """
+        ended |= self._has_ended(target_id)
+        until_answered |= ended
         before = self._suspicion_by_id.get(target_id)
         length_s = MIN_SUSPICION_S
         if before is not None and now < before.until and not before.probing:
             before.until_answered |= until_answered
+            before.ended |= ended
             before.first_hand = True
             return before.until - now
         if before is not None and (
@@ -287,12 +295,33 @@
         ):
             length_s = min(MAX_SUSPICION_S, before.length_s * 2)
         self._suspicion_by_id[target_id] = _Suspicion(
-            now + length_s, length_s, until_answered, first_hand=True
+            now + length_s, length_s, until_answered, first_hand=True, ended=ended
         )
         self.version += 1
         self._exclude_unreachable_zone(target_id, now)
         return length_s
 
+    def note_ended(self, record: TargetRecord, now: float) -> float:
+        """Exclude a target whose process has ended; return the seconds.
+
+        Nothing is sent to it until it answers a probe or is listed with a new start.
+        """
+        if self.leaves(record):
+            return 0.0
+        return self.suspect(record.id, now, until_answered=True, ended=True)
+
+    def live_ids(self, target_ids: Iterable[str]) -> set[str]:
+        """Return the targets that are listed or held and not known to have ended."""
+        return {
+            target_id
+            for target_id in target_ids
+            if target_id in self._entry_by_id and not self._has_ended(target_id)
+        }
+
+    def _has_ended(self, target_id: str) -> bool:
+        suspicion = self._suspicion_by_id.get(target_id)
+        return suspicion is not None and suspicion.ended
+
     def exclude_until_probed(self, target_id: str, now: float) -> None:
         """Exclude a target until it has answered a probe, which is due at once.
 
@@ -339,6 +368,7 @@
         return (
             suspicion is not None
             and suspicion.first_hand
+            and not suspicion.ended
             and self.suspected(target_id, now)
         )
 
@@ -355,7 +385,7 @@
         if suspicion.until_answered:
             self._answered_at_by_id[target_id] = now
         # The suspicion is kept for a while, so that the next one lasts longer.
-        suspicion.until_answered = False
+        suspicion.until_answered = suspicion.ended = False
         suspicion.until = min(suspicion.until, now)
         self.version += 1
         entry = self._entry_by_id.get(target_id)
--- a/radishfield/routing/directory_test.py
+++ b/radishfield/routing/directory_test.py
@@ -298,3 +298,34 @@
     assert one.digest() == other.digest()
     other.update(target("a", "b"))
     assert one.digest() != other.digest()
+
+
+def test_a_target_that_has_ended_gets_no_work_until_it_answers():
+    """Guards against work sent to a dead target once its exclusion has run out."""
+    directory = directory_of(make_target("t1"), make_target("t2"))
+    directory.note_ended(directory.find("t1"), 10.0)
+    directory.suspect("t1", 12.0)
+    assert directory.live_ids(["t1", "t2", "unlisted"]) == {"t2"}
+    assert usable_ids(directory, 60.0) == ["t2"]
+    directory.answered("t1", 60.0)
+    assert directory.live_ids(["t1"]) == {"t1"}
+    assert usable_ids(directory, 60.0) == ["t1", "t2"]
+
+
+def test_a_restarted_target_is_not_taken_for_its_ended_incarnation():
+    """Guards against excluding a target that was found ended before it started."""
+    directory = directory_of(make_target("t1", started_ms=1))
+    ended = directory.find("t1")
+    directory.note_ended(ended, 10.0)
+    directory.update(make_target("t1", started_ms=2))
+    assert usable_ids(directory, 10.0) == ["t1"]
+    directory.note_ended(ended, 11.0)
+    assert directory.live_ids(["t1"]) == {"t1"}
+
+
+def test_targets_that_have_ended_do_not_exclude_their_zone():
+    """Guards against taking three crashes, whose hosts answer, for a lost zone."""
+    directory = directory_of(*(make_target(f"t{number}") for number in range(6)))
+    for number in range(3):
+        directory.note_ended(directory.find(f"t{number}"), 10.0)
+    assert usable_ids(directory, 10.1) == ["t3", "t4", "t5"]
