End a stand-in's answer where its request was not read

A target of the soak ended a request with AttributeError: it read the body of a request whose connection had ended, which is an error value without one. The store's stand-in had the same slip, and the platform's took the part that it had read for the whole body. The product matches the error value at all four places.

The test gives each a connection that ends within the body; it fails before for all three.

--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -108,6 +108,8 @@
     async def _serve(self, scope, receive, send) -> None:
         self.calls += 1
         body = await read_body(receive, MAX_BODY)
+        if body.is_error():
+            return
         if self.switches.silent:
             await trio.sleep_forever()
         if self.switches.status:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -167,7 +167,7 @@
     while True:
         message = await receive()
         body += message.get("body", b"")
-        if len(body) > MAX_BODY_BYTES:
+        if message["type"] == "http.disconnect" or len(body) > MAX_BODY_BYTES:
             return None
         if not message.get("more_body", False):
             return bytes(body)
--- a/standins/routed_targets.py
+++ b/standins/routed_targets.py
@@ -69,6 +69,8 @@
         headers = dict(scope["headers"])
         self.seen_headers.append(headers)
         body = await read_body(receive, BodyLimit())
+        if body.is_error():
+            return
         if headers.get(b"x-expect-instance") != self.id.encode():
             await send_json(send, 421, {})
             return
@@ -207,6 +209,8 @@
     async def _serve(self, scope, receive, send) -> None:
         self.arrived_at.append(trio.current_time())
         body = await read_body(receive, BodyLimit())
+        if body.is_error():
+            return
         if self.dead:
             await trio.sleep_forever()
         match scope["path"]:
