Draw the faults of a soak from its seed alone

What was seen: crash_targets[2-6] failed with findings.crashes > 3 at 3 crashes, no promise broken.

Cause: all faults, callers' crashing requests and restarts of targets drew from one generator, in the order in which their tasks happened to run, and the plan ended by the clock. So the seed did not decide which faults came. One, with the soak's process late by no more than 0.03 s, drew a single crashing request in nine faults; it crashed three targets and was refused from then on, which is what is asked of the routers, and the check of the run failed. What changed places are two draws: that of the next fault, and that of the pause of another one.

Change: a run draws its list of faults first, and each fault, target and link has its own generator. The play under a number is another one than before.

--- a/proofs/_router_soak.py
+++ b/proofs/_router_soak.py
@@ -22,7 +22,7 @@
 from proofs._soak_crashes import CrashLog
 from proofs._soak_judge import STORE, FaultLog, Findings, StreamEnd
 from proofs._soak_limits import LimitLog
-from proofs._soak_plans import Plan
+from proofs._soak_plans import Plan, ScheduledFault, draw_faults
 from radishfield.web import ListenerConfig, serve_app
 from standins.object_store import ObjectStoreApp
 from standins.routed_config import (
@@ -62,7 +62,7 @@
         self._plan = plan
         self._fault_log = FaultLog()
         self._stream_ends: list[StreamEnd] = []
-        self._rng = random.Random(seed)
+        self._seed = seed
         self._folder = folder
         self._ports = ports
         self._seconds = seconds
@@ -77,9 +77,7 @@
         self._limits = LimitLog()
         self._restarts: trio.Nursery | None = None
         self._link_by_source: dict[str, SlowLink] = {}
-        self._changes = Changes(
-            self._store, self._rng, plan.timeout_ms, self._max_queued_s
-        )
+        self._changes = Changes(self._store, plan.timeout_ms, self._max_queued_s)
         self._sent = 0
 
     async def run(self) -> Findings:
@@ -169,7 +167,8 @@
 
     async def _replace(self, target_id: str, add_again, *span: int) -> None:
         with self._fault_log.record(target_id):
-            await trio.sleep(self._rng.uniform(0.5, 2.5))
+            rng = random.Random(f"{self._seed} {target_id}")
+            await trio.sleep(rng.uniform(0.5, 2.5))
             self._store.remove("servers", target_id)
             self._crashed_relays[target_id] = self._relays.pop(target_id)
             await add_again(f"{target_id}+", *span)
@@ -184,28 +183,29 @@
 
     async def _run_faults(self) -> None:
         """Start overlapping faults, and end them all."""
+        rng = random.Random(f"{self._seed} links")
         for link in self._link_by_source.values():
-            self._set_bandwidth(link)
+            self._set_bandwidth(link, rng)
+        started_at = trio.current_time()
         async with trio.open_nursery() as nursery:
-            with trio.move_on_after(self._seconds):
-                while True:
-                    nursery.start_soon(self._inject_fault)
-                    await trio.sleep(self._rng.uniform(0.3, 1.2))
-
-    async def _inject_fault(self) -> None:
-        kind = self._rng.choice(self._plan.kinds)
-        duration_s = self._rng.uniform(0.3, 2.0)
-        name = self._rng.choice(list(self._relays))
+            for fault in draw_faults(self._plan, self._seconds, self._seed):
+                await trio.sleep_until(started_at + fault.at_s)
+                nursery.start_soon(self._inject_fault, fault)
+
+    async def _inject_fault(self, scheduled: ScheduledFault) -> None:
+        rng = random.Random(scheduled.seed)
+        duration_s = rng.uniform(0.3, 2.0)
+        router = rng.choice(self._routers)
+        name = rng.choice(list(self._relays))
         relay = self._relays[name]
-        router = self._rng.choice(self._routers)
-        self.findings.faults.append(kind)
-        match kind:
+        self.findings.faults.append(scheduled.kind)
+        match scheduled.kind:
             case "relay":
                 faults_to_set = [
                     fault for fault in RelayFault if fault is not RelayFault.NONE
                 ]
                 with self._fault_log.record(name):
-                    relay.set_fault(self._rng.choice(faults_to_set))
+                    relay.set_fault(rng.choice(faults_to_set))
                     await trio.sleep(duration_s)
                     relay.set_fault(RelayFault.NONE)
             case "reset":
@@ -219,7 +219,9 @@
             case "kill" | "term":
                 with self._fault_log.record(_router_name(router)):
                     pid = router.pid
-                    router.signal(signal.SIGKILL if kind == "kill" else signal.SIGTERM)
+                    router.signal(
+                        signal.SIGKILL if scheduled.kind == "kill" else signal.SIGTERM
+                    )
                     await trio.sleep(duration_s)
                     router.signal(signal.SIGCONT)
                     await trio.sleep(4.0)
@@ -228,27 +230,28 @@
                         await trio.sleep(POLL_S)
                     router.start()
             case "crash":
-                await self._crash(self._rng.choice(("read", "post", "stream")))
+                await self._crash(rng.choice(("read", "post", "stream")), rng)
             case "limit":
-                await self._limit(self._rng.randint(1, 4), self._rng.uniform(4.0, 8.0))
+                await self._limit(rng)
             case "hup":
                 router.signal(signal.SIGHUP)
             case "leave":
-                await self._leave_and_return(duration_s)
+                await self._leave_and_return(duration_s, rng)
             case "config":
-                self._changes.skip_versions()
+                self._changes.skip_versions(rng)
             case "large":
-                await self._changes.write_large_versions()
+                await self._changes.write_large_versions(rng)
             case "others" | "used":
-                await self._changes.change_and_revert(used=kind == "used")
+                await self._changes.change_and_revert(scheduled.kind == "used", rng)
             case "link":
                 self._set_bandwidth(
-                    self._rng.choice(list(self._link_by_source.values()))
+                    rng.choice(list(self._link_by_source.values())), rng
                 )
 
-    async def _limit(self, per_s: int, duration_s: float) -> None:
+    async def _limit(self, rng: random.Random) -> None:
         """Let a target name a limit, unless it names one already."""
-        target = self._rng.choice([*self._plain, *self._layered])
+        per_s, duration_s = rng.randint(1, 4), rng.uniform(4.0, 8.0)
+        target = rng.choice([*self._plain, *self._layered])
         if target.limit:
             return
         named_at = trio.current_time()
@@ -257,17 +260,17 @@
         target.limit = ""
         self._limits.record(target, per_s, named_at, trio.current_time())
 
-    async def _crash(self, kind: str) -> None:
+    async def _crash(self, kind: str, rng: random.Random) -> None:
         """Repeatedly send a request that crashes targets, through any router."""
-        path = f"{kind}/crash-{self._rng.randint(1, 2)}"
+        path = f"{kind}/crash-{rng.randint(1, 2)}"
         async with httpcore.AsyncConnectionPool() as pool:
-            for _ in range(self._rng.randint(2, 5)):
-                router = self._rng.choice(self._routers)
+            for _ in range(rng.randint(2, 5)):
+                router = rng.choice(self._routers)
                 await self._call(pool, router, kind, path=path, body=CRASHING_BODY)
-                await trio.sleep(self._rng.uniform(0.0, 1.0))
+                await trio.sleep(rng.uniform(0.0, 1.0))
 
-    def _set_bandwidth(self, link: SlowLink) -> None:
-        mbps = self._rng.uniform(*self._plan.link_mbps)
+    def _set_bandwidth(self, link: SlowLink, rng: random.Random) -> None:
+        mbps = rng.uniform(*self._plan.link_mbps)
         link.bytes_per_s = mbps * BYTES_PER_MBIT
 
     def _max_queued_s(self) -> float:
@@ -281,8 +284,8 @@
             late_s = trio.current_time() - due
             self.findings.late_s = max(self.findings.late_s, late_s)
 
-    async def _leave_and_return(self, duration_s: float) -> None:
-        target = self._rng.choice(self._plain)
+    async def _leave_and_return(self, duration_s: float, rng: random.Random) -> None:
+        target = rng.choice(self._plain)
         entry = self._store.spec("servers", target.id)
         self._store.put("servers", target.id, entry | {"state": "draining"})
         await trio.sleep(duration_s)
--- a/proofs/_soak_changes.py
+++ b/proofs/_soak_changes.py
@@ -37,12 +37,10 @@
     def __init__(
         self,
         store: ObjectStoreApp,
-        rng: random.Random,
         timeout_ms: float,
         queued_s: Callable[[], float],
     ):
         self._store = store
-        self._rng = rng
         self._timeout_ms = timeout_ms
         self._queued_s = queued_s
         self._version = 0
@@ -51,24 +49,24 @@
         self._changes_by_route: dict[str, dict | None] = {}
         self._write()
 
-    def skip_versions(self) -> None:
+    def skip_versions(self, rng: random.Random) -> None:
         """Write a version whose number is up to five higher."""
-        self._version += self._rng.randint(0, 4)
+        self._version += rng.randint(0, 4)
         self._write()
 
-    async def write_large_versions(self) -> None:
+    async def write_large_versions(self, rng: random.Random) -> None:
         """Write a series of large versions; the last one stays."""
-        for _ in range(self._rng.randint(2, MAX_SERIES_LENGTH)):
-            self._extra_routes = self._rng.randint(MIN_EXTRA_ROUTES, MAX_EXTRA_ROUTES)
+        for _ in range(rng.randint(2, MAX_SERIES_LENGTH)):
+            self._extra_routes = rng.randint(MIN_EXTRA_ROUTES, MAX_EXTRA_ROUTES)
             await self._write_when_queues_short()
-            await trio.sleep(self._rng.uniform(MIN_GAP_S, MAX_GAP_S))
+            await trio.sleep(rng.uniform(MIN_GAP_S, MAX_GAP_S))
 
-    async def change_and_revert(self, used: bool) -> None:
+    async def change_and_revert(self, used: bool, rng: random.Random) -> None:
         """Change a key or route, one that callers use or another, and revert it."""
         key = SECOND_KEY if used else UNUSED_KEY
         name = USED_ROUTE if used else UNUSED_ROUTE
-        kind = self._rng.choice(["key", "remove", "move", "timeout"])
-        duration_s = self._rng.uniform(MIN_GAP_S, MAX_GAP_S)
+        kind = rng.choice(["key", "remove", "move", "timeout"])
+        duration_s = rng.uniform(MIN_GAP_S, MAX_GAP_S)
         match kind:
             case "key":
                 self._removed_keys.add(key)
@@ -77,7 +75,7 @@
             case "move":
                 self._changes_by_route[name] = {"pathPrefix": f"/moved/{name}/"}
             case "timeout":
-                timeout_ms = self._rng.choice(TIMEOUTS_MS)
+                timeout_ms = rng.choice(TIMEOUTS_MS)
                 self._changes_by_route[name] = {"timeoutMs": timeout_ms}
         await self._write_when_queues_short()
         await trio.sleep(duration_s)
--- a/proofs/_soak_plans.py
+++ b/proofs/_soak_plans.py
@@ -1,5 +1,6 @@
 """Plans of a soak: the kinds of its faults, its callers and its routers' settings."""
 
+import random
 from dataclasses import dataclass, field
 
 from standins.routed_config import KEY
@@ -7,6 +8,8 @@
 
 SECOND_KEY = "second-key-of-w2"
 """A key of callers that is removed and restored."""
+MIN_PAUSE_S, MAX_PAUSE_S = 0.3, 1.2
+"""Bounds of the pause between the starts of two faults."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -95,4 +98,25 @@
 )
 """Targets name limits while hosts are stopped, killed and started again."""
 
+
+@dataclass(slots=True, frozen=True)
+class ScheduledFault:
+    """A fault, when it starts, and the seed of its own draws."""
+
+    at_s: float
+    kind: str
+    seed: int
+
+
+def draw_faults(plan: Plan, seconds: float, seed: int) -> list[ScheduledFault]:
+    """Draw the faults of a run, so that they depend on its seed and not its timing."""
+    rng = random.Random(seed)
+    faults: list[ScheduledFault] = []
+    at_s = 0.0
+    while at_s < seconds:
+        faults.append(ScheduledFault(at_s, rng.choice(plan.kinds), rng.getrandbits(32)))
+        at_s += rng.uniform(MIN_PAUSE_S, MAX_PAUSE_S)
+    return faults
+
+
 PLANS = {"faults": FAULTS, "changes": CHANGES, "crashes": CRASHES, "limits": LIMITS}
