Wait for a connection that opens while the host is held up

What callers saw: beside a load of 40, attempts that end with 4002 ConnectTimeout after 0.4 to 0.8 s at target after target, each of which is then excluded for a second, and in the end 502 or 503.

Cause: two events change places. The target's host accepts the connection at once; the router's process, held up meanwhile, finds the passed deadline of 0.4 s before it reads that the connection is open.

Change: a limit that is found late is extended once, by its lateness and at most by itself, so that what has arrived is read first. Calls to the store keep their plain limits: their answer may be as old as the lateness, and the next call is answered at once.

--- a/radishfield/forwarding/_connections.py
+++ b/radishfield/forwarding/_connections.py
@@ -19,7 +19,7 @@
 from radishfield.core import Clock, Fault, ResultCode, fault
 from radishfield.platform import AnswerFacts, Headers, read_answer
 from radishfield.routing import MAX_DELIVERY_S
-from radishfield.web import BROKEN_CONNECTION_ERRORS, split_address
+from radishfield.web import BROKEN_CONNECTION_ERRORS, run_within, split_address
 
 CONNECT_TIMEOUT_S = MAX_DELIVERY_S
 MAX_IDLE_S = 2.5
@@ -107,6 +107,29 @@
     """A body ended before it was complete."""
 
 
+class _Network(httpcore.TrioBackend):
+    """Opens connections within a time limit that this host's lateness extends.
+
+    Otherwise a host that was held up takes targets that have accepted its connections
+    for unreachable.
+    """
+
+    async def connect_tcp(
+        self, host, port, timeout=None, local_address=None, socket_options=None
+    ) -> httpcore.AsyncNetworkStream:
+        connect = super().connect_tcp
+        try:
+            return await run_within(
+                CONNECT_TIMEOUT_S if timeout is None else timeout,
+                lambda: connect(host, port, None, local_address, socket_options),
+            )
+        except trio.TooSlowError as problem:
+            raise httpcore.ConnectTimeout(problem) from problem
+
+
+_NETWORK = _Network()
+
+
 class TargetConnections:
     """Sends requests to targets over pooled connections and counts those opened."""
 
@@ -183,6 +206,7 @@
         host, port = split_address(address)
         return httpcore.AsyncHTTPConnection(
             httpcore.Origin(b"http", host.encode(), port),
+            network_backend=_NETWORK,
             socket_options=_SOCKET_OPTIONS,
         )
 
--- a/radishfield/web/__init__.py
+++ b/radishfield/web/__init__.py
@@ -21,6 +21,7 @@
     decode_answer,
 )
 from radishfield.web._listener import HttpListener, ListenerConfig, serve_app
+from radishfield.web._time_limits import HELD_UP_S, run_within
 
 __all__ = [
     "ApiAddress",
@@ -31,12 +32,14 @@
     "CALLS_PER_S",
     "BodyLimit",
     "CallBudget",
+    "HELD_UP_S",
     "HttpListener",
     "ListenerConfig",
     "backoff_s",
     "decode_answer",
     "read_body",
     "run_until_disconnect",
+    "run_within",
     "send_bytes",
     "send_chunk",
     "send_json",
