Count no time in which the host was held up as silence of its targets

What callers saw: beside load, streams abandoned as silent and refused although their targets answered, and a host that gets slower the later it is.

Cause: silence was the time since the last event, whoever was late. A host whose event loop takes 0.07 s for a pass reads each event some passes later. It then takes all of its targets for silent, probes them and other targets as witnesses, and the probes take the time in which it could have read the events. Checks that were late by 0.05 s were left out, but not those that were late by less, each time.

Change: the lateness of each check of the streams is taken off their silence, two times, as a timer that is due at a random moment of a pass is late by half of it. The lines of a verdict tell how long the host has been held up, and so does a counter.

The test holds up each pass by 0.07 s.

--- a/radishfield/forwarding/_active_stream.py
+++ b/radishfield/forwarding/_active_stream.py
@@ -25,6 +25,8 @@
 
     Attributes
     ----------
+    held_up_s : float
+        Time since its last progress in which this host was held up.
     prepare_successor : callable
         Reserves what another attempt needs; returns the reason why none can follow this
         one, or an empty string.
@@ -37,6 +39,7 @@
         "prepare_successor",
         "abandon_reason",
         "has_events",
+        "held_up_s",
         "last_progress_at",
         "moving",
         "path",
@@ -68,6 +71,7 @@
         self.typical_gap_s = 0.0
         self.prepare_successor = prepare_successor
         self._first_event_at: float | None = None
+        self.held_up_s = 0.0
         self._kept_until = now
         self.scope = trio.CancelScope()
 
@@ -83,6 +87,12 @@
             self._first_event_at = now
         self.last_progress_at = now
         self.has_events = True
+        self.held_up_s = 0.0
+
+    def note_lateness(self, held_up_s: float, now: float) -> None:
+        """Record that this host was held up, in which time it could read no event."""
+        waited_s = now - self.last_progress_at
+        self.held_up_s = min(waited_s, self.held_up_s + held_up_s)
 
     @property
     def outlived_start(self) -> bool:
@@ -100,11 +110,14 @@
             self.scope.cancel()
 
     def silence(self, now: float) -> StreamSilence:
-        """Return the state of the stream that decisions are based on."""
+        """Return the state of the stream that decisions are based on.
+
+        Time in which this host was held up does not count as silence.
+        """
         route = self.call.route
         return StreamSilence(
             target_ids=tuple(stage.target_id for stage in self.path),
-            silent_s=now - self.last_progress_at,
+            silent_s=max(0.0, now - self.last_progress_at - self.held_up_s),
             has_events=self.has_events,
             typical_gap_s=self.typical_gap_s,
             allowed_s=route.allowed_silence_s(self.has_events),
--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -144,6 +144,11 @@
             "Late answers of targets that were no verdict: this host was late itself.",
             lambda: watchdog.unheard,
         )
+        telemetry.watch(
+            "held_up_seconds",
+            "Seconds in which this host was held up between checks of its streams.",
+            lambda: watchdog.held_up_s,
+        )
         placer = Placer(settings.host.id, store, targets, view)
         crashes = CrashWatch(
             settings.host.id, TargetProbe(targets), CrashRecords(store, view), view
--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -32,6 +32,12 @@
 LATE_TICK_S = 0.05
 """A check that is this late shows that this process was blocked: events are unread in
 its sockets, and every stream would seem silent."""
+MIN_LATENESS_S = 0.005
+"""Lateness of a check from which on it is taken off the silence of the streams.  The
+timers of an idle host are late by less."""
+PASSES_PER_LATENESS = 2.0
+"""Length of a pass of the event loop as a multiple of a timer's lateness: a timer that
+is due at a random moment of a pass is late by half of it on average."""
 PROBE_INTERVAL_S = 0.1
 """Pause between two probes of a target that answers."""
 MEASURE_ZONE_S = 10.0
@@ -64,6 +70,7 @@
         "_streams",
         "_targets",
         "_view",
+        "held_up_s",
         "unheard",
     )
 
@@ -74,6 +81,7 @@
         self._streams: set[ActiveStream] = set()
         self._prober = TargetProber(targets, view, self._has_event_since)
         self.unheard = 0
+        self.held_up_s = 0.0
         self._queried_at_by_id: dict[str, float] = {}
         self._probed_at_by_id: dict[str, float] = {}
         self._measure_at = 0.0
@@ -105,7 +113,11 @@
             while True:
                 checked_at = self._clock.now()
                 await trio.sleep(pause_s)
-                if self._clock.now() - checked_at >= pause_s + LATE_TICK_S:
+                interval_s = self._clock.now() - checked_at
+                late_s = interval_s - pause_s
+                if late_s >= MIN_LATENESS_S:
+                    self._note_lateness(min(interval_s, PASSES_PER_LATENESS * late_s))
+                if late_s >= LATE_TICK_S:
                     continue
                 silence_by_stream = self._silences()
                 self._check_streams(silence_by_stream)
@@ -118,6 +130,12 @@
                 if has_more_due:
                     pause_s = MIN_TICK_S
 
+    def _note_lateness(self, held_up_s: float) -> None:
+        now = self._clock.now()
+        self.held_up_s += held_up_s
+        for stream in self._streams:
+            stream.note_lateness(held_up_s, now)
+
     def _silences(self) -> dict[ActiveStream, StreamSilence]:
         """Return the state of each stream whose path is not being changed."""
         now = self._clock.now()
@@ -198,7 +216,12 @@
 
     def _log_no_verdict(self, target_id: str, waited_s: float) -> None:
         self.unheard += 1
-        log_event("target.unheard", target=target_id, waited_s=round(waited_s, 3))
+        log_event(
+            "target.unheard",
+            target=target_id,
+            waited_s=round(waited_s, 3),
+            held_up_s=round(self.held_up_s, 2),
+        )
 
     def _query_unreachable(self) -> bool:
         """Query excluded targets to find those that answer again.
@@ -232,6 +255,7 @@
                         "stream.silent",
                         request=stream.call.facts.request_id,
                         silent_s=round(silence.silent_s, 2),
+                        held_up_s=round(stream.held_up_s, 2),
                         events=stream.has_events,
                         path=format_path(stream.path),
                     )
@@ -284,6 +308,7 @@
             target=first_id,
             detail=detail,
             waited_s=round(waited_s, 3),
+            held_up_s=round(self.held_up_s, 2),
             left_out_s=round(left_out_s, 2),
             directory_version=self._view.directory.version,
         )
--- a/radishfield/forwarding/suspicion_test.py
+++ b/radishfield/forwarding/suspicion_test.py
@@ -1,5 +1,7 @@
 """Treatment of streams in flight whose targets a host takes for unreachable."""
 
+import time
+
 import pytest
 import trio
 
@@ -384,3 +386,27 @@
         assert [reply.status for reply in replies] == [200]
 
     play(tmp_path, scenario)
+
+
+def test_a_host_that_is_held_up_probes_no_target_for_it(tmp_path):
+    """Guards against probes that take the time in which a late host could catch up."""
+
+    async def scenario(testbed):
+        await start_pool(testbed, targets=4)
+        for target in testbed.layered:
+            target.events = 12
+        watchdog = testbed.router._kernel.find("watchdog", StreamWatchdog)
+        before = watchdog._targets.reports
+
+        async def hold_up_each_pass():
+            with trio.move_on_after(1.2):
+                while True:
+                    time.sleep(0.07)
+                    await trio.sleep(0)
+
+        testbed.nursery.start_soon(hold_up_each_pass)
+        reply = await stream(testbed)
+        assert reply.whole
+        assert watchdog._targets.reports - before <= 1
+
+    play(tmp_path, scenario)
