Shorten the watch of the configuration while answers are late

Cause: an answer confirms the view for the time before its call was sent, so just before it the view is as old as two calls. Each waits for 0.35 of the bound; if each answer is late by 0.75 s, the bound of 5 s passes before the second answer. The two events that change places are the second answer and the end of the bound. A slow store does the same as a busy host.

Change: the wait is what is left until 0.8 of the bound, less the lateness of the last answer, and 0.25 s at least. With answers in time it is as long as before, so no call is added.

The test in virtual time makes each answer late by 0, 0.5, 0.8 and 0.95 s for thirty seconds; the last two fail before.

--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -50,6 +50,13 @@
 SHARED_CONFIG_WATCH_SHARE = 0.2
 """The same fraction while other hosts depend on this one: its reports take up to a
 second to reach them, so it confirms its view twice as often."""
+ANSWERED_AGE_SHARE = 0.8
+"""Fraction of the bound on keys at which the answer to a watch of the configuration
+has to be there.  While answers are late, as those of a slow store are or those that a
+busy host reads, the watch waits by as much less."""
+MIN_CONFIG_WATCH_S = 0.25
+"""Shortest wait of such a watch, so that a view that no answer confirms costs at most
+four calls a second."""
 MAX_COALESCE_S = 0.6
 """Maximum pause in a burst; the pause doubles with each change.  It gives two calls a
 second, and each change is active well within the two seconds that operators allow.
@@ -75,6 +82,8 @@
         Calls in a row that were not answered.
     requested_at : float
         When the last call was sent.
+    answer_late_s : float
+        Time by which the last answer came later than the wait of its call.
     newest_only : bool
         Only the newest state matters, so listing it costs no more than reading the
         changes of some time.
@@ -97,6 +106,7 @@
         "_store",
         "_view",
         "_wait_s",
+        "answer_late_s",
         "failures",
         "requested_at",
     )
@@ -123,6 +133,7 @@
         self._revision: int | None = None
         self.failures = 0
         self.requested_at = 0.0
+        self.answer_late_s = 0.0
         self._rng = random.Random()
 
     async def follow(
@@ -184,8 +195,10 @@
     def _record_answer(self, wait_s: float, changed: bool) -> float:
         """Record that the store answered; return the time that its answer confirms."""
         now = self._view.clock.now()
+        late_s = now - self.requested_at - wait_s
+        self.answer_late_s = max(0.0, late_s)
         if self._margin is not None:
-            self._margin.record_answer(now - self.requested_at - wait_s)
+            self._margin.record_answer(late_s)
         self._record_recovery()
         if not self._confirms_waits:
             return self.requested_at
@@ -249,9 +262,16 @@
         view.on_config = self._apply_peer_config
 
     def _wait_s(self) -> float:
+        freshness = self._view.freshness
         shared = self._view.watch_duty.shared
         share = SHARED_CONFIG_WATCH_SHARE if shared else CONFIG_WATCH_SHARE
-        return self._view.freshness.bound_s * share
+        longest_s = freshness.bound_s * share
+        age_s = freshness.age_s(self._view.clock.now())
+        if age_s >= freshness.bound_s:
+            return longest_s
+        due_in_s = freshness.bound_s * ANSWERED_AGE_SHARE - age_s
+        wait_s = due_in_s - self._follower.answer_late_s
+        return min(longest_s, max(MIN_CONFIG_WATCH_S, wait_s))
 
     def _due_in_s(self) -> float:
         view, now = self._view, self._view.clock.now()
--- a/radishfield/forwarding/follower_test.py
+++ b/radishfield/forwarding/follower_test.py
@@ -1,5 +1,6 @@
 """Tests of the recovery of the store followers after an outage, in virtual time."""
 
+import pytest
 import trio
 import trio.testing
 from expression import Error, Ok
@@ -89,6 +90,43 @@
     assert worst < SOON_S
 
 
+class SlowStore(FailingStore):
+    """A store whose every answer is late by the same time."""
+
+    def __init__(self, late_s):
+        super().__init__(float("inf"), float("inf"))
+        self.late_s = late_s
+
+    async def list(self, kind, limit_s=2.0):
+        await trio.sleep(self.late_s)
+        return await super().list(kind, limit_s)
+
+    async def watch(self, kind, revision, wait_s, margin_s=1.0):
+        await trio.sleep(wait_s + self.late_s)
+        return Ok(Changes((), revision))
+
+
+@pytest.mark.parametrize("late_s", [0.0, 0.5, 0.8, 0.95])
+def test_keys_are_admitted_while_each_answer_of_the_store_is_late(late_s):
+    """Guards against refusing callers although the store answers each call."""
+
+    async def main():
+        clock = TrioClock()
+        view = RouterView("a", clock, RetryAllowance(), Freshness(BOUND_S))
+        follower = ConfigFollower(SlowStore(late_s), view, lambda idle_s: None)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(follower.run)
+            await trio.sleep(late_s + 0.1)
+            for _ in range(300):
+                await trio.sleep(0.1)
+                ages.append(view.freshness.age_s(clock.now()))
+            nursery.cancel_scope.cancel()
+
+    ages = []
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert max(ages) < BOUND_S
+
+
 class LateStore:
     """A store that answers from a time on, and then removes its only target."""
 
