Wait longer for a host's first list of targets

What callers saw: a host that starts beside load serves later, and nine that start together do not know their targets within 5 s: zone_test.py, in the scene's start.

Cause: a list of targets that takes longer than 0.3 s is given up, since a lost connection has to be found before the list that the host uses is too old. A host that has just started has no list yet. The answer and its limit change places: the store has answered, the host gives up the call before it has read the answer, and asks anew; all hosts that start do the same and take the time from each other.

In each scene that was read all nine hosts log `store.lost` of kind servers 0.4 to 0.8 s after their start, and the first `targets.listed` comes after 3.9 to 5 s.

Change: until the first answer the limit is the one for a slow store, 1 s.

The test in virtual time has a store that answers 0.5 s late: the host knew no target after 0.6 s before, and knows them now.

--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -29,6 +29,7 @@
 from radishfield.routing import (
     COALESCE_S,
     EXPIRY_CHECK_S,
+    MAX_ANSWER_MARGIN_S,
     MIN_DUTY_CHECK_S,
     AnswerMargin,
     Removal,
@@ -99,6 +100,7 @@
         "_rng",
         "_confirms_waits",
         "_due_in_s",
+        "_has_answer",
         "_kind",
         "_margin",
         "_newest_only",
@@ -131,6 +133,7 @@
         self._view = view
         self._kind = kind
         self._revision: int | None = None
+        self._has_answer = False
         self.failures = 0
         self.requested_at = 0.0
         self.answer_late_s = 0.0
@@ -187,7 +190,10 @@
         if self._revision is None and margin is None:
             return await store.list(self._kind)
         if self._revision is None:
-            return await store.list(self._kind, margin.length_s)
+            # Before the first answer there is no list whose age matters, and a call
+            # that is given up has to be repeated.
+            limit_s = margin.length_s if self._has_answer else MAX_ANSWER_MARGIN_S
+            return await store.list(self._kind, limit_s)
         if margin is None:
             return await store.watch(self._kind, self._revision, wait_s)
         return await store.watch(self._kind, self._revision, wait_s, margin.length_s)
@@ -195,6 +201,7 @@
     def _record_answer(self, wait_s: float, changed: bool) -> float:
         """Record that the store answered; return the time that its answer confirms."""
         now = self._view.clock.now()
+        self._has_answer = True
         late_s = now - self.requested_at - wait_s
         self.answer_late_s = max(0.0, late_s)
         if self._margin is not None:
--- a/radishfield/forwarding/follower_test.py
+++ b/radishfield/forwarding/follower_test.py
@@ -98,6 +98,9 @@
         self.late_s = late_s
 
     async def list(self, kind, limit_s=2.0):
+        if limit_s <= self.late_s:
+            await trio.sleep(limit_s)
+            return Error(fault(ResultCode.PLATFORM_UNAVAILABLE))
         await trio.sleep(self.late_s)
         return await super().list(kind, limit_s)
 
@@ -127,6 +130,23 @@
     assert max(ages) < BOUND_S
 
 
+def test_a_host_that_starts_uses_the_first_list_although_it_is_late():
+    """Guards against a start in which a busy host gives up each list and asks anew."""
+
+    async def main():
+        view = RouterView("a", TrioClock(), RetryAllowance(), Freshness(BOUND_S))
+        follower = TargetFollower(SlowStore(late_s=0.5), view)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(follower.run)
+            await trio.sleep(0.6)
+            ages.append(view.list_age_s())
+            nursery.cancel_scope.cancel()
+
+    ages = []
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert ages[0] < 1.0
+
+
 class LateStore:
     """A store that answers from a time on, and then removes its only target."""
 
