Let watchers confirm in time for the hosts that they report to

What was seen: in a zone of nine, all hosts that are told of a new version read the configuration themselves, one call each, beside load averages of 12 to 21.

Cause: two events change places, the report of a watcher and the read of a told host, which comes when its view is three fifths of the bound old. The watchers' watches wait for a fifth of the bound, however late the answers are, and a view is as old as two calls when the second is answered, and 0.4 s more at the others.

Change: a watch whose answer others depend on is due at half of the bound, less the lateness of the last answer.

The test fails before at 0.5 and 0.7 s.

--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -55,6 +55,9 @@
 """Fraction of the bound on keys at which the answer to a watch of the configuration
 has to be there.  While answers are late, as those of a slow store are or those that a
 busy host reads, the watch waits by as much less."""
+SHARED_ANSWERED_AGE_SHARE = 0.5
+"""The same fraction while other hosts depend on this one: its report reaches them up to
+half a second later, and they read the store themselves at `CONFIG_AGE_SHARE`."""
 MIN_CONFIG_WATCH_S = 0.25
 """Shortest wait of such a watch, so that a view that no answer confirms costs at most
 four calls a second."""
@@ -272,11 +275,12 @@
         freshness = self._view.freshness
         shared = self._view.watch_duty.shared
         share = SHARED_CONFIG_WATCH_SHARE if shared else CONFIG_WATCH_SHARE
+        due_share = SHARED_ANSWERED_AGE_SHARE if shared else ANSWERED_AGE_SHARE
         longest_s = freshness.bound_s * share
         age_s = freshness.age_s(self._view.clock.now())
         if age_s >= freshness.bound_s:
             return longest_s
-        due_in_s = freshness.bound_s * ANSWERED_AGE_SHARE - age_s
+        due_in_s = freshness.bound_s * due_share - age_s
         wait_s = due_in_s - self._follower.answer_late_s
         return min(longest_s, max(MIN_CONFIG_WATCH_S, wait_s))
 
--- a/radishfield/forwarding/follower_test.py
+++ b/radishfield/forwarding/follower_test.py
@@ -6,6 +6,7 @@
 from expression import Error, Ok
 
 from radishfield.core import ResultCode, TrioClock, fault
+from radishfield.forwarding import _gossip
 from radishfield.forwarding._follower import ConfigFollower, TargetFollower
 from radishfield.forwarding._view import RouterView
 from radishfield.limits import RetryAllowance
@@ -18,6 +19,7 @@
     StoredValue,
 )
 from radishfield.routing import Freshness
+from standins.follower_zone import FollowerZone
 from standins.routed_config import config, target_entry
 
 BOUND_S = 5.0
@@ -147,6 +149,31 @@
     assert ages[0] < 1.0
 
 
+@pytest.mark.parametrize("late_s", [0.3, 0.5, 0.7])
+def test_hosts_that_are_told_read_nothing_while_answers_are_late(monkeypatch, late_s):
+    """Guards against a read of every host for each version that it is told."""
+    calm_s = 8.0
+
+    async def main():
+        zone = FollowerZone(hosts=9)
+        monkeypatch.setattr(_gossip, "DatagramSocket", zone.open_socket)
+        zone.store.put("config", "main", config())
+        async with trio.open_nursery() as nursery:
+            await zone.start(nursery)
+            await trio.sleep(calm_s)
+            told = [host for host in zone.hosts if not host.view.watch_duty.on_duty]
+            before = [host.view.config_reads for host in told]
+            for host in zone.hosts:
+                host.link.slow_s = late_s
+            await trio.sleep(30.0)
+            unread.append([host.view.config_reads for host in told] == before)
+            nursery.cancel_scope.cancel()
+
+    unread = []
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert unread == [True]
+
+
 class LateStore:
     """A store that answers from a time on, and then removes its only target."""
 
