Add failing tests of hosts whose links to targets are cut

A scene on the wire: hosts and targets in one process, cuts below the HTTP library. Connections hang, are reset, or go on while new ones are refused.

--- a/radishfield/forwarding/conftest.py
+++ b/radishfield/forwarding/conftest.py
@@ -10,6 +10,7 @@
 
 from radishfield.forwarding import Router, read_settings
 from radishfield.web import ListenerConfig, serve_app
+from standins.link_cuts import current_host
 from standins.object_store import ObjectStoreApp
 from standins.ports import free_port
 from standins.routed_config import (
@@ -121,7 +122,9 @@
         await self.until(lambda: self.has_config_and_targets(self.router))
         await self.until_listening(self.metrics)
 
-    async def start_zone(self, hosts: int, gossip: bool = True) -> list[Router]:
+    async def start_zone(
+        self, hosts: int, gossip: bool = True, zone: str = "a"
+    ) -> list[Router]:
         """Start a zone of hosts; each runs until its scope is cancelled.
 
         Parameters
@@ -135,7 +138,9 @@
             number = len(self.fronts)
             front, ready = (f"127.0.0.1:{free_port()}" for _ in range(2))
             self.fronts.append(front)
-            router = self._new_router(f"host-{number}", front, ready, store, {}, gossip)
+            router = self._new_router(
+                f"host-{number}", front, ready, store, {}, gossip, zone
+            )
             self.scopes.append(trio.CancelScope())
             self.nursery.start_soon(self._run_in, self.scopes[-1], router)
             routers.append(router)
@@ -145,6 +150,7 @@
         return routers
 
     async def _run_in(self, scope: trio.CancelScope, router: Router) -> None:
+        current_host.set(router.view.host_id)
         with scope:
             await router.run(self.stop)
 
@@ -162,12 +168,13 @@
         store: str,
         promises: dict,
         gossip: bool = True,
+        zone: str = "a",
     ) -> Router:
         self.gossip, self.metrics = (f"127.0.0.1:{free_port()}" for _ in range(2))
         lines = [f"{name} = {value}" for name, value in promises.items()]
         text = "\n".join(
             [
-                f"[host]\nid = {host_id}\nzone = a",
+                f"[host]\nid = {host_id}\nzone = {zone}",
                 f"[caller]\nbind = {front}",
                 f"[readiness]\nbind = {ready}",
                 f"[gossip]\nbind = {self.gossip if gossip else ''}",
