Connect to targets through another host where this host's link is down

Nothing uses it yet. A host that fails to reach a target does not know whether the target or its own link is at fault; another host that connects at the same moment tells the two apart. routing/_target_links.py decides when to try directly, when to ask others and which kept connections to trust; relay/ holds the race between both ways, the server and its messages.

Hosts know each other by a secret in the platform's store. Each connection begins with a challenge, request and reply carry a MAC over it, and only addresses of listed targets are connected to. The target's bytes come in frames, so that the end of the host in between is not taken for the end of an answer without a length.

--- /dev/null
+++ b/radishfield/relay/relay_test.py
@@ -0,0 +1,321 @@
+"""Tests of connections that one host opens for another, on the wire."""
+
+import socket
+
+import httpcore
+import pytest
+import trio
+
+from radishfield.core import ResultCode, SystemClock
+from radishfield.relay import RelayServer, TargetDialer
+from radishfield.relay._frames import (
+    CHALLENGE_BYTES,
+    LENGTH,
+    MAC_BYTES,
+    MAX_REQUEST_BYTES,
+    REPLY_BYTES,
+    RelayRequest,
+    decode_reply,
+    encode_request,
+)
+from radishfield.relay._streams import receive_exactly
+from radishfield.routing import RelayHost, TargetLinks
+from standins.ports import free_port
+
+KEY = b"k" * 32
+OTHER_KEY = b"x" * 32
+
+
+class FixedKey:
+    """A key that does not come from a store."""
+
+    def __init__(self, value=KEY):
+        self.value = value
+        self.doubts = 0
+
+    def doubt(self):
+        self.doubts += 1
+
+
+class Scene:
+    """A relaying host, a target that it reaches, and a host that asks it."""
+
+    def __init__(self, nursery):
+        self.nursery = nursery
+        self.address = f"127.0.0.1:{free_port()}"
+        self.target = ""
+        self.leaving = False
+        self.links = TargetLinks()
+        self.asking_links = TargetLinks()
+        self.key = FixedKey()
+        self.server = RelayServer(
+            self.address,
+            self.key,
+            self.links,
+            SystemClock(),
+            lambda address: address == self.target,
+            lambda: self.leaving,
+        )
+        host, port = self.address.split(":")
+        relay = RelayHost("near", (host, int(port)), "a", True)
+        self.relay = relay
+        self.dialer = TargetDialer(
+            "me", "a", self.key, self.asking_links, SystemClock(), lambda: [relay]
+        )
+
+    async def serve_target(self, handle):
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        self.target = f"127.0.0.1:{port}"
+        self.nursery.start_soon(trio.serve_listeners, handle, listeners)
+
+    async def dial(self):
+        """Return a relayed connection, as a host has it whose own link is down."""
+        self.asking_links.note_relayed(self.target, SystemClock().now())
+        dialed = await self.dialer.dial(self.target)
+        assert dialed.is_ok(), dialed.error
+        assert dialed.ok.via == "near"
+        return dialed.ok.stream
+
+    async def open(self):
+        host, port = self.address.split(":")
+        stream = await trio.open_tcp_stream(host, int(port))
+        challenge = await receive_exactly(stream, CHALLENGE_BYTES)
+        return stream, challenge
+
+
+def play(scenario, handle=None):
+    async def main():
+        with trio.fail_after(10):
+            async with trio.open_nursery() as nursery:
+                scene = Scene(nursery)
+                await scene.serve_target(handle or echo)
+                await nursery.start(scene.server.run)
+                await scenario(scene)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+async def echo(stream):
+    while data := await stream.receive_some():
+        await stream.send_all(data)
+
+
+async def reply_code(stream, challenge, key=KEY):
+    reply = await receive_exactly(stream, REPLY_BYTES)
+    return decode_reply(key, challenge, reply).error.code
+
+
+def test_bytes_pass_both_ways_and_the_targets_end_is_passed_on():
+    async def answer_and_close(stream):
+        request = await stream.receive_some()
+        await stream.send_all(b"answer to " + request)
+        await stream.send_eof()
+
+    async def scenario(scene):
+        stream = await scene.dial()
+        await stream.write(b"request")
+        received = b""
+        while data := await stream.read(7):
+            received += data
+        assert received == b"answer to request"
+        await stream.aclose()
+
+    play(scenario, answer_and_close)
+
+
+def test_close_of_the_asking_host_closes_the_connection_at_the_target():
+    """Guards against targets that go on with work whose caller has left."""
+    ended = trio.Event()
+
+    async def wait_for_end(stream):
+        await stream.receive_some()
+        assert await stream.receive_some() == b""
+        ended.set()
+
+    async def scenario(scene):
+        stream = await scene.dial()
+        await stream.write(b"request")
+        await trio.sleep(0.05)
+        await stream.aclose()
+        with trio.fail_after(0.5):
+            await ended.wait()
+
+    play(scenario, wait_for_end)
+
+
+@pytest.mark.parametrize("end", ["target-resets", "host-ends"])
+def test_answer_that_breaks_off_does_not_end_like_a_complete_one(end):
+    """Guards against a truncated answer without a length taken for a whole one."""
+    sent = trio.Event()
+
+    async def break_off(stream):
+        await stream.receive_some()
+        await stream.send_all(b"half an answ")
+        sent.set()
+        await trio.sleep(0.05)
+        if end == "target-resets":
+            linger = b"\x01" + b"\x00" * 7
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            await trio.aclose_forcefully(stream)
+        await trio.sleep(1)
+
+    async def scenario(scene):
+        stream = await scene.dial()
+        await stream.write(b"request")
+        assert await stream.read(100) == b"half an answ"
+        if end == "host-ends":
+            for scope in list(scene.server._scopes):
+                scope.cancel()
+        with pytest.raises(httpcore.ReadError):
+            await stream.read(100)
+
+    play(scenario, break_off)
+
+
+def test_stranger_without_the_key_reaches_no_target():
+    async def scenario(scene):
+        stream, challenge = await scene.open()
+        request = RelayRequest("stranger", scene.target)
+        await stream.send_all(encode_request(OTHER_KEY, challenge, request))
+        code = await reply_code(stream, challenge)
+        assert code is ResultCode.PEER_UNAUTHENTICATED
+        assert scene.server.served == 0 and scene.server.refused == 1
+
+    play(scenario)
+
+
+def test_request_that_is_sent_again_is_refused():
+    """Guards against a recorded request: each connection has its own challenge."""
+
+    async def scenario(scene):
+        stream, challenge = await scene.open()
+        request = encode_request(KEY, challenge, RelayRequest("me", scene.target))
+        await stream.send_all(request)
+        await receive_exactly(stream, REPLY_BYTES)
+        again, other_challenge = await scene.open()
+        await again.send_all(request)
+        code = await reply_code(again, other_challenge)
+        assert code is ResultCode.PEER_UNAUTHENTICATED
+        assert scene.server.served == 1
+
+    play(scenario)
+
+
+def test_damaged_request_is_refused():
+    async def scenario(scene):
+        for index in (3, -1):
+            stream, challenge = await scene.open()
+            damaged = bytearray(
+                encode_request(KEY, challenge, RelayRequest("me", scene.target))
+            )
+            damaged[index] ^= 1
+            await stream.send_all(damaged)
+            code = await reply_code(stream, challenge)
+            assert code is ResultCode.PEER_UNAUTHENTICATED
+
+    play(scenario)
+
+
+def test_request_that_is_too_long_or_no_request_is_refused():
+    async def scenario(scene):
+        stream, challenge = await scene.open()
+        await stream.send_all(LENGTH.pack(MAX_REQUEST_BYTES + 1) + b"a" * 4000)
+        code = await reply_code(stream, challenge)
+        assert code is ResultCode.FRAME_TOO_LARGE
+        stream, challenge = await scene.open()
+        await stream.send_all(LENGTH.pack(9) + b"short")
+        await stream.send_eof()
+        assert await reply_code(stream, challenge) is ResultCode.BAD_FRAME
+        stream, challenge = await scene.open()
+        await stream.send_all(LENGTH.pack(1) + b"\xc1" + b"m" * MAC_BYTES)
+        code = await reply_code(stream, challenge)
+        assert code is ResultCode.PEER_UNAUTHENTICATED
+
+    play(scenario)
+
+
+def test_connection_that_names_no_target_is_closed():
+    """Guards against strangers that hold connections open."""
+
+    async def scenario(scene):
+        stream, challenge = await scene.open()
+        await stream.send_all(LENGTH.pack(100))
+        assert await reply_code(stream, challenge) is ResultCode.PEER_STALE
+        await stream.aclose()
+        with trio.fail_after(1):
+            while scene.server.open:
+                await trio.sleep(0.02)
+
+    play(scenario)
+
+
+def test_host_connects_others_to_listed_targets_only():
+    """Guards against a way through the hosts to any address."""
+
+    async def scenario(scene):
+        stream, challenge = await scene.open()
+        request = RelayRequest("me", "127.0.0.1:9")
+        await stream.send_all(encode_request(KEY, challenge, request))
+        assert await reply_code(stream, challenge) is ResultCode.PEER_STALE
+
+    play(scenario)
+
+
+def test_leaving_host_and_one_without_a_link_of_its_own_refuse_at_once():
+    async def scenario(scene):
+        for prepare, code in (
+            (lambda: setattr(scene, "leaving", True), ResultCode.DRAINING),
+            (
+                lambda: scene.links.note_relayed(scene.target, SystemClock().now()),
+                ResultCode.PEER_UNREACHABLE,
+            ),
+        ):
+            prepare()
+            stream, challenge = await scene.open()
+            request = RelayRequest("me", scene.target)
+            await stream.send_all(encode_request(KEY, challenge, request))
+            assert await reply_code(stream, challenge) is code
+            scene.leaving = False
+
+    play(scenario)
+
+
+def test_other_key_is_reported_so_that_it_is_read_again():
+    """Guards against hosts that refuse each other for good over different keys."""
+
+    async def scenario(scene):
+        asking = FixedKey(OTHER_KEY)
+        dialer = TargetDialer(
+            "me", "a", asking, TargetLinks(), SystemClock(), lambda: [scene.relay]
+        )
+        assert await dialer.reaches(scene.target) is None
+        assert scene.key.doubts == 1 and asking.doubts == 1
+
+    play(scenario)
+
+
+def test_requests_from_before_a_suspension_do_not_reach_the_target():
+    """Guards against work that is sent on seconds after its host gave up on it."""
+
+    async def scenario(scene):
+        stream = await scene.dial()
+        await stream.write(b"one")
+        assert await stream.read(10) == b"one"
+        scene.server._ticked_at -= 5.0
+        await stream.write(b"two")
+        with pytest.raises(httpcore.ReadError):
+            await stream.read(10)
+
+    play(scenario)
+
+
+def test_target_that_refuses_everybody_is_reported_as_unreachable():
+    async def scenario(scene):
+        scene.target = f"127.0.0.1:{free_port()}"
+        assert await scene.dialer.reaches(scene.target) is False
+        dialed = await scene.dialer.dial(scene.target)
+        assert dialed.error.code is ResultCode.CONNECT_FAILED
+
+    play(scenario)
--- a/radishfield/routing/__init__.py
+++ b/radishfield/routing/__init__.py
@@ -90,6 +90,13 @@
     TargetLimits,
     ZoneHosts,
 )
+from radishfield.routing._target_links import (
+    RELAY_STEP_S,
+    ConnectPlan,
+    RelayHost,
+    TargetLinks,
+    choose_relays,
+)
 from radishfield.routing._types import (
     Accelerator,
     EngineSpec,
@@ -115,6 +122,7 @@
     "ANSWER_MARGIN_S",
     "COALESCE_S",
     "END_MARGIN_S",
+    "RELAY_STEP_S",
     "EXPIRY_CHECK_S",
     "LATENESS_S",
     "MAX_ANSWER_MARGIN_S",
@@ -137,6 +145,7 @@
     "Ask",
     "Assignment",
     "CrossingGate",
+    "ConnectPlan",
     "Demand",
     "EngineSpec",
     "EventSplitter",
@@ -155,6 +164,7 @@
     "PeerConfirmation",
     "QueueEntry",
     "RateLimit",
+    "RelayHost",
     "Removal",
     "Replacement",
     "RequestLimits",
@@ -169,6 +179,7 @@
     "StreamSilence",
     "TargetDirectory",
     "TargetLimits",
+    "TargetLinks",
     "TargetLoad",
     "TargetPhase",
     "TargetRecord",
@@ -183,6 +194,7 @@
     "block_layers",
     "capacity_token_layers",
     "choice_spread",
+    "choose_relays",
     "choose_target",
     "confirmed_at",
     "confirmed_by_peer_at",
