Serve callers of a host without links through hosts that have them

Cause: a host had no way to a target but its own link, and took what that link lost for the state of the targets.

Evidence: 485 attempts at six hosts failed with 4002 in seven seconds, none at the three others, which completed 190 requests at the same targets.

Change: every connection to a target that is late by 0.1 s or fails is also opened through another host, the first to connect is used, and the outcome shows whether the link or the target is down. All decisions, accounts and promises stay at the host that took the request; the other host only passes bytes. Kept connections from before a cut are not reused; a silent stream's target is asked over a new connection, and the stream goes on over it. While several links are down this host excludes no target for failed connections, reports none as lost and counts no crash unless another host was refused too. A host that reaches no target in any way leaves the lease for layers.

In the scene on the wire the cut host serves 8 of 8 of each kind from 1 s after the cut (0 of 8 before), in each way a cut looks; so do both hosts of a zone, three of four hosts, and hosts that reach some targets only.

--- a/radishfield/forwarding/_active_stream.py
+++ b/radishfield/forwarding/_active_stream.py
@@ -27,6 +27,10 @@
     ----------
     held_up_s : float
         Time since its last progress in which this host was held up.
+    started_at : float
+        When the attempt began.
+    connection_lost : bool
+        Its target is well, and only the connection to it is lost.
     prepare_successor : callable
         Reserves what another attempt needs; returns the reason why none can follow this
         one, or an empty string.
@@ -34,6 +38,7 @@
 
     __slots__ = (
         "call",
+        "connection_lost",
         "demand",
         "engine",
         "prepare_successor",
@@ -44,6 +49,7 @@
         "moving",
         "path",
         "scope",
+        "started_at",
         "may_resume",
         "typical_gap_s",
         "_first_event_at",
@@ -63,6 +69,8 @@
         self.engine = engine
         self.demand = demand
         self.path = path
+        self.started_at = now
+        self.connection_lost = False
         self.last_progress_at = now
         self.has_events = False
         self.abandon_reason = ""
@@ -125,6 +133,14 @@
             report_lag_s=self.engine.report_lag_s if self.engine else 0.0,
         )
 
+    def abandon_connection(self, now: float) -> bool:
+        """End the attempt so that the stream goes on over another connection."""
+        self.connection_lost = True
+        if self.abandon("connection lost", now):
+            return True
+        self.connection_lost = False
+        return False
+
     def abandon(
         self, reason: str, now: float, target_unreachable: bool = False
     ) -> bool:
--- a/radishfield/forwarding/_connections.py
+++ b/radishfield/forwarding/_connections.py
@@ -6,7 +6,6 @@
 connections are reused only well before the target closes them.
 """
 
-import socket
 from collections import defaultdict
 from collections.abc import AsyncIterator
 from contextlib import aclosing
@@ -18,30 +17,18 @@
 
 from radishfield.core import Clock, Fault, ResultCode, fault
 from radishfield.platform import AnswerFacts, Headers, read_answer
-from radishfield.routing import MAX_DELIVERY_S
-from radishfield.web import BROKEN_CONNECTION_ERRORS, run_within, split_address
+from radishfield.relay import TargetDialer
+from radishfield.routing import TargetLinks
+from radishfield.web import BROKEN_CONNECTION_ERRORS, split_address
 
-CONNECT_TIMEOUT_S = MAX_DELIVERY_S
 MAX_IDLE_S = 2.5
 """Longest idle time of a connection that is reused: half of the shortest idle timeout
 that targets announce."""
 IDLE_SHARE = 0.5
 """Share of the announced idle timeout after which a connection is not reused."""
 MAX_IDLE_PER_TARGET = 8
-SEND_TIMEOUT_MS = 2500
-"""Time after which the kernel closes a connection with unacknowledged bytes."""
-KEEPALIVE_IDLE_S, KEEPALIVE_INTERVAL_S, KEEPALIVE_PROBES = 1, 1, 2
-"""Keep-alive probes close an unresponsive connection within three seconds."""
 MAX_ANSWER_BYTES = 8 << 20
 
-_SOCKET_OPTIONS = [
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SEND_TIMEOUT_MS),
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-]
 _BROKEN_ERRORS = (*BROKEN_CONNECTION_ERRORS, httpcore.ConnectionNotAvailable)
 
 
@@ -54,17 +41,18 @@
     body: bytes = b""
 
 
-class _IdleConnection(msgspec.Struct):
-    connection: httpcore.AsyncHTTPConnection
-    until: float
-
-
 class Exchange:
     """The answer to one request, with its body not yet read."""
 
     __slots__ = ("facts", "headers", "_address", "_connection", "_owner", "_response")
 
-    def __init__(self, address, connection, response, owner: "TargetConnections"):
+    def __init__(
+        self,
+        address: str,
+        connection: "_TargetConnection",
+        response: httpcore.Response,
+        owner: "TargetConnections",
+    ):
         self.headers: Headers = list(response.headers)
         self.facts: AnswerFacts = read_answer(response.status, self.headers)
         self._address = address
@@ -100,44 +88,69 @@
             if reusable and not self.facts.closes:
                 self._owner.keep(self._address, self._connection, self.facts.idle_s)
             else:
-                await self._connection.aclose()
+                await self._connection.http.aclose()
+
+    @property
+    def via(self) -> str:
+        """Return the host that relays the connection; empty for a direct one."""
+        return self._connection.network.via
 
 
 class BrokenAnswerError(Exception):
     """A body ended before it was complete."""
 
 
-class _Network(httpcore.TrioBackend):
-    """Opens connections within a time limit that this host's lateness extends.
+class _DialedNetwork(httpcore.AsyncNetworkBackend):
+    """Opens the one connection of an HTTP connection, and knows over which way."""
 
-    Otherwise a host that was held up takes targets that have accepted its connections
-    for unreachable.
-    """
+    def __init__(self, dialer: TargetDialer):
+        self._dialer = dialer
+        self.via = ""
 
     async def connect_tcp(
         self, host, port, timeout=None, local_address=None, socket_options=None
     ) -> httpcore.AsyncNetworkStream:
-        connect = super().connect_tcp
-        try:
-            return await run_within(
-                CONNECT_TIMEOUT_S if timeout is None else timeout,
-                lambda: connect(host, port, None, local_address, socket_options),
-            )
-        except trio.TooSlowError as problem:
-            raise httpcore.ConnectTimeout(problem) from problem
-
+        """Connect to a target; the dialer limits the time."""
+        dialed = await self._dialer.dial(f"{host}:{port}")
+        if dialed.is_error():
+            raise httpcore.ConnectError(dialed.error.detail)
+        self.via = dialed.ok.via
+        return dialed.ok.stream
+
+
+class _TargetConnection(msgspec.Struct):
+    """A connection to a target.
+
+    Attributes
+    ----------
+    until : float
+        Time up to which it may be reused while it is idle.
+    answered_at : float
+        Time of its last complete answer.
+    """
 
-_NETWORK = _Network()
+    http: httpcore.AsyncHTTPConnection
+    network: _DialedNetwork
+    until: float = 0.0
+    answered_at: float = 0.0
 
 
 class TargetConnections:
     """Sends requests to targets over pooled connections and counts those opened."""
 
-    __slots__ = ("_clock", "_idle_by_address", "opened")
+    __slots__ = ("_clock", "_dialer", "_idle_by_address", "_links", "opened")
 
-    def __init__(self, clock: Clock):
+    def __init__(
+        self,
+        clock: Clock,
+        links: TargetLinks | None = None,
+        dialer: TargetDialer | None = None,
+    ):
+        links = links or TargetLinks()
         self._clock = clock
-        self._idle_by_address: dict[str, list[_IdleConnection]] = defaultdict(list)
+        self._dialer = dialer or TargetDialer.direct(links, clock)
+        self._idle_by_address: dict[str, list[_TargetConnection]] = defaultdict(list)
+        self._links = links
         self.opened = 0
 
     async def send(
@@ -155,60 +168,75 @@
             ),
             headers=outgoing.headers,
             content=outgoing.body or None,
-            extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
         )
         try:
-            response = await connection.handle_async_request(request)
+            response = await connection.http.handle_async_request(request)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as problem:
             return Error(fault(ResultCode.CONNECT_FAILED, repr(problem)))
         except httpcore.LocalProtocolError as problem:
-            await connection.aclose()
+            await connection.http.aclose()
             return Error(fault(ResultCode.BAD_HEADER, repr(problem)))
         except _BROKEN_ERRORS as problem:
-            await connection.aclose()
+            await connection.http.aclose()
             return Error(fault(ResultCode.STREAM_BROKEN, repr(problem)))
         return Ok(Exchange(address, connection, response, self))
 
-    def keep(self, address: str, connection, idle_s: float | None) -> None:
+    def keep(
+        self, address: str, connection: _TargetConnection, idle_s: float | None
+    ) -> None:
         """Keep an idle connection for reuse."""
         kept = self._idle_by_address[address]
-        if not connection.is_idle() or len(kept) >= MAX_IDLE_PER_TARGET:
+        if not connection.http.is_idle() or len(kept) >= MAX_IDLE_PER_TARGET:
             # The caller need not wait for the close: nothing is left to send.
-            trio.lowlevel.spawn_system_task(_close_within_limit, connection)
+            trio.lowlevel.spawn_system_task(_close_within_limit, connection.http)
             return
         limit_s = MAX_IDLE_S if idle_s is None else min(MAX_IDLE_S, idle_s * IDLE_SHARE)
-        kept.append(_IdleConnection(connection, self._clock.now() + limit_s))
+        connection.answered_at = self._clock.now()
+        connection.until = connection.answered_at + limit_s
+        kept.append(connection)
 
     async def close_idle(self) -> None:
-        """Close the idle connections that are too old to be reused."""
-        now = self._clock.now()
+        """Close the idle connections that must not be reused."""
         for address, kept in list(self._idle_by_address.items()):
-            expired = [item for item in kept if item.until <= now]
-            if expired:
-                kept[:] = [item for item in kept if item.until > now]
-            for item in expired:
-                await item.connection.aclose()
+            unusable = [item for item in kept if not self._is_reusable(address, item)]
+            kept[:] = [item for item in kept if item not in unusable]
+            for item in unusable:
+                await item.http.aclose()
             if not kept:
                 self._idle_by_address.pop(address, None)
 
-    async def _take(self, address: str) -> httpcore.AsyncHTTPConnection | None:
+    def _is_reusable(self, address: str, item: _TargetConnection) -> bool:
+        now = self._clock.now()
+        if item.until <= now:
+            return False
+        if item.network.via:
+            is_down = self._links.is_down(address)
+            return is_down and self._dialer.offers(item.network.via)
+        return self._links.trusts_kept(address, item.answered_at, now)
+
+    async def _take(self, address: str) -> _TargetConnection | None:
+        if self._links.is_down(address) and self._links.is_retry_due(
+            address, self._clock.now()
+        ):
+            # A new connection shows whether the link works again.
+            return None
         kept = self._idle_by_address.get(address)
         while kept:
             item = kept.pop()
             # An idle connection that is readable was closed or has unrequested bytes.
-            if item.until > self._clock.now() and not item.connection.has_expired():
-                return item.connection
-            await item.connection.aclose()
+            if self._is_reusable(address, item) and not item.http.has_expired():
+                return item
+            await item.http.aclose()
         return None
 
-    def _open(self, address: str) -> httpcore.AsyncHTTPConnection:
+    def _open(self, address: str) -> _TargetConnection:
         self.opened += 1
         host, port = split_address(address)
-        return httpcore.AsyncHTTPConnection(
-            httpcore.Origin(b"http", host.encode(), port),
-            network_backend=_NETWORK,
-            socket_options=_SOCKET_OPTIONS,
+        network = _DialedNetwork(self._dialer)
+        http = httpcore.AsyncHTTPConnection(
+            httpcore.Origin(b"http", host.encode(), port), network_backend=network
         )
+        return _TargetConnection(http, network)
 
 
 async def _close_within_limit(connection: httpcore.AsyncHTTPConnection) -> None:
--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -36,6 +36,7 @@
     PeerTokenGrant,
     PeerTokenRequest,
     PeerZoneTotal,
+    RelayOffer,
     TargetSlowdown,
     Use,
     config_datagram,
@@ -101,6 +102,7 @@
         "_host_id",
         "_limits",
         "_list_confirmations",
+        "_relay_offered",
         "_round",
         "_socket",
         "_view",
@@ -124,8 +126,10 @@
         self._list_confirmations: deque[_ListConfirmation] = deque(
             maxlen=MAX_LIST_CONFIRMATIONS
         )
+        self._relay_offered = RelayOffer.NONE
         self._round = 0
         self._started_at = view.clock.now()
+        view.find_relays = lambda: self._book.relays(view.clock.now())
         self._socket: DatagramSocket | None = None
         self.malformed = 0
 
@@ -166,10 +170,15 @@
             await trio.sleep(GOSSIP_PERIOD_S * self._rng.uniform(0.9, 1.1))
             self._round += 1
             self._view.load.expire_remote(self._view.clock.now())
+            self._view.target_links.keep_only(
+                {record.address for record in self._view.directory.all_records()}
+            )
             self._update_peer_summary()
             self._apply_list_confirmations()
             status = self._status()
             recipients = self._recipients()
+            if self._withdraws_relay():
+                recipients = list(self._book.alive(self._view.clock.now()).values())
             self._view.load.told_own(self._view.clock.now())
             self._view.links.told_own(self._view.clock.now())
             self._send(status, recipients)
@@ -272,7 +281,7 @@
                 self._address,
                 encode_work(self._view.load.own_by_id),
                 self._view.directory.leaving_incarnations(),
-                self._view.directory.unreachable_incarnations(now),
+                self._unreachable(now),
                 self._duties(),
                 now,
                 self._version(),
@@ -295,9 +304,35 @@
                 self._view.directory.recently_answered(now),
                 self._slowdowns(now),
                 self._view.crashes.book.checksum(),
+                self._relay_offer(now),
             )
         )
 
+    def _unreachable(self, now: float) -> list[tuple[str, int]]:
+        """Return the targets that this host found unreachable, to report to others.
+
+        Failures that may be those of its own links are not reported.
+        """
+        if self._view.target_links.proves_nothing(now):
+            return []
+        return self._view.directory.unreachable_incarnations(now)
+
+    def _withdraws_relay(self) -> bool:
+        """Return whether all hosts have to learn that this one relays no more.
+
+        Hosts of other zones get few statuses, and would ask it in vain for a second.
+        """
+        before = self._relay_offered
+        self._relay_offered = self._relay_offer(self._view.clock.now())
+        return self._relay_offered < before
+
+    def _relay_offer(self, now: float) -> RelayOffer:
+        if self._view.leaving or not self._view.offers_relay():
+            return RelayOffer.NONE
+        if self._view.target_links.proves_nothing(now):
+            return RelayOffer.CUT_OFF
+        return RelayOffer.SOUND
+
     def _echoes(self, peer_by_id: dict[str, Peer]) -> list[Echo]:
         """Return echoes of hosts; if too many for a datagram, the most recent ones."""
         received = [
@@ -385,6 +420,7 @@
         if status.store_silent_s >= 0:
             peer.store_silent_s = status.store_silent_s
         peer.watches = status.watches
+        peer.relay = status.relay
         if self._view.watch_duty.record_peer_version(status.config_version, now):
             self._view.wake_followers()
         echoed_at = self._echoed_at(status.echoes, now)
--- a/radishfield/forwarding/_peer_messages.py
+++ b/radishfield/forwarding/_peer_messages.py
@@ -1,5 +1,6 @@
 """The messages between entry hosts, as datagrams of MessagePack."""
 
+import enum
 import zlib
 from collections.abc import Iterator
 
@@ -15,6 +16,15 @@
 """Maximum size of a decompressed configuration; the store holds no longer ones."""
 
 
+class RelayOffer(enum.IntEnum):
+    """Whether a host connects others to targets; older hosts don't."""
+
+    NONE = 0
+    CUT_OFF = 1
+    """Its own links to some targets are down."""
+    SOUND = 2
+
+
 class Work(msgspec.Struct, array_like=True):
     """Requests at a target and the token-layers that they will occupy there."""
 
@@ -187,6 +197,9 @@
     crashes_checksum : int
         Checksum that is equal for hosts with the same records of target crashes
         under requests.
+    relay : RelayOffer
+        Whether the sender connects other hosts to targets, at the address at which
+        it receives datagrams.
     """
 
     host_id: str
@@ -210,6 +223,7 @@
     answered: list[tuple[str, int]] = []
     slowdowns: list[TargetSlowdown] = []
     crashes_checksum: int = 0
+    relay: RelayOffer = RelayOffer.NONE
 
 
 encoder = msgspec.msgpack.Encoder()
--- a/radishfield/forwarding/_peers.py
+++ b/radishfield/forwarding/_peers.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from radishfield.routing import WATCHERS_PER_ZONE, ZoneHost
+from radishfield.forwarding._peer_messages import RelayOffer
+from radishfield.routing import WATCHERS_PER_ZONE, RelayHost, ZoneHost
 
 REMOTE_ZONE_EVERY = 4
 """Other zones receive every fourth status: they rarely use the same targets as this
@@ -36,6 +37,8 @@
         Seconds since the store last answered it, by its last status.
     watches : bool
         It follows the store for its zone.
+    relay : RelayOffer
+        Whether it connects other hosts to targets.
     """
 
     address: tuple[str, int]
@@ -45,6 +48,7 @@
     sent_at: float = 0.0
     store_silent_s: float = math.inf
     watches: bool = False
+    relay: RelayOffer = RelayOffer.NONE
 
     def is_alive(self, now: float) -> bool:
         """Return whether a status was received from it recently."""
@@ -101,6 +105,14 @@
             if peer.is_alive(now)
         }
 
+    def relays(self, now: float) -> list[RelayHost]:
+        """Return the hosts that connect others to targets."""
+        return [
+            RelayHost(host_id, peer.address, peer.zone, peer.relay is RelayOffer.SOUND)
+            for host_id, peer in self.peer_by_id.items()
+            if peer.relay is not RelayOffer.NONE and peer.is_alive(now)
+        ]
+
     def zone_hosts(self, now: float) -> list[ZoneHost]:
         """Return the hosts that share the duty of following the store."""
         return [
--- a/radishfield/forwarding/_placer.py
+++ b/radishfield/forwarding/_placer.py
@@ -168,8 +168,11 @@
 
         When a target restarts empty, 200 hosts see it.  If each made a plan and
         requested the lease, the store would get some 400 calls for one target.  The
-        hosts that follow the store are enough to take the lease over.
+        hosts that follow the store are enough to take the lease over.  A host that
+        reaches no target leaves the lease to one that can carry out its orders.
         """
+        if self._view.target_links.isolated(self._view.clock.now()):
+            return False
         return self._view.watch_duty.on_duty or bool(self.duties())
 
     async def _check_service(self, service: ServiceSpec, engine: EngineSpec) -> None:
--- a/radishfield/forwarding/_plain.py
+++ b/radishfield/forwarding/_plain.py
@@ -193,7 +193,10 @@
             if result is None:
                 other = self._hedge_target(call)
                 if other is not None:
-                    nursery.start_soon(self._try_and_report, call, other, send_results)
+                    # The first one may be silent since this host's connections are.
+                    nursery.start_soon(
+                        self._try_and_report, call, other, send_results, True
+                    )
                     running += 1
             while result is None or (_failed(result) and running):
                 result = await results.receive()
@@ -217,11 +220,13 @@
         delay_s = call.route.objective_s * HEDGE_SHARE - waited_s
         return max(MIN_HEDGE_DELAY_S, delay_s)
 
-    async def _try_and_report(self, call: Call, record: TargetRecord, results) -> None:
-        await results.send(await self._try(call, record))
+    async def _try_and_report(
+        self, call: Call, record: TargetRecord, results, fresh: bool = False
+    ) -> None:
+        await results.send(await self._try(call, record, fresh))
 
     async def _try(
-        self, call: Call, record: TargetRecord
+        self, call: Call, record: TargetRecord, fresh: bool = False
     ) -> Result[CompleteAnswer, Fault]:
         self._view.load.started(record.id, 0.0, first=True)
         log_event(
@@ -236,7 +241,7 @@
         try:
             with trio.move_on_after(max(0.0, left_s)) as scope:
                 with self._view.crashes.running(call.digest, scope.cancel):
-                    result = await self._exchange(call, record)
+                    result = await self._exchange(call, record, fresh)
             if scope.cancelled_caught and self._view.clock.now() < call.deadline_at:
                 result = Error(fault(ResultCode.CRASHES_TARGETS, "stopped"))
         finally:
@@ -249,9 +254,9 @@
         return result
 
     async def _exchange(
-        self, call: Call, record: TargetRecord
+        self, call: Call, record: TargetRecord, fresh: bool
     ) -> Result[CompleteAnswer, Fault]:
-        sent = await self._targets.send(call, record)
+        sent = await self._targets.send(call, record, fresh=fresh)
         if sent.is_error():
             return sent
         exchange = sent.ok
--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -26,6 +26,7 @@
 from radishfield.kernel import Kernel
 from radishfield.limits import RetryAllowance
 from radishfield.platform import READY_PATH, ObjectStore
+from radishfield.relay import RelayKey, RelayServer, TargetDialer, watch_relay
 from radishfield.routing import END_MARGIN_S, NOTICE_S, STORE_IDLE_S, Freshness
 from radishfield.settings import (
     ROUTER_SECTIONS,
@@ -131,7 +132,17 @@
         address = ApiAddress(settings.platform.address, keepalive_s=STORE_IDLE_S)
         store_calls = ApiCaller(address, budget, clock)
         store = ObjectStore(store_calls)
-        connections = TargetConnections(clock)
+        gossip = settings.section("gossip", GossipSettings)
+        key = RelayKey(store, clock) if gossip.bind else None
+        dialer = TargetDialer(
+            settings.host.id,
+            settings.host.zone,
+            key,
+            view.target_links,
+            clock,
+            lambda: view.find_relays(),
+        )
+        connections = TargetConnections(clock, view.target_links, dialer)
         targets = Targets(connections, view, telemetry)
         watchdog = StreamWatchdog(targets, view)
         telemetry.watch(
@@ -151,7 +162,10 @@
         )
         placer = Placer(settings.host.id, store, targets, view)
         crashes = CrashWatch(
-            settings.host.id, TargetProbe(targets), CrashRecords(store, view), view
+            settings.host.id,
+            TargetProbe(targets, dialer),
+            CrashRecords(store, view),
+            view,
         )
         telemetry.watch(
             "target_ends_counted",
@@ -171,8 +185,20 @@
         register("crashes", crashes)
         register("placer", placer)
         register("connections", IdleConnections(connections))
-        gossip = settings.section("gossip", GossipSettings)
-        if gossip.bind:
+        if key is not None:
+            relay = RelayServer(
+                gossip.bind,
+                key,
+                view.target_links,
+                clock,
+                lambda address: view.directory.at_address(address) is not None,
+                lambda: view.leaving,
+            )
+            view.offers_relay = lambda: key.value is not None
+            view.relayed_connections = lambda: relay.open
+            register("relay", relay)
+            register("relay_key", key)
+            watch_relay(telemetry, relay, dialer)
             peers = Gossip(settings.host.id, gossip.bind, store, view, placer.duties)
             register("peers", peers)
             peers.watch_counters(telemetry)
@@ -208,10 +234,19 @@
         log_event("host.leaving", in_flight=self.view.in_flight)
         max_s = self._promises.grace_s - END_MARGIN_S
         while (elapsed_s := self.view.clock.now() - leave_started_at) < max_s:
-            if elapsed_s >= NOTICE_S + CLOSE_S and self.view.in_flight == 0:
+            if elapsed_s >= NOTICE_S + CLOSE_S and self._is_idle():
                 break
             await trio.sleep(DRAIN_CHECK_INTERVAL_S)
-        log_event("host.left", cut_off=self.view.in_flight, after_s=round(elapsed_s, 2))
+        log_event(
+            "host.left",
+            relayed=self.view.relayed_connections(),
+            cut_off=self.view.in_flight,
+            after_s=round(elapsed_s, 2),
+        )
+
+    def _is_idle(self) -> bool:
+        """Return whether nothing is in flight, for callers or for other hosts."""
+        return self.view.in_flight == 0 and self.view.relayed_connections() == 0
 
 
 def read_settings(path: str) -> Result[EntrySettings, list[Fault]]:
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -101,8 +101,12 @@
             result = await self._attempt(call, engine, found.ok, progress, attempts)
             if result.is_ok() and result.ok is None:
                 return None
-            self._note_unreachable(attempts, result, found.ok[0].target_id)
-            attempts.note_failure(result, found.ok[0].target_id)
+            first_id = found.ok[0].target_id
+            self._note_unreachable(attempts, result, first_id)
+            attempts.note_failure(result, first_id)
+            if self._is_reached_otherwise(first_id):
+                # The connection failed and not the target, which is tried again.
+                attempts.excluded.discard(first_id)
             if not attempts.is_exhausted(call, self._view.clock.now()):
                 await trio.sleep(attempts.pause_s())
                 continue
@@ -119,6 +123,11 @@
             )
             return None
 
+    def _is_reached_otherwise(self, target_id: str) -> bool:
+        """Return whether only this host's own link to a target is down."""
+        record = self._view.directory.find(target_id)
+        return record is not None and self._view.target_links.is_down(record.address)
+
     async def _wait_for_retry(self, call: Call) -> bool:
         """Wait for retry budget until the caller of a started stream times out.
 
@@ -138,9 +147,8 @@
         self,
         call: Call,
         engine: EngineSpec | None,
-        progress: StreamProgress,
         attempts: StreamAttempts,
-        first_id: str,
+        stream: ActiveStream,
     ) -> str:
         """Return why a stream can't resume on another path; empty if it can.
 
@@ -154,7 +162,10 @@
         stop = self._targets.check(call)
         if stop is not None:
             return stop.detail or stop.code.name.lower()
-        if not self._paths.has_alternative(call, engine, first_id):
+        first_id = stream.path[0].target_id
+        if not stream.connection_lost and not self._paths.has_alternative(
+            call, engine, first_id
+        ):
             return "no other path"
         if not self._targets.reserve_retry(call):
             return "no retry budget left"
@@ -189,15 +200,9 @@
                 )
             )
         now = self._view.clock.now()
-        stream = ActiveStream(
-            call,
-            engine,
-            progress.demand(engine),
-            path,
-            now,
-            lambda: self._prepare_successor(
-                call, engine, progress, attempts, record.id
-            ),
+        stream = ActiveStream(call, engine, progress.demand(engine), path, now)
+        stream.prepare_successor = lambda: self._prepare_successor(
+            call, engine, attempts, stream
         )
         stream.may_resume = call.route.repeatable
         queue = self._view.admission_queue(call.service.name)
--- a/radishfield/forwarding/_target_ends.py
+++ b/radishfield/forwarding/_target_ends.py
@@ -1,7 +1,8 @@
 """Distinguishes the crash of a target from the loss of a connection to it.
 
 A connection to its address shows whether any process listens there, and its report
-shows which incarnation that is.
+shows which incarnation that is.  A refused connection may also be due to this host's
+own link, so another host has to confirm that no process listens.
 """
 
 import enum
@@ -11,6 +12,7 @@
 from radishfield.core import ResultCode
 from radishfield.crashes import is_listening
 from radishfield.forwarding._targets import Targets
+from radishfield.relay import TargetDialer
 from radishfield.routing import TargetRecord
 from radishfield.telemetry import log_event
 from radishfield.web import split_address
@@ -27,9 +29,10 @@
 class TargetProbe:
     """Probes whether targets have ended; concurrent requests share a probe."""
 
-    __slots__ = ("_probe_by_incarnation", "_targets")
+    __slots__ = ("_dialer", "_probe_by_incarnation", "_targets")
 
-    def __init__(self, targets: Targets):
+    def __init__(self, targets: Targets, dialer: TargetDialer):
+        self._dialer = dialer
         self._targets = targets
         self._probe_by_incarnation: dict[tuple[str, int], _RunningProbe] = {}
 
@@ -49,7 +52,7 @@
         return probe.state
 
     async def _probe(self, record: TargetRecord) -> TargetState:
-        is_open = await is_listening(*split_address(record.address))
+        is_open = await self._is_open(record.address)
         if is_open is None:
             return TargetState.UNKNOWN
         # A target that only refuses new connections still serves on kept ones.
@@ -62,6 +65,13 @@
         answered = report.error.code is ResultCode.MALFORMED_ANSWER
         return TargetState.ALIVE if answered else TargetState.UNKNOWN
 
+    async def _is_open(self, address: str) -> bool | None:
+        """Return whether a process listens; None if that could not be found out."""
+        is_open = await is_listening(*split_address(address))
+        if is_open or not self._dialer.can_ask():
+            return is_open
+        return await self._dialer.reaches(address)
+
 
 class _RunningProbe:
     __slots__ = ("done", "state")
--- a/radishfield/forwarding/_targets.py
+++ b/radishfield/forwarding/_targets.py
@@ -158,8 +158,15 @@
         record: TargetRecord,
         path: Path = (),
         last_event_id: bytes = b"",
+        fresh: bool = False,
     ) -> Result[Exchange, Fault]:
-        """Send a call to one target, and check that the answer belongs to it."""
+        """Send a call to one target, and check that the answer belongs to it.
+
+        Parameters
+        ----------
+        fresh : bool
+            Over a new connection, as always for a call that may not be repeated.
+        """
         now = self._view.clock.now()
         if not self._view.limits.take(self._stages(record, path), now):
             return Error(self._limit_fault(call, record))
@@ -185,7 +192,7 @@
         ran_there_before = record.id in call.ran_at
         call.ran_at.add(record.id)
         may_have_run_before, call.may_have_run = call.may_have_run, True
-        fresh = not call.route.repeatable
+        fresh = fresh or not call.route.repeatable
         call.arrived += 1
         sent = await self._connections.send(record.address, outgoing, fresh)
         if sent.is_ok():
@@ -204,6 +211,13 @@
                 call.ran_at.discard(record.id)
             return sent
         exchange = sent.ok
+        if exchange.via:
+            log_event(
+                "attempt.relayed",
+                request=call.facts.request_id,
+                target=record.id,
+                via=exchange.via,
+            )
         if exchange.facts.not_run:
             call.may_have_run = may_have_run_before
             if not ran_there_before:
@@ -234,12 +248,21 @@
         return problem or fault(ResultCode.TARGETS_LIMITED)
 
     async def report(
-        self, record: TargetRecord, limit_s: float = REPORT_TIMEOUT_S
+        self,
+        record: TargetRecord,
+        limit_s: float = REPORT_TIMEOUT_S,
+        fresh: bool = False,
     ) -> Result[TargetReport, Fault]:
-        """Request a target's report."""
+        """Request a target's report.
+
+        Parameters
+        ----------
+        fresh : bool
+            Over a new connection, since open ones may have fallen silent.
+        """
         self.reports += 1
         outgoing = Outgoing("GET", REPORT_PATH.encode(), [_host(record)])
-        answer = await self._short_call(record, outgoing, limit_s)
+        answer = await self._short_call(record, outgoing, limit_s, fresh)
         if answer.is_ok() and answer.ok.status == 200:
             return decode_report(answer.ok.body)
         if answer.is_ok():
@@ -260,13 +283,17 @@
         return answer
 
     async def _short_call(
-        self, record: TargetRecord, outgoing: Outgoing, limit_s: float
+        self,
+        record: TargetRecord,
+        outgoing: Outgoing,
+        limit_s: float,
+        fresh: bool = False,
     ) -> Result[OrderAnswer, Fault]:
         sent_at = self._view.clock.now()
         if not self._view.limits.take([record], sent_at):
             return Error(fault(ResultCode.TARGETS_LIMITED))
         with trio.move_on_after(limit_s):
-            sent = await self._connections.send(record.address, outgoing, fresh=False)
+            sent = await self._connections.send(record.address, outgoing, fresh)
             if sent.is_error():
                 return sent
             self._note_rate_limit(record, sent.ok.facts, sent_at, serves=False)
@@ -315,7 +342,8 @@
     ) -> None:
         now = self._view.clock.now()
         excluded_s = 0.0
-        if problem.code is ResultCode.CONNECT_FAILED:
+        suspicious = self._view.target_links.suspicious(now)
+        if problem.code is ResultCode.CONNECT_FAILED and not suspicious:
             excluded_s = self._view.directory.suspect(record.id, now)
         log_event(
             "attempt.failed",
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -28,12 +28,14 @@
     Pair,
     Path,
     PathFinder,
+    RelayHost,
     RouteRule,
     RoutingTable,
     ServiceSpec,
     SlowdownTable,
     TargetDirectory,
     TargetLimits,
+    TargetLinks,
     TargetRecord,
     WatchDuty,
     choice_spread,
@@ -146,6 +148,14 @@
         the zone.
     crashes : CrashGuard
         Records of requests under which targets crashed.
+    target_links : TargetLinks
+        What is known of this host's own links to targets.
+    find_relays : callable
+        Returns the hosts that connect this one to targets.
+    offers_relay : callable
+        Returns whether this host connects others to targets.
+    relayed_connections : callable
+        Returns the number of connections that this host relays for others.
     limits : TargetLimits
         The limits that targets name, and this host's tokens for them.
     crash_updates : UpdateBuffer
@@ -200,6 +210,10 @@
     )
     host_id: str = ""
     crashes: CrashGuard | None = None
+    target_links: TargetLinks = msgspec.field(default_factory=TargetLinks)
+    find_relays: Callable[[], list[RelayHost]] = list
+    offers_relay: Callable[[], bool] = lambda: False
+    relayed_connections: Callable[[], int] = lambda: 0
     limits: TargetLimits | None = None
     crash_updates: UpdateBuffer[str] = msgspec.field(default_factory=UpdateBuffer)
     config_reads: int = 0
--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -156,6 +156,9 @@
         for target_id in targets_to_probe(silences):
             if now - self._probed_at_by_id.get(target_id, -1e9) < PROBE_INTERVAL_S:
                 continue
+            record = self._view.directory.find(target_id)
+            if record is not None and self._view.target_links.is_down(record.address):
+                self._replace_lost_connections(record, now, connection_lost=False)
             if not self._view.directory.suspected(target_id, now):
                 self._probed_at_by_id[target_id] = now
                 self._nursery.start_soon(self._probe, target_id)
@@ -193,8 +196,10 @@
             return
         sent_at = self._clock.now()
         limit_s = self._prober.probe_limit_s(record.zone)
-        report = await self._prober.probe(record, limit_s, self._nursery)
+        outcome = await self._prober.probe(record, limit_s, self._nursery)
         waited_s = self._clock.now() - sent_at
+        report = outcome.report
+        self._replace_lost_connections(record, sent_at, outcome.connection_lost)
         if report is None:
             self._log_no_verdict(target_id, waited_s)
         elif report.is_ok():
@@ -271,7 +276,9 @@
             # The target is excluded already, so only an answer is new information.
             report = await self._targets.report(record)
         else:
-            report = await self._prober.probe(record, REPORT_TIMEOUT_S, self._nursery)
+            outcome = await self._prober.probe(record, REPORT_TIMEOUT_S, self._nursery)
+            report = outcome.report
+            self._replace_lost_connections(record, sent_at, outcome.connection_lost)
         waited_s = self._clock.now() - sent_at
         if report is None:
             self._log_no_verdict(first_id, waited_s)
@@ -317,6 +324,38 @@
             if stream.path[0].target_id == first_id and silent_s > MIN_TICK_S * 2:
                 self._abandon(stream, "first target silent", target_unreachable=True)
 
+    def _replace_lost_connections(
+        self, record: TargetRecord, sent_at: float, connection_lost: bool
+    ) -> None:
+        """Resume the streams whose connections to a live target are lost.
+
+        Parameters
+        ----------
+        connection_lost : bool
+            A connection that was open at ``sent_at`` is silent, and a new one is not.
+        """
+        lost_before = sent_at if connection_lost else None
+        if lost_before is None:
+            lost_before = self._view.target_links.down_since(record.address)
+        if lost_before is None:
+            return
+        now = self._clock.now()
+        for stream in list(self._streams):
+            silence = stream.silence(now)
+            if (
+                stream.path[0].target_id == record.id
+                and stream.started_at < lost_before
+                and silence.silent_s >= silence.probe_after_s
+                and not stream.moving
+                and stream.abandon_connection(now)
+            ):
+                log_event(
+                    "stream.connection_lost",
+                    request=stream.call.facts.request_id,
+                    target=record.id,
+                    silent_s=round(silence.silent_s, 2),
+                )
+
     def _avoid_stage(self, address: str) -> None:
         """Move every stream that uses a crashed stage around it."""
         record = self._view.directory.at_address(address)
--- a/radishfield/forwarding/connections_test.py
+++ b/radishfield/forwarding/connections_test.py
@@ -5,12 +5,9 @@
 import trio
 
 from radishfield.core import SystemClock
-from radishfield.forwarding._connections import (
-    CONNECT_TIMEOUT_S,
-    Outgoing,
-    TargetConnections,
-)
+from radishfield.forwarding._connections import Outgoing, TargetConnections
 from radishfield.forwarding.conftest import play
+from radishfield.relay import CONNECT_TIMEOUT_S
 
 HELD_UP_PASSES = 4
 
--- a/radishfield/forwarding/leaving_test.py
+++ b/radishfield/forwarding/leaving_test.py
@@ -10,7 +10,7 @@
 import trio.testing
 
 from radishfield.forwarding import _gossip
-from radishfield.forwarding._connections import CONNECT_TIMEOUT_S
+from radishfield.relay import CONNECT_TIMEOUT_S
 from standins.follower_zone import FollowerZone
 from standins.routed_config import config, target_entry
 
--- a/radishfield/forwarding/link_cuts_test.py
+++ b/radishfield/forwarding/link_cuts_test.py
@@ -20,10 +20,11 @@
 
 NOTICE_S = 1.0
 """A third of the time after which a cut counts (``contactMs``)."""
-MEASURED_S = 2.0
+MEASURED_S = 3.0
 KINDS = ("read", "post", "stream")
-REQUEST_INTERVAL_S = 0.25
-EVENTS = 20
+REQUEST_INTERVAL_S = 0.4
+EVENTS = 10
+GAP_S = 0.04
 EVENT_IDS = [b"id: %d" % number for number in range(1, EVENTS + 1)]
 
 
@@ -127,8 +128,12 @@
                 for number in range(3):
                     await testbed.add_plain(f"p{number}")
                 for number in range(2):
-                    await testbed.add_layered(f"f{number}", 0, 40, events=EVENTS)
-                    await testbed.add_layered(f"l{number}", 40, 80, events=EVENTS)
+                    await testbed.add_layered(
+                        f"f{number}", 0, 40, events=EVENTS, gap_s=GAP_S
+                    )
+                    await testbed.add_layered(
+                        f"l{number}", 40, 80, events=EVENTS, gap_s=GAP_S
+                    )
                 await testbed.start_zone(near)
                 if far:
                     await testbed.start_zone(far, zone="b")
@@ -169,3 +174,142 @@
         scene.check_shares([0, 1])
 
     play(tmp_path, scenario)
+
+
+def test_most_hosts_without_links_are_served_through_the_one_that_is_left(tmp_path):
+    async def scenario(scene):
+        await cut_and_measure(scene, "hang", [0, 1, 2])
+        scene.check_shares([0, 1, 2])
+
+    play(tmp_path, scenario, near=2, far=2)
+
+
+@pytest.mark.parametrize("way", ["hang", "reset"])
+def test_host_that_reaches_only_some_targets_serves_like_the_others(tmp_path, way):
+    """Guards against requests that fail at the targets which one host can't reach."""
+
+    async def scenario(scene):
+        some = scene.ports[:2] + scene.ports[3:5]
+        await cut_and_measure(scene, way, [0], some)
+        scene.check_shares([0])
+
+    play(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("way", ["hang", "reset", "hung-open"])
+def test_begun_streams_go_on_when_their_host_loses_its_links(tmp_path, way):
+    """Guards against streams cut off by the loss of connections to live targets."""
+
+    async def scenario(scene):
+        for target in scene.testbed.layered:
+            target.gap_s = 0.1
+        whole = []
+
+        async def stream():
+            whole.append(await scene.call(0, "stream"))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(6):
+                nursery.start_soon(stream)
+            await trio.sleep(0.4)
+            scene.cuts.cut(["host-0"], scene.ports, *WAYS[way])
+        assert whole == [True] * 6
+        assert scene.testbed.routers[0].view.streams_cut == 0
+
+    play(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_lost_links_cost_no_second_run_and_no_belief_about_targets(tmp_path, way):
+    """Guards against what a host without links tells others of healthy targets."""
+
+    async def scenario(scene):
+        testbed = scene.testbed
+        await cut_and_measure(scene, way, [0])
+        runs = [name for target in testbed.plain for name in target.ran.elements()]
+        assert max(Counter(n for n in runs if n.startswith("post")).values()) == 1
+        for router in testbed.routers:
+            view = router.view
+            assert view.crashes.counted == 0 and len(view.crashes.book) == 0
+        for router in testbed.routers[1:]:
+            view, now = router.view, router.view.clock.now()
+            records = list(view.directory.all_records())
+            assert not any(view.directory.suspected(r.id, now) for r in records)
+        assert not testbed.store.names("radishfield-crashes")
+
+    play(tmp_path, scenario)
+
+
+def test_host_uses_its_own_links_again_after_a_cut(tmp_path):
+    async def scenario(scene):
+        await cut_and_measure(scene, "hang", [0])
+        scene.cuts.restore()
+        others = [router.view for router in scene.testbed.routers[1:]]
+        with trio.fail_after(8):
+            while any(view.relayed_connections() for view in others):
+                await scene.load(0.5)
+        scene.tries.clear()
+        scene.served.clear()
+        await scene.measure(1.0)
+        scene.check_shares([0])
+
+    play(tmp_path, scenario)
+
+
+def test_leaving_caller_ends_the_work_that_another_host_relays(tmp_path):
+    """Guards against targets that work on for callers of a host without links."""
+
+    async def scenario(scene):
+        for target in scene.testbed.layered:
+            target.gap_s = 0.2
+        scene.cuts.cut(["host-0"], scene.ports, *HANG)
+        with trio.move_on_after(1.2):
+            await scene.call(0, "stream")
+        await trio.sleep(0.5)
+        started = sum(sum(target.runs.values()) for target in scene.testbed.layered)
+        ended = sum(target.ended_runs for target in scene.testbed.layered)
+        assert started == ended > 0
+
+    play(tmp_path, scenario)
+
+
+def test_layers_are_placed_by_a_holder_of_the_lease_without_links(tmp_path):
+    """Guards against empty targets while the host that places layers is cut off."""
+
+    async def scenario(scene):
+        testbed = scene.testbed
+        await testbed.add_layered("n0", 0, 0, events=EVENTS)
+        await testbed.until(lambda: testbed.layered[-1].orders > 0, 8.0)
+        holder = testbed.store.spec("radishfield-leases", "pool")["holder"]
+        scene.cuts.cut([holder], scene.ports, *HANG)
+        added = await testbed.add_layered("n1", 0, 0, events=EVENTS)
+        port = int(added.address.rpartition(":")[2])
+        scene.cuts.cut([holder], [*scene.ports, port], *HANG)
+        await testbed.until(lambda: added.orders > 0, 8.0)
+
+    play(tmp_path, scenario)
+
+
+def test_tokens_of_limited_targets_are_issued_and_used_without_links(tmp_path):
+    """Guards against an issuer without links that keeps tokens from its zone."""
+
+    async def scenario(scene):
+        testbed = scene.testbed
+        for target in testbed.plain:
+            target.limit = "20"
+        await scene.load(1.0)
+        issuers = {
+            router.view.limits.own_issuer_id(target.id)
+            for router in testbed.routers[:2]
+            for target in testbed.plain
+        }
+        cut_hosts = [n for n in range(2) if f"host-{n}" in issuers][:1] or [0]
+        names = [f"host-{number}" for number in cut_hosts]
+        scene.cuts.cut(names, scene.ports, *HANG)
+        await scene.load(NOTICE_S)
+        await scene.measure()
+        for host in range(scene.hosts):
+            for kind in ("read", "post"):
+                assert scene.share(host, kind) >= 0.8, (scene.served, scene.tries)
+
+    play(tmp_path, scenario)
--- a/radishfield/relay/_server.py
+++ b/radishfield/relay/_server.py
@@ -35,8 +35,9 @@
 the descriptors that a small host has."""
 HANDSHAKE_S = 1.0
 """Time within which a connection has to name a target."""
-DIRECT_LIMIT_S = 0.3
-"""Time limit of the connection to the target: another host waits for it."""
+DIRECT_LIMIT_S = 0.15
+"""Time limit of the connection to the target: another host waits for it, and has others
+to ask."""
 ACCEPT_RETRY_S = 0.1
 TICK_S = 0.1
 SUSPENDED_S = 1.0
--- a/radishfield/routing/_target_links.py
+++ b/radishfield/routing/_target_links.py
@@ -20,8 +20,9 @@
 SUSPICIOUS_HEAD_START_S = 0.02
 """The same while several links of this host are down."""
 
-RELAY_STEP_S = 0.1
-"""Time after which the next host is asked while an earlier one has not answered."""
+RELAY_STEP_S = 0.05
+"""Time after which the next host is asked while an earlier one has not answered: ten
+times what a host of the region takes to connect."""
 
 MIN_DOWN_S = 1.0
 MAX_DOWN_S = 4.0
@@ -40,7 +41,7 @@
 """A host that fails to reach this many targets in this time, and reaches none, is cut
 off itself: its failures say nothing of the targets."""
 
-MAX_RELAYS = 3
+MAX_RELAYS = 4
 """Hosts that are asked for one connection."""
 
 AVOID_S = 2.0
@@ -183,6 +184,11 @@
         """Return whether the failures that this host sees may be its own links'."""
         return self.suspicious(now) or self.isolated(now)
 
+    def is_retry_due(self, address: str, now: float) -> bool:
+        """Return whether the next connection to a target should be tried directly."""
+        link = self._down_by_address.get(address)
+        return link is None or link.restored or now >= link.retry_at
+
     def trusts_kept(self, address: str, answered_at: float, now: float) -> bool:
         """Return whether a kept direct connection that last answered then still works.
 
@@ -212,14 +218,15 @@
 ) -> list[RelayHost]:
     """Return the hosts to ask for a connection, the best first.
 
-    Hosts of the own zone come first, since traffic between zones is paid for.  The
-    second one is of another zone than the first: all hosts of a zone may be cut off
-    together.
+    Hosts whose own links are down come last, before them those that did not answer
+    lately, and among the others those of the own zone come first, since traffic between
+    zones is paid for.  The second one is of another zone than the first: all hosts of a
+    zone may be cut off together.
     """
     shuffled = rng.sample(list(hosts), len(hosts))
     ranked = sorted(
         shuffled,
-        key=lambda host: (host.id in avoided, not host.sound, host.zone != zone),
+        key=lambda host: (not host.sound, host.id in avoided, host.zone != zone),
     )
     if not ranked:
         return []
--- a/radishfield/routing/target_links_test.py
+++ b/radishfield/routing/target_links_test.py
@@ -98,8 +98,8 @@
         assert len(chosen) == MAX_RELAYS
 
 
-def test_hosts_with_links_of_their_own_down_and_silent_ones_come_last():
+def test_silent_hosts_come_late_and_those_with_links_of_their_own_down_last():
     hosts = [host("cut", sound=False), host("silent"), host("far", "b"), host("near")]
     chosen = choose_relays(hosts, "a", {"silent"}, random.Random(1))
-    assert [item.id for item in chosen] == ["near", "far", "cut"]
+    assert [item.id for item in chosen] == ["near", "far", "silent", "cut"]
     assert choose_relays([], "a", set(), random.Random(1)) == []
--- a/standins/link_cuts.py
+++ b/standins/link_cuts.py
@@ -63,6 +63,10 @@
         cut = Cut(new, open_ones, frozenset(ports))
         self.cut_by_host |= dict.fromkeys(hosts, cut)
         self._notify()
+        if cut.open is OpenConnections.RESET:
+            for sock, link in list(self._link_by_socket.items()):
+                if self._cut_of(link) is cut and sock.fileno() >= 0:
+                    trio.lowlevel.notify_closing(sock)
 
     def restore(self) -> None:
         """End all cuts; what hung goes on."""
@@ -101,27 +105,16 @@
                 raise ConnectionResetError("cut")
             await self._changed.wait()
 
-    async def _wait_readable(self, sock) -> None:
-        """Return once bytes that may be read have arrived."""
-        while True:
+    async def _receive(self, sock, receive, *args) -> bytes:
+        """Return bytes that arrived, once the link lets them through."""
+        try:
+            data = await receive(sock, *args)
+        except trio.ClosedResourceError:
+            # The cut has woken the receiver; without a cut the socket is closed.
             await self._pass_open(sock)
-            if sock not in self._link_by_socket:
-                return
-            readable = False
-
-            async def wait(scope):
-                nonlocal readable
-                await trio.lowlevel.wait_readable(sock)
-                readable = True
-                scope.cancel()
-
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(wait, nursery.cancel_scope)
-                await self._changed.wait()
-                nursery.cancel_scope.cancel()
-            if readable:
-                await self._pass_open(sock)
-                return
+            raise
+        await self._pass_open(sock)
+        return data
 
     @contextmanager
     def installed(self):
@@ -140,9 +133,7 @@
             return await connect(sock, address)
 
         async def receive_if_linked(sock, *args):
-            if sock in self._link_by_socket:
-                await self._wait_readable(sock)
-            return await receive(sock, *args)
+            return await self._receive(sock, receive, *args)
 
         async def send_if_linked(sock, *args):
             await self._pass_open(sock)
