Let a begun stream return at once to the only target of its first layers

What callers saw: a begun stream whose target broke its connection paused for 1.3 s, although the target was alive, and no other one could have taken the stream.

Cause: the target was excluded for the failed attempt, and the stream waited in the queue for another one until its wait was over; only then exclusions were dropped.

Now exclusions are ignored for a begun stream where the other targets do not hold every layer; the pause is below 0.5 s.

--- a/radishfield/forwarding/_stream_paths.py
+++ b/radishfield/forwarding/_stream_paths.py
@@ -195,6 +195,9 @@
         first_ids = _allowed_first_ids(call, self._view.directory)
         # A first target of a failed attempt may be healthy if a later stage failed.
         excluded = attempts.excluded - (first_ids or set())
+        if progress.has_started and not self._covered_without(call, engine, excluded):
+            # The stream can only go on at a target whose attempt failed.
+            excluded = set()
         pool = [record for record in with_capacity if record.id not in excluded]
         finder = self._view.path_finder(call.service.name, engine)
         reached = [item for item in pool if item.zone not in attempts.unreachable_zones]
@@ -215,6 +218,14 @@
         records = self._view.directory.usable(call.service.name, now)
         return _covered(records, engine)
 
+    def _covered_without(
+        self, call: Call, engine: EngineSpec, excluded: set[str]
+    ) -> bool:
+        """Return whether the targets that are not excluded hold every layer."""
+        now = self._view.clock.now()
+        usable = self._view.directory.usable(call.service.name, now)
+        return _covered([item for item in usable if item.id not in excluded], engine)
+
     def _full_fault(self, queue: AdmissionQueue, entry: QueueEntry) -> Fault:
         now = self._view.clock.now()
         detail = f"full, {len(queue)} in queue, waited {now - entry.since:.2f} s"
--- a/radishfield/forwarding/suspicion_test.py
+++ b/radishfield/forwarding/suspicion_test.py
@@ -410,3 +410,21 @@
         assert watchdog._targets.reports - before <= 1
 
     play(tmp_path, scenario)
+
+
+def test_begun_stream_returns_at_once_to_the_only_target_of_its_first_layers(tmp_path):
+    """Guards against a wait in the queue for targets that do not exist."""
+
+    async def scenario(testbed):
+        routes = [route("stream", "streaming", "pool", gapAimMs=250)]
+        testbed.store.put("config", "main", config(routes=routes))
+        first = await testbed.add_layered("t1", 0, 40, events=EVENTS)
+        await testbed.add_layered("t2", 40, 80, events=EVENTS)
+        await testbed.add_layered("t3", 40, 80, events=EVENTS)
+        await testbed.start_router()
+        first.abort_after_events = 5
+        reply = await stream(testbed)
+        assert reply.whole and event_ids(reply) == ALL_IDS
+        assert reply.longest_gap_s < 0.5
+
+    play(tmp_path, scenario)
