Keep a stream through a pause of a second of its only target

What callers saw: a stream without a possible successor was cut off 1.0 s after its target fell silent, although the target went on 0.2 s later.

Change: such an attempt is kept for 1.6 s, still below the 2 s after which its caller leaves. The new test fails before (a truncated answer) and checks that neither a crash nor a cut stream is recorded, and that the target is used again.

--- a/radishfield/forwarding/_active_stream.py
+++ b/radishfield/forwarding/_active_stream.py
@@ -14,10 +14,11 @@
 KEPT_RECHECK_S = 0.25
 """Time for which an attempt without a possible successor is kept before the host checks
 again for one."""
-MAX_KEPT_S = 1.0
+MAX_KEPT_S = 1.6
 """Silence after which an attempt with an unreachable target ends, even if no other
-attempt can follow it.  Lost packets are retransmitted within this time, and the attempt
-holds capacity at the other targets of its path that new requests lack."""
+attempt can follow it.  A target that pauses for a second goes on within this time, and
+lost packets are retransmitted.  The attempt holds capacity at the other targets of its
+path that new requests lack."""
 
 
 class ActiveStream:
--- a/radishfield/forwarding/suspicion_test.py
+++ b/radishfield/forwarding/suspicion_test.py
@@ -428,3 +428,38 @@
         assert reply.longest_gap_s < 0.5
 
     play(tmp_path, scenario)
+
+
+PAUSE_S = 1.2
+
+
+@pytest.mark.parametrize("targets", [1, 2])
+def test_target_that_pauses_for_a_second_costs_no_stream_and_no_verdict(
+    tmp_path, targets
+):
+    """Guards against streams cut, and crashes recorded, for a pause of a live target.
+
+    Without other targets there is nothing but to wait; with one, no retry is allowed.
+    """
+
+    async def scenario(testbed):
+        await start_pool(testbed, targets=targets, **NO_RETRIES)
+        used = []
+
+        async def pause():
+            used.extend(target for target in testbed.layered if target.runs["r1"])
+            used[0].dead = True
+            await trio.sleep(PAUSE_S)
+            used[0].dead = False
+
+        reply = await stream_during(testbed, pause)
+        assert reply.whole and event_ids(reply) == ALL_IDS
+        assert sum(target.runs["r1"] for target in testbed.layered) == 1
+        view = testbed.router.view
+        assert view.crashes.counted == 0 and len(view.crashes.book) == 0
+        assert view.streams_cut == 0
+        await testbed.until(
+            lambda: not view.directory.suspected(used[0].id, view.clock.now()), 1.5
+        )
+
+    play(tmp_path, scenario)
