--- a/radishfield/forwarding/link_cuts_test.py
+++ b/radishfield/forwarding/link_cuts_test.py
@@ -8,7 +8,12 @@
 import pytest
 import trio
 
+from radishfield.core import SystemClock
+from radishfield.forwarding._placer import Placer
+from radishfield.forwarding._view import RouterView
 from radishfield.forwarding.conftest import open_testbed
+from radishfield.limits import RetryAllowance
+from radishfield.routing import Freshness
 from standins.link_cuts import LinkCuts, NewConnections, OpenConnections
 from standins.routed_config import config
 
@@ -313,3 +318,14 @@
                 assert scene.share(host, kind) >= 0.8, (scene.served, scene.tries)
 
     play(tmp_path, scenario)
+
+
+def test_host_that_reaches_no_target_leaves_the_lease_to_others():
+    """Guards against empty targets that wait for a host which can order nothing."""
+    view = RouterView("a", SystemClock(), RetryAllowance(), Freshness(5.0))
+    view.watch_duty.on_duty = True
+    placer = Placer("host-0", None, None, view)
+    assert placer._may_place()
+    for number in range(3):
+        view.target_links.note_failed(f"10.0.0.{number}:1", view.clock.now())
+    assert not placer._may_place()
--- a/radishfield/forwarding/peer_messages_test.py
+++ b/radishfield/forwarding/peer_messages_test.py
@@ -1,17 +1,21 @@
-"""Tests of the message that forwards a configuration between hosts."""
+"""Tests of the messages between hosts, of one build or of two."""
 
 import uuid
 import zlib
 
+import msgspec
 import pytest
 
 from radishfield.forwarding._peer_messages import (
     DATAGRAM_BYTES,
     MAX_CONFIG_BYTES,
     PeerConfig,
+    PeerStatus,
+    RelayOffer,
     config_datagram,
     config_spec,
     decoder,
+    encoder,
 )
 
 
@@ -43,3 +47,19 @@
 def test_damaged_configuration_is_rejected_with_bounded_memory(body):
     with pytest.raises(ValueError):
         config_spec(PeerConfig(3, 90, body))
+
+
+def test_statuses_of_hosts_that_relay_nothing_yet_are_read_and_theirs_of_this_one():
+    """Guards against a fleet of two builds whose hosts do not hear each other."""
+    fields = ["h1", "a", "10.0.0.1:1", [], [], [], [], 1.0, 3, 0.1, 0.1, [], [], []]
+    older = msgspec.msgpack.encode(["status", *fields])
+    read = decoder.decode(older)
+    assert read.host_id == "h1" and read.relay is RelayOffer.NONE
+
+    class OlderStatus(msgspec.Struct, array_like=True, tag="status"):
+        host_id: str
+        zone: str
+
+    newer = PeerStatus(*fields, relay=RelayOffer.SOUND)
+    assert msgspec.msgpack.decode(encoder.encode(newer), type=OlderStatus).zone == "a"
+    assert decoder.decode(encoder.encode(newer)).relay is RelayOffer.SOUND
--- a/radishfield/relay/_dialer.py
+++ b/radishfield/relay/_dialer.py
@@ -35,11 +35,14 @@
     choose_relays,
 )
 from radishfield.telemetry import log_event
-from radishfield.web import run_within
+from radishfield.web import HELD_UP_S, run_within
 
 CONNECT_TIMEOUT_S = MAX_DELIVERY_S
 _TARGET_CODES = (ResultCode.CONNECT_FAILED, ResultCode.STREAM_SILENT)
 """Refusals by which a host says that the target, not the host, is at fault."""
+MAX_LATE_RACES = 4
+"""Connections for which other hosts are asked at the same time only since they are
+late, as long as no cut is suspected."""
 REACHES_LIMIT_S = 0.2
 """Time limit for each host that is asked whether it reaches a target."""
 
@@ -71,6 +74,7 @@
         "_find_relays",
         "_host_id",
         "_key",
+        "_late_races",
         "_links",
         "_rng",
         "_zone",
@@ -91,6 +95,7 @@
         self._find_relays = find_relays
         self._host_id = host_id
         self._key = key
+        self._late_races = 0
         self._links = links
         self._rng = random.Random()
         self._zone = zone
@@ -154,13 +159,17 @@
         async with trio.open_nursery() as nursery:
             if plan.direct or not relays:
                 nursery.start_soon(self._try_direct, race, address)
-                await race.wait_for_end(plan.head_start_s)
-            for relay in relays:
-                if race.won:
-                    break
-                nursery.start_soon(self._try_relay, race, relay, address)
-                await race.wait_for_end(RELAY_STEP_S)
-            await race.wait_until_decided()
+                await self._wait_for_direct(race, plan.head_start_s)
+            self._late_races += 1
+            try:
+                for relay in self._askable(race, relays):
+                    if race.won:
+                        break
+                    nursery.start_soon(self._try_relay, race, relay, address)
+                    await race.wait_for_end(RELAY_STEP_S)
+                await race.wait_until_decided()
+            finally:
+                self._late_races -= 1
             if not race.won and not race.tried_directly:
                 nursery.start_soon(self._try_direct, race, address)
                 await race.wait_for_end()
@@ -170,6 +179,24 @@
                 await trio.sleep(0)
             nursery.cancel_scope.cancel()
 
+    async def _wait_for_direct(self, race: "_Race", limit_s: float) -> None:
+        """Wait for the direct connection, and again if this process was held up."""
+        due_at = trio.current_time() + limit_s
+        await race.wait_for_end(limit_s)
+        if race.unanswered and trio.current_time() - due_at >= HELD_UP_S:
+            await race.wait_for_end(limit_s)
+
+    def _askable(self, race: "_Race", relays: list[RelayHost]) -> list[RelayHost]:
+        """Return the hosts to ask for a connection that is late or has failed.
+
+        A fleet that is short of processor time is late everywhere.  If each host asked
+        others for each late connection, it would have several times as many to open.
+        """
+        is_late = "" in race.unanswered
+        if not is_late or self._links.suspicious(self._clock.now()):
+            return relays
+        return relays if self._late_races <= MAX_LATE_RACES else []
+
     async def _try_direct(self, race: "_Race", address: str) -> None:
         with race.running(""):
             race.tried_directly = True
--- a/radishfield/relay/relay_test.py
+++ b/radishfield/relay/relay_test.py
@@ -8,6 +8,7 @@
 
 from radishfield.core import ResultCode, SystemClock
 from radishfield.relay import RelayServer, TargetDialer
+from radishfield.relay._dialer import MAX_LATE_RACES
 from radishfield.relay._frames import (
     CHALLENGE_BYTES,
     LENGTH,
@@ -319,3 +320,49 @@
         assert dialed.error.code is ResultCode.CONNECT_FAILED
 
     play(scenario)
+
+
+def test_frozen_host_is_passed_over_and_asked_last_afterwards():
+    """Guards against callers that wait for a host which accepts and never answers."""
+
+    async def scenario(scene):
+        frozen = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = frozen[0].socket.getsockname()[1]
+        hosts = [RelayHost("frozen", ("127.0.0.1", port), "a", True)]
+        hosts.append(RelayHost("near", scene.relay.address, "b", True))
+        links = TargetLinks()
+        dialer = TargetDialer("me", "a", scene.key, links, SystemClock(), lambda: hosts)
+        links.note_relayed(scene.target, SystemClock().now())
+        with trio.fail_after(0.3):
+            dialed = await dialer.dial(scene.target)
+        assert dialed.ok.via == "near"
+        assert links.avoided(SystemClock().now()) == {"frozen"}
+
+    play(scenario)
+
+
+def test_late_connections_of_an_overloaded_host_are_not_opened_again_elsewhere():
+    """Guards against a fleet that opens each connection several times under load."""
+
+    async def scenario(scene):
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1", backlog=1)
+        address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        fillers = [trio.socket.socket() for _ in range(8)]
+        with trio.move_on_after(0.2):
+            async with trio.open_nursery() as nursery:
+                for filler in fillers:
+                    host, port = address.split(":")
+                    nursery.start_soon(filler.connect, (host, int(port)))
+        dialer = TargetDialer(
+            "me", "a", scene.key, TargetLinks(), SystemClock(), lambda: [scene.relay]
+        )
+        before = scene.server.refused
+        async with trio.open_nursery() as nursery:
+            for _ in range(12):
+                nursery.start_soon(dialer.dial, address)
+        # Without a bound each of the twelve would have asked.
+        assert 0 < scene.server.refused - before <= MAX_LATE_RACES
+        for filler in fillers:
+            filler.close()
+
+    play(scenario)
