Spread the first writing of the hosts' key over half a second

Two hundred hosts that start together would each try to write the key, beside the writes of their addresses, at a store that takes some hundred writes a second.

--- a/radishfield/relay/_key.py
+++ b/radishfield/relay/_key.py
@@ -11,9 +11,10 @@
 
 import msgspec
 import trio
+from expression import Result
 
-from radishfield.core import Clock, ResultCode
-from radishfield.platform import ObjectStore
+from radishfield.core import Clock, Fault, ResultCode
+from radishfield.platform import ObjectStore, StoredValue
 from radishfield.relay._frames import KEY_BYTES
 from radishfield.telemetry import log_event
 from radishfield.web import backoff_s
@@ -25,6 +26,11 @@
 came back from an older copy may have another key, or none."""
 
 
+CREATE_SPREAD_S = 0.5
+"""Time over which the hosts of a fleet that starts look for the key again, before they
+write one themselves: the store takes some hundred writes a second."""
+
+
 class _KeyBody(msgspec.Struct):
     secret: str
 
@@ -61,9 +67,13 @@
 
     async def _read(self) -> bool:
         read = await self._store.read(KEYS_KIND, KEY_NAME)
+        if _is_missing(read):
+            # Hosts that start together do not all try to write the key.
+            await trio.sleep(self._rng.uniform(0.0, CREATE_SPREAD_S))
+            read = await self._store.read(KEYS_KIND, KEY_NAME)
         if read.is_ok():
             return self._accept(read.ok.spec)
-        if read.error.code is not ResultCode.OBJECT_NOT_FOUND:
+        if not _is_missing(read):
             return False
         secret = base64.b64encode(secrets.token_bytes(KEY_BYTES)).decode()
         created = await self._store.create(KEYS_KIND, KEY_NAME, {"secret": secret})
@@ -82,3 +92,7 @@
             return False
         self.value = value
         return True
+
+
+def _is_missing(read: Result[StoredValue, Fault]) -> bool:
+    return read.is_error() and read.error.code is ResultCode.OBJECT_NOT_FOUND
