Count answers over kept connections as reaching targets

A host was taken for isolated, and left the lease for layers, when three targets had failed within two seconds and it had opened no new connection since, although answers came over kept ones. Now each answer counts; the new test fails before.

A crash is confirmed by the first two hosts that are refused, so that its verdict comes sooner.

--- a/radishfield/forwarding/_connections.py
+++ b/radishfield/forwarding/_connections.py
@@ -179,6 +179,7 @@
         except _BROKEN_ERRORS as problem:
             await connection.http.aclose()
             return Error(fault(ResultCode.STREAM_BROKEN, repr(problem)))
+        self._links.note_answer(address, self._clock.now())
         return Ok(Exchange(address, connection, response, self))
 
     def keep(
--- a/radishfield/relay/_dialer.py
+++ b/radishfield/relay/_dialer.py
@@ -43,6 +43,9 @@
 MAX_LATE_RACES = 4
 """Connections for which other hosts are asked at the same time only since they are
 late, as long as no cut is suspected."""
+ENOUGH_REFUSALS = 2
+"""Hosts, of two zones if there are, that prove by being refused that no process listens
+at a target's address."""
 REACHES_LIMIT_S = 0.2
 """Time limit for each host that is asked whether it reaches a target."""
 
@@ -126,9 +129,10 @@
     async def reaches(self, address: str) -> bool | None:
         """Return whether another host connects to a target; None if none can tell.
 
-        False if a host with links of its own was refused.
+        False if two hosts with links of their own were refused, or the only one that
+        could be asked.
         """
-        verdict = None
+        refusals = 0
         for relay in self._relays():
             opened = await self._open_relayed(relay, address, REACHES_LIMIT_S)
             if opened.is_ok():
@@ -136,9 +140,10 @@
                 if self._links.note_relayed(address, self._clock.now()):
                     self._report_lost(address, relay.id, "refused")
                 return True
-            if opened.error.code is ResultCode.CONNECT_FAILED:
-                verdict = False
-        return verdict
+            refusals += opened.error.code is ResultCode.CONNECT_FAILED
+            if refusals == ENOUGH_REFUSALS:
+                break
+        return False if refusals else None
 
     def can_ask(self) -> bool:
         """Return whether there is a host that relays connections."""
--- a/radishfield/routing/_target_links.py
+++ b/radishfield/routing/_target_links.py
@@ -146,6 +146,11 @@
             self._suspected_since = now
         return not was_down
 
+    def note_answer(self, address: str, now: float) -> None:
+        """Record an answer of a target, over a kept connection or a new one."""
+        self._reached_at = now
+        self._failed_at_by_address.pop(address, None)
+
     def note_failed(self, address: str, now: float) -> None:
         """Record that a target was reached neither directly nor through others."""
         self._failed_at_by_address[address] = now
--- a/radishfield/routing/target_links_test.py
+++ b/radishfield/routing/target_links_test.py
@@ -81,6 +81,15 @@
     assert not links.isolated(0.3)
 
 
+def test_host_that_gets_answers_over_kept_connections_is_not_isolated():
+    """Guards against a host that stops placing layers since some targets crashed."""
+    links = TargetLinks()
+    for number in range(5):
+        links.note_failed(f"t{number}", 0.0)
+    links.note_answer("t9", 0.1)
+    assert not links.isolated(0.2) and not links.proves_nothing(0.2)
+
+
 def test_links_to_targets_that_are_gone_are_forgotten():
     links = TargetLinks()
     links.note_relayed("t1", 0.0)
