--- a/radishfield/relay/_dialer.py
+++ b/radishfield/relay/_dialer.py
@@ -138,7 +138,7 @@
             if opened.is_ok():
                 await trio.aclose_forcefully(opened.ok)
                 if self._links.note_relayed(address, self._clock.now()):
-                    self._report_lost(address, relay.id, "refused")
+                    self._report_lost(address, relay.id, "failed")
                 return True
             refusals += opened.error.code is ResultCode.CONNECT_FAILED
             if refusals == ENOUGH_REFUSALS:
@@ -168,7 +168,7 @@
             self._late_races += 1
             try:
                 for relay in self._askable(race, relays):
-                    if race.won:
+                    if race.won or race.is_refused():
                         break
                     nursery.start_soon(self._try_relay, race, relay, address)
                     await race.wait_for_end(RELAY_STEP_S)
@@ -275,7 +275,7 @@
         if race.via:
             self.relayed += 1
             if race.tried_directly and not race.direct_connected:
-                how = "refused" if race.direct_failed else "late"
+                how = "failed" if race.direct_failed else "late"
                 if self._links.note_relayed(address, now):
                     self._report_lost(address, race.via, how)
         return Ok(Dialed(race.stream, race.via))
@@ -335,6 +335,13 @@
         ended, self._ended = self._ended, trio.Event()
         ended.set()
 
+    def is_refused(self) -> bool:
+        """Return whether enough ways were refused to know that no process listens."""
+        refusals = sum(
+            problem.code is ResultCode.CONNECT_FAILED for problem in self.problems
+        )
+        return self.direct_failed and refusals > ENOUGH_REFUSALS
+
     async def wait_for_end(self, limit_s: float = math.inf) -> None:
         """Wait until a way has ended, or for a limit of seconds."""
         with trio.move_on_after(limit_s):
