--- a/radishfield/relay/relay_test.py
+++ b/radishfield/relay/relay_test.py
@@ -8,7 +8,7 @@
 
 from radishfield.core import ResultCode, SystemClock
 from radishfield.relay import RelayServer, TargetDialer
-from radishfield.relay._dialer import MAX_LATE_RACES
+from radishfield.relay._dialer import ENOUGH_REFUSALS, MAX_LATE_RACES
 from radishfield.relay._frames import (
     CHALLENGE_BYTES,
     LENGTH,
@@ -366,3 +366,22 @@
             filler.close()
 
     play(scenario)
+
+
+def test_target_that_two_hosts_are_refused_at_is_given_up():
+    """Guards against callers that wait while every host is asked for a dead target."""
+
+    async def scenario(scene):
+        scene.target = f"127.0.0.1:{free_port()}"
+        hosts = [
+            RelayHost(f"{zone}{n}", scene.relay.address, zone, True)
+            for zone in "ab"
+            for n in range(2)
+        ]
+        links = TargetLinks()
+        dialer = TargetDialer("me", "a", scene.key, links, SystemClock(), lambda: hosts)
+        dialed = await dialer.dial(scene.target)
+        assert dialed.error.code is ResultCode.CONNECT_FAILED
+        assert scene.server.refused == ENOUGH_REFUSALS
+
+    play(scenario)
