Bound the probes and the hosts asked while links are cut and the host is late

What was seen: with three of four hosts cut off, beside load averages of 8 to 9, a host served few of its callers, and its process stood still for up to 5 s.

Cause: what is late is asked for again, and makes all later: up to eight probes of one silent target at a time, each with three connections, each asked for at up to four hosts of which three were cut off themselves and known to be. Counted in the scene with two of four hosts cut: 684 connections to targets and 1,788 requests to relay for 96 requests, 63 of them served.

Change: one probe of a target at a time; hosts whose own links are down are asked only if there is no sound one; the next host is asked later where this process was held up.

--- a/radishfield/forwarding/_questions.py
+++ b/radishfield/forwarding/_questions.py
@@ -66,6 +66,10 @@
         """Return the time since a target of a zone last answered or was queried."""
         return self._clock.now() - self._answered_at_by_zone.get(zone, -1e9)
 
+    def is_probing(self, target_id: str) -> bool:
+        """Return whether a probe of a target is in progress."""
+        return target_id in self._probed_ids
+
     def note_query(self, zone: str) -> None:
         """Record a query to a target of a zone, so that no other one is queried."""
         self._answered_at_by_zone[zone] = self._clock.now()
--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -159,6 +159,9 @@
             record = self._view.directory.find(target_id)
             if record is not None and self._view.target_links.is_down(record.address):
                 self._replace_lost_connections(record, now, connection_lost=False)
+            if self._prober.is_probing(target_id):
+                # More probes of a target that is late only make everything later.
+                continue
             if not self._view.directory.suspected(target_id, now):
                 self._probed_at_by_id[target_id] = now
                 self._nursery.start_soon(self._probe, target_id)
--- a/radishfield/relay/_dialer.py
+++ b/radishfield/relay/_dialer.py
@@ -164,14 +164,14 @@
         async with trio.open_nursery() as nursery:
             if plan.direct or not relays:
                 nursery.start_soon(self._try_direct, race, address)
-                await self._wait_for_direct(race, plan.head_start_s)
+                await _wait_for_end(race, plan.head_start_s)
             self._late_races += 1
             try:
                 for relay in self._askable(race, relays):
                     if race.won or race.is_refused():
                         break
                     nursery.start_soon(self._try_relay, race, relay, address)
-                    await race.wait_for_end(RELAY_STEP_S)
+                    await _wait_for_end(race, RELAY_STEP_S)
                 await race.wait_until_decided()
             finally:
                 self._late_races -= 1
@@ -184,13 +184,6 @@
                 await trio.sleep(0)
             nursery.cancel_scope.cancel()
 
-    async def _wait_for_direct(self, race: "_Race", limit_s: float) -> None:
-        """Wait for the direct connection, and again if this process was held up."""
-        due_at = trio.current_time() + limit_s
-        await race.wait_for_end(limit_s)
-        if race.unanswered and trio.current_time() - due_at >= HELD_UP_S:
-            await race.wait_for_end(limit_s)
-
     def _askable(self, race: "_Race", relays: list[RelayHost]) -> list[RelayHost]:
         """Return the hosts to ask for a connection that is late or has failed.
 
@@ -291,6 +284,14 @@
         )
 
 
+async def _wait_for_end(race: "_Race", limit_s: float) -> None:
+    """Wait until a way has ended, and again if this process was held up meanwhile."""
+    due_at = trio.current_time() + limit_s
+    await race.wait_for_end(limit_s)
+    if race.unanswered and trio.current_time() - due_at >= HELD_UP_S:
+        await race.wait_for_end(limit_s)
+
+
 class _Race:
     """The ways to one target that are tried at the same time; the first one wins.
 
--- a/radishfield/routing/_target_links.py
+++ b/radishfield/routing/_target_links.py
@@ -223,16 +223,15 @@
 ) -> list[RelayHost]:
     """Return the hosts to ask for a connection, the best first.
 
-    Hosts whose own links are down come last, before them those that did not answer
-    lately, and among the others those of the own zone come first, since traffic between
-    zones is paid for.  The second one is of another zone than the first: all hosts of a
-    zone may be cut off together.
+    Hosts whose own links are down are asked only if there is no other one.  Those that
+    did not answer lately come last, and before them the hosts of the own zone come
+    first, since traffic between zones is paid for.  The second one is of another zone
+    than the first: all hosts of a zone may be cut off together.
     """
-    shuffled = rng.sample(list(hosts), len(hosts))
-    ranked = sorted(
-        shuffled,
-        key=lambda host: (not host.sound, host.id in avoided, host.zone != zone),
-    )
+    sound = [host for host in hosts if host.sound]
+    candidates = sound or list(hosts)
+    shuffled = rng.sample(candidates, len(candidates))
+    ranked = sorted(shuffled, key=lambda host: (host.id in avoided, host.zone != zone))
     if not ranked:
         return []
     first = ranked[0]
