Log the parts of a prompt when an attempt breaks

Now attempt.broken names the shared parts, all but the last. The header is read into at most 256 ids, whatever its length; tests for malformed, repeated and huge ones.

--- a/radishfield/forwarding/_crash_watch.py
+++ b/radishfield/forwarding/_crash_watch.py
@@ -14,6 +14,7 @@
 
 TARGET_CHECK_WAIT_S = 0.1
 """Maximum wait of the next attempt for the check of the last one's target."""
+MAX_LOGGED_PARTS = 8
 READ_FROM_CRASHES = 2
 """Crashes under a request from which on other hosts' records are read in the store."""
 BROKEN_CODES = frozenset({ResultCode.STREAM_BROKEN, ResultCode.ANSWER_TRUNCATED})
@@ -104,6 +105,7 @@
             "attempt.broken",
             request=call.facts.request_id,
             digest=call.digest,
+            parts=" ".join(call.facts.shared_parts[:MAX_LOGGED_PARTS]),
             target=record.id,
             target_state=str(state),
             counted=counted,
--- a/radishfield/platform/_requests.py
+++ b/radishfield/platform/_requests.py
@@ -42,6 +42,7 @@
 )
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}", re.ASCII)
 MAX_DEADLINE_MS = 3_600_000.0
+MAX_SHARED_PARTS = 256
 
 
 class RequestFacts(msgspec.Struct, frozen=True):
@@ -55,6 +56,9 @@
         Event after which a stream resumes; empty for a stream from its start.
     prompt_tokens, max_answer_tokens, expected_answer_tokens : int
         Zero if the caller does not state the number.
+    shared_parts : tuple of str
+        Ids of the parts of its prompt that other prompts may have, in their order; of a
+        longer prompt the first `MAX_SHARED_PARTS`.
     """
 
     host: str
@@ -65,6 +69,7 @@
     prompt_tokens: int
     max_answer_tokens: int
     expected_answer_tokens: int
+    shared_parts: tuple[str, ...] = ()
 
 
 class TargetRequestFacts(msgspec.Struct, frozen=True):
@@ -111,7 +116,8 @@
 
 def read_request(headers: Iterable[tuple[bytes, bytes]]) -> RequestFacts:
     """Return the values that the router reads from a caller's headers."""
-    by_name = dict(headers)
+    received = list(headers)
+    by_name = dict(received)
     counts = by_name.get(names.TOKEN_COUNTS, b"").split(b",")
     deadline_ms = _parse_deadline_ms(by_name.get(names.DEADLINE_MS, b""))
     key = by_name.get(names.AUTHORIZATION, b"").decode("latin-1")
@@ -124,6 +130,7 @@
         prompt_tokens=_parse_count(counts[0]),
         max_answer_tokens=_parse_count(counts[1]) if len(counts) > 1 else 0,
         expected_answer_tokens=_parse_count(by_name.get(names.LENGTH_HINT, b"")),
+        shared_parts=_parse_shared_parts(received),
     )
 
 
@@ -234,6 +241,17 @@
     return int(digits) if digits.isdigit() and len(digits) < 9 else 0
 
 
+def _parse_shared_parts(headers: Headers) -> tuple[str, ...]:
+    """Return the ids of all parts of a prompt but the last, which belongs to it alone.
+
+    Malformed parts count by their text before the colon, and empty ones not at all.
+    """
+    lines = [value for name, value in headers if name == names.PROMPT_PARTS]
+    items = b",".join(lines).rstrip(b", \t").split(b",", MAX_SHARED_PARTS)
+    ids = (item.partition(b":")[0].strip() for item in items[:-1])
+    return tuple(part_id.decode("latin-1") for part_id in ids if part_id)
+
+
 def _parse_idle_s(text: bytes) -> float | None:
     for part in text.split(b","):
         name, _, value = part.strip().partition(b"=")
--- a/radishfield/platform/adapter_test.py
+++ b/radishfield/platform/adapter_test.py
@@ -20,6 +20,7 @@
     router_answer_headers,
     target_headers,
 )
+from radishfield.platform._requests import MAX_SHARED_PARTS
 from radishfield.routing import (
     LayerSpan,
     PathStage,
@@ -148,6 +149,38 @@
     assert facts.expected_answer_tokens == 70
 
 
+@pytest.mark.parametrize(
+    ("prefix", "parts"),
+    [
+        (b"", ()),
+        (b"5c1e07a2:800", ()),
+        (b"5c1e07a2:800,91bd3f06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+        (b" a:1 , b:2 ,c:3", ("a", "b")),
+        # An empty item after the last part leaves it the last one.
+        (b"a:1,,b:2,c:3,, ", ("a", "b")),
+        (b"a,b:,c:x:y,:5,own:1", ("a", "b", "c")),
+        (b"a:1,a:1,own:1", ("a", "a")),
+    ],
+)
+def test_shared_parts_of_a_prompt_are_all_but_the_last(prefix, parts):
+    facts = read_request([(b"x-prompt-prefix", prefix)])
+    assert facts.shared_parts == parts
+
+
+def test_parts_in_several_header_lines_are_one_list():
+    """Guards against a part that is overlooked since another line follows."""
+    facts = read_request([(b"x-prompt-prefix", b"a:1,b:1"), (b"x-prompt-prefix", b"c")])
+    assert facts.shared_parts == ("a", "b")
+
+
+def test_parts_of_a_huge_prompt_are_bounded():
+    """Guards against memory and time that grow with the number of parts."""
+    prefix = b",".join(b"%x:1" % number for number in range(10_000))
+    facts = read_request([(b"x-prompt-prefix", prefix)])
+    assert len(facts.shared_parts) == MAX_SHARED_PARTS
+    assert facts.shared_parts[:3] == ("0", "1", "2")
+
+
 @given(st.lists(st.tuples(st.binary(max_size=12), st.binary(max_size=12)), max_size=8))
 def test_reading_headers_never_raises(headers):
     read_request(headers)
