--- a/radishfield/forwarding/conftest.py
+++ b/radishfield/forwarding/conftest.py
@@ -112,6 +112,28 @@
         target.crash = crash
         return await self.nursery.start(run)
 
+    async def restart_crashed(self, pause_s: float) -> None:
+        """Start each crashed layered target anew under another id after a pause."""
+        starts = 0
+        while True:
+            for target in self.layered:
+                if target.id in self.crashed_ids and not target.dead:
+                    target.dead = True
+                    starts += 1
+                    self.nursery.start_soon(self._restart, target, pause_s, starts)
+            await trio.sleep(0.05)
+
+    async def _restart(self, target: LayeredTarget, pause_s: float, number: int):
+        await trio.sleep(pause_s)
+        self.store.remove("servers", target.id)
+        await self.add_layered(
+            f"again-{number}",
+            target.first,
+            target.end,
+            events=target.events,
+            gap_s=target.gap_s,
+        )
+
     async def start_router(self, **promises) -> None:
         self.front, self.ready = (f"127.0.0.1:{free_port()}" for _ in range(2))
         store = await self.serve(self.store)
--- a/standins/routed_targets.py
+++ b/standins/routed_targets.py
@@ -106,6 +106,11 @@
     ----------
     addresses_by_request : dict
         Targets on all paths of each stream that a target has started.
+    crashing_parts : set of str
+        Parts of prompts that crash the target which begins an answer to them, unless
+        they are the last part.
+    crashing_arrivals : list of tuple
+        Time and id of each request with such a part that reached a target.
     """
 
     layers: int = 80
@@ -113,12 +118,24 @@
     addresses_by_request: dict[str, set[str]] = field(
         default_factory=lambda: defaultdict(set)
     )
+    crashing_parts: set[str] = field(default_factory=set)
+    crashing_arrivals: list[tuple[float, str]] = field(default_factory=list)
 
     def add(self, target: "LayeredTarget") -> None:
         """Add a target whose address is known."""
         target.fleet = self
         self.target_by_address[target.address] = target
 
+    def crashes_on(self, headers: dict[bytes, bytes]) -> bool:
+        """Record a request's arrival; return whether its prompt crashes a target."""
+        prefix = headers.get(b"x-prompt-prefix", b"").decode("latin-1")
+        shared = [item.partition(":")[0] for item in prefix.split(",")[:-1]]
+        if self.crashing_parts.isdisjoint(shared):
+            return False
+        request_id = headers.get(b"x-request-id", b"").decode()
+        self.crashing_arrivals.append((trio.current_time(), request_id))
+        return True
+
     def record_path(self, request_id: str, stages: list[tuple[str, int, int]]) -> None:
         """Record the targets on a stream's new path."""
         self.addresses_by_request[request_id] |= {address for address, _, _ in stages}
@@ -221,7 +238,7 @@
                 await send_json(send, status, answer)
             case _:
                 headers = dict(scope["headers"])
-                crashes = body.ok == CRASHING_BODY
+                crashes = body.ok == CRASHING_BODY or self.fleet.crashes_on(headers)
                 work = lambda: self._stream(headers, send, crashes)  # noqa: E731
                 await run_until_disconnect(receive, work)
 
