--- a/radishfield/crashes/_book.py
+++ b/radishfield/crashes/_book.py
@@ -1,221 +1,203 @@
-"""Finds the requests that crash their targets, from the reports of all hosts.
+"""Records the target crashes under each trait of requests, as all hosts report them.
 
 When a request crashes each target that starts to run it, its caller resends it to any
-host.  A host that counts alone takes each crash for a failure of the target and sends
-the request to another one; so do the next attempt and the next host, until no target
-remains.  Hosts therefore report to each other which targets crashed under which
-request, and refuse the request once three have.
-
-Two kinds of harmless requests must not be refused.  A request that ran beside a
-crashing one loses its targets as well: all its crashes are also crashes of the other
-request, so they prove nothing.  A request that many callers share is in flight at every
-target that crashes for another reason: if it outlives its start anywhere, it is not
-the cause.
+host, or sends others that share the cause with it.  A host that counts alone, or by
+whole requests, takes each crash for a failure of the target and sends the request to
+another one; so do the next attempt and the next host, until no target remains.  Hosts
+therefore report to each other which targets crashed under which traits, and refuse the
+requests that the crashes prove to be the cause; see `find_proofs`.
 """
 
+import math
 import zlib
+from collections.abc import Collection, Iterable
 
 import msgspec
 
-REFUSAL_THRESHOLD = 3
-"""Number of targets that crashed under a request, after which it is refused."""
-
-MAX_SHARED_CRASHES = 5
-"""Number of crashes at which two requests that share all of them are both refused.
-Usually one of the two is sent to another target before, which tells them apart."""
-
-SETTLE_S = 0.3
-"""Time within which all hosts report the requests that a crashed target was running."""
+from radishfield.crashes._blame import (
+    REFUSAL_THRESHOLD,
+    SETTLE_S,
+    Proof,
+    Suspect,
+    find_proofs,
+)
+from radishfield.crashes._records import (
+    CrashesByTarget,
+    CrashReport,
+    TargetCrash,
+    TargetCrashEntry,
+)
+from radishfield.crashes._traits import is_part
 
 CRASH_WINDOW_S = 1.0
 """Time after its first event within which a request crashes its target, if it does.
 Observed crashes took a tenth of it."""
 
 IMMUNE_S = 10.0
-"""Time for which crashes are not counted after a request has outlived its start."""
+"""Time for which crashes are not counted after a whole request has outlived its start.
+Crashes under a part are counted, since it may have become dangerous with another
+version of the targets; it takes more of them to blame it."""
 
 SUSPECTED_S = 60.0
-"""Time after which crashes that prove nothing are forgotten."""
+"""Time after which crashes that prove nothing, and survivals, are forgotten."""
 
 REFUSED_S = 600.0
 """Time after its last crash for which a request is refused.  Targets may be fixed by
 then; if not, three more crashes show it."""
 
-MAX_SUSPECTS = 256
+MAX_SUSPECTS = 1024
+EVICTED_AT_ONCE = 128
 MAX_SURVIVORS = 4096
-"""Requests of the last `IMMUNE_S` seconds at a busy host, some 100 bytes each."""
-MAX_CRASHES_PER_REQUEST = 8
-"""Maximum number of crashes that are kept for one request."""
-
-
-class TargetCrash(msgspec.Struct, frozen=True):
-    """A crash of a target under a request.
-
-    Attributes
-    ----------
-    told_by : str
-        Host that sent the request to the target and detected the crash.
-    at : float
-        Time of the detection, in seconds of this host's clock.
-    """
-
-    target_id: str
-    started_ms: int
-    told_by: str
-    at: float
-
-    @property
-    def target(self) -> tuple[str, int]:
-        """Return the key that identifies this start of the target."""
-        return (self.target_id, self.started_ms)
-
-
-class TargetCrashEntry(msgspec.Struct, array_like=True):
-    """A crash of a target, as a host reports it ``age_s`` seconds later."""
-
-    target_id: str
-    started_ms: int
-    told_by: str
-    age_s: float
-
-
-class CrashReport(msgspec.Struct, array_like=True):
-    """The crashes and survival of one request that a host has recorded.
-
-    Attributes
-    ----------
-    survived_age_s : float
-        Seconds since the request outlived its start at any target; negative if it
-        has not.
-    """
-
-    digest: str
-    ends: list[TargetCrashEntry] = []
-    survived_age_s: float = -1.0
+"""Traits of the last `SUSPECTED_S` seconds at a busy host, some 100 bytes each."""
+MAX_CRASHES_PER_TRAIT = 16
+"""Maximum number of crashes that are kept for one trait."""
 
 
 class Verdict(msgspec.Struct, frozen=True):
-    """The crashes for which a request is refused, and until when."""
+    """Why a request is refused: the traits to blame, the crashes, and until when."""
 
+    traits: frozenset[str]
     ends: tuple[TargetCrash, ...]
     until: float
 
 
 class CrashBook(msgspec.Struct):
-    """The target crashes under each suspected request, by the request's digest."""
+    """The target crashes under each suspected trait, and the survivals of traits."""
 
-    _crashes_by_digest: dict[str, dict[tuple[str, int], TargetCrash]] = msgspec.field(
-        default_factory=dict
-    )
-    _survived_at_by_digest: dict[str, float] = msgspec.field(default_factory=dict)
+    _crashes_by_trait: dict[str, CrashesByTarget] = msgspec.field(default_factory=dict)
+    _survived_at_by_trait: dict[str, float] = msgspec.field(default_factory=dict)
+    _width_by_trait: dict[str, int] = msgspec.field(default_factory=dict)
+    _last_survival_at: float | None = None
     _checksum: int | None = 0
     """Cached because it is read for each status received; None after a change."""
+    _verdicts: list[Verdict] | None = None
+    """Cached because each attempt and each wait reads it; None after a change."""
+    _verdicts_valid_until: float = -math.inf
 
     def __len__(self) -> int:
-        return len(self._crashes_by_digest)
+        return len(self._crashes_by_trait)
+
+    def add_crash(self, trait: str, crash: TargetCrash, width: int = 0) -> bool:
+        """Record that a target crashed under a request; return whether this is new.
 
-    def add_crash(self, digest: str, crash: TargetCrash) -> bool:
-        """Record that a target crashed under a request; return whether this is new."""
-        survived_at = self._survived_at_by_digest.get(digest)
-        if survived_at is not None and crash.at < survived_at + IMMUNE_S:
+        Parameters
+        ----------
+        width : int
+            Number of traits of the request; 0 if it is not known.
+        """
+        if self._is_immune(trait, crash.at):
             return False
-        crashes = self._crashes_by_digest.get(digest)
+        crashes = self._crashes_by_trait.get(trait)
         if crashes is None:
             self._evict_if_full()
-            crashes = self._crashes_by_digest[digest] = {}
-        if crash.target in crashes or len(crashes) >= MAX_CRASHES_PER_REQUEST:
+            crashes = self._crashes_by_trait[trait] = {}
+        known_width = self._width_by_trait.get(trait, width)
+        self._width_by_trait[trait] = min(width, known_width) or max(width, known_width)
+        if crash.target in crashes or len(crashes) >= MAX_CRASHES_PER_TRAIT:
             return False
         crashes[crash.target] = crash
-        self._checksum = None
+        self._note_change()
         return True
 
-    def add_survival(self, digest: str, at: float) -> bool:
+    def _is_immune(self, trait: str, crashed_at: float) -> bool:
+        """Return whether a survival shows that a crash has another cause."""
+        survived_at = self._survived_at_by_trait.get(trait)
+        if survived_at is None:
+            return False
+        return crashed_at < survived_at + _immune_s(trait)
+
+    def add_survival(self, trait: str, at: float) -> bool:
         """Record that a request outlived its start; return whether it was suspected."""
-        before = self._survived_at_by_digest.pop(digest, at)
-        self._survived_at_by_digest[digest] = at = max(at, before)
-        if len(self._survived_at_by_digest) > MAX_SURVIVORS:
-            self._survived_at_by_digest.pop(next(iter(self._survived_at_by_digest)))
-        crashes = self._crashes_by_digest.pop(digest, {})
-        self._checksum = None if crashes else self._checksum
+        before = self._survived_at_by_trait.pop(trait, None)
+        at = at if before is None else max(at, before)
+        self._survived_at_by_trait[trait] = at
+        if self._last_survival_at is None or at > self._last_survival_at:
+            self._last_survival_at = at
+            self._verdicts = None
+        if len(self._survived_at_by_trait) > MAX_SURVIVORS:
+            self._survived_at_by_trait.pop(next(iter(self._survived_at_by_trait)))
+        crashes = self._crashes_by_trait.get(trait)
+        if crashes is None:
+            return False
+        immune_until = at + _immune_s(trait)
         later = {
-            key: crash for key, crash in crashes.items() if crash.at >= at + IMMUNE_S
+            key: crash for key, crash in crashes.items() if crash.at >= immune_until
         }
         if later:
-            self._crashes_by_digest[digest] = later
-        return len(later) < len(crashes)
+            self._crashes_by_trait[trait] = later
+        else:
+            self._drop(trait)
+        if len(later) < len(crashes) or before is None:
+            self._note_change()
+            return True
+        return False
 
-    def verdict(self, digest: str, now: float) -> Verdict | None:
-        """Return why a request is refused; None if it is not."""
-        if len(self._crashes_by_digest.get(digest, ())) < REFUSAL_THRESHOLD:
-            return None
-        crashes = self._proof_by_digest(now).get(digest)
-        if crashes is None:
+    def verdict(self, trait: str, now: float) -> Verdict | None:
+        """Return why a request with only one trait is refused; None if it is not."""
+        return self.verdict_of((trait,), now)
+
+    def verdict_of(self, traits: Collection[str], now: float) -> Verdict | None:
+        """Return why a request with these traits is refused; None if it is not."""
+        if not self._has_suspect(traits):
             return None
-        until = max(crash.at for crash in crashes) + REFUSED_S
-        return Verdict(crashes, until) if now < until else None
+        for verdict in self.verdicts(now):
+            if verdict.traits.issubset(traits):
+                return verdict
+        return None
+
+    def verdicts(self, now: float) -> list[Verdict]:
+        """Return why requests are refused."""
+        if self._verdicts is None or now >= self._verdicts_valid_until:
+            proofs = find_proofs(self._suspects(), now, self._last_survival_at)
+            self._verdicts = [_verdict_of(proof) for proof in proofs]
+            self._verdicts_valid_until = self._next_settled_at(now)
+        return [verdict for verdict in self._verdicts if now < verdict.until]
+
+    def _suspects(self) -> list[Suspect]:
+        return [
+            Suspect(trait, crashes, trait in self._survived_at_by_trait)
+            for trait, crashes in self._crashes_by_trait.items()
+            if len(crashes) >= REFUSAL_THRESHOLD
+        ]
 
-    def verdicts(self, now: float) -> dict[str, Verdict]:
-        """Return why requests are refused, by digest."""
-        verdict_by_digest = {
-            digest: self.verdict(digest, now) for digest in self._proof_by_digest(now)
-        }
-        return {each: verdict for each, verdict in verdict_by_digest.items() if verdict}
+    def _next_settled_at(self, now: float) -> float:
+        settled_at = (
+            crash.at + SETTLE_S
+            for crashes in self._crashes_by_trait.values()
+            if len(crashes) >= REFUSAL_THRESHOLD
+            for crash in crashes.values()
+        )
+        return min((at for at in settled_at if at > now), default=math.inf)
 
-    def _proof_by_digest(self, now: float) -> dict[str, tuple[TargetCrash, ...]]:
-        """Return the crashes that count against each request, by its digest.
+    def _has_suspect(self, traits: Iterable[str]) -> bool:
+        return any(
+            len(self._crashes_by_trait.get(trait, ())) >= REFUSAL_THRESHOLD
+            for trait in traits
+        )
 
-        The request with the most crashes is checked first, and accounts for those
-        that other requests share with it.
-        """
-        suspects = [
-            (digest, crashes)
-            for digest, crashes in self._crashes_by_digest.items()
-            if len(crashes) >= REFUSAL_THRESHOLD
-        ]
-        suspects.sort(key=lambda item: -len(item[1]))
-        proof_by_digest: dict[str, tuple[TargetCrash, ...]] = {}
-        for digest, crashes in suspects:
-            if _is_undecided(crashes, suspects):
-                continue
-            explained = set().union(
-                *(
-                    self._crashes_by_digest[other].keys()
-                    for other in proof_by_digest
-                    if len(self._crashes_by_digest[other]) > len(crashes)
-                )
-            )
-            proof = tuple(
-                crash
-                for key, crash in crashes.items()
-                if key not in explained and crash.at + SETTLE_S <= now
-            )
-            if len(proof) >= REFUSAL_THRESHOLD:
-                proof_by_digest[digest] = proof
-        return proof_by_digest
-
-    def settles_in_s(self, digest: str, now: float) -> float:
+    def settles_in_s(self, traits: Collection[str], now: float) -> float:
         """Return the time until it is decided whether a request is refused."""
-        crashes = self._crashes_by_digest.get(digest, {})
-        if len(crashes) < REFUSAL_THRESHOLD or self.verdict(digest, now) is not None:
+        if not self._has_suspect(traits) or self.verdict_of(traits, now) is not None:
             return 0.0
-        newest_at = max(crash.at for crash in crashes.values())
+        newest_at = max(
+            crash.at
+            for trait in traits
+            if len(self._crashes_by_trait.get(trait, ())) >= REFUSAL_THRESHOLD
+            for crash in self._crashes_by_trait[trait].values()
+        )
         return max(0.0, newest_at + SETTLE_S - now)
 
     def next_settled_in_s(self, now: float) -> float | None:
         """Return the time until another request may be refused; None if none may."""
-        waits_s = [
-            self.settles_in_s(digest, now)
-            for digest, crashes in self._crashes_by_digest.items()
-            if len(crashes) >= REFUSAL_THRESHOLD
-        ]
-        return min((wait_s for wait_s in waits_s if wait_s > 0), default=None)
+        settled_at = self._next_settled_at(now)
+        return settled_at - now if math.isfinite(settled_at) else None
 
-    def report(self, digest: str, now: float) -> CrashReport:
-        """Return the crashes and survival that are recorded for a request."""
-        survived_at = self._survived_at_by_digest.get(digest)
-        crashes = self._crashes_by_digest.get(digest, {}).values()
+    def report(self, trait: str, now: float) -> CrashReport:
+        """Return the crashes and survival that are recorded for a trait."""
+        survived_at = self._survived_at_by_trait.get(trait)
+        crashes = self._crashes_by_trait.get(trait, {}).values()
         return CrashReport(
-            digest,
+            trait,
             [
                 TargetCrashEntry(
                     crash.target_id, crash.started_ms, crash.told_by, now - crash.at
@@ -223,77 +205,110 @@
                 for crash in crashes
             ],
             -1.0 if survived_at is None else now - survived_at,
+            self._width_by_trait.get(trait, 0),
         )
 
     def merge(self, report: CrashReport, now: float) -> bool:
         """Merge a report from another host; return whether it was new."""
-        digest = report.digest
+        trait = report.digest
         changed = False
-        if report.survived_age_s >= 0:
-            changed = self.add_survival(digest, now - report.survived_age_s)
+        if 0 <= report.survived_age_s < SUSPECTED_S:
+            changed = self.add_survival(trait, now - report.survived_age_s)
         for entry in report.ends:
             at = now - max(0.0, entry.age_s)
             crash = TargetCrash(entry.target_id, entry.started_ms, entry.told_by, at)
-            changed |= self.add_crash(digest, crash)
+            changed |= self.add_crash(trait, crash, report.width)
         return changed
 
-    def contradicts(self, report: CrashReport) -> bool:
-        """Return whether a report has crashes but lacks the survival recorded here."""
-        survived = report.digest in self._survived_at_by_digest
-        return survived and bool(report.ends) and report.survived_age_s < 0
+    def contradicts(self, report: CrashReport, now: float) -> bool:
+        """Return whether a reported trait survived here as its reporter cannot know."""
+        survived_at = self._survived_at_by_trait.get(report.digest)
+        if survived_at is None or not report.ends:
+            return False
+        if report.survived_age_s < 0:
+            return True
+        newest_at = now - min(entry.age_s for entry in report.ends)
+        reported_at = now - report.survived_age_s
+        return survived_at + _immune_s(report.digest) > newest_at > reported_at
+
+    def is_unexplained(self, trait: str, crashes: int) -> bool:
+        """Return whether at least so many targets crashed and no request survived."""
+        return (
+            len(self._crashes_by_trait.get(trait, ())) >= crashes
+            and trait not in self._survived_at_by_trait
+        )
 
-    def repeated_digests(self) -> list[str]:
-        """Return the digests that hosts report repeatedly, most crashes first."""
-        digests = [
-            digest
-            for digest, crashes in self._crashes_by_digest.items()
+    def repeated_traits(self) -> list[str]:
+        """Return the traits that hosts report repeatedly, most crashes first."""
+        traits = [
+            trait
+            for trait, crashes in self._crashes_by_trait.items()
             if len(crashes) > 1
         ]
-        return sorted(digests, key=lambda each: -len(self._crashes_by_digest[each]))
+        return sorted(traits, key=lambda each: -len(self._crashes_by_trait[each]))
 
     def checksum(self) -> int:
         """Return a checksum, for comparison, of what hosts report repeatedly."""
         if self._checksum is None:
             self._checksum = 0
-            for digest in self.repeated_digests():
-                for target_id, started_ms in self._crashes_by_digest[digest]:
-                    text = f"{digest} {target_id} {started_ms}"
+            for trait in self.repeated_traits():
+                for target_id, started_ms in self._crashes_by_trait[trait]:
+                    text = f"{trait} {target_id} {started_ms}"
                     self._checksum ^= zlib.crc32(text.encode())
         return self._checksum
 
     def forget(self, now: float) -> None:
         """Drop the records that are too old to count."""
-        for digest, crashes in list(self._crashes_by_digest.items()):
+        for trait, crashes in list(self._crashes_by_trait.items()):
             lifetime_s = REFUSED_S if len(crashes) >= REFUSAL_THRESHOLD else SUSPECTED_S
             if now - max(crash.at for crash in crashes.values()) >= lifetime_s:
-                del self._crashes_by_digest[digest]
-                self._checksum = None
-        self._survived_at_by_digest = {
-            digest: at
-            for digest, at in self._survived_at_by_digest.items()
-            if now - at < SUSPECTED_S
-        }
+                self._drop(trait)
+                self._note_change()
+        expired = [
+            trait
+            for trait, at in self._survived_at_by_trait.items()
+            if now - at >= SUSPECTED_S
+        ]
+        for trait in expired:
+            del self._survived_at_by_trait[trait]
+        if self._last_survival_at is not None:
+            if now - self._last_survival_at >= SUSPECTED_S:
+                self._last_survival_at = None
+                self._verdicts = None
 
     def _evict_if_full(self) -> None:
-        """Drop the request with the fewest crashes, the oldest first, if full.
+        """Drop the traits with the fewest crashes if full.
 
-        A caller that varies its body adds a suspect with each attempt.
+        A caller that varies its body or parts adds suspects with each attempt.  Of
+        traits with the same number of crashes, those of requests with many traits go
+        first, then the oldest.
         """
-        if len(self._crashes_by_digest) >= MAX_SUSPECTS:
-            least_suspected = min(
-                self._crashes_by_digest.items(), key=lambda item: len(item[1])
-            )
-            del self._crashes_by_digest[least_suspected[0]]
-            self._checksum = None
+        if len(self._crashes_by_trait) < MAX_SUSPECTS:
+            return
+        ranked = sorted(
+            self._crashes_by_trait,
+            key=lambda trait: (
+                len(self._crashes_by_trait[trait]),
+                -self._width_by_trait.get(trait, 0),
+            ),
+        )
+        for trait in ranked[:EVICTED_AT_ONCE]:
+            self._drop(trait)
+        self._note_change()
 
+    def _drop(self, trait: str) -> None:
+        del self._crashes_by_trait[trait]
+        self._width_by_trait.pop(trait, None)
 
-def _is_undecided(crashes, suspects) -> bool:
-    """Return whether another request ran at each of the targets that crashed.
+    def _note_change(self) -> None:
+        self._checksum = None
+        self._verdicts = None
 
-    Requests that share all their crashes are usually told apart by the next crash.
-    """
-    if len(crashes) >= MAX_SHARED_CRASHES:
-        return False
-    return any(
-        other is not crashes and crashes.keys() <= other.keys() for _, other in suspects
-    )
+
+def _verdict_of(proof: Proof) -> Verdict:
+    until = max(crash.at for crash in proof.crashes) + REFUSED_S
+    return Verdict(proof.traits, proof.crashes, until)
+
+
+def _immune_s(trait: str) -> float:
+    return 0.0 if is_part(trait) else IMMUNE_S
--- a/radishfield/crashes/_guard.py
+++ b/radishfield/crashes/_guard.py
@@ -1,16 +1,32 @@
 """Maintains the `CrashBook` of a host and stops the runs of refused requests."""
 
+import random
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 
+import msgspec
 import trio
 
 from radishfield.core import Clock, Fault, Outcome, ResultCode
-from radishfield.crashes._book import CrashBook, CrashReport, TargetCrash, Verdict
+from radishfield.crashes._book import CrashBook, Verdict
+from radishfield.crashes._records import CrashReport, TargetCrash
+from radishfield.crashes._traits import RequestTraits
 from radishfield.telemetry import log_event
 
 EXPIRY_CHECK_S = 1.0
 
+MAX_CONTRADICTION_DELAY_S = 0.1
+"""Maximum delay of a report that a trait survived, in answer to one of its crashes.
+Many hosts know of the survival; most of them hear it from another one before their own
+delay is over.  It is shorter than the time for which a verdict waits."""
+
+
+class _Run(msgspec.Struct, frozen=True, eq=False):
+    """A run of a request, or a wait for one, and how it is stopped."""
+
+    traits: RequestTraits
+    stop: Callable[[], None]
+
 
 class CrashGuard:
     """Records which requests crash targets, and refuses these requests at one host.
@@ -20,7 +36,7 @@
     book : CrashBook
         Crashes seen by all hosts, as far as their reports have reached this host.
     announce : callable
-        Reports the state of the request with a digest to the other hosts.
+        Reports the state of a trait to the other hosts.
     counted : int
         Number of crashes that this host detected itself.
     """
@@ -28,9 +44,11 @@
     __slots__ = (
         "_changed",
         "_clock",
+        "_contradict_at_by_trait",
         "_host_id",
         "_refused",
-        "_stops_by_digest",
+        "_rng",
+        "_runs_by_trait",
         "book",
         "counted",
         "announce",
@@ -40,62 +58,81 @@
         self._host_id = host_id
         self._clock = clock
         self._changed = trio.Event()
-        self._refused: set[str] = set()
-        self._stops_by_digest: dict[str, set[Callable[[], None]]] = {}
+        self._contradict_at_by_trait: dict[str, float] = {}
+        self._refused: set[frozenset[str]] = set()
+        self._rng = random.Random()
+        self._runs_by_trait: dict[str, set[_Run]] = {}
         self.book = CrashBook()
-        self.announce: Callable[[str], None] = lambda digest: None
+        self.announce: Callable[[str], None] = lambda trait: None
         self.counted = 0
 
     async def watch(
-        self, on_refused: Callable[[str, Verdict], None] = lambda digest, verdict: None
+        self, on_refused: Callable[[str, Verdict], None] = lambda trait, verdict: None
     ) -> None:
         """Check which requests are refused, until cancelled.
 
         Parameters
         ----------
         on_refused : callable
-            Called with digest and verdict of a request when its refusal starts.
+            Called with each trait and the verdict when a refusal starts.
         """
         while True:
             changed = self._changed
-            self.book.forget(self._clock.now())
+            now = self._clock.now()
+            self.book.forget(now)
             self._look(on_refused)
-            pause_s = self.book.next_settled_in_s(self._clock.now()) or EXPIRY_CHECK_S
-            with trio.move_on_after(pause_s):
+            self._contradict(now)
+            with trio.move_on_after(self._pause_s(now)):
                 await changed.wait()
 
+    def _pause_s(self, now: float) -> float:
+        settled_in_s = self.book.next_settled_in_s(now) or EXPIRY_CHECK_S
+        due_at = min(self._contradict_at_by_trait.values(), default=now + settled_in_s)
+        return max(0.0, min(settled_in_s, due_at - now))
+
     def _look(self, on_refused: Callable[[str, Verdict], None]) -> None:
         now = self._clock.now()
-        verdict_by_digest = self.book.verdicts(now)
-        refused = set(verdict_by_digest)
-        for digest in refused - self._refused:
-            verdict = verdict_by_digest[digest]
+        verdict_by_traits = {item.traits: item for item in self.book.verdicts(now)}
+        refused = set(verdict_by_traits)
+        for traits in refused - self._refused:
+            verdict = verdict_by_traits[traits]
             log_event(
                 "request.blocked",
-                digest=digest,
+                digest=format_traits(traits),
                 ends=format_crashes(verdict, now),
                 until_s=round(verdict.until - now),
             )
-            for stop in list(self._stops_by_digest.get(digest, ())):
-                stop()
-            on_refused(digest, verdict)
-        for digest in self._refused - refused:
-            log_event("request.unblocked", digest=digest)
+            for run in self._runs_with(traits):
+                run.stop()
+            for trait in traits:
+                on_refused(trait, verdict)
+        for traits in self._refused - refused:
+            log_event("request.unblocked", digest=format_traits(traits))
         self._refused = refused
 
+    def _runs_with(self, traits: frozenset[str]) -> list[_Run]:
+        """Return the runs of requests that have all of some traits."""
+        runs = [self._runs_by_trait.get(trait, set()) for trait in traits]
+        return list(set.intersection(*runs))
+
     @contextmanager
-    def running(self, digest: str, stop: Callable[[], None]) -> Iterator[None]:
+    def running(
+        self, traits: RequestTraits, stop: Callable[[], None]
+    ) -> Iterator[None]:
         """Stop a run, or a wait for one, if its request is refused in this context."""
-        stops = self._stops_by_digest.setdefault(digest, set())
-        stops.add(stop)
+        run = _Run(traits, stop)
+        for trait in traits.all:
+            self._runs_by_trait.setdefault(trait, set()).add(run)
         try:
             yield
         finally:
-            stops.discard(stop)
-            if not stops and self._stops_by_digest.get(digest) is stops:
-                del self._stops_by_digest[digest]
+            for trait in traits.all:
+                runs = self._runs_by_trait[trait]
+                runs.discard(run)
+                if not runs:
+                    del self._runs_by_trait[trait]
 
-    async def settle(self, digest: str, until: float) -> None:
+    async def settle(self, traits: RequestTraits, until: float) -> None:
         """Wait until it is decided whether a suspected request is refused.
 
         Parameters
@@ -105,88 +142,129 @@
         """
         while True:
             now = self._clock.now()
-            left_s = self.book.settles_in_s(digest, now)
+            left_s = self.book.settles_in_s(traits.all, now)
             if left_s <= 0 or now + left_s >= until:
                 return
             await trio.sleep(left_s)
 
-    def is_settled(self, digest: str) -> bool:
+    def is_settled(self, traits: RequestTraits) -> bool:
         """Return whether it is decided if a request is refused."""
-        return self.book.settles_in_s(digest, self._clock.now()) <= 0
+        return self.book.settles_in_s(traits.all, self._clock.now()) <= 0
 
-    def refusal(self, digest: str, request_id: str, may_have_run: bool) -> Fault | None:
+    def refusal(
+        self, traits: RequestTraits, request_id: str, may_have_run: bool
+    ) -> Fault | None:
         """Return why a request is not sent to another target; None if it may be."""
         now = self._clock.now()
-        verdict = self.book.verdict(digest, now)
+        verdict = self.book.verdict_of(traits.all, now)
         if verdict is None:
             return None
         log_event(
             "request.refused",
             request=request_id,
-            digest=digest,
+            digest=traits.digest,
+            traits=format_traits(verdict.traits),
             ends=format_crashes(verdict, now),
             may_have_run=may_have_run,
         )
         return Fault(
             ResultCode.CRASHES_TARGETS,
-            f"{len(verdict.ends)} targets crashed under this request",
+            f"{len(verdict.ends)} targets crashed under {_subject(traits, verdict)}",
             verdict.until - now,
             Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN,
         )
 
-    def count(self, digest: str, target_id: str, started_ms: int) -> bool:
+    def count(self, traits: RequestTraits, target_id: str, started_ms: int) -> bool:
         """Record that a target crashed under a request; return whether it counts."""
         crash = TargetCrash(target_id, started_ms, self._host_id, self._clock.now())
-        if not self.book.add_crash(digest, crash):
+        width = len(traits.all)
+        new = [
+            trait for trait in traits.all if self.book.add_crash(trait, crash, width)
+        ]
+        if not new:
             return False
         self.counted += 1
-        self.announce(digest)
+        for trait in new:
+            self.announce(trait)
         self._wake()
         return True
 
-    def record_survival(self, digest: str, request_id: str) -> None:
+    def has_unexplained(self, traits: RequestTraits, crashes: int) -> bool:
+        """Return whether so many targets crashed under a trait without a survival."""
+        return any(self.book.is_unexplained(trait, crashes) for trait in traits.all)
+
+    def is_blamed(self, trait: str) -> bool:
+        """Return whether requests are refused for a trait, alone or with others."""
+        verdicts = self.book.verdicts(self._clock.now())
+        return any(trait in verdict.traits for verdict in verdicts)
+
+    def record_survival(self, traits: RequestTraits, request_id: str) -> None:
         """Record that a target has survived the start of a request."""
-        if self.book.add_survival(digest, self._clock.now()):
-            log_event("request.cleared", request=request_id, digest=digest)
-            self.announce(digest)
+        now = self._clock.now()
+        cleared = [trait for trait in traits.all if self.book.add_survival(trait, now)]
+        for trait in cleared:
+            log_event("request.cleared", request=request_id, digest=trait)
+            self.announce(trait)
+        if cleared:
             self._wake()
 
     def learn(self, reports: Iterable[CrashReport], told_by: str) -> list[str]:
-        """Merge reports from other hosts; return the digests with new information."""
+        """Merge reports from other hosts; return the traits with new information."""
         now = self._clock.now()
         changed = []
         for report in reports:
             if self.book.merge(report, now):
                 changed.append(report.digest)
                 self._log_report(report.digest, told_by)
-            if self.book.contradicts(report):
-                self.announce(report.digest)
-        if changed:
+            if self.book.contradicts(report, now):
+                delay_s = self._rng.uniform(0.0, MAX_CONTRADICTION_DELAY_S)
+                self._contradict_at_by_trait.setdefault(report.digest, now + delay_s)
+            elif report.survived_age_s >= 0:
+                self._contradict_at_by_trait.pop(report.digest, None)
+        if changed or self._contradict_at_by_trait:
             self._wake()
         return changed
 
-    def _log_report(self, digest: str, told_by: str) -> None:
-        report = self.book.report(digest, self._clock.now())
+    def _contradict(self, now: float) -> None:
+        """Report the survivals that no other host has reported meanwhile."""
+        due = [trait for trait, at in self._contradict_at_by_trait.items() if at <= now]
+        for trait in due:
+            del self._contradict_at_by_trait[trait]
+            self.announce(trait)
+
+    def _log_report(self, trait: str, told_by: str) -> None:
+        report = self.book.report(trait, self._clock.now())
         log_event(
             "crashes.told",
-            digest=digest,
+            digest=trait,
             told_by=told_by,
             ends=len(report.ends),
             survived=report.survived_age_s >= 0,
         )
 
-    def report(self, digest: str) -> CrashReport:
-        """Return the crashes and survival that are recorded for a request."""
-        return self.book.report(digest, self._clock.now())
+    def report(self, trait: str) -> CrashReport:
+        """Return the crashes and survival that are recorded for a trait."""
+        return self.book.report(trait, self._clock.now())
 
     def _wake(self) -> None:
         event, self._changed = self._changed, trio.Event()
         event.set()
 
 
+def format_traits(traits: Iterable[str]) -> str:
+    """Return traits as text for a log line."""
+    return " ".join(sorted(traits))
+
+
 def format_crashes(verdict: Verdict, now: float) -> str:
     """Return the counted crashes as text for a log line."""
     return ", ".join(
         f"{crash.target_id} {now - crash.at:.1f} s ago by {crash.told_by}"
         for crash in verdict.ends
     )
+
+
+def _subject(traits: RequestTraits, verdict: Verdict) -> str:
+    if traits.digest in verdict.traits:
+        return "this request"
+    return f"requests with {format_traits(verdict.traits)}"
--- a/radishfield/crashes/book_test.py
+++ b/radishfield/crashes/book_test.py
@@ -3,13 +3,12 @@
 import pytest
 
 from radishfield.crashes import CrashBook, TargetCrash
+from radishfield.crashes._blame import MAX_SHARED_CRASHES, SETTLE_S
 from radishfield.crashes._book import (
     IMMUNE_S,
-    MAX_SHARED_CRASHES,
     MAX_SURVIVORS,
     MAX_SUSPECTS,
     REFUSED_S,
-    SETTLE_S,
     SUSPECTED_S,
 )
 
@@ -113,10 +112,10 @@
     assert is_refused(saw_crashes, "popular", 6.0)
     report = saw_crashes.report("popular", 6.0)
     assert not saw_survival.merge(report, 6.0)
-    assert saw_survival.contradicts(report)
+    assert saw_survival.contradicts(report, 6.0)
     assert saw_crashes.merge(saw_survival.report("popular", 6.0), 6.0)
     assert not is_refused(saw_crashes, "popular", 6.0)
-    assert not saw_survival.contradicts(saw_crashes.report("popular", 6.1))
+    assert not saw_survival.contradicts(saw_crashes.report("popular", 6.1), 6.1)
 
 
 def test_crashes_long_after_a_survival_count_again():
@@ -147,7 +146,7 @@
     for number in range(2 * MAX_SURVIVORS):
         book.add_survival(f"sound-{number}", 0.0)
     assert len(book) <= MAX_SUSPECTS
-    assert len(book._survived_at_by_digest) <= MAX_SURVIVORS
+    assert len(book._survived_at_by_trait) <= MAX_SURVIVORS
     assert is_refused(book, "bad")
 
 
@@ -163,10 +162,10 @@
 
 def test_next_attempt_waits_while_others_may_still_explain_its_crashes():
     book = book_of({"bad": ["t1", "t2"]})
-    assert book.settles_in_s("bad", 0.0) == 0.0
+    assert book.settles_in_s(["bad"], 0.0) == 0.0
     book.add_crash("bad", TargetCrash("t3", 1, "host-1", 1.0))
-    assert book.settles_in_s("bad", 1.1) == pytest.approx(SETTLE_S - 0.1)
-    assert book.settles_in_s("bad", 1.0 + SETTLE_S) == 0.0
+    assert book.settles_in_s(["bad"], 1.1) == pytest.approx(SETTLE_S - 0.1)
+    assert book.settles_in_s(["bad"], 1.0 + SETTLE_S) == 0.0
 
 
 def test_hosts_with_the_same_records_have_one_checksum_after_any_change():
@@ -182,7 +181,7 @@
     ):
         change()
         fresh = CrashBook()
-        for digest in book.repeated_digests():
+        for digest in book.repeated_traits():
             fresh.merge(book.report(digest, 2.0), 2.0)
         assert book.checksum() == fresh.checksum()
     assert book.checksum() == 0
--- a/radishfield/forwarding/_app.py
+++ b/radishfield/forwarding/_app.py
@@ -3,7 +3,7 @@
 import math
 
 from radishfield.core import REFUSAL_CODES, Fault, ResultCode, fault
-from radishfield.crashes import request_digest
+from radishfield.crashes import RequestTraits, request_digest
 from radishfield.forwarding._call import Call, Responder, status_of
 from radishfield.forwarding._plain import PlainForwarder
 from radishfield.forwarding._stream_paths import LEAVING_RETRY_S
@@ -147,7 +147,9 @@
             arrived_at=arrived_at,
             deadline_at=arrived_at + wait_s,
             responder=responder,
-            digest=_digest(facts.host, target, workspace, body),
+            traits=RequestTraits.from_parts(
+                _digest(facts.host, target, workspace, body), facts.shared_parts
+            ),
         )
 
     def _unknown_key(self, version: int) -> Fault:
--- a/radishfield/forwarding/_call.py
+++ b/radishfield/forwarding/_call.py
@@ -6,6 +6,7 @@
 import trio
 
 from radishfield.core import Fault, Outcome, ResultCode
+from radishfield.crashes import RequestTraits
 from radishfield.platform import (
     Headers,
     RequestFacts,
@@ -161,8 +162,8 @@
         How often the request was sent to a target, and how often it reached one.
     tried, ran_at : set of str
         Targets that it was sent to, and those that may have run it.
-    digest : str
-        Digest that is equal for the same request of the same caller under another id.
+    traits : RequestTraits
+        What it shares with other requests under which the same targets may crash.
     may_have_run : bool
         Some target may have run it, completely or in part.
     retry_reserved : bool
@@ -182,7 +183,7 @@
     arrived_at: float
     deadline_at: float
     responder: Responder
-    digest: str = ""
+    traits: RequestTraits = RequestTraits("")
     sent: int = 0
     arrived: int = 0
     may_have_run: bool = False
@@ -191,6 +192,11 @@
     ran_at: set[str] = msgspec.field(default_factory=set)
     times: StreamTimes = msgspec.field(default_factory=StreamTimes)
 
+    @property
+    def digest(self) -> str:
+        """Return what is equal for the same request of a caller under another id."""
+        return self.traits.digest
+
     @property
     def workspace_name(self) -> str:
         """Return the workspace's name; empty for a public route."""
--- a/radishfield/forwarding/_crash_gossip.py
+++ b/radishfield/forwarding/_crash_gossip.py
@@ -37,16 +37,16 @@
         """Send new crash reports to all hosts until cancelled."""
         while True:
             await self._view.crash_updates.wait()
-            digests = self._view.crash_updates.take()
+            traits = self._view.crash_updates.take()
             self._send_reports(
-                digests, [*self._zone_peers(), *self._book.remote_watchers()]
+                traits, [*self._zone_peers(), *self._book.remote_watchers()]
             )
 
     def handle_report(self, message: PeerCrashes) -> None:
         """Merge reports of another host and forward new ones within the zone."""
-        new_digests = self._view.crashes.learn(message.reports, message.host_id)
-        if new_digests and message.zone != self._view.zone:
-            self._send_reports(new_digests, self._zone_peers())
+        new_traits = self._view.crashes.learn(message.reports, message.host_id)
+        if new_traits and message.zone != self._view.zone:
+            self._send_reports(new_traits, self._zone_peers())
 
     def compare(self, host_id: str, peer: Peer, checksum: int) -> None:
         """Resend the lasting reports to a host whose status has another checksum."""
@@ -59,13 +59,13 @@
         ):
             return
         self._sent_at_by_host[host_id] = now
-        self._send_reports(self._view.crashes.book.repeated_digests(), [peer])
+        self._send_reports(self._view.crashes.book.repeated_traits(), [peer])
 
     def _zone_peers(self) -> list[Peer]:
         return self._book.present_zone_peers(self._view.clock.now())
 
-    def _send_reports(self, digests: Iterable[str], peers: list[Peer]) -> None:
-        reports = [self._view.crashes.report(digest) for digest in digests]
+    def _send_reports(self, traits: Iterable[str], peers: list[Peer]) -> None:
+        reports = [self._view.crashes.report(trait) for trait in traits]
         for batch in _batches(reports):
             message = PeerCrashes(self._host_id, self._view.zone, batch)
             self._send(encoder.encode(message), peers)
--- a/radishfield/forwarding/_crash_watch.py
+++ b/radishfield/forwarding/_crash_watch.py
@@ -14,9 +14,9 @@
 
 TARGET_CHECK_WAIT_S = 0.1
 """Maximum wait of the next attempt for the check of the last one's target."""
-MAX_LOGGED_PARTS = 8
 READ_FROM_CRASHES = 2
-"""Crashes under a request from which on other hosts' records are read in the store."""
+"""Crashes under a trait from which on other hosts' records are read in the store."""
+MAX_LOGGED_PARTS = 8
 BROKEN_CODES = frozenset({ResultCode.STREAM_BROKEN, ResultCode.ANSWER_TRUNCATED})
 """Failures of an attempt that a crash of its target may have caused."""
 
@@ -99,13 +99,13 @@
         if state is TargetState.ENDED:
             excluded_s = self._view.directory.note_ended(record, self._view.clock.now())
             counted = not outlived_start and crashes.count(
-                call.digest, record.id, record.started_ms
+                call.traits, record.id, record.started_ms
             )
         log_event(
             "attempt.broken",
             request=call.facts.request_id,
             digest=call.digest,
-            parts=" ".join(call.facts.shared_parts[:MAX_LOGGED_PARTS]),
+            parts=" ".join(call.traits.parts[:MAX_LOGGED_PARTS]),
             target=record.id,
             target_state=str(state),
             counted=counted,
@@ -113,19 +113,19 @@
             directory_version=self._view.directory.version,
         )
         checked.set()
-        if counted and len(crashes.report(call.digest).ends) >= READ_FROM_CRASHES:
+        if counted and crashes.has_unexplained(call.traits, READ_FROM_CRASHES):
             await self._records.read()
 
-    def _write_refused(self, digest: str, verdict: Verdict) -> None:
-        """Record a refused request, on the host that saw the last crash under it."""
+    def _write_refused(self, trait: str, verdict: Verdict) -> None:
+        """Record a trait to blame, on the host that saw the last crash under it."""
         newest = max(verdict.ends, key=lambda end: end.at)
         if newest.told_by == self._host_id:
-            self._nursery.start_soon(self._write, digest)
+            self._nursery.start_soon(self._write, trait)
 
-    async def _write(self, digest: str) -> None:
+    async def _write(self, trait: str) -> None:
         failures = 0
-        while not await self._records.write(digest):
+        while not await self._records.write(trait):
             failures += 1
             await trio.sleep(backoff_s(failures, self._view.rng))
-            if self._view.crashes.book.verdict(digest, self._view.clock.now()) is None:
+            if not self._view.crashes.is_blamed(trait):
                 return
--- a/radishfield/forwarding/_plain.py
+++ b/radishfield/forwarding/_plain.py
@@ -118,7 +118,7 @@
         """Try targets until one answers or no further attempt is allowed."""
         attempts = _PlainAttempts()
         while True:
-            await self._view.crashes.settle(call.digest, call.deadline_at)
+            await self._view.crashes.settle(call.traits, call.deadline_at)
             stop = self._targets.check(call)
             if stop is not None:
                 attempts.stop(stop)
@@ -140,7 +140,7 @@
                 return result
             attempts.note_failure(result)
             if attempts.is_exhausted(call, self._view.directory):
-                await self._view.crashes.settle(call.digest, call.deadline_at)
+                await self._view.crashes.settle(call.traits, call.deadline_at)
                 attempts.problem = self._view.crash_refusal(call) or attempts.problem
                 break
         if attempts.failed_answer is not None:
@@ -207,7 +207,7 @@
     def _hedge_target(self, call: Call) -> TargetRecord | None:
         if self._targets.check(call) is not None:
             return None
-        if not self._view.crashes.is_settled(call.digest):
+        if not self._view.crashes.is_settled(call.traits):
             return None
         other = self._choose(call)
         silent = fault(ResultCode.STREAM_SILENT)
@@ -240,7 +240,7 @@
         left_s = call.deadline_at - self._view.clock.now()
         try:
             with trio.move_on_after(max(0.0, left_s)) as scope:
-                with self._view.crashes.running(call.digest, scope.cancel):
+                with self._view.crashes.running(call.traits, scope.cancel):
                     result = await self._exchange(call, record, fresh)
             if scope.cancelled_caught and self._view.clock.now() < call.deadline_at:
                 result = Error(fault(ResultCode.CRASHES_TARGETS, "stopped"))
@@ -248,7 +248,7 @@
             self._view.load.ended(record.id, 0.0, first=True)
         self._note(record, result)
         if not _failed(result):
-            self._view.crashes.record_survival(call.digest, call.facts.request_id)
+            self._view.crashes.record_survival(call.traits, call.facts.request_id)
         elif result.is_error():
             await self._crashes.check_failed_attempt(call, record, result.error)
         return result
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -83,7 +83,7 @@
         engine = call.service.engine
         attempts = StreamAttempts()
         while True:
-            await self._view.crashes.settle(call.digest, call.deadline_at)
+            await self._view.crashes.settle(call.traits, call.deadline_at)
             stop = self._targets.check(call)
             if stop is not None:
                 return final_fault(call, stop, NO_PATH_RETRY_S)
@@ -111,7 +111,7 @@
                 await trio.sleep(attempts.pause_s())
                 continue
             if result.is_error():
-                await self._view.crashes.settle(call.digest, call.deadline_at)
+                await self._view.crashes.settle(call.traits, call.deadline_at)
                 problem = self._view.crash_refusal(call) or attempts.problem
                 return final_fault(call, problem, NO_PATH_RETRY_S)
             if call.responder.started:
@@ -220,7 +220,7 @@
         )
         result = Error(fault(ResultCode.STREAM_SILENT))
         try:
-            with stream.scope, self._view.crashes.running(call.digest, stream.stop):
+            with stream.scope, self._view.crashes.running(call.traits, stream.stop):
                 result = await self._relay(call, record, stream, progress)
             if call.responder.finished:
                 # The attempt was abandoned while the end of its stream was forwarded.
@@ -304,7 +304,7 @@
                 return Error(fault(ResultCode.ANSWER_TRUNCATED, "ended without events"))
             await self._start(call, exchange)
         else:
-            self._view.crashes.record_survival(call.digest, call.facts.request_id)
+            self._view.crashes.record_survival(call.traits, call.facts.request_id)
         await call.responder.end_stream()
         return Ok(None)
 
@@ -319,7 +319,7 @@
         outlived_before = stream.outlived_start
         stream.note_event(self._view.clock.now())
         if stream.outlived_start and not outlived_before:
-            self._view.crashes.record_survival(call.digest, call.facts.request_id)
+            self._view.crashes.record_survival(call.traits, call.facts.request_id)
         if call.responder.started:
             await call.responder.send_events(events)
             return
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -159,7 +159,7 @@
     limits : TargetLimits
         The limits that targets name, and this host's tokens for them.
     crash_updates : UpdateBuffer
-        Digests of the requests whose crashes are to be reported to other hosts.
+        Traits whose crashes are to be reported to other hosts.
     config_reads : int
         Answers of the store that held the configuration.
     streams_cut : int
@@ -429,7 +429,7 @@
     def crash_refusal(self, call: Call) -> Fault | None:
         """Return the fault if crashes rule out another target for a call."""
         return self.crashes.refusal(
-            call.digest, call.facts.request_id, call.may_have_run
+            call.traits, call.facts.request_id, call.may_have_run
         )
 
     def notify_store_back(self) -> None:
--- a/radishfield/forwarding/conftest.py
+++ b/radishfield/forwarding/conftest.py
@@ -126,6 +126,7 @@
     async def _restart(self, target: LayeredTarget, pause_s: float, number: int):
         await trio.sleep(pause_s)
         self.store.remove("servers", target.id)
+        self.layered = [each for each in self.layered if each is not target]
         await self.add_layered(
             f"again-{number}",
             target.first,
--- a/radishfield/forwarding/crashes_test.py
+++ b/radishfield/forwarding/crashes_test.py
@@ -5,7 +5,12 @@
 
 import trio
 
-from radishfield.crashes import CrashReport, TargetCrashEntry, request_digest
+from radishfield.crashes import (
+    CrashReport,
+    RequestTraits,
+    TargetCrashEntry,
+    request_digest,
+)
 from radishfield.forwarding._crash_gossip import CrashGossip
 from radishfield.forwarding._peer_messages import PeerCrashes
 from radishfield.forwarding._peers import Peer, PeerBook
@@ -375,7 +380,7 @@
         testbed.store.put(kind, STREAM_DIGEST, {"ends": [long_ago]})
         crashes = testbed.router.view.crashes
         for number in range(3):
-            crashes.count(STREAM_DIGEST, f"t{number}", 1)
+            crashes.count(RequestTraits(STREAM_DIGEST), f"t{number}", 1)
         await testbed.until(
             lambda: len(testbed.store.spec(kind, STREAM_DIGEST)["ends"]) == 3
         )
--- a/radishfield/forwarding/crashing_parts_test.py
+++ b/radishfield/forwarding/crashing_parts_test.py
@@ -7,7 +7,9 @@
 import pytest
 import trio
 
+from radishfield.crashes import CrashReport, TargetCrashEntry, part_trait
 from radishfield.forwarding.conftest import open_testbed
+from radishfield.platform._requests import MAX_SHARED_PARTS
 from standins.routed_config import config
 
 HOSTS = 3
@@ -123,7 +125,7 @@
     return lambda: (bad, SECOND_PARTS[next(numbers) % len(SECOND_PARTS)])
 
 
-def play(tmp_path, scenario, bad=(BAD,), limit_s=60.0):
+def play(tmp_path, scenario, bad=(BAD,), hosts=HOSTS, targets=TARGETS, limit_s=60.0):
     """Run a scenario in a zone of hosts whose crashed targets come back."""
 
     async def main():
@@ -131,13 +133,13 @@
             async with open_testbed(tmp_path) as testbed:
                 testbed.store.put("config", "main", config())
                 testbed.fleet.crashing_parts.update(bad)
-                for number in range(TARGETS):
+                for number in range(targets):
                     await testbed.add_layered(
                         f"t{number}", 0, 80, events=EVENTS, gap_s=GAP_S
                     )
-                routers = await testbed.start_zone(HOSTS)
+                routers = await testbed.start_zone(hosts)
                 await testbed.until(
-                    lambda: all(r.view.peers.heard == HOSTS - 1 for r in routers)
+                    lambda: all(r.view.peers.heard == hosts - 1 for r in routers)
                 )
                 testbed.nursery.start_soon(testbed.restart_crashed, RESTART_S)
                 await scenario(Scene(testbed))
@@ -199,3 +201,145 @@
         check_sound(scene, began_at)
 
     play(tmp_path, scenario, bad=(BAD, OTHER_BAD))
+
+
+def test_host_that_starts_after_all_others_ended_refuses_at_once(tmp_path):
+    """Guards against more crashes because no neighbour is left to report the part."""
+
+    async def scenario(scene):
+        testbed = scene.testbed
+        await run_load(scene, [middle()], seconds=4.0)
+        await testbed.until(
+            lambda: part_trait(BAD) in testbed.store.names("radishfield-crashes")
+        )
+        for scope in testbed.scopes:
+            scope.cancel()
+        testbed.fronts.clear()
+        await testbed.start_zone(1)
+        await trio.sleep(0.5)
+        began_at = trio.current_time()
+        await run_load(scene, [middle()], seconds=4.0, calm_s=0.0)
+        assert len(scene.late_arrivals(began_at)) <= MAX_LATE
+        assert scene.sound_share(began_at + 1.0) >= 0.95
+
+    play(tmp_path, scenario)
+
+
+def test_host_without_gossip_reads_the_part_from_the_store(tmp_path):
+    """Guards against a host cut off from the others that detects all crashes anew."""
+
+    async def scenario(scene):
+        testbed = scene.testbed
+        await run_load(scene, [middle()], seconds=4.0)
+        await testbed.start_zone(1, gossip=False)
+        await trio.sleep(0.5)
+        began_at = trio.current_time()
+        for _ in range(5):
+            answer = await scene.call(("f0", BAD, "a0", "own"), host=HOSTS)
+            await trio.sleep(0.2)
+        assert answer[0] == 503
+        assert len(scene.late_arrivals(began_at)) == 0
+
+    play(tmp_path, scenario)
+
+
+def test_popular_part_is_served_while_targets_end_for_other_reasons(tmp_path):
+    """Guards against refusing a part for being in flight where targets crashed."""
+
+    async def scenario(scene):
+        testbed = scene.testbed
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(scene.send_sound)
+            await trio.sleep(1.0)
+            for _ in range(12):
+                living = [target for target in testbed.layered if not target.dead]
+                target = max(living, key=lambda item: len(item.paths))
+                target.crash()
+                await trio.sleep(1.0)
+            ended_at = trio.current_time()
+            await trio.sleep(2.5)
+            nursery.cancel_scope.cancel()
+        assert len(testbed.crashed_ids) == 12
+        assert scene.sound_share(ended_at - 4.0, ended_at + 1.5) == 1.0
+        for router in testbed.routers:
+            assert router.view.crashes.book.verdicts(router.view.clock.now()) == []
+
+    play(tmp_path, scenario)
+
+
+def report_crashes(routers):
+    """Report to hosts that three targets crashed under the bad part."""
+    for router in routers:
+        router.view.crashes.book.add_survival("known", router.view.clock.now())
+        ends = [
+            TargetCrashEntry(f"gone-{number}", 1, "host-9", 1.0 + number)
+            for number in range(3)
+        ]
+        report = CrashReport(part_trait(BAD), ends)
+        router.view.crashes.learn([report], "host-9")
+
+
+def test_only_requests_with_the_part_in_another_place_than_the_last_are_refused(
+    tmp_path,
+):
+    """Guards against refusing a request whose own part has the id of a bad one."""
+
+    async def scenario(scene):
+        report_crashes(scene.testbed.routers)
+        assert await scene.call(("f0", "a0", BAD)) == (200, True)
+        assert await scene.call((BAD,)) == (200, True)
+        assert await scene.call(("f0", "a0", "own")) == (200, True)
+        for parts in ((BAD, "own"), ("f0", BAD, BAD), ("f0", BAD.upper(), "own")):
+            assert (await scene.call(parts))[0] == 503
+        assert scene.testbed.fleet.crashing_arrivals == []
+
+    play(tmp_path, scenario, hosts=1, targets=2)
+
+
+def test_queued_and_sent_requests_with_the_part_are_stopped(tmp_path):
+    """Guards against crashes by requests that were taken before the verdict."""
+
+    async def scenario(scene):
+        testbed = scene.testbed
+        (target,) = testbed.layered
+        target.crash_after_s, target.places, target.events = 3.0, 1, 100
+        replies = []
+
+        async def call():
+            replies.append(await scene.call(("f0", BAD, "own")))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(3):
+                nursery.start_soon(call)
+            await testbed.until(lambda: testbed.fleet.crashing_arrivals)
+            await trio.sleep(0.3)
+            report_crashes(testbed.routers)
+            with trio.fail_after(1.0):
+                await testbed.until(lambda: len(replies) == 3)
+        assert sorted(status for status, _ in replies) == [502, 503, 503]
+        await trio.sleep(3.0)
+        assert testbed.crashed_ids == []
+
+    play(tmp_path, scenario, hosts=1, targets=1)
+
+
+def test_prompt_of_thousands_of_parts_is_served_and_hurts_no_other_caller(tmp_path):
+    """Guards against a header that fails its request or fills the book of suspects."""
+
+    async def scenario(scene):
+        huge = tuple(f"{number:x}" for number in range(2_000))
+        answers = []
+
+        async def call(parts):
+            answers.append(await scene.call(parts))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(5):
+                nursery.start_soon(call, huge)
+                nursery.start_soon(call, ("f0", "a0", "own"))
+        assert answers == [(200, True)] * 10
+        (router,) = scene.testbed.routers
+        survivors = router.view.crashes.book._survived_at_by_trait
+        assert len(survivors) <= 10 * (1 + MAX_SHARED_PARTS)
+
+    play(tmp_path, scenario, hosts=1, targets=2)
--- a/radishfield/serving/_attempt.py
+++ b/radishfield/serving/_attempt.py
@@ -22,7 +22,7 @@
 from radishfield.decisions import Dispatch, Failure, FailureKind, Scheduler
 from radishfield.pipeline import PipelineState
 from radishfield.serving._observer import Observer
-from radishfield.serving._target_crashes import digest_of
+from radishfield.serving._target_crashes import traits_of
 
 # A silent or reset connection is replaced by a new one to the same first stage before
 # the target itself is considered faulty.  Two reopenings survive a network path that
@@ -210,4 +210,4 @@
             self._first_token_at = now
         if not self._outlived_start and now - self._first_token_at >= CRASH_WINDOW_S:
             self._outlived_start = True
-            self._crashes.record_survival(digest_of(self._request), self._request.id)
+            self._crashes.record_survival(traits_of(self._request), self._request.id)
--- a/radishfield/serving/_crash_sharing.py
+++ b/radishfield/serving/_crash_sharing.py
@@ -47,8 +47,8 @@
             nursery.start_soon(self._guard.watch)
             task_status.started()
 
-    def _enqueue(self, digest: str) -> None:
-        self._unsent[digest] = None
+    def _enqueue(self, trait: str) -> None:
+        self._unsent[trait] = None
         self._has_unsent.set()
 
     async def _send_unsent(self) -> None:
@@ -56,7 +56,7 @@
             await self._has_unsent.wait()
             await trio.sleep(BATCH_DELAY_S)
             self._has_unsent = trio.Event()
-            digests = list(self._unsent)
+            traits = list(self._unsent)
             self._unsent.clear()
             members = [
                 member.id
@@ -64,18 +64,18 @@
                 if member.state is not MemberState.DEAD
                 and member.id != self._settings.host
             ]
-            await self._send(digests, members)
+            await self._send(traits, members)
 
     async def _resend(self) -> None:
         while True:
             await trio.sleep(RESEND_INTERVAL_S * self._rng.uniform(0.5, 1.5))
             members = self._peers.members()
             chosen = choose_fan_out(members, self._settings, self._rng)
-            await self._send(self._guard.book.repeated_digests(), chosen)
+            await self._send(self._guard.book.repeated_traits(), chosen)
 
-    async def _send(self, digests: Sequence[str], members: Sequence[str]) -> None:
-        for digest in digests:
-            payload = msgspec.msgpack.encode(self._guard.report(digest))
+    async def _send(self, traits: Sequence[str], members: Sequence[str]) -> None:
+        for trait in traits:
+            payload = msgspec.msgpack.encode(self._guard.report(trait))
             await self._peers.tell(members, CRASHES_TOPIC, payload)
 
     def _receive(self, sender: str, payload: bytes) -> None:
--- a/radishfield/serving/_run.py
+++ b/radishfield/serving/_run.py
@@ -18,7 +18,7 @@
 from radishfield.serving._attempt import AttemptFailure
 from radishfield.serving._observer import AnyRequest, Observer
 from radishfield.serving._queue import DispatchQueue
-from radishfield.serving._target_crashes import TargetCrashes, digest_of
+from radishfield.serving._target_crashes import TargetCrashes, traits_of
 
 FAILURE_KIND_BY_CODE = {
     ResultCode.TARGET_REFUSED: FailureKind.REFUSED,
@@ -49,7 +49,7 @@
         "started",
         "_answer_started",
         "_crashes",
-        "_digest",
+        "_traits",
         "_scheduler",
         "_queue",
         "_observer",
@@ -75,7 +75,7 @@
         self._observer = observer
         self._clock = clock
         self._crashes = crashes
-        self._digest = digest_of(request)
+        self._traits = traits_of(request)
         self._answer_started = answer_started
 
     async def run(
@@ -108,10 +108,10 @@
     def _refusal(self) -> Fault | None:
         """Return why the request may not be sent to any more targets, or None."""
         guard = self._crashes.guard
-        return guard.refusal(self._digest, self.request.id, self.started)
+        return guard.refusal(self._traits, self.request.id, self.started)
 
     def _stop_when_refused(self, stop: Callable[[], None]):
-        return self._crashes.guard.running(self._digest, stop)
+        return self._crashes.guard.running(self._traits, stop)
 
     def with_proven_outcome(self, problem: Fault) -> Fault:
         """Return the fault with the outcome that this run has proven."""
@@ -125,7 +125,7 @@
         prepare: RetryPreparer,
     ) -> Fault | None:
         while True:
-            await self._crashes.guard.settle(self._digest, self.work.deadline)
+            await self._crashes.guard.settle(self._traits, self.work.deadline)
             refusal = self._refusal()
             if refusal is not None:
                 return refusal
@@ -138,12 +138,12 @@
             report = self._failure_report(dispatch, failure)
             if failure.started and not failure.outlived_start:
                 await self._crashes.note_failure(
-                    self._digest, report.target_id, failure.problem
+                    self._traits, report.target_id, failure.problem
                 )
             self._observer.attempt_failed(self.request, report, failure.problem)
             decision = self._scheduler.failed(report, self._clock.now())
             if isinstance(decision, GiveUp):
-                await self._crashes.guard.settle(self._digest, self.work.deadline)
+                await self._crashes.guard.settle(self._traits, self.work.deadline)
                 return self._refusal() or self.with_proven_outcome(decision.fault)
             self._observer.retried(self.request, decision, failure.problem)
             await trio.sleep(decision.after_s)
@@ -162,7 +162,7 @@
             ):
                 failure = await attempt(dispatch)
         if failure is None:
-            self._crashes.guard.record_survival(self._digest, self.request.id)
+            self._crashes.guard.record_survival(self._traits, self.request.id)
         if failure is not None and not failure.started:
             self.started = started_before
         return failure
--- a/radishfield/serving/_target_crashes.py
+++ b/radishfield/serving/_target_crashes.py
@@ -3,7 +3,12 @@
 from collections.abc import Awaitable, Callable, Iterable
 
 from radishfield.core import Fault, ResultCode, Target, TargetState
-from radishfield.crashes import CrashGuard, is_listening, request_digest
+from radishfield.crashes import (
+    CrashGuard,
+    RequestTraits,
+    is_listening,
+    request_digest,
+)
 from radishfield.serving._observer import AnyRequest
 
 ListenCheck = Callable[[Target], Awaitable[bool | None]]
@@ -38,6 +43,11 @@
     return request_digest(part.encode() for part in parts)
 
 
+def traits_of(request: AnyRequest) -> RequestTraits:
+    """Return what a request shares with others that may crash the same targets."""
+    return RequestTraits(digest_of(request))
+
+
 class TargetCrashes:
     """Counts target crashes under requests, and refuses requests because of them."""
 
@@ -54,7 +64,9 @@
         """Replace the known targets."""
         self._target_by_id = {target.id: target for target in targets}
 
-    async def note_failure(self, digest: str, target_id: str, problem: Fault) -> None:
+    async def note_failure(
+        self, traits: RequestTraits, target_id: str, problem: Fault
+    ) -> None:
         """Check the target of a started attempt that broke, and count its crash."""
         target = self._target_by_id.get(target_id)
         if target is None or problem.code not in BROKEN_CODES:
@@ -64,4 +76,4 @@
             target.state is TargetState.LIVE
             and await self._check_listening(target) is False
         ):
-            self.guard.count(digest, target.id, target.incarnation)
+            self.guard.count(traits, target.id, target.incarnation)
--- a/radishfield/serving/crashes_test.py
+++ b/radishfield/serving/crashes_test.py
@@ -19,7 +19,12 @@
     TrioClock,
     fault,
 )
-from radishfield.crashes import CrashGuard, CrashReport, TargetCrashEntry
+from radishfield.crashes import (
+    CrashGuard,
+    CrashReport,
+    RequestTraits,
+    TargetCrashEntry,
+)
 from radishfield.decisions import Scheduler
 from radishfield.fleet import SpreadSettings
 from radishfield.serving import CrashSharing, Dispatcher, TargetCrashes
@@ -288,7 +293,9 @@
         ends = [TargetCrashEntry(f"gone-{number}", 1, "z", 1.0) for number in range(3)]
         now = trio.current_time()
         guard.book.merge(CrashReport(digest_of(pending_request), ends), now)
-        guard._look(lambda digest, verdict: guard.record_survival(digest, "r0"))
+        guard._look(
+            lambda digest, verdict: guard.record_survival(RequestTraits(digest), "r0")
+        )
         await trio.sleep(0.1)
         assert results[0].error.outcome is Outcome.NOT_RUN
 
