Refuse conversations that share a message which crashes engines at entry hosts too

The entry host's guard counted by whole requests as the router's did, and its prompts have no named parts. Now each message of a conversation but the last is a part, by its digest. Six conversations at three hosts that share two messages cost four targets at most; before this, the test could not name what they share. Callers with one of the messages alone are served.

--- a/radishfield/core/_data.py
+++ b/radishfield/core/_data.py
@@ -233,6 +233,8 @@
     body_digest : str
         Digest of the normalised body; an idempotency key that is reused with
         another digest is refused.
+    shared_parts : tuple of str
+        Digests of the parts of the prompt that other prompts may have, in their order.
     """
 
     id: str
@@ -247,6 +249,7 @@
     body_digest: str = ""
     prompt_tokens: int = 0
     sampling: Sampling = Sampling()
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
--- a/radishfield/edges/_caller_bodies.py
+++ b/radishfield/edges/_caller_bodies.py
@@ -22,6 +22,7 @@
 # Admission needs an estimated length before any tokenizer has run.  English text
 # has about four bytes per token; admission corrects the estimate by measurements.
 BYTES_PER_TOKEN = 4
+PART_DIGEST_BYTES = 12
 
 Count = Annotated[int, Meta(ge=1, le=MAX_ANSWER_TOKENS)]
 ModelName = Annotated[str, Meta(min_length=1, max_length=64)]
@@ -113,6 +114,10 @@
             return self.messages[0].text()
         return "\n".join(f"{item.role}: {item.text()}" for item in self.messages)
 
+    def shared_parts(self) -> list[str]:
+        """Return the messages but the last, which other conversations may have too."""
+        return [f"{item.role}: {item.text()}" for item in self.messages[:-1]]
+
     def length(self) -> int:
         """Return the maximum number of tokens to generate."""
         return self.max_completion_tokens or self.max_tokens or DEFAULT_MAX_TOKENS
@@ -133,6 +138,10 @@
             return self.prompt_field
         return self.prompt_field[0]
 
+    def shared_parts(self) -> list[str]:
+        """Return no parts: they are not told apart in the only prompt."""
+        return []
+
     def length(self) -> int:
         """Return the maximum number of tokens to generate."""
         return self.max_tokens or DEFAULT_MAX_TOKENS
@@ -147,6 +156,8 @@
     digest : str
         Digest of all fields that determine the answer.  It is the same whether or
         not the answer is streamed, and for any order of the body's fields.
+    shared_parts : tuple of str
+        Digests of the messages of a conversation but for the last, in their order.
     """
 
     shape: Shape
@@ -158,6 +169,7 @@
     shows_usage: bool
     sampling: Sampling
     digest: str
+    shared_parts: tuple[str, ...]
 
 
 def read_model_call(shape: Shape, body: bytes) -> Result[ModelCall, Fault]:
@@ -185,9 +197,14 @@
         shows_usage=options.include_usage,
         sampling=sampling,
         digest=hashlib.sha256(msgspec.json.encode(digest_fields)).hexdigest(),
+        shared_parts=tuple(_part_digest(text) for text in body.shared_parts()),
     )
 
 
+def _part_digest(text: str) -> str:
+    return hashlib.blake2b(text.encode(), digest_size=PART_DIGEST_BYTES).hexdigest()
+
+
 def _body_fault(reason: str) -> Fault:
     unknown = _UNKNOWN_FIELD.search(reason)
     if unknown:
--- a/radishfield/edges/_caller_requests.py
+++ b/radishfield/edges/_caller_requests.py
@@ -62,6 +62,7 @@
         body_digest=call.digest,
         prompt_tokens=call.prompt_tokens,
         sampling=call.sampling,
+        shared_parts=call.shared_parts,
     )
 
 
--- a/radishfield/edges/caller_test.py
+++ b/radishfield/edges/caller_test.py
@@ -274,6 +274,23 @@
     assert first == second != third
 
 
+def test_messages_but_the_last_are_shared_parts():
+    """Guards against conversations that can't be told to share a crashing message."""
+    served = []
+
+    def parts_of(*contents):
+        serving = ScriptedServing()
+        messages = [{"role": "user", "content": content} for content in contents]
+        ask(serving, body=HELLO | {"messages": messages})
+        served.extend(serving.requests)
+        return served[-1].shared_parts
+
+    assert parts_of("only") == ()
+    one, two = parts_of("a", "b", "c")
+    assert parts_of("a", "c") == (one,)
+    assert parts_of("b", "a") == (two,)
+
+
 @pytest.mark.parametrize(
     ("path", "body", "headers", "status", "code"),
     [
--- a/radishfield/serving/_target_crashes.py
+++ b/radishfield/serving/_target_crashes.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Awaitable, Callable, Iterable
 
-from radishfield.core import Fault, ResultCode, Target, TargetState
+from radishfield.core import Fault, Request, ResultCode, Target, TargetState
 from radishfield.crashes import (
     CrashGuard,
     RequestTraits,
@@ -45,7 +45,12 @@
 
 def traits_of(request: AnyRequest) -> RequestTraits:
     """Return what a request shares with others that may crash the same targets."""
-    return RequestTraits(digest_of(request))
+    match request:
+        case Request():
+            parts = request.shared_parts
+        case _:
+            parts = ()
+    return RequestTraits.from_parts(digest_of(request), parts)
 
 
 class TargetCrashes:
--- a/radishfield/serving/crashes_test.py
+++ b/radishfield/serving/crashes_test.py
@@ -24,6 +24,7 @@
     CrashReport,
     RequestTraits,
     TargetCrashEntry,
+    part_trait,
 )
 from radishfield.decisions import Scheduler
 from radishfield.fleet import SpreadSettings
@@ -211,6 +212,43 @@
     run_scenario(scenario)
 
 
+def conversation(number, *parts):
+    """Return a request that shares only parts of its prompt with others."""
+    now = trio.current_time()
+    return Request(
+        f"r{number}",
+        "w",
+        Profile("p", "m"),
+        f"question {number}",
+        3,
+        now,
+        now + DEADLINE_S,
+        body_digest=f"body-{number}",
+        shared_parts=parts,
+    )
+
+
+def test_message_that_crashes_targets_is_refused_in_each_conversation():
+    """Guards against counting by whole requests where a message is the cause."""
+
+    async def scenario(nursery, peers):
+        targets = CrashingTargets()
+        hosts = [await add_host(nursery, peers, targets, name) for name in "abc"]
+        for number in range(6):
+            dispatcher, guard = hosts[number % 3]
+            guard.record_survival(RequestTraits("known", (part_trait("5e"),)), "r0")
+            await dispatcher.generate(conversation(number, "5e", "bad"), None)
+            await trio.sleep(0.5)
+        assert len(targets.crashed) <= 4
+        for dispatcher, guard in hosts:
+            result = await dispatcher.generate(conversation(9, "5e", "bad"), None)
+            assert_refused_and_not_run(result)
+            sound = RequestTraits("other", (part_trait("5e"), part_trait("6f")))
+            assert guard.refusal(sound, "r", may_have_run=False) is None
+
+    run_scenario(scenario)
+
+
 def test_host_that_missed_a_crash_report_receives_it_later():
     """Guards against a started or reconnected host that must detect crashes itself."""
 
