Send the late update of the zone test with its entry's own revision

Cause: the test took the store's revision for that of the entry. Forced: with an unrelated write at this point the test fails each time with the recorded assertion, and no host ever sees such an update, since an entry's revision is that of its own last write.

Change: the test sends the entry's own revision, and makes the unrelated write each time, so that it is stricter than before.

--- a/radishfield/forwarding/zone_test.py
+++ b/radishfield/forwarding/zone_test.py
@@ -148,7 +148,9 @@
         updated = next(r for r in routers if not r.view.watch_duty.on_duty)
         testbed.store.put("servers", "p2", target_entry("portal", "10.9.9.9:80"))
         await testbed.until(lambda: "p2" in listed(updated), BOUND_S)
-        revision = testbed.store.revision
+        revision = testbed.store.revision_of("servers", "p2")
+        # Other objects may be written between an entry and its removal.
+        testbed.store.put("other", "unrelated", {})
         testbed.store.remove("servers", "p2")
         await testbed.until(lambda: "p2" not in listed(updated), BOUND_S)
         late = TargetUpdate("p2", revision, target_entry("portal", "10.9.9.9:80"))
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -97,6 +97,10 @@
         item = self._items[kind].get(name)
         return item["spec"] if item else None
 
+    def revision_of(self, kind: str, name: str) -> int:
+        """Return the revision of an object's last change."""
+        return self._items[kind][name]["metadata"]["revision"]
+
     def _record_change(self, kind: str, item: dict, deleted: bool) -> None:
         self._history.append(_Change(self.revision, kind, item, deleted))
         self._wake()
