Let a host's share of the retry budget follow its part of the load

What callers would see: the balancer sends most connections of a zone to one host of 195; a dead target breaks forty of its streams, and it may retry four of them in that second, its even share of what remains (test: 4 of 40, 40 needed).

Cause: a host took no more than would fit if every other host took the same, whatever their loads. Change: a quarter of the share follows the host's part of all first attempts, as others can know them too: its own of the last second don't count.

--- a/radishfield/limits/_retries.py
+++ b/radishfield/limits/_retries.py
@@ -7,8 +7,11 @@
 hosts, one could retry twenty requests in ten seconds, and a dead target breaks more.
 So each host reports what it has used, and takes from what remains over all hosts, no
 more at a time than would still fit if every other host did the same at that moment.
+Its share at a moment follows its part of the load: a balancer may send most connections
+to one host, at which most requests then fail.
 """
 
+from bisect import bisect_right
 from collections import deque
 from collections.abc import Collection, Iterable
 
@@ -20,7 +23,11 @@
 
 MAX_REPORT_DELAY_S = 1.0
 """Maximum time until all hosts have received the report of a retry.  Within it, a host
-takes no more than its even share of the remaining budget."""
+takes no more than its share of the remaining budget."""
+
+LOAD_WEIGHT = 0.25
+"""Weight of a host's part of all first attempts in its share; the rest is the same for
+all hosts, so that one with little load may retry what fails there."""
 
 
 class RetryAllowance(msgspec.Struct, frozen=True):
@@ -82,11 +89,24 @@
         recent_retries = sum(
             1 for at in self._retry_times if at > now - MAX_REPORT_DELAY_S
         )
-        if (recent_retries + 1) * (1 + len(reported)) > left + recent_retries:
+        share = self._share(now, reported)
+        if recent_retries + 1 > share * (left + recent_retries):
             return False
         self._retry_times.append(now)
         return True
 
+    def _share(self, now: float, others: Collection[RetryUse]) -> float:
+        """Return this host's share of what remains; those of all hosts add up to 1.
+
+        Its own latest first attempts don't count, since reports lack those of others.
+        """
+        even_share = 1.0 / (1 + len(others))
+        reported_until = now - MAX_REPORT_DELAY_S
+        own = bisect_right(self._first_attempt_times, reported_until)
+        firsts = own + sum(use.firsts for use in others)
+        load_share = own / firsts if firsts else even_share
+        return (1.0 - LOAD_WEIGHT) * even_share + LOAD_WEIGHT * load_share
+
     def left(self, now: float, hosts: int, others: Collection[RetryUse]) -> float:
         """Return the retries that are left for all hosts together; see `take`."""
         self._forget(now)
--- a/radishfield/routing/small_test.py
+++ b/radishfield/routing/small_test.py
@@ -66,6 +66,20 @@
     assert taken >= 40
 
 
+def test_host_that_takes_most_of_a_zone_may_use_retries_for_its_load():
+    """Guards against shares of the budget that stay even when the load is not.
+
+    One of 195 hosts gets a fifth of all requests, and a dead target breaks forty of its
+    streams at one moment.
+    """
+    budget = RetryBudget(RetryAllowance(0.2, 10.0, 574.0))
+    for number in range(500):
+        budget.record_first_attempt(10.0 * number / 500)
+    others = [RetryUse(10, 0)] * 194
+    taken = sum(budget.take(10.0, 195, others) for _ in range(60))
+    assert taken >= 40
+
+
 def test_a_repeat_that_never_arrived_is_not_spent():
     """A zone is partitioned, and broken streams try targets that they cannot reach.
 
