Add up the failed answers of plain targets over all hosts

What callers saw: with nine hosts and three targets, one of which fails each post, nine of 72 posts fail, one at each host; with 195 hosts it would be 195.

Each takes the larger share of failures, its own or that of all hosts together. Only answers count: a failed connection may be the host's own link.

--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -49,6 +49,7 @@
 from radishfield.limits import RetryUse
 from radishfield.platform import ObjectStore
 from radishfield.routing import (
+    MIN_EXCLUDED_SHARE,
     Pair,
     PeerConfirmation,
     ZoneTotal,
@@ -174,6 +175,7 @@
                 {record.address for record in self._view.directory.all_records()}
             )
             self._update_peer_summary()
+            self._update_failures()
             self._apply_list_confirmations()
             status = self._status()
             recipients = self._recipients()
@@ -305,6 +307,7 @@
                 self._slowdowns(now),
                 self._view.crashes.book.checksum(),
                 self._relay_offer(now),
+                self._view.shared_failures.own(now),
             )
         )
 
@@ -439,6 +442,7 @@
             status.host_id, decode_work(status.work), now, status.zone
         )
         self._record_slowdowns(status.slowdowns)
+        self._view.shared_failures.learn(status.host_id, status.failures, now)
         self._crashes.compare(status.host_id, peer, status.crashes_checksum)
         for incarnation in status.leaving:
             if self._view.directory.mark_leaving(incarnation):
@@ -525,6 +529,15 @@
                 del view_of_peers.use_by_service_by_host[host_id]
                 self._view.links.forget(host_id)
 
+    def _update_failures(self) -> None:
+        """Apply the failures that all hosts have seen, and log what changes."""
+        now, failures = self._view.clock.now(), self._view.failures
+        before = failures.elsewhere_by_id
+        failures.elsewhere_by_id = self._view.shared_failures.share_by_id(now)
+        for target_id, share in failures.elsewhere_by_id.items():
+            if share >= MIN_EXCLUDED_SHARE > before.get(target_id, 0.0):
+                log_event("target.failing", target=target_id, share=round(share, 2))
+
     def _assign_duty(self, now: float) -> None:
         """Assign the duty of following the store among the hosts of the zone."""
         others = self._book.zone_hosts(now)
--- a/radishfield/forwarding/_peer_messages.py
+++ b/radishfield/forwarding/_peer_messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from radishfield.crashes import CrashReport
+from radishfield.routing import AnswerCounts
 from radishfield.telemetry import log_event
 
 DATAGRAM_BYTES = 8 << 10
@@ -200,6 +201,8 @@
     relay : RelayOffer
         Whether the sender connects other hosts to targets, at the address at which
         it receives datagrams.
+    failures : list of AnswerCounts
+        Failed answers of plain targets to the sender.
     """
 
     host_id: str
@@ -224,6 +227,7 @@
     slowdowns: list[TargetSlowdown] = []
     crashes_checksum: int = 0
     relay: RelayOffer = RelayOffer.NONE
+    failures: list[AnswerCounts] = []
 
 
 encoder = msgspec.msgpack.Encoder()
--- a/radishfield/forwarding/_plain.py
+++ b/radishfield/forwarding/_plain.py
@@ -16,7 +16,6 @@
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import Headers
 from radishfield.routing import (
-    FailureRates,
     TargetDirectory,
     TargetRecord,
     choose_target,
@@ -95,13 +94,12 @@
 class PlainForwarder:
     """Serves calls to services whose targets each process a request alone."""
 
-    __slots__ = ("_crashes", "_failures", "_targets", "_view")
+    __slots__ = ("_crashes", "_targets", "_view")
 
     def __init__(self, targets: Targets, crashes: CrashWatch, view: RouterView):
         self._crashes = crashes
         self._targets = targets
         self._view = view
-        self._failures = FailureRates()
 
     async def serve(self, call: Call) -> None:
         """Answer a call."""
@@ -167,7 +165,7 @@
             record = choose_target(
                 self._view.with_room(records),
                 self._view.load,
-                self._failures,
+                self._view.failures,
                 self._view.zone,
                 call.tried,
                 self._view.rng,
@@ -274,7 +272,10 @@
         if result.is_error() and result.error.code is ResultCode.TARGETS_LIMITED:
             return
         failed = _failed(result)
-        self._failures.note(record.id, failed)
+        self._view.failures.note(record.id, failed)
+        if result.is_ok():
+            # Other failures may be those of this host's own link.
+            self._view.shared_failures.note(record.id, failed, self._view.clock.now())
         if not failed:
             self._view.directory.clear(record.id)
 
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -22,6 +22,7 @@
     AdmissionQueue,
     CrossingGate,
     EngineSpec,
+    FailureRates,
     Freshness,
     LinkUsage,
     LoadTable,
@@ -32,6 +33,7 @@
     RouteRule,
     RoutingTable,
     ServiceSpec,
+    SharedFailures,
     SlowdownTable,
     TargetDirectory,
     TargetLimits,
@@ -158,6 +160,10 @@
         Returns the number of connections that this host relays for others.
     limits : TargetLimits
         The limits that targets name, and this host's tokens for them.
+    failures : FailureRates
+        Share of requests that plain targets failed.
+    shared_failures : SharedFailures
+        Failed answers of plain targets to all hosts.
     crash_updates : UpdateBuffer
         Traits whose crashes are to be reported to other hosts.
     config_reads : int
@@ -215,6 +221,8 @@
     offers_relay: Callable[[], bool] = lambda: False
     relayed_connections: Callable[[], int] = lambda: 0
     limits: TargetLimits | None = None
+    failures: FailureRates = msgspec.field(default_factory=FailureRates)
+    shared_failures: SharedFailures = msgspec.field(default_factory=SharedFailures)
     crash_updates: UpdateBuffer[str] = msgspec.field(default_factory=UpdateBuffer)
     config_reads: int = 0
     list_confirmations: UpdateBuffer[float] = msgspec.field(
--- a/radishfield/routing/__init__.py
+++ b/radishfield/routing/__init__.py
@@ -5,7 +5,11 @@
 """
 
 from radishfield.routing._admission_queue import AdmissionQueue, QueueEntry
-from radishfield.routing._choice import FailureRates, choose_target
+from radishfield.routing._choice import (
+    MIN_EXCLUDED_SHARE,
+    FailureRates,
+    choose_target,
+)
 from radishfield.routing._crossing_gate import (
     ANNOUNCE_DELAY_S,
     CrossingGate,
@@ -68,6 +72,7 @@
     confirmed_by_peer_at,
     sends_callers_away,
 )
+from radishfield.routing._shared_failures import AnswerCounts, SharedFailures
 from radishfield.routing._silence import (
     Ask,
     GiveUp,
@@ -129,6 +134,7 @@
     "MAX_DELIVERY_S",
     "MAX_NORMAL_SLOWDOWN",
     "MIN_DUTY_CHECK_S",
+    "MIN_EXCLUDED_SHARE",
     "NOTICE_S",
     "OUTAGE_EXPIRY_S",
     "REGISTRATION_GRACE_S",
@@ -149,7 +155,9 @@
     "Demand",
     "EngineSpec",
     "EventSplitter",
+    "AnswerCounts",
     "FailureRates",
+    "SharedFailures",
     "Freshness",
     "GiveUp",
     "Identity",
--- a/radishfield/routing/_choice.py
+++ b/radishfield/routing/_choice.py
@@ -32,8 +32,15 @@
 
 
 class FailureRates(msgspec.Struct):
-    """Share of failed requests by target, with most weight on the latest ones."""
+    """Share of failed requests by target, with most weight on the latest ones.
 
+    Attributes
+    ----------
+    elsewhere_by_id : dict
+        Share of failures over all hosts, by target; it counts where it is larger.
+    """
+
+    elsewhere_by_id: dict[str, float] = msgspec.field(default_factory=dict)
     _share_by_id: dict[str, float] = msgspec.field(default_factory=dict)
 
     def note(self, target_id: str, failed: bool) -> None:
@@ -45,7 +52,8 @@
 
     def share(self, target_id: str) -> float:
         """Return the share of failures, from 0 to 1."""
-        return self._share_by_id.get(target_id, 0.0)
+        own = self._share_by_id.get(target_id, 0.0)
+        return max(own, self.elsewhere_by_id.get(target_id, 0.0))
 
 
 def choose_target(
