Soak: different requests that share a part which crashes targets

The plan "parts" sends streams with one of two such parts, no two alike, beside sound streams that share their first part, while routers are killed, stopped and told to leave and links fail.

--- a/proofs/_router_soak.py
+++ b/proofs/_router_soak.py
@@ -20,7 +20,7 @@
 
 from proofs._router_relay import FaultyRelay, RelayFault, SlowLink
 from proofs._soak_changes import Changes
-from proofs._soak_crashes import CrashLog
+from proofs._soak_crashes import PART_CAUSE, CrashLog
 from proofs._soak_judge import STORE, FaultLog, Findings, StreamEnd
 from proofs._soak_limits import LimitLog
 from proofs._soak_plans import Plan, ScheduledFault, draw_faults
@@ -50,6 +50,10 @@
 process resumes, views are read again, and excluded targets are probed."""
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 POLL_S = 0.01
+FIRST_PARTS = ("f0", "f1")
+"""First parts of prompts, each of which many requests share."""
+CRASHING_PARTS = ("bad0", "bad1")
+"""Parts of prompts that crash targets."""
 BYTES_PER_MBIT = 125_000
 
 
@@ -68,7 +72,7 @@
         self._ports = ports
         self._seconds = seconds
         self._store = ObjectStoreApp()
-        self._fleet = LayeredFleet()
+        self._fleet = LayeredFleet(crashing_parts=set(CRASHING_PARTS))
         self._plain: list[PlainTarget] = []
         self._layered: list[LayeredTarget] = []
         self._relays: dict[str, FaultyRelay] = {}
@@ -233,6 +237,8 @@
                     router.start()
             case "crash":
                 await self._crash(rng.choice(("read", "post", "stream")), rng)
+            case "part":
+                await self._crash_by_part(rng)
             case "limit":
                 await self._limit(rng)
             case "hup":
@@ -271,6 +277,18 @@
                 await self._call(pool, router, kind, path=path, body=CRASHING_BODY)
                 await trio.sleep(rng.uniform(0.0, 1.0))
 
+    async def _crash_by_part(self, rng: random.Random) -> None:
+        """Send different requests with one part that crashes targets, to any router."""
+        part = rng.choice(CRASHING_PARTS)
+        first = rng.choice(FIRST_PARTS)
+        async with httpcore.AsyncConnectionPool() as pool:
+            for _ in range(rng.randint(2, 5)):
+                router = rng.choice(self._routers)
+                parts = (first, part, f"own{self._sent}")
+                body = b"%d" % self._sent
+                await self._call(pool, router, "stream", body=body, parts=parts)
+                await trio.sleep(rng.uniform(0.0, 1.0))
+
     def _set_bandwidth(self, link: SlowLink, rng: random.Random) -> None:
         mbps = rng.uniform(*self._plan.link_mbps)
         link.bytes_per_s = mbps * BYTES_PER_MBIT
@@ -318,14 +336,21 @@
         key: str = KEY,
         path: str = "",
         body: bytes = b"{}",
+        parts: tuple[str, ...] = (),
     ) -> int:
         """Send one request and check its answer; return the status, 0 if incomplete."""
         self._sent += 1
         request_id = f"{kind}-{self._sent}"
-        crashes = body == CRASHING_BODY
-        self._crashes.record_request(request_id, path, _router_name(router))
+        bad_parts = [part for part in parts if part in CRASHING_PARTS]
+        crashes = body == CRASHING_BODY or bool(bad_parts)
+        cause = PART_CAUSE + bad_parts[0] if bad_parts else path
+        self._crashes.record_request(request_id, cause, _router_name(router))
         deadline_s = self._plan.deadline_s
         headers = request_headers(request_id, key, deadline_s)
+        if kind == "stream":
+            sound = (FIRST_PARTS[self._sent % len(FIRST_PARTS)], "subject", request_id)
+            items = [f"{part}:10" for part in parts or sound]
+            headers["x-prompt-prefix"] = ",".join(items)
         method = "GET" if kind == "read" else "POST"
         received, status, complete, signed = bytearray(), 0, False, False
         sent_at = trio.current_time()
--- a/proofs/_soak_plans.py
+++ b/proofs/_soak_plans.py
@@ -92,6 +92,12 @@
 )
 """Requests that crash targets, and faults that only look like crashes."""
 
+PARTS = Plan(
+    kinds=("part", "part", "part", "relay", "reset", "kill", "stop", "hup", "term"),
+    spares=4,
+)
+"""Requests that share a part which crashes targets, and faults that look like it."""
+
 LIMITS = Plan(
     kinds=("limit", "limit", "limit", "kill", "term", "stop", "reset", "hup"),
     callers=18,
@@ -119,4 +125,10 @@
     return faults
 
 
-PLANS = {"faults": FAULTS, "changes": CHANGES, "crashes": CRASHES, "limits": LIMITS}
+PLANS = {
+    "faults": FAULTS,
+    "changes": CHANGES,
+    "crashes": CRASHES,
+    "parts": PARTS,
+    "limits": LIMITS,
+}
--- a/proofs/router_soak_test.py
+++ b/proofs/router_soak_test.py
@@ -4,7 +4,7 @@
 import trio
 
 from proofs._router_soak import HOSTS, MANY_HOSTS, PORTS_PER_HOST, Soak
-from proofs._soak_plans import CHANGES, CRASHES, FAULTS, LIMITS, Plan
+from proofs._soak_plans import CHANGES, CRASHES, FAULTS, LIMITS, PARTS, Plan
 from standins.ports import free_ports
 
 
@@ -47,6 +47,15 @@
     assert findings.statuses["stream 200"] > 20
 
 
+@pytest.mark.parametrize(("seed", "hosts"), [(1, HOSTS), (2, MANY_HOSTS)])
+def test_parts_that_crash_targets_are_sent_on_by_no_host(seed, hosts, tmp_path):
+    """Guards against endless crashes by requests that share only a part."""
+    findings = _run_soak(seed, hosts, tmp_path, PARTS)
+    assert findings.violations == []
+    assert findings.crashes > 3
+    assert findings.statuses["stream 200"] > 20
+
+
 @pytest.mark.parametrize(("seed", "hosts"), [(1, HOSTS), (2, MANY_HOSTS)])
 def test_targets_get_no_more_than_the_limits_that_they_name(seed, hosts, tmp_path):
     """Guards against limits that are forgotten where hosts stop and start."""
