Wait for a refusal that is on its way when a request is stopped

Cause, traced before: the request was just being sent again to the full target when the crashes were reported; its attempt was cancelled before the refusal arrived. Change: a stopped attempt ends 0.05 s later, unless its first event comes; a refusal within that time proves that it did not run.

Evidence: a target that takes 0.03 s to refuse makes the fault certain; the new test gets 502 in each run before, 503 after.

--- a/radishfield/forwarding/_active_stream.py
+++ b/radishfield/forwarding/_active_stream.py
@@ -1,5 +1,6 @@
 """State of one attempt of a stream while it is in flight."""
 
+import math
 from collections.abc import Callable
 
 import trio
@@ -21,6 +22,11 @@
 path that new requests lack."""
 
 
+STOP_GRACE_S = 0.05
+"""Time for which a stopped attempt still waits for its target's answer.  A refusal that
+is on its way proves that the request did not run."""
+
+
 class ActiveStream:
     """One attempt of a stream, with its path and the time of its last progress.
 
@@ -94,6 +100,7 @@
             )
         else:
             self._first_event_at = now
+            self.scope.deadline = math.inf
         self.last_progress_at = now
         self.has_events = True
         self.held_up_s = 0.0
@@ -116,7 +123,7 @@
         """End the attempt, unless its target has started to answer."""
         if not self.has_events:
             self.abandon_reason = "targets crashed under this request"
-            self.scope.cancel()
+            self.scope.deadline = trio.current_time() + STOP_GRACE_S
 
     def silence(self, now: float) -> StreamSilence:
         """Return the state of the stream that decisions are based on.
--- a/radishfield/forwarding/crashes_test.py
+++ b/radishfield/forwarding/crashes_test.py
@@ -194,6 +194,28 @@
     play_alone(tmp_path, scenario)
 
 
+def test_request_that_its_target_is_refusing_is_reported_as_not_run(tmp_path):
+    """Guards against an unknown outcome where a full target's refusal is on its way."""
+
+    async def scenario(testbed):
+        testbed.store.put("config", "main", config())
+        target = await testbed.add_layered("full", 0, 80, events=200, places=1)
+        target.refuse_after_s = 0.03
+        await testbed.start_router()
+        fill = lambda: testbed.request("/stream/y", "POST", body=b"{}")  # noqa: E731
+        testbed.nursery.start_soon(fill)
+        await trio.sleep(0.2)
+
+        async def wait_until_refusing():
+            await testbed.until(lambda: target.refusing)
+
+        testbed.fronts = [testbed.front]
+        reply = await answer_after_proof(testbed, testbed.router, wait_until_refusing)
+        assert (reply.status, testbed.crashed_ids) == (503, [])
+
+    play_alone(tmp_path, scenario)
+
+
 def test_sent_request_is_cancelled_before_it_crashes_its_target(tmp_path):
     """Guards against a crash by a request that was sent before the proof."""
 
--- a/standins/routed_targets.py
+++ b/standins/routed_targets.py
@@ -179,6 +179,8 @@
         0 for no abort.
     places : int
         Maximum number of concurrent streams as a first stage; 0 for any number.
+    refusing, refuse_after_s : int, float
+        Number of refusals of streams that were begun, and the time that each takes.
     crash : callable
         Ends the target and its connections, under a request with this id.
     released_spans : list of tuple
@@ -205,6 +207,8 @@
     dead: bool = False
     abort_after_events: int = 0
     places: int = 0
+    refusing: int = 0
+    refuse_after_s: float = 0.0
     crash: Callable[[str], None] = lambda request_id: None
     crash_after_s: float = CRASH_AFTER_S
     ended_runs: int = 0
@@ -300,6 +304,8 @@
         if self.places and len(self._stages_by_request) >= self.places:
             faulty_stage = (503, self.address)
         if faulty_stage is not None:
+            self.refusing += 1
+            await trio.sleep(self.refuse_after_s)
             extra = [
                 (b"x-not-executed", b"1"),
                 (b"at-server", faulty_stage[1].encode()),
