Blame no part that requests have just survived with, and weigh other crashes

The rule of for parts that had survived was met by chance while hardly any request survived, and three crashes in a row met others whose requests were repeated from one crash to the next.

Change: a part is not to blame for twenty seconds after a survival, and for the rest of the minute only with five crashes, twice as many as without it. Where more targets crash without a part than with it, five are needed in place of three.

--- a/radishfield/core/_code_help.py
+++ b/radishfield/core/_code_help.py
@@ -181,9 +181,10 @@
         _CHECK_FIRST + " `radishfield explain` shows each attempt.",
     ),
     ResultCode.CRASHES_TARGETS: CodeHelp(
-        "Targets crashed while running this request, or others with the same part of the"
-        " prompt; it is sent to no other target.",
-        "Change the request; `request.refused` in the log names the part and the targets.",
+        "Targets crashed while running this request, or others with the same part of"
+        " the prompt; it is sent to no other target.",
+        "Change the request; `request.refused` in the log names the part and the"
+        " targets.",
     ),
     ResultCode.PLATFORM_UNAVAILABLE: CodeHelp(
         "The platform's object API does not answer.",
--- a/radishfield/crashes/_blame.py
+++ b/radishfield/crashes/_blame.py
@@ -9,15 +9,15 @@
   half of all requests share: as long as both have the same crashes, only requests with
   both are refused, and the next request with one of them tells which it is.
 - A part that many requests share is in flight at each target that crashes for another
-  reason.  Requests with it outlive their start all the time, so it takes far more to
-  blame it than a part that no request has survived with.
+  reason.  Requests with it outlive their start all the time, so it is not blamed, and
+  for a while after the last survival it takes far more crashes than other parts do.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Sequence, Set
 
 import msgspec
 
-from radishfield.crashes._records import CrashesByTarget, TargetCrash
+from radishfield.crashes._records import CrashesByTarget, TargetCrash, TargetKey
 from radishfield.crashes._traits import is_part
 
 REFUSAL_THRESHOLD = 3
@@ -34,10 +34,18 @@
 """Time within which all hosts report the requests that a crashed target was running."""
 
 SOUND_THRESHOLD = 5
-"""Number of crashes after which a part is to blame that requests have survived with."""
+"""Number of crashes after which a part is to blame that requests have survived with, or
+while most targets crash for other reasons."""
 
-MIN_SOUND_SPREAD_S = 2.0
-"""Minimum time between the first and last of these."""
+MIN_SOUND_RATIO = 2
+"""How many times more targets must crash under such a part than without it."""
+
+SOUND_S = 20.0
+"""Time after a survival in which a part is not to blame.  While a whole service is down
+for some seconds, no request outlives its start, whatever parts it has."""
+
+BACKGROUND_S = 10.0
+"""Time in which crashes without a part are compared with its own."""
 
 MIN_MOMENTS = 2
 """Number of moments, `SETTLE_S` apart, at which targets crashed under a part before it
@@ -50,18 +58,19 @@
 
     Attributes
     ----------
-    survived : bool
-        A request with the trait has outlived its start in the last minute.
+    survived_at : float or None
+        When a request with the trait last outlived its start; None if that is not
+        known of any in the last minute.
     """
 
     trait: str
     crashes: CrashesByTarget
-    survived: bool = False
+    survived_at: float | None = None
 
     @property
     def proven_sound(self) -> bool:
-        """Return whether it is a part that requests have recently survived with."""
-        return self.survived and is_part(self.trait)
+        """Return whether it is a part that requests have survived with."""
+        return self.survived_at is not None and is_part(self.trait)
 
     def explains(self, other: "Suspect") -> bool:
         """Return whether its crashes prove nothing against another trait."""
@@ -80,17 +89,26 @@
     crashes: tuple[TargetCrash, ...]
 
 
-def find_proofs(
-    suspects: Iterable[Suspect], now: float, last_survival_at: float | None
-) -> list[Proof]:
-    """Return the traits that are to blame.
+class Evidence(msgspec.Struct, frozen=True):
+    """What is known of all requests together.
 
-    Parameters
+    Attributes
     ----------
+    crashed_at_by_target : dict
+        When each target crashed, under whatever it ran.
     last_survival_at : float or None
         When any request was last known to have outlived its start; None if that is not
         known of any.
     """
+
+    crashed_at_by_target: dict[TargetKey, float]
+    last_survival_at: float | None = None
+
+
+def find_proofs(
+    suspects: Iterable[Suspect], now: float, evidence: Evidence
+) -> list[Proof]:
+    """Return the traits that are to blame."""
     ranked = sorted(
         (item for item in suspects if len(item.crashes) >= REFUSAL_THRESHOLD),
         key=lambda item: (item.proven_sound, -len(item.crashes), item.trait),
@@ -100,8 +118,11 @@
     for suspect in ranked:
         if any(suspect.trait in proof.traits for proof in proofs):
             continue
-        crashes = _unexplained(suspect, blamed, now)
-        if not _suffices(suspect, crashes, last_survival_at):
+        explained = set().union(
+            *(other.crashes.keys() for other in blamed if other.explains(suspect))
+        )
+        crashes = _unexplained(suspect, explained, now)
+        if not _suffices(suspect, crashes, explained, now, evidence):
             continue
         traits = _traits_to_blame(suspect, _indistinguishable(suspect, ranked))
         if traits:
@@ -111,12 +132,9 @@
 
 
 def _unexplained(
-    suspect: Suspect, blamed: Sequence[Suspect], now: float
+    suspect: Suspect, explained: Set[TargetKey], now: float
 ) -> tuple[TargetCrash, ...]:
     """Return the crashes that count against a trait."""
-    explained = set().union(
-        *(other.crashes.keys() for other in blamed if other.explains(suspect))
-    )
     return tuple(
         crash
         for key, crash in suspect.crashes.items()
@@ -127,21 +145,40 @@
 def _suffices(
     suspect: Suspect,
     crashes: Sequence[TargetCrash],
-    last_survival_at: float | None,
+    explained: Set[TargetKey],
+    now: float,
+    evidence: Evidence,
 ) -> bool:
     """Return whether crashes are enough to blame a trait."""
     if not is_part(suspect.trait):
         return len(crashes) >= REFUSAL_THRESHOLD
     times = sorted(crash.at for crash in crashes)
-    if suspect.proven_sound:
-        # Other requests must survive meanwhile: if none does, the targets are to blame.
-        return (
-            len(times) >= SOUND_THRESHOLD
-            and times[-1] - times[0] >= MIN_SOUND_SPREAD_S
-            and last_survival_at is not None
-            and last_survival_at > times[-1]
-        )
-    return len(times) >= REFUSAL_THRESHOLD and _count_moments(times) >= MIN_MOMENTS
+    if len(times) < REFUSAL_THRESHOLD or _count_moments(times) < MIN_MOMENTS:
+        return False
+    others = _count_others(suspect, explained, times[-1], evidence)
+    if not suspect.proven_sound:
+        return len(times) >= SOUND_THRESHOLD or len(times) >= others
+    # Other requests must survive meanwhile: if none does, the targets are to blame.
+    return (
+        now - suspect.survived_at >= SOUND_S
+        and len(times) >= max(SOUND_THRESHOLD, MIN_SOUND_RATIO * others)
+        and evidence.last_survival_at is not None
+        and evidence.last_survival_at > times[-1]
+    )
+
+
+def _count_others(
+    suspect: Suspect, explained: Set[TargetKey], until: float, evidence: Evidence
+) -> int:
+    """Return how many targets crashed recently without the trait or known cause.
+
+    While many do, some requests are cut three times in a row by chance.
+    """
+    return sum(
+        until - BACKGROUND_S <= at <= until
+        for key, at in evidence.crashed_at_by_target.items()
+        if key not in suspect.crashes and key not in explained
+    )
 
 
 def _count_moments(times: Sequence[float]) -> int:
--- a/radishfield/crashes/_book.py
+++ b/radishfield/crashes/_book.py
@@ -17,6 +17,7 @@
 from radishfield.crashes._blame import (
     REFUSAL_THRESHOLD,
     SETTLE_S,
+    Evidence,
     Proof,
     Suspect,
     find_proofs,
@@ -26,7 +27,9 @@
     CrashReport,
     TargetCrash,
     TargetCrashEntry,
+    TargetKey,
 )
+from radishfield.crashes._survivals import Survivals
 from radishfield.crashes._traits import is_part
 
 CRASH_WINDOW_S = 1.0
@@ -35,8 +38,7 @@
 
 IMMUNE_S = 10.0
 """Time for which crashes are not counted after a whole request has outlived its start.
-Crashes under a part are counted, since it may have become dangerous with another
-version of the targets; it takes more of them to blame it."""
+Those under a part are counted, and prove nothing for a while; see `find_proofs`."""
 
 SUSPECTED_S = 60.0
 """Time after which crashes that prove nothing, and survivals, are forgotten."""
@@ -47,8 +49,8 @@
 
 MAX_SUSPECTS = 1024
 EVICTED_AT_ONCE = 128
-MAX_SURVIVORS = 4096
-"""Traits of the last `SUSPECTED_S` seconds at a busy host, some 100 bytes each."""
+MAX_CRASHES = 256
+"""Maximum number of crashes whose times are kept, whatever the targets ran."""
 MAX_CRASHES_PER_TRAIT = 16
 """Maximum number of crashes that are kept for one trait."""
 
@@ -65,9 +67,9 @@
     """The target crashes under each suspected trait, and the survivals of traits."""
 
     _crashes_by_trait: dict[str, CrashesByTarget] = msgspec.field(default_factory=dict)
-    _survived_at_by_trait: dict[str, float] = msgspec.field(default_factory=dict)
+    _survivals: Survivals = msgspec.field(default_factory=Survivals)
     _width_by_trait: dict[str, int] = msgspec.field(default_factory=dict)
-    _last_survival_at: float | None = None
+    _crashed_at_by_target: dict[TargetKey, float] = msgspec.field(default_factory=dict)
     _checksum: int | None = 0
     """Cached because it is read for each status received; None after a change."""
     _verdicts: list[Verdict] | None = None
@@ -85,6 +87,9 @@
         width : int
             Number of traits of the request; 0 if it is not known.
         """
+        self._crashed_at_by_target.setdefault(crash.target, crash.at)
+        if len(self._crashed_at_by_target) > MAX_CRASHES:
+            del self._crashed_at_by_target[next(iter(self._crashed_at_by_target))]
         if self._is_immune(trait, crash.at):
             return False
         crashes = self._crashes_by_trait.get(trait)
@@ -101,21 +106,18 @@
 
     def _is_immune(self, trait: str, crashed_at: float) -> bool:
         """Return whether a survival shows that a crash has another cause."""
-        survived_at = self._survived_at_by_trait.get(trait)
+        survived_at = self._survivals.get(trait)
         if survived_at is None:
             return False
         return crashed_at < survived_at + _immune_s(trait)
 
     def add_survival(self, trait: str, at: float) -> bool:
         """Record that a request outlived its start; return whether it was suspected."""
-        before = self._survived_at_by_trait.pop(trait, None)
-        at = at if before is None else max(at, before)
-        self._survived_at_by_trait[trait] = at
-        if self._last_survival_at is None or at > self._last_survival_at:
-            self._last_survival_at = at
+        is_first = trait not in self._survivals
+        last_at = self._survivals.last_at
+        at = self._survivals.record(trait, at)
+        if self._survivals.last_at != last_at:
             self._verdicts = None
-        if len(self._survived_at_by_trait) > MAX_SURVIVORS:
-            self._survived_at_by_trait.pop(next(iter(self._survived_at_by_trait)))
         crashes = self._crashes_by_trait.get(trait)
         if crashes is None:
             return False
@@ -127,7 +129,7 @@
             self._crashes_by_trait[trait] = later
         else:
             self._drop(trait)
-        if len(later) < len(crashes) or before is None:
+        if len(later) < len(crashes) or is_first:
             self._note_change()
             return True
         return False
@@ -148,14 +150,15 @@
     def verdicts(self, now: float) -> list[Verdict]:
         """Return why requests are refused."""
         if self._verdicts is None or now >= self._verdicts_valid_until:
-            proofs = find_proofs(self._suspects(), now, self._last_survival_at)
+            evidence = Evidence(self._crashed_at_by_target, self._survivals.last_at)
+            proofs = find_proofs(self._suspects(), now, evidence)
             self._verdicts = [_verdict_of(proof) for proof in proofs]
             self._verdicts_valid_until = self._next_settled_at(now)
         return [verdict for verdict in self._verdicts if now < verdict.until]
 
     def _suspects(self) -> list[Suspect]:
         return [
-            Suspect(trait, crashes, trait in self._survived_at_by_trait)
+            Suspect(trait, crashes, self._survivals.get(trait))
             for trait, crashes in self._crashes_by_trait.items()
             if len(crashes) >= REFUSAL_THRESHOLD
         ]
@@ -194,7 +197,7 @@
 
     def report(self, trait: str, now: float) -> CrashReport:
         """Return the crashes and survival that are recorded for a trait."""
-        survived_at = self._survived_at_by_trait.get(trait)
+        survived_at = self._survivals.get(trait)
         crashes = self._crashes_by_trait.get(trait, {}).values()
         return CrashReport(
             trait,
@@ -222,7 +225,7 @@
 
     def contradicts(self, report: CrashReport, now: float) -> bool:
         """Return whether a reported trait survived here as its reporter cannot know."""
-        survived_at = self._survived_at_by_trait.get(report.digest)
+        survived_at = self._survivals.get(report.digest)
         if survived_at is None or not report.ends:
             return False
         if report.survived_age_s < 0:
@@ -235,7 +238,7 @@
         """Return whether at least so many targets crashed and no request survived."""
         return (
             len(self._crashes_by_trait.get(trait, ())) >= crashes
-            and trait not in self._survived_at_by_trait
+            and trait not in self._survivals
         )
 
     def repeated_traits(self) -> list[str]:
@@ -264,17 +267,10 @@
             if now - max(crash.at for crash in crashes.values()) >= lifetime_s:
                 self._drop(trait)
                 self._note_change()
-        expired = [
-            trait
-            for trait, at in self._survived_at_by_trait.items()
-            if now - at >= SUSPECTED_S
-        ]
-        for trait in expired:
-            del self._survived_at_by_trait[trait]
-        if self._last_survival_at is not None:
-            if now - self._last_survival_at >= SUSPECTED_S:
-                self._last_survival_at = None
-                self._verdicts = None
+        last_at = self._survivals.last_at
+        self._survivals.forget(now - SUSPECTED_S)
+        if self._survivals.last_at != last_at:
+            self._verdicts = None
 
     def _evict_if_full(self) -> None:
         """Drop the traits with the fewest crashes if full.
--- a/radishfield/crashes/_records.py
+++ b/radishfield/crashes/_records.py
@@ -2,6 +2,9 @@
 
 import msgspec
 
+TargetKey = tuple[str, int]
+"""Identifies one start of a target."""
+
 
 class TargetCrash(msgspec.Struct, frozen=True):
     """A crash of a target under a request.
@@ -20,12 +23,12 @@
     at: float
 
     @property
-    def target(self) -> tuple[str, int]:
+    def target(self) -> TargetKey:
         """Return the key that identifies this start of the target."""
         return (self.target_id, self.started_ms)
 
 
-CrashesByTarget = dict[tuple[str, int], TargetCrash]
+CrashesByTarget = dict[TargetKey, TargetCrash]
 
 
 class TargetCrashEntry(msgspec.Struct, array_like=True):
