Ask other hosts longer whether a target that refuses connections has ended

Cause: a refused connection counts as a crash only once another host is refused as well.

Change: where this host is refused and no other answers, they are asked again, with 0.5 and then 1.0 s. A target that another host reaches is still not taken for ended.

--- a/radishfield/forwarding/_target_ends.py
+++ b/radishfield/forwarding/_target_ends.py
@@ -17,6 +17,11 @@
 from radishfield.telemetry import log_event
 from radishfield.web import split_address
 
+CONFIRMATION_LIMITS_S = (0.2, 0.5, 1.0)
+"""Times for which other hosts are asked about a target that refuses this one, in turn.
+A host that is busy for a moment answers late, and the crash would count for nothing."""
+CONFIRMATION_PAUSE_S = 0.2
+
 
 class TargetState(enum.StrEnum):
     """Result of probing a target's address after a connection to it broke."""
@@ -70,7 +75,14 @@
         is_open = await is_listening(*split_address(address))
         if is_open or not self._dialer.can_ask():
             return is_open
-        return await self._dialer.reaches(address)
+        reached = None
+        for number, limit_s in enumerate(CONFIRMATION_LIMITS_S):
+            if number:
+                await trio.sleep(CONFIRMATION_PAUSE_S)
+            reached = await self._dialer.reaches(address, limit_s)
+            if reached is not None or is_open is None:
+                break
+        return reached
 
 
 class _RunningProbe:
--- a/radishfield/relay/_dialer.py
+++ b/radishfield/relay/_dialer.py
@@ -126,15 +126,22 @@
             raise
         return self._judge(race, address)
 
-    async def reaches(self, address: str) -> bool | None:
+    async def reaches(
+        self, address: str, limit_s: float = REACHES_LIMIT_S
+    ) -> bool | None:
         """Return whether another host connects to a target; None if none can tell.
 
         False if two hosts with links of their own were refused, or the only one that
         could be asked.
+
+        Parameters
+        ----------
+        limit_s : float
+            Time that each of them has for its answer.
         """
         refusals = 0
         for relay in self._relays():
-            opened = await self._open_relayed(relay, address, REACHES_LIMIT_S)
+            opened = await self._open_relayed(relay, address, limit_s)
             if opened.is_ok():
                 await trio.aclose_forcefully(opened.ok)
                 if self._links.note_relayed(address, self._clock.now()):
