--- a/radishfield/forwarding/crashing_parts_test.py
+++ b/radishfield/forwarding/crashing_parts_test.py
@@ -147,7 +147,7 @@
     trio.run(main)
 
 
-async def run_load(scene, draws, seconds=SCENE_S, repeats=0, calm_s=2.0):
+async def run_load(scene, draws, seconds=SCENE_S, repeats=0, calm_s=4.0):
     """Send sound requests, and after a while those of each draw beside them.
 
     Returns
