Let the layers that a target holds follow the memory its requests need

Cause: two thirds of each accelerator's memory were filled with layers, whatever a request's cache takes. On the shifted work a request needs 0.65 GB over all layers (1.8 GB before), so `l4` kept room for 117 requests and held 8 layers, `t4` 139 and 5.

Change: an accelerator holds as many layers as leave room for forty requests, the room that the former share left on the earlier sites, whose layouts of 33 targets stay the same to the layer. A zone that would lack a copy fills its accelerators down to thirty. Bad figures in the configuration are one log line (7002).

--- a/radishfield/forwarding/_placer.py
+++ b/radishfield/forwarding/_placer.py
@@ -22,6 +22,7 @@
     EngineSpec,
     ServiceSpec,
     TargetRecord,
+    layout_problems,
     next_loads,
     plan_layout,
     plan_move,
@@ -274,6 +275,8 @@
             or cached_plan.version != version
             or cached_plan.engine != engine
         ):
+            if cached_plan is None or cached_plan.engine != engine:
+                _log_problems(service.name, engine)
             records = self._view.directory.listed(service.name)
             assignments = tuple(plan_layout(engine, records))
             cached_plan = state.cached_plan = _CachedPlan(version, engine, assignments)
@@ -335,3 +338,14 @@
             detail=problem.detail,
             directory_version=self._view.directory.version,
         )
+
+
+def _log_problems(service: str, engine: EngineSpec) -> None:
+    problems = layout_problems(engine)
+    if problems:
+        log_event(
+            "layout.incomplete",
+            service=service,
+            code=int(ResultCode.SETTING_RANGE),
+            detail="; ".join(problems),
+        )
--- a/radishfield/routing/__init__.py
+++ b/radishfield/routing/__init__.py
@@ -28,8 +28,11 @@
 from radishfield.routing._events import EventSplitter, event_ids
 from radishfield.routing._freshness import Freshness
 from radishfield.routing._layout import (
+    MIN_REQUESTS_FOR_COPY,
     Assignment,
     block_layers,
+    layers_beside,
+    layout_problems,
     next_loads,
     plan_layout,
     plan_move,
@@ -135,6 +138,7 @@
     "MAX_NORMAL_SLOWDOWN",
     "MIN_DUTY_CHECK_S",
     "MIN_EXCLUDED_SHARE",
+    "MIN_REQUESTS_FOR_COPY",
     "NOTICE_S",
     "OUTAGE_EXPIRY_S",
     "REGISTRATION_GRACE_S",
@@ -200,6 +204,8 @@
     "ZoneHosts",
     "ZoneTotal",
     "block_layers",
+    "layers_beside",
+    "layout_problems",
     "capacity_token_layers",
     "choice_spread",
     "choose_relays",
--- a/radishfield/routing/_layout.py
+++ b/radishfield/routing/_layout.py
@@ -8,22 +8,30 @@
 boundaries to choose from.
 
 An accelerator's memory is shared between layers and the cache of running requests.
-Filled with layers it runs no requests, filled with cache it does not shorten any path;
-`MAX_LAYER_SHARE` is the compromise, from which the block size and the number of blocks
-for each accelerator are derived.
+Filled with layers it runs no requests, filled with cache it does not shorten any path.
+How much memory requests need differs by a factor of three between models, so an
+accelerator holds as many layers as leave memory for a fixed number of typical requests.
+A zone that would lack a complete copy for want of a few layers fills its accelerators
+further.
 """
 
 from collections.abc import Sequence
 
 import msgspec
 
-from radishfield.routing._types import EngineSpec, LayerSpan, TargetRecord
+from radishfield.routing._types import Accelerator, EngineSpec, LayerSpan, TargetRecord
 
-MAX_LAYER_SHARE = 0.68
-"""Largest share of an accelerator's memory used for layers.  With A100, L40S and
-L4, two thirds for layers leave memory for some forty requests of typical size on every
-stage of a chain, as many as its steps can serve on time; at 0.8 memory limits it to
-half as many."""
+MIN_REQUESTS = 40
+"""Typical requests that fit beside an accelerator's layers: as many as the steps of a
+chain can serve on time."""
+
+MIN_REQUESTS_FOR_COPY = 30
+"""The same in a zone that would otherwise lack a copy: with fewer, requests are evicted
+in the middle of their streams at a typical load."""
+
+FALLBACK_LAYER_SHARE = 0.68
+"""Share of an accelerator's memory for layers if the configuration does not give the
+cache of a typical request."""
 
 MAX_UNUSED_SHARE = 0.05
 """Share of the accelerators' memory that larger blocks may leave unused: having fewer
@@ -52,13 +60,42 @@
     )
 
 
-def count_fitting_blocks(engine: EngineSpec, record: TargetRecord, size: int) -> int:
-    """Return how many blocks fit a target's accelerator, at most all of the model."""
+def layers_beside(
+    engine: EngineSpec, accelerator: Accelerator, requests: int = MIN_REQUESTS
+) -> int:
+    """Return the most layers beside which a number of typical requests fits."""
+    request_mb = engine.usual_tokens * engine.layer_cache_bytes / 1e6
+    if request_mb <= 0:
+        layers = int(accelerator.memory_mb * FALLBACK_LAYER_SHARE / engine.layer_mb)
+    else:
+        needed = min(requests, engine.slots)
+        layers = int(accelerator.memory_mb / (engine.layer_mb + needed * request_mb))
+    return min(engine.layers, layers)
+
+
+def layout_problems(engine: EngineSpec) -> list[str]:
+    """Return what in an engine's configuration keeps layers from being planned."""
+    problems = [
+        f"accelerator {name} holds no layer of {engine.layer_mb:g} MB"
+        for name, accelerator in sorted(engine.accelerator_by_name.items())
+        if layers_beside(engine, accelerator) == 0
+    ]
+    if engine.usual_tokens <= 0 or engine.cache_bytes_per_token <= 0:
+        share = FALLBACK_LAYER_SHARE
+        problems.append(f"no size of a request's cache, layers take {share:.0%}")
+    if not engine.accelerator_by_name:
+        problems.append("no accelerators")
+    return problems
+
+
+def _count_blocks(
+    engine: EngineSpec, record: TargetRecord, size: int, requests: int = MIN_REQUESTS
+) -> int:
+    """Return how many blocks a target's accelerator holds, at most all of the model."""
     accelerator = engine.accelerator_by_name.get(record.accelerator)
     if accelerator is None:
         return 0
-    blocks = int(accelerator.memory_mb * MAX_LAYER_SHARE / (engine.layer_mb * size))
-    return min(blocks, engine.layers // size)
+    return layers_beside(engine, accelerator, requests) // size
 
 
 def plan_layout(
@@ -72,12 +109,11 @@
     assignments: list[Assignment] = []
     for zone in sorted({record.zone for record in records}):
         zone_empty = [record for record in empty if record.zone == zone]
-        zone_empty.sort(
-            key=lambda record: (-count_fitting_blocks(engine, record, size), record.id)
-        )
-        while zone_empty:
-            record = zone_empty.pop(0)
-            width = count_fitting_blocks(engine, record, size)
+        missing = copies.missing_blocks(zone, 0, blocks)
+        width_by_id = _block_counts(engine, zone_empty, size, missing)
+        zone_empty.sort(key=lambda record: (-width_by_id[record.id], record.id))
+        for record in zone_empty:
+            width = width_by_id[record.id]
             if width == 0:
                 continue
             first = copies.least_replicated(zone, width)
@@ -87,6 +123,31 @@
     return _most_needed_first(assignments, _count_copies(records, size, blocks), size)
 
 
+def _block_counts(
+    engine: EngineSpec, empty: Sequence[TargetRecord], size: int, missing: int
+) -> dict[str, int]:
+    """Return how many blocks each empty target of a zone should hold, by its id.
+
+    Without a complete copy a zone sends every prompt across the links between zones,
+    where it waits behind those of all others.  So if the targets are too small for the
+    zone's ``missing`` blocks, they take one more each, the least filled ones first.
+    """
+    width_by_id = {record.id: _count_blocks(engine, record, size) for record in empty}
+    lacking = missing - sum(width_by_id.values())
+    spare_by_id = {
+        record.id: _count_blocks(engine, record, size, MIN_REQUESTS_FOR_COPY)
+        - width_by_id[record.id]
+        for record in empty
+    }
+    if not 0 < lacking <= sum(spare_by_id.values()):
+        return width_by_id
+    for _ in range(lacking):
+        widened = max(spare_by_id, key=lambda item: (spare_by_id[item], item))
+        width_by_id[widened] += 1
+        spare_by_id[widened] -= 1
+    return width_by_id
+
+
 def next_loads(
     assignments: Sequence[Assignment], loading: int, concurrent: int
 ) -> Sequence[Assignment]:
@@ -183,13 +244,16 @@
 
 
 def _memory_share_used(engine: EngineSpec, size: int) -> float:
-    """Return the mean share of accelerator memory that blocks of this size fill."""
+    """Return the mean share of accelerator memory that blocks of this size fill.
+
+    Accelerators that are too small for any layer do not count.
+    """
     shares = []
     for accelerator in engine.accelerator_by_name.values():
-        blocks = min(
-            int(accelerator.memory_mb * MAX_LAYER_SHARE / (engine.layer_mb * size)),
-            engine.layers // size,
-        )
+        layers = layers_beside(engine, accelerator)
+        if layers == 0:
+            continue
+        blocks = layers // size
         if blocks == 0:
             return 0.0
         shares.append(blocks * size * engine.layer_mb / accelerator.memory_mb)
--- a/radishfield/routing/_paths.py
+++ b/radishfield/routing/_paths.py
@@ -101,7 +101,7 @@
     if accelerator is None or record.span is None or not engine.cache_bytes_per_token:
         return float("inf")
     free_mb = accelerator.memory_mb - len(record.span) * engine.layer_mb
-    return free_mb * 1e6 / (engine.cache_bytes_per_token / engine.layers)
+    return free_mb * 1e6 / engine.layer_cache_bytes
 
 
 def token_ms(engine: EngineSpec, record: TargetRecord, held: TargetLoad) -> float:
--- a/radishfield/routing/_types.py
+++ b/radishfield/routing/_types.py
@@ -161,6 +161,16 @@
     delay_ms_by_pair: Mapping[Pair, float] = msgspec.field(default_factory=dict)
     report_lag_s: float = 0.2
 
+    @property
+    def usual_tokens(self) -> int:
+        """Return the tokens that a typical request occupies at its end."""
+        return self.usual_prompt + self.usual_answer
+
+    @property
+    def layer_cache_bytes(self) -> float:
+        """Return the cache of one token at one layer."""
+        return self.cache_bytes_per_token / self.layers
+
     def delay_ms(self, zone: str, other: str) -> float:
         """Return the one-way delay between zones, by default the longest configured."""
         longest_ms = max(self.delay_ms_by_pair.values(), default=DEFAULT_DELAY_MS)
--- a/radishfield/routing/layout_test.py
+++ b/radishfield/routing/layout_test.py
@@ -1,12 +1,23 @@
 """Tests of layouts over unequal zones: complete copies in each, within memory."""
 
+import random
 from collections import Counter
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from msgspec.structs import replace
 
-from radishfield.routing import block_layers, next_loads, plan_layout, plan_move
+from radishfield.routing import (
+    MIN_REQUESTS_FOR_COPY,
+    Accelerator,
+    block_layers,
+    layers_beside,
+    layout_problems,
+    next_loads,
+    plan_layout,
+    plan_move,
+)
 from radishfield.routing.conftest import ACCELERATOR_BY_NAME, make_engine, make_target
 
 ENGINE = make_engine()
@@ -233,3 +244,153 @@
     assert plan[0].span.end == 80
     assert len(next_loads(plan, 2, 5)) == 3
     assert next_loads(plan, 7, 5) == []
+
+
+SMALL_CARDS = {
+    "a100s": Accelerator("a100s", 36000.0, 3.1, 3.2),
+    "l4": Accelerator("l4", 21600.0, 16.0, 8.2),
+    "t4": Accelerator("t4", 14400.0, 15.0, 15.0),
+}
+SMALL_CACHE_ENGINE = make_engine(
+    accelerator_by_name=SMALL_CARDS,
+    cache_bytes_per_token=720000.0,
+    usual_prompt=761,
+    usual_answer=138,
+)
+
+
+def fleet_of(count_by_kind_by_zone):
+    return [
+        make_target(f"{zone}-{kind}-{index}", zone, kind)
+        for zone, count_by_kind in count_by_kind_by_zone.items()
+        for kind, count in count_by_kind.items()
+        for index in range(count)
+    ]
+
+
+def requests_beside(engine, assignment):
+    """Return how many typical requests fit beside a target's layers."""
+    accelerator = engine.accelerator_by_name[assignment.target.accelerator]
+    layers = len(assignment.span)
+    free_mb = accelerator.memory_mb - layers * engine.layer_mb
+    cache_mb = engine.cache_bytes_per_token / engine.layers * layers / 1e6
+    return free_mb / (cache_mb * (engine.usual_prompt + engine.usual_answer))
+
+
+def test_requests_with_small_caches_leave_memory_for_more_layers():
+    """A calm hour's prompts jam the links of zones that lack a copy.
+
+    With a fixed share of memory for layers, none of these zones held one: requests
+    needed half of the memory that was left to them.
+    """
+    fleet = fleet_of(
+        {
+            "a": {"a100s": 1, "l4": 5, "t4": 3},
+            "b": {"a100s": 2, "l4": 2, "t4": 4},
+            "c": {"a100s": 2, "l4": 3, "t4": 5},
+        }
+    )
+    plan = plan_layout(SMALL_CACHE_ENGINE, fleet)
+    assert all(min(copies(plan, zone)) >= 1 for zone in "abc")
+    for item in plan:
+        room = requests_beside(SMALL_CACHE_ENGINE, item)
+        assert room >= (MIN_REQUESTS_FOR_COPY if item.target.zone == "b" else 40)
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    st.lists(st.floats(8000.0, 90000.0), min_size=1, max_size=3),
+    st.floats(2e5, 2e6),
+    st.integers(1, 24),
+    st.integers(50, 3000),
+)
+def test_a_zone_that_can_hold_a_copy_does(memory_mb, cache_bytes, count, prompt):
+    """Whatever the accelerators, caches and prompts are, up to what blocks waste."""
+    cards = {
+        f"k{index}": Accelerator(f"k{index}", memory, 5.0, 5.0)
+        for index, memory in enumerate(memory_mb)
+    }
+    engine = make_engine(
+        accelerator_by_name=cards,
+        cache_bytes_per_token=cache_bytes,
+        usual_prompt=prompt,
+    )
+    fleet = fleet_of({"a": {kind: count for kind in cards}})
+    plan = plan_layout(engine, fleet)
+    size = block_layers(engine)
+    held_at_most = sum(
+        layers_beside(engine, cards[record.accelerator], MIN_REQUESTS_FOR_COPY)
+        // size
+        * size
+        for record in fleet
+    )
+    if held_at_most >= 1.15 * engine.layers:
+        assert min(copies(plan)) >= 1
+    for item in plan:
+        assert requests_beside(engine, item) >= min(MIN_REQUESTS_FOR_COPY, engine.slots)
+
+
+def test_accelerators_too_small_for_a_layer_do_not_spoil_the_plan_of_others():
+    cards = SMALL_CARDS | {"tiny": Accelerator("tiny", 1500.0, 9.0, 9.0)}
+    engine = replace(SMALL_CACHE_ENGINE, accelerator_by_name=cards)
+    fleet = fleet_of({"a": {"l4": 9, "tiny": 2}})
+    plan = plan_layout(engine, fleet)
+    assert len(plan) == 9
+    assert min(copies(plan)) >= 1
+    assert layout_problems(engine) == ["accelerator tiny holds no layer of 1750 MB"]
+    assert layout_problems(SMALL_CACHE_ENGINE) == []
+
+
+def test_engines_without_a_known_cache_get_a_fixed_share_of_layers():
+    for changes in (
+        {"cache_bytes_per_token": 0.0},
+        {"usual_prompt": 0, "usual_answer": 0},
+    ):
+        engine = replace(SMALL_CACHE_ENGINE, **changes)
+        assert layers_beside(engine, SMALL_CARDS["l4"]) == 8
+        assert len(layout_problems(engine)) == 1
+
+
+DISTURBANCES = ["crash", "rack", "return", "release", "leave"]
+
+
+@pytest.mark.parametrize("kind", DISTURBANCES)
+@pytest.mark.parametrize("seed", range(3))
+def test_a_disturbed_layout_ends_with_the_copies_of_a_new_one(kind, seed):
+    """Losses, returns, releases and planned leavings must not leave a worse layout."""
+    rng = random.Random(seed)
+    records = settled(make_fleet())
+    rack = [record for record in records if record.zone == rng.choice("abc")]
+    lost = rng.sample(rack if kind == "rack" else records, 4)
+    if kind == "release":
+        for record in rng.sample(records, 12):
+            records = settled([item for item in records if item.id != record.id])
+            records = settled([*records, replace(record, span=None)])
+    else:
+        records = [item for item in records if item not in lost]
+    if kind == "return":
+        records += [replace(item, span=None) for item in lost]
+    records = settled(records)
+    new = settled([replace(item, span=None) for item in records])
+    assert fleet_copies(records) >= fleet_copies(new) - 1
+
+
+def settled(records):
+    """Return the records once nothing more is to be loaded or moved."""
+    plan = {item.target.id: item.span for item in plan_layout(ENGINE, records)}
+    records = [replace(item, span=plan.get(item.id, item.span)) for item in records]
+    for _ in range(40):
+        move = plan_move(ENGINE, records)
+        if move is None:
+            return records
+        records = [
+            replace(item, span=move.span) if item.id == move.target.id else item
+            for item in records
+        ]
+    raise AssertionError("plan_move still returns a move after 40 moves")
+
+
+def fleet_copies(records):
+    """Return how many copies of the scarcest block the fleet holds."""
+    by_zone = [zone_copies(records, zone) for zone in "abc"]
+    return min(sum(counts) for counts in zip(*by_zone, strict=True))
