Search paths over the targets that cover a boundary, cheapest first

Cause: at each boundary the search looked at all 99 targets, and copied a path's stages for each of its ends. A waiting stream searches twenty times a second.

Change: targets are listed by the boundaries that they cover, in order of cost, so that a dearer one is only looked at for layers beyond those of a cheaper one in its zone; the way into a zone is chosen once; candidates point to the one they extend.

--- a/radishfield/routing/_paths.py
+++ b/radishfield/routing/_paths.py
@@ -135,8 +135,20 @@
 
 
 class _CandidatePath(msgspec.Struct, frozen=True):
+    """A path's last stage and the candidate that it extends; no record at its start."""
+
+    cost: float
+    previous: "_CandidatePath | None"
+    record: TargetRecord | None
+    start: int
+    end: int
+
+
+class _Entry(msgspec.Struct, frozen=True):
+    """The cost of continuing a candidate in a zone."""
+
     cost: float
-    parts: tuple[tuple[TargetRecord, int, int], ...]
+    previous: _CandidatePath
 
 
 class PathFinder:
@@ -277,63 +289,68 @@
     ) -> _CandidatePath | None:
         """Return the cheapest path from layer ``begin`` on, boundary by boundary."""
         layers = self._engine.layers
-        boundaries = {begin, layers}
+        bounds = {begin, layers}
         for record in records:
-            boundaries.update((record.span.first, record.span.end))
-        best: dict[tuple[int, str], _CandidatePath] = {
-            (begin, zone): _CandidatePath(0.0, ())
-        }
-        for start in sorted(boundaries):
-            if start < begin:
-                continue
-            reached = [
-                (zone, candidate)
-                for (at, zone), candidate in best.items()
-                if at == start
-            ]
-            if start == layers or not reached:
-                continue
-            for record in records:
-                span = record.span
-                if not span.first <= start < span.end:
-                    continue
-                if start == 0 and not self._may_be_first(record):
-                    continue
+            bounds.update((record.span.first, record.span.end))
+        boundaries = sorted(bound for bound in bounds if begin <= bound <= layers)
+        covering = _covering_records(records, layer_ms_by_id, boundaries)
+        best: list[dict[str, _CandidatePath]] = [{} for _ in boundaries]
+        best[0][zone] = _CandidatePath(0.0, None, None, begin, begin)
+        for index, start in enumerate(boundaries[:-1]):
+            if best[index]:
                 self._extend_candidates(
-                    best, reached, start, record, boundaries, layer_ms_by_id
+                    best, index, start, covering[index], boundaries, layer_ms_by_id
                 )
-        ends = [candidate for (at, _), candidate in best.items() if at == layers]
-        return min(ends, key=lambda candidate: candidate.cost, default=None)
+        return min(best[-1].values(), key=lambda item: item.cost, default=None)
 
     def _extend_candidates(
         self,
-        best: dict[tuple[int, str], _CandidatePath],
-        reached: list[tuple[str, _CandidatePath]],
+        best: list[dict[str, _CandidatePath]],
+        index: int,
         start: int,
-        record: TargetRecord,
-        boundaries: set[int],
+        covering: Sequence[tuple[TargetRecord, int]],
+        boundaries: Sequence[int],
         layer_ms_by_id: dict[str, float],
     ) -> None:
-        entry_cost, candidate = min(
-            (
-                (
-                    candidate.cost + self._zone_change_ms(zone, record.zone, start),
-                    candidate,
-                )
-                for zone, candidate in reached
-            ),
-            key=lambda pair: pair[0],
-        )
-        if entry_cost == math.inf:
-            return
-        for end in boundaries:
-            if not start < end <= record.span.end:
+        """Extend the candidates at one boundary by a stage of any covering target.
+
+        The targets come in order of cost, so within a zone a dearer one is only of use
+        for layers beyond those that the cheaper ones hold.
+        """
+        entry_by_zone: dict[str, _Entry | None] = {}
+        next_index_by_zone: dict[str, int] = {}
+        for record, end_index in covering:
+            zone = record.zone
+            from_index = next_index_by_zone.get(zone, index + 1)
+            if end_index < from_index or (
+                start == 0 and not self._may_be_first(record)
+            ):
                 continue
-            cost = entry_cost + HOP_MS + (end - start) * layer_ms_by_id[record.id]
-            known = best.get((end, record.zone))
-            if known is None or cost < known.cost:
-                parts = (*candidate.parts, (record, start, end))
-                best[(end, record.zone)] = _CandidatePath(cost, parts)
+            next_index_by_zone[zone] = end_index + 1
+            if zone not in entry_by_zone:
+                entry_by_zone[zone] = self._cheapest_entry(best[index], zone, start)
+            entry = entry_by_zone[zone]
+            if entry is None:
+                continue
+            layer_ms = layer_ms_by_id[record.id]
+            for end_at in range(from_index, end_index + 1):
+                end = boundaries[end_at]
+                cost = entry.cost + HOP_MS + (end - start) * layer_ms
+                known = best[end_at].get(zone)
+                if known is None or cost < known.cost:
+                    candidate = _CandidatePath(cost, entry.previous, record, start, end)
+                    best[end_at][zone] = candidate
+
+    def _cheapest_entry(
+        self, reached: Mapping[str, _CandidatePath], zone: str, start: int
+    ) -> _Entry | None:
+        """Return the cheapest way into a zone; None if all links to it are closed."""
+        entries = [
+            _Entry(candidate.cost + self._zone_change_ms(other, zone, start), candidate)
+            for other, candidate in reached.items()
+        ]
+        entry = min(entries, key=lambda item: item.cost)
+        return None if entry.cost == math.inf else entry
 
     def _zone_change_ms(self, zone: str, other: str, start: int) -> float:
         """Return the cost of entering a zone from another one."""
@@ -355,12 +372,35 @@
         return self._load.held(record.id).as_first < self._engine.slots
 
 
+def _covering_records(
+    records: Sequence[TargetRecord],
+    layer_ms_by_id: Mapping[str, float],
+    boundaries: Sequence[int],
+) -> list[list[tuple[TargetRecord, int]]]:
+    """Return, for each boundary, the targets that hold the layer behind it.
+
+    They come in order of cost, each with the index of the boundary at which its layers
+    end.
+    """
+    index_by_boundary = {bound: index for index, bound in enumerate(boundaries)}
+    covering: list[list[tuple[TargetRecord, int]]] = [[] for _ in boundaries]
+    for record in sorted(records, key=lambda item: layer_ms_by_id[item.id]):
+        end_index = index_by_boundary.get(record.span.end, 0)
+        for index in range(index_by_boundary.get(record.span.first, 0), end_index):
+            covering[index].append((record, end_index))
+    return covering
+
+
 def _as_path(candidate: _CandidatePath) -> Path:
     """Return the stages; a target that occurs twice runs all layers in between.
 
     Targets refuse a path that names one of them twice.
     """
-    parts = list(candidate.parts)
+    parts: list[tuple[TargetRecord, int, int]] = []
+    while candidate.record is not None:
+        parts.append((candidate.record, candidate.start, candidate.end))
+        candidate = candidate.previous
+    parts.reverse()
     last_index_by_id = {part[0].id: index for index, part in enumerate(parts)}
     merged: list[PathStage] = []
     index = 0
