Read the events of a fast stream together

Change: once a stream runs, a read waits for the next tick of a fifth of the longest pause on time (0.05 s), and what arrived is sent in one piece. Streams whose events come slower are read at once. A pause of the targets is not extended: the event after it is waited for. Events reach callers 0.025 s later on average. What was received and not sent when an attempt ends is sent, or repeated by the next one.

`continues` of a stream's progress becomes `accepts`, which compares with what was received; two tests that replace `note_event` follow its name.

--- a/radishfield/forwarding/_active_stream.py
+++ b/radishfield/forwarding/_active_stream.py
@@ -90,10 +90,10 @@
         self._kept_until = now
         self.scope = trio.CancelScope()
 
-    def note_event(self, now: float) -> None:
-        """Record the arrival of an event."""
+    def note_events(self, now: float, count: int = 1) -> None:
+        """Record the arrival of some events that were read together."""
         if self.has_events:
-            gap_s = now - self.last_progress_at
+            gap_s = (now - self.last_progress_at) / max(1, count)
             before_s = self.typical_gap_s or gap_s
             self.typical_gap_s = (
                 GAP_HISTORY_WEIGHT * before_s + (1 - GAP_HISTORY_WEIGHT) * gap_s
--- a/radishfield/forwarding/_connections.py
+++ b/radishfield/forwarding/_connections.py
@@ -7,7 +7,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import aclosing
 
 import httpcore
@@ -17,7 +17,7 @@
 
 from radishfield.core import Clock, Fault, ResultCode, fault
 from radishfield.platform import AnswerFacts, Headers, read_answer
-from radishfield.relay import TargetDialer
+from radishfield.relay import TargetDialer, TargetStream
 from radishfield.routing import TargetLinks
 from radishfield.web import BROKEN_CONNECTION_ERRORS, split_address
 
@@ -68,6 +68,11 @@
         except _BROKEN_ERRORS as problem:
             raise BrokenAnswerError(repr(problem)) from problem
 
+    def call_before_reads(self, call: Callable[[], Awaitable[None]] | None) -> None:
+        """Set what is called whenever the body's next bytes have to be waited for."""
+        if self._connection.network.stream is not None:
+            self._connection.network.stream.before_read = call
+
     async def read(self) -> Result[bytes, Fault]:
         """Return the complete body."""
         body = bytearray()
@@ -83,6 +88,7 @@
 
     async def close(self, reusable: bool) -> None:
         """Return the connection to the pool, or close it."""
+        self.call_before_reads(None)
         with trio.CancelScope(shield=True):
             await self._response.aclose()
             if reusable and not self.facts.closes:
@@ -106,6 +112,7 @@
     def __init__(self, dialer: TargetDialer):
         self._dialer = dialer
         self.via = ""
+        self.stream: TargetStream | None = None
 
     async def connect_tcp(
         self, host, port, timeout=None, local_address=None, socket_options=None
@@ -115,6 +122,7 @@
         if dialed.is_error():
             raise httpcore.ConnectError(dialed.error.detail)
         self.via = dialed.ok.via
+        self.stream = dialed.ok.stream
         return dialed.ok.stream
 
 
--- a/radishfield/forwarding/_stream_progress.py
+++ b/radishfield/forwarding/_stream_progress.py
@@ -7,13 +7,14 @@
 class StreamProgress:
     """Tracks the events of a stream that were sent to the caller."""
 
-    __slots__ = ("_call", "_events", "last_id")
+    __slots__ = ("_call", "_events", "_received_id", "last_id")
 
     def __init__(self, call: Call):
         given = call.facts.last_event_id.strip()
         self._call = call
         self._events = 0
         self.last_id: int | None = int(given) if given.isdigit() else None
+        self._received_id = self.last_id
 
     @property
     def has_started(self) -> bool:
@@ -26,13 +27,16 @@
             return self._call.facts.last_event_id
         return b"" if self.last_id is None else str(self.last_id).encode()
 
-    def continues(self, events: bytes) -> bool:
-        """Return whether events follow directly on those sent to the caller."""
-        expected = self.last_id
+    def begin_attempt(self) -> None:
+        """Expect the event after the last one sent to the caller."""
+        self._received_id = self.last_id
+
+    def accepts(self, events: bytes) -> bool:
+        """Return whether events follow directly on those received before."""
         for event_id in event_ids(events):
-            if expected is not None and event_id != expected + 1:
+            if self._received_id is not None and event_id != self._received_id + 1:
                 return False
-            expected = event_id
+            self._received_id = event_id
         return True
 
     def note_sent(self, events: bytes) -> int:
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -5,7 +5,7 @@
 import trio
 from expression import Error, Ok, Result
 
-from radishfield.core import Fault, ResultCode, fault
+from radishfield.core import Fault, ResultCode, fault, sleep_to_tick
 from radishfield.forwarding._active_stream import ActiveStream, format_path
 from radishfield.forwarding._call import Call
 from radishfield.forwarding._connections import BrokenAnswerError, Exchange
@@ -25,6 +25,8 @@
     EventSplitter,
     Path,
     TargetRecord,
+    event_ids,
+    read_pause_s,
 )
 from radishfield.telemetry import DeferredTelemetry, log_event
 
@@ -309,23 +311,36 @@
         stream: ActiveStream,
         progress: StreamProgress,
     ) -> Result[None, Fault]:
-        splitter = EventSplitter()
+        splitter, waiting = EventSplitter(), bytearray()
+        progress.begin_attempt()
+
+        async def forward_waiting() -> None:
+            if waiting:
+                events = bytes(waiting)
+                waiting.clear()
+                await self._forward(call, exchange, stream, progress, events)
+
+        async def finish_batch() -> None:
+            await forward_waiting()
+            if stream.has_events:
+                pause_s = read_pause_s(stream.typical_gap_s, call.route.longest_gap_s)
+                if pause_s:
+                    await sleep_to_tick(pause_s)
+
+        exchange.call_before_reads(finish_batch)
         try:
             async with aclosing(exchange.chunks()) as chunks:
                 async for chunk in chunks:
                     events = splitter.feed(chunk)
-                    if not events:
-                        continue
-                    if not progress.continues(events):
+                    if not progress.accepts(events):
+                        await forward_waiting()
                         detail = f"event out of order after {progress.last_id}"
                         return Error(fault(ResultCode.MALFORMED_ANSWER, detail))
-                    await self._forward(call, exchange, stream, events)
-                    count = progress.note_sent(events)
-                    call.times.note_sent(
-                        count, call.arrived_at, stream.last_progress_at
-                    )
+                    waiting += events
         except BrokenAnswerError as problem:
+            await forward_waiting()
             return Error(fault(ResultCode.STREAM_BROKEN, str(problem)))
+        await forward_waiting()
         if splitter.has_incomplete_event:
             return Error(fault(ResultCode.ANSWER_TRUNCATED, "ended within an event"))
         if not stream.has_events:
@@ -344,19 +359,35 @@
             await call.responder.start_stream(status, exchange.headers)
 
     async def _forward(
-        self, call: Call, exchange: Exchange, stream: ActiveStream, events: bytes
+        self,
+        call: Call,
+        exchange: Exchange,
+        stream: ActiveStream,
+        progress: StreamProgress,
+        events: bytes,
     ) -> None:
+        """Forward complete events, and record them as sent."""
         outlived_before = stream.outlived_start
-        stream.note_event(self._view.clock.now())
+        stream.note_events(self._view.clock.now(), len(event_ids(events)))
         if stream.outlived_start and not outlived_before:
             self._view.crashes.record_survival(call.traits, call.facts.request_id)
         if call.responder.started:
             await call.responder.send_events(events)
-            return
-        # The head is held until the first event: before that, another target can take
-        # over unnoticed by the caller.  Head and first event are sent together.
+        else:
+            await self._start_with(call, exchange, events, stream.last_progress_at)
+        count = progress.note_sent(events)
+        call.times.note_sent(count, call.arrived_at, stream.last_progress_at)
+
+    async def _start_with(
+        self, call: Call, exchange: Exchange, events: bytes, now: float
+    ) -> None:
+        """Forward the head together with the first events.
+
+        The head is held until then: before that, another target can take over unnoticed
+        by the caller.
+        """
         await trio.lowlevel.checkpoint_if_cancelled()
-        self._telemetry.first_token(stream.last_progress_at - call.arrived_at)
+        self._telemetry.first_token(now - call.arrived_at)
         with trio.CancelScope(shield=True):
             await self._start(call, exchange)
             await call.responder.send_events(events)
--- a/radishfield/forwarding/answers_kept_test.py
+++ b/radishfield/forwarding/answers_kept_test.py
@@ -56,15 +56,15 @@
     tmp_path, monkeypatch
 ):
     """The answer's head is sent completely or not at all, whoever ends the attempt."""
-    note_event, abandoned = ActiveStream.note_event, []
+    note_events, abandoned = ActiveStream.note_events, []
 
-    def abandon_once(active, now):
-        note_event(active, now)
+    def abandon_once(active, now, count=1):
+        note_events(active, now, count)
         if not abandoned:
             abandoned.append(active)
             active.abandon("silent", active.last_progress_at)
 
-    monkeypatch.setattr(ActiveStream, "note_event", abandon_once)
+    monkeypatch.setattr(ActiveStream, "note_events", abandon_once)
 
     async def scenario(testbed):
         testbed.store.put("config", "main", config())
@@ -76,13 +76,13 @@
 
 def test_answer_head_is_never_sent_without_its_first_event(tmp_path, monkeypatch):
     """A stream that can't resume is refused if nothing of it was sent to its caller."""
-    note_event = ActiveStream.note_event
+    note_events = ActiveStream.note_events
 
-    def abandon(active, now):
-        note_event(active, now)
+    def abandon(active, now, count=1):
+        note_events(active, now, count)
         active.abandon("silent", active.last_progress_at)
 
-    monkeypatch.setattr(ActiveStream, "note_event", abandon)
+    monkeypatch.setattr(ActiveStream, "note_events", abandon)
 
     async def scenario(testbed):
         testbed.store.put("config", "main", config())
--- a/radishfield/relay/__init__.py
+++ b/radishfield/relay/__init__.py
@@ -9,6 +9,7 @@
 from radishfield.relay._key import RelayKey
 from radishfield.relay._metrics import watch_relay
 from radishfield.relay._server import RelayServer
+from radishfield.relay._streams import TargetStream
 
 __all__ = [
     "CONNECT_TIMEOUT_S",
@@ -16,5 +17,6 @@
     "RelayKey",
     "RelayServer",
     "TargetDialer",
+    "TargetStream",
     "watch_relay",
 ]
--- a/radishfield/relay/_streams.py
+++ b/radishfield/relay/_streams.py
@@ -2,6 +2,7 @@
 
 import math
 import socket
+from collections.abc import Awaitable, Callable
 
 import httpcore
 import trio
@@ -124,9 +125,13 @@
 
     def __init__(self, stream: trio.SocketStream | RelayedStream):
         self._stream = stream
+        self.before_read: Callable[[], Awaitable[None]] | None = None
+        """Called before each read, once all bytes read so far have been used."""
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return the next bytes; empty at the end."""
+        if self.before_read is not None:
+            await self.before_read()
         try:
             if timeout is None:
                 # A stream has hundreds of events, and a scope for each read takes a
--- a/radishfield/routing/__init__.py
+++ b/radishfield/routing/__init__.py
@@ -25,7 +25,7 @@
     Replacement,
     TargetDirectory,
 )
-from radishfield.routing._events import EventSplitter, event_ids
+from radishfield.routing._events import EventSplitter, event_ids, read_pause_s
 from radishfield.routing._freshness import Freshness
 from radishfield.routing._layout import (
     MIN_REQUESTS_FOR_COPY,
@@ -226,6 +226,7 @@
     "path_ms",
     "plan_layout",
     "plan_move",
+    "read_pause_s",
     "sends_callers_away",
     "takes_work",
     "targets_to_probe",
--- a/radishfield/routing/_events.py
+++ b/radishfield/routing/_events.py
@@ -6,6 +6,29 @@
 
 END_OF_EVENT = b"\n\n"
 
+READ_PAUSE_SHARE = 0.2
+"""Longest pause between two reads of a stream, as a share of the longest pause between
+two events that is on time."""
+
+
+def read_pause_s(typical_gap_s: float, longest_gap_s: float) -> float:
+    """Return how long to collect a stream's events before they are read.
+
+    A host of half a core passes on hundreds of events a second, each in two turns of
+    the event loop.  Events that come faster than a caller notices are read together.
+    A stream whose events come slowly is read at once, and a pause of its targets is
+    not extended: the next event after one is waited for and not collected.
+
+    Parameters
+    ----------
+    typical_gap_s : float
+        Usual time between two events of the stream; 0 if it is not known yet.
+    longest_gap_s : float
+        Longest pause between two events that is on time; 0 if none is configured.
+    """
+    pause_s = READ_PAUSE_SHARE * longest_gap_s
+    return pause_s if 0.0 < typical_gap_s < pause_s else 0.0
+
 
 class EventSplitter:
     """Splits a stream of bytes into complete events."""
--- a/radishfield/routing/small_test.py
+++ b/radishfield/routing/small_test.py
@@ -20,6 +20,7 @@
     event_ids,
     next_check_s,
     next_step,
+    read_pause_s,
     takes_work,
     targets_to_probe,
 )
@@ -288,3 +289,11 @@
 
 def test_host_without_streams_checks_at_the_longest_interval():
     assert next_check_s([], 0.03, 0.1) == 0.1
+
+
+def test_fast_events_are_read_together_and_slow_ones_at_once():
+    """A host of half a core takes two turns of its loop for each of 170 events/s."""
+    assert read_pause_s(0.02, 0.25) == pytest.approx(0.05)
+    assert read_pause_s(0.06, 0.25) == 0.0
+    assert read_pause_s(0.0, 0.25) == 0.0
+    assert read_pause_s(0.02, 0.0) == 0.0
