Serve the newest requests first once some of the line are late

Cause: after a loss of targets more requests wait than can start. In order of arrival each waits as long as the line allows and starts late, those that come when the targets are back included: late work fills the fleet.

Change: a request that can no longer be in time goes behind those that can; while there is one, the latest arrivals go first; a late one that is not at the head by then is rejected, after 0.43 s of a 0.5 s objective instead of 1.2 to 1.4 s. Urgency and small workspaces still come first, resumed streams before all.

--- a/radishfield/forwarding/_stream_paths.py
+++ b/radishfield/forwarding/_stream_paths.py
@@ -1,5 +1,7 @@
 """Finds paths for streams: at once, in the queue, or outside it for started streams."""
 
+import math
+
 import trio
 from expression import Error, Ok, Result
 
@@ -104,12 +106,16 @@
         if path is not None:
             return Ok(path)
         # The caller of a started stream is waiting for its next event.
-        priority = RESUMED_PRIORITY if progress.has_started else call.priority
+        now, priority, due_in_s = view.clock.now(), RESUMED_PRIORITY, math.inf
+        if not progress.has_started:
+            priority = call.priority
+            due_in_s = max(0.0, call.arrived_at + call.route.objective_s - now)
         entry = queue.join(
             priority,
             call.workspace_name,
-            view.clock.now(),
+            now,
             call.route.caller_patience_s,
+            due_in_s,
         )
         try:
             if (
@@ -126,14 +132,15 @@
                     return Error(refusal)
                 if self._waits_for_tokens_in_vain(call, engine, entry, progress):
                     return Error(view.limit_fault(call.service.name))
-                if queue.may_try(entry):
+                if queue.may_try(entry, view.clock.now()):
                     path = self._find_path(call, engine, progress, attempts)
                 if path is not None:
                     return Ok(path)
                 if view.ends_waits():
                     code = ResultCode.DRAINING
                     return Error(fault(code, "host is leaving", LEAVING_RETRY_S))
-                if queue.has_expired(entry, view.clock.now()):
+                now = view.clock.now()
+                if queue.has_expired(entry, now) or queue.is_hopeless(entry, now):
                     return Error(self._full_fault(queue, entry))
                 with trio.move_on_after(RECHECK_S):
                     await view.capacity_freed.wait()
--- a/radishfield/routing/_admission_queue.py
+++ b/radishfield/routing/_admission_queue.py
@@ -8,17 +8,26 @@
 A few requests at the head try at the same time, so that a large request does not keep
 smaller ones from a slot that it cannot use.
 
+After a loss of targets more requests wait than can start in time.  In order of arrival,
+each would start when it is already late, and nobody would be in time as long as the
+overload lasts.  So once some are late, they go behind those that are not, and the
+latest arrivals go first.  Late ones that do not reach the head by then are rejected.
+
 Waiting is useful only while the caller stays.  A request that would not get a slot in
 time, at the rate of the last seconds, is rejected at once, with the time after which
 its turn in the queue would have come.
 """
 
+import math
 from collections import Counter, deque
 
 import msgspec
 
 from radishfield.routing._types import MIN_CALLER_TIMEOUT_S
 
+START_SHARE = 0.15
+"""Share of the objective that a request needs from its slot to its first event."""
+
 MAX_WAIT_SHARE = 0.6
 """Longest wait, as a share of the caller timeout: the first event of an admitted stream
 takes some more of that timeout."""
@@ -62,6 +71,8 @@
         Increases with each entry, so that earlier ones go first.
     max_wait_s : float
         Longest time that it may wait in the queue.
+    late_at : float
+        Time from which it can't be in time any more.
     """
 
     number: int
@@ -69,6 +80,7 @@
     workspace: str
     since: float
     max_wait_s: float
+    late_at: float = math.inf
 
 
 class AdmissionQueue(msgspec.Struct):
@@ -89,11 +101,24 @@
         workspace: str,
         now: float,
         caller_patience_s: float = MIN_CALLER_TIMEOUT_S,
+        due_in_s: float = math.inf,
     ) -> QueueEntry:
-        """Add a request to the queue."""
+        """Add a request to the queue.
+
+        Parameters
+        ----------
+        due_in_s : float
+            Time until its first event would be late.
+        """
         self._last_number += 1
-        max_wait_s = MAX_WAIT_SHARE * caller_patience_s
-        entry = QueueEntry(self._last_number, priority, workspace, now, max_wait_s)
+        entry = QueueEntry(
+            self._last_number,
+            priority,
+            workspace,
+            now,
+            MAX_WAIT_SHARE * caller_patience_s,
+            now + due_in_s * (1.0 - START_SHARE),
+        )
         self._entries[entry.number] = entry
         return entry
 
@@ -118,9 +143,9 @@
         self._freed_at.append(now)
         self._drop_old_freed(now)
 
-    def may_try(self, entry: QueueEntry) -> bool:
+    def may_try(self, entry: QueueEntry, now: float) -> bool:
         """Return whether a request is near enough to the head to try for a slot."""
-        return self._count_ahead(entry) < HEAD_SIZE
+        return self._count_ahead(entry, now) < HEAD_SIZE
 
     def expected_wait_s(self, entry: QueueEntry, now: float) -> float:
         """Return the time until a slot is free, at the rate of the last seconds."""
@@ -128,7 +153,7 @@
         if len(self._freed_at) < MIN_FREED_SLOTS:
             return 0.0
         counted_s = max(MIN_COUNTED_S, now - self._freed_at[0])
-        return (self._count_ahead(entry) + 1) * counted_s / len(self._freed_at)
+        return (self._count_ahead(entry, now) + 1) * counted_s / len(self._freed_at)
 
     def expects_timeout(self, entry: QueueEntry, now: float) -> bool:
         """Return whether a new request is expected not to get a slot in time."""
@@ -138,17 +163,33 @@
         """Return whether a request has reached its maximum wait."""
         return now - entry.since >= entry.max_wait_s
 
+    def is_hopeless(self, entry: QueueEntry, now: float) -> bool:
+        """Return whether a request is late and those in time are all before it.
+
+        As long as the overload lasts, newer requests keep it from the head.
+        """
+        return now >= entry.late_at and not self.may_try(entry, now)
+
     def return_after_s(self, entry: QueueEntry, now: float) -> float:
         """Return the time after which a rejected caller should retry."""
         wait_s = self.expected_wait_s(entry, now)
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
 
-    def _count_ahead(self, entry: QueueEntry) -> int:
-        own = self._rank(entry)
-        return sum(self._rank(other) < own for other in self._entries.values())
-
-    def _rank(self, entry: QueueEntry) -> tuple[int, int, int]:
-        return (entry.priority, self._running[entry.workspace], entry.number)
+    def _count_ahead(self, entry: QueueEntry, now: float) -> int:
+        entries = self._entries.values()
+        overloaded = any(now >= other.late_at for other in entries)
+        own = self._rank(entry, now, overloaded)
+        return sum(self._rank(other, now, overloaded) < own for other in entries)
+
+    def _rank(
+        self, entry: QueueEntry, now: float, overloaded: bool
+    ) -> tuple[int, bool, int, int]:
+        return (
+            entry.priority,
+            now >= entry.late_at,
+            self._running[entry.workspace],
+            -entry.number if overloaded else entry.number,
+        )
 
     def _drop_old_freed(self, now: float) -> None:
         window_s = min(MAX_WINDOW_S, max(MIN_WINDOW_S, self.typical_stream_s))
--- a/radishfield/routing/admission_queue_test.py
+++ b/radishfield/routing/admission_queue_test.py
@@ -1,5 +1,6 @@
 """Tests of the admission queue with bursts, large senders and urgent requests."""
 
+import math
 import random
 
 from radishfield.routing import AdmissionQueue
@@ -16,16 +17,26 @@
     large = queue.join(2, "large", 0.0)
     small = queue.join(2, "small", 0.1)
     urgent = queue.join(1, "large", 0.2)
-    order = sorted([large, small, urgent], key=queue._rank)
+    order = sorted([large, small, urgent], key=ranks(queue, 0.3))
     assert order == [urgent, small, large]
 
 
-def replay(arrivals, slots, hold_s, length_s=20.0):
+def ranks(queue, now):
+    """Return the key by which a queue's entries are ordered now."""
+    overloaded = any(now >= entry.late_at for entry in queue._entries.values())
+    return lambda entry: queue._rank(entry, now, overloaded)
+
+
+def replay(
+    arrivals, slots, hold_s, length_s=20.0, due_in_s=math.inf, delays=None, held=None
+):
     """Replay arrivals of ``(at, workspace, priority)`` against a number of slots.
 
     Returns the share of admitted requests by workspace, and how many requests were
-    rejected at once and after a wait.
+    rejected at once and after a wait.  The waits of those admitted go to ``delays``,
+    of those rejected after a wait to ``held``.
     """
+    held = [] if held is None else held
     queue, busy, waiting = AdmissionQueue(), [], []
     rng = random.Random(1)
     admitted, sent, rejected, expired = {}, {}, 0, 0
@@ -38,20 +49,23 @@
         while arrivals and arrivals[0][0] <= now:
             _, workspace, priority = arrivals.pop(0)
             sent[workspace] = sent.get(workspace, 0) + 1
-            entry = queue.join(priority, workspace, now)
+            entry = queue.join(priority, workspace, now, due_in_s=due_in_s)
             if len(busy) >= slots and queue.expects_timeout(entry, now):
                 queue.leave(entry)
                 rejected += 1
             else:
                 waiting.append(entry)
-        for entry in sorted(waiting, key=queue._rank):
-            if len(busy) < slots and queue.may_try(entry):
+        for entry in sorted(waiting, key=ranks(queue, now)):
+            if len(busy) < slots and queue.may_try(entry, now):
                 queue.leave(entry)
                 waiting.remove(entry)
                 queue.started(entry.workspace)
+                if delays is not None:
+                    delays.append(now - entry.since)
                 busy.append((now + rng.uniform(0.2, 1.8) * hold_s, entry.workspace))
                 admitted[entry.workspace] = admitted.get(entry.workspace, 0) + 1
-            elif queue.has_expired(entry, now):
+            elif queue.has_expired(entry, now) or queue.is_hopeless(entry, now):
+                held.append(now - entry.since)
                 queue.leave(entry)
                 waiting.remove(entry)
                 expired += 1
@@ -105,9 +119,9 @@
 def test_only_the_head_of_the_queue_may_try():
     queue = AdmissionQueue()
     entries = [queue.join(1, "w", 0.0) for _ in range(HEAD_SIZE + 2)]
-    assert [queue.may_try(entry) for entry in entries].count(True) == HEAD_SIZE
+    assert [queue.may_try(entry, 0.0) for entry in entries].count(True) == HEAD_SIZE
     queue.leave(entries[0])
-    assert queue.may_try(entries[HEAD_SIZE])
+    assert queue.may_try(entries[HEAD_SIZE], 0.0)
 
 
 def test_request_expires_after_its_maximum_wait():
@@ -116,3 +130,32 @@
     assert not queue.has_expired(entry, MAX_WAIT_S - 0.1)
     assert queue.has_expired(entry, MAX_WAIT_S)
     assert queue.return_after_s(entry, MAX_WAIT_S) >= 0.5
+
+
+def test_overload_that_lasts_leaves_most_admitted_requests_in_time():
+    """A quarter of the targets is lost for six seconds, and callers come as before.
+
+    In order of arrival each request waits as long as the queue allows and starts late,
+    those that come after the targets are back included.
+    """
+    rng = random.Random(11)
+    arrivals = random_arrivals(rng, 26, "w", length_s=12.0)
+    in_order, newest_first, held = [], [], []
+    replay(arrivals, slots=30, hold_s=1.5, delays=in_order)
+    replay(arrivals, slots=30, hold_s=1.5, due_in_s=0.5, delays=newest_first, held=held)
+    in_time_before = sum(delay < 0.4 for delay in in_order)
+    in_time = sum(delay < 0.4 for delay in newest_first)
+    assert in_time >= 1.4 * in_time_before
+    assert len(newest_first) >= 0.95 * len(in_order)
+    assert sum(held) / len(held) < 0.6
+
+
+def test_requests_that_cannot_be_in_time_go_behind_those_that_can():
+    queue = AdmissionQueue()
+    late = queue.join(1, "w", 0.0, due_in_s=0.5)
+    first = queue.join(1, "w", 0.3, due_in_s=0.5)
+    second = queue.join(1, "w", 0.35, due_in_s=0.5)
+    urgent = queue.join(0, "w", 0.0, due_in_s=0.5)
+    waiting = [late, first, second, urgent]
+    assert sorted(waiting, key=ranks(queue, 0.4)) == [urgent, late, first, second]
+    assert sorted(waiting, key=ranks(queue, 0.45)) == [urgent, second, first, late]
