--- a/radishfield/forwarding/_stream_paths.py
+++ b/radishfield/forwarding/_stream_paths.py
@@ -109,7 +109,7 @@
         now, priority, due_in_s = view.clock.now(), RESUMED_PRIORITY, math.inf
         if not progress.has_started:
             priority = call.priority
-            due_in_s = max(0.0, call.arrived_at + call.route.objective_s - now)
+            due_in_s = max(0.0, call.arrived_at + call.route.first_event_due_s - now)
         entry = queue.join(
             priority,
             call.workspace_name,
--- a/radishfield/routing/_types.py
+++ b/radishfield/routing/_types.py
@@ -1,6 +1,7 @@
 """Defines the value types for routes, workspaces and targets."""
 
 import enum
+import math
 from collections.abc import Mapping
 
 import msgspec
@@ -98,6 +99,11 @@
             return self.longest_gap_s or MIN_CALLER_TIMEOUT_S / TIMEOUT_PER_GAP
         return self.objective_s or MIN_CALLER_TIMEOUT_S / TIMEOUT_PER_OBJECTIVE
 
+    @property
+    def first_event_due_s(self) -> float:
+        """Return the time in which a stream begins on time; infinite if none is set."""
+        return self.objective_s if self.objective_s > 0.0 else math.inf
+
     @property
     def repeatable(self) -> bool:
         """Return whether a request that may have been executed may be retried."""
--- a/radishfield/routing/sizes_test.py
+++ b/radishfield/routing/sizes_test.py
@@ -162,3 +162,16 @@
     entry = queue.join(1, "w", 0.0, rule.caller_patience_s)
     assert not queue.has_expired(entry, 0.2 * rule.caller_patience_s)
     assert queue.has_expired(entry, 0.8 * rule.caller_patience_s)
+
+
+def test_requests_of_a_route_without_times_are_not_rejected_as_late():
+    """An operator does not configure when an answer is on time.
+
+    If that counted as zero, each request that waits behind four others would be
+    rejected at once.
+    """
+    due_in_s = route(0.0, 0.0).first_event_due_s
+    queue = AdmissionQueue()
+    entries = [queue.join(1, "w", 0.0, 2.0, due_in_s) for _ in range(9)]
+    assert not any(queue.is_hopeless(entry, 1.0) for entry in entries)
+    assert route(0.5, 0.2).first_event_due_s == 0.5
