--- a/radishfield/routing/_layout.py
+++ b/radishfield/routing/_layout.py
@@ -64,6 +64,8 @@
     engine: EngineSpec, accelerator: Accelerator, requests: int = MIN_REQUESTS
 ) -> int:
     """Return the most layers beside which a number of typical requests fits."""
+    if engine.layer_mb <= 0:
+        return 0
     request_mb = engine.usual_tokens * engine.layer_cache_bytes / 1e6
     if request_mb <= 0:
         layers = int(accelerator.memory_mb * FALLBACK_LAYER_SHARE / engine.layer_mb)
--- a/radishfield/routing/layout_test.py
+++ b/radishfield/routing/layout_test.py
@@ -349,6 +349,8 @@
         engine = replace(SMALL_CACHE_ENGINE, **changes)
         assert layers_beside(engine, SMALL_CARDS["l4"]) == 8
         assert len(layout_problems(engine)) == 1
+    engine = replace(SMALL_CACHE_ENGINE, layer_mb=0.0, usual_prompt=0, usual_answer=0)
+    assert plan_layout(engine, fleet_of({"a": {"l4": 3}})) == []
 
 
 DISTURBANCES = ["crash", "rack", "return", "release", "leave"]
