Never sleep for a rounding error before a tick

Fault of: woken a rounding error before a tick, a periodic task slept for the rest of it, which was no time at all. Now such a moment counts as the tick. The new test failed before, for 0.05 s.

--- a/radishfield/core/_clock.py
+++ b/radishfield/core/_clock.py
@@ -6,6 +6,10 @@
 
 import trio
 
+TICK_ROUNDING = 1e-6
+"""Share of a period before a tick that counts as the tick.  A sleep may end a rounding
+error before it, and the next one would have no length."""
+
 
 class Clock(Protocol):
     """A monotonic clock that also advances while the host is suspended."""
@@ -48,7 +52,8 @@
     they do.
     """
     now = trio.current_time()
-    return (math.floor(now / period_s) + 1) * period_s - now
+    ticks = math.floor(now / period_s + TICK_ROUNDING) + 1
+    return ticks * period_s - now
 
 
 async def sleep_to_tick(period_s: float) -> None:
--- a/radishfield/core/clock_test.py
+++ b/radishfield/core/clock_test.py
@@ -4,7 +4,7 @@
 import trio
 from trio.testing import MockClock
 
-from radishfield.core import sleep_to_tick
+from radishfield.core import sleep_to_tick, until_tick_s
 
 
 @pytest.mark.parametrize("started_at", [0.0, 0.013, 0.0999, 7.31])
@@ -29,3 +29,18 @@
     assert len(woken_at) == 30
     assert len(set(woken_at)) <= 21
     assert all(round(at / 0.05) * 0.05 == pytest.approx(at) for at in woken_at)
+
+
+@pytest.mark.parametrize("period_s", [0.05, 0.1, 0.25, 0.06])
+def test_no_sleep_between_ticks_is_without_length(period_s):
+    """A rounding error before a tick kept a task busy in virtual time for ever."""
+
+    async def scenario():
+        lengths_s = []
+        for _ in range(2000):
+            lengths_s.append(until_tick_s(period_s))
+            await trio.sleep(lengths_s[-1])
+        return lengths_s
+
+    lengths_s = trio.run(scenario, clock=MockClock(autojump_threshold=0))
+    assert min(lengths_s) > 0.9 * period_s
