--- a/bench/idle_router.py
+++ b/bench/idle_router.py
@@ -144,13 +144,10 @@
         store = ObjectStoreApp()
         store.put("config", "main", config())
         for number, target_id in enumerate(self._target_ids):
-            entry = layered_entry(f"127.0.0.1:{number + 1}", number % 8 * 10, 0)
-            entry["layers"] = {
-                "from": number % 8 * 10,
-                "target": number % 8 * 10 + 10,
-                "version": 1,
-            }
-            store.put("servers", target_id, entry | {"zone": ZONES[number % 3]})
+            first = number % 8 * 10
+            entry = layered_entry(f"127.0.0.1:{number + 1}", first, first + 10)
+            zone = ZONES[number % len(ZONES)]
+            store.put("servers", target_id, entry | {"zone": zone})
         for zone in ZONES:
             # The router asks one target of each zone for its usual time to answer.
             target = LayeredTarget(f"z-{zone}", first=0, end=10)
