--- a/review/3/case.py
+++ b/review/3/case.py
@@ -110,8 +110,8 @@
         if reached and after_s > DRAIN_S:
             late.append(after_s)
     text = (
-        f"DRAIN: {len(late)} requests reached {DRAINING} over {DRAIN_S} s after the "
-        f"store acknowledged its draining, the last {max(late, default=0.0):.1f} s after"
+        f"DRAIN: {len(late)} requests reached {DRAINING} over {DRAIN_S} s after "
+        f"its draining was acknowledged, the last {max(late, default=0.0):.1f} s after"
     )
     record.note(text)
     print(text)
--- a/review/common/play.py
+++ b/review/common/play.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -17,6 +18,7 @@
     ``play`` gets a record, a temporary folder and a list for the started processes,
     and returns 1 if the rule was broken, 0 if it held, 2 if the case could not run.
     """
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     record, processes = Record(folder / "record.txt"), []
     code = 2
     with tempfile.TemporaryDirectory() as name:
