--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -113,7 +113,11 @@
         if name in os.environ
     }
     path = os.pathsep.join([str(ROOT / "target" / "deps"), str(ROOT)])
-    return kept | {"PYTHONPATH": path, "PYTHONUNBUFFERED": "1"} | more
+    return (
+        kept
+        | {"PYTHONPATH": path, "PYTHONUNBUFFERED": "1", "PYTHONDONTWRITEBYTECODE": "1"}
+        | more
+    )
 
 
 def standin(script, arguments, folder):
