Treat every exception of a decoder as input that can't be read

What callers saw: nothing yet; by reading, and by a trial of the decoders, an entry or a datagram of valid form ends the process of a router.

Cause: decoders were guarded by the errors that msgspec documents. It also raises RecursionError for values that are nested too deeply, base64 raises ValueError for text that is not ASCII, and a peer's address that is no address reached the socket, which raises UnicodeError.

Change: one list of these exceptions, used wherever outside text is decoded; addresses of hosts and targets are split by one strict grammar.

Evidence: of the new tests five failed before (a nested object, a key that is not ASCII, a nested configuration and two addresses from another host); all pass now.

--- a/radishfield/core/__init__.py
+++ b/radishfield/core/__init__.py
@@ -17,6 +17,7 @@
     Outcome,
     ResultCode,
 )
+from radishfield.core._decoding import UNREADABLE_ERRORS
 from radishfield.core._errors import Fault, fault
 from radishfield.core._lazy import lazy_getattr
 
@@ -74,6 +75,7 @@
 )
 
 __all__ = [
+    "UNREADABLE_ERRORS",
     "lazy_getattr",
     "sleep_to_tick",
     "until_tick_s",
--- a/radishfield/forwarding/_crash_records.py
+++ b/radishfield/forwarding/_crash_records.py
@@ -7,11 +7,12 @@
 """
 
 import time
+from typing import Annotated
 
 import msgspec
 from expression import Result
 
-from radishfield.core import Fault, ResultCode
+from radishfield.core import UNREADABLE_ERRORS, Fault, ResultCode
 from radishfield.crashes import REFUSED_S, CrashReport, TargetCrashEntry
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import ObjectStore, StoredValue
@@ -24,7 +25,7 @@
 
 class _StoredCrash(msgspec.Struct):
     target: str
-    started_ms: int
+    started_ms: Annotated[int, msgspec.Meta(ge=0, lt=1 << 63)]
     told_by: str
     unix_s: float
 
@@ -86,7 +87,7 @@
     async def _merge_record(self, value: StoredValue) -> None:
         try:
             body = msgspec.convert(value.spec, _RecordBody)
-        except msgspec.ValidationError as problem:
+        except UNREADABLE_ERRORS as problem:
             log_event("crashes.unreadable", digest=value.name, detail=str(problem))
             return
         unix_s = time.time()
--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -15,6 +15,7 @@
 import trio
 
 from radishfield.capacity import fit_demands
+from radishfield.core import UNREADABLE_ERRORS
 from radishfield.forwarding._crash_gossip import CrashGossip
 from radishfield.forwarding._datagrams import DatagramSocket
 from radishfield.forwarding._limit_gossip import LimitGossip
@@ -24,7 +25,7 @@
     encode_link_shares,
     encode_work,
 )
-from radishfield.forwarding._peer_finder import PeerFinder, split_peer_address
+from radishfield.forwarding._peer_finder import PeerFinder
 from radishfield.forwarding._peer_messages import (
     DATAGRAM_BYTES,
     Echo,
@@ -57,6 +58,7 @@
     confirmed_by_peer_at,
 )
 from radishfield.telemetry import DeferredTelemetry, log_event
+from radishfield.web import split_ip_address
 
 GOSSIP_PERIOD_S = 0.25
 """Interval between statuses, in which a host starts one or two requests.  With a
@@ -418,8 +420,8 @@
                 case PeerZoneTotal() as total:
                     self._apply_zone_total(total)
                 case PeerStatus() as status:
-                    self._apply_status(status, split_peer_address(status.address))
-        except (msgspec.DecodeError, ValueError):
+                    self._apply_status(status, split_ip_address(status.address))
+        except UNREADABLE_ERRORS:
             self.malformed += 1
 
     def _apply_zone_total(self, message: PeerZoneTotal) -> None:
--- a/radishfield/forwarding/_lease.py
+++ b/radishfield/forwarding/_lease.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from radishfield.core import ResultCode
+from radishfield.core import UNREADABLE_ERRORS, ResultCode
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import ObjectStore, StoredValue
 from radishfield.telemetry import log_event
@@ -115,5 +115,5 @@
 def _holder(value: StoredValue) -> str:
     try:
         return msgspec.convert(value.spec, _LeaseBody).holder
-    except msgspec.ValidationError:
+    except UNREADABLE_ERRORS:
         return ""
--- a/radishfield/forwarding/_peer_finder.py
+++ b/radishfield/forwarding/_peer_finder.py
@@ -9,12 +9,12 @@
 import msgspec
 import trio
 
-from radishfield.core import ResultCode
+from radishfield.core import UNREADABLE_ERRORS, ResultCode
 from radishfield.forwarding._peers import Peer, PeerBook
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import ObjectStore
 from radishfield.telemetry import log_event
-from radishfield.web import backoff_s, split_address
+from radishfield.web import backoff_s, split_ip_address
 
 HOSTS_KIND = "radishfield-hosts"
 
@@ -69,8 +69,8 @@
             return
         try:
             body = msgspec.convert(spec, _HostBody)
-            address = split_peer_address(body.address)
-        except (msgspec.ValidationError, ValueError) as problem:
+            address = split_ip_address(body.address)
+        except UNREADABLE_ERRORS as problem:
             log_event("peer.unreadable", peer=host_id, detail=str(problem))
             return
         self._book.peer_by_id[host_id] = Peer(
@@ -93,11 +93,3 @@
             HOSTS_KIND, self._host_id, body, read.ok.revision
         )
         return written.is_ok()
-
-
-def split_peer_address(address: str) -> tuple[str, int]:
-    """Return a peer's host and port; raise `ValueError` if the host is missing."""
-    host, port = split_address(address)
-    if not host:
-        raise ValueError(f"peer address {address!r} has no host")
-    return host, port
--- a/radishfield/forwarding/_peer_messages.py
+++ b/radishfield/forwarding/_peer_messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from radishfield.capacity import PlainTargetUse, ServiceDemand
+from radishfield.core import UNREADABLE_ERRORS
 from radishfield.crashes import CrashReport
 from radishfield.routing import AnswerCounts
 from radishfield.telemetry import log_event
@@ -272,7 +273,7 @@
     """
     try:
         body = zlib.compress(encoder.encode(spec))
-    except (OverflowError, ValueError) as problem:
+    except UNREADABLE_ERRORS as problem:
         # JSON allows larger numbers than MessagePack.
         log_event("config.unsendable", version=version, detail=str(problem))
         return None
@@ -305,7 +306,7 @@
     for item in items:
         try:
             length = len(encoder.encode(item))
-        except (OverflowError, ValueError) as problem:
+        except UNREADABLE_ERRORS as problem:
             # Entries may have other writers, and JSON allows larger numbers.
             log_event("news.unsendable", target=item.target_id, detail=str(problem))
             continue
--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -4,7 +4,13 @@
 import trio
 from expression import Result
 
-from radishfield.core import Clock, Fault, ResultCode, until_tick_s
+from radishfield.core import (
+    UNREADABLE_ERRORS,
+    Clock,
+    Fault,
+    ResultCode,
+    until_tick_s,
+)
 from radishfield.forwarding._active_stream import ActiveStream, format_path
 from radishfield.forwarding._questions import TargetProber
 from radishfield.forwarding._slow_targets import SlowTargets
@@ -512,5 +518,5 @@
 def _blocked_address(answer: Result[object, Fault]) -> str:
     try:
         return msgspec.json.decode(answer.ok.body, type=_Blocked).addr
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except UNREADABLE_ERRORS:
         return ""
--- a/radishfield/forwarding/gossip_test.py
+++ b/radishfield/forwarding/gossip_test.py
@@ -1,6 +1,7 @@
 """Tests of how a host applies the datagrams of its peers."""
 
 import math
+import zlib
 from types import SimpleNamespace
 
 import msgspec
@@ -16,6 +17,7 @@
     PeerZoneTotal,
     Use,
     Work,
+    config_spec,
     decoder,
     encoder,
 )
@@ -279,3 +281,21 @@
     gossip._handle_datagram(encoder.encode([*fields, ["a", "later", "field"]]))
     assert gossip.malformed == 0
     assert gossip._view.demands.fleet(own, "a", 110.1) == own
+
+
+@pytest.mark.parametrize(
+    "datagram",
+    [
+        b"\x91" * 8000,
+        msgspec.msgpack.encode(["config", 1, 1, zlib.compress(b"\x91" * 100_000)]),
+        encoder.encode(status(address="a..b:7340")),
+        encoder.encode(status(address="10.0.0.1:99999")),
+    ],
+    ids=["nested", "nested configuration", "no address", "no port"],
+)
+def test_datagram_that_can_not_be_read_is_counted_and_dropped(gossip, datagram):
+    """Guards against an end of the process by what another host sends."""
+    gossip._view.on_config = config_spec
+    gossip._handle_datagram(datagram)
+    assert gossip.malformed == 1
+    assert gossip._book.peer_by_id == {}
--- a/radishfield/platform/_config.py
+++ b/radishfield/platform/_config.py
@@ -5,7 +5,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from radishfield.core import Fault, ResultCode, fault
+from radishfield.core import UNREADABLE_ERRORS, Fault, ResultCode, fault
 from radishfield.routing import (
     Accelerator,
     EngineSpec,
@@ -126,20 +126,21 @@
 def decode_config(spec: object) -> Result[RoutingConfig, Fault]:
     """Return the configuration, or a fault that says why it is malformed."""
     try:
-        raw = msgspec.convert(spec, _Config, strict=False)
-    except msgspec.ValidationError as problem:
+        return Ok(_config(msgspec.convert(spec, _Config, strict=False)))
+    except UNREADABLE_ERRORS as problem:
         return Error(fault(ResultCode.PLATFORM_MALFORMED, str(problem)))
-    return Ok(
-        RoutingConfig(
-            version=raw.version,
-            routes=tuple(_route(route) for route in raw.routes),
-            service_by_name={item.name: _service(item) for item in raw.services},
-            workspace_by_key=_workspaces(raw.tenants or []),
-            limits=RequestLimits(
-                raw.limits.max_body_bytes, raw.limits.idle_timeout_ms / 1000
-            ),
-            keys_required=bool(raw.tenants),
-        )
+
+
+def _config(raw: _Config) -> RoutingConfig:
+    return RoutingConfig(
+        version=raw.version,
+        routes=tuple(_route(route) for route in raw.routes),
+        service_by_name={item.name: _service(item) for item in raw.services},
+        workspace_by_key=_workspaces(raw.tenants or []),
+        limits=RequestLimits(
+            raw.limits.max_body_bytes, raw.limits.idle_timeout_ms / 1000
+        ),
+        keys_required=bool(raw.tenants),
     )
 
 
--- a/radishfield/platform/_store.py
+++ b/radishfield/platform/_store.py
@@ -5,7 +5,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from radishfield.core import Fault, ResultCode, fault
+from radishfield.core import UNREADABLE_ERRORS, Fault, ResultCode, fault
 from radishfield.web import ApiCall, ApiCaller, decode_answer
 
 CALL_TIMEOUT_S = 2.0
@@ -211,10 +211,10 @@
     """Return an object; its spec is None if only its name can be read."""
     try:
         item = msgspec.json.decode(raw, type=_Object)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except UNREADABLE_ERRORS:
         return StoredValue("", 0, None)
     try:
         spec = msgspec.json.decode(item.spec)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except UNREADABLE_ERRORS:
         spec = None
     return StoredValue(item.metadata.name, item.metadata.revision, spec)
--- a/radishfield/platform/store_test.py
+++ b/radishfield/platform/store_test.py
@@ -1,9 +1,11 @@
 """Tests of the store's client on the stand-in: lists, watches, writes, failures."""
 
+import pytest
 import trio
 
 from radishfield.core import ResultCode, SystemClock
 from radishfield.platform import ObjectStore
+from radishfield.platform._store import _read_value
 from radishfield.web import (
     ApiAddress,
     ApiCaller,
@@ -41,6 +43,15 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize(
+    "spec", [b"[" * 100_000 + b"]" * 100_000, b"9" * 5000, b"1e999", b'"\xff"']
+)
+def test_content_that_can_not_be_read_is_none(spec):
+    """Guards against an end of the process by an entry that is nested too deeply."""
+    value = _read_value(b'{"metadata": {"name": "a"}, "spec": ' + spec + b"}")
+    assert value.spec is None
+
+
 def test_watch_returns_changes_and_removals_and_times_out():
     async def scenario(app, store, calls):
         app.put("k", "a", 1)
--- a/radishfield/relay/_frames.py
+++ b/radishfield/relay/_frames.py
@@ -15,7 +15,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from radishfield.core import Fault, ResultCode, fault
+from radishfield.core import UNREADABLE_ERRORS, Fault, ResultCode, fault
 
 MAGIC = b"RFR1"
 NONCE_BYTES = 16
@@ -56,7 +56,7 @@
         return Error(fault(ResultCode.PEER_UNAUTHENTICATED, "wrong MAC"))
     try:
         return Ok(msgspec.msgpack.decode(body, type=RelayRequest))
-    except msgspec.DecodeError as problem:
+    except UNREADABLE_ERRORS as problem:
         return Error(fault(ResultCode.BAD_FRAME, str(problem)))
 
 
--- a/radishfield/relay/_key.py
+++ b/radishfield/relay/_key.py
@@ -5,7 +5,6 @@
 """
 
 import base64
-import binascii
 import random
 import secrets
 
@@ -13,7 +12,7 @@
 import trio
 from expression import Result
 
-from radishfield.core import Clock, Fault, ResultCode
+from radishfield.core import UNREADABLE_ERRORS, Clock, Fault, ResultCode
 from radishfield.platform import ObjectStore, StoredValue
 from radishfield.relay._frames import KEY_BYTES
 from radishfield.telemetry import log_event
@@ -84,7 +83,7 @@
         try:
             body = msgspec.convert(spec, _KeyBody)
             value = base64.b64decode(body.secret, validate=True)
-        except (msgspec.ValidationError, binascii.Error) as problem:
+        except UNREADABLE_ERRORS as problem:
             log_event("relay.key_unreadable", detail=str(problem))
             return False
         if len(value) < KEY_BYTES:
--- a/radishfield/relay/key_test.py
+++ b/radishfield/relay/key_test.py
@@ -99,3 +99,11 @@
         assert store.reads == 2
 
     play(scenario)
+
+
+@pytest.mark.parametrize("secret", ["\u00e9", "a", "!!!!", ""])
+def test_key_that_can_not_be_read_is_none(secret):
+    """Guards against an end of the process by a key of another writer."""
+    key = RelayKey(Store(), TrioClock())
+    assert not key._accept({"secret": secret})
+    assert key.value is None
--- a/radishfield/web/__init__.py
+++ b/radishfield/web/__init__.py
@@ -1,6 +1,6 @@
 """Shared HTTP code: ASGI helpers, listeners, API calls and call budgets."""
 
-from radishfield.web._address import split_address
+from radishfield.web._address import split_address, split_ip_address
 from radishfield.web._asgi import (
     BodyLimit,
     http_answer,
@@ -61,5 +61,6 @@
     "serve_lifespan",
     "serve_scope",
     "split_address",
+    "split_ip_address",
     "start_answer",
 ]
--- a/radishfield/web/_calls.py
+++ b/radishfield/web/_calls.py
@@ -14,7 +14,7 @@
 import trio
 from expression import Error, Ok, Result
 
-from radishfield.core import Clock, Fault, ResultCode, fault
+from radishfield.core import UNREADABLE_ERRORS, Clock, Fault, ResultCode, fault
 from radishfield.web._budget import CallBudget
 
 T = TypeVar("T")
@@ -219,7 +219,7 @@
     """Return an answer's JSON, or ``PLATFORM_MALFORMED``."""
     try:
         return Ok(msgspec.json.decode(body, type=kind))
-    except (msgspec.DecodeError, UnicodeDecodeError) as problem:
+    except UNREADABLE_ERRORS as problem:
         return Error(fault(ResultCode.PLATFORM_MALFORMED, str(problem)))
 
 
