Use no entry that is not wholly of the published form

Cause: the decoder checked an address for a colon and digits only, and numbers for their type only. What it let through is refused deeper, by exceptions that nobody expects there: UnicodeError and ValueError of the resolver and of int(), OverflowError of sockets and of MessagePack, IndexError of the search for paths over layers that the model doesn't have.

Change: an IPv4 address with a port, text without control characters or U+FFFD, numbers within bounds, all fields of the published form, an id that is a header's value. Targets whose layers go beyond their service's model are left out, by the configuration in force.

--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -369,6 +369,13 @@
             )
             return False
         self._view.table = RoutingTable(config)
+        self._view.directory.set_layers(
+            {
+                name: service.engine.layers
+                for name, service in config.service_by_name.items()
+                if service.engine is not None
+            }
+        )
         self._on_limits(config.limits.idle_timeout_s)
         log_event(
             "config.in_force",
@@ -522,6 +529,7 @@
                 accelerator=record.accelerator,
                 span=f"{record.span.first}-{record.span.end}" if record.span else "",
                 started_ms=record.started_ms,
+                fits_model=self._view.directory.fits_model(record),
                 revision=value.revision,
                 source=source,
             )
--- a/radishfield/forwarding/router_test.py
+++ b/radishfield/forwarding/router_test.py
@@ -251,6 +251,33 @@
     play(tmp_path, scenario)
 
 
+def test_entries_that_no_socket_or_path_search_takes_end_no_router(tmp_path):
+    """Guards against a process that ends at each start while such an entry stays."""
+
+    async def scenario(testbed):
+        await start_layered_router(testbed, [(0, 40), (40, 80)])
+        good = testbed.store.spec("servers", "t1")
+        foreign = [
+            {"addr": "127.0.0.9\ufffd:8080"},
+            {"addr": "a..b:8080"},
+            {"addr": "127.0.0.9:\u00b2"},
+            {"layers": {"from": 79, "target": 81, "version": 1}},
+            {"layers": {"from": -1, "target": 80, "version": 1}},
+            {"born": 1 << 70, "state": "draining"},
+        ]
+        for number, changes in enumerate(foreign):
+            # In zones of their own, each of which has a target measured.
+            entry = good | {"zone": f"z{number}"} | changes
+            testbed.store.put("servers", f"foreign{number}", entry)
+        await trio.sleep(2.5)
+        listed = testbed.router.view.directory.listed("pool")
+        assert sorted(record.id for record in listed) == ["t1", "t2"]
+        reply = await testbed.request("/stream/x", "POST", body=b"{}")
+        assert reply.status == 200 and reply.whole
+
+    play(tmp_path, scenario)
+
+
 def test_draining_targets_get_no_requests_after_history_was_lost(tmp_path):
     async def scenario(testbed):
         await start_plain_router(testbed)
--- a/radishfield/platform/_targets.py
+++ b/radishfield/platform/_targets.py
@@ -1,9 +1,16 @@
-"""Decodes targets' entries and reports, and encodes the orders sent to them."""
+"""Decodes targets' entries and reports, and encodes the orders sent to them.
+
+Entries may have other writers.  One that is not wholly of the published form names no
+target, whichever of its fields is at fault.
+"""
+
+import re
+from typing import Annotated
 
 import msgspec
 from expression import Error, Ok, Result
 
-from radishfield.core import Fault, ResultCode, fault
+from radishfield.core import UNREADABLE_ERRORS, Fault, ResultCode, fault
 from radishfield.routing import (
     LayerSpan,
     Path,
@@ -11,29 +18,52 @@
     TargetRecord,
     TargetReport,
 )
+from radishfield.web import split_ip_address
 
 REPORT_PATH = "/report"
 ORDER_PATH = "/order"
 
 _PHASE_BY_NAME = {"ready": TargetPhase.READY, "draining": TargetPhase.LEAVING}
+_TARGET_ID = re.compile("[!-~]{1,256}")
+"""An id is sent as a header's value."""
+MAX_COUNT = 1 << 53
+"""Largest whole number that every writer of JSON keeps exactly."""
+MAX_SLOTS = 1 << 16
+MAX_LAYERS = 1 << 16
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+Layer = Annotated[int, msgspec.Meta(ge=0, le=MAX_LAYERS)]
+Amount = Annotated[float, msgspec.Meta(ge=0, le=float(MAX_COUNT))]
+# Control characters and U+FFFD, which stands for bytes that could not be read.
+Text = Annotated[
+    str, msgspec.Meta(pattern=r"\A[^\x00-\x1f\x7f-\x9f\ufffd]*\Z", max_length=256)
+]
 
 
 class _Layers(msgspec.Struct):
-    first: int = msgspec.field(name="from")
-    end: int = msgspec.field(name="target")
+    first: Layer = msgspec.field(name="from")
+    end: Layer = msgspec.field(name="target")
     """Exclusive end of the range, not a target as this project uses the word."""
-    version: int = 0
+    version: Count = 0
+
+    def __post_init__(self):
+        if self.end < self.first:
+            raise ValueError("the layers end before they begin")
 
 
 class _Entry(msgspec.Struct):
-    service: str
+    service: Text
     address: str = msgspec.field(name="addr")
-    zone: str
+    zone: Text
     state: str
-    slots: int = 1
-    started_ms: int = msgspec.field(name="born", default=0)
-    # The entry's own "seq" counts heartbeats, not orders as in a report.
-    kind: str = ""
+    slots: Slots
+    software_version: Text = msgspec.field(name="version")
+    cold_left_ms: float = msgspec.field(name="coldLeftMs")
+    heartbeats: int = msgspec.field(name="seq")
+    """Not the count of orders, which a report has by the same name."""
+    started_ms: Count = msgspec.field(name="born", default=0)
+    kind: Text = ""
     layers: _Layers | None = None
 
 
@@ -43,14 +73,14 @@
 
 
 class _Report(msgspec.Struct, rename="camel"):
-    started_ms: int = msgspec.field(name="born", default=0)
+    started_ms: Count = msgspec.field(name="born", default=0)
     busy: bool = False
-    order_count: int = msgspec.field(name="seq", default=0)
-    waiting: int = 0
-    running: int = 0
-    kv_used: float = 0.0
-    kv_total: float = 0.0
-    pace: float = 1.0
+    order_count: Count = msgspec.field(name="seq", default=0)
+    waiting: Count = 0
+    running: Count = 0
+    kv_used: Amount = 0.0
+    kv_total: Amount = 0.0
+    pace: Amount = 1.0
     layers: _Layers | None = None
     stalled: list[_Stalled] = []
 
@@ -74,11 +104,12 @@
     """Return the target of an entry, or a fault that says why there is none."""
     try:
         raw = msgspec.convert(spec, _Entry)
-    except msgspec.ValidationError as problem:
+        split_ip_address(raw.address)
+    except UNREADABLE_ERRORS as problem:
         return Error(fault(ResultCode.PLATFORM_MALFORMED, f"{name}: {problem}"))
     phase = _PHASE_BY_NAME.get(raw.state)
-    if phase is None or not _is_address(raw.address):
-        detail = f"{name}: bad state {raw.state!r} or address {raw.address!r}"
+    if phase is None or not _TARGET_ID.fullmatch(name):
+        detail = f"{name}: bad state {raw.state[:64]!r} or id"
         return Error(fault(ResultCode.PLATFORM_MALFORMED, detail))
     return Ok(
         TargetRecord(
@@ -100,7 +131,7 @@
     """Return a target's report on its work."""
     try:
         raw = msgspec.json.decode(body, type=_Report)
-    except (msgspec.DecodeError, UnicodeDecodeError) as problem:
+    except UNREADABLE_ERRORS as problem:
         return Error(fault(ResultCode.MALFORMED_ANSWER, str(problem)))
     return Ok(
         TargetReport(
@@ -137,11 +168,6 @@
 
 
 def _span(raw: _Layers | None) -> LayerSpan | None:
-    if raw is None or raw.end <= raw.first:
+    if raw is None or raw.end == raw.first:
         return None
     return LayerSpan(raw.first, raw.end)
-
-
-def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    return bool(host) and port.isdigit()
--- a/radishfield/platform/adapter_test.py
+++ b/radishfield/platform/adapter_test.py
@@ -86,6 +86,27 @@
         ENTRY | {"slots": "many"},
         ENTRY | {"layers": {"from": "0"}},
         ENTRY | {"born": "yesterday"},
+        ENTRY | {"addr": "10.0.0.9\ufffd:8080"},
+        ENTRY | {"addr": "10.0.0..9:8080"},
+        ENTRY | {"addr": ".10.0.0.9:8080"},
+        ENTRY | {"addr": "10.0.0.9:\u00b2"},
+        ENTRY | {"addr": "10.0.0.9:65536"},
+        ENTRY | {"addr": "10.0.0.9:0"},
+        ENTRY | {"addr": "0.0.0.0:8080"},
+        ENTRY | {"addr": "10.0.0.9:8080\n"},
+        ENTRY | {"addr": "host.example:8080"},
+        ENTRY | {"zone": "a\ufffd"},
+        ENTRY | {"service": "po\nol"},
+        ENTRY | {"version": None},
+        ENTRY | {"slots": 0},
+        ENTRY | {"slots": 10**30},
+        ENTRY | {"born": 1 << 70},
+        ENTRY | {"born": -1},
+        ENTRY | {"layers": {"from": -3, "target": 4, "version": 1}},
+        ENTRY | {"layers": {"from": 5, "target": 4, "version": 1}},
+        ENTRY | {"layers": {"from": 0, "target": 4, "version": 1 << 70}},
+        {name: value for name, value in ENTRY.items() if name != "slots"},
+        {name: value for name, value in ENTRY.items() if name != "seq"},
     ],
 )
 def test_malformed_entry_of_another_writer_is_rejected(spec):
@@ -94,6 +115,28 @@
     assert "i-1" in problem.detail
 
 
+@pytest.mark.parametrize("target_id", ["", "i\n1", "i 1", "i-\u00e9", "i" * 257])
+def test_entry_whose_name_is_no_header_value_is_rejected(target_id):
+    """Guards against requests that the HTTP library refuses to send."""
+    assert decode_target(target_id, ENTRY).is_error()
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"[" * 100_000,
+        b'{"seq": 1' + b"0" * 30 + b"}",
+        b'{"born": -1}',
+        b'{"kvUsed": -5}',
+        b'{"stalled": "\xff"}',
+        b'{"layers": {"from": 4, "target": 2}}',
+    ],
+)
+def test_report_out_of_range_is_a_malformed_answer(body):
+    """Guards against numbers and nesting that raise where a report is used."""
+    assert decode_report(body).error.code is ResultCode.MALFORMED_ANSWER
+
+
 @given(st.recursive(st.none() | st.booleans() | st.integers() | st.text(), st.lists))
 def test_decoding_an_entry_never_raises(spec):
     decode_target("i-1", spec)
--- a/radishfield/routing/_directory.py
+++ b/radishfield/routing/_directory.py
@@ -123,6 +123,7 @@
     _leaving: set[tuple[str, int]] = msgspec.field(default_factory=set)
     _suspicion_by_id: dict[str, _Suspicion] = msgspec.field(default_factory=dict)
     _answered_at_by_id: dict[str, float] = msgspec.field(default_factory=dict)
+    _layers_by_service: Mapping[str, int] = msgspec.field(default_factory=dict)
     _store_failed_at: float = -1e9
     _digest: int = 0
     _recent_digests: deque[_EarlierDigest] = msgspec.field(
@@ -134,6 +135,18 @@
     list_version: int = 0
     """Increases only when a target is added or removed or its record changes."""
 
+    def set_layers(self, layers_by_service: Mapping[str, int]) -> None:
+        """Set how many layers the model of each service has."""
+        if layers_by_service != self._layers_by_service:
+            self._layers_by_service = layers_by_service
+            self.version += 1
+            self.list_version += 1
+
+    def fits_model(self, record: TargetRecord) -> bool:
+        """Return whether the layers that a target names are all of its model."""
+        layers = self._layers_by_service.get(record.service)
+        return layers is None or record.span is None or record.span.end <= layers
+
     def record_store_failure(self, requested_at: float, failures: int) -> None:
         """Record that a call was not answered, the last of so many in a row."""
         if failures >= OUTAGE_FAILURES:
@@ -494,12 +507,16 @@
         return None
 
     def listed(self, service: str) -> list[TargetRecord]:
-        """Return a service's targets that are not leaving, suspected or not."""
+        """Return a service's targets that are not leaving, suspected or not.
+
+        A target with layers that the model does not have is left out.
+        """
         return [
             entry.record
             for entry in self._entry_by_id.values()
             if entry.record.service == service
             and entry.record.incarnation not in self._leaving
+            and self.fits_model(entry.record)
         ]
 
     def usable(self, service: str, now: float) -> list[TargetRecord]:
--- a/radishfield/routing/directory_test.py
+++ b/radishfield/routing/directory_test.py
@@ -33,6 +33,16 @@
     assert usable_ids(directory) == ["t1"]
 
 
+def test_a_target_with_layers_beyond_the_model_is_unusable():
+    """Guards against a search for paths and layouts over layers that don't exist."""
+    directory = directory_of(make_target("t1"), make_target("t2", span=(79, 81)))
+    assert usable_ids(directory) == ["t1", "t2"]
+    version = directory.version
+    directory.set_layers({"pool": 80})
+    assert usable_ids(directory) == ["t1"]
+    assert directory.version > version
+
+
 def test_a_removed_target_is_unusable_at_once():
     directory = directory_of(make_target("t1"), make_target("t2"))
     assert not directory.remove("t1", now=50.0).held
