Take event ids of thousands of digits for no ids

What callers saw: nothing yet, found by reading. A caller or a target that sends such an id made int() raise, so that the request ended with a 500.

Cause: int() refuses more than 4,300 digits, and the ids were only checked for being digits.

Change: one function reads ids, of 19 digits at most.

Evidence: its test failed before.

--- a/radishfield/forwarding/_stream_progress.py
+++ b/radishfield/forwarding/_stream_progress.py
@@ -1,7 +1,7 @@
 """Tracks which events of a stream were sent to its caller."""
 
 from radishfield.forwarding._call import Call
-from radishfield.routing import Demand, EngineSpec, event_ids
+from radishfield.routing import Demand, EngineSpec, event_ids, parse_event_id
 
 
 class StreamProgress:
@@ -13,7 +13,7 @@
         given = call.facts.last_event_id.strip()
         self._call = call
         self._events = 0
-        self.last_id: int | None = int(given) if given.isdigit() else None
+        self.last_id: int | None = parse_event_id(given)
         self._received_id = self.last_id
 
     @property
--- a/radishfield/routing/__init__.py
+++ b/radishfield/routing/__init__.py
@@ -29,7 +29,12 @@
     Replacement,
     TargetDirectory,
 )
-from radishfield.routing._events import EventSplitter, event_ids, read_pause_s
+from radishfield.routing._events import (
+    EventSplitter,
+    event_ids,
+    parse_event_id,
+    read_pause_s,
+)
 from radishfield.routing._freshness import Freshness
 from radishfield.routing._host_load import (
     MEASURE_INTERVAL_S,
@@ -249,6 +254,7 @@
     "draw",
     "ends_waits",
     "event_ids",
+    "parse_event_id",
     "free_prompt_capacity",
     "held_layers",
     "max_unread_age_s",
--- a/radishfield/routing/_events.py
+++ b/radishfield/routing/_events.py
@@ -5,6 +5,7 @@
 """
 
 END_OF_EVENT = b"\n\n"
+MAX_ID_DIGITS = 19
 
 READ_PAUSE_SHARE = 0.2
 """Longest pause between two reads of a stream, as a share of the longest pause between
@@ -61,7 +62,12 @@
     ids = []
     for line in events.split(b"\n"):
         if line.startswith(b"id:"):
-            digits = line[3:].strip()
-            if digits.isdigit():
-                ids.append(int(digits))
+            event_id = parse_event_id(line[3:].strip())
+            if event_id is not None:
+                ids.append(event_id)
     return ids
+
+
+def parse_event_id(text: bytes) -> int | None:
+    """Return an event's id; None if the text is no whole number that fits 64 bits."""
+    return int(text) if text.isdigit() and len(text) <= MAX_ID_DIGITS else None
--- a/radishfield/routing/small_test.py
+++ b/radishfield/routing/small_test.py
@@ -20,6 +20,7 @@
     event_ids,
     next_check_s,
     next_step,
+    parse_event_id,
     read_pause_s,
     takes_work,
     targets_to_probe,
@@ -278,6 +279,14 @@
     assert event_ids(output) == numbers
 
 
+def test_event_id_too_long_for_a_number_is_none():
+    """Guards against an exception of the conversion, which ends the request."""
+    digits = b"9" * 5000
+    assert event_ids(b"id: " + digits + b"\ndata: x\n\n") == []
+    assert parse_event_id(digits) is None
+    assert parse_event_id(b"7") == 7
+
+
 def test_next_check_is_when_the_first_stream_could_be_too_silent():
     # An earlier check finds nothing; a later one misses a pause that is still on time.
     active = silent_stream("a", silent_s=0.01)
