Let an exception in the work for one target, entry or host end that work only

Cause: tasks caught the errors that they expected. No list of bad characters is complete, so the next such entry would end the fleet again.

Change: WorkBoundary in the kernel contains what the work for one target, entry, peer, relayed or caller's connection raises. Cancellation passes. An attempt that raises fails like a lost answer, so that another target is tried where that is allowed. What was read from the store and could not be applied is read again.

--- a/radishfield/forwarding/_connections.py
+++ b/radishfield/forwarding/_connections.py
@@ -16,6 +16,7 @@
 from expression import Error, Ok, Result
 
 from radishfield.core import Clock, Fault, ResultCode, fault
+from radishfield.kernel import WorkBoundary
 from radishfield.platform import AnswerFacts, Headers, read_answer
 from radishfield.relay import TargetDialer, TargetStream
 from radishfield.routing import TargetLinks
@@ -27,6 +28,7 @@
 IDLE_SHARE = 0.5
 """Share of the announced idle timeout after which a connection is not reused."""
 MAX_IDLE_PER_TARGET = 8
+CLOSE_LIMIT_S = 1.0
 MAX_ANSWER_BYTES = 8 << 20
 
 _BROKEN_ERRORS = (*BROKEN_CONNECTION_ERRORS, httpcore.ConnectionNotAvailable)
@@ -146,15 +148,24 @@
 class TargetConnections:
     """Sends requests to targets over pooled connections and counts those opened."""
 
-    __slots__ = ("_clock", "_dialer", "_idle_by_address", "_links", "opened")
+    __slots__ = (
+        "_boundary",
+        "_clock",
+        "_dialer",
+        "_idle_by_address",
+        "_links",
+        "opened",
+    )
 
     def __init__(
         self,
         clock: Clock,
         links: TargetLinks | None = None,
         dialer: TargetDialer | None = None,
+        boundary: WorkBoundary | None = None,
     ):
         links = links or TargetLinks()
+        self._boundary = boundary or WorkBoundary(clock)
         self._clock = clock
         self._dialer = dialer or TargetDialer.direct(links, clock)
         self._idle_by_address: dict[str, list[_TargetConnection]] = defaultdict(list)
@@ -197,7 +208,7 @@
         kept = self._idle_by_address[address]
         if not connection.http.is_idle() or len(kept) >= MAX_IDLE_PER_TARGET:
             # The caller need not wait for the close: nothing is left to send.
-            trio.lowlevel.spawn_system_task(_close_within_limit, connection.http)
+            trio.lowlevel.spawn_system_task(self._close_within_limit, connection.http)
             return
         limit_s = MAX_IDLE_S if idle_s is None else min(MAX_IDLE_S, idle_s * IDLE_SHARE)
         connection.answered_at = self._clock.now()
@@ -210,7 +221,8 @@
             unusable = [item for item in kept if not self._is_reusable(address, item)]
             kept[:] = [item for item in kept if item not in unusable]
             for item in unusable:
-                await item.http.aclose()
+                with self._boundary.contain("connection.close", address):
+                    await item.http.aclose()
             if not kept:
                 self._idle_by_address.pop(address, None)
 
@@ -238,6 +250,11 @@
             await item.http.aclose()
         return None
 
+    async def _close_within_limit(self, http: httpcore.AsyncHTTPConnection) -> None:
+        with self._boundary.contain("connection.close"):
+            with trio.move_on_after(CLOSE_LIMIT_S):
+                await http.aclose()
+
     def _open(self, address: str) -> _TargetConnection:
         self.opened += 1
         host, port = split_address(address)
@@ -246,8 +263,3 @@
             httpcore.Origin(b"http", host.encode(), port), network_backend=network
         )
         return _TargetConnection(http, network)
-
-
-async def _close_within_limit(connection: httpcore.AsyncHTTPConnection) -> None:
-    with trio.move_on_after(1.0):
-        await connection.aclose()
--- a/radishfield/forwarding/_crash_gossip.py
+++ b/radishfield/forwarding/_crash_gossip.py
@@ -38,9 +38,10 @@
         while True:
             await self._view.crash_updates.wait()
             traits = self._view.crash_updates.take()
-            self._send_reports(
-                traits, [*self._zone_peers(), *self._book.remote_watchers()]
-            )
+            with self._view.boundary.contain("crashes.send"):
+                self._send_reports(
+                    traits, [*self._zone_peers(), *self._book.remote_watchers()]
+                )
 
     def handle_report(self, message: PeerCrashes) -> None:
         """Merge reports of another host and forward new ones within the zone."""
--- a/radishfield/forwarding/_crash_records.py
+++ b/radishfield/forwarding/_crash_records.py
@@ -81,7 +81,8 @@
             self._read_at = -MIN_READ_INTERVAL_S
             return False
         for value in listing.ok.values:
-            await self._merge_record(value)
+            with self._view.boundary.contain("crashes.merge", value.name):
+                await self._merge_record(value)
         return True
 
     async def _merge_record(self, value: StoredValue) -> None:
--- a/radishfield/forwarding/_crash_watch.py
+++ b/radishfield/forwarding/_crash_watch.py
@@ -45,10 +45,16 @@
 
     async def _read_at_start(self) -> None:
         failures = 0
-        while not await self._records.read():
+        while not await self._read():
             failures += 1
             await trio.sleep(backoff_s(failures, self._view.rng))
 
+    async def _read(self) -> bool:
+        """Read the records; return whether that was done."""
+        with self._view.boundary.contain("crashes.read"):
+            return await self._records.read()
+        return False
+
     async def check_failed_attempt(
         self,
         call: Call,
@@ -91,6 +97,19 @@
         record: TargetRecord,
         checked: trio.Event,
         outlived_start: bool,
+    ) -> None:
+        try:
+            with self._view.boundary.contain("target.check", record.id):
+                await self._count_end(call, record, checked, outlived_start)
+        finally:
+            checked.set()
+
+    async def _count_end(
+        self,
+        call: Call,
+        record: TargetRecord,
+        checked: trio.Event,
+        outlived_start: bool,
     ) -> None:
         state = await self._target_probe.state(record)
         crashes = self._view.crashes
@@ -114,7 +133,7 @@
         )
         checked.set()
         if counted and crashes.has_unexplained(call.traits, READ_FROM_CRASHES):
-            await self._records.read()
+            await self._read()
 
     def _write_refused(self, trait: str, verdict: Verdict) -> None:
         """Record a trait to blame, on the host that saw the last crash under it."""
@@ -124,8 +143,9 @@
 
     async def _write(self, trait: str) -> None:
         failures = 0
-        while not await self._records.write(trait):
+        while self._view.crashes.is_blamed(trait):
+            with self._view.boundary.contain("crashes.write", trait):
+                if await self._records.write(trait):
+                    return
             failures += 1
             await trio.sleep(backoff_s(failures, self._view.rng))
-            if not self._view.crashes.is_blamed(trait):
-                return
--- a/radishfield/forwarding/_datagrams.py
+++ b/radishfield/forwarding/_datagrams.py
@@ -58,7 +58,8 @@
                 self.sent_bytes += len(data)
             except BlockingIOError:
                 self.dropped += 1
-            except OSError as problem:
+            except (OSError, ValueError, OverflowError) as problem:
+                # An address of another program may be none that sockets take.
                 log_event("peer.unreachable", peer=address[0], detail=str(problem))
 
     async def receive(self) -> list[bytes]:
--- a/radishfield/forwarding/_demand_monitor.py
+++ b/radishfield/forwarding/_demand_monitor.py
@@ -83,7 +83,8 @@
         while True:
             await sleep_to_tick(UPDATE_INTERVAL_S)
             if self._view.table is not None:
-                self.update(self._view.table.config)
+                with self._view.boundary.contain("demand.update"):
+                    self.update(self._view.table.config)
 
     def update(self, config: RoutingConfig) -> None:
         """Update all accounts now."""
--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -19,6 +19,7 @@
     CONFIG_KIND,
     CONFIG_NAME,
     TARGETS_KIND,
+    Change,
     Changes,
     Listing,
     ObjectStore,
@@ -35,6 +36,7 @@
     Removal,
     Replacement,
     RoutingTable,
+    TargetRecord,
     confirmed_at,
     watch_wait_s,
 )
@@ -172,11 +174,18 @@
             changed = isinstance(result.ok, Changes) and bool(result.ok.changes)
             confirms_at = self._record_answer(wait_s, changed)
             self._revision = result.ok.revision
-            if isinstance(result.ok, Listing):
-                on_listing(result.ok, confirms_at)
-            else:
-                on_changes(result.ok, confirms_at)
-            if changed:
+            applied = self._view.boundary.contain("store.apply", self._kind)
+            with applied:
+                if isinstance(result.ok, Listing):
+                    on_listing(result.ok, confirms_at)
+                else:
+                    on_changes(result.ok, confirms_at)
+            if applied.failed:
+                # What was not applied is read again.
+                self._revision = None
+                pauses = self._view.boundary.pause_left_s("store.apply", self._kind)
+                await trio.sleep(pauses)
+            elif changed:
                 await trio.sleep(min(pause_s, max(COALESCE_S, self._wait_s())))
                 pause_s = min(MAX_COALESCE_S, pause_s * 2)
             else:
@@ -434,13 +443,10 @@
     def _apply_listing(self, listing: Listing, confirms_at: float) -> None:
         record_by_id = {}
         for value in listing.values:
-            decoded = decode_target(value.name, value.spec)
-            if decoded.is_ok():
-                record_by_id[value.name] = decoded.ok
-            else:
-                log_event(
-                    "target.unreadable", target=value.name, detail=decoded.error.detail
-                )
+            with self._view.boundary.contain("target.read", value.name):
+                record = _read_target(value)
+                if record is not None:
+                    record_by_id[value.name] = record
         now = self._view.clock.now()
         is_first = not self._listed_revision
         self._listed_revision = listing.revision
@@ -473,46 +479,48 @@
 
     def _apply_changes(self, changes: Changes, confirms_at: float) -> None:
         for change in changes.changes:
-            value = change.value
-            known = self._revision_by_id.get(value.name, 0)
-            self._revision_by_id[value.name] = max(known, value.revision)
-            if change.deleted:
-                changed = self._remove(value.name, changes.revision, "store")
-            else:
-                changed = self._update(value, "store")
-            if changed and self._view.watch_duty.shared:
-                spec = None if change.deleted else value.spec
-                revision = self._revision_by_id[value.name]
-                self._view.target_updates.add(TargetUpdate(value.name, revision, spec))
+            with self._view.boundary.contain("target.apply", change.value.name):
+                self._apply_change(change, changes.revision)
         self._confirm(confirms_at)
         if changes.changes:
             self._view.notify_capacity_freed()
 
+    def _apply_change(self, change: Change, revision: int) -> None:
+        value = change.value
+        known = self._revision_by_id.get(value.name, 0)
+        self._revision_by_id[value.name] = max(known, value.revision)
+        if change.deleted:
+            changed = self._remove(value.name, revision, "store")
+        else:
+            changed = self._update(value, "store")
+        if changed and self._view.watch_duty.shared:
+            spec = None if change.deleted else value.spec
+            revision = self._revision_by_id[value.name]
+            self._view.target_updates.add(TargetUpdate(value.name, revision, spec))
+
     def _apply_peer_updates(self, items: list[TargetUpdate]) -> None:
         """Apply updates from another host, which may arrive late or twice."""
         for item in items:
-            known = self._revision_by_id.get(item.target_id, self._listed_revision)
-            if item.revision < known or (
-                item.revision == known and item.spec is not None
-            ):
-                continue
-            self._revision_by_id[item.target_id] = item.revision
-            if item.spec is None:
-                self._remove(item.target_id, item.revision, "peer")
-            else:
-                value = StoredValue(item.target_id, item.revision, item.spec)
-                self._update(value, "peer")
+            with self._view.boundary.contain("target.apply", item.target_id):
+                self._apply_peer_update(item)
         self._view.notify_capacity_freed()
 
+    def _apply_peer_update(self, item: TargetUpdate) -> None:
+        known = self._revision_by_id.get(item.target_id, self._listed_revision)
+        if item.revision < known or (item.revision == known and item.spec is not None):
+            return
+        self._revision_by_id[item.target_id] = item.revision
+        if item.spec is None:
+            self._remove(item.target_id, item.revision, "peer")
+        else:
+            value = StoredValue(item.target_id, item.revision, item.spec)
+            self._update(value, "peer")
+
     def _update(self, value: StoredValue, source: str) -> bool:
         """Apply a target's entry; return whether the list changed."""
-        decoded = decode_target(value.name, value.spec)
-        if decoded.is_error():
-            log_event(
-                "target.unreadable", target=value.name, detail=decoded.error.detail
-            )
+        record = _read_target(value)
+        if record is None:
             return self._remove(value.name, value.revision, source)
-        record = decoded.ok
         before = self._view.directory.find(record.id)
         changed = self._view.directory.update(record, self._view.clock.now())
         if (
@@ -562,7 +570,21 @@
     async def _expire(self) -> None:
         while True:
             await sleep_to_tick(EXPIRY_CHECK_S)
-            for target_id in self._view.directory.expire_missing(
-                self._view.clock.now()
-            ):
-                log_event("target.expired", target=target_id)
+            with self._view.boundary.contain("targets.expire"):
+                now = self._view.clock.now()
+                for target_id in self._view.directory.expire_missing(now):
+                    log_event("target.expired", target=target_id)
+
+
+def _read_target(value: StoredValue) -> TargetRecord | None:
+    """Return the target of an entry; None, with a log line, if it names none."""
+    decoded = decode_target(value.name, value.spec)
+    if decoded.is_ok():
+        return decoded.ok
+    log_event(
+        "target.unreadable",
+        target=value.name,
+        code=int(decoded.error.code),
+        detail=decoded.error.detail,
+    )
+    return None
--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -47,7 +47,7 @@
     update_datagrams,
 )
 from radishfield.forwarding._peers import Peer, PeerBook
-from radishfield.forwarding._view import RouterView
+from radishfield.forwarding._view import ConfigUpdate, RouterView
 from radishfield.limits import RetryUse
 from radishfield.platform import ObjectStore
 from radishfield.routing import (
@@ -175,28 +175,33 @@
     async def _send_statuses(self) -> None:
         while True:
             await trio.sleep(GOSSIP_PERIOD_S * self._rng.uniform(0.9, 1.1))
-            self._round += 1
-            self._view.load.expire_remote(self._view.clock.now())
-            self._view.target_links.keep_only(
-                {record.address for record in self._view.directory.all_records()}
-            )
-            self._update_peer_summary()
-            self._view.demands.drop_old(self._view.clock.now())
-            self._update_failures()
-            self._apply_list_confirmations()
-            status = self._status()
-            recipients = self._recipients()
-            if self._withdraws_relay():
-                recipients = list(self._book.alive(self._view.clock.now()).values())
-            self._view.load.told_own(self._view.clock.now())
-            self._view.links.told_own(self._view.clock.now())
-            self._send(status, recipients)
-            self._limits.report(recipients)
-            if self._view.watch_duty.reports_to_zone:
-                self._send_zone_totals(recipients)
-            self._view.load.add_up(self._view.zone, self._view.clock.now())
-            self._view.links.advance(self._view.clock.now(), self._view.zone)
-            self._log_links(self._view.clock.now())
+            with self._view.boundary.contain("status.send"):
+                self._send_round()
+
+    def _send_round(self) -> None:
+        """Update what is known of other hosts, and send them this host's state."""
+        self._round += 1
+        self._view.load.expire_remote(self._view.clock.now())
+        self._view.target_links.keep_only(
+            {record.address for record in self._view.directory.all_records()}
+        )
+        self._update_peer_summary()
+        self._view.demands.drop_old(self._view.clock.now())
+        self._update_failures()
+        self._apply_list_confirmations()
+        status = self._status()
+        recipients = self._recipients()
+        if self._withdraws_relay():
+            recipients = list(self._book.alive(self._view.clock.now()).values())
+        self._view.load.told_own(self._view.clock.now())
+        self._view.links.told_own(self._view.clock.now())
+        self._send(status, recipients)
+        self._limits.report(recipients)
+        if self._view.watch_duty.reports_to_zone:
+            self._send_zone_totals(recipients)
+        self._view.load.add_up(self._view.zone, self._view.clock.now())
+        self._view.links.advance(self._view.clock.now(), self._view.zone)
+        self._log_links(self._view.clock.now())
 
     def _log_links(self, now: float) -> None:
         """Log the links closed to prompts, or opened, since the last check."""
@@ -255,9 +260,10 @@
             await self._view.target_updates.wait()
             await trio.sleep(UPDATE_COALESCE_S)
             updates = self._view.target_updates.take()
-            peers = self._book.present_zone_peers(self._view.clock.now())
-            for datagram in update_datagrams(updates):
-                self._send(datagram, peers)
+            with self._view.boundary.contain("updates.send"):
+                peers = self._book.present_zone_peers(self._view.clock.now())
+                for datagram in update_datagrams(updates):
+                    self._send(datagram, peers)
 
     async def _send_list_confirmations(self) -> None:
         """Report each confirmation of the list at once to every host of the zone.
@@ -268,24 +274,32 @@
         while True:
             await self._view.list_confirmations.wait()
             confirmed_at = self._view.list_confirmations.take()[-1]
-            now = self._view.clock.now()
-            message = PeerListConfirmation(
-                self._host_id,
-                self._view.directory.digest(),
-                now - confirmed_at,
-                self._echoes(self._book.present_own_zone(now)),
-            )
-            self._send(encoder.encode(message), self._book.present_zone_peers(now))
+            with self._view.boundary.contain("list.send"):
+                self._send_list_confirmation(confirmed_at)
+
+    def _send_list_confirmation(self, confirmed_at: float) -> None:
+        now = self._view.clock.now()
+        message = PeerListConfirmation(
+            self._host_id,
+            self._view.directory.digest(),
+            now - confirmed_at,
+            self._echoes(self._book.present_own_zone(now)),
+        )
+        self._send(encoder.encode(message), self._book.present_zone_peers(now))
 
     async def _send_config(self) -> None:
         """Forward a new configuration, so that forty hosts need not read it."""
         while True:
             await self._view.config_updates.wait()
             update = self._view.config_updates.take()[-1]
-            value = update.value
-            data = config_datagram(update.version, value.revision, value.spec)
-            if data is not None:
-                self._send(data, self._book.present_zone_peers(self._view.clock.now()))
+            with self._view.boundary.contain("config.send"):
+                self._send_config_update(update)
+
+    def _send_config_update(self, update: ConfigUpdate) -> None:
+        value = update.value
+        data = config_datagram(update.version, value.revision, value.spec)
+        if data is not None:
+            self._send(data, self._book.present_zone_peers(self._view.clock.now()))
 
     def _send(self, data: bytes, peers: Iterable[Peer]) -> None:
         self._socket.send(data, [peer.address for peer in peers])
@@ -400,29 +414,33 @@
                 self._handle_datagram(data)
 
     def _handle_datagram(self, data: bytes) -> None:
-        try:
-            match decoder.decode(data):
-                case PeerTargetUpdates(items):
-                    self._view.on_target_updates(items)
-                    self._apply_list_confirmations()
-                case PeerListConfirmation() as message:
-                    self._apply_list_confirmation(message)
-                case PeerConfig() as message:
-                    self._view.on_config(message)
-                case PeerCrashes() as message:
-                    self._crashes.handle_report(message)
-                case PeerRateLimits() as message:
-                    self._limits.handle_limits(message)
-                case PeerTokenRequest() as message:
-                    self._limits.handle_request(message)
-                case PeerTokenGrant() as message:
-                    self._limits.handle_grant(message)
-                case PeerZoneTotal() as total:
-                    self._apply_zone_total(total)
-                case PeerStatus() as status:
-                    self._apply_status(status, split_ip_address(status.address))
-        except UNREADABLE_ERRORS:
-            self.malformed += 1
+        with self._view.boundary.contain("peer.message"):
+            try:
+                self._apply_message(decoder.decode(data))
+            except UNREADABLE_ERRORS:
+                self.malformed += 1
+
+    def _apply_message(self, message: object) -> None:
+        match message:
+            case PeerTargetUpdates(items):
+                self._view.on_target_updates(items)
+                self._apply_list_confirmations()
+            case PeerListConfirmation():
+                self._apply_list_confirmation(message)
+            case PeerConfig():
+                self._view.on_config(message)
+            case PeerCrashes():
+                self._crashes.handle_report(message)
+            case PeerRateLimits():
+                self._limits.handle_limits(message)
+            case PeerTokenRequest():
+                self._limits.handle_request(message)
+            case PeerTokenGrant():
+                self._limits.handle_grant(message)
+            case PeerZoneTotal():
+                self._apply_zone_total(message)
+            case PeerStatus():
+                self._apply_status(message, split_ip_address(message.address))
 
     def _apply_zone_total(self, message: PeerZoneTotal) -> None:
         at = self._view.clock.now() - max(0.0, message.age_s)
--- a/radishfield/forwarding/_limit_checks.py
+++ b/radishfield/forwarding/_limit_checks.py
@@ -40,7 +40,9 @@
             if not view.rests.allows_probe(record, now):
                 continue
             if view.limits.take_check(record, now):
-                nursery.start_soon(self._ask, record)
+                nursery.start_soon(
+                    view.boundary.run, "limit.check", target_id, self._ask, record
+                )
 
     async def _ask(self, record: TargetRecord) -> None:
         await self._targets.report(record, has_token=True)
--- a/radishfield/forwarding/_limit_gossip.py
+++ b/radishfield/forwarding/_limit_gossip.py
@@ -74,7 +74,8 @@
             wanted = self._view.limits.wanted(now)[:MAX_LIMITS]
             if wanted:
                 self._view.limits.asked += len(wanted)
-                self._ask_issuers(wanted, now)
+                with self._view.boundary.contain("limits.ask"):
+                    self._ask_issuers(wanted, now)
 
     def _ask_issuers(self, wanted: list[RateLimit], now: float) -> None:
         remote = now - self._remote_asked_at >= REMOTE_ASK_INTERVAL_S
--- a/radishfield/forwarding/_load_monitor.py
+++ b/radishfield/forwarding/_load_monitor.py
@@ -40,7 +40,8 @@
         try:
             while True:
                 await sleep_to_tick(MEASURE_INTERVAL_S)
-                self._measure(meter)
+                with self._view.boundary.contain("load.measure"):
+                    self._measure(meter)
         finally:
             trio.lowlevel.remove_instrument(meter)
 
--- a/radishfield/forwarding/_peer_finder.py
+++ b/radishfield/forwarding/_peer_finder.py
@@ -55,7 +55,8 @@
             failures += 1
             await trio.sleep(backoff_s(failures, self._rng))
         for value in listing.ok.values:
-            self.add_listed(value.name, value.spec)
+            with self._view.boundary.contain("peer.add", value.name):
+                self.add_listed(value.name, value.spec)
         self._view.hosts = self._book.count_hosts(self._view.clock.now())
         log_event(
             "peers.found",
--- a/radishfield/forwarding/_placer.py
+++ b/radishfield/forwarding/_placer.py
@@ -208,7 +208,13 @@
                 continue
             for service in self._view.table.config.service_by_name.values():
                 if service.engine is not None:
-                    await self._check_service(service, service.engine)
+                    await self._view.boundary.run(
+                        "service.place",
+                        service.name,
+                        self._check_service,
+                        service,
+                        service.engine,
+                    )
 
     def _may_place(self) -> bool:
         """Return whether this host is one of the few that place layers.
@@ -349,7 +355,8 @@
 
         async def order(assignment: Assignment) -> None:
             try:
-                await self._order(lease, engine, assignment)
+                with self._view.boundary.contain("target.order", assignment.target.id):
+                    await self._order(lease, engine, assignment)
             finally:
                 free.release()
 
--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -153,9 +153,14 @@
             clock,
             lambda: view.find_relays(),
         )
-        connections = TargetConnections(clock, view.target_links, dialer)
+        connections = TargetConnections(clock, view.target_links, dialer, view.boundary)
         targets = Targets(connections, view, telemetry)
         watchdog = StreamWatchdog(targets, view)
+        telemetry.watch(
+            "defects_contained",
+            "Exceptions that ended the work for one target, entry or host only.",
+            lambda: view.boundary.defects,
+        )
         telemetry.watch(
             "slow_targets_found",
             "Times that a target was found slower than its kind.",
@@ -207,6 +212,7 @@
                 clock,
                 lambda address: view.directory.at_address(address) is not None,
                 lambda: view.leaving,
+                view.boundary,
             )
             view.offers_relay = lambda: key.value is not None
             view.relayed_connections = lambda: relay.open
@@ -218,7 +224,9 @@
             peers.watch_counters(telemetry)
         gate = CallerGate(view, telemetry)
         app = RouterApp(plain, streams, gate, view, telemetry)
-        callers = GatedListener(app, self._caller_config, gate.judge)
+        callers = GatedListener(
+            app, self._caller_config, gate.judge, view.boundary.contain
+        )
         register("gate", gate)
         register("callers", callers)
         telemetry.watch(
--- a/radishfield/forwarding/_slow_targets.py
+++ b/radishfield/forwarding/_slow_targets.py
@@ -55,7 +55,13 @@
             # Hosts with the same slow path query different stages of it.
             target_id = self._view.rng.choice(due)
             self._queried_at_by_id[target_id] = now
-            nursery.start_soon(self._query, target_id)
+            nursery.start_soon(
+                self._view.boundary.run,
+                "slow.query",
+                target_id,
+                self._query,
+                target_id,
+            )
 
     def note(self, target_id: str, report: TargetReport) -> None:
         """Record a target's slowdown factor; log it if it became slow or healthy."""
--- a/radishfield/forwarding/_targets.py
+++ b/radishfield/forwarding/_targets.py
@@ -199,7 +199,7 @@
         may_have_run_before, call.may_have_run = call.may_have_run, True
         fresh = fresh or not call.route.repeatable
         call.arrived += 1
-        sent = await self._connections.send(record.address, outgoing, fresh)
+        sent = await self._send(record, outgoing, fresh)
         if sent.is_ok():
             self._note_rate_limit(record, sent.ok.facts, now)
             self._note_rest(record, sent.ok.facts)
@@ -321,7 +321,7 @@
             return Error(fault(ResultCode.TARGETS_LIMITED))
         self._view.rests.take_probe(record, sent_at)
         with trio.move_on_after(limit_s):
-            sent = await self._connections.send(record.address, outgoing, fresh)
+            sent = await self._send(record, outgoing, fresh)
             if sent.is_error():
                 return sent
             self._note_rate_limit(record, sent.ok.facts, sent_at, serves=False)
@@ -332,6 +332,14 @@
             return body.map(lambda content: OrderAnswer(sent.ok.facts.status, content))
         return Error(fault(ResultCode.STREAM_SILENT, f"no answer within {limit_s} s"))
 
+    async def _send(
+        self, record: TargetRecord, outgoing: Outgoing, fresh: bool
+    ) -> Result[Exchange, Fault]:
+        """Send to a target; what the HTTP library raises fails this attempt only."""
+        with self._view.boundary.contain("target.send", record.id):
+            return await self._connections.send(record.address, outgoing, fresh)
+        return Error(fault(ResultCode.INTERNAL, "the attempt raised an exception"))
+
     def _note_rate_limit(
         self,
         record: TargetRecord,
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -24,6 +24,7 @@
 from radishfield.crashes import CrashGuard
 from radishfield.forwarding._call import Call
 from radishfield.forwarding._peer_messages import PeerConfig, TargetUpdate
+from radishfield.kernel import WorkBoundary
 from radishfield.limits import RetryAllowance, RetryBudget, RetryUse
 from radishfield.platform import StoredValue
 from radishfield.routing import (
@@ -177,6 +178,8 @@
     target_updates, config_updates : UpdateBuffer
         Updates of targets and of the configuration to be sent to the other hosts of
         the zone.
+    boundary : WorkBoundary
+        Contains defects in the work for one target, entry or host.
     crashes : CrashGuard
         Records of requests under which targets crashed.
     target_links : TargetLinks
@@ -266,6 +269,7 @@
     )
     host_id: str = ""
     crashes: CrashGuard | None = None
+    boundary: WorkBoundary | None = None
     target_links: TargetLinks = msgspec.field(default_factory=TargetLinks)
     find_relays: Callable[[], list[RelayHost]] = list
     offers_relay: Callable[[], bool] = lambda: False
@@ -299,6 +303,8 @@
     _budget_by_service: dict[str, RetryBudget] = msgspec.field(default_factory=dict)
 
     def __post_init__(self):
+        if self.boundary is None:
+            self.boundary = WorkBoundary(self.clock)
         if self.crashes is None:
             self.crashes = CrashGuard(self.host_id, self.clock)
         self.crashes.announce = self.crash_updates.add
--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -125,18 +125,29 @@
                     self._note_lateness(min(interval_s, PASSES_PER_LATENESS * late_s))
                 if late_s >= LATE_TICK_S:
                     continue
-                silence_by_stream = self._silences()
-                self._check_streams(silence_by_stream)
-                self._probe_silent(silence_by_stream)
-                has_more_due = self._query_unreachable()
-                self._measure_zones()
-                self._slow_targets.check(self._streams, nursery)
-                silences = silence_by_stream.values()
-                pause_s = next_check_s(silences, MIN_TICK_S, MAX_TICK_S)
-                if has_more_due:
-                    pause_s = MIN_TICK_S
-                elif pause_s >= MAX_TICK_S:
-                    pause_s = until_tick_s(MAX_TICK_S)
+                pause_s = MAX_TICK_S
+                with self._view.boundary.contain("streams.check"):
+                    pause_s = self._check_all(nursery)
+
+    def _check_all(self, nursery: trio.Nursery) -> float:
+        """Check all streams and zones; return the pause until the next check."""
+        silence_by_stream = self._silences()
+        self._check_streams(silence_by_stream)
+        self._probe_silent(silence_by_stream)
+        has_more_due = self._query_unreachable()
+        self._measure_zones()
+        self._slow_targets.check(self._streams, nursery)
+        silences = silence_by_stream.values()
+        pause_s = next_check_s(silences, MIN_TICK_S, MAX_TICK_S)
+        if has_more_due:
+            return MIN_TICK_S
+        return until_tick_s(MAX_TICK_S) if pause_s >= MAX_TICK_S else pause_s
+
+    def _start(self, work: str, target_id: str, function, *arguments) -> None:
+        """Start work for a target, whose defects end this work only."""
+        self._nursery.start_soon(
+            self._view.boundary.run, work, target_id, function, *arguments
+        )
 
     def _note_lateness(self, held_up_s: float) -> None:
         now = self._clock.now()
@@ -172,7 +183,7 @@
                 continue
             if not self._view.directory.suspected(target_id, now):
                 self._probed_at_by_id[target_id] = now
-                self._nursery.start_soon(self._probe, target_id)
+                self._start("target.probe", target_id, self._probe, target_id)
 
     def _measure_zones(self) -> None:
         """Query one target of each zone without a recent answer."""
@@ -189,7 +200,7 @@
         }
         for zone, record in due.items():
             self._prober.note_query(zone)
-            self._nursery.start_soon(self._measure, record)
+            self._start("target.measure", record.id, self._measure, record)
 
     async def _measure(self, record: TargetRecord) -> None:
         if not self._has_room(record):
@@ -252,7 +263,7 @@
         due = self._view.directory.to_ask(now, min_age_s)
         for target_id in due[:MAX_QUERIES]:
             self._view.directory.asked(target_id, now)
-            self._nursery.start_soon(self._ask, target_id)
+            self._start("target.ask", target_id, self._ask, target_id)
         return len(due) > MAX_QUERIES
 
     def _check_streams(
@@ -265,7 +276,7 @@
             match next_step(silence, last_query_age_s, stream.may_resume):
                 case Ask() if stream.engine is not None:
                     self._queried_at_by_id[first_id] = now
-                    self._nursery.start_soon(self._ask, first_id)
+                    self._start("target.ask", first_id, self._ask, first_id)
                 case GiveUp() if self._abandon(stream, "silent"):
                     log_event(
                         "stream.silent",
@@ -392,8 +403,10 @@
     async def _repath(self, stream: ActiveStream, address: str, movers: int) -> None:
         """Change a stream's path in place; abandon the attempt if that fails."""
         started_at = self._clock.now()
+        moved = False
         try:
-            moved = await self._try_repath(stream, {address}, movers)
+            with self._view.boundary.contain("stream.move", address):
+                moved = await self._try_repath(stream, {address}, movers)
             if not moved and stream.last_progress_at <= started_at:
                 self._abandon(stream, "no other path", target_unreachable=True)
         finally:
--- a/radishfield/forwarding/_witness_probe.py
+++ b/radishfield/forwarding/_witness_probe.py
@@ -91,7 +91,14 @@
         try:
             async with trio.open_nursery() as nursery:
                 for record in records:
-                    nursery.start_soon(self._query, current, record)
+                    nursery.start_soon(
+                        self._view.boundary.run,
+                        "witness.query",
+                        record.id,
+                        self._query,
+                        current,
+                        record,
+                    )
         finally:
             current.done.set()
 
--- a/radishfield/forwarding/router_test.py
+++ b/radishfield/forwarding/router_test.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from radishfield.forwarding._connections import TargetConnections
 from radishfield.forwarding.conftest import play
 from standins.fleet import free_port
 from standins.routed_config import KEY, config, layered_entry, route
@@ -278,6 +279,41 @@
     play(tmp_path, scenario)
 
 
+def test_exception_in_the_work_for_one_target_ends_neither_router_nor_requests(
+    tmp_path, monkeypatch
+):
+    """Guards against input that the grammar of entries lets through by mistake."""
+    send = TargetConnections.send
+
+    async def send_or_raise(connections, address, outgoing, fresh):
+        if address == "127.0.0.9:8080":
+            raise UnicodeError("label too long")
+        return await send(connections, address, outgoing, fresh)
+
+    async def scenario(testbed):
+        await start_layered_router(testbed, [(0, 40), (40, 80)])
+        await testbed.add_plain("p1")
+        monkeypatch.setattr(TargetConnections, "send", send_or_raise)
+        for service, name in (("pool", "t1"), ("portal", "p1")):
+            good = testbed.store.spec("servers", name)
+            foreign = good | {"addr": "127.0.0.9:8080", "zone": f"far-{service}"}
+            testbed.store.put("servers", f"foreign-{service}", foreign)
+        directory = testbed.router.view.directory
+        await testbed.until(lambda: len(list(directory.all_records())) == 5)
+        for number in range(12):
+            reply = await testbed.request(
+                "/stream/x", "POST", body=b"{}", request_id=f"s{number}"
+            )
+            assert reply.status == 200 and reply.whole
+            reply = await testbed.request("/read/x", request_id=f"r{number}")
+            assert reply.status == 200
+        assert 1 <= testbed.router.view.boundary.defects
+        text = (await testbed.request("/metrics", address=testbed.metrics)).body
+        assert b"defects_contained" in text
+
+    play(tmp_path, scenario)
+
+
 def test_draining_targets_get_no_requests_after_history_was_lost(tmp_path):
     async def scenario(testbed):
         await start_plain_router(testbed)
--- a/radishfield/relay/_server.py
+++ b/radishfield/relay/_server.py
@@ -7,6 +7,7 @@
 from expression import Error, Result
 
 from radishfield.core import Clock, Fault, ResultCode, fault, sleep_to_tick
+from radishfield.kernel import WorkBoundary
 from radishfield.relay._frames import (
     CHUNK,
     LENGTH,
@@ -63,6 +64,7 @@
 
     __slots__ = (
         "_address",
+        "_boundary",
         "_clock",
         "_is_leaving",
         "_is_target",
@@ -84,8 +86,10 @@
         clock: Clock,
         is_target: Callable[[str], bool],
         is_leaving: Callable[[], bool],
+        boundary: WorkBoundary | None = None,
     ):
         self._address = address
+        self._boundary = boundary or WorkBoundary(clock)
         self._clock = clock
         self._is_leaving = is_leaving
         self._is_target = is_target
@@ -138,10 +142,11 @@
         try:
             with trio.CancelScope() as scope:
                 self._scopes.add(scope)
-                try:
-                    await self._connect_and_pass(stream, scope)
-                except BROKEN_STREAM_ERRORS as problem:
-                    log_event("relay.broken", detail=repr(problem))
+                with self._boundary.contain("relay.serve"):
+                    try:
+                        await self._connect_and_pass(stream, scope)
+                    except BROKEN_STREAM_ERRORS as problem:
+                        log_event("relay.broken", detail=repr(problem))
         finally:
             self.open -= 1
             self._scopes.discard(scope)
--- a/radishfield/web/_gated_listener.py
+++ b/radishfield/web/_gated_listener.py
@@ -9,6 +9,7 @@
 import errno
 import socket
 from collections.abc import Callable
+from contextlib import AbstractContextManager, nullcontext
 
 import msgspec
 import trio
@@ -65,11 +66,14 @@
     ----------
     judge : callable
         Returns the verdict on the next connection.
+    contain : callable
+        Returns a context manager for the work on one connection.
     """
 
     __slots__ = (
         "_app",
         "_config",
+        "_contain",
         "_context",
         "_judge",
         "accepted",
@@ -77,7 +81,14 @@
         "turned_away",
     )
 
-    def __init__(self, app, config: ListenerConfig, judge: Callable[[], Verdict]):
+    def __init__(
+        self,
+        app,
+        config: ListenerConfig,
+        judge: Callable[[], Verdict],
+        contain: Callable[[str], AbstractContextManager] = nullcontext,
+    ):
+        self._contain = contain
         self._judge = judge
         self._app = wrap_app(app, config.wsgi_max_body_size, "asgi")
         self._config = config
@@ -121,7 +132,7 @@
                     nursery.start_soon(self._serve, accepted)
                 case Refuse(answer):
                     self.refused += 1
-                    nursery.start_soon(_refuse, accepted, answer)
+                    nursery.start_soon(self._refuse, accepted, answer)
                 case CloseUnread():
                     self.turned_away += 1
                     accepted.close()
@@ -134,7 +145,12 @@
         server = TCPServer(
             self._app, self._config, self._context, ConnectionState({}), stream
         )
-        await server.run()
+        with self._contain("caller.serve"):
+            await server.run()
+
+    async def _refuse(self, accepted, answer: Callable[[bytes], bytes]) -> None:
+        with self._contain("caller.refuse"):
+            await _refuse(accepted, answer)
 
 
 async def _refuse(accepted: socket.socket, answer: Callable[[bytes], bytes]) -> None:
