--- a/radishfield/forwarding/_crash_records.py
+++ b/radishfield/forwarding/_crash_records.py
@@ -25,7 +25,7 @@
 
 class _StoredCrash(msgspec.Struct):
     target: str
-    started_ms: Annotated[int, msgspec.Meta(ge=0, lt=1 << 63)]
+    started_ms: Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
     told_by: str
     unix_s: float
 
