Read what can be read of the store's answers, object by object

Cause: items of a page were kept as raw text, but the page around them was scanned by the same decoder, which refuses the whole text for one bad escape, control character or number. Watches and single objects were read alike.

Change: an answer that is not wholly readable is taken apart by strings and brackets alone, and each object, and each member of one, is decoded by itself. A name that can't be read stays an object without a name. A removal whose name can't be read makes the follower list again, so that it keeps no target. Revisions have bounds. A page of unreadable names is continued after the last one with U+FFFD in place of what can't be read. Unknown unreadable entries are no longer forwarded to the zone as removals.

The test of a router failed before (its list stayed empty), as did those of lists and watches; some of these also ask for Changes.complete, which is new.

--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -185,6 +185,10 @@
                 self._revision = None
                 pauses = self._view.boundary.pause_left_s("store.apply", self._kind)
                 await trio.sleep(pauses)
+            elif isinstance(result.ok, Changes) and not result.ok.complete:
+                # Which object was removed is shown by a list without it.
+                log_event("store.removal_unreadable", kind=self._kind)
+                self._revision = None
             elif changed:
                 await trio.sleep(min(pause_s, max(COALESCE_S, self._wait_s())))
                 pause_s = min(MAX_COALESCE_S, pause_s * 2)
@@ -520,7 +524,8 @@
         """Apply a target's entry; return whether the list changed."""
         record = _read_target(value)
         if record is None:
-            return self._remove(value.name, value.revision, source)
+            is_known = self._view.directory.find(value.name) is not None
+            return is_known and self._remove(value.name, value.revision, source)
         before = self._view.directory.find(record.id)
         changed = self._view.directory.update(record, self._view.clock.now())
         if (
--- a/radishfield/forwarding/router_test.py
+++ b/radishfield/forwarding/router_test.py
@@ -279,6 +279,28 @@
     play(tmp_path, scenario)
 
 
+def test_entry_that_can_not_be_read_hides_neither_removal_nor_list(tmp_path):
+    """Guards against requests at leaving targets, and against a start without any."""
+
+    async def scenario(testbed):
+        testbed.store.put("config", "main", config())
+        unreadable = b'{"metadata": {"name": "x"}, "spec": {"zone": "\\udcff"}}'
+        testbed.store.put_text("servers", "x", unreadable)
+        for number in range(3):
+            await testbed.add_plain(f"p{number + 1}")
+        await testbed.start_router()
+        directory = testbed.router.view.directory
+        assert len(directory.listed("portal")) == 3
+        entry = testbed.store.spec("servers", "p1")
+        testbed.store.put("servers", "p1", entry | {"state": "draining"})
+        testbed.store.put_text("servers", "x", unreadable)
+        testbed.store.remove("servers", "p2")
+        await testbed.until(lambda: len(directory.listed("portal")) == 1, 1.0)
+        assert (await testbed.request("/read/x")).body == b"answer of p3"
+
+    play(tmp_path, scenario)
+
+
 def test_exception_in_the_work_for_one_target_ends_neither_router_nor_requests(
     tmp_path, monkeypatch
 ):
--- a/radishfield/platform/_store.py
+++ b/radishfield/platform/_store.py
@@ -1,11 +1,23 @@
-"""Client of the platform's object store: its calls, paths and answers."""
+"""Client of the platform's object store: its calls, paths and answers.
 
+Objects may have other writers.  What can't be read of one object hides no other one:
+answers that are not wholly readable are taken apart and read object by object.
+"""
+
+from typing import Annotated
 from urllib.parse import quote
 
 import msgspec
 from expression import Error, Ok, Result
 
 from radishfield.core import UNREADABLE_ERRORS, Fault, ResultCode, fault
+from radishfield.platform._json_parts import (
+    decode_part,
+    readable_text,
+    split_elements,
+    split_members,
+)
+from radishfield.telemetry import log_event
 from radishfield.web import ApiCall, ApiCaller, decode_answer
 
 CALL_TIMEOUT_S = 2.0
@@ -16,9 +28,12 @@
 milliseconds."""
 
 
+Revision = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+
+
 class _Metadata(msgspec.Struct, rename="camel"):
     name: str
-    revision: int = 0
+    revision: Revision = 0
 
 
 class _Object(msgspec.Struct):
@@ -29,7 +44,7 @@
 class _Page(msgspec.Struct, rename="camel"):
     items: list[msgspec.Raw]
     truncated: bool = False
-    current_rev: int = 0
+    current_rev: Revision = 0
 
 
 class _Event(msgspec.Struct):
@@ -39,7 +54,7 @@
 
 class _Events(msgspec.Struct, rename="camel"):
     events: list[_Event]
-    current_rev: int
+    current_rev: Revision
 
 
 class _NewMetadata(msgspec.Struct, omit_defaults=True):
@@ -75,10 +90,17 @@
 
 
 class Changes(msgspec.Struct, frozen=True):
-    """Changes up to a revision of the store; empty if nothing changed."""
+    """Changes up to a revision of the store; empty if nothing changed.
+
+    Attributes
+    ----------
+    complete : bool
+        No removal is missing since the name of its object can't be read.
+    """
 
     changes: tuple[Change, ...]
     revision: int
+    complete: bool = True
 
 
 class ObjectStore:
@@ -118,13 +140,13 @@
             revision = page.ok.current_rev if revision is None else revision
             if not page.ok.truncated:
                 return Ok(Listing(tuple(values), revision))
-            names = [value.name for value in values if value.name]
-            if not names or names[-1] == after:
+            name = _last_name(page.ok.items)
+            if not name or name == after:
                 # No name to continue after; a partial list would drop the other
                 # objects.
                 detail = f"page has no readable name after {after!r}"
                 return Error(fault(ResultCode.PLATFORM_MALFORMED, detail))
-            after = names[-1]
+            after = name
 
     async def watch(
         self,
@@ -193,28 +215,84 @@
 
 
 def _decode_page(body: bytes) -> Result[_Page, Fault]:
-    return decode_answer(body, _Page)
+    page = decode_answer(body, _Page)
+    if page.is_ok():
+        return page
+    members = split_members(body) or {}
+    items = split_elements(members.get("items", b""))
+    truncated = decode_part(members.get("truncated", b"false"), bool)
+    revision = decode_part(members.get("currentRev", b"0"), Revision)
+    if items is None or truncated is None or revision is None:
+        return page
+    _log_taken_apart("list", page.error)
+    return Ok(_Page([msgspec.Raw(item) for item in items], truncated, revision))
 
 
 def _decode_changes(body: bytes) -> Result[Changes, Fault]:
-    return decode_answer(body, _Events).map(
-        lambda raw: Changes(
-            tuple(
-                Change(_read_value(item.object), item.deleted) for item in raw.events
-            ),
-            raw.current_rev,
-        )
+    decoded = decode_answer(body, _Events)
+    if decoded.is_ok():
+        found = [(item.object, item.deleted) for item in decoded.ok.events]
+        return Ok(_changes(found, decoded.ok.current_rev))
+    members = split_members(body) or {}
+    events = split_elements(members.get("events", b""))
+    revision = decode_part(members.get("currentRev"), Revision)
+    if events is None or revision is None:
+        return Error(decoded.error)
+    _log_taken_apart("watch", decoded.error)
+    found = []
+    for event in events:
+        parts = split_members(event) or {}
+        deleted = decode_part(parts.get("deleted", b"false"), bool)
+        found.append((parts.get("object", b""), deleted))
+    return Ok(_changes(found, revision))
+
+
+def _changes(found: list[tuple[bytes, bool | None]], revision: int) -> Changes:
+    """Return changes; whether an object was deleted is None if that can't be read."""
+    changes = [Change(_read_value(raw), bool(deleted)) for raw, deleted in found]
+    complete = all(
+        deleted is False or (deleted and change.value.name)
+        for change, (_, deleted) in zip(changes, found, strict=True)
     )
+    return Changes(tuple(changes), revision, complete)
 
 
 def _read_value(raw: bytes) -> StoredValue:
-    """Return an object; its spec is None if only its name can be read."""
+    """Return an object with what can be read of it.
+
+    Its spec is None if it can't be read, its revision 0, and its name empty.
+    """
     try:
         item = msgspec.json.decode(raw, type=_Object)
     except UNREADABLE_ERRORS:
-        return StoredValue("", 0, None)
-    try:
-        spec = msgspec.json.decode(item.spec)
-    except UNREADABLE_ERRORS:
-        spec = None
-    return StoredValue(item.metadata.name, item.metadata.revision, spec)
+        return _read_parts(bytes(raw))
+    return StoredValue(
+        item.metadata.name, item.metadata.revision, decode_part(item.spec, object)
+    )
+
+
+def _read_parts(raw: bytes) -> StoredValue:
+    members = split_members(raw) or {}
+    metadata = split_members(members.get("metadata", b"")) or {}
+    return StoredValue(
+        decode_part(metadata.get("name"), str) or "",
+        decode_part(metadata.get("revision"), Revision) or 0,
+        decode_part(members.get("spec"), object),
+    )
+
+
+def _last_name(items: list[msgspec.Raw]) -> str:
+    """Return the last name of a page that can be read, or else the last one in part."""
+    for item in reversed(items):
+        name = _read_value(item).name
+        if name:
+            return name
+    members = split_members(bytes(items[-1])) if items else None
+    metadata = split_members((members or {}).get("metadata", b"")) or {}
+    return readable_text(metadata.get("name", b""))
+
+
+def _log_taken_apart(call: str, problem: Fault) -> None:
+    log_event(
+        "store.taken_apart", call=call, code=int(problem.code), detail=problem.detail
+    )
--- a/radishfield/platform/store_test.py
+++ b/radishfield/platform/store_test.py
@@ -190,6 +190,92 @@
     run_scenario(scenario)
 
 
+UNREADABLE = {
+    "escape": b'"\\udcff"',
+    "unknown escape": b'"\\x"',
+    "byte": b'"\xff"',
+    "control character": b'"\x01"',
+    "not a number": b"NaN",
+    "leading zero": b"01",
+    "large number": b"9" * 5000,
+    "nested": b"[" * 50_000 + b"]" * 50_000,
+}
+
+
+@pytest.mark.parametrize("part", UNREADABLE.values(), ids=UNREADABLE)
+@pytest.mark.parametrize("member", ["spec", "metadata", "status"])
+def test_part_that_can_not_be_read_hides_no_other_object(part, member):
+    """Guards against a list that no host can read while one such entry is there."""
+    text_by_member = {
+        "spec": b'{"metadata": {"name": "b"}, "spec": {"zone": %s}}',
+        "metadata": b'{"metadata": {"finalizers": %s, "name": "b"}, "spec": 2}',
+        "status": b'{"status": %s, "metadata": {"name": "b"}, "spec": 2}',
+    }
+
+    async def scenario(app, store, calls):
+        app.put("k", "a", {"v": 1})
+        revision = app.revision
+        app.put_text("k", "b", text_by_member[member] % part)
+        app.put("k", "c", {"v": "}],[{"})
+        app.remove("k", "a")
+        listing = (await store.list("k")).ok
+        assert [value.name for value in listing.values] == ["b", "c"]
+        assert listing.values[1].spec == {"v": "}],[{"}
+        assert listing.revision == app.revision
+        seen = (await store.watch("k", revision, 1.0)).ok
+        assert [(change.value.name, change.deleted) for change in seen.changes] == [
+            ("b", False),
+            ("c", False),
+            ("a", True),
+        ]
+        assert seen.complete and seen.revision == app.revision
+        read = (await store.read("k", "b")).ok
+        assert read.name == "b"
+
+    run_scenario(scenario)
+
+
+def test_removal_whose_name_can_not_be_read_makes_the_changes_incomplete():
+    """Guards against a target that is kept since its removal named nothing."""
+
+    async def scenario(app, store, calls):
+        app.put("k", "a", 1)
+        revision = app.revision
+        nameless = b'{"metadata": {"name": "\\udcff"}, "spec": 1}'
+        app.put_text("k", "b", nameless)
+        written = (await store.watch("k", revision, 1.0)).ok
+        assert written.complete
+        app.put_text("k", "b", nameless, deleted=True)
+        removed = (await store.watch("k", written.revision, 1.0)).ok
+        assert not removed.complete
+
+    run_scenario(scenario)
+
+
+def test_page_of_unreadable_names_does_not_end_the_list():
+    async def scenario(app, store, calls):
+        app.switches.page_items = 2
+        nameless = b'{"metadata": {"name": "b%d\\udcff"}, "spec": 1}'
+        app.put("k", "a", 1)
+        for number in range(5):
+            app.put_text("k", f"b{number}\udcff", nameless % number)
+        app.put("k", "c", 1)
+        names = [value.name for value in (await store.list("k")).ok.values]
+        assert names[0] == "a" and names[-1] == "c"
+
+    run_scenario(scenario)
+
+
+def test_answer_that_is_no_object_is_malformed():
+    async def scenario(app, store, calls):
+        app.put("k", "a", 1)
+        app.put_text("k", "b", b'{"metadata": {')
+        malformed = (await store.list("k")).error
+        assert malformed.code is ResultCode.PLATFORM_MALFORMED
+
+    run_scenario(scenario)
+
+
 def test_unreadable_object_at_the_end_of_a_page_does_not_end_the_list():
     async def scenario(app, store, calls):
         app.switches.page_items = 2
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -75,6 +75,16 @@
         self._items[kind][name] = item
         self._record_change(kind, item, deleted=False)
 
+    def put_text(self, kind: str, name: str, text: bytes, deleted: bool = False):
+        """Write or remove an object whose JSON text need not be readable."""
+        self.revision += 1
+        item = msgspec.Raw(text)
+        if deleted:
+            self._items[kind].pop(name, None)
+        else:
+            self._items[kind][name] = item
+        self._record_change(kind, item, deleted)
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object, as its expiry would."""
         item = self._items[kind].pop(name, None)
