--- a/radishfield/core/_code_help.py
+++ b/radishfield/core/_code_help.py
@@ -223,6 +223,11 @@
         "A watch missed changes; the host lists all objects again by itself.",
         "Nothing.",
     ),
+    ResultCode.STORE_ERA: CodeHelp(
+        "An answer of the platform named an era of its store that is older than the"
+        " newest one, or none that can be read.",
+        "Check whether the platform came back from a copy.",
+    ),
     ResultCode.BAD_FRAME: CodeHelp(
         "A message between entry hosts could not be read and was dropped.",
         "Check whether another program uses the peers' port.",
--- a/radishfield/core/_codes.py
+++ b/radishfield/core/_codes.py
@@ -81,6 +81,7 @@
     OBJECT_NOT_FOUND = 5006
     PLATFORM_MALFORMED = 5007
     WATCH_GAP = 5008
+    STORE_ERA = 5009
 
     # 6xxx: messages between entry hosts.
     BAD_FRAME = 6001
--- a/radishfield/forwarding/_crash_records.py
+++ b/radishfield/forwarding/_crash_records.py
@@ -66,8 +66,8 @@
         read = await self._store.read(CRASHES_KIND, digest)
         if read.is_error():
             return read
-        revision = read.ok.revision
-        return await self._store.replace(CRASHES_KIND, digest, body, revision)
+        position = read.ok.position
+        return await self._store.replace(CRASHES_KIND, digest, body, position)
 
     async def read(self) -> bool:
         """Merge the records into the crash guard; return whether the store answered."""
@@ -94,7 +94,7 @@
         unix_s = time.time()
         ages = [max(0.0, unix_s - end.unix_s) for end in body.ends]
         if min(ages, default=REFUSED_S) >= REFUSED_S:
-            removed = await self._store.remove(CRASHES_KIND, value.name, value.revision)
+            removed = await self._store.remove(CRASHES_KIND, value.name, value.position)
             if removed.is_error():
                 _log_fault("crashes.unremoved", removed.error, value.name)
             return
--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -24,6 +24,7 @@
     Listing,
     ObjectStore,
     StoredValue,
+    decode_beats,
     decode_config,
     decode_target,
 )
@@ -33,6 +34,9 @@
     MAX_ANSWER_MARGIN_S,
     MIN_DUTY_CHECK_S,
     AnswerMargin,
+    Entry,
+    EntryHistory,
+    Position,
     Removal,
     Replacement,
     RoutingTable,
@@ -76,6 +80,9 @@
 """Consecutive failed watches after which a configuration is listed instead.  A watch
 returns every version since the last one read.  Over a slow link this takes longer than
 the limit of a call, and even longer with each new version."""
+PEERS_HEARD_S = 1.5
+"""Time after a start in which the first status of another host arrives, if one lives:
+hosts write their addresses in the store first, and send four statuses a second."""
 MAX_PAUSE_S = 1.0
 """Maximum pause after failures: a recovered store is noticed within a second."""
 
@@ -110,7 +117,7 @@
         "_kind",
         "_margin",
         "_newest_only",
-        "_revision",
+        "_position",
         "_store",
         "_view",
         "_wait_s",
@@ -138,7 +145,7 @@
         self._store = store
         self._view = view
         self._kind = kind
-        self._revision: int | None = None
+        self._position: Position | None = None
         self._has_answer = False
         self.failures = 0
         self.requested_at = 0.0
@@ -159,7 +166,7 @@
         while True:
             due_in_s = self._due_in_s()
             if due_in_s > 0.0:
-                self._revision = None
+                self._position = None
                 with trio.move_on_after(max(due_in_s, MIN_DUTY_CHECK_S)):
                     await self._view.followers_woken.wait()
                 continue
@@ -167,13 +174,15 @@
             # A recovery signalled while this call is still failing must not be missed.
             store_back = self._view.store_back
             wait_s = self._next_wait_s()
-            result = await self._request(wait_s)
+            result = await self._request_in_era(wait_s)
+            if result is None:
+                continue
             if result.is_error():
                 await self._handle_failure(result, on_failure, store_back)
                 continue
             changed = isinstance(result.ok, Changes) and bool(result.ok.changes)
             confirms_at = self._record_answer(wait_s, changed)
-            self._revision = result.ok.revision
+            self._position = result.ok.position
             applied = self._view.boundary.contain("store.apply", self._kind)
             with applied:
                 if isinstance(result.ok, Listing):
@@ -182,13 +191,13 @@
                     on_changes(result.ok, confirms_at)
             if applied.failed:
                 # What was not applied is read again.
-                self._revision = None
+                self._position = None
                 pauses = self._view.boundary.pause_left_s("store.apply", self._kind)
                 await trio.sleep(pauses)
             elif isinstance(result.ok, Changes) and not result.ok.complete:
                 # Which object was removed is shown by a list without it.
                 log_event("store.removal_unreadable", kind=self._kind)
-                self._revision = None
+                self._position = None
             elif changed:
                 await trio.sleep(min(pause_s, max(COALESCE_S, self._wait_s())))
                 pause_s = min(MAX_COALESCE_S, pause_s * 2)
@@ -197,23 +206,42 @@
 
     def _next_wait_s(self) -> float:
         """Return for how long the next call may wait for changes."""
-        if self._revision is None:
+        if self._position is None:
             return 0.0
         return RECOVERY_WATCH_S if self.failures else self._wait_s()
 
+    async def _request_in_era(
+        self, wait_s: float
+    ) -> Result[Listing | Changes, Fault] | None:
+        """Send a call; None if the store has come back from a copy meanwhile.
+
+        The connection of a call in flight may have fallen silent with the store.
+        """
+        changed, result = self._view.eras.changed, None
+
+        async def give_up(scope: trio.CancelScope) -> None:
+            await changed.wait()
+            scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(give_up, nursery.cancel_scope)
+            result = await self._request(wait_s)
+            nursery.cancel_scope.cancel()
+        return result
+
     async def _request(self, wait_s: float) -> Result[Listing | Changes, Fault]:
         """List all objects, or watch them from the revision that was read last."""
         store, margin = self._store, self._margin
-        if self._revision is None and margin is None:
+        if self._position is None and margin is None:
             return await store.list(self._kind)
-        if self._revision is None:
+        if self._position is None:
             # Before the first answer there is no list whose age matters, and a call
             # that is given up has to be repeated.
             limit_s = margin.length_s if self._has_answer else MAX_ANSWER_MARGIN_S
             return await store.list(self._kind, limit_s)
         if margin is None:
-            return await store.watch(self._kind, self._revision, wait_s)
-        return await store.watch(self._kind, self._revision, wait_s, margin.length_s)
+            return await store.watch(self._kind, self._position, wait_s)
+        return await store.watch(self._kind, self._position, wait_s, margin.length_s)
 
     def _record_answer(self, wait_s: float, changed: bool) -> float:
         """Record that the store answered; return the time that its answer confirms."""
@@ -236,14 +264,19 @@
     ) -> None:
         problem: Fault = result.error
         if problem.code is ResultCode.WATCH_GAP:
-            log_event("store.history_gone", kind=self._kind, revision=self._revision)
-            self._revision = None
+            log_event(
+                "store.history_gone",
+                kind=self._kind,
+                **_position_fields(self._position),
+                detail=problem.detail,
+            )
+            self._position = None
             return
         self.failures += 1
         if self._margin is not None:
             self._margin.record_loss(self.failures)
         if self._newest_only and self.failures >= MAX_FAILED_WATCHES:
-            self._revision = None
+            self._position = None
         if self.failures == 1:
             log_event(
                 "store.lost",
@@ -268,9 +301,13 @@
 
 
 class ConfigFollower:
-    """Keeps the newest configuration active and records its freshness."""
+    """Keeps the newest configuration active and records its freshness.
 
-    __slots__ = ("_follower", "_on_limits", "_view")
+    The store may come back without the version in force.  That stays in force, and is
+    confirmed again only once the store holds it, or a newer one, anew.
+    """
+
+    __slots__ = ("_follower", "_on_limits", "_stored_version", "_view")
 
     def __init__(
         self,
@@ -283,6 +320,7 @@
             store, view, CONFIG_KIND, self._wait_s, self._due_in_s, newest_only=True
         )
         self._on_limits = on_limits
+        self._stored_version: int | None = None
         view.on_config = self._apply_peer_config
 
     def _wait_s(self) -> float:
@@ -291,6 +329,8 @@
         share = SHARED_CONFIG_WATCH_SHARE if shared else CONFIG_WATCH_SHARE
         due_share = SHARED_ANSWERED_AGE_SHARE if shared else ANSWERED_AGE_SHARE
         longest_s = freshness.bound_s * share
+        if self._waits_for_peers():
+            return MIN_CONFIG_WATCH_S
         age_s = freshness.age_s(now)
         if age_s >= freshness.bound_s:
             return longest_s
@@ -329,26 +369,56 @@
 
     def _apply_listing(self, listing: Listing, requested_at: float) -> None:
         found = [value for value in listing.values if value.name == CONFIG_NAME]
+        if not found:
+            self._stored_version = None
         self._adopt_newest(found, requested_at)
 
     def _apply_changes(self, changes: Changes, requested_at: float) -> None:
-        found = [
-            change.value
-            for change in changes.changes
-            if change.value.name == CONFIG_NAME and not change.deleted
-        ]
+        own = [each for each in changes.changes if each.value.name == CONFIG_NAME]
+        if own and own[-1].deleted:
+            self._stored_version = None
+            own = []
+        found = [change.value for change in own if not change.deleted]
         self._adopt_newest(found, requested_at)
 
     def _adopt_newest(self, found: list[StoredValue], requested_at: float) -> None:
-        usable = True
         for value in found[-1:]:
             self._view.config_reads += 1
-            usable = self._adopt(value, requested_at)
-            if usable and self._view.watch_duty.reports_to_zone:
+            self._stored_version = self._adopt(value, requested_at)
+            if self._is_stored() and self._view.watch_duty.reports_to_zone:
                 version = self._view.table.config.version
                 self._view.config_updates.add(ConfigUpdate(version, value))
-        if usable and self._view.table is not None:
-            self._view.freshness.confirm(requested_at, self._view.clock.now())
+        now = self._view.clock.now()
+        self._view.offers_config = not self._is_stored()
+        if self._may_confirm(requested_at):
+            self._view.freshness.confirm(requested_at, now)
+        elif self._view.table is not None:
+            self._view.freshness.note_answer(now)
+
+    def _is_stored(self) -> bool:
+        """Return whether the store holds the version that is in force here."""
+        table = self._view.table
+        return table is not None and self._stored_version == table.config.version
+
+    def _may_confirm(self, requested_at: float) -> bool:
+        """Return whether an answer shows that the version in force is the newest."""
+        duty = self._view.watch_duty
+        if not self._is_stored() or self._waits_for_peers():
+            return False
+        # A newer version that was heard of before the call is missing in the store.
+        heard_before = duty.newer_heard_at < requested_at
+        return not (heard_before and duty.newest_version > self._stored_version)
+
+    def _waits_for_peers(self) -> bool:
+        """Return whether this host has just started and no other one was heard yet.
+
+        The store may have come back from a copy in which a key is not taken away yet,
+        which the other hosts know.
+        """
+        view = self._view
+        if view.started_at is None or view.eras.known <= 1 or view.peers.ever_heard:
+            return False
+        return view.clock.now() - view.started_at < PEERS_HEARD_S
 
     def _apply_peer_config(self, message: PeerConfig) -> None:
         """Adopt a version that another host forwards; it does not confirm freshness."""
@@ -356,20 +426,22 @@
         if table is not None and message.version <= table.config.version:
             return
         spec = config_spec(message)
-        value = StoredValue(CONFIG_NAME, message.revision, spec)
+        position = Position(message.era, message.revision)
+        value = StoredValue(CONFIG_NAME, position, spec)
         self._adopt(value, self._view.clock.now())
 
-    def _adopt(self, value: StoredValue, requested_at: float) -> bool:
-        """Activate a version; return whether the view is the newest now."""
+    def _adopt(self, value: StoredValue, requested_at: float) -> int | None:
+        """Activate a version unless it is older; return it, or None if unreadable."""
         started_at = self._view.clock.now()
         decoded = decode_config(value.spec)
         if decoded.is_error():
             log_event(
                 "config.unreadable",
-                revision=value.revision,
+                **_position_fields(value.position),
+                code=int(decoded.error.code),
                 detail=decoded.error.detail,
             )
-            return False
+            return None
         config = decoded.ok
         table = self._view.table
         if table is not None and config.version < table.config.version:
@@ -378,9 +450,10 @@
                 "config.older",
                 version=config.version,
                 in_force=table.config.version,
-                revision=value.revision,
+                **_position_fields(value.position),
             )
-            return False
+            return config.version
+        self._view.active_config = ConfigUpdate(config.version, value)
         self._view.table = RoutingTable(config)
         self._view.directory.set_layers(
             {
@@ -393,19 +466,19 @@
         log_event(
             "config.in_force",
             version=config.version,
-            revision=value.revision,
+            **_position_fields(value.position),
             routes=len(config.routes),
             keys=len(config.workspace_by_key),
             after_s=round(started_at - requested_at, 3),
             decode_s=round(self._view.clock.now() - started_at, 3),
         )
-        return True
+        return config.version
 
 
 class TargetFollower:
     """Keeps the directory of targets in step with the store."""
 
-    __slots__ = ("_follower", "_listed_revision", "_revision_by_id", "_view")
+    __slots__ = ("_follower", "_history", "_view")
 
     def __init__(self, store: ObjectStore, view: RouterView):
         self._view = view
@@ -418,8 +491,7 @@
             margin=AnswerMargin(),
             confirms_waits=True,
         )
-        self._revision_by_id: dict[str, int] = {}
-        self._listed_revision = 0
+        self._history = EntryHistory()
         view.on_target_updates = self._apply_peer_updates
 
     def _wait_s(self) -> float:
@@ -446,35 +518,60 @@
 
     def _apply_listing(self, listing: Listing, confirms_at: float) -> None:
         record_by_id = {}
+        is_first = self._history.listed is None
+        is_new_era = self._history.begin_list(
+            listing.position, {value.name: value.position for value in listing.values}
+        )
         for value in listing.values:
             with self._view.boundary.contain("target.read", value.name):
-                record = _read_target(value)
+                record = self._listed_record(value, is_new_era)
                 if record is not None:
                     record_by_id[value.name] = record
         now = self._view.clock.now()
-        is_first = not self._listed_revision
-        self._listed_revision = listing.revision
-        self._revision_by_id = {value.name: value.revision for value in listing.values}
         replacement = self._view.directory.replace_all(record_by_id, now)
         for removal in replacement.removals:
-            self._log_removal(removal, listing.revision, "listing")
+            self._log_removal(removal, listing.position, "listing")
         if self._view.watch_duty.reports_to_zone and not is_first:
             self._forward_replacement(listing, replacement)
         self._confirm(confirms_at)
         log_event(
-            "targets.listed", targets=len(record_by_id), revision=listing.revision
+            "targets.listed",
+            targets=len(record_by_id),
+            first_of_era=is_new_era,
+            **_position_fields(listing.position),
         )
         self._view.notify_capacity_freed()
 
+    def _listed_record(
+        self, value: StoredValue, is_new_era: bool
+    ) -> TargetRecord | None:
+        """Return a listed target; what is known of it if its entry is older."""
+        entry, directory = _read_entry(value), self._view.directory
+        if entry is None:
+            return None
+        was_removed = directory.was_removed(entry.record)
+        if not self._history.is_outdated(entry, is_new_era, was_removed):
+            return entry.record
+        kept = directory.find(value.name) if directory.is_listed(value.name) else None
+        log_event(
+            "target.older_entry",
+            target=value.name,
+            phase=str(entry.record.phase),
+            beats=entry.beats,
+            kept=kept is not None,
+            **_position_fields(value.position),
+        )
+        return kept
+
     def _forward_replacement(self, listing: Listing, replacement: Replacement) -> None:
         """Forward what a listing changed after the store's history was lost."""
         value_by_id = {value.name: value for value in listing.values}
         updates = [
-            TargetUpdate(each, value_by_id[each].revision, value_by_id[each].spec)
+            TargetUpdate.at(each, value_by_id[each].position, value_by_id[each].spec)
             for each in replacement.changed_ids
         ]
         updates += [
-            TargetUpdate(removal.id, listing.revision, None)
+            TargetUpdate.at(removal.id, listing.position, None)
             for removal in replacement.removals
             if not removal.held
         ]
@@ -484,23 +581,22 @@
     def _apply_changes(self, changes: Changes, confirms_at: float) -> None:
         for change in changes.changes:
             with self._view.boundary.contain("target.apply", change.value.name):
-                self._apply_change(change, changes.revision)
+                self._apply_change(change, changes.position)
         self._confirm(confirms_at)
         if changes.changes:
             self._view.notify_capacity_freed()
 
-    def _apply_change(self, change: Change, revision: int) -> None:
+    def _apply_change(self, change: Change, position: Position) -> None:
         value = change.value
-        known = self._revision_by_id.get(value.name, 0)
-        self._revision_by_id[value.name] = max(known, value.revision)
+        known = self._history.note_change(value.name, value.position)
         if change.deleted:
-            changed = self._remove(value.name, revision, "store")
+            changed = self._remove(value.name, position, "store")
         else:
             changed = self._update(value, "store")
         if changed and self._view.watch_duty.shared:
             spec = None if change.deleted else value.spec
-            revision = self._revision_by_id[value.name]
-            self._view.target_updates.add(TargetUpdate(value.name, revision, spec))
+            update = TargetUpdate.at(value.name, known, spec)
+            self._view.target_updates.add(update)
 
     def _apply_peer_updates(self, items: list[TargetUpdate]) -> None:
         """Apply updates from another host, which may arrive late or twice."""
@@ -510,22 +606,26 @@
         self._view.notify_capacity_freed()
 
     def _apply_peer_update(self, item: TargetUpdate) -> None:
-        known = self._revision_by_id.get(item.target_id, self._listed_revision)
-        if item.revision < known or (item.revision == known and item.spec is not None):
+        position, is_removal = item.position, item.spec is None
+        if not position.era:
+            # Hosts of older builds name none.
+            position = Position(self._view.eras.known, item.revision)
+        if not self._history.accepts_update(item.target_id, position, is_removal):
             return
-        self._revision_by_id[item.target_id] = item.revision
-        if item.spec is None:
-            self._remove(item.target_id, item.revision, "peer")
+        if is_removal:
+            self._remove(item.target_id, position, "peer")
         else:
-            value = StoredValue(item.target_id, item.revision, item.spec)
+            value = StoredValue(item.target_id, position, item.spec)
             self._update(value, "peer")
 
     def _update(self, value: StoredValue, source: str) -> bool:
         """Apply a target's entry; return whether the list changed."""
-        record = _read_target(value)
-        if record is None:
+        entry = _read_entry(value)
+        if entry is None:
             is_known = self._view.directory.find(value.name) is not None
-            return is_known and self._remove(value.name, value.revision, source)
+            return is_known and self._remove(value.name, value.position, source)
+        self._history.note_written(entry)
+        record = entry.record
         before = self._view.directory.find(record.id)
         changed = self._view.directory.update(record, self._view.clock.now())
         if (
@@ -543,28 +643,31 @@
                 span=f"{record.span.first}-{record.span.end}" if record.span else "",
                 started_ms=record.started_ms,
                 fits_model=self._view.directory.fits_model(record),
-                revision=value.revision,
                 source=source,
+                **_position_fields(value.position),
             )
         return changed
 
-    def _remove(self, target_id: str, revision: int, source: str) -> bool:
+    def _remove(self, target_id: str, position: Position, source: str) -> bool:
         """Remove a target from the list; return whether it is gone from it now."""
-        removal = self._view.directory.remove(target_id, self._view.clock.now())
-        self._log_removal(removal, revision, source)
+        directory, now = self._view.directory, self._view.clock.now()
+        removal = directory.remove(target_id, now)
+        if not removal.held:
+            self._history.forget(target_id)
+        self._log_removal(removal, position, source)
         return not removal.held
 
-    def _log_removal(self, removal: Removal, revision: int, source: str) -> None:
+    def _log_removal(self, removal: Removal, position: Position, source: str) -> None:
         log_event(
             "target.removed",
             target=removal.id,
             held=removal.held,
-            revision=revision,
             source=source,
+            **_position_fields(position),
         )
 
     def _handle_failure(self, problem: Fault) -> None:
-        if not self._listed_revision:
+        if self._history.listed is None:
             # No entry that this host knows can have expired yet.
             return
         follower = self._follower
@@ -578,14 +681,15 @@
             with self._view.boundary.contain("targets.expire"):
                 now = self._view.clock.now()
                 for target_id in self._view.directory.expire_missing(now):
+                    self._history.forget(target_id)
                     log_event("target.expired", target=target_id)
 
 
-def _read_target(value: StoredValue) -> TargetRecord | None:
-    """Return the target of an entry; None, with a log line, if it names none."""
+def _read_entry(value: StoredValue) -> Entry | None:
+    """Return a target's entry; None, with a log line, if it names no target."""
     decoded = decode_target(value.name, value.spec)
     if decoded.is_ok():
-        return decoded.ok
+        return Entry(decoded.ok, value.position, decode_beats(value.spec))
     log_event(
         "target.unreadable",
         target=value.name,
@@ -593,3 +697,10 @@
         detail=decoded.error.detail,
     )
     return None
+
+
+def _position_fields(position: Position | None) -> dict[str, int]:
+    """Return the fields of a log line that name a position of the store."""
+    if position is None:
+        return {}
+    return {"era": position.era, "revision": position.revision}
--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -70,6 +70,8 @@
 FORWARD_DUTY_S = 1.0
 """Time for which a duty is forwarded after its holder last reported it: half of a
 lease."""
+OFFER_INTERVAL_S = 1.0
+"""Interval in which a host is sent a version of the configuration again."""
 MAX_REPORTED_UNREACHABLE = 4
 """A host that reports more unreachable targets at once than this is itself partitioned.
 If its report were applied, neighbours would exclude targets that they can reach."""
@@ -169,7 +171,7 @@
                 nursery.start_soon(self._send_config)
                 nursery.start_soon(self._limits.ask)
                 nursery.start_soon(self._crashes.send_new_reports)
-                nursery.start_soon(self._finder.find)
+                nursery.start_soon(self._finder.run)
                 task_status.started()
 
     async def _send_statuses(self) -> None:
@@ -297,7 +299,7 @@
 
     def _send_config_update(self, update: ConfigUpdate) -> None:
         value = update.value
-        data = config_datagram(update.version, value.revision, value.spec)
+        data = config_datagram(update.version, value.position, value.spec)
         if data is not None:
             self._send(data, self._book.present_zone_peers(self._view.clock.now()))
 
@@ -341,6 +343,7 @@
                 self._offered_idle_share(),
                 fit_demands(self._view.own_demands(), MAX_DEMAND_BYTES),
                 self._view.plain_use(),
+                self._view.eras.known,
             )
         )
 
@@ -471,8 +474,10 @@
         peer.watches = status.watches
         peer.relay = status.relay
         peer.idle_share = status.idle_share
+        self._view.eras.hear(status.store_era, status.host_id)
         if self._view.watch_duty.record_peer_version(status.config_version, now):
             self._view.wake_followers()
+        self._offer_config(status.config_version, peer, now)
         echoed_at = self._echoed_at(status.echoes, now)
         if echoed_at is not None:
             self._merge_freshness(status, echoed_at)
@@ -514,6 +519,22 @@
         for duty in (*status.duties, *status.forwarded_duties):
             self._view.duty_reported_at[duty] = now
 
+    def _offer_config(self, version: int, peer: Peer, now: float) -> None:
+        """Send the version in force to a host that can't read it from the store.
+
+        A store that came back from a copy has an older one for a moment.
+        """
+        update = self._view.active_config
+        if not self._view.offers_config or update is None or version >= update.version:
+            return
+        if now - peer.offered_at < OFFER_INTERVAL_S:
+            return
+        peer.offered_at = now
+        data = config_datagram(update.version, update.value.position, update.value.spec)
+        if data is not None:
+            log_event("config.offered", version=update.version, peer=peer.address[0])
+            self._send(data, [peer])
+
     def _apply_list_confirmation(self, message: PeerListConfirmation) -> None:
         """Date a watcher's confirmation of its list by this host's own status.
 
--- a/radishfield/forwarding/_lease.py
+++ b/radishfield/forwarding/_lease.py
@@ -5,6 +5,7 @@
 from radishfield.core import UNREADABLE_ERRORS, ResultCode
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import ObjectStore, StoredValue
+from radishfield.routing import Position
 from radishfield.telemetry import log_event
 
 LEASES_KIND = "radishfield-leases"
@@ -18,7 +19,7 @@
 
 
 class _ObservedRevision(msgspec.Struct, frozen=True):
-    revision: int
+    revision: Position
     since: float
 
 
@@ -47,7 +48,7 @@
         self._host_id = host_id
         self._store = store
         self._view = view
-        self._revision: int | None = None
+        self._revision: Position | None = None
         self._renewed_at = 0.0
         self._observed: _ObservedRevision | None = None
         self._next_read_at = 0.0
@@ -55,7 +56,7 @@
     @property
     def fence(self) -> int:
         """Return the lease's revision, which fences orders; 0 without the lease."""
-        return self._revision or 0
+        return self._revision.revision if self._revision else 0
 
     def is_held(self, now: float) -> bool:
         """Return whether this host holds the lease, as far as it knows."""
@@ -79,18 +80,18 @@
             return False
         if not self._is_free(read.ok, now):
             return False
-        return await self._write(read.ok.revision)
+        return await self._write(read.ok.position)
 
     def _is_free(self, value: StoredValue, now: float) -> bool:
         if _holder(value) == self._host_id:
             # This host held it before its restart.
             return True
-        if self._observed is None or self._observed.revision != value.revision:
-            self._observed = _ObservedRevision(value.revision, now)
+        if self._observed is None or self._observed.revision != value.position:
+            self._observed = _ObservedRevision(value.position, now)
             return False
         return now - self._observed.since >= LEASE_S
 
-    async def _write(self, revision: int | None) -> bool:
+    async def _write(self, revision: Position | None) -> bool:
         requested_at = self._view.clock.now()
         spec = {"holder": self._host_id, "at_s": round(requested_at, 3)}
         if revision is None:
@@ -106,8 +107,12 @@
             self._revision = None
             return False
         if self._revision is None:
-            log_event("lease.held", service=self._service, revision=written.ok.revision)
-        self._revision = written.ok.revision
+            log_event(
+                "lease.held",
+                service=self._service,
+                revision=written.ok.position.revision,
+            )
+        self._revision = written.ok.position
         self._renewed_at = requested_at
         return True
 
--- a/radishfield/forwarding/_peer_finder.py
+++ b/radishfield/forwarding/_peer_finder.py
@@ -1,7 +1,8 @@
-"""Discovers the other entry hosts through the store, once at startup.
+"""Discovers the other entry hosts through the store.
 
 Each host writes its address before it lists the others.  Of any two hosts the later
-one therefore finds the earlier one and sends it its status.
+one therefore finds the earlier one and sends it its status.  That is done at startup,
+and again when the store came back from a copy that may lack the address.
 """
 
 import random
@@ -14,7 +15,7 @@
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import ObjectStore
 from radishfield.telemetry import log_event
-from radishfield.web import backoff_s, split_ip_address
+from radishfield.web import ERA_SPREAD_S, backoff_s, split_ip_address
 
 HOSTS_KIND = "radishfield-hosts"
 
@@ -44,6 +45,14 @@
         self._book = book
         self._rng = random.Random()
 
+    async def run(self) -> None:
+        """Find the other hosts, and again in each era of the store, until cancelled."""
+        while True:
+            changed = self._view.eras.changed
+            await self.find()
+            await changed.wait()
+            await trio.sleep(self._rng.uniform(0.0, ERA_SPREAD_S))
+
     async def find(self) -> None:
         """Write this host's address, then read the addresses of the others."""
         failures = 0
@@ -61,7 +70,8 @@
         log_event(
             "peers.found",
             peers=len(self._book.peer_by_id),
-            revision=listing.ok.revision,
+            era=listing.ok.position.era,
+            revision=listing.ok.position.revision,
         )
 
     def add_listed(self, host_id: str, spec: object) -> None:
@@ -91,6 +101,6 @@
         if read.ok.spec == body:
             return True
         written = await self._store.replace(
-            HOSTS_KIND, self._host_id, body, read.ok.revision
+            HOSTS_KIND, self._host_id, body, read.ok.position
         )
         return written.is_ok()
--- a/radishfield/forwarding/_peer_messages.py
+++ b/radishfield/forwarding/_peer_messages.py
@@ -3,13 +3,14 @@
 import enum
 import zlib
 from collections.abc import Iterator
+from typing import Annotated
 
 import msgspec
 
 from radishfield.capacity import PlainTargetUse, ServiceDemand
 from radishfield.core import UNREADABLE_ERRORS
 from radishfield.crashes import CrashReport
-from radishfield.routing import AnswerCounts
+from radishfield.routing import MAX_ERA, AnswerCounts, Position
 from radishfield.telemetry import log_event
 
 DATAGRAM_BYTES = 8 << 10
@@ -75,11 +76,24 @@
     ----------
     spec : object
         Content of the entry; None if it was deleted.
+    era : int
+        Era of the store that gave out the revision; not sent by older hosts.
     """
 
     target_id: str
     revision: int
     spec: object
+    era: int = 0
+
+    @classmethod
+    def at(cls, target_id: str, position: Position, spec: object) -> "TargetUpdate":
+        """Return the update of an entry as of a position of the store."""
+        return cls(target_id, position.revision, spec, position.era)
+
+    @property
+    def position(self) -> Position:
+        """Return the position of the store at which the entry was like this."""
+        return Position(self.era, self.revision)
 
 
 class PeerTargetUpdates(msgspec.Struct, array_like=True, tag="news"):
@@ -100,6 +114,7 @@
     version: int
     revision: int
     body: bytes
+    era: int = 0
 
 
 class PeerCrashes(msgspec.Struct, array_like=True, tag="crashes"):
@@ -222,6 +237,8 @@
         What the sender's callers ask for; not sent by older hosts.
     plain_use : list of PlainTargetUse
         Answer times of plain targets to the sender; not sent by older hosts.
+    store_era : int
+        Newest era of the store that the sender knows; not sent by older hosts.
     """
 
     host_id: str
@@ -250,6 +267,7 @@
     idle_share: float = -1.0
     demand: list[ServiceDemand] = []
     plain_use: list[PlainTargetUse] = []
+    store_era: Annotated[int, msgspec.Meta(ge=0, le=MAX_ERA)] = 0
 
 
 encoder = msgspec.msgpack.Encoder()
@@ -266,7 +284,7 @@
 )
 
 
-def config_datagram(version: int, revision: int, spec: object) -> bytes | None:
+def config_datagram(version: int, position: Position, spec: object) -> bytes | None:
     """Return a configuration as a datagram, or None if it can't be sent as one.
 
     Hosts that do not receive it read it from the store.
@@ -280,7 +298,7 @@
     if len(body) > MAX_UPDATE_BYTES:
         log_event("config.too_long", version=version, bytes=len(body))
         return None
-    return encoder.encode(PeerConfig(version, revision, body))
+    return encoder.encode(PeerConfig(version, position.revision, body, position.era))
 
 
 def config_spec(message: PeerConfig) -> object:
--- a/radishfield/forwarding/_peers.py
+++ b/radishfield/forwarding/_peers.py
@@ -41,6 +41,8 @@
         Whether it connects other hosts to targets.
     idle_share : float
         Idle share of its event loop; negative if it is not known.
+    offered_at : float
+        When it was last sent a version of the configuration that it lacked.
     """
 
     address: tuple[str, int]
@@ -52,6 +54,7 @@
     watches: bool = False
     relay: RelayOffer = RelayOffer.NONE
     idle_share: float = -1.0
+    offered_at: float = -1e9
 
     def is_alive(self, now: float) -> bool:
         """Return whether a status was received from it recently."""
--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -142,9 +142,11 @@
         )
         address = ApiAddress(settings.platform.address, keepalive_s=STORE_IDLE_S)
         store_calls = ApiCaller(address, budget, clock)
-        store = ObjectStore(store_calls)
+        store = ObjectStore(store_calls, view.eras)
         gossip = settings.section("gossip", GossipSettings)
         key = RelayKey(store, clock) if gossip.bind else None
+        if key is not None:
+            view.eras.on_change.append(key.reread)
         dialer = TargetDialer(
             settings.host.id,
             settings.host.zone,
@@ -156,6 +158,16 @@
         connections = TargetConnections(clock, view.target_links, dialer, view.boundary)
         targets = Targets(connections, view, telemetry)
         watchdog = StreamWatchdog(targets, view)
+        telemetry.watch(
+            "store_era",
+            "Newest era of the platform's store that this host knows.",
+            lambda: view.eras.known,
+        )
+        telemetry.watch(
+            "store_older_answers",
+            "Answers of an older era of the store that were left out.",
+            lambda: view.eras.older_answers,
+        )
         telemetry.watch(
             "defects_contained",
             "Exceptions that ended the work for one target, entry or host only.",
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -23,6 +23,7 @@
 from radishfield.core import Clock, Fault, ResultCode, fault
 from radishfield.crashes import CrashGuard
 from radishfield.forwarding._call import Call
+from radishfield.forwarding._era_monitor import EraMonitor
 from radishfield.forwarding._peer_messages import PeerConfig, TargetUpdate
 from radishfield.kernel import WorkBoundary
 from radishfield.limits import RetryAllowance, RetryBudget, RetryUse
@@ -198,6 +199,12 @@
         Share of requests that plain targets failed.
     shared_failures : SharedFailures
         Failed answers of plain targets to all hosts.
+    eras : EraMonitor
+        The eras of the store.
+    active_config : ConfigUpdate or None
+        The version in force, as it was read.
+    offers_config : bool
+        The store does not hold that version, so that other hosts may lack it.
     crash_updates : UpdateBuffer
         Traits whose crashes are to be reported to other hosts.
     host_load : HostLoad
@@ -282,6 +289,9 @@
     withdrawal: Withdrawal = msgspec.field(default_factory=Withdrawal)
     crash_updates: UpdateBuffer[str] = msgspec.field(default_factory=UpdateBuffer)
     config_reads: int = 0
+    eras: EraMonitor | None = None
+    active_config: ConfigUpdate | None = None
+    offers_config: bool = False
     list_confirmations: UpdateBuffer[float] = msgspec.field(
         default_factory=UpdateBuffer
     )
@@ -305,6 +315,11 @@
     def __post_init__(self):
         if self.boundary is None:
             self.boundary = WorkBoundary(self.clock)
+        if self.eras is None:
+            self.eras = EraMonitor(self.clock)
+        self.eras.on_change.append(
+            lambda: self.directory.record_store_return(self.clock.now())
+        )
         if self.crashes is None:
             self.crashes = CrashGuard(self.host_id, self.clock)
         self.crashes.announce = self.crash_updates.add
--- a/radishfield/forwarding/follower_test.py
+++ b/radishfield/forwarding/follower_test.py
@@ -19,7 +19,7 @@
     Listing,
     StoredValue,
 )
-from radishfield.routing import WATCHERS_PER_ZONE, Freshness
+from radishfield.routing import WATCHERS_PER_ZONE, Freshness, Position
 from radishfield.routing._watch_duty import CONFIG_AGE_SHARE
 from standins.follower_zone import FollowerZone, MemoryDatagrams
 from standins.routed_config import config, target_entry
@@ -46,10 +46,10 @@
             return await self.fail(kind)
         values = ()
         if kind == CONFIG_KIND:
-            values = (StoredValue(CONFIG_NAME, 1, config()),)
-        return Ok(Listing(values, 1))
+            values = (StoredValue(CONFIG_NAME, Position(0, 1), config()),)
+        return Ok(Listing(values, Position(0, 1)))
 
-    async def watch(self, kind, revision, wait_s, margin_s=1.0):
+    async def watch(self, kind, position, wait_s, margin_s=1.0):
         if self.is_away():
             return await self.fail(kind)
         with trio.move_on_after(wait_s):
@@ -57,7 +57,7 @@
                 await trio.sleep_until(self.lost_at)
                 return await self.fail(kind)
             await trio.sleep_forever()
-        return Ok(Changes((), revision))
+        return Ok(Changes((), position))
 
     async def fail(self, kind):
         """Fail after a delay, as calls over unanswered connections do."""
@@ -110,10 +110,10 @@
         await trio.sleep(self.late_s)
         return await super().list(kind, limit_s)
 
-    async def watch(self, kind, revision, wait_s, margin_s=1.0):
+    async def watch(self, kind, position, wait_s, margin_s=1.0):
         await trio.sleep(wait_s)
         await trio.sleep(self.late_s)
-        return Ok(Changes((), revision))
+        return Ok(Changes((), position))
 
 
 @pytest.mark.parametrize("late_s", [0.0, 0.5, 0.8, 0.95])
@@ -247,17 +247,17 @@
         if trio.current_time() < self.answers_at:
             await trio.sleep(limit_s)
             return Error(fault(ResultCode.PLATFORM_UNAVAILABLE))
-        value = StoredValue("p1", 1, target_entry("portal", "10.0.0.1:80"))
-        return Ok(Listing((value,), 1))
+        value = StoredValue("p1", Position(0, 1), target_entry("portal", "10.0.0.1:80"))
+        return Ok(Listing((value,), Position(0, 1)))
 
-    async def watch(self, kind, revision, wait_s, margin_s=1.0):
+    async def watch(self, kind, position, wait_s, margin_s=1.0):
         with trio.move_on_after(wait_s):
             await trio.sleep_until(self.removed_at)
-            if revision == 1:
-                gone = Change(StoredValue("p1", 2, None), deleted=True)
-                return Ok(Changes((gone,), 2))
+            if position.revision == 1:
+                gone = Change(StoredValue("p1", Position(0, 2), None), deleted=True)
+                return Ok(Changes((gone,), Position(0, 2)))
             await trio.sleep_forever()
-        return Ok(Changes((), revision))
+        return Ok(Changes((), position))
 
 
 def test_a_host_that_had_to_wait_for_its_first_list_holds_no_target_that_is_gone():
@@ -294,23 +294,25 @@
             return await super().list(kind)
         version = self.version()
         await trio.sleep(self.VERSION_S)
-        value = StoredValue(CONFIG_NAME, version, config(version))
-        return Ok(Listing((value,), version))
+        position = Position(0, version)
+        value = StoredValue(CONFIG_NAME, position, config(version))
+        return Ok(Listing((value,), position))
 
-    async def watch(self, kind, revision, wait_s, margin_s=1.0):
+    async def watch(self, kind, position, wait_s, margin_s=1.0):
         if self.is_away() or kind != CONFIG_KIND:
-            return await super().watch(kind, revision, wait_s)
+            return await super().watch(kind, position, wait_s)
         with trio.move_on_after(wait_s):
-            while self.version() == revision:
+            while self.version() == position.revision:
                 await trio.sleep(0.05)
         version = self.version()
-        read_s = (version - revision) * self.VERSION_S
+        read_s = (version - position.revision) * self.VERSION_S
         await trio.sleep(min(read_s, self.LIMIT_S))
         if read_s > self.LIMIT_S:
             return Error(fault(ResultCode.PLATFORM_UNAVAILABLE))
-        value = StoredValue(CONFIG_NAME, version, config(version))
-        found = (Change(value, deleted=False),) if version > revision else ()
-        return Ok(Changes(found, version))
+        read = Position(0, version)
+        value = StoredValue(CONFIG_NAME, read, config(version))
+        found = (Change(value, deleted=False),) if read > position else ()
+        return Ok(Changes(found, read))
 
 
 def test_a_host_that_missed_versions_on_a_slow_link_catches_up():
--- a/radishfield/forwarding/peer_messages_test.py
+++ b/radishfield/forwarding/peer_messages_test.py
@@ -17,14 +17,15 @@
     decoder,
     encoder,
 )
+from radishfield.routing import Position
 
 
 def test_configuration_is_received_as_it_was_sent():
     spec = {"version": 3, "routes": [{"name": f"r{n}"} for n in range(200)]}
-    data = config_datagram(3, 90, spec)
+    data = config_datagram(3, Position(2, 90), spec)
     assert len(data) < DATAGRAM_BYTES
     message = decoder.decode(data)
-    assert (message.version, message.revision) == (3, 90)
+    assert (message.version, message.era, message.revision) == (3, 2, 90)
     assert config_spec(message) == spec
 
 
@@ -32,7 +33,7 @@
     "spec", [{"keys": [uuid.uuid4().hex for _ in range(900)]}, {"n": 2**80}]
 )
 def test_configuration_that_fits_no_datagram_is_not_encoded(spec):
-    assert config_datagram(3, 90, spec) is None
+    assert config_datagram(3, Position(2, 90), spec) is None
 
 
 @pytest.mark.parametrize(
--- a/radishfield/forwarding/zone_test.py
+++ b/radishfield/forwarding/zone_test.py
@@ -6,7 +6,7 @@
 
 from radishfield.forwarding._peer_messages import TargetUpdate
 from radishfield.forwarding.conftest import open_testbed
-from radishfield.routing import WATCHERS_PER_ZONE
+from radishfield.routing import WATCHERS_PER_ZONE, Position
 from standins.routed_config import KEY, config, target_entry
 
 HOSTS = 9
@@ -153,7 +153,8 @@
         testbed.store.put("other", "unrelated", {})
         testbed.store.remove("servers", "p2")
         await testbed.until(lambda: "p2" not in listed(updated), BOUND_S)
-        late = TargetUpdate("p2", revision, target_entry("portal", "10.9.9.9:80"))
+        entry = target_entry("portal", "10.9.9.9:80")
+        late = TargetUpdate.at("p2", Position(testbed.store.era, revision), entry)
         updated.view.on_target_updates([late])
         assert "p2" not in listed(updated)
 
--- a/radishfield/platform/__init__.py
+++ b/radishfield/platform/__init__.py
@@ -25,6 +25,7 @@
 from radishfield.platform._targets import (
     ORDER_PATH,
     REPORT_PATH,
+    decode_beats,
     decode_report,
     decode_target,
     encode_place_order,
@@ -54,6 +55,7 @@
     "TargetRequestFacts",
     "StoredValue",
     "caller_headers",
+    "decode_beats",
     "decode_config",
     "decode_report",
     "decode_target",
--- a/radishfield/platform/_requests.py
+++ b/radishfield/platform/_requests.py
@@ -9,8 +9,7 @@
 from radishfield.platform import _names as names
 from radishfield.platform._targets import format_path
 from radishfield.routing import Path
-
-Headers = list[tuple[bytes, bytes]]
+from radishfield.web import Headers
 
 # Hop-by-hop headers apply to one connection only and are never forwarded.
 _HOP_BY_HOP_HEADERS = frozenset(
--- a/radishfield/platform/_store.py
+++ b/radishfield/platform/_store.py
@@ -4,21 +4,23 @@
 answers that are not wholly readable are taken apart and read object by object.
 """
 
-from typing import Annotated
+from typing import Annotated, Protocol
 from urllib.parse import quote
 
 import msgspec
 from expression import Error, Ok, Result
 
 from radishfield.core import UNREADABLE_ERRORS, Fault, ResultCode, fault
+from radishfield.platform._era_header import read_era
 from radishfield.platform._json_parts import (
     decode_part,
     readable_text,
     split_elements,
     split_members,
 )
+from radishfield.routing import Position
 from radishfield.telemetry import log_event
-from radishfield.web import ApiCall, ApiCaller, decode_answer
+from radishfield.web import ApiCall, ApiCaller, Headers, decode_answer
 
 CALL_TIMEOUT_S = 2.0
 """The store answers in milliseconds; one that takes longer than this is failing."""
@@ -71,7 +73,7 @@
     """One object; ``spec`` is its content, or None if that can't be read."""
 
     name: str
-    revision: int
+    position: Position
     spec: object
 
 
@@ -83,14 +85,14 @@
 
 
 class Listing(msgspec.Struct, frozen=True):
-    """All objects of a kind as of a revision of the store."""
+    """All objects of a kind as of a position of the store."""
 
     values: tuple[StoredValue, ...]
-    revision: int
+    position: Position
 
 
 class Changes(msgspec.Struct, frozen=True):
-    """Changes up to a revision of the store; empty if nothing changed.
+    """Changes up to a position of the store; empty if nothing changed.
 
     Attributes
     ----------
@@ -99,17 +101,51 @@
     """
 
     changes: tuple[Change, ...]
-    revision: int
+    position: Position
     complete: bool = True
 
 
+class _Answer(msgspec.Struct, frozen=True):
+    body: bytes
+    era: int
+
+
+class EraSource(Protocol):
+    """What is known of the store's eras.
+
+    Attributes
+    ----------
+    known : int
+        The newest era.
+    """
+
+    known: int
+
+    def accepts(self, era: Result[int | None, Fault]) -> bool:
+        """Take in the era that an answer names; return whether the answer counts."""
+
+
+class _AnyEra:
+    known = 0
+
+    def accepts(self, era: Result[int | None, Fault]) -> bool:
+        return True
+
+
 class ObjectStore:
-    """Client of the store; each call is sent once."""
+    """Client of the store; each call is sent once.
 
-    __slots__ = ("_caller",)
+    Parameters
+    ----------
+    eras : EraSource, optional
+        Leaves out answers of older eras; without it the era of each answer counts.
+    """
 
-    def __init__(self, caller: ApiCaller):
+    __slots__ = ("_caller", "_eras")
+
+    def __init__(self, caller: ApiCaller, eras: EraSource | None = None):
         self._caller = caller
+        self._eras = eras or _AnyEra()
 
     async def read(self, kind: str, name: str) -> Result[StoredValue, Fault]:
         """Return an object, or ``OBJECT_NOT_FOUND``."""
@@ -123,23 +159,28 @@
 
         Each page has to arrive within ``limit_s``.
 
-        The revision is that of the first page, so that a watch from there returns
-        again whatever changed while the later pages were read.
+        The position is that of the first page, so that a watch from there returns
+        again whatever changed while the later pages were read.  ``WATCH_GAP`` if the
+        era changed between two pages.
         """
         values: list[StoredValue] = []
-        revision: int | None = None
+        position: Position | None = None
         after = ""
         while True:
             query = f"?after={quote(after, safe='')}" if after else ""
             path = _path(kind) + query
             answer = await self._call("list", "GET", path, limit_s=limit_s)
-            page = answer.bind(_decode_page)
+            page = answer.bind(lambda found: _decode_page(found.body))
             if page.is_error():
                 return Error(page.error)
-            values += [_read_value(item) for item in page.ok.items]
-            revision = page.ok.current_rev if revision is None else revision
+            era = answer.ok.era
+            values += [_read_value(item, era) for item in page.ok.items]
+            if position is None:
+                position = Position(era, page.ok.current_rev)
+            if position.era != era:
+                return Error(_era_gap(position, era))
             if not page.ok.truncated:
-                return Ok(Listing(tuple(values), revision))
+                return Ok(Listing(tuple(values), position))
             name = _last_name(page.ok.items)
             if not name or name == after:
                 # No name to continue after; a partial list would drop the other
@@ -151,20 +192,27 @@
     async def watch(
         self,
         kind: str,
-        revision: int,
+        position: Position,
         wait_s: float,
         margin_s: float = WATCH_MARGIN_S,
     ) -> Result[Changes, Fault]:
-        """Wait for changes after a revision, for ``wait_s`` seconds at most.
+        """Wait for changes after a position, for ``wait_s`` seconds at most.
+
+        ``WATCH_GAP`` if the store is in another era now: the changes after the same
+        revision there are not those after this position.
 
         Parameters
         ----------
         margin_s : float
             Time by which the answer may be late.
         """
-        query = f"?watch={revision}&waitMs={int(wait_s * 1000)}"
+        if self._has_passed(position):
+            return Error(_era_gap(position, self._eras.known))
+        query = f"?watch={position.revision}&waitMs={int(wait_s * 1000)}"
         limit_s = wait_s + margin_s
         answer = await self._call("watch", "GET", _path(kind) + query, limit_s=limit_s)
+        if answer.is_ok() and answer.ok.era != position.era:
+            return Error(_era_gap(position, answer.ok.era))
         return answer.bind(_decode_changes)
 
     async def create(
@@ -176,18 +224,34 @@
         return answer.bind(_decode_value)
 
     async def replace(
-        self, kind: str, name: str, spec: object, revision: int
+        self, kind: str, name: str, spec: object, position: Position
     ) -> Result[StoredValue, Fault]:
-        """Replace an object if its revision is still the one that was read."""
-        body = msgspec.json.encode(_Write(_NewMetadata(name, revision), spec))
+        """Replace an object if it is still the one that was read.
+
+        ``PLATFORM_CONFLICT`` if it is not, ``PLATFORM_AMBIGUOUS`` if the store has come
+        back meanwhile: another object may have that revision in the new era.
+        """
+        if self._has_passed(position):
+            return Error(_passed_era(position))
+        body = msgspec.json.encode(_Write(_NewMetadata(name, position.revision), spec))
         answer = await self._call("replace", "PUT", _path(kind, name), body)
+        if answer.is_ok() and answer.ok.era != position.era:
+            return Error(fault(ResultCode.PLATFORM_AMBIGUOUS, "the era has changed"))
         return answer.bind(_decode_value)
 
-    async def remove(self, kind: str, name: str, revision: int) -> Result[None, Fault]:
-        """Remove an object if its revision is still the one that was read."""
-        path = f"{_path(kind, name)}?revision={revision}"
+    async def remove(
+        self, kind: str, name: str, position: Position
+    ) -> Result[None, Fault]:
+        """Remove an object if it is still the one that was read."""
+        if self._has_passed(position):
+            return Error(_passed_era(position))
+        path = f"{_path(kind, name)}?revision={position.revision}"
         answer = await self._call("remove", "DELETE", path)
-        return answer.map(lambda body: None)
+        return answer.map(lambda found: None)
+
+    def _has_passed(self, position: Position) -> bool:
+        """Return whether the store is known to be in another era."""
+        return self._eras.known not in (0, position.era)
 
     async def _call(
         self,
@@ -196,8 +260,21 @@
         path: str,
         body: bytes = b"",
         limit_s: float = CALL_TIMEOUT_S,
-    ) -> Result[bytes, Fault]:
-        return await self._caller.call(ApiCall(call, method, path, body, limit_s))
+    ) -> Result[_Answer, Fault]:
+        era = self._eras.known
+
+        def accepts(headers: Headers) -> bool:
+            nonlocal era
+            named = read_era(headers)
+            if not self._eras.accepts(named):
+                return False
+            era = named.default_value(None) or self._eras.known
+            return True
+
+        answer = await self._caller.call(
+            ApiCall(call, method, path, body, limit_s), accepts
+        )
+        return answer.map(lambda content: _Answer(content, era))
 
 
 def _path(kind: str, name: str | None = None) -> str:
@@ -205,8 +282,16 @@
     return path if name is None else f"{path}/{quote(name, safe='')}"
 
 
-def _decode_value(body: bytes) -> Result[StoredValue, Fault]:
-    value = _read_value(body)
+def _era_gap(position: Position, era: int) -> Fault:
+    return fault(ResultCode.WATCH_GAP, f"era {era} after era {position.era}")
+
+
+def _passed_era(position: Position) -> Fault:
+    return fault(ResultCode.PLATFORM_CONFLICT, f"era {position.era} has passed")
+
+
+def _decode_value(answer: _Answer) -> Result[StoredValue, Fault]:
+    value = _read_value(answer.body, answer.era)
     if value.name:
         return Ok(value)
     return Error(
@@ -228,11 +313,12 @@
     return Ok(_Page([msgspec.Raw(item) for item in items], truncated, revision))
 
 
-def _decode_changes(body: bytes) -> Result[Changes, Fault]:
+def _decode_changes(answer: _Answer) -> Result[Changes, Fault]:
+    body = answer.body
     decoded = decode_answer(body, _Events)
     if decoded.is_ok():
         found = [(item.object, item.deleted) for item in decoded.ok.events]
-        return Ok(_changes(found, decoded.ok.current_rev))
+        return Ok(_changes(found, Position(answer.era, decoded.ok.current_rev)))
     members = split_members(body) or {}
     events = split_elements(members.get("events", b""))
     revision = decode_part(members.get("currentRev"), Revision)
@@ -244,20 +330,22 @@
         parts = split_members(event) or {}
         deleted = decode_part(parts.get("deleted", b"false"), bool)
         found.append((parts.get("object", b""), deleted))
-    return Ok(_changes(found, revision))
+    return Ok(_changes(found, Position(answer.era, revision)))
 
 
-def _changes(found: list[tuple[bytes, bool | None]], revision: int) -> Changes:
+def _changes(found: list[tuple[bytes, bool | None]], position: Position) -> Changes:
     """Return changes; whether an object was deleted is None if that can't be read."""
-    changes = [Change(_read_value(raw), bool(deleted)) for raw, deleted in found]
+    changes = [
+        Change(_read_value(raw, position.era), bool(deleted)) for raw, deleted in found
+    ]
     complete = all(
         deleted is False or (deleted and change.value.name)
         for change, (_, deleted) in zip(changes, found, strict=True)
     )
-    return Changes(tuple(changes), revision, complete)
+    return Changes(tuple(changes), position, complete)
 
 
-def _read_value(raw: bytes) -> StoredValue:
+def _read_value(raw: bytes, era: int) -> StoredValue:
     """Return an object with what can be read of it.
 
     Its spec is None if it can't be read, its revision 0, and its name empty.
@@ -265,18 +353,20 @@
     try:
         item = msgspec.json.decode(raw, type=_Object)
     except UNREADABLE_ERRORS:
-        return _read_parts(bytes(raw))
+        return _read_parts(bytes(raw), era)
     return StoredValue(
-        item.metadata.name, item.metadata.revision, decode_part(item.spec, object)
+        item.metadata.name,
+        Position(era, item.metadata.revision),
+        decode_part(item.spec, object),
     )
 
 
-def _read_parts(raw: bytes) -> StoredValue:
+def _read_parts(raw: bytes, era: int) -> StoredValue:
     members = split_members(raw) or {}
     metadata = split_members(members.get("metadata", b"")) or {}
     return StoredValue(
         decode_part(metadata.get("name"), str) or "",
-        decode_part(metadata.get("revision"), Revision) or 0,
+        Position(era, decode_part(metadata.get("revision"), Revision) or 0),
         decode_part(members.get("spec"), object),
     )
 
@@ -284,7 +374,7 @@
 def _last_name(items: list[msgspec.Raw]) -> str:
     """Return the last name of a page that can be read, or else the last one in part."""
     for item in reversed(items):
-        name = _read_value(item).name
+        name = _read_value(item, era=0).name
         if name:
             return name
     members = split_members(bytes(items[-1])) if items else None
--- a/radishfield/platform/_targets.py
+++ b/radishfield/platform/_targets.py
@@ -127,6 +127,11 @@
     )
 
 
+def decode_beats(spec: object) -> int:
+    """Return how often a target has written the entry that `decode_target` read."""
+    return msgspec.convert(spec, _Entry).heartbeats
+
+
 def decode_report(body: bytes) -> Result[TargetReport, Fault]:
     """Return a target's report on its work."""
     try:
--- a/radishfield/platform/store_test.py
+++ b/radishfield/platform/store_test.py
@@ -6,6 +6,7 @@
 from radishfield.core import ResultCode, SystemClock
 from radishfield.platform import ObjectStore
 from radishfield.platform._store import _read_value
+from radishfield.routing import Position
 from radishfield.web import (
     ApiAddress,
     ApiCaller,
@@ -38,7 +39,7 @@
             app.put("k", f"n{number}", {"v": number})
         listing = (await store.list("k")).ok
         assert [value.name for value in listing.values] == [f"n{n}" for n in range(8)]
-        assert listing.revision == app.revision
+        assert listing.position == app.position
 
     run_scenario(scenario)
 
@@ -48,23 +49,23 @@
 )
 def test_content_that_can_not_be_read_is_none(spec):
     """Guards against an end of the process by an entry that is nested too deeply."""
-    value = _read_value(b'{"metadata": {"name": "a"}, "spec": ' + spec + b"}")
+    value = _read_value(b'{"metadata": {"name": "a"}, "spec": ' + spec + b"}", era=1)
     assert value.spec is None
 
 
 def test_watch_returns_changes_and_removals_and_times_out():
     async def scenario(app, store, calls):
         app.put("k", "a", 1)
-        revision = app.revision
+        position = app.position
         app.put("k", "b", 2)
         app.remove("k", "a")
-        seen = (await store.watch("k", revision, 1.0)).ok
+        seen = (await store.watch("k", position, 1.0)).ok
         assert [(c.value.name, c.deleted) for c in seen.changes] == [
             ("b", False),
             ("a", True),
         ]
         started = trio.current_time()
-        unchanged = (await store.watch("k", seen.revision, 0.3)).ok
+        unchanged = (await store.watch("k", seen.position, 0.3)).ok
         assert unchanged.changes == () and trio.current_time() - started < 1.0
 
     run_scenario(scenario)
@@ -74,7 +75,7 @@
     async def scenario(app, store, calls):
         app.put("k", "a", 1)
         app.forget_history()
-        gone = await store.watch("k", 1, 0.3)
+        gone = await store.watch("k", Position(1, 1), 0.3)
         assert gone.error.code is ResultCode.WATCH_GAP
 
     run_scenario(scenario)
@@ -86,11 +87,11 @@
         duplicate = await store.create("k", "a", 2)
         assert duplicate.error.code is ResultCode.PLATFORM_CONFLICT
         app.put("k", "a", 3)
-        outdated = await store.replace("k", "a", 4, created.revision)
+        outdated = await store.replace("k", "a", 4, created.position)
         assert outdated.error.code is ResultCode.PLATFORM_CONFLICT
         read = (await store.read("k", "a")).ok
         assert read.spec == 3
-        assert (await store.replace("k", "a", 4, read.revision)).is_ok()
+        assert (await store.replace("k", "a", 4, read.position)).is_ok()
 
     run_scenario(scenario)
 
@@ -131,7 +132,7 @@
         assert (await store.list("k")).is_ok()
         app.switches.silent = True
         started = trio.current_time()
-        silent = await store.watch("k", 1, 0.2)
+        silent = await store.watch("k", Position(1, 1), 0.2)
         assert silent.error.code is ResultCode.PLATFORM_UNAVAILABLE
         assert trio.current_time() - started < 1.6
         app.switches.silent = False
@@ -152,7 +153,7 @@
         seen = []
 
         async def watch():
-            seen.append(await store.watch("k", app.revision, 4.0))
+            seen.append(await store.watch("k", app.position, 4.0))
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watch)
@@ -214,21 +215,21 @@
 
     async def scenario(app, store, calls):
         app.put("k", "a", {"v": 1})
-        revision = app.revision
+        position = app.position
         app.put_text("k", "b", text_by_member[member] % part)
         app.put("k", "c", {"v": "}],[{"})
         app.remove("k", "a")
         listing = (await store.list("k")).ok
         assert [value.name for value in listing.values] == ["b", "c"]
         assert listing.values[1].spec == {"v": "}],[{"}
-        assert listing.revision == app.revision
-        seen = (await store.watch("k", revision, 1.0)).ok
+        assert listing.position == app.position
+        seen = (await store.watch("k", position, 1.0)).ok
         assert [(change.value.name, change.deleted) for change in seen.changes] == [
             ("b", False),
             ("c", False),
             ("a", True),
         ]
-        assert seen.complete and seen.revision == app.revision
+        assert seen.complete and seen.position == app.position
         read = (await store.read("k", "b")).ok
         assert read.name == "b"
 
@@ -240,13 +241,13 @@
 
     async def scenario(app, store, calls):
         app.put("k", "a", 1)
-        revision = app.revision
+        position = app.position
         nameless = b'{"metadata": {"name": "\\udcff"}, "spec": 1}'
         app.put_text("k", "b", nameless)
-        written = (await store.watch("k", revision, 1.0)).ok
+        written = (await store.watch("k", position, 1.0)).ok
         assert written.complete
         app.put_text("k", "b", nameless, deleted=True)
-        removed = (await store.watch("k", written.revision, 1.0)).ok
+        removed = (await store.watch("k", written.position, 1.0)).ok
         assert not removed.complete
 
     run_scenario(scenario)
@@ -286,3 +287,115 @@
         assert {value.name for value in listing.values} == {"a", "", "c", "d"}
 
     run_scenario(scenario)
+
+
+class Eras:
+    """Keeps the newest era and counts the answers that do not count."""
+
+    def __init__(self):
+        self.known = 0
+        self.problems = []
+        self.dropped = 0
+
+    def accepts(self, era):
+        if era.is_error():
+            self.problems.append(era.error.code)
+        named = era.default_value(None) or self.known
+        self.dropped += named < self.known
+        accepted = named >= self.known
+        self.known = max(self.known, named)
+        return accepted
+
+
+def run_with_eras(scenario):
+    async def with_eras(app, store, calls):
+        eras = Eras()
+        await scenario(app, ObjectStore(calls, eras), eras)
+
+    run_scenario(with_eras)
+
+
+def test_watch_of_a_passed_era_is_a_gap_also_if_the_revision_is_there_again():
+    """Guards against changes of another history that count as those since a list."""
+
+    async def scenario(app, store, eras):
+        copy = app.copy()
+        app.put("k", "a", 1)
+        listed = (await store.list("k")).ok
+        app.restore(copy)
+        app.put("k", "b", 1)
+        app.put("k", "c", 1)
+        for _ in range(2):
+            # The first answer tells the new era; the second call is not sent.
+            gap = (await store.watch("k", listed.position, 0.2)).error
+            assert gap.code is ResultCode.WATCH_GAP
+        assert (await store.list("k")).ok.position == app.position
+
+    run_with_eras(scenario)
+
+
+def test_conditional_write_of_a_passed_era_counts_for_nothing():
+    """Guards against a write that meets another object under the same revision."""
+
+    async def scenario(app, store, eras):
+        app.put("k", "a", 1)
+        copy = app.copy()
+        app.put("k", "a", 2)
+        read = (await store.read("k", "a")).ok
+        app.restore(copy)
+        app.put("k", "a", 3)
+        assert read.position.revision == app.revision
+        written = await store.replace("k", "a", 4, read.position)
+        assert written.error.code is ResultCode.PLATFORM_AMBIGUOUS
+        again = await store.replace("k", "a", 5, read.position)
+        assert again.error.code is ResultCode.PLATFORM_CONFLICT
+        removed = await store.remove("k", "a", read.position)
+        assert removed.error.code is ResultCode.PLATFORM_CONFLICT
+        assert app.spec("k", "a") == 4
+
+    run_with_eras(scenario)
+
+
+def test_answer_of_an_older_era_counts_as_lost():
+    async def scenario(app, store, eras):
+        app.put("k", "a", 1)
+        eras.known = 2
+        lost = await store.list("k")
+        assert lost.error.code is ResultCode.PLATFORM_UNAVAILABLE
+        written = await store.create("k", "b", 1)
+        assert written.error.code is ResultCode.PLATFORM_AMBIGUOUS
+        assert eras.dropped == 2
+
+    run_with_eras(scenario)
+
+
+def test_list_whose_pages_are_of_two_eras_is_a_gap(monkeypatch):
+    async def scenario(app, store, eras):
+        app.switches.page_items = 1
+        for name in "abc":
+            app.put("k", name, 1)
+        eras_named = iter([b"1", b"2"])
+        monkeypatch.setattr(
+            ObjectStoreApp,
+            "answer_headers",
+            lambda self: [(b"store-era", next(eras_named))],
+        )
+        assert (await store.list("k")).error.code is ResultCode.WATCH_GAP
+
+    run_with_eras(scenario)
+
+
+@pytest.mark.parametrize(
+    "named", [[], [b"x"], [b""], [b"-1"], [b"1", b"2"], [b"9" * 30], [b"1.5"]]
+)
+def test_era_that_can_not_be_read_counts_as_the_known_one(named, monkeypatch):
+    async def scenario(app, store, eras):
+        app.put("k", "a", 1)
+        eras.known = 3
+        headers = [(b"store-era", value) for value in named]
+        monkeypatch.setattr(ObjectStoreApp, "answer_headers", lambda self: headers)
+        listed = (await store.list("k")).ok
+        assert listed.position == Position(3, app.revision) and eras.known == 3
+        assert eras.problems == [ResultCode.STORE_ERA] * bool(named)
+
+    run_with_eras(scenario)
--- a/radishfield/relay/_key.py
+++ b/radishfield/relay/_key.py
@@ -16,7 +16,7 @@
 from radishfield.platform import ObjectStore, StoredValue
 from radishfield.relay._frames import KEY_BYTES
 from radishfield.telemetry import log_event
-from radishfield.web import backoff_s
+from radishfield.web import ERA_SPREAD_S, backoff_s
 
 KEYS_KIND = "radishfield-keys"
 KEY_NAME = "relay"
@@ -37,11 +37,20 @@
 class RelayKey:
     """The key of this host; None until the store has answered."""
 
-    __slots__ = ("_clock", "_read_at", "_rng", "_store", "_unknown", "value")
+    __slots__ = (
+        "_clock",
+        "_read_at",
+        "_reread_s",
+        "_rng",
+        "_store",
+        "_unknown",
+        "value",
+    )
 
     def __init__(self, store: ObjectStore, clock: Clock):
         self._clock = clock
         self._read_at = 0.0
+        self._reread_s = 0.0
         self._rng = random.Random()
         self._store = store
         self._unknown = trio.Event()
@@ -58,6 +67,13 @@
             self._read_at = self._clock.now()
             self._unknown = trio.Event()
             await self._unknown.wait()
+            await trio.sleep(self._rng.uniform(0.0, self._reread_s))
+            self._reread_s = 0.0
+
+    def reread(self) -> None:
+        """Read the key again, since the store came back and may have lost it."""
+        self._reread_s = ERA_SPREAD_S
+        self._unknown.set()
 
     def doubt(self) -> None:
         """Read the key again, since another host's differs, unless that was recent."""
@@ -74,7 +90,8 @@
             return self._accept(read.ok.spec)
         if not _is_missing(read):
             return False
-        secret = base64.b64encode(secrets.token_bytes(KEY_BYTES)).decode()
+        key = self.value or secrets.token_bytes(KEY_BYTES)
+        secret = base64.b64encode(key).decode()
         created = await self._store.create(KEYS_KIND, KEY_NAME, {"secret": secret})
         # If another host was first, its key is read with the next try.
         return created.is_ok() and self._accept({"secret": secret})
--- a/radishfield/relay/key_test.py
+++ b/radishfield/relay/key_test.py
@@ -12,6 +12,7 @@
 from radishfield.relay import RelayKey
 from radishfield.relay._frames import KEY_BYTES
 from radishfield.relay._key import MIN_READ_INTERVAL_S
+from radishfield.routing import Position
 
 
 class TrioClock:
@@ -31,7 +32,7 @@
         await trio.sleep(0.004)
         if self.spec is None:
             return Error(fault(ResultCode.OBJECT_NOT_FOUND))
-        return Ok(StoredValue(name, 1, self.spec))
+        return Ok(StoredValue(name, Position(0, 1), self.spec))
 
     async def create(self, kind, name, spec):
         self.writes += 1
@@ -39,7 +40,7 @@
         if self.spec is not None:
             return Error(fault(ResultCode.PLATFORM_CONFLICT))
         self.spec = spec
-        return Ok(StoredValue(name, 1, spec))
+        return Ok(StoredValue(name, Position(0, 1), spec))
 
 
 def play(scenario):
@@ -107,3 +108,23 @@
     key = RelayKey(Store(), TrioClock())
     assert not key._accept({"secret": secret})
     assert key.value is None
+
+
+def test_key_that_the_store_lost_is_written_again_as_it_was():
+    """Guards against hosts that no longer know each other after the store's return."""
+
+    async def scenario(nursery):
+        store = Store()
+        keys = [RelayKey(store, TrioClock()) for _ in range(9)]
+        for key in keys:
+            nursery.start_soon(key.run)
+        await trio.sleep(5.0)
+        (value,) = {key.value for key in keys}
+        store.spec = None
+        for key in keys:
+            key.reread()
+        await trio.sleep(10.0)
+        assert {key.value for key in keys} == {value}
+        assert base64.b64decode(store.spec["secret"]) == value
+
+    play(scenario)
--- a/radishfield/routing/__init__.py
+++ b/radishfield/routing/__init__.py
@@ -29,6 +29,7 @@
     Replacement,
     TargetDirectory,
 )
+from radishfield.routing._entry_history import Entry, EntryHistory
 from radishfield.routing._events import (
     EventSplitter,
     event_ids,
@@ -104,6 +105,7 @@
     next_step,
     targets_to_probe,
 )
+from radishfield.routing._store_era import MAX_ERA, EraNews, Position, StoreEra
 from radishfield.routing._stream_room import (
     held_layers,
     stream_room,
@@ -155,6 +157,12 @@
 from radishfield.routing._zone_sums import ZoneTotal
 
 __all__ = [
+    "Entry",
+    "EntryHistory",
+    "EraNews",
+    "MAX_ERA",
+    "Position",
+    "StoreEra",
     "ANNOUNCE_DELAY_S",
     "ANSWER_MARGIN_S",
     "COALESCE_S",
--- a/radishfield/routing/_directory.py
+++ b/radishfield/routing/_directory.py
@@ -35,6 +35,10 @@
         + MAX_DELIVERY_S + LATENESS_S  <=  STORE_CALM_S + promise
 """
 
+RETURN_REGISTRATION_S = 2.2
+"""Time after the store's return from an older copy in which living targets whose
+entries were lost register again: two seconds, and the time to hear of it."""
+
 STORE_CALM_S = 3.0
 """Time after an outage from which on acknowledgements of the store are promises."""
 
@@ -48,6 +52,11 @@
 with each further failure.  A longer maximum would keep excluding a restarted target."""
 
 
+REMOVED_KEPT_S = 120.0
+"""Time for which removed targets are remembered: copies of the store from which it
+comes back are some seconds old."""
+MAX_REMOVED_KEPT = 4096
+
 MAX_RECENT_DIGESTS = 64
 """Number of earlier digests that are kept: as many list changes as occur in the second
 or two in which a change reaches all hosts of a zone."""
@@ -125,6 +134,10 @@
     _answered_at_by_id: dict[str, float] = msgspec.field(default_factory=dict)
     _layers_by_service: Mapping[str, int] = msgspec.field(default_factory=dict)
     _store_failed_at: float = -1e9
+    _store_returned_at: float = -1e9
+    _removed_at_by_incarnation: dict[tuple[str, int], float] = msgspec.field(
+        default_factory=dict
+    )
     _digest: int = 0
     _recent_digests: deque[_EarlierDigest] = msgspec.field(
         default_factory=lambda: deque(maxlen=MAX_RECENT_DIGESTS)
@@ -152,6 +165,10 @@
         if failures >= OUTAGE_FAILURES:
             self._store_failed_at = requested_at
 
+    def record_store_return(self, now: float) -> None:
+        """Record that the store came back without the entries written last."""
+        self._store_returned_at = now
+
     def replace_all(
         self, record_by_id: Mapping[str, TargetRecord], now: float
     ) -> Replacement:
@@ -193,12 +210,31 @@
         before = self._entry_by_id.pop(target_id, None)
         if entry is not None:
             self._entry_by_id[target_id] = entry
+            self._removed_at_by_incarnation.pop(entry.record.incarnation, None)
+        elif before is not None:
+            self._note_removed(before.record.incarnation, now)
         known = [each for each in (before, entry) if each is not None]
         listed = [each.record for each in known if each.missing_since is None]
         self._toggle_in_digest(listed, now)
         self.version += 1
         self.list_version += 1
 
+    def _note_removed(self, incarnation: tuple[str, int], now: float) -> None:
+        removed = self._removed_at_by_incarnation
+        removed.pop(incarnation, None)
+        removed[incarnation] = now
+        while True:
+            oldest = next(iter(removed))
+            if len(removed) <= MAX_REMOVED_KEPT and (
+                now - removed[oldest] <= REMOVED_KEPT_S
+            ):
+                return
+            del removed[oldest]
+
+    def was_removed(self, record: TargetRecord) -> bool:
+        """Return whether this incarnation of a target has left the list lately."""
+        return record.incarnation in self._removed_at_by_incarnation
+
     def _toggle_in_digest(self, records: Iterable[TargetRecord], now: float) -> None:
         """Add each record to the digest of the list, or take it out."""
         self._recent_digests.append(_EarlierDigest(self._digest, now))
@@ -233,7 +269,8 @@
         entry = self._entry_by_id.get(target_id)
         if entry is None:
             return Removal(target_id, held=False)
-        if now - self._store_failed_at < OUTAGE_EXPIRY_S:
+        registering = now - self._store_returned_at < RETURN_REGISTRATION_S
+        if now - self._store_failed_at < OUTAGE_EXPIRY_S or registering:
             if entry.missing_since is None:
                 entry.missing_since = now
                 self._toggle_in_digest([entry.record], now)
@@ -243,6 +280,8 @@
 
     def expire_missing(self, now: float) -> list[str]:
         """Drop held targets that did not register again in time; return their ids."""
+        if now - self._store_returned_at < RETURN_REGISTRATION_S:
+            return []
         expired_ids = [
             target_id
             for target_id, entry in self._entry_by_id.items()
@@ -261,6 +300,11 @@
         self.version += 1
         return True
 
+    def is_listed(self, target_id: str) -> bool:
+        """Return whether a target is listed, and not only held."""
+        entry = self._entry_by_id.get(target_id)
+        return entry is not None and entry.missing_since is None
+
     def leaves(self, record: TargetRecord) -> bool:
         """Return whether this incarnation of a target leaves or is not listed."""
         entry = self._entry_by_id.get(record.id)
--- a/radishfield/routing/_freshness.py
+++ b/radishfield/routing/_freshness.py
@@ -37,9 +37,13 @@
 
     def confirm(self, asked_at: float, answered_at: float) -> None:
         """Record the store's answer to a call that was sent at ``asked_at``."""
+        self.note_answer(answered_at)
+        self.record_confirmation(asked_at)
+
+    def note_answer(self, answered_at: float) -> None:
+        """Record an answer of the store that confirms nothing."""
         self.answered_at = answered_at
         self.failing_since = None
-        self.record_confirmation(asked_at)
 
     def failed(self, now: float) -> None:
         """Record a failed call to the store."""
--- a/radishfield/web/__init__.py
+++ b/radishfield/web/__init__.py
@@ -13,12 +13,19 @@
     serve_scope,
     start_answer,
 )
-from radishfield.web._budget import BURST_CALLS, CALLS_PER_S, CallBudget, backoff_s
+from radishfield.web._budget import (
+    BURST_CALLS,
+    CALLS_PER_S,
+    ERA_SPREAD_S,
+    CallBudget,
+    backoff_s,
+)
 from radishfield.web._calls import (
     BROKEN_CONNECTION_ERRORS,
     ApiAddress,
     ApiCall,
     ApiCaller,
+    Headers,
     decode_answer,
 )
 from radishfield.web._gated_listener import (
@@ -41,8 +48,10 @@
     "BodyLimit",
     "CallBudget",
     "CloseUnread",
+    "ERA_SPREAD_S",
     "GatedListener",
     "HELD_UP_S",
+    "Headers",
     "HttpListener",
     "ListenerConfig",
     "Refuse",
--- a/radishfield/web/_budget.py
+++ b/radishfield/web/_budget.py
@@ -17,6 +17,10 @@
 BURST_CALLS = 40.0
 """Enough for a start (some lists) and a few changes by operators."""
 
+ERA_SPREAD_S = 3.0
+"""Time over which the hosts of a fleet write and read their own objects again after
+the platform's store came back from a copy: some hundred calls a second of 340 hosts."""
+
 BASE_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 5.0
 
--- a/radishfield/web/_calls.py
+++ b/radishfield/web/_calls.py
@@ -7,6 +7,7 @@
 """
 
 from collections import Counter
+from collections.abc import Callable
 from typing import TypeVar
 
 import httpcore
@@ -88,9 +89,13 @@
     max_answer_bytes: int = 8 << 20
 
 
+Headers = list[tuple[bytes, bytes]]
+
+
 class _Answer(msgspec.Struct, frozen=True):
     status: int
     body: bytes
+    headers: Headers = []
 
 
 class _ConnectionPool:
@@ -144,18 +149,28 @@
         self.faults_by_code: Counter[ResultCode] = Counter()
         self.last_answer_at: float | None = None
 
-    async def call(self, call: ApiCall) -> Result[bytes, Fault]:
+    async def call(
+        self, call: ApiCall, accepts: Callable[[Headers], bool] = lambda headers: True
+    ) -> Result[bytes, Fault]:
         """Send a call once; return the body of its answer.
 
         The fault is that of the refusal, ``PLATFORM_UNAVAILABLE`` if the call had no
         effect, or ``PLATFORM_AMBIGUOUS`` if a write may have been applied.
+
+        Parameters
+        ----------
+        accepts : callable
+            Returns whether an answer with these headers counts; one that does not is
+            treated as lost.
         """
-        result = await self._send(call)
+        result = await self._send(call, accepts)
         if result.is_error():
             self.faults_by_code[result.error.code] += 1
         return result
 
-    async def _send(self, call: ApiCall) -> Result[bytes, Fault]:
+    async def _send(
+        self, call: ApiCall, accepts: Callable[[Headers], bool]
+    ) -> Result[bytes, Fault]:
         if not self._budget.take(self._clock.now()):
             wait_s = self._budget.next_call_in_s()
             return Error(
@@ -179,6 +194,8 @@
             self._retire(connections)
             return Error(_lost_answer_fault(call, repr(problem)))
         self.last_answer_at = self._clock.now()
+        if not accepts(answer.headers):
+            return Error(_lost_answer_fault(call, "the answer does not count"))
         return _classify_answer(call, answer)
 
     async def _exchange(
@@ -200,8 +217,8 @@
             async for chunk in response.aiter_stream():
                 received += chunk
                 if len(received) > self._address.max_answer_bytes:
-                    return _Answer(500, b"")
-            return _Answer(response.status, bytes(received))
+                    return _Answer(500, b"", response.headers)
+            return _Answer(response.status, bytes(received), response.headers)
 
     def _retire(self, connections: _ConnectionPool) -> None:
         """Use new connections after an answer was lost.
--- a/standins/follower_zone.py
+++ b/standins/follower_zone.py
@@ -9,7 +9,7 @@
 import json
 import random
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 import trio
@@ -22,7 +22,7 @@
 from radishfield.limits import RetryAllowance
 from radishfield.platform import ObjectStore
 from radishfield.routing import Freshness
-from radishfield.web import ApiCall
+from radishfield.web import ApiCall, Headers
 from standins.object_store import ObjectStoreApp
 
 ANSWER_S = 0.004
@@ -59,14 +59,18 @@
         """Let all calls in flight hang; calls that follow are answered."""
         self._epoch += 1
 
-    async def call(self, call: ApiCall) -> Result[bytes, Fault]:
+    async def call(
+        self, call: ApiCall, accepts: Callable[[Headers], bool] = lambda headers: True
+    ) -> Result[bytes, Fault]:
         """Send a call to the store once, as `radishfield.web.ApiCaller` does."""
         self.calls[call.kind] += 1
-        epoch = self._epoch
+        epoch, era = self._epoch, self._store.era
         with trio.move_on_after(call.limit_s):
             status, answer = await self._answer(call)
-            if self.cut or epoch != self._epoch:
+            if self.cut or (epoch, era) != (self._epoch, self._store.era):
                 await trio.sleep_forever()
+            if not accepts(self._store.answer_headers()):
+                return Error(fault(ResultCode.PLATFORM_UNAVAILABLE))
             code = _CODE_BY_STATUS.get(status)
             if code is not None:
                 return Error(fault(code))
@@ -159,7 +163,7 @@
         self.view = RouterView(
             "a", TrioClock(), RetryAllowance(), Freshness(REVOKE_S), host_id=self.id
         )
-        self._store = ObjectStore(self.link)
+        self._store = ObjectStore(self.link, self.view.eras)
         self.scope = trio.CancelScope()
 
     async def run(self) -> None:
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -1,7 +1,8 @@
 """A small stand-in for the users' object store that follows its published protocol.
 
 It has objects by kind and name, one revision for all, paged lists, watches,
-conditional writes, and switches that inject failures.
+conditional writes, and switches that inject failures.  It can come back from an older
+copy of itself, in a new era.
 """
 
 from collections import defaultdict
@@ -11,6 +12,7 @@
 import msgspec
 import trio
 
+from radishfield.routing import Position
 from radishfield.web import BodyLimit, read_body, send_json, serve_scope
 
 MAX_BODY = BodyLimit(max_bytes=2 << 20)
@@ -30,6 +32,8 @@
         No call is answered.
     deaf_watches : bool
         Watches hear of no change and are answered as if there were none.
+    names_era : bool
+        Answers name the store's era.
     """
 
     status: int = 0
@@ -37,6 +41,7 @@
     silent: bool = False
     deaf_watches: bool = False
     page_items: int = 500
+    names_era: bool = True
 
 
 @dataclass(slots=True)
@@ -47,12 +52,23 @@
     deleted: bool
 
 
+@dataclass(slots=True)
+class StoreCopy:
+    """What the store held at one moment."""
+
+    revision: int
+    items: dict[str, dict[str, dict]]
+    history: list[_Change]
+    dropped_until: int
+
+
 @dataclass(slots=True)
 class ObjectStoreApp:
     """The store as an ASGI application."""
 
     switches: StoreSwitches = field(default_factory=StoreSwitches)
     revision: int = 1
+    era: int = 1
     calls: int = 0
     _items: dict[str, dict[str, dict]] = field(
         default_factory=lambda: defaultdict(dict)
@@ -92,6 +108,33 @@
             self.revision += 1
             self._record_change(kind, item, deleted=True)
 
+    @property
+    def position(self) -> Position:
+        """Return the position of the store's last change."""
+        return Position(self.era, self.revision)
+
+    def copy(self) -> StoreCopy:
+        """Return a copy of what the store holds."""
+        items = {kind: dict(by_name) for kind, by_name in self._items.items()}
+        return StoreCopy(self.revision, items, list(self._history), self._dropped_until)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy; calls in flight get no answer."""
+        self.era += 1
+        self.revision = copy.revision
+        self._items = defaultdict(dict)
+        for kind, by_name in copy.items.items():
+            self._items[kind] = dict(by_name)
+        self._history = list(copy.history)
+        self._dropped_until = copy.dropped_until
+        self._wake()
+
+    def answer_headers(self) -> list[tuple[bytes, bytes]]:
+        """Return the headers that every answer carries."""
+        if not self.switches.names_era:
+            return []
+        return [(b"store-era", str(self.era).encode())]
+
     def forget_history(self) -> None:
         """Drop all history, so that watchers have to list again."""
         self._history.clear()
@@ -127,8 +170,10 @@
         if self.switches.silent:
             await trio.sleep_forever()
         if self.switches.status:
-            await send_json(send, self.switches.status, {})
+            headers = self.answer_headers()
+            await send_json(send, self.switches.status, {}, headers)
             return
+        era = self.era
         parts = [unquote(part) for part in scope["path"].strip("/").split("/")]
         query = {
             name: values[0]
@@ -140,7 +185,9 @@
         if scope["method"] != "GET" and self.switches.lost_answers:
             self.switches.lost_answers -= 1
             await trio.sleep_forever()
-        await send_json(send, status, answer)
+        if era != self.era:
+            await trio.sleep_forever()
+        await send_json(send, status, answer, self.answer_headers())
 
     async def _call(self, method: str, parts: list[str], query: dict, body: bytes):
         match (method, parts):
@@ -197,6 +244,8 @@
 
     async def _watch(self, kind: str, query: dict):
         since = int(query["watch"])
+        if since > self.revision:
+            return 410, {}
         with trio.move_on_after(int(query["waitMs"]) / 1000):
             while not self._heard(kind, since) and since >= self._dropped_until:
                 await self._changed.wait()
