Let no two hosts act on the placing lease when the store comes back

Two hosts may order layers at once, and targets load what another host takes away again.

Cause: the copy may hold the lease of an earlier holder, which takes it again at once, or none, so that any host creates it, while the last holder still acts on its term. Its renewal names a revision that may stand for another lease by then. The number that goes along with orders was the revision, which is given out again.

An order is dropped if the lease passed while its target was asked for its report.

--- a/radishfield/forwarding/_placer.py
+++ b/radishfield/forwarding/_placer.py
@@ -506,6 +506,11 @@
         if report.ok.busy or report.ok.span != target.span:
             # The target list is outdated: the target holds or loads other layers.
             return
+        if not lease.is_held(self._view.clock.now()):
+            # It passed, or the store came back without it, while the target answered.
+            last_order.next_order_at = last_order.loads_until = now
+            log_event("order.dropped", target=target.id, fence=fence)
+            return
         body = encode_place_order(assignment.span, fence, report.ok.order_count)
         answer = await self._targets.order(target, body)
         load_s = engine.load_s * len(assignment.span) / engine.layers
