Write the records of refused requests again when the store came back

A host that starts after the return, with no neighbour left, would send a request that is refused everywhere to three more targets.

Cause: the records are written once, and an older copy lacks them.

Evidence: the new test failed before and passes; the test of a host that starts after all others were killed passes.

--- a/radishfield/forwarding/_crash_watch.py
+++ b/radishfield/forwarding/_crash_watch.py
@@ -10,7 +10,7 @@
 from radishfield.forwarding._view import RouterView
 from radishfield.routing import TargetRecord
 from radishfield.telemetry import log_event
-from radishfield.web import backoff_s
+from radishfield.web import ERA_SPREAD_S, backoff_s
 
 TARGET_CHECK_WAIT_S = 0.1
 """Maximum wait of the next attempt for the check of the last one's target."""
@@ -41,6 +41,7 @@
             self._nursery = nursery
             nursery.start_soon(self._read_at_start)
             nursery.start_soon(self._view.crashes.watch, self._write_refused)
+            nursery.start_soon(self._write_again)
             task_status.started()
 
     async def _read_at_start(self) -> None:
@@ -49,6 +50,15 @@
             failures += 1
             await trio.sleep(backoff_s(failures, self._view.rng))
 
+    async def _write_again(self) -> None:
+        """Record what is refused again when the store came back from a copy."""
+        while True:
+            await self._view.eras.changed.wait()
+            await trio.sleep(self._view.rng.uniform(0.0, ERA_SPREAD_S))
+            for verdict in self._view.crashes.book.verdicts(self._view.clock.now()):
+                for trait in verdict.traits:
+                    self._write_refused(trait, verdict)
+
     async def _read(self) -> bool:
         """Read the records; return whether that was done."""
         with self._view.boundary.contain("crashes.read"):
--- a/radishfield/forwarding/crashes_test.py
+++ b/radishfield/forwarding/crashes_test.py
@@ -18,6 +18,7 @@
 from radishfield.forwarding.conftest import open_testbed
 from radishfield.limits import RetryAllowance
 from radishfield.routing import Freshness
+from radishfield.web import ERA_SPREAD_S
 from standins.routed_config import HOST_NAME, config
 from standins.routed_targets import CRASHING_BODY
 
@@ -131,6 +132,23 @@
     play(tmp_path, scenario)
 
 
+def test_records_that_the_store_lost_are_written_again(tmp_path):
+    """Guards against three more crashes after the store came back without them."""
+
+    async def scenario(testbed):
+        copy = testbed.store.copy()
+        await crash_everywhere(testbed, "/stream/x", rounds=1)
+        kind = "radishfield-crashes"
+        await testbed.until(lambda: testbed.store.names(kind))
+        names = set(testbed.store.names(kind))
+        testbed.store.restore(copy)
+        await testbed.until(
+            lambda: set(testbed.store.names(kind)) == names, ERA_SPREAD_S + 5.0
+        )
+
+    play(tmp_path, scenario)
+
+
 def test_partitioned_host_reads_crashes_from_the_store(tmp_path):
     """Guards against each side of a partition crashing three targets of its own."""
 
