Ask for a key also when the last workspace was taken away

Cause: whether keys are asked for was read from the list being empty, and not from it being there.

The ranks of a service have an entry also while nobody has a key.

--- a/radishfield/platform/_config.py
+++ b/radishfield/platform/_config.py
@@ -113,7 +113,9 @@
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
-    tenants: list[_Tenant] | None = None
+    tenants: list[_Tenant] | None | msgspec.UnsetType = msgspec.UNSET
+    """Without any, nobody's key is known; only a configuration that does not name them
+    asks for none."""
 
 
 _ROUTE_KIND_BY_NAME = {
@@ -140,7 +142,7 @@
         limits=RequestLimits(
             raw.limits.max_body_bytes, raw.limits.idle_timeout_ms / 1000
         ),
-        keys_required=bool(raw.tenants),
+        keys_required=raw.tenants is not msgspec.UNSET,
     )
 
 
--- a/radishfield/platform/adapter_test.py
+++ b/radishfield/platform/adapter_test.py
@@ -23,9 +23,12 @@
 from radishfield.platform._requests import MAX_SHARED_PARTS
 from radishfield.routing import (
     LayerSpan,
+    NoKeyNeeded,
     PathStage,
     RouteKind,
+    RoutingTable,
     TargetPhase,
+    UnknownKey,
     Workspace,
 )
 
@@ -168,6 +171,19 @@
     assert config.limits.idle_timeout_s == 15.0
 
 
+@pytest.mark.parametrize("tenants", [[], None, [{"name": "w"}]])
+def test_configuration_whose_last_workspace_is_gone_admits_no_key(tenants):
+    """Guards against routes that are open to everybody once nobody has a key."""
+    spec = {"version": 1, "routes": [ROUTE, ROUTE | {"public": True}]}
+    config = decode_config(spec | {"tenants": tenants}).ok
+    table = RoutingTable(config)
+    private, public = config.routes
+    assert table.identify(private, "any-key") == UnknownKey()
+    assert table.identify(public, "") == NoKeyNeeded()
+    without = RoutingTable(decode_config(spec).ok)
+    assert without.identify(private, "") == NoKeyNeeded()
+
+
 @pytest.mark.parametrize(
     "spec", [None, {}, {"version": -1}, {"version": 1, "routes": 3}]
 )
--- a/radishfield/routing/_ranks.py
+++ b/radishfield/routing/_ranks.py
@@ -27,9 +27,10 @@
         for route in config.routes
         if any(share.service == service for share in route.shares)
     ]
-    priorities: set[int | None] = {None}
-    if config.keys_required:
-        priorities = {item.priority for item in config.workspace_by_key.values()}
+    priorities = {item.priority for item in config.workspace_by_key.values()}
+    if not priorities:
+        # Requests have no workspace, or only those to public routes are served.
+        priorities = {None}
     return sorted(
         {
             rank_of(route, Workspace("", priority))
