Keep the signal to read the settings again while the process loads

What callers saw: a router that got SIGHUP in its first 0.3 s ended with 129 and was started again by the platform.

Cause: the handler was set by the event loop, after 0.4 s of imports; until then the signal has its default action. Even a first line of __main__ would have come late, since the package imported the whole router before it.

--- a/radishfield/forwarding/__main__.py
+++ b/radishfield/forwarding/__main__.py
@@ -3,6 +3,10 @@
 import gc
 import sys
 
+from radishfield.forwarding._early_signals import early_reload
+
+early_reload.install()
+
 # Imported modules are never freed; garbage collection during the imports takes 5 % of
 # the start time, in which no request is served.
 gc.disable()
--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -15,6 +15,7 @@
 from radishfield.forwarding._crash_records import CrashRecords
 from radishfield.forwarding._crash_watch import CrashWatch
 from radishfield.forwarding._demand_monitor import DemandMonitor
+from radishfield.forwarding._early_signals import early_reload
 from radishfield.forwarding._follower import ConfigFollower, TargetFollower
 from radishfield.forwarding._gossip import Gossip
 from radishfield.forwarding._limit_checks import LimitChecks
@@ -335,6 +336,8 @@
 async def _wait_signals(stop: trio.Event, path: str) -> None:
     signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with trio.open_signal_receiver(*signals) as received:
+        if early_reload.asked:
+            reload_settings(path, "signal")
         async for number in received:
             if number == signal.SIGHUP:
                 reload_settings(path, "signal")
--- a/radishfield/forwarding/settings_test.py
+++ b/radishfield/forwarding/settings_test.py
@@ -74,6 +74,23 @@
         process.stdout.close()
 
 
+@pytest.mark.parametrize("after_s", [0.1, 0.2, 0.3, 0.5])
+def test_signal_while_the_process_loads_is_kept(tmp_path, after_s):
+    """Guards against a process that ends since the settings changed as it started."""
+    path = write(tmp_path, promises="grace = 1s")
+    command = [sys.executable, "-m", "radishfield.forwarding", "--settings", path]
+    process = subprocess.Popen(command, stdout=subprocess.PIPE)
+    try:
+        time.sleep(after_s)
+        process.send_signal(signal.SIGHUP)
+        _wait_for(process, "settings.reloaded")
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(timeout=10) == 0
+    finally:
+        process.kill()
+        process.stdout.close()
+
+
 def _wait_for(process, event):
     deadline = time.monotonic() + 20
     while time.monotonic() < deadline:
