End a stream whose bytes hold no end of an event after a mebibyte

Cause: EventSplitter kept what came since the last end of an event, without a bound. Targets in trouble may send bytes without end.

Only new bytes are searched.

Evidence: without the bound the new tests of the splitter and of a router fail (the target sent over 16 MiB to each of its streams).

--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -21,6 +21,7 @@
 from radishfield.forwarding._view import RouterView
 from radishfield.forwarding._watchdog import StreamWatchdog
 from radishfield.routing import (
+    MAX_EVENT_BYTES,
     EngineSpec,
     EventSplitter,
     Path,
@@ -38,6 +39,7 @@
     ResultCode.STREAM_BROKEN,
     ResultCode.ANSWER_TRUNCATED,
     ResultCode.MALFORMED_ANSWER,
+    ResultCode.ANSWER_TOO_LARGE,
 )
 """Ends of an attempt that a first target is answerable for if no event arrived."""
 
@@ -349,6 +351,10 @@
                         detail = f"event out of order after {progress.last_id}"
                         return Error(fault(ResultCode.MALFORMED_ANSWER, detail))
                     waiting += events
+                    if splitter.is_too_long:
+                        await forward_waiting()
+                        detail = f"an event is over {MAX_EVENT_BYTES} bytes"
+                        return Error(fault(ResultCode.ANSWER_TOO_LARGE, detail))
         except BrokenAnswerError as problem:
             await forward_waiting()
             return Error(fault(ResultCode.STREAM_BROKEN, str(problem)))
--- a/radishfield/forwarding/router_test.py
+++ b/radishfield/forwarding/router_test.py
@@ -4,6 +4,7 @@
 
 from radishfield.forwarding._connections import TargetConnections
 from radishfield.forwarding.conftest import play
+from radishfield.routing import MAX_EVENT_BYTES
 from standins.fleet import free_port
 from standins.routed_config import KEY, config, layered_entry, route
 
@@ -397,6 +398,30 @@
     play(tmp_path, scenario)
 
 
+def test_stream_whose_bytes_do_not_end_resumes_at_another_target(tmp_path):
+    """Guards against a host that keeps such bytes until its memory is used up."""
+
+    async def scenario(testbed):
+        await start_layered_router(testbed, [(0, 80), (0, 80)])
+        for after in (0, 3):
+            testbed.layered[0].endless_after_events = after
+            for number in range(3):
+                with trio.fail_after(3.0):
+                    reply = await testbed.request(
+                        "/stream/x", "POST", request_id=f"r{after}-{number}", body=b"{}"
+                    )
+                assert reply.status == 200 and reply.whole
+                ids = [line for line in reply.body.split(b"\n") if line[:2] == b"id"]
+                assert ids == [b"id: %d" % number for number in range(1, 7)]
+            testbed.router.view.directory.clear("t1")
+        target = testbed.layered[0]
+        assert target.ended_runs >= 1
+        # Sockets take some bytes more than the host reads.
+        assert target.endless_bytes < target.ended_runs * 16 * MAX_EVENT_BYTES
+
+    play(tmp_path, scenario)
+
+
 def test_stage_that_crashes_during_a_stream_is_bypassed(tmp_path):
     """The second stage of a path crashes while a stream uses it.
 
--- a/radishfield/routing/__init__.py
+++ b/radishfield/routing/__init__.py
@@ -31,6 +31,7 @@
 )
 from radishfield.routing._entry_history import Entry, EntryHistory
 from radishfield.routing._events import (
+    MAX_EVENT_BYTES,
     EventSplitter,
     event_ids,
     parse_event_id,
@@ -161,6 +162,7 @@
     "EntryHistory",
     "EraNews",
     "MAX_ERA",
+    "MAX_EVENT_BYTES",
     "Position",
     "StoreEra",
     "ANNOUNCE_DELAY_S",
--- a/radishfield/routing/_events.py
+++ b/radishfield/routing/_events.py
@@ -6,6 +6,9 @@
 
 END_OF_EVENT = b"\n\n"
 MAX_ID_DIGITS = 19
+MAX_EVENT_BYTES = 1 << 20
+"""Length from which on bytes are no event: a target in trouble may send bytes without
+end, and an event holds a few tokens."""
 
 READ_PAUSE_SHARE = 0.2
 """Longest pause between two reads of a stream, as a share of the longest pause between
@@ -32,23 +35,36 @@
 
 
 class EventSplitter:
-    """Splits a stream of bytes into complete events."""
+    """Splits a stream of bytes into complete events.
 
-    __slots__ = ("_buffer",)
+    Attributes
+    ----------
+    is_too_long : bool
+        An event is longer than `MAX_EVENT_BYTES`; nothing more is taken in.
+    """
+
+    __slots__ = ("_buffer", "is_too_long")
 
     def __init__(self):
-        self._buffer = b""
+        self._buffer = bytearray()
+        self.is_too_long = False
 
     def feed(self, chunk: bytes) -> bytes:
         """Add a chunk; return all events that are now complete, concatenated."""
-        data = self._buffer + chunk if self._buffer else chunk
-        end = data.rfind(END_OF_EVENT)
-        if end < 0:
-            self._buffer = data
+        if self.is_too_long:
             return b""
-        end += len(END_OF_EVENT)
-        self._buffer = data[end:]
-        events = data[:end]
+        # The end of an event may lie across two chunks.
+        searched = max(0, len(self._buffer) - len(END_OF_EVENT) + 1)
+        self._buffer += chunk
+        end = self._buffer.rfind(END_OF_EVENT, searched)
+        events = b""
+        if end >= 0:
+            end += len(END_OF_EVENT)
+            events = bytes(self._buffer[:end])
+            del self._buffer[:end]
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            self.is_too_long = True
+            self._buffer.clear()
         return events
 
     @property
--- a/radishfield/routing/small_test.py
+++ b/radishfield/routing/small_test.py
@@ -8,6 +8,7 @@
 
 from radishfield.limits import RetryAllowance, RetryBudget, RetryUse
 from radishfield.routing import (
+    MAX_EVENT_BYTES,
     Ask,
     EventSplitter,
     FailureRates,
@@ -279,6 +280,27 @@
     assert event_ids(output) == numbers
 
 
+def test_event_without_an_end_takes_bounded_memory():
+    """Guards against a target whose bytes never end, in the memory of a host."""
+    splitter = EventSplitter()
+    assert splitter.feed(event(1) + b"id: 2\n") == event(1)
+    for _ in range(MAX_EVENT_BYTES // 65536):
+        assert not splitter.is_too_long
+        assert splitter.feed(b"x" * 65536) == b""
+    assert splitter.is_too_long
+    for _ in range(100):
+        assert splitter.feed(b"x" * 65536) == b""
+    assert splitter.feed(b"\n\n" + event(3)) == b""
+    assert len(splitter._buffer) <= MAX_EVENT_BYTES
+
+
+def test_long_events_are_not_too_long_together():
+    splitter = EventSplitter()
+    long_event = b"data: " + b"x" * (MAX_EVENT_BYTES // 2) + b"\n\n"
+    assert splitter.feed(3 * long_event) == 3 * long_event
+    assert not splitter.is_too_long
+
+
 def test_event_id_too_long_for_a_number_is_none():
     """Guards against an exception of the conversion, which ends the request."""
     digits = b"9" * 5000
--- a/standins/routed_targets.py
+++ b/standins/routed_targets.py
@@ -24,6 +24,7 @@
 
 TEXT = b"text/plain"
 EVENT_STREAM = b"text/event-stream"
+ENDLESS_CHUNK_BYTES = 64 << 10
 STALL_S = 2.0
 CRASHING_BODY = b"crashes what runs it"
 """Body of requests that crash a target after it has started to run them."""
@@ -232,6 +233,10 @@
     abort_after_events : int
         Number of events after which the next stream is aborted, within an event;
         0 for no abort.
+    endless_after_events : int or None
+        Number of events after which all its streams become bytes without end.
+    endless_bytes : int
+        Bytes of these that it has sent.
     loses_starts : bool
         Its answers end before their first event.
     places : int
@@ -264,6 +269,8 @@
     gap_s: float = 0.02
     dead: bool = False
     abort_after_events: int = 0
+    endless_after_events: int | None = None
+    endless_bytes: int = 0
     loses_starts: bool = False
     places: int = 0
     refusing: int = 0
@@ -409,6 +416,8 @@
                 stalled_s += 0.02
                 if stalled_s >= STALL_S:
                     return
+            if self.endless_after_events in range(number):
+                await self._send_without_end(send)
             event = b"id: %d\ndata: token %d\n\n" % (number, number)
             if self.abort_after_events and number > self.abort_after_events:
                 self.abort_after_events = 0
@@ -417,6 +426,12 @@
             await send_chunk(send, event)
         await send_chunk(send, b"", more=False)
 
+    async def _send_without_end(self, send) -> None:
+        """Send bytes that are no event until the other end closes."""
+        while True:
+            await send_chunk(send, b"x" * ENDLESS_CHUNK_BYTES)
+            self.endless_bytes += ENDLESS_CHUNK_BYTES
+
 
 def with_limit(send, target: PlainTarget | LayeredTarget):
     """Return a sender that names the target's limit in the head of each answer."""
