Let the soak's targets write their entries once they carried out an order

What was seen: test_parts_that_crash_targets_are_sent_on_by_no_host[2-6] failed in 4 of 12 runs: not every host served 8 s after the faults, with "layers are missing" (3004).

Cause: the soak. Hosts order lost layers to the targets that replaced crashed ones, and the stand-in carried the order out without a word to the store, so that the entry named the layers of before for good, hosts sent by it and got 421. Real targets change their entries with their layers.

Change: a target tells what it holds after an order, and the soak writes it. No check changes.

--- a/proofs/_router_soak.py
+++ b/proofs/_router_soak.py
@@ -21,6 +21,7 @@
 from proofs._router_relay import FaultyRelay, RelayFault, SlowLink
 from proofs._soak_changes import Changes
 from proofs._soak_crashes import PART_CAUSE, CrashLog
+from proofs._soak_entries import Entries
 from proofs._soak_judge import STORE, FaultLog, Findings, StreamEnd
 from proofs._soak_limits import LimitLog
 from proofs._soak_notices import NoticeLog
@@ -73,6 +74,7 @@
         self._ports = ports
         self._seconds = seconds
         self._store = ObjectStoreApp()
+        self._entries = Entries(self._store)
         self._fleet = LayeredFleet(crashing_parts=set(CRASHING_PARTS))
         self._plain: list[PlainTarget] = []
         self._layered: list[LayeredTarget] = []
@@ -140,7 +142,7 @@
         await self._serve_until_crash(target, self._add_plain)
         self._plain.append(target)
         entry = target_entry("portal", target.address)
-        self._store.put("servers", target_id, entry)
+        self._entries.write(target_id, entry)
 
     async def _add_layered(self, target_id: str, first: int, end: int) -> None:
         target = LayeredTarget(target_id, first=first, end=end)
@@ -148,8 +150,8 @@
         await self._serve_until_crash(target, self._add_layered, first, end)
         self._fleet.add(target)
         self._layered.append(target)
-        entry = layered_entry(target.address, first, end)
-        self._store.put("servers", target_id, entry)
+        target.on_placed = lambda held: self._entries.change(target_id, layers=held)
+        self._entries.write(target_id, layered_entry(target.address, first, end))
 
     async def _serve_until_crash(self, target, add_again, *span: int) -> None:
         """Serve a target until it crashes, and then start another one in its place."""
@@ -177,7 +179,7 @@
         with self._fault_log.record(target_id):
             rng = random.Random(f"{self._seed} {target_id}")
             await trio.sleep(rng.uniform(0.5, 2.5))
-            self._store.remove("servers", target_id)
+            self._entries.remove(target_id)
             self._crashed_relays[target_id] = self._relays.pop(target_id)
             await add_again(f"{target_id}+", *span)
 
@@ -295,10 +297,9 @@
         await trio.sleep(rng.uniform(2.5, 4.0))
         target.notices.leaving = False
         self._notices.record_leaving(target, since, trio.current_time())
-        entry = self._store.spec("servers", target.id)
+        entry = self._entries.find(target.id)
         if entry is not None:
-            born = entry.get("born", 0) + 1
-            self._store.put("servers", target.id, entry | {"born": born})
+            self._entries.change(target.id, born=entry.get("born", 0) + 1)
 
     async def _crash(self, kind: str, rng: random.Random) -> None:
         """Repeatedly send a request that crashes targets, through any router."""
@@ -341,13 +342,13 @@
 
     async def _leave_and_return(self, duration_s: float, rng: random.Random) -> None:
         target = rng.choice(self._plain)
-        entry = self._store.spec("servers", target.id)
-        self._store.put("servers", target.id, entry | {"state": "draining"})
+        entry = self._entries.find(target.id)
+        self._entries.change(target.id, state="draining")
         await trio.sleep(duration_s)
-        self._store.remove("servers", target.id)
+        self._entries.remove(target.id)
         # A new start, so that the draining of the earlier one does not apply to it.
         born = entry.get("born", 0) + 1
-        self._store.put("servers", target.id, entry | {"state": "ready", "born": born})
+        self._entries.write(target.id, entry | {"state": "ready", "born": born})
 
     async def _run_caller(self, caller: int) -> None:
         rng = random.Random(caller)
--- a/standins/routed_targets.py
+++ b/standins/routed_targets.py
@@ -245,6 +245,8 @@
         Number of refusals of streams that were begun, and the time that each takes.
     crash : callable
         Ends the target and its connections, under a request with this id.
+    on_placed : callable
+        Called with the layers that it holds once it has carried out an order.
     released_spans : list of tuple
         Layers that it was ordered to release.
     ended_runs : int
@@ -276,6 +278,7 @@
     refusing: int = 0
     refuse_after_s: float = 0.0
     crash: Callable[[str], None] = lambda request_id: None
+    on_placed: Callable[[dict | None], None] = lambda held: None
     crash_after_s: float = CRASH_AFTER_S
     ended_runs: int = 0
     released_spans: list[tuple[int, int]] = field(default_factory=list)
@@ -322,7 +325,6 @@
             for request_id, stages in self._stages_by_request.items()
             if (fault := self.fleet.find_faulty_stage(stages, running=True)) is not None
         ]
-        held = {"from": self.first, "target": self.end, "version": 1}
         return {
             "born": self.born,
             "busy": False,
@@ -332,10 +334,14 @@
             "kvUsed": 0,
             "kvTotal": 1000,
             "pace": 1.0,
-            "layers": held if self.end else None,
+            "layers": self._held_layers(),
             "stalled": stalled,
         }
 
+    def _held_layers(self) -> dict | None:
+        held = {"from": self.first, "target": self.end, "version": 1}
+        return held if self.end else None
+
     def _order(self, order: dict) -> tuple[int, dict]:
         self.order_log.append(order)
         if order["operation"] == "repath":
@@ -347,6 +353,7 @@
         self.released_spans.append((self.first, self.end))
         self.first, self.end = order["from"], order["target"]
         self.orders += 1
+        self.on_placed(self._held_layers())
         return 202, {}
 
     def _repath(self, order: dict) -> tuple[int, dict]:
