Let the soak's store come back from older copies

Change: a plan "drills": the store falls silent and comes back from a copy of up to four seconds ago; the operator writes its last version again within a second, each living target its entry within a heartbeat, and entries of those that left expire. Hosts are killed, stopped and told to leave meanwhile, keys and routes change. A drill excuses no stream that is cut.

--- a/proofs/_router_soak.py
+++ b/proofs/_router_soak.py
@@ -249,6 +249,8 @@
                 await self._rest(rng)
             case "word":
                 await self._say_leaving(rng)
+            case "drill":
+                await self._drill(rng)
             case "hup":
                 router.signal(signal.SIGHUP)
             case "leave":
@@ -301,6 +303,22 @@
         if entry is not None:
             self._entries.change(target.id, born=entry.get("born", 0) + 1)
 
+    async def _drill(self, rng: random.Random) -> None:
+        """Let the store go away for a moment and come back from an older copy.
+
+        It excuses nothing: no stream ends early and no promise is broken by it.
+        """
+        copy = self._store.copy()
+        await trio.sleep(rng.uniform(0.5, 3.0))
+        self._store.switches.silent = True
+        await trio.sleep(rng.uniform(0.1, 1.0))
+        self._store.restore(copy)
+        self._store.switches.silent = False
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._entries.write_again, rng)
+            await trio.sleep(rng.uniform(0.0, 1.0))
+            self._changes.write_again()
+
     async def _crash(self, kind: str, rng: random.Random) -> None:
         """Repeatedly send a request that crashes targets, through any router."""
         path = f"{kind}/crash-{rng.randint(1, 2)}"
--- a/proofs/_soak_changes.py
+++ b/proofs/_soak_changes.py
@@ -85,6 +85,10 @@
             self._changes_by_route.pop(name, None)
         await self._write_when_queues_short()
 
+    def write_again(self) -> None:
+        """Write the last version again, since the store may have lost it."""
+        self._store.put("config", "main", self._spec)
+
     def restore(self) -> None:
         """Write a version without any of the changes."""
         self._extra_routes = 0
@@ -112,6 +116,7 @@
             {"name": name, "apiKeys": [] if key in self._removed_keys else [key]}
             for name, key in keys
         ]
+        self._spec = spec
         self._store.put("config", "main", spec)
 
     def _apply_changes(self, item: dict) -> dict | None:
--- a/proofs/_soak_plans.py
+++ b/proofs/_soak_plans.py
@@ -113,6 +113,14 @@
 """Targets ask for rest, or say that they leave, while hosts stop and start."""
 
 
+DRILLS = Plan(
+    kinds=("drill", "drill", "config", "used", "leave", "kill", "term", "stop", "hup"),
+    keys=(KEY, SECOND_KEY),
+    callers=9,
+)
+"""The store comes back from older copies while hosts stop and versions change."""
+
+
 @dataclass(slots=True, frozen=True)
 class ScheduledFault:
     """A fault, when it starts, and the seed of its own draws."""
@@ -140,4 +148,5 @@
     "parts": PARTS,
     "limits": LIMITS,
     "notices": NOTICES,
+    "drills": DRILLS,
 }
--- a/proofs/router_soak_test.py
+++ b/proofs/router_soak_test.py
@@ -7,6 +7,7 @@
 from proofs._soak_plans import (
     CHANGES,
     CRASHES,
+    DRILLS,
     FAULTS,
     LIMITS,
     NOTICES,
@@ -80,3 +81,12 @@
     assert findings.violations == []
     assert findings.rests > 1
     assert findings.statuses["stream 200"] > 20
+
+
+@pytest.mark.parametrize(("seed", "hosts"), [(1, HOSTS), (2, MANY_HOSTS)])
+def test_promises_hold_while_the_store_comes_back_from_copies(seed, hosts, tmp_path):
+    """Guards against what hosts read of a store that has forgotten its last writes."""
+    findings = _run_soak(seed, hosts, tmp_path, DRILLS)
+    assert findings.violations == []
+    assert findings.faults.count("drill") > 1
+    assert findings.statuses["stream 200"] > 20
