--- a/radishfield/forwarding/conftest.py
+++ b/radishfield/forwarding/conftest.py
@@ -158,7 +158,7 @@
             Whether the hosts exchange gossip.
         """
         store = await self.serve(self.store)
-        routers = []
+        routers, last_listeners = [], []
         for _ in range(hosts):
             number = len(self.fronts)
             front, ready = (f"127.0.0.1:{free_port()}" for _ in range(2))
@@ -167,12 +167,15 @@
                 f"host-{number}", front, ready, store, {}, gossip, zone
             )
             self.gossips.append(self.gossip)
+            last_listeners.append(self.metrics)
             self.scopes.append(trio.CancelScope())
             self.nursery.start_soon(self._run_in, self.scopes[-1], router)
             routers.append(router)
         self.routers += routers
         for router in routers:
             await self.until(lambda router=router: self.has_config_and_targets(router))
+        for address in last_listeners:
+            await self.until_listening(address)
         return routers
 
     async def _run_in(self, scope: trio.CancelScope, router: Router) -> None:
