--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -24,9 +24,9 @@
     Listing,
     ObjectStore,
     StoredValue,
-    decode_beats,
     decode_config,
     decode_target,
+    read_beats,
 )
 from radishfield.routing import (
     COALESCE_S,
@@ -689,7 +689,7 @@
     """Return a target's entry; None, with a log line, if it names no target."""
     decoded = decode_target(value.name, value.spec)
     if decoded.is_ok():
-        return Entry(decoded.ok, value.position, decode_beats(value.spec))
+        return Entry(decoded.ok, value.position, read_beats(value.spec))
     log_event(
         "target.unreadable",
         target=value.name,
--- a/radishfield/platform/__init__.py
+++ b/radishfield/platform/__init__.py
@@ -25,11 +25,11 @@
 from radishfield.platform._targets import (
     ORDER_PATH,
     REPORT_PATH,
-    decode_beats,
     decode_report,
     decode_target,
     encode_place_order,
     encode_repath_order,
+    read_beats,
 )
 
 CONFIG_KIND = "config"
@@ -55,7 +55,7 @@
     "TargetRequestFacts",
     "StoredValue",
     "caller_headers",
-    "decode_beats",
+    "read_beats",
     "decode_config",
     "decode_report",
     "decode_target",
--- a/radishfield/platform/_targets.py
+++ b/radishfield/platform/_targets.py
@@ -5,6 +5,7 @@
 """
 
 import re
+from collections.abc import Mapping
 from typing import Annotated
 
 import msgspec
@@ -127,9 +128,9 @@
     )
 
 
-def decode_beats(spec: object) -> int:
-    """Return how often a target has written the entry that `decode_target` read."""
-    return msgspec.convert(spec, _Entry).heartbeats
+def read_beats(spec: Mapping[str, object]) -> int:
+    """Return how often a target has written an entry that `decode_target` took."""
+    return int(spec["seq"])
 
 
 def decode_report(body: bytes) -> Result[TargetReport, Fault]:
