Use new connections to the store once it has come back

Cause: connections to a store that went away may be silent for good, and each call that takes an idle one waits for its whole limit.

Change: a new era retires the pool of connections; calls under way go on. Two names in the follower say what they hold.

Evidence: a test of the pool, era_test and follower_test pass.

--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -192,8 +192,8 @@
             if applied.failed:
                 # What was not applied is read again.
                 self._position = None
-                pauses = self._view.boundary.pause_left_s("store.apply", self._kind)
-                await trio.sleep(pauses)
+                boundary = self._view.boundary
+                await trio.sleep(boundary.pause_left_s("store.apply", self._kind))
             elif isinstance(result.ok, Changes) and not result.ok.complete:
                 # Which object was removed is shown by a list without it.
                 log_event("store.removal_unreadable", kind=self._kind)
@@ -374,12 +374,11 @@
         self._adopt_newest(found, requested_at)
 
     def _apply_changes(self, changes: Changes, requested_at: float) -> None:
-        own = [each for each in changes.changes if each.value.name == CONFIG_NAME]
-        if own and own[-1].deleted:
+        found = [each for each in changes.changes if each.value.name == CONFIG_NAME]
+        if found and found[-1].deleted:
             self._stored_version = None
-            own = []
-        found = [change.value for change in own if not change.deleted]
-        self._adopt_newest(found, requested_at)
+            found = []
+        self._adopt_newest([change.value for change in found], requested_at)
 
     def _adopt_newest(self, found: list[StoredValue], requested_at: float) -> None:
         for value in found[-1:]:
--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -144,6 +144,7 @@
         address = ApiAddress(settings.platform.address, keepalive_s=STORE_IDLE_S)
         store_calls = ApiCaller(address, budget, clock)
         store = ObjectStore(store_calls, view.eras)
+        view.eras.on_change.append(store_calls.renew_connections)
         gossip = settings.section("gossip", GossipSettings)
         key = RelayKey(store, clock) if gossip.bind else None
         if key is not None:
--- a/radishfield/platform/store_test.py
+++ b/radishfield/platform/store_test.py
@@ -168,6 +168,26 @@
     run_scenario(scenario)
 
 
+def test_renewed_connections_leave_calls_under_way_alone():
+    """Guards against calls that wait on connections which the store has lost."""
+
+    async def scenario(app, store, calls):
+        app.put("k", "a", 1)
+        first = calls._connections
+        async with trio.open_nursery() as nursery:
+
+            async def watch():
+                assert (await store.watch("k", app.position, 0.3)).is_ok()
+
+            nursery.start_soon(watch)
+            await trio.sleep(0.1)
+            calls.renew_connections()
+            assert (await store.list("k")).is_ok()
+        assert first.retired and calls._connections is not first
+
+    run_scenario(scenario)
+
+
 def test_call_budget_limits_the_calls():
     async def scenario(app, store, calls):
         calls._budget = CallBudget(0.1, 2.0, 2.0, trio.current_time())
--- a/radishfield/web/_calls.py
+++ b/radishfield/web/_calls.py
@@ -220,6 +220,10 @@
                     return _Answer(500, b"", response.headers)
             return _Answer(response.status, bytes(received), response.headers)
 
+    def renew_connections(self) -> None:
+        """Use new connections, since the other side may have lost the open ones."""
+        self._retire(self._connections)
+
     def _retire(self, connections: _ConnectionPool) -> None:
         """Use new connections after an answer was lost.
 
