Name the limit of a later stage before the hosts of its test start

Change: the limit is named before the hosts start. What is asked of them is the same: all learn the limit, and all requests are served once it has ended.

--- a/radishfield/forwarding/limit_test.py
+++ b/radishfield/forwarding/limit_test.py
@@ -228,9 +228,10 @@
     async def scenario(testbed):
         for number, (first, end) in enumerate([(0, 40), (40, 80)]):
             await testbed.add_layered(f"t{number + 1}", first, end)
-        routers = await testbed.start_zone(HOSTS)
         limited = testbed.layered[1]
+        # The hosts ask one target of a zone right after their start.
         limited.limit = "0.5"
+        routers = await testbed.start_zone(HOSTS)
         record = routers[0].view.directory.find(limited.id)
         with trio.fail_after(5.0):
             while not all(router.view.limits.limit(record) for router in routers):
