Tell over which connection an answer came and what was left over on it

Logs did not show whether an answer came over a new or a reused connection, nor whether a target had sent bytes that nobody asked for. Three explanations of an answer that a caller did not ask for could not be told apart: bytes left over of an earlier answer that begin the next one, an answer that arrives late on a kept connection, and answers mixed up between connections.

attempt.answered names target, status, use of the connection and relaying host of each answer; answer.surplus the bytes beyond an answer and where they were; answer.foreign the id that an answer bears in place of the request's; answer.malformed one that the HTTP library rejects. Each has a counter.

--- a/radishfield/forwarding/_connections.py
+++ b/radishfield/forwarding/_connections.py
@@ -20,6 +20,7 @@
 from radishfield.platform import AnswerFacts, Headers, read_answer
 from radishfield.relay import TargetDialer, TargetStream
 from radishfield.routing import TargetLinks
+from radishfield.telemetry import log_event
 from radishfield.web import BROKEN_CONNECTION_ERRORS, split_address
 
 MAX_IDLE_S = 2.5
@@ -30,6 +31,8 @@
 MAX_IDLE_PER_TARGET = 8
 CLOSE_LIMIT_S = 1.0
 MAX_ANSWER_BYTES = 8 << 20
+MAX_LOGGED_ID = 64
+"""Characters of a request id that are logged as an answer bears it."""
 
 _BROKEN_ERRORS = (*BROKEN_CONNECTION_ERRORS, httpcore.ConnectionNotAvailable)
 
@@ -61,6 +64,7 @@
         self._connection = connection
         self._response = response
         self._owner = owner
+        connection.last_id = self.facts.request_id
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body; raise `BrokenAnswerError` if it is truncated."""
@@ -96,7 +100,12 @@
             if reusable and not self.facts.closes:
                 self._owner.keep(self._address, self._connection, self.facts.idle_s)
             else:
-                await self._connection.http.aclose()
+                await self._owner.discard(self._address, self._connection)
+
+    @property
+    def use(self) -> int:
+        """Return the number of requests sent over the connection so far."""
+        return self._connection.uses
 
     @property
     def via(self) -> str:
@@ -137,12 +146,24 @@
         Time up to which it may be reused while it is idle.
     answered_at : float
         Time of its last complete answer.
+    uses : int
+        Requests sent over it.
+    last_id : str
+        The request id that its last answer bears.
     """
 
     http: httpcore.AsyncHTTPConnection
     network: _DialedNetwork
     until: float = 0.0
     answered_at: float = 0.0
+    uses: int = 0
+    last_id: str = ""
+
+    def library_bytes(self) -> int:
+        """Return how many bytes the HTTP library holds beyond the last answer."""
+        inner = getattr(self.http, "_connection", None)
+        state = getattr(inner, "_h11_state", None)
+        return len(state.trailing_data[0]) if state is not None else 0
 
 
 class TargetConnections:
@@ -155,6 +176,8 @@
         "_idle_by_address",
         "_links",
         "opened",
+        "reused",
+        "surplus",
     )
 
     def __init__(
@@ -171,6 +194,8 @@
         self._idle_by_address: dict[str, list[_TargetConnection]] = defaultdict(list)
         self._links = links
         self.opened = 0
+        self.reused = 0
+        self.surplus = 0
 
     async def send(
         self, address: str, outgoing: Outgoing, fresh: bool
@@ -179,6 +204,9 @@
         connection = None if fresh else await self._take(address)
         if connection is None:
             connection = self._open(address)
+        elif connection.uses:
+            self.reused += 1
+        connection.uses += 1
         host, port = split_address(address)
         request = httpcore.Request(
             outgoing.method,
@@ -208,8 +236,11 @@
         kept = self._idle_by_address[address]
         if not connection.http.is_idle() or len(kept) >= MAX_IDLE_PER_TARGET:
             # The caller need not wait for the close: nothing is left to send.
-            trio.lowlevel.spawn_system_task(self._close_within_limit, connection.http)
+            trio.lowlevel.spawn_system_task(
+                self._close_within_limit, address, connection
+            )
             return
+        self._note_surplus(address, connection)
         limit_s = MAX_IDLE_S if idle_s is None else min(MAX_IDLE_S, idle_s * IDLE_SHARE)
         connection.answered_at = self._clock.now()
         connection.until = connection.answered_at + limit_s
@@ -222,7 +253,7 @@
             kept[:] = [item for item in kept if item not in unusable]
             for item in unusable:
                 with self._boundary.contain("connection.close", address):
-                    await item.http.aclose()
+                    await self.discard(address, item)
             if not kept:
                 self._idle_by_address.pop(address, None)
 
@@ -247,13 +278,37 @@
             # An idle connection that is readable was closed or has unrequested bytes.
             if self._is_reusable(address, item) and not item.http.has_expired():
                 return item
-            await item.http.aclose()
+            await self.discard(address, item)
         return None
 
-    async def _close_within_limit(self, http: httpcore.AsyncHTTPConnection) -> None:
+    async def discard(self, address: str, connection: _TargetConnection) -> None:
+        """Close a connection that is not used again."""
+        self._note_surplus(address, connection)
+        await connection.http.aclose()
+
+    def _note_surplus(self, address: str, connection: _TargetConnection) -> None:
+        """Report bytes of a connection that belong to none of its requests."""
+        in_library = connection.library_bytes()
+        stream = connection.network.stream
+        unread = stream.unread_bytes() if stream is not None else 0
+        if in_library or unread:
+            self.surplus += 1
+            log_event(
+                "answer.surplus",
+                address=address,
+                after=connection.last_id[:MAX_LOGGED_ID],
+                uses=connection.uses,
+                via=connection.network.via,
+                in_library=in_library,
+                unread=unread,
+            )
+
+    async def _close_within_limit(
+        self, address: str, connection: _TargetConnection
+    ) -> None:
         with self._boundary.contain("connection.close"):
             with trio.move_on_after(CLOSE_LIMIT_S):
-                await http.aclose()
+                await self.discard(address, connection)
 
     def _open(self, address: str) -> _TargetConnection:
         self.opened += 1
--- a/radishfield/forwarding/_metrics.py
+++ b/radishfield/forwarding/_metrics.py
@@ -61,6 +61,26 @@
             lambda: sum(targets.orders_by_status.values()),
         )
         watch("connections_opened", "To targets.", lambda: connections.opened)
+        watch(
+            "connections_reused",
+            "Requests sent to targets over a connection that was used before.",
+            lambda: connections.reused,
+        )
+        watch(
+            "connections_surplus",
+            "Connections on which a target sent bytes that belong to no request.",
+            lambda: connections.surplus,
+        )
+        watch(
+            "answers_foreign",
+            "Answers of targets without the id of the request.",
+            lambda: targets.foreign_answers,
+        )
+        watch(
+            "answers_malformed",
+            "Answers of targets that are not of the protocol's form.",
+            lambda: targets.malformed_answers,
+        )
         watch(
             "targets_age_seconds",
             "Seconds since the list of targets was last known to be current.",
--- a/radishfield/forwarding/_targets.py
+++ b/radishfield/forwarding/_targets.py
@@ -6,7 +6,12 @@
 
 from radishfield.core import Fault, Outcome, ResultCode, fault
 from radishfield.forwarding._call import Call
-from radishfield.forwarding._connections import Exchange, Outgoing, TargetConnections
+from radishfield.forwarding._connections import (
+    MAX_LOGGED_ID,
+    Exchange,
+    Outgoing,
+    TargetConnections,
+)
 from radishfield.forwarding._view import RouterView
 from radishfield.platform import (
     ORDER_PATH,
@@ -59,6 +64,8 @@
         "_telemetry",
         "_unreadable_by_id",
         "_view",
+        "foreign_answers",
+        "malformed_answers",
         "orders_by_status",
         "reports",
     )
@@ -73,6 +80,8 @@
         self._view = view
         self._telemetry = telemetry
         self._unreadable_by_id: dict[str, str] = {}
+        self.foreign_answers = 0
+        self.malformed_answers = 0
         self.reports = 0
         self.orders_by_status: dict[int, int] = {}
 
@@ -218,6 +227,17 @@
                 call.ran_at.discard(record.id)
             return sent
         exchange = sent.ok
+        log_event(
+            "attempt.answered",
+            request=call.facts.request_id,
+            target=record.id,
+            status=exchange.facts.status,
+            use=exchange.use,
+            via=exchange.via,
+            not_run=exchange.facts.not_run,
+        )
+        if exchange.facts.request_id != call.facts.request_id:
+            self._report_foreign(call, record, exchange)
         if exchange.via:
             log_event(
                 "attempt.relayed",
@@ -241,6 +261,20 @@
             )
         return Ok(exchange)
 
+    def _report_foreign(
+        self, call: Call, record: TargetRecord, exchange: Exchange
+    ) -> None:
+        self.foreign_answers += 1
+        log_event(
+            "answer.foreign",
+            request=call.facts.request_id,
+            found=exchange.facts.request_id[:MAX_LOGGED_ID],
+            target=record.id,
+            status=exchange.facts.status,
+            use=exchange.use,
+            via=exchange.via,
+        )
+
     def _stages(self, record: TargetRecord, path: Path) -> list[TargetRecord]:
         """Return the targets that a request reaches."""
         found = [self._view.directory.find(stage.target_id) for stage in path[1:]]
@@ -417,6 +451,14 @@
     def _handle_send_failure(
         self, call: Call, record: TargetRecord, problem: Fault
     ) -> None:
+        if "ProtocolError" in problem.detail:
+            self.malformed_answers += 1
+            log_event(
+                "answer.malformed",
+                request=call.facts.request_id,
+                target=record.id,
+                detail=problem.detail,
+            )
         now = self._view.clock.now()
         excluded_s = 0.0
         suspicious = self._view.target_links.suspicious(now)
--- a/radishfield/relay/_streams.py
+++ b/radishfield/relay/_streams.py
@@ -1,8 +1,10 @@
 """Byte streams to targets, as the HTTP library uses them."""
 
 import math
+import os
 import socket
 from collections.abc import Awaitable, Callable
+from contextlib import closing
 
 import httpcore
 import trio
@@ -16,6 +18,8 @@
 """Time after which the kernel closes a connection with unacknowledged bytes, and one
 whose keep-alive probes are not answered."""
 KEEPALIVE_IDLE_S, KEEPALIVE_INTERVAL_S, KEEPALIVE_PROBES = 1, 1, 2
+MAX_PEEKED_BYTES = 4096
+"""Bytes beyond an answer that are counted at most."""
 RESET_ON_CLOSE = b"\x01\x00\x00\x00\x00\x00\x00\x00"
 """``struct linger`` with a time of 0: closing the socket resets the connection."""
 
@@ -91,6 +95,11 @@
         """Return whether bytes have been received that were not asked for."""
         return bool(self._buffer)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the number of bytes received and not yet read, frames included."""
+        return len(self._buffer)
+
     async def receive_some(self, max_bytes: int = MAX_CHUNK_BYTES) -> bytes:
         """Return the target's next bytes; empty once the target closed."""
         while not self._ended:
@@ -165,6 +174,25 @@
         """Close the connection."""
         await self._stream.aclose()
 
+    def unread_bytes(self) -> int:
+        """Return how many bytes arrived that were not read, up to a limit.
+
+        An end of the connection is no byte.
+        """
+        unread = 0
+        if isinstance(self._stream, RelayedStream):
+            unread = self._stream.buffered_bytes
+        if self._stream.socket.fileno() < 0 or not self._stream.socket.is_readable():
+            return unread
+        with closing(socket.socket(fileno=os.dup(self._stream.socket.fileno()))) as raw:
+            try:
+                peeked = raw.recv(
+                    MAX_PEEKED_BYTES, socket.MSG_PEEK | socket.MSG_DONTWAIT
+                )
+            except OSError:
+                return unread
+        return unread + len(peeked)
+
     def get_extra_info(self, info: str) -> object:
         """Return what the HTTP library asks about an idle connection."""
         if info == "is_readable":
