Add a strict reader of answers' framing, and a stream that uses it

The HTTP library keeps bytes that follow an answer and reads them as the beginning of the next one, and reads heads leniently: what is left of a cut head swallows the status line of the answer after it. AnswerFraming returns only the bytes that belong to one answer, and none of a head, chunk line or trailer that is not of the strict form or that holds another status line. FramedStream puts it between a connection and the library; a connection that received anything else counts as readable, so that no pool uses it again, and a request that finds one is refused before a byte of it is sent. Nothing uses them yet.

Property tests: the outcome does not depend on the sizes of reads, and no piece of an answer before another one yields a success with the other's head.

--- a/radishfield/web/__init__.py
+++ b/radishfield/web/__init__.py
@@ -1,6 +1,7 @@
 """Shared HTTP code: ASGI helpers, listeners, API calls and call budgets."""
 
 from radishfield.web._address import split_address, split_ip_address
+from radishfield.web._answer_framing import AnswerFraming
 from radishfield.web._asgi import (
     BodyLimit,
     http_answer,
@@ -28,6 +29,12 @@
     Headers,
     decode_answer,
 )
+from radishfield.web._framed_stream import (
+    FramedNetwork,
+    FramedStream,
+    MalformedAnswerError,
+    UnusableConnectionError,
+)
 from radishfield.web._gated_listener import (
     CloseUnread,
     GatedListener,
@@ -39,6 +46,7 @@
 from radishfield.web._time_limits import HELD_UP_S, run_within
 
 __all__ = [
+    "AnswerFraming",
     "ApiAddress",
     "ApiCall",
     "ApiCaller",
@@ -49,13 +57,17 @@
     "CallBudget",
     "CloseUnread",
     "ERA_SPREAD_S",
+    "FramedNetwork",
+    "FramedStream",
     "GatedListener",
     "HELD_UP_S",
     "Headers",
     "HttpListener",
     "ListenerConfig",
+    "MalformedAnswerError",
     "Refuse",
     "Serve",
+    "UnusableConnectionError",
     "Verdict",
     "backoff_s",
     "decode_answer",
