Contain a defect in the loop of any service of a router

What callers saw: an exception that nobody expects, in any of some twenty loops of a router, ended the process and every request in it. No input that raises there is known; each was found by putting an exception in.

Cause: WorkBoundary stood around the work for one target, entry or message. The passes of many services had none: the checks of limits, the Placer, the CrashGuard, the closing of idle connections, the relay key, the search for hosts, both followers' own loops, receiving from hosts, asking for tokens, the relay's accepting, the verdict on callers' connections, and the connections for readiness and metrics, which hypercorn's own listener served.

Why this works: WorkBoundary.complete runs a pass until it ends without a defect, counts and logs each with 9001, and waits 0.5 s to 30 s in between. Cancellation passes. A follower reads anew what it did not apply. Where the pace must stay (streams, listeners, log lines) contain is used. The closing of idle connections is contained at its caller.

--- a/radishfield/crashes/_guard.py
+++ b/radishfield/crashes/_guard.py
@@ -11,6 +11,7 @@
 from radishfield.crashes._book import CrashBook, Verdict
 from radishfield.crashes._records import CrashReport, TargetCrash
 from radishfield.crashes._traits import RequestTraits
+from radishfield.kernel import WorkBoundary
 from radishfield.telemetry import log_event
 
 EXPIRY_CHECK_S = 1.0
@@ -42,6 +43,7 @@
     """
 
     __slots__ = (
+        "_boundary",
         "_changed",
         "_clock",
         "_contradict_at_by_trait",
@@ -54,7 +56,10 @@
         "announce",
     )
 
-    def __init__(self, host_id: str, clock: Clock):
+    def __init__(
+        self, host_id: str, clock: Clock, boundary: WorkBoundary | None = None
+    ):
+        self._boundary = boundary or WorkBoundary(clock)
         self._host_id = host_id
         self._clock = clock
         self._changed = trio.Event()
@@ -77,13 +82,18 @@
             Called with each trait and the verdict when a refusal starts.
         """
         while True:
-            changed = self._changed
-            now = self._clock.now()
-            self.book.forget(now)
-            self._look(on_refused)
-            self._contradict(now)
-            with trio.move_on_after(self._pause_s(now)):
-                await changed.wait()
+            await self._boundary.complete(
+                "crashes.watch", "", self._check_and_wait, on_refused
+            )
+
+    async def _check_and_wait(self, on_refused: Callable[[str, Verdict], None]) -> None:
+        changed = self._changed
+        now = self._clock.now()
+        self.book.forget(now)
+        self._look(on_refused)
+        self._contradict(now)
+        with trio.move_on_after(self._pause_s(now)):
+            await changed.wait()
 
     def _pause_s(self, now: float) -> float:
         settled_in_s = self.book.next_settled_in_s(now) or EXPIRY_CHECK_S
--- a/radishfield/forwarding/_crash_watch.py
+++ b/radishfield/forwarding/_crash_watch.py
@@ -55,9 +55,14 @@
         while True:
             await self._view.eras.changed.wait()
             await trio.sleep(self._view.rng.uniform(0.0, ERA_SPREAD_S))
-            for verdict in self._view.crashes.book.verdicts(self._view.clock.now()):
-                for trait in verdict.traits:
-                    self._write_refused(trait, verdict)
+            await self._view.boundary.complete(
+                "crashes.write_again", "", self._write_all
+            )
+
+    async def _write_all(self) -> None:
+        for verdict in self._view.crashes.book.verdicts(self._view.clock.now()):
+            for trait in verdict.traits:
+                self._write_refused(trait, verdict)
 
     async def _read(self) -> bool:
         """Read the records; return whether that was done."""
--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -111,6 +111,7 @@
 
     __slots__ = (
         "_rng",
+        "_burst_pause_s",
         "_confirms_waits",
         "_due_in_s",
         "_has_answer",
@@ -137,6 +138,7 @@
         margin: AnswerMargin | None = None,
         confirms_waits: bool = False,
     ):
+        self._burst_pause_s = COALESCE_S
         self._confirms_waits = confirms_waits
         self._margin = margin
         self._wait_s = wait_s
@@ -162,47 +164,56 @@
 
         The callbacks receive the time for which the answer confirms the list.
         """
-        pause_s = COALESCE_S
+        boundary = self._view.boundary
         while True:
-            due_in_s = self._due_in_s()
-            if due_in_s > 0.0:
-                self._position = None
-                with trio.move_on_after(max(due_in_s, MIN_DUTY_CHECK_S)):
-                    await self._view.followers_woken.wait()
-                continue
-            self.requested_at = self._view.clock.now()
-            # A recovery signalled while this call is still failing must not be missed.
-            store_back = self._view.store_back
-            wait_s = self._next_wait_s()
-            result = await self._request_in_era(wait_s)
-            if result is None:
-                continue
-            if result.is_error():
-                await self._handle_failure(result, on_failure, store_back)
-                continue
-            changed = isinstance(result.ok, Changes) and bool(result.ok.changes)
-            confirms_at = self._record_answer(wait_s, changed)
-            self._position = result.ok.position
-            applied = self._view.boundary.contain("store.apply", self._kind)
-            with applied:
-                if isinstance(result.ok, Listing):
-                    on_listing(result.ok, confirms_at)
-                else:
-                    on_changes(result.ok, confirms_at)
-            if applied.failed:
+            followed = boundary.contain("store.follow", self._kind)
+            with followed:
+                await self._follow_once(on_listing, on_changes, on_failure)
+            if followed.failed:
                 # What was not applied is read again.
                 self._position = None
-                boundary = self._view.boundary
-                await trio.sleep(boundary.pause_left_s("store.apply", self._kind))
-            elif isinstance(result.ok, Changes) and not result.ok.complete:
-                # Which object was removed is shown by a list without it.
-                log_event("store.removal_unreadable", kind=self._kind)
-                self._position = None
-            elif changed:
-                await trio.sleep(min(pause_s, max(COALESCE_S, self._wait_s())))
-                pause_s = min(MAX_COALESCE_S, pause_s * 2)
-            else:
-                pause_s = COALESCE_S
+                await trio.sleep(boundary.pause_left_s("store.follow", self._kind))
+
+    async def _follow_once(
+        self,
+        on_listing: Callable[[Listing, float], None],
+        on_changes: Callable[[Changes, float], None],
+        on_failure: Callable[[Fault], None],
+    ) -> None:
+        """Wait until a call is due, send it, and apply its answer."""
+        due_in_s = self._due_in_s()
+        if due_in_s > 0.0:
+            self._position = None
+            with trio.move_on_after(max(due_in_s, MIN_DUTY_CHECK_S)):
+                await self._view.followers_woken.wait()
+            return
+        self.requested_at = self._view.clock.now()
+        # A recovery signalled while this call is still failing must not be missed.
+        store_back = self._view.store_back
+        wait_s = self._next_wait_s()
+        result = await self._request_in_era(wait_s)
+        if result is None:
+            return
+        if result.is_error():
+            await self._handle_failure(result, on_failure, store_back)
+            return
+        changed = isinstance(result.ok, Changes) and bool(result.ok.changes)
+        confirms_at = self._record_answer(wait_s, changed)
+        self._position = result.ok.position
+        if isinstance(result.ok, Listing):
+            on_listing(result.ok, confirms_at)
+        else:
+            on_changes(result.ok, confirms_at)
+        if isinstance(result.ok, Changes) and not result.ok.complete:
+            # Which object was removed is shown by a list without it.
+            log_event("store.removal_unreadable", kind=self._kind)
+            self._position = None
+        elif changed:
+            pause_s = min(self._burst_pause_s, max(COALESCE_S, self._wait_s()))
+            await trio.sleep(pause_s)
+            self._burst_pause_s = min(MAX_COALESCE_S, self._burst_pause_s * 2)
+        else:
+            self._burst_pause_s = COALESCE_S
 
     def _next_wait_s(self) -> float:
         """Return for how long the next call may wait for changes."""
--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -413,7 +413,10 @@
 
     async def _receive(self) -> None:
         while True:
-            for data in await self._socket.receive():
+            received = await self._view.boundary.complete(
+                "peers.receive", "", self._socket.receive
+            )
+            for data in received:
                 self._handle_datagram(data)
 
     def _handle_datagram(self, data: bytes) -> None:
--- a/radishfield/forwarding/_limit_checks.py
+++ b/radishfield/forwarding/_limit_checks.py
@@ -28,8 +28,13 @@
         async with trio.open_nursery() as nursery:
             task_status.started()
             while True:
-                await sleep_to_tick(CHECK_INTERVAL_S)
-                self._check_due(nursery)
+                await self._view.boundary.complete(
+                    "limits.check", "", self._check_once, nursery
+                )
+
+    async def _check_once(self, nursery: trio.Nursery) -> None:
+        await sleep_to_tick(CHECK_INTERVAL_S)
+        self._check_due(nursery)
 
     def _check_due(self, nursery: trio.Nursery) -> None:
         view, now = self._view, self._view.clock.now()
--- a/radishfield/forwarding/_limit_gossip.py
+++ b/radishfield/forwarding/_limit_gossip.py
@@ -69,13 +69,15 @@
     async def ask(self) -> None:
         """Ask for the tokens that this host's requests lack, until cancelled."""
         while True:
-            await sleep_to_tick(ASK_INTERVAL_S)
-            now = self._view.clock.now()
-            wanted = self._view.limits.wanted(now)[:MAX_LIMITS]
-            if wanted:
-                self._view.limits.asked += len(wanted)
-                with self._view.boundary.contain("limits.ask"):
-                    self._ask_issuers(wanted, now)
+            await self._view.boundary.complete("limits.ask", "", self._ask_once)
+
+    async def _ask_once(self) -> None:
+        await sleep_to_tick(ASK_INTERVAL_S)
+        now = self._view.clock.now()
+        wanted = self._view.limits.wanted(now)[:MAX_LIMITS]
+        if wanted:
+            self._view.limits.asked += len(wanted)
+            self._ask_issuers(wanted, now)
 
     def _ask_issuers(self, wanted: list[RateLimit], now: float) -> None:
         remote = now - self._remote_asked_at >= REMOTE_ASK_INTERVAL_S
--- a/radishfield/forwarding/_peer_finder.py
+++ b/radishfield/forwarding/_peer_finder.py
@@ -49,7 +49,7 @@
         """Find the other hosts, and again in each era of the store, until cancelled."""
         while True:
             changed = self._view.eras.changed
-            await self.find()
+            await self._view.boundary.complete("peers.find", "", self.find)
             await changed.wait()
             await trio.sleep(self._rng.uniform(0.0, ERA_SPREAD_S))
 
--- a/radishfield/forwarding/_placer.py
+++ b/radishfield/forwarding/_placer.py
@@ -203,18 +203,21 @@
         """Check for empty targets until cancelled."""
         task_status.started()
         while True:
-            await sleep_to_tick(CHECK_INTERVAL_S)
-            if self._view.table is None or self._view.leaving or not self._may_place():
-                continue
-            for service in self._view.table.config.service_by_name.values():
-                if service.engine is not None:
-                    await self._view.boundary.run(
-                        "service.place",
-                        service.name,
-                        self._check_service,
-                        service,
-                        service.engine,
-                    )
+            await self._view.boundary.complete("services.place", "", self._check_once)
+
+    async def _check_once(self) -> None:
+        await sleep_to_tick(CHECK_INTERVAL_S)
+        if self._view.table is None or self._view.leaving or not self._may_place():
+            return
+        for service in self._view.table.config.service_by_name.values():
+            if service.engine is not None:
+                await self._view.boundary.run(
+                    "service.place",
+                    service.name,
+                    self._check_service,
+                    service,
+                    service.engine,
+                )
 
     def _may_place(self) -> bool:
         """Return whether this host is one of the few that place layers.
--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -28,7 +28,7 @@
 from radishfield.forwarding._targets import Targets
 from radishfield.forwarding._view import RouterView
 from radishfield.forwarding._watchdog import StreamWatchdog
-from radishfield.kernel import Kernel
+from radishfield.kernel import Kernel, WorkBoundary
 from radishfield.limits import RetryAllowance
 from radishfield.platform import READY_PATH, ObjectStore
 from radishfield.relay import RelayKey, RelayServer, TargetDialer, watch_relay
@@ -55,7 +55,6 @@
     ApiCaller,
     CallBudget,
     GatedListener,
-    HttpListener,
     ListenerConfig,
 )
 
@@ -86,9 +85,10 @@
 class IdleConnections:
     """Closes idle connections to targets."""
 
-    __slots__ = ("_connections",)
+    __slots__ = ("_boundary", "_connections")
 
-    def __init__(self, connections: TargetConnections):
+    def __init__(self, connections: TargetConnections, boundary: WorkBoundary):
+        self._boundary = boundary
         self._connections = connections
 
     async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED):
@@ -96,7 +96,9 @@
         task_status.started()
         while True:
             await trio.sleep(CLOSE_IDLE_INTERVAL_S)
-            await self._connections.close_idle()
+            await self._boundary.complete(
+                "connections.close_idle", "", self._connections.close_idle
+            )
 
 
 class Router:
@@ -131,6 +133,7 @@
         self._limit_idle(self._caller_config.keep_alive_timeout)
         telemetry = DeferredTelemetry()
         if lines is not None:
+            lines.contain = self.view.boundary.contain
             self._kernel.register("lines", lines)
         self._register(settings, clock, telemetry)
 
@@ -146,7 +149,7 @@
         store = ObjectStore(store_calls, view.eras)
         view.eras.on_change.append(store_calls.renew_connections)
         gossip = settings.section("gossip", GossipSettings)
-        key = RelayKey(store, clock) if gossip.bind else None
+        key = RelayKey(store, clock, view.boundary) if gossip.bind else None
         if key is not None:
             view.eras.on_change.append(key.reread)
         dialer = TargetDialer(
@@ -214,7 +217,7 @@
         register("watchdog", watchdog)
         register("crashes", crashes)
         register("placer", placer)
-        register("connections", IdleConnections(connections))
+        register("connections", IdleConnections(connections, view.boundary))
         register("limit_checks", LimitChecks(targets, view))
         register("load", LoadMonitor(view, telemetry))
         register("demand", DemandMonitor(view, telemetry))
@@ -262,11 +265,18 @@
         if readiness.bind:
             ready = ReadinessApp(READY_PATH, view)
             config = ListenerConfig.from_settings(readiness.bind, drain_s=0.0)
-            register("readiness", HttpListener(ready, config))
+            contain = view.boundary.contain
+            register(
+                "readiness",
+                GatedListener(ready, config, contain=contain, name="readiness"),
+            )
         if settings.metrics.bind:
             page = MetricsPage(telemetry, store_calls, targets, connections, view)
             config = ListenerConfig.from_settings(settings.metrics.bind, drain_s=0.0)
-            register("metrics", HttpListener(page, config))
+            contain = view.boundary.contain
+            register(
+                "metrics", GatedListener(page, config, contain=contain, name="metrics")
+            )
 
     def _limit_idle(self, idle_s: float) -> None:
         keep_alive_s = IDLE_LIMIT_FACTOR * idle_s + IDLE_SLACK_S
@@ -327,26 +337,28 @@
     log_event("host.starting", host=settings.host.id, zone=settings.host.zone)
     router = Router(settings, lines)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_wait_signals, stop, path)
-        nursery.start_soon(_watch_settings, path)
+        nursery.start_soon(_wait_signals, stop, path, router.view.boundary)
+        nursery.start_soon(_watch_settings, path, router.view.boundary)
         await router.run(stop)
         nursery.cancel_scope.cancel()
     log_event("host.stopped")
 
 
-async def _wait_signals(stop: trio.Event, path: str) -> None:
+async def _wait_signals(stop: trio.Event, path: str, boundary: WorkBoundary) -> None:
     signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with trio.open_signal_receiver(*signals) as received:
         if early_reload.asked:
-            reload_settings(path, "signal")
+            with boundary.contain("settings.reload"):
+                reload_settings(path, "signal")
         async for number in received:
             if number == signal.SIGHUP:
-                reload_settings(path, "signal")
+                with boundary.contain("settings.reload"):
+                    reload_settings(path, "signal")
             else:
                 stop.set()
 
 
-async def _watch_settings(path: str) -> None:
+async def _watch_settings(path: str, boundary: WorkBoundary) -> None:
     """Reload the settings when the file changes; not every change brings a signal."""
     before = _file_stamp(path)
     while True:
@@ -354,7 +366,8 @@
         now = _file_stamp(path)
         if now != before:
             before = now
-            reload_settings(path, "file")
+            with boundary.contain("settings.reload"):
+                reload_settings(path, "file")
 
 
 def _file_stamp(path: str) -> tuple[int, int]:
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -321,7 +321,7 @@
             lambda: self.directory.record_store_return(self.clock.now())
         )
         if self.crashes is None:
-            self.crashes = CrashGuard(self.host_id, self.clock)
+            self.crashes = CrashGuard(self.host_id, self.clock, self.boundary)
         self.crashes.announce = self.crash_updates.add
         if self.limits is None:
             started_at = -math.inf if self.started_at is None else self.started_at
--- a/radishfield/forwarding/_watchdog.py
+++ b/radishfield/forwarding/_watchdog.py
@@ -121,12 +121,13 @@
                 await trio.sleep(pause_s)
                 interval_s = self._clock.now() - checked_at
                 late_s = interval_s - pause_s
-                if late_s >= MIN_LATENESS_S:
-                    self._note_lateness(min(interval_s, PASSES_PER_LATENESS * late_s))
-                if late_s >= LATE_TICK_S:
-                    continue
-                pause_s = MAX_TICK_S
                 with self._view.boundary.contain("streams.check"):
+                    if late_s >= MIN_LATENESS_S:
+                        held_up_s = min(interval_s, PASSES_PER_LATENESS * late_s)
+                        self._note_lateness(held_up_s)
+                    if late_s >= LATE_TICK_S:
+                        continue
+                    pause_s = MAX_TICK_S
                     pause_s = self._check_all(nursery)
 
     def _check_all(self, nursery: trio.Nursery) -> float:
@@ -408,7 +409,8 @@
             with self._view.boundary.contain("stream.move", address):
                 moved = await self._try_repath(stream, {address}, movers)
             if not moved and stream.last_progress_at <= started_at:
-                self._abandon(stream, "no other path", target_unreachable=True)
+                with self._view.boundary.contain("stream.abandon", address):
+                    self._abandon(stream, "no other path", target_unreachable=True)
         finally:
             stream.moving = False
 
--- a/radishfield/kernel/_boundary.py
+++ b/radishfield/kernel/_boundary.py
@@ -7,12 +7,16 @@
 
 import logging
 from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import msgspec
+import trio
 
 from radishfield.core import Clock, ResultCode
 from radishfield.telemetry import log_event
 
+T = TypeVar("T")
+
 FIRST_PAUSE_S = 0.5
 MAX_PAUSE_S = 30.0
 MAX_SUBJECTS = 1024
@@ -70,6 +74,23 @@
         with self.contain(work, subject):
             await function(*arguments)
 
+    async def complete(
+        self,
+        work: str,
+        subject: str,
+        function: Callable[..., Awaitable[T]],
+        *arguments: object,
+    ) -> T:
+        """Run work until it ends without a defect, and return its result.
+
+        A service runs each pass of its loop in this way, so that a defect ends the
+        pass only.  The next one waits until the pause is over.
+        """
+        while True:
+            with self.contain(work, subject):
+                return await function(*arguments)
+            await trio.sleep(self.pause_left_s(work, subject))
+
     def record(self, work: str, subject: str) -> None:
         """Count and log the exception that is being handled, and begin a pause."""
         self.defects += 1
--- a/radishfield/kernel/boundary_test.py
+++ b/radishfield/kernel/boundary_test.py
@@ -114,3 +114,26 @@
         assert len(boundary._pause_by_subject) == MAX_SUBJECTS
 
     play(scenario)
+
+
+def test_pass_of_a_service_that_fails_is_tried_again_after_growing_pauses():
+    """Guards against a service that ends by one pass, or takes all the time."""
+
+    async def scenario(boundary):
+        tried_at = []
+
+        async def work(result):
+            tried_at.append(trio.current_time())
+            if len(tried_at) < 5:
+                raise KeyError("t1")
+            return result
+
+        assert await boundary.complete("store.follow", "config", work, "done") == "done"
+        pauses = [later - at for at, later in pairwise(tried_at)]
+        assert pauses == [FIRST_PAUSE_S * 2**number for number in range(4)]
+        assert boundary.defects == 4
+        with trio.move_on_after(1.0) as scope:
+            await boundary.complete("wait", "", trio.sleep_forever)
+        assert scope.cancelled_caught and boundary.defects == 4
+
+    play(scenario)
--- a/radishfield/relay/_key.py
+++ b/radishfield/relay/_key.py
@@ -13,6 +13,7 @@
 from expression import Result
 
 from radishfield.core import UNREADABLE_ERRORS, Clock, Fault, ResultCode
+from radishfield.kernel import WorkBoundary
 from radishfield.platform import ObjectStore, StoredValue
 from radishfield.relay._frames import KEY_BYTES
 from radishfield.telemetry import log_event
@@ -38,6 +39,7 @@
     """The key of this host; None until the store has answered."""
 
     __slots__ = (
+        "_boundary",
         "_clock",
         "_read_at",
         "_reread_s",
@@ -47,7 +49,13 @@
         "value",
     )
 
-    def __init__(self, store: ObjectStore, clock: Clock):
+    def __init__(
+        self,
+        store: ObjectStore,
+        clock: Clock,
+        boundary: WorkBoundary | None = None,
+    ):
+        self._boundary = boundary or WorkBoundary(clock)
         self._clock = clock
         self._read_at = 0.0
         self._reread_s = 0.0
@@ -61,7 +69,7 @@
         task_status.started()
         while True:
             failures = 0
-            while not await self._read():
+            while not await self._boundary.complete("relay.read_key", "", self._read):
                 failures += 1
                 await trio.sleep(backoff_s(failures, self._rng))
             self._read_at = self._clock.now()
--- a/radishfield/relay/_server.py
+++ b/radishfield/relay/_server.py
@@ -115,24 +115,32 @@
     async def _accept(self, listener: trio.SocketListener, nursery) -> None:
         async with listener:
             while True:
-                try:
-                    stream = await listener.accept()
-                except OSError as problem:
-                    if problem.errno in _OUT_OF_DESCRIPTORS:
-                        log_event("relay.not_accepted", detail=str(problem))
-                        await trio.sleep(ACCEPT_RETRY_S)
-                    continue
-                nursery.start_soon(self._serve, stream)
+                await self._boundary.complete(
+                    "relay.accept", "", self._accept_one, listener, nursery
+                )
+
+    async def _accept_one(self, listener: trio.SocketListener, nursery) -> None:
+        try:
+            stream = await listener.accept()
+        except OSError as problem:
+            if problem.errno in _OUT_OF_DESCRIPTORS:
+                log_event("relay.not_accepted", detail=str(problem))
+                await trio.sleep(ACCEPT_RETRY_S)
+            return
+        nursery.start_soon(self._serve, stream)
 
     async def _watch_suspension(self) -> None:
         """Reset all connections after a suspension."""
         while True:
-            await sleep_to_tick(TICK_S)
-            if self._was_suspended():
-                log_event("relay.suspended", connections=len(self._scopes))
-                for scope in list(self._scopes):
-                    scope.cancel()
-            self._ticked_at = self._clock.now()
+            await self._boundary.complete("relay.watch", "", self._check_suspension)
+
+    async def _check_suspension(self) -> None:
+        await sleep_to_tick(TICK_S)
+        if self._was_suspended():
+            log_event("relay.suspended", connections=len(self._scopes))
+            for scope in list(self._scopes):
+                scope.cancel()
+        self._ticked_at = self._clock.now()
 
     def _was_suspended(self) -> bool:
         return self._clock.now() - self._ticked_at >= SUSPENDED_S
@@ -150,7 +158,8 @@
         finally:
             self.open -= 1
             self._scopes.discard(scope)
-            await _reset(stream)
+            with self._boundary.contain("relay.close"):
+                await _reset(stream)
 
     async def _connect_and_pass(self, stream, scope: trio.CancelScope) -> None:
         set_socket_options(stream)
--- a/radishfield/telemetry/_lines.py
+++ b/radishfield/telemetry/_lines.py
@@ -9,6 +9,8 @@
 import logging
 import os
 from collections import deque
+from collections.abc import Callable
+from contextlib import AbstractContextManager, nullcontext
 
 import trio
 
@@ -24,7 +26,13 @@
 
 
 class LineWriter(logging.Handler):
-    """Log handler that buffers lines, with a task that writes them."""
+    """Log handler that buffers lines, with a task that writes them.
+
+    Attributes
+    ----------
+    contain : callable
+        Returns a context manager for the writing of lines.
+    """
 
     def __init__(self, descriptor: int):
         super().__init__()
@@ -33,6 +41,8 @@
         self._unwritten = b""
         self._tokens = MAX_BURST_LINES
         self._refilled_at = 0.0
+        self._reported = 0
+        self.contain: Callable[[str], AbstractContextManager] = nullcontext
         self.dropped = 0
 
     def emit(self, record: logging.LogRecord) -> None:
@@ -49,13 +59,16 @@
         """Write until cancelled."""
         os.set_blocking(self._descriptor, False)
         task_status.started()
-        reported = 0
         while True:
             await sleep_to_tick(FLUSH_PERIOD_S)
-            self.flush_now()
-            if self.dropped != reported:
-                reported = self.dropped
-                logging.getLogger(__name__).warning("%d lines dropped", reported)
+            with self.contain("lines.write"):
+                self._flush_and_report()
+
+    def _flush_and_report(self) -> None:
+        self.flush_now()
+        if self.dropped != self._reported:
+            self._reported = self.dropped
+            logging.getLogger(__name__).warning("%d lines dropped", self._reported)
 
     def flush_now(self) -> None:
         """Write as many buffered lines as the reader accepts without blocking."""
--- a/radishfield/web/_gated_listener.py
+++ b/radishfield/web/_gated_listener.py
@@ -22,7 +22,8 @@
 from radishfield.web._listener import MAX_HEADER_BYTES, ListenerConfig
 
 OUT_OF_RESOURCES_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS)
-OUT_OF_RESOURCES_PAUSE_S = 0.1
+ACCEPT_PAUSE_S = 0.1
+"""Pause after connections could not be accepted."""
 ABORTED_ERRNOS = (errno.ECONNABORTED, errno.EPROTO, errno.EPERM)
 """The other end has given up a connection, or the kernel has refused it."""
 MAX_ACCEPTED_AT_ONCE = 256
@@ -65,9 +66,11 @@
     Parameters
     ----------
     judge : callable
-        Returns the verdict on the next connection.
+        Returns the verdict on the next connection.  All are served without one.
     contain : callable
         Returns a context manager for the work on one connection.
+    name : str
+        Who connects, for log lines.
     """
 
     __slots__ = (
@@ -76,6 +79,7 @@
         "_contain",
         "_context",
         "_judge",
+        "_name",
         "accepted",
         "refused",
         "turned_away",
@@ -85,11 +89,13 @@
         self,
         app,
         config: ListenerConfig,
-        judge: Callable[[], Verdict],
+        judge: Callable[[], Verdict] = Serve,
         contain: Callable[[str], AbstractContextManager] = nullcontext,
+        name: str = "callers",
     ):
         self._contain = contain
         self._judge = judge
+        self._name = name
         self._app = wrap_app(app, config.wsgi_max_body_size, "asgi")
         self._config = config
         self._context = WorkerContext(None)
@@ -104,13 +110,16 @@
             listener.setblocking(False)
             listener.listen(self._config.backlog)
             address = repr_socket_addr(listener.family, listener.getsockname())
-            log_event("callers.listening", address=address)
+            log_event(f"{self._name}.listening", address=address)
             async with trio.open_nursery() as nursery:
                 task_status.started([f"http://{address}"])
                 while True:
                     await trio.lowlevel.wait_readable(listener)
-                    if not self._accept_waiting(listener, nursery):
-                        await trio.sleep(OUT_OF_RESOURCES_PAUSE_S)
+                    went_well = False
+                    with self._contain("caller.accept"):
+                        went_well = self._accept_waiting(listener, nursery)
+                    if not went_well:
+                        await trio.sleep(ACCEPT_PAUSE_S)
 
     def _accept_waiting(self, listener: socket.socket, nursery: trio.Nursery) -> bool:
         """Accept all connections that wait; return whether resources sufficed."""
@@ -123,7 +132,7 @@
                 if problem.errno in ABORTED_ERRNOS:
                     continue
                 if problem.errno in OUT_OF_RESOURCES_ERRNOS:
-                    log_event("callers.not_accepted", detail=str(problem))
+                    log_event(f"{self._name}.not_accepted", detail=str(problem))
                     return False
                 raise
             match self._judge():
@@ -139,13 +148,13 @@
         return True
 
     async def _serve(self, accepted: socket.socket) -> None:
-        stream = _open_stream(accepted)
-        if stream is None:
-            return
-        server = TCPServer(
-            self._app, self._config, self._context, ConnectionState({}), stream
-        )
         with self._contain("caller.serve"):
+            stream = _open_stream(accepted)
+            if stream is None:
+                return
+            server = TCPServer(
+                self._app, self._config, self._context, ConnectionState({}), stream
+            )
             await server.run()
 
     async def _refuse(self, accepted, answer: Callable[[bytes], bytes]) -> None:
