Take only bytes for an answer that are proved to be the one to the request

Callers got a success with their own id, stamp and body where their run was answered with a failure. Bytes of a second answer that a target sends after an answer, cut within their head, were read as the beginning of the next answer on a kept connection, so that the next status line became a part of a phrase or of a field's value.

Cause: the HTTP library keeps bytes beyond an answer for the next one, reads heads leniently, and knows an idle connection as used up only by its socket. The id was compared, but after what the answer says of a run, a limit, a rest and leaving had been believed; the last of several ids counted.

Each connection to a target passes AnswerFraming now. The library gets the bytes of one answer for each request; what comes beyond, before, or in another form marks the connection, which is not used again, and none to that target is kept for two seconds. A connection found so before a byte was sent is replaced without costing an attempt. The id is compared first. A request goes over a new connection where its id proves nothing: a second attempt at the same target, or a request without an id. Kept connections are those of one target, not of an address. A refusal without any id is believed on a connection that carried nothing else.

--- a/radishfield/forwarding/_connections.py
+++ b/radishfield/forwarding/_connections.py
@@ -4,6 +4,9 @@
 have closed the connection while the request was in transit, or may have run it.
 Requests that may not be retried therefore always get a new connection, and idle
 connections are reused only well before the target closes them.
+
+A connection that delivered anything but the answers to its requests is not used again,
+and the connections to such a target are not kept for a while.
 """
 
 from collections import defaultdict
@@ -17,11 +20,21 @@
 
 from radishfield.core import Clock, Fault, ResultCode, fault
 from radishfield.kernel import WorkBoundary
-from radishfield.platform import AnswerFacts, Headers, read_answer
+from radishfield.platform import (
+    SINGLE_ANSWER_FIELDS,
+    AnswerFacts,
+    Headers,
+    read_answer,
+)
 from radishfield.relay import TargetDialer, TargetStream
 from radishfield.routing import TargetLinks
 from radishfield.telemetry import log_event
-from radishfield.web import BROKEN_CONNECTION_ERRORS, split_address
+from radishfield.web import (
+    BROKEN_CONNECTION_ERRORS,
+    FramedStream,
+    UnusableConnectionError,
+    split_address,
+)
 
 MAX_IDLE_S = 2.5
 """Longest idle time of a connection that is reused: half of the shortest idle timeout
@@ -31,6 +44,9 @@
 MAX_IDLE_PER_TARGET = 8
 CLOSE_LIMIT_S = 1.0
 MAX_ANSWER_BYTES = 8 << 20
+SPOILED_S = 2.0
+"""Time for which no connection to a target is kept that sent unrequested bytes: more
+of them may follow on its other connections."""
 MAX_LOGGED_ID = 64
 """Characters of a request id that are logged as an answer bears it."""
 
@@ -49,18 +65,16 @@
 class Exchange:
     """The answer to one request, with its body not yet read."""
 
-    __slots__ = ("facts", "headers", "_address", "_connection", "_owner", "_response")
+    __slots__ = ("facts", "headers", "_connection", "_owner", "_response")
 
     def __init__(
         self,
-        address: str,
         connection: "_TargetConnection",
         response: httpcore.Response,
         owner: "TargetConnections",
     ):
         self.headers: Headers = list(response.headers)
         self.facts: AnswerFacts = read_answer(response.status, self.headers)
-        self._address = address
         self._connection = connection
         self._response = response
         self._owner = owner
@@ -98,9 +112,14 @@
         with trio.CancelScope(shield=True):
             await self._response.aclose()
             if reusable and not self.facts.closes:
-                self._owner.keep(self._address, self._connection, self.facts.idle_s)
+                self._owner.keep(self._connection, self.facts.idle_s)
             else:
-                await self._owner.discard(self._address, self._connection)
+                await self._owner.discard(self._connection)
+
+    async def reject(self) -> None:
+        """Close the connection, since the answer belongs to another request."""
+        self._owner.note_spoiled(self._connection)
+        await self.close(reusable=False)
 
     @property
     def use(self) -> int:
@@ -122,6 +141,7 @@
 
     def __init__(self, dialer: TargetDialer):
         self._dialer = dialer
+        self.framed: FramedStream | None = None
         self.via = ""
         self.stream: TargetStream | None = None
 
@@ -134,7 +154,8 @@
             raise httpcore.ConnectError(dialed.error.detail)
         self.via = dialed.ok.via
         self.stream = dialed.ok.stream
-        return dialed.ok.stream
+        self.framed = FramedStream(dialed.ok.stream, SINGLE_ANSWER_FIELDS)
+        return self.framed
 
 
 class _TargetConnection(msgspec.Struct):
@@ -142,6 +163,8 @@
 
     Attributes
     ----------
+    address, target_id : str
+        The target that it was opened to.
     until : float
         Time up to which it may be reused while it is idle.
     answered_at : float
@@ -152,6 +175,8 @@
         The request id that its last answer bears.
     """
 
+    address: str
+    target_id: str
     http: httpcore.AsyncHTTPConnection
     network: _DialedNetwork
     until: float = 0.0
@@ -159,11 +184,15 @@
     uses: int = 0
     last_id: str = ""
 
-    def library_bytes(self) -> int:
-        """Return how many bytes the HTTP library holds beyond the last answer."""
-        inner = getattr(self.http, "_connection", None)
-        state = getattr(inner, "_h11_state", None)
-        return len(state.trailing_data[0]) if state is not None else 0
+    @property
+    def is_spoiled(self) -> bool:
+        """Return whether it delivered bytes that belong to no answer."""
+        return self.network.framed is not None and self.network.framed.is_spoiled
+
+    @property
+    def target(self) -> tuple[str, str]:
+        """Return the key of the target in the pool."""
+        return self.address, self.target_id
 
 
 class TargetConnections:
@@ -173,8 +202,10 @@
         "_boundary",
         "_clock",
         "_dialer",
-        "_idle_by_address",
+        "_idle_by_target",
         "_links",
+        "_spoiled_until_by_target",
+        "malformed",
         "opened",
         "reused",
         "surplus",
@@ -191,130 +222,179 @@
         self._boundary = boundary or WorkBoundary(clock)
         self._clock = clock
         self._dialer = dialer or TargetDialer.direct(links, clock)
-        self._idle_by_address: dict[str, list[_TargetConnection]] = defaultdict(list)
+        self._idle_by_target: dict[tuple[str, str], list[_TargetConnection]] = (
+            defaultdict(list)
+        )
         self._links = links
+        self._spoiled_until_by_target: dict[tuple[str, str], float] = {}
+        self.malformed = 0
         self.opened = 0
         self.reused = 0
         self.surplus = 0
 
     async def send(
-        self, address: str, outgoing: Outgoing, fresh: bool
+        self, address: str, outgoing: Outgoing, fresh: bool, target_id: str = ""
     ) -> Result[Exchange, Fault]:
-        """Send a request once; the fault shows whether it may have run."""
-        connection = None if fresh else await self._take(address)
-        if connection is None:
-            connection = self._open(address)
-        elif connection.uses:
-            self.reused += 1
-        connection.uses += 1
-        host, port = split_address(address)
-        request = httpcore.Request(
-            outgoing.method,
-            httpcore.URL(
-                scheme=b"http", host=host.encode(), port=port, target=outgoing.target
-            ),
-            headers=outgoing.headers,
-            content=outgoing.body or None,
-        )
-        try:
-            response = await connection.http.handle_async_request(request)
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as problem:
-            return Error(fault(ResultCode.CONNECT_FAILED, repr(problem)))
-        except httpcore.LocalProtocolError as problem:
-            await connection.http.aclose()
-            return Error(fault(ResultCode.BAD_HEADER, repr(problem)))
-        except _BROKEN_ERRORS as problem:
-            await connection.http.aclose()
-            return Error(fault(ResultCode.STREAM_BROKEN, repr(problem)))
-        self._links.note_answer(address, self._clock.now())
-        return Ok(Exchange(address, connection, response, self))
-
-    def keep(
-        self, address: str, connection: _TargetConnection, idle_s: float | None
-    ) -> None:
+        """Send a request once; the fault shows whether it may have run.
+
+        Parameters
+        ----------
+        target_id : str
+            The target at the address: a connection that was opened to another one
+            there is not used.
+        """
+        while True:
+            connection = None if fresh else await self._take(address, target_id)
+            if connection is None:
+                connection = self._open(address, target_id)
+            elif connection.uses:
+                self.reused += 1
+            connection.uses += 1
+            try:
+                response = await connection.http.handle_async_request(
+                    _request(address, outgoing)
+                )
+            except UnusableConnectionError:
+                # Nothing was sent over it.
+                await self.discard(connection)
+                continue
+            except (httpcore.ConnectError, httpcore.ConnectTimeout) as problem:
+                return Error(fault(ResultCode.CONNECT_FAILED, repr(problem)))
+            except httpcore.LocalProtocolError as problem:
+                await self.discard(connection)
+                return Error(fault(ResultCode.BAD_HEADER, repr(problem)))
+            except _BROKEN_ERRORS as problem:
+                await self.discard(connection)
+                return Error(fault(ResultCode.STREAM_BROKEN, repr(problem)))
+            self._links.note_answer(address, self._clock.now())
+            return Ok(Exchange(connection, response, self))
+
+    def keep(self, connection: _TargetConnection, idle_s: float | None) -> None:
         """Keep an idle connection for reuse."""
-        kept = self._idle_by_address[address]
-        if not connection.http.is_idle() or len(kept) >= MAX_IDLE_PER_TARGET:
+        if connection.is_spoiled:
+            self.note_spoiled(connection)
+        now = self._clock.now()
+        kept = self._idle_by_target[connection.target]
+        if (
+            not connection.http.is_idle()
+            or len(kept) >= MAX_IDLE_PER_TARGET
+            or self._is_target_spoiled(connection.target, now)
+        ):
             # The caller need not wait for the close: nothing is left to send.
-            trio.lowlevel.spawn_system_task(
-                self._close_within_limit, address, connection
-            )
+            trio.lowlevel.spawn_system_task(self._close_within_limit, connection)
             return
-        self._note_surplus(address, connection)
         limit_s = MAX_IDLE_S if idle_s is None else min(MAX_IDLE_S, idle_s * IDLE_SHARE)
-        connection.answered_at = self._clock.now()
-        connection.until = connection.answered_at + limit_s
+        connection.answered_at = now
+        connection.until = now + limit_s
         kept.append(connection)
 
     async def close_idle(self) -> None:
         """Close the idle connections that must not be reused."""
-        for address, kept in list(self._idle_by_address.items()):
-            unusable = [item for item in kept if not self._is_reusable(address, item)]
+        now = self._clock.now()
+        for target, kept in list(self._idle_by_target.items()):
+            unusable = [item for item in kept if not self._is_reusable(item)]
             kept[:] = [item for item in kept if item not in unusable]
             for item in unusable:
-                with self._boundary.contain("connection.close", address):
-                    await self.discard(address, item)
+                with self._boundary.contain("connection.close", item.address):
+                    await self.discard(item)
             if not kept:
-                self._idle_by_address.pop(address, None)
+                self._idle_by_target.pop(target, None)
+        for target in list(self._spoiled_until_by_target):
+            if not self._is_target_spoiled(target, now):
+                del self._spoiled_until_by_target[target]
 
-    def _is_reusable(self, address: str, item: _TargetConnection) -> bool:
+    async def discard(self, connection: _TargetConnection) -> None:
+        """Close a connection that is not used again."""
+        framed, stream = connection.network.framed, connection.network.stream
+        if framed is not None:
+            # Unread bytes of an answer that is given up are its own.
+            unread = stream.unread_bytes() if framed.is_idle else 0
+            if framed.is_spoiled or unread:
+                self._report_spoiled(connection, framed, unread)
+        await connection.http.aclose()
+
+    def note_spoiled(self, connection: _TargetConnection) -> None:
+        """Keep no connections to a target for a while."""
+        until = self._clock.now() + SPOILED_S
+        self._spoiled_until_by_target[connection.target] = until
+
+    def _is_target_spoiled(self, target: tuple[str, str], now: float) -> bool:
+        return self._spoiled_until_by_target.get(target, now) > now
+
+    def _is_reusable(self, item: _TargetConnection) -> bool:
         now = self._clock.now()
-        if item.until <= now:
+        if item.until <= now or self._is_target_spoiled(item.target, now):
             return False
         if item.network.via:
-            is_down = self._links.is_down(address)
+            is_down = self._links.is_down(item.address)
             return is_down and self._dialer.offers(item.network.via)
-        return self._links.trusts_kept(address, item.answered_at, now)
+        return self._links.trusts_kept(item.address, item.answered_at, now)
 
-    async def _take(self, address: str) -> _TargetConnection | None:
+    async def _take(self, address: str, target_id: str) -> _TargetConnection | None:
         if self._links.is_down(address) and self._links.is_retry_due(
             address, self._clock.now()
         ):
             # A new connection shows whether the link works again.
             return None
-        kept = self._idle_by_address.get(address)
+        kept = self._idle_by_target.get((address, target_id))
         while kept:
             item = kept.pop()
             # An idle connection that is readable was closed or has unrequested bytes.
-            if self._is_reusable(address, item) and not item.http.has_expired():
+            if self._is_reusable(item) and not item.http.has_expired():
                 return item
-            await self.discard(address, item)
+            await self.discard(item)
         return None
 
-    async def discard(self, address: str, connection: _TargetConnection) -> None:
-        """Close a connection that is not used again."""
-        self._note_surplus(address, connection)
-        await connection.http.aclose()
-
-    def _note_surplus(self, address: str, connection: _TargetConnection) -> None:
+    def _report_spoiled(
+        self, connection: _TargetConnection, framed: FramedStream, unread: int
+    ) -> None:
         """Report bytes of a connection that belong to none of its requests."""
-        in_library = connection.library_bytes()
-        stream = connection.network.stream
-        unread = stream.unread_bytes() if stream is not None else 0
-        if in_library or unread:
+        self.note_spoiled(connection)
+        if framed.problem:
+            self.malformed += 1
+            log_event(
+                "answer.malformed",
+                address=connection.address,
+                target=connection.target_id,
+                uses=connection.uses,
+                via=connection.network.via,
+                detail=framed.problem,
+            )
+        if framed.surplus or unread:
             self.surplus += 1
             log_event(
                 "answer.surplus",
-                address=address,
+                address=connection.address,
+                target=connection.target_id,
                 after=connection.last_id[:MAX_LOGGED_ID],
                 uses=connection.uses,
                 via=connection.network.via,
-                in_library=in_library,
+                received=framed.surplus,
                 unread=unread,
             )
 
-    async def _close_within_limit(
-        self, address: str, connection: _TargetConnection
-    ) -> None:
+    async def _close_within_limit(self, connection: _TargetConnection) -> None:
         with self._boundary.contain("connection.close"):
             with trio.move_on_after(CLOSE_LIMIT_S):
-                await self.discard(address, connection)
+                await self.discard(connection)
 
-    def _open(self, address: str) -> _TargetConnection:
+    def _open(self, address: str, target_id: str) -> _TargetConnection:
         self.opened += 1
         host, port = split_address(address)
         network = _DialedNetwork(self._dialer)
         http = httpcore.AsyncHTTPConnection(
             httpcore.Origin(b"http", host.encode(), port), network_backend=network
         )
-        return _TargetConnection(http, network)
+        return _TargetConnection(address, target_id, http, network)
+
+
+def _request(address: str, outgoing: Outgoing) -> httpcore.Request:
+    host, port = split_address(address)
+    return httpcore.Request(
+        outgoing.method,
+        httpcore.URL(
+            scheme=b"http", host=host.encode(), port=port, target=outgoing.target
+        ),
+        headers=outgoing.headers,
+        content=outgoing.body or None,
+    )
--- a/radishfield/forwarding/_metrics.py
+++ b/radishfield/forwarding/_metrics.py
@@ -79,7 +79,7 @@
         watch(
             "answers_malformed",
             "Answers of targets that are not of the protocol's form.",
-            lambda: targets.malformed_answers,
+            lambda: connections.malformed,
         )
         watch(
             "targets_age_seconds",
--- a/radishfield/forwarding/_targets.py
+++ b/radishfield/forwarding/_targets.py
@@ -65,7 +65,6 @@
         "_unreadable_by_id",
         "_view",
         "foreign_answers",
-        "malformed_answers",
         "orders_by_status",
         "reports",
     )
@@ -81,7 +80,6 @@
         self._telemetry = telemetry
         self._unreadable_by_id: dict[str, str] = {}
         self.foreign_answers = 0
-        self.malformed_answers = 0
         self.reports = 0
         self.orders_by_status: dict[int, int] = {}
 
@@ -202,17 +200,15 @@
         if call.sent == 0:
             budget.record_first_attempt(now)
         call.sent += 1
+        # An answer proves by its id whose it is, unless the id was sent there before.
+        is_id_new = bool(call.facts.request_id) and record.id not in call.tried
         call.tried.add(record.id)
         ran_there_before = record.id in call.ran_at
         call.ran_at.add(record.id)
         may_have_run_before, call.may_have_run = call.may_have_run, True
-        fresh = fresh or not call.route.repeatable
+        fresh = fresh or not call.route.repeatable or not is_id_new
         call.arrived += 1
         sent = await self._send(record, outgoing, fresh)
-        if sent.is_ok():
-            self._note_rate_limit(record, sent.ok.facts, now)
-            self._note_rest(record, sent.ok.facts)
-            self._note_leaving(record, sent.ok.facts)
         if sent.is_error():
             if sent.error.code is ResultCode.CONNECT_FAILED:
                 call.arrived -= 1
@@ -236,8 +232,6 @@
             via=exchange.via,
             not_run=exchange.facts.not_run,
         )
-        if exchange.facts.request_id != call.facts.request_id:
-            self._report_foreign(call, record, exchange)
         if exchange.via:
             log_event(
                 "attempt.relayed",
@@ -245,15 +239,19 @@
                 target=record.id,
                 via=exchange.via,
             )
+        if not _belongs_to(exchange, call):
+            self._report_foreign(call, record, exchange)
+            await exchange.reject()
+            detail = "the answer belongs to another request"
+            return Error(fault(ResultCode.MALFORMED_ANSWER, detail))
+        self._note_rate_limit(record, exchange.facts, now)
+        self._note_rest(record, exchange.facts)
+        self._note_leaving(record, exchange.facts)
         if exchange.facts.not_run:
             call.may_have_run = may_have_run_before
             if not ran_there_before:
                 call.ran_at.discard(record.id)
             return Error(await self._handle_refusal(call, record, exchange))
-        if exchange.facts.request_id != call.facts.request_id:
-            await exchange.close(reusable=False)
-            detail = "the answer belongs to another request"
-            return Error(fault(ResultCode.MALFORMED_ANSWER, detail))
         if exchange.facts.encoded:
             await exchange.close(reusable=False)
             return Error(
@@ -371,7 +369,9 @@
     ) -> Result[Exchange, Fault]:
         """Send to a target; what the HTTP library raises fails this attempt only."""
         with self._view.boundary.contain("target.send", record.id):
-            return await self._connections.send(record.address, outgoing, fresh)
+            return await self._connections.send(
+                record.address, outgoing, fresh, record.id
+            )
         return Error(fault(ResultCode.INTERNAL, "the attempt raised an exception"))
 
     def _note_rate_limit(
@@ -451,14 +451,6 @@
     def _handle_send_failure(
         self, call: Call, record: TargetRecord, problem: Fault
     ) -> None:
-        if "ProtocolError" in problem.detail:
-            self.malformed_answers += 1
-            log_event(
-                "answer.malformed",
-                request=call.facts.request_id,
-                target=record.id,
-                detail=problem.detail,
-            )
         now = self._view.clock.now()
         excluded_s = 0.0
         suspicious = self._view.target_links.suspicious(now)
@@ -513,6 +505,17 @@
             self._view.mark_full(record.id)
 
 
+def _belongs_to(exchange: Exchange, call: Call) -> bool:
+    """Return whether an answer is proved to be the one to a call.
+
+    A refusal may lack the id where nothing else was sent over its connection.
+    """
+    facts = exchange.facts
+    if facts.not_run and not facts.request_id:
+        return exchange.use == 1
+    return facts.request_id == call.facts.request_id
+
+
 def order_status(answer: Result[OrderAnswer, Fault]) -> int:
     """Return the status of an order's answer; 0 where there was none."""
     return answer.ok.status if answer.is_ok() else 0
--- a/radishfield/platform/__init__.py
+++ b/radishfield/platform/__init__.py
@@ -1,6 +1,7 @@
 """Names, formats and calls of the users' platform; no routing is decided here."""
 
 from radishfield.platform._config import decode_config
+from radishfield.platform._names import SINGLE_ANSWER_FIELDS
 from radishfield.platform._requests import (
     AnswerFacts,
     Headers,
@@ -44,6 +45,7 @@
     "ORDER_PATH",
     "READY_PATH",
     "REPORT_PATH",
+    "SINGLE_ANSWER_FIELDS",
     "TARGETS_KIND",
     "AnswerFacts",
     "Change",
--- a/radishfield/platform/_names.py
+++ b/radishfield/platform/_names.py
@@ -24,3 +24,7 @@
 AUTHORIZATION = b"authorization"
 KEY_SCHEME = "Token "
 RETRY_AFTER = b"retry-after"
+SINGLE_ANSWER_FIELDS = frozenset(
+    {REQUEST_ID, SIGNATURE, NOT_RUN, FAULTY_STAGE, b"content-type", b"content-encoding"}
+)
+"""Fields that an answer holds once at most."""
--- a/radishfield/web/_framed_stream.py
+++ b/radishfield/web/_framed_stream.py
@@ -51,6 +51,11 @@
         self.requests = 0
         self.surplus = 0
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no answer is awaited."""
+        return self._framing is None or self._framing.complete
+
     @property
     def is_spoiled(self) -> bool:
         """Return whether bytes were received that belong to no answer."""
@@ -94,7 +99,7 @@
         MalformedAnswerError
             A new connection has bytes before its first request.
         """
-        if self._framing is None or self._framing.complete:
+        if self.is_idle:
             await self._begin(bytes(buffer[:16]))
         await self._stream.write(buffer, timeout)
 
--- a/standins/routed_targets.py
+++ b/standins/routed_targets.py
@@ -63,7 +63,11 @@
 
     async def refuse(self, send, request_id: str) -> None:
         """Refuse a request and ask for a rest."""
-        extra = [(b"x-not-executed", b"1"), (b"retry-after", self.rest.encode())]
+        extra = [
+            (b"x-request-id", request_id.encode()),
+            (b"x-not-executed", b"1"),
+            (b"retry-after", self.rest.encode()),
+        ]
         self.refusals.append((trio.current_time(), request_id, self.rest))
         await send_json(send, 503, {}, extra)
 
@@ -127,13 +131,14 @@
         if self.notices.rest:
             await self.notices.refuse(send, name)
             return
+        request_id = headers.get(b"x-request-id", b"")
+        echo = (b"x-request-id", request_id)
         if headers.get(b"x-expect-instance") != self.id.encode():
-            await send_json(send, 421, {})
+            await send_json(send, 421, {}, [echo])
             return
         failure = self.failures.pop(0) if self.failures else ""
-        request_id = headers.get(b"x-request-id", b"")
         if failure == "refuse":
-            await send_json(send, 503, {}, [(b"x-not-executed", b"1")])
+            await send_json(send, 503, {}, [echo, (b"x-not-executed", b"1")])
             return
         self.ran[request_id.decode()] += 1
         await trio.sleep(self.work_s)
@@ -371,10 +376,11 @@
         return 202, {}
 
     async def _stream(self, headers: dict[bytes, bytes], send, crashes: bool) -> None:
+        request_id = headers.get(b"x-request-id", b"").decode()
+        echo = (b"x-request-id", request_id.encode())
         if headers.get(b"x-expect-instance") != self.id.encode():
-            await send_json(send, 421, {})
+            await send_json(send, 421, {}, [echo])
             return
-        request_id = headers.get(b"x-request-id", b"").decode()
         path = headers.get(b"x-hop-count", b"").decode()
         stages = _parse_path(path)
         faulty_stage = self.fleet.find_faulty_stage(stages)
@@ -384,6 +390,7 @@
             self.refusing += 1
             await trio.sleep(self.refuse_after_s)
             extra = [
+                echo,
                 (b"x-not-executed", b"1"),
                 (b"at-server", faulty_stage[1].encode()),
             ]
