Give reports and orders connections of their own

A report or an order carries no id, and its answer none either, but both went over the kept connections of callers' requests. A late second answer of a request was read as the answer to the order that followed it there: a 200 or 202 that counted as an order carried out (a stream's new path was believed although the target had refused it), a 503 with Retry-After, a limit or Server-Leaving that was believed of the target. The other way round, a late report without an id refused a caller's request.

Reports now have a pool of their own, each order has a new connection that isn't kept, and an answer with an id is one to a caller's request: it proves what a broken connection proves, and nothing that it says of limits, rests and leaving is believed. The same holds for what stands beside a body that is no report or not whole. A report must name `busy` and `seq`, as the protocol shows it: `{}` was a report of an idle target without orders.

--- a/radishfield/forwarding/_metrics.py
+++ b/radishfield/forwarding/_metrics.py
@@ -1,6 +1,5 @@
 """The HTTP page with the counters and histograms that operators scrape."""
 
-from radishfield.forwarding._connections import TargetConnections
 from radishfield.forwarding._targets import Targets
 from radishfield.forwarding._view import RouterView
 from radishfield.telemetry import DeferredTelemetry
@@ -19,7 +18,6 @@
         telemetry: DeferredTelemetry,
         store_calls: ApiCaller,
         targets: Targets,
-        connections: TargetConnections,
         view: RouterView,
     ):
         self._telemetry = telemetry
@@ -60,16 +58,20 @@
             "Orders given to targets.",
             lambda: sum(targets.orders_by_status.values()),
         )
-        watch("connections_opened", "To targets.", lambda: connections.opened)
+        watch(
+            "connections_opened",
+            "To targets.",
+            lambda: targets.sum_connections(lambda pool: pool.opened),
+        )
         watch(
             "connections_reused",
             "Requests sent to targets over a connection that was used before.",
-            lambda: connections.reused,
+            lambda: targets.sum_connections(lambda pool: pool.reused),
         )
         watch(
             "connections_surplus",
             "Connections on which a target sent bytes that belong to no request.",
-            lambda: connections.surplus,
+            lambda: targets.sum_connections(lambda pool: pool.surplus),
         )
         watch(
             "answers_foreign",
@@ -79,7 +81,7 @@
         watch(
             "answers_malformed",
             "Answers of targets that are not of the protocol's form.",
-            lambda: connections.malformed,
+            lambda: targets.sum_connections(lambda pool: pool.malformed),
         )
         watch(
             "targets_age_seconds",
--- a/radishfield/forwarding/_router.py
+++ b/radishfield/forwarding/_router.py
@@ -87,7 +87,7 @@
 
     __slots__ = ("_boundary", "_connections")
 
-    def __init__(self, connections: TargetConnections, boundary: WorkBoundary):
+    def __init__(self, boundary: WorkBoundary, *connections: TargetConnections):
         self._boundary = boundary
         self._connections = connections
 
@@ -96,9 +96,10 @@
         task_status.started()
         while True:
             await trio.sleep(CLOSE_IDLE_INTERVAL_S)
-            await self._boundary.complete(
-                "connections.close_idle", "", self._connections.close_idle
-            )
+            for connections in self._connections:
+                await self._boundary.complete(
+                    "connections.close_idle", "", connections.close_idle
+                )
 
 
 class Router:
@@ -160,8 +161,11 @@
             clock,
             lambda: view.find_relays(),
         )
-        connections = TargetConnections(clock, view.target_links, dialer, view.boundary)
-        targets = Targets(connections, view, telemetry)
+        connections, control_connections = (
+            TargetConnections(clock, view.target_links, dialer, view.boundary)
+            for _ in range(2)
+        )
+        targets = Targets(connections, control_connections, view, telemetry)
         watchdog = StreamWatchdog(targets, view)
         telemetry.watch(
             "store_era",
@@ -217,7 +221,10 @@
         register("watchdog", watchdog)
         register("crashes", crashes)
         register("placer", placer)
-        register("connections", IdleConnections(connections, view.boundary))
+        register(
+            "connections",
+            IdleConnections(view.boundary, connections, control_connections),
+        )
         register("limit_checks", LimitChecks(targets, view))
         register("load", LoadMonitor(view, telemetry))
         register("demand", DemandMonitor(view, telemetry))
@@ -271,7 +278,7 @@
                 GatedListener(ready, config, contain=contain, name="readiness"),
             )
         if settings.metrics.bind:
-            page = MetricsPage(telemetry, store_calls, targets, connections, view)
+            page = MetricsPage(telemetry, store_calls, targets, view)
             config = ListenerConfig.from_settings(settings.metrics.bind, drain_s=0.0)
             contain = view.boundary.contain
             register(
--- a/radishfield/forwarding/_targets.py
+++ b/radishfield/forwarding/_targets.py
@@ -1,5 +1,7 @@
 """Sends calls to targets and classifies failures by whether the call may have run."""
 
+from collections.abc import Callable
+
 import msgspec
 import trio
 from expression import Error, Ok, Result
@@ -56,11 +58,32 @@
     body: bytes
 
 
+class _ShortAnswer(msgspec.Struct, frozen=True):
+    """A whole answer to a report request or an order that was sent at a given time."""
+
+    facts: AnswerFacts
+    body: bytes
+    sent_at: float
+
+
 class Targets:
-    """Client for the targets: sends calls, report requests and orders."""
+    """Client for the targets: sends calls, report requests and orders.
+
+    Answers to reports and orders carry no id that would tell them from a late answer
+    to another request.  So they don't share connections with calls, and each order has
+    a connection of its own.
+
+    Parameters
+    ----------
+    connections : TargetConnections
+        For calls.
+    control_connections : TargetConnections
+        For reports and orders.
+    """
 
     __slots__ = (
         "_connections",
+        "_control_connections",
         "_telemetry",
         "_unreadable_by_id",
         "_view",
@@ -72,10 +95,12 @@
     def __init__(
         self,
         connections: TargetConnections,
+        control_connections: TargetConnections,
         view: RouterView,
         telemetry: DeferredTelemetry,
     ):
         self._connections = connections
+        self._control_connections = control_connections
         self._view = view
         self._telemetry = telemetry
         self._unreadable_by_id: dict[str, str] = {}
@@ -83,6 +108,10 @@
         self.reports = 0
         self.orders_by_status: dict[int, int] = {}
 
+    def sum_connections(self, count: Callable[[TargetConnections], int]) -> int:
+        """Return the sum of a counter over the connections to targets."""
+        return count(self._connections) + count(self._control_connections)
+
     def check(self, call: Call) -> Fault | None:
         """Return why a call may not be sent now, or None.
 
@@ -208,7 +237,7 @@
         may_have_run_before, call.may_have_run = call.may_have_run, True
         fresh = fresh or not call.route.repeatable or not is_id_new
         call.arrived += 1
-        sent = await self._send(record, outgoing, fresh)
+        sent = await self._send(self._connections, record, outgoing, fresh)
         if sent.is_error():
             if sent.error.code is ResultCode.CONNECT_FAILED:
                 call.arrived -= 1
@@ -319,12 +348,16 @@
         self.reports += 1
         outgoing = Outgoing("GET", REPORT_PATH.encode(), [_host(record)])
         answer = await self._short_call(record, outgoing, limit_s, fresh, has_token)
-        if answer.is_ok() and answer.ok.status == 200:
-            return decode_report(answer.ok.body)
-        if answer.is_ok():
-            detail = f"status {answer.ok.status}"
-            return Error(fault(ResultCode.MALFORMED_ANSWER, detail))
-        return Error(answer.error)
+        if answer.is_error():
+            return Error(answer.error)
+        status = answer.ok.facts.status
+        if status != 200:
+            self._note_short_answer(record, answer.ok)
+            return Error(fault(ResultCode.MALFORMED_ANSWER, f"status {status}"))
+        report = decode_report(answer.ok.body)
+        if report.is_ok():
+            self._note_short_answer(record, answer.ok)
+        return report
 
     async def order(
         self, record: TargetRecord, body: bytes
@@ -333,10 +366,15 @@
         headers = [_host(record), *order_headers(record.id)]
         headers.append((b"content-length", str(len(body)).encode()))
         outgoing = Outgoing("POST", ORDER_PATH.encode(), headers, body)
-        answer = await self._short_call(record, outgoing, ORDER_TIMEOUT_S)
-        status = order_status(answer)
+        answer = await self._short_call(
+            record, outgoing, ORDER_TIMEOUT_S, fresh=True, reusable=False
+        )
+        if answer.is_ok():
+            self._note_short_answer(record, answer.ok)
+        result = answer.map(lambda item: OrderAnswer(item.facts.status, item.body))
+        status = order_status(result)
         self.orders_by_status[status] = self.orders_by_status.get(status, 0) + 1
-        return answer
+        return result
 
     async def _short_call(
         self,
@@ -345,7 +383,18 @@
         limit_s: float,
         fresh: bool = False,
         has_token: bool = False,
-    ) -> Result[OrderAnswer, Fault]:
+        reusable: bool = True,
+    ) -> Result["_ShortAnswer", Fault]:
+        """Send a report request or an order; return its whole answer.
+
+        An answer with an id is one to a caller's request.  It proves no more than a
+        broken connection does.
+
+        Parameters
+        ----------
+        reusable : bool
+            Whether the connection may be used for a report after the answer.
+        """
         sent_at = self._view.clock.now()
         if not self._view.rests.allows_probe(record, sent_at):
             return Error(fault(ResultCode.TARGETS_RESTING))
@@ -353,25 +402,34 @@
             return Error(fault(ResultCode.TARGETS_LIMITED))
         self._view.rests.take_probe(record, sent_at)
         with trio.move_on_after(limit_s):
-            sent = await self._send(record, outgoing, fresh)
+            sent = await self._send(self._control_connections, record, outgoing, fresh)
             if sent.is_error():
                 return sent
-            self._note_rate_limit(record, sent.ok.facts, sent_at, serves=False)
-            self._note_rest(record, sent.ok.facts, serves=False)
-            self._note_leaving(record, sent.ok.facts)
+            facts = sent.ok.facts
             body = await sent.ok.read()
-            await sent.ok.close(reusable=body.is_ok())
-            return body.map(lambda content: OrderAnswer(sent.ok.facts.status, content))
+            is_own = not facts.request_id
+            await sent.ok.close(reusable and is_own and body.is_ok())
+            if not is_own:
+                detail = "the answer belongs to a request"
+                return Error(fault(ResultCode.STREAM_BROKEN, detail))
+            return body.map(lambda content: _ShortAnswer(facts, content, sent_at))
         return Error(fault(ResultCode.STREAM_SILENT, f"no answer within {limit_s} s"))
 
+    def _note_short_answer(self, record: TargetRecord, answer: "_ShortAnswer") -> None:
+        self._note_rate_limit(record, answer.facts, answer.sent_at, serves=False)
+        self._note_rest(record, answer.facts, serves=False)
+        self._note_leaving(record, answer.facts)
+
     async def _send(
-        self, record: TargetRecord, outgoing: Outgoing, fresh: bool
+        self,
+        connections: TargetConnections,
+        record: TargetRecord,
+        outgoing: Outgoing,
+        fresh: bool,
     ) -> Result[Exchange, Fault]:
         """Send to a target; what the HTTP library raises fails this attempt only."""
         with self._view.boundary.contain("target.send", record.id):
-            return await self._connections.send(
-                record.address, outgoing, fresh, record.id
-            )
+            return await connections.send(record.address, outgoing, fresh, record.id)
         return Error(fault(ResultCode.INTERNAL, "the attempt raised an exception"))
 
     def _note_rate_limit(
--- a/radishfield/platform/_targets.py
+++ b/radishfield/platform/_targets.py
@@ -74,9 +74,9 @@
 
 
 class _Report(msgspec.Struct, rename="camel"):
+    busy: bool
+    order_count: Count = msgspec.field(name="seq")
     started_ms: Count = msgspec.field(name="born", default=0)
-    busy: bool = False
-    order_count: Count = msgspec.field(name="seq", default=0)
     waiting: Count = 0
     running: Count = 0
     kv_used: Amount = 0.0
