--- a/radishfield/forwarding/router_test.py
+++ b/radishfield/forwarding/router_test.py
@@ -308,10 +308,10 @@
     """Guards against input that the grammar of entries lets through by mistake."""
     send = TargetConnections.send
 
-    async def send_or_raise(connections, address, outgoing, fresh):
+    async def send_or_raise(connections, address, *arguments):
         if address == "127.0.0.9:8080":
             raise UnicodeError("label too long")
-        return await send(connections, address, outgoing, fresh)
+        return await send(connections, address, *arguments)
 
     async def scenario(testbed):
         await start_layered_router(testbed, [(0, 40), (40, 80)])
