End no answer without a length by a reset that a failed send took in

Callers got half an answer framed as whole: a 200 with a length over a part of the body, or a stream with its last chunk. The target had answered early, without a length or chunks, and reset the connection while the request was still being sent.

Cause: the failed send takes in the reset, so that the next read reports an end in good order; the HTTP library goes on reading after a failed send. On a relaying host the same happened between its two directions, and it passed the end on as a clean one.

A connection whose send has failed ends no answer any more: an empty read after it is broken, and a relaying host resets the connection of the host that asked. An answer with a length or chunks was whole before and is not touched.

--- a/radishfield/relay/_server.py
+++ b/radishfield/relay/_server.py
@@ -187,8 +187,13 @@
             reply = encode_reply(key, challenge, ResultCode.FINISHED)
             await stream.send_all(reply)
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._pass_requests, stream, target.ok, scope)
-                nursery.start_soon(self._pass_answers, target.ok, stream, scope)
+                send_failed = trio.Event()
+                nursery.start_soon(
+                    self._pass_requests, stream, target.ok, scope, send_failed
+                )
+                nursery.start_soon(
+                    self._pass_answers, target.ok, stream, scope, send_failed
+                )
         finally:
             await trio.aclose_forcefully(target.ok)
 
@@ -244,7 +249,9 @@
             return Error(fault(ResultCode.PEER_UNREACHABLE, opened.error.detail))
         return opened
 
-    async def _pass_requests(self, caller, target, scope: trio.CancelScope) -> None:
+    async def _pass_requests(
+        self, caller, target, scope: trio.CancelScope, send_failed: trio.Event
+    ) -> None:
         """Pass bytes to the target, and end both connections with the caller's."""
         try:
             while data := await caller.receive_some(MAX_CHUNK_BYTES):
@@ -254,6 +261,7 @@
                 try:
                     await target.send_all(data)
                 except BROKEN_STREAM_ERRORS as problem:
+                    send_failed.set()
                     log_event("relay.broken", end="target", detail=repr(problem))
                     # An answer may still be on its way; its reader finds the end.
                     return
@@ -261,12 +269,17 @@
             log_event("relay.broken", end="host", detail=repr(problem))
         scope.cancel()
 
-    async def _pass_answers(self, target, caller, scope: trio.CancelScope) -> None:
+    async def _pass_answers(
+        self, target, caller, scope: trio.CancelScope, send_failed: trio.Event
+    ) -> None:
         """Pass the target's bytes in frames, and its clean end as the last one."""
         try:
             while data := await target.receive_some(MAX_CHUNK_BYTES):
                 self.bytes_passed += len(data)
                 await caller.send_all(CHUNK.pack(len(data)) + data)
+            if send_failed.is_set():
+                # The failed send took in the reset, which then reads like an end.
+                raise trio.BrokenResourceError("the connection was reset")
             await caller.send_all(CHUNK.pack(0))
             with trio.move_on_after(END_WAIT_S):
                 await trio.sleep_forever()
--- a/radishfield/relay/_streams.py
+++ b/radishfield/relay/_streams.py
@@ -133,6 +133,7 @@
     """Adapts a connection to a target to the HTTP library."""
 
     def __init__(self, stream: trio.SocketStream | RelayedStream):
+        self._send_failed = False
         self._stream = stream
         self.before_read: Callable[[], Awaitable[None]] | None = None
         """Called before each read, once all bytes read so far have been used."""
@@ -158,7 +159,11 @@
             # The next event has rarely arrived already.  A read without a wait would
             # fail for each event, and be repeated after the wait.
             await trio.lowlevel.wait_readable(self._stream.socket)
-        return await self._stream.receive_some(max_bytes)
+        data = await self._stream.receive_some(max_bytes)
+        if not data and self._send_failed:
+            # The failed send took in the reset, which then reads like an end.
+            raise trio.BrokenResourceError("the connection was reset")
+        return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Send bytes."""
@@ -168,6 +173,7 @@
         except trio.TooSlowError as problem:
             raise httpcore.WriteTimeout(problem) from problem
         except BROKEN_STREAM_ERRORS as problem:
+            self._send_failed = True
             raise httpcore.WriteError(problem) from problem
 
     async def aclose(self) -> None:
--- a/radishfield/relay/relay_test.py
+++ b/radishfield/relay/relay_test.py
@@ -25,6 +25,8 @@
 
 KEY = b"k" * 32
 OTHER_KEY = b"x" * 32
+LARGE_REQUEST_BYTES = 16 << 20
+"""More than the buffers between two hosts and a target hold."""
 
 
 class FixedKey:
@@ -78,6 +80,14 @@
         assert dialed.ok.via == "near"
         return dialed.ok.stream
 
+    async def dial_directly(self):
+        """Return a connection over the asking host's own link."""
+        dialed = await TargetDialer.direct(TargetLinks(), SystemClock()).dial(
+            self.target
+        )
+        assert dialed.ok.via == ""
+        return dialed.ok.stream
+
     async def open(self):
         host, port = self.address.split(":")
         stream = await trio.open_tcp_stream(host, int(port))
@@ -175,6 +185,49 @@
     play(scenario, break_off)
 
 
+async def answer_half_and_reset(stream):
+    await stream.receive_some(1)
+    await stream.send_all(b"half an answ")
+    linger = b"\x01" + b"\x00" * 7
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    await trio.aclose_forcefully(stream)
+
+
+async def read_after_failed_send(stream):
+    """Read to the end of an answer as the HTTP library does."""
+    try:
+        await stream.write(bytes(LARGE_REQUEST_BYTES))
+    except httpcore.WriteError:
+        pass
+    while await stream.read(100):
+        pass
+
+
+def test_reset_that_a_relaying_host_meets_as_it_sends_is_passed_on_as_one():
+    """Guards against a reset that only the send sees, so that a read finds an end."""
+
+    async def scenario(scene):
+        # Whether the send or the read meets the reset first is open.
+        for _ in range(12):
+            stream = await scene.dial()
+            with pytest.raises(httpcore.ReadError):
+                await read_after_failed_send(stream)
+            await stream.aclose()
+
+    play(scenario, answer_half_and_reset)
+
+
+def test_reset_that_a_send_meets_ends_no_answer():
+    """Guards against a reset that only the send sees, so that a read finds an end."""
+
+    async def scenario(scene):
+        stream = await scene.dial_directly()
+        with pytest.raises(httpcore.ReadError):
+            await read_after_failed_send(stream)
+
+    play(scenario, answer_half_and_reset)
+
+
 def test_stranger_without_the_key_reaches_no_target():
     async def scenario(scene):
         stream, challenge = await scene.open()
