Let the soak's targets stutter

Targets answer twice on kept connections: the second answer whole or cut in head or body, together with the first one, up to 30 ms later, or once the next request was read. Some own answers are failures with id and stamp, some have no length, are torn or reset. First targets of streams, reports and orders stutter too. The judge compares what callers got with the runs of their requests.

An older run of a stream on a stand-in no longer removes what a later run of it uses.

--- a/proofs/_router_soak.py
+++ b/proofs/_router_soak.py
@@ -12,13 +12,14 @@
 import math
 import random
 import signal
-from collections import Counter
+from collections import Counter, defaultdict
 from pathlib import Path
 
 import httpcore
 import trio
 
 from proofs._router_relay import FaultyRelay, RelayFault, SlowLink
+from proofs._soak_answers import AnswerLog, Received, is_sound
 from proofs._soak_changes import Changes
 from proofs._soak_crashes import PART_CAUSE, CrashLog
 from proofs._soak_entries import Entries
@@ -41,6 +42,7 @@
     PlainTarget,
 )
 from standins.router_process import RouterProcess
+from standins.stuttering_server import Habits, Run, StutteringServer
 
 HOSTS = 3
 """Hosts of the typical run, each of which watches the store by itself."""
@@ -84,6 +86,8 @@
         self._crashes = CrashLog()
         self._limits = LimitLog()
         self._notices = NoticeLog()
+        self._answers = AnswerLog()
+        self._stutterers: list[StutteringServer] = []
         self._restarts: trio.Nursery | None = None
         self._link_by_source: dict[str, SlowLink] = {}
         self._changes = Changes(self._store, plan.timeout_ms, self._max_queued_s)
@@ -138,7 +142,7 @@
             router.start()
 
     async def _add_plain(self, target_id: str) -> None:
-        target = PlainTarget(target_id)
+        target = PlainTarget(target_id, names_requests=self._plan.stutters)
         await self._serve_until_crash(target, self._add_plain)
         self._plain.append(target)
         entry = target_entry("portal", target.address)
@@ -147,6 +151,7 @@
     async def _add_layered(self, target_id: str, first: int, end: int) -> None:
         target = LayeredTarget(target_id, first=first, end=end)
         target.events, target.gap_s = self._plan.events, self._plan.gap_s
+        target.names_requests = self._plan.stutters
         await self._serve_until_crash(target, self._add_layered, first, end)
         self._fleet.add(target)
         self._layered.append(target)
@@ -184,9 +189,16 @@
             await add_again(f"{target_id}+", *span)
 
     async def _serve_behind_relay(self, nursery, name: str, app) -> str:
-        listener = ListenerConfig.from_settings("127.0.0.1:0", drain_s=0.0)
-        (url,) = await nursery.start(serve_app, app, listener, None)
-        relay = FaultyRelay(url.removeprefix("http://"), self._link_by_source)
+        if self._plan.stutters and name != STORE:
+            rng = random.Random(f"{self._seed} {name}")
+            server = StutteringServer(name, app, rng)
+            self._stutterers.append(server)
+            address = await nursery.start(server.serve)
+        else:
+            listener = ListenerConfig.from_settings("127.0.0.1:0", drain_s=0.0)
+            (url,) = await nursery.start(serve_app, app, listener, None)
+            address = url.removeprefix("http://")
+        relay = FaultyRelay(address, self._link_by_source)
         await nursery.start(relay.run)
         self._relays[name] = relay
         return relay.address
@@ -249,6 +261,8 @@
                 await self._rest(rng)
             case "word":
                 await self._say_leaving(rng)
+            case "stutter":
+                await self._stutter(rng)
             case "drill":
                 await self._drill(rng)
             case "hup":
@@ -303,6 +317,24 @@
         if entry is not None:
             self._entries.change(target.id, born=entry.get("born", 0) + 1)
 
+    async def _stutter(self, rng: random.Random) -> None:
+        """Let half of the targets stutter for some seconds, or all of them.
+
+        Hosts leave targets aside whose answers break, unless all are like that.
+        """
+        share = rng.choice((0.5, 1.0))
+        servers = [
+            server
+            for server in self._stutterers
+            if server.habits is None and rng.random() < share
+        ]
+        stutters_s = rng.uniform(2.0, 5.0)
+        for server in servers:
+            server.habits = Habits()
+        await trio.sleep(stutters_s)
+        for server in servers:
+            server.habits = None
+
     async def _drill(self, rng: random.Random) -> None:
         """Let the store go away for a moment and come back from an older copy.
 
@@ -406,7 +438,7 @@
             items = [f"{part}:10" for part in parts or sound]
             headers["x-prompt-prefix"] = ",".join(items)
         method = "GET" if kind == "read" else "POST"
-        received, status, complete, signed = bytearray(), 0, False, False
+        received, status, complete, stamp = bytearray(), 0, False, b""
         sent_at = trio.current_time()
         try:
             with trio.fail_after(deadline_s + 1.0):
@@ -417,7 +449,7 @@
                     content=None if kind == "read" and not crashes else body,
                 ) as answer:
                     status = answer.status
-                    signed = b"x-server-stamp" in _header_by_name(answer)
+                    stamp = _header_by_name(answer).get(b"x-server-stamp", b"")
                     async for chunk in answer.aiter_stream():
                         received += chunk
                     complete = True
@@ -427,12 +459,16 @@
             pass
         if status == 200 and kind == "stream" and not complete:
             self._check_events(request_id, bytes(received), complete=False)
+        times = sent_at, trio.current_time()
+        name = _router_name(router)
         if kind == "stream" and not crashes:
-            times = sent_at, trio.current_time()
             self._stream_ends.append(
-                StreamEnd(
-                    request_id, _router_name(router), *times, status, signed, complete
-                )
+                StreamEnd(request_id, name, *times, status, bool(stamp), complete)
+            )
+        if self._plan.stutters:
+            body = bytes(received)
+            self._answers.record(
+                Received(request_id, kind, name, *times, status, stamp, body, complete)
             )
         self.findings.status_by_request[request_id] = status
         name = f"{kind} crash" if crashes else kind
@@ -514,8 +550,15 @@
                 self._add_violation(f"{request_id}: ran {runs[request_id]} times")
             if status in NOT_RUN_STATUSES and runs[request_id]:
                 self._add_violation(f"{request_id}: told {status} and ran")
+        runs_by_request = self._collect_runs()
         for end in self._stream_ends:
-            self._check_stream_end(end)
+            self._check_stream_end(end, runs_by_request.get(end.request_id, []))
+        for violation in self._answers.find_violations(
+            runs_by_request, self._fault_log
+        ):
+            self._add_violation(violation)
+        self.findings.doubled = sum(server.doubled for server in self._stutterers)
+        self.findings.reads = self._answers.count_served("read", runs_by_request)
         self.findings.crashes = len(self._crashes)
         self.findings.limits = len(self._limits)
         for violation in self._crashes.find_violations(self._fault_log):
@@ -527,7 +570,14 @@
         for violation in self._notices.find_violations(targets, self._fault_log):
             self._add_violation(violation)
 
-    def _check_stream_end(self, end: StreamEnd) -> None:
+    def _collect_runs(self) -> dict[str, list[Run]]:
+        runs_by_request: dict[str, list[Run]] = defaultdict(list)
+        for server in self._stutterers:
+            for request_id, runs in server.runs_by_request.items():
+                runs_by_request[request_id] += runs
+        return runs_by_request
+
+    def _check_stream_end(self, end: StreamEnd, runs: list[Run]) -> None:
         """Check that a started stream did not end early without a reason."""
         addresses = self._fleet.addresses_by_request.get(end.request_id)
         if not addresses or not end.is_aborted:
@@ -536,7 +586,8 @@
         relays = [
             name for name, relay in relay_by_name.items() if relay.address in addresses
         ]
-        if self._fault_log.is_excused(end, relays):
+        all_spoiled = bool(runs) and not any(is_sound(run) for run in runs)
+        if all_spoiled or self._fault_log.is_excused(end, relays):
             self.findings.excused += 1
             return
         lasted_s = end.ended_at - end.sent_at
--- a/proofs/_soak_judge.py
+++ b/proofs/_soak_judge.py
@@ -5,7 +5,9 @@
 
 - its router was stopped, killed or told to leave;
 - the relay of a target that it passed had a fault;
-- the store's relay had a fault.
+- the store's relay had a fault;
+- none of its runs was answered with a sound success (told only beside stuttering
+  targets).
 
 Neither a change of the configuration nor a slow link excuses one.  Targets are never
 told to fail.
@@ -36,6 +38,10 @@
         Times that a target named a limit.
     rests : int
         Times that a target asked for rest.
+    doubled : int
+        Second answers of targets to one request.
+    reads : tuple of int
+        Reads served, and reads that ran, beside stuttering targets.
     queued_s : float
         Longest wait of a byte before a router's link.
     late_s : float
@@ -51,6 +57,8 @@
     crashes: int = 0
     limits: int = 0
     rests: int = 0
+    doubled: int = 0
+    reads: tuple[int, int] = (0, 0)
     queued_s: float = 0.0
     late_s: float = 0.0
 
--- a/proofs/_soak_plans.py
+++ b/proofs/_soak_plans.py
@@ -37,6 +37,8 @@
         Additional targets of each kind, so that some remain after crashing requests.
     link_mbps : tuple of float
         Bounds of the bandwidth of each router's link; empty for no bound.
+    stutters : bool
+        Targets can stutter, and each of their bodies names its request.
     """
 
     kinds: tuple[str, ...]
@@ -51,6 +53,7 @@
     promises: str = TYPICAL_PROMISES
     spares: int = 0
     link_mbps: tuple[float, ...] = field(default=())
+    stutters: bool = False
 
 
 FAULTS = Plan(
@@ -120,6 +123,27 @@
 )
 """The store comes back from older copies while hosts stop and versions change."""
 
+STUTTER = Plan(
+    kinds=(
+        "stutter",
+        "stutter",
+        "stutter",
+        "stutter",
+        "reset",
+        "relay",
+        "kill",
+        "term",
+        "stop",
+        "hup",
+    ),
+    calls=("read", "read", "read", "post", "stream"),
+    callers=12,
+    max_calls=20,
+    spares=2,
+    stutters=True,
+)
+"""Targets answer twice on kept connections while hosts stop and start."""
+
 
 @dataclass(slots=True, frozen=True)
 class ScheduledFault:
@@ -149,4 +173,5 @@
     "limits": LIMITS,
     "notices": NOTICES,
     "drills": DRILLS,
+    "stutter": STUTTER,
 }
--- a/proofs/router_soak.py
+++ b/proofs/router_soak.py
@@ -35,7 +35,8 @@
         click.echo(
             f"seed {seed}: {calls} calls, {len(findings.faults)} faults,"
             f" {findings.crashes} crashes, {findings.limits} limits,"
-            f" {findings.excused} cuts excused,"
+            f" {findings.excused} cuts excused, {findings.doubled} answers doubled,"
+            f" {findings.reads[0]} of {findings.reads[1]} reads served,"
             f" queued {findings.queued_s:.2f} s,"
             f" late by {findings.late_s:.3f} s,"
             f" {folder.name}"
--- a/proofs/router_soak_test.py
+++ b/proofs/router_soak_test.py
@@ -12,6 +12,7 @@
     LIMITS,
     NOTICES,
     PARTS,
+    STUTTER,
     Plan,
 )
 from standins.ports import free_ports
@@ -90,3 +91,15 @@
     assert findings.violations == []
     assert findings.faults.count("drill") > 1
     assert findings.statuses["stream 200"] > 20
+
+
+@pytest.mark.parametrize(("seed", "hosts"), [(5, HOSTS)])
+def test_callers_get_the_answers_that_stuttering_targets_gave_them(
+    seed, hosts, tmp_path
+):
+    """Guards against second answers that alter the next one on a kept connection."""
+    findings = _run_soak(seed, hosts, tmp_path, STUTTER)
+    assert findings.violations == []
+    assert findings.doubled > 50
+    assert findings.statuses["stream 200"] > 20
+    assert findings.reads[0] > 200
--- a/standins/routed_targets.py
+++ b/standins/routed_targets.py
@@ -101,10 +101,13 @@
         Times at which requests of any kind arrived.
     named_at : list of float
         Times of the answers that named a limit.
+    names_requests : bool
+        Each body names its request.
     """
 
     id: str
     address: str = ""
+    names_requests: bool = False
     work_s: float = 0.01
     limit: str = ""
     arrived_at: list[float] = field(default_factory=list)
@@ -156,7 +159,10 @@
             await send_chunk(send, b"half")
             return
         status = 500 if failure == "error" else 200
-        await send_bytes(send, status, b"answer of " + self.id.encode(), TEXT, extra)
+        text = b"answer of " + self.id.encode()
+        if self.names_requests:
+            text += b" to " + request_id
+        await send_bytes(send, status, text, TEXT, extra)
 
 
 @dataclass(slots=True)
@@ -262,10 +268,13 @@
         Times at which requests of any kind arrived, as a part of a path too.
     named_at : list of float
         Times of the answers that named a limit.
+    names_requests : bool
+        Each event names its request.
     """
 
     id: str
     address: str = ""
+    names_requests: bool = False
     limit: str = ""
     arrived_at: list[float] = field(default_factory=list)
     named_at: list[float] = field(default_factory=list)
@@ -397,6 +406,7 @@
             await send_json(send, faulty_stage[0], {}, extra)
             return
         self.runs[request_id] += 1
+        run_number = self.runs[request_id]
         self.paths.append(path)
         self._stages_by_request[request_id] = stages
         self.fleet.record_path(request_id, stages)
@@ -408,7 +418,9 @@
             await self._send_events(request_id, headers, send)
         finally:
             self.ended_runs += 1
-            self._stages_by_request.pop(request_id, None)
+            if self.runs[request_id] == run_number:
+                # Otherwise a later run of the same request uses them.
+                self._stages_by_request.pop(request_id, None)
 
     async def _send_events(self, request_id: str, headers, send) -> None:
         head = [
@@ -432,7 +444,10 @@
                     return
             if self.endless_after_events in range(number):
                 await self._send_without_end(send)
-            event = b"id: %d\ndata: token %d\n\n" % (number, number)
+            token = b"token %d" % number
+            if self.names_requests:
+                token += b" of " + request_id.encode()
+            event = b"id: %d\ndata: %b\n\n" % (number, token)
             if self.abort_after_events and number > self.abort_after_events:
                 self.abort_after_events = 0
                 await send_chunk(send, event[:7])
