Count no end of a relayed connection as unrequested bytes, and close in any case

A relaying host's word that the target has closed was counted as bytes that belong to no request: after a whole answer with its close, no connection to a sound target was kept for two seconds, and the log said that it had sent surplus bytes. And with no descriptor left the count raised before the connection was closed, so that a whole answer was lost.

The end frame alone counts as nothing, the count is empty where it can't be taken, and the connection is closed whatever it raises. Found by reading.

--- a/radishfield/forwarding/_connections.py
+++ b/radishfield/forwarding/_connections.py
@@ -306,12 +306,14 @@
     async def discard(self, connection: _TargetConnection) -> None:
         """Close a connection that is not used again."""
         framed, stream = connection.network.framed, connection.network.stream
-        if framed is not None:
-            # Unread bytes of an answer that is given up are its own.
-            unread = stream.unread_bytes() if framed.is_idle else 0
-            if framed.is_spoiled or unread:
-                self._report_spoiled(connection, framed, unread)
-        await connection.http.aclose()
+        try:
+            if framed is not None:
+                # Unread bytes of an answer that is given up are its own.
+                unread = stream.unread_bytes() if framed.is_idle else 0
+                if framed.is_spoiled or unread:
+                    self._report_spoiled(connection, framed, unread)
+        finally:
+            await connection.http.aclose()
 
     def note_spoiled(self, connection: _TargetConnection) -> None:
         """Keep no connections to a target for a while."""
--- a/radishfield/relay/_streams.py
+++ b/radishfield/relay/_streams.py
@@ -31,6 +31,8 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
 ]
+END_FRAME = CHUNK.pack(0)
+"""What a relaying host sends once the target has closed in good order."""
 BROKEN_STREAM_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
 
 
@@ -96,9 +98,9 @@
         return bool(self._buffer)
 
     @property
-    def buffered_bytes(self) -> int:
-        """Return the number of bytes received and not yet read, frames included."""
-        return len(self._buffer)
+    def buffered(self) -> bytes:
+        """Return the bytes received and not yet read, frames included."""
+        return bytes(self._buffer)
 
     async def receive_some(self, max_bytes: int = MAX_CHUNK_BYTES) -> bytes:
         """Return the target's next bytes; empty once the target closed."""
@@ -185,19 +187,11 @@
 
         An end of the connection is no byte.
         """
-        unread = 0
+        peeked = _peek(self._stream.socket)
         if isinstance(self._stream, RelayedStream):
-            unread = self._stream.buffered_bytes
-        if self._stream.socket.fileno() < 0 or not self._stream.socket.is_readable():
-            return unread
-        with closing(socket.socket(fileno=os.dup(self._stream.socket.fileno()))) as raw:
-            try:
-                peeked = raw.recv(
-                    MAX_PEEKED_BYTES, socket.MSG_PEEK | socket.MSG_DONTWAIT
-                )
-            except OSError:
-                return unread
-        return unread + len(peeked)
+            unread = self._stream.buffered + peeked
+            return 0 if unread == END_FRAME else len(unread)
+        return len(peeked)
 
     def get_extra_info(self, info: str) -> object:
         """Return what the HTTP library asks about an idle connection."""
@@ -207,3 +201,15 @@
             )
             return buffered or self._stream.socket.is_readable()
         return self._stream.socket if info == "socket" else None
+
+
+def _peek(stream_socket: trio.socket.SocketType) -> bytes:
+    """Return bytes that arrived and were not read, and leave them; empty if unknown."""
+    try:
+        if stream_socket.fileno() < 0 or not stream_socket.is_readable():
+            return b""
+        with closing(socket.socket(fileno=os.dup(stream_socket.fileno()))) as raw:
+            return raw.recv(MAX_PEEKED_BYTES, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except OSError:
+        # Descriptors are short, or the connection is broken.
+        return b""
--- a/radishfield/relay/relay_test.py
+++ b/radishfield/relay/relay_test.py
@@ -1,16 +1,20 @@
 """Tests of connections that one host opens for another, on the wire."""
 
+import errno
+import os
 import socket
 
 import httpcore
 import pytest
 import trio
+import trio.testing
 
 from radishfield.core import ResultCode, SystemClock
 from radishfield.relay import RelayServer, TargetDialer
 from radishfield.relay._dialer import ENOUGH_REFUSALS, MAX_LATE_RACES
 from radishfield.relay._frames import (
     CHALLENGE_BYTES,
+    CHUNK,
     LENGTH,
     MAC_BYTES,
     MAX_REQUEST_BYTES,
@@ -19,7 +23,12 @@
     decode_reply,
     encode_request,
 )
-from radishfield.relay._streams import receive_exactly
+from radishfield.relay._streams import (
+    END_FRAME,
+    RelayedStream,
+    TargetStream,
+    receive_exactly,
+)
 from radishfield.routing import RelayHost, TargetLinks
 from standins.ports import free_port
 
@@ -438,3 +447,29 @@
         assert scene.server.refused == ENOUGH_REFUSALS
 
     play(scenario)
+
+
+@pytest.mark.parametrize(
+    ("frames", "unread"),
+    [(b"", 0), (END_FRAME, 0), (CHUNK.pack(3) + b"abc", CHUNK.size + 3)],
+)
+def test_end_of_a_relayed_connection_is_no_unrequested_byte(
+    monkeypatch, frames, unread
+):
+    """Guards against sound targets whose connections are not kept after an end."""
+
+    async def main():
+        here, there = trio.socket.socketpair()
+        async with trio.SocketStream(here) as relayed, trio.SocketStream(there) as host:
+            stream = TargetStream(RelayedStream(relayed))
+            await host.send_all(frames)
+            await trio.testing.wait_all_tasks_blocked()
+            assert stream.unread_bytes() == unread
+
+            def fail(descriptor):
+                raise OSError(errno.EMFILE, "injected")
+
+            monkeypatch.setattr(os, "dup", fail)
+            assert stream.unread_bytes() == 0
+
+    trio.run(main)
