--- /dev/null
+++ b/review/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, its workers and clients, on loopback addresses."""
