--- a/review/5/case.py
+++ b/review/5/case.py
@@ -167,7 +167,8 @@
         broken = [
             name
             for name, (sent_at, key, _) in self.sent_at_by_id.items()
-            if key == TAKEN and name in self.ran
+            if key == TAKEN
+            and name in self.ran
             and sent_at > acknowledged_at + REVOKE_S
         ]
         late = [self.sent_at_by_id[name][0] - acknowledged_at for name in broken]
@@ -184,8 +185,12 @@
         self.record(f"{served} requests with the kept key were served")
         for router in self.routers:
             for line in router.log_lines(
-                "config.in_force", "config.older", "config.offered", "store.era",
-                "peer.joined", "host.starting",
+                "config.in_force",
+                "config.older",
+                "config.offered",
+                "store.era",
+                "peer.joined",
+                "host.starting",
             ):
                 self.record(f"log of {router.id}: {line}")
         return len(broken)
--- a/review/lab/clients.py
+++ b/review/lab/clients.py
@@ -125,9 +125,7 @@
         except (ValueError, ConnectionError, asyncio.IncompleteReadError):
             return "cut in the stream"
         ids = [
-            int(line[3:])
-            for line in received.split(b"\n")
-            if line.startswith(b"id:")
+            int(line[3:]) for line in received.split(b"\n") if line.startswith(b"id:")
         ]
         return "served" if ids == list(range(1, ids[-1] + 1)) else "wrong events"
 
--- a/review/lab/deployment.py
+++ b/review/lab/deployment.py
@@ -133,14 +133,16 @@
             zone = ZONES[number % len(ZONES)]
             ip = f"127.0.1.{number + 1}"
             name = f"edge-{zone}-{number // len(ZONES) + 1}"
-            router = RouterProcess(self.folder, ip, name, zone, self.store.server.address)
+            router = RouterProcess(
+                self.folder, ip, name, zone, self.store.server.address
+            )
             router.start()
             self.routers.append(router)
         self.ingress = Ingress(self.routers)
         self.spawn(self.ingress.watch())
         await asyncio.sleep(LEAD_S)
         ready = sum(router.in_rotation for router in self.routers)
-        placed = sum(worker._layers is not None for worker in self.workers)
+        placed = sum(worker.layers is not None for worker in self.workers)
         self.record(f"start: {ready} routers ready, {placed} workers hold the model")
         return ready == len(self.routers) and placed == len(self.workers)
 
@@ -161,9 +163,7 @@
             await asyncio.sleep(1.0 / per_s)
 
     async def _send_stream(self, zone):
-        tries = StreamTries(
-            self.ingress, self.record, zone, "review", SHARED_PART, KEY
-        )
+        tries = StreamTries(self.ingress, self.record, zone, "review", SHARED_PART, KEY)
         end, sent_at = await tries.run()
         self.ends.append((sent_at, end))
 
@@ -175,7 +175,7 @@
 
     def busiest_workers(self, count):
         """Return the workers that run most requests."""
-        live = [worker for worker in self.workers if not worker._crashed]
+        live = [worker for worker in self.workers if not worker.crashed]
         return sorted(live, key=lambda worker: -len(worker.running))[:count]
 
     def end(self):
--- a/review/lab/model_worker.py
+++ b/review/lab/model_worker.py
@@ -19,9 +19,9 @@
         self._beats = 0
         self._born = int(time.time() * 1000)
         self._busy = False
-        self._crashed = False
+        self.crashed = False
         self._kind = kind
-        self._layers = None
+        self.layers = None
         self._orders = 0
         self._runs = runs
         self._store = store
@@ -37,8 +37,8 @@
         self._beating = asyncio.create_task(self._beat())
 
     def crash(self):
-        """End without a word: connections are reset, the entry stays until it lapses."""
-        self._crashed = True
+        """End without a word: connections are reset, the entry lapses."""
+        self.crashed = True
         self._beating.cancel()
         self.server.crash()
 
@@ -60,7 +60,7 @@
             "stage": "both",
             "models": [{"name": "m", "version": 1, "adapters": []}],
             "kind": self._kind,
-            "layers": self._layers,
+            "layers": self.layers,
             "born": self._born,
             "seq": self._beats,
         }
@@ -93,7 +93,7 @@
             "kvTotal": 8_000_000,
             "handles": 0,
             "pace": 1.0,
-            "layers": self._layers,
+            "layers": self.layers,
             "kind": self._kind,
             "born": self._born,
             "stalled": [],
@@ -114,15 +114,15 @@
     async def _load(self, span):
         await asyncio.sleep(self._timing.load_s)
         self._busy = False
-        if not self._crashed:
-            self._layers = span
+        if not self.crashed:
+            self.layers = span
             self._write_entry()
 
     async def _stream(self, request, writer):
         name = request.headers.get("x-request-id", "")
         echo = ("X-Request-Id", name)
         whole = f"{self.server.address}=0-{LAYERS}"
-        if self._layers is None or request.headers.get("x-hop-count", whole) != whole:
+        if self.layers is None or request.headers.get("x-hop-count", whole) != whole:
             fault = [echo, ("At-Server", self.server.address)]
             writer.write(answer(421, fault))
             return True
--- a/review/lab/routers.py
+++ b/review/lab/routers.py
@@ -63,9 +63,7 @@
         ports = {name: free_port(ip) for name in ("front", "ready", "peers", "metrics")}
         self._path = folder / f"{host_id}.ini"
         self._path.write_text(
-            SETTINGS.format(
-                id=host_id, zone=zone, ip=ip, store=store_address, **ports
-            )
+            SETTINGS.format(id=host_id, zone=zone, ip=ip, store=store_address, **ports)
         )
         self._log = folder / f"{host_id}.log"
         self._process = None
@@ -88,7 +86,11 @@
         }
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
-                [program, *words], cwd=REPOSITORY, env=environment, stdout=log, stderr=log
+                [program, *words],
+                cwd=REPOSITORY,
+                env=environment,
+                stdout=log,
+                stderr=log,
             )
 
     def signal(self, number):
