--- a/review/lab/plain_worker.py
+++ b/review/lab/plain_worker.py
@@ -14,10 +14,13 @@
     ``runs`` gets one line for each request that it runs.
     """
 
-    def __init__(self, host, worker_id, zone, store, runs, work_s=0.02):
+    def __init__(
+        self, host, worker_id, zone, store, runs, work_s=0.02, service="portal"
+    ):
         self._beats = 0
         self._born = int(time.time() * 1000)
         self._runs = runs
+        self._service = service
         self._slots = asyncio.Semaphore(SLOTS)
         self._store = store
         self._work_s = work_s
@@ -34,7 +37,7 @@
         while True:
             self._beats += 1
             entry = {
-                "service": "portal",
+                "service": self._service,
                 "addr": self.server.address,
                 "zone": self._zone,
                 "version": "v1",
