--- a/review/4/case.py
+++ b/review/4/case.py
@@ -37,7 +37,7 @@
 
 async def play(record, trouble):
     """Play the run; return whether the rule held, or None if it could not run."""
-    deployment = Deployment(record, WORKERS, Timing(first_event_s=0.35))
+    deployment = Deployment(record, WORKERS, Timing(first_event_s=0.45))
     loop = asyncio.get_running_loop()
     try:
         if not await deployment.start():
