--- a/review/lab/routers.py
+++ b/review/lab/routers.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import tomllib
+from contextlib import ExitStack
 from pathlib import Path
 
 REPOSITORY = Path(__file__).resolve().parents[2]
@@ -49,18 +50,21 @@
 """
 
 
-def free_port(ip):
-    """Return a port that no process uses now."""
-    with socket.socket() as found:
-        found.bind((ip, 0))
-        return found.getsockname()[1]
+def free_ports(ip, count):
+    """Return different ports that no process uses now."""
+    with ExitStack() as held:
+        found = [held.enter_context(socket.socket()) for _ in range(count)]
+        for each in found:
+            each.bind((ip, 0))
+        return [each.getsockname()[1] for each in found]
 
 
 class RouterProcess:
     """One router on a loopback address of its own."""
 
     def __init__(self, folder, ip, host_id, zone, store_address):
-        ports = {name: free_port(ip) for name in ("front", "ready", "peers", "metrics")}
+        names = ("front", "ready", "peers", "metrics")
+        ports = dict(zip(names, free_ports(ip, len(names)), strict=True))
         self._path = folder / f"{host_id}.ini"
         self._path.write_text(
             SETTINGS.format(id=host_id, zone=zone, ip=ip, store=store_address, **ports)
