Replace the watchers of a zone as soon as neither is heard

Cause: these hosts read the store once their own view is 3 s old, or when the lost watchers no longer count as present, after 2.5 s. The view's age says nothing of the watchers' life: right after a change it is fresh.

Evidence: in virtual time 4 and 12 hosts, watchers killed or frozen, one change or a series of them, had the version in force after up to 2.52 s. A single change does it too, and the new watchers tell the others within 0.02 s, so neither the series nor the telling is to blame.

Why this works: a host notes which hosts it did not hear in its last three rounds of statuses. If no watcher is heard, the next hosts by id take over within a second, read the store and tell the others. Rounds are counted, so a host that was held up itself replaces nobody. Watchers of large zones, where statuses go in turn, send the others an empty confirmation a round.

--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -183,6 +183,7 @@
     def _send_round(self) -> None:
         """Update what is known of other hosts, and send them this host's state."""
         self._round += 1
+        self._book.begin_round(self._view.clock.now())
         self._view.load.expire_remote(self._view.clock.now())
         self._view.target_links.keep_only(
             {record.address for record in self._view.directory.all_records()}
@@ -201,6 +202,7 @@
         self._limits.report(recipients)
         if self._view.watch_duty.reports_to_zone:
             self._send_zone_totals(recipients)
+            self._send_pulse(recipients)
         self._view.load.add_up(self._view.zone, self._view.clock.now())
         self._view.links.advance(self._view.clock.now(), self._view.zone)
         self._log_links(self._view.clock.now())
@@ -220,6 +222,21 @@
             )
         self._closed_links = closed
 
+    def _send_pulse(self, recipients: list[Peer]) -> None:
+        """Show the hosts of a large zone that get no status now that this one lives.
+
+        A confirmation without echoes confirms nothing.
+        """
+        addresses = {peer.address for peer in recipients}
+        others = [
+            peer
+            for peer in self._book.present_zone_peers(self._view.clock.now())
+            if peer.address not in addresses
+        ]
+        if others:
+            pulse = PeerListConfirmation(self._host_id, 0, 0.0, [])
+            self._send(encoder.encode(pulse), others)
+
     def _send_zone_totals(self, recipients: list[Peer]) -> None:
         """Add up the work of the zone and send it with the totals of other zones."""
         load, links = self._view.load, self._view.links
@@ -545,6 +562,9 @@
         it sent before; dated by arrival, they would make it use for seconds a list
         that has changed since.
         """
+        peer = self._book.peer_by_id.get(message.host_id)
+        if peer is not None:
+            peer.confirmed_list_at = self._view.clock.now()
         echoed_at = self._echoed_at(message.echoes, self._view.clock.now())
         if echoed_at is not None:
             confirmed_at = echoed_at - max(0.0, message.age_s)
--- a/radishfield/forwarding/_peers.py
+++ b/radishfield/forwarding/_peers.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections import deque
 
 import msgspec
 
@@ -21,6 +22,10 @@
 """Hosts of other zones that receive a status, drawn at random: traffic between zones
 must not grow with the square of the number of hosts."""
 ALIVE_S = 2.5
+UNHEARD_ROUNDS = 3
+"""Rounds of this host's statuses after which a host that sent nothing meanwhile is no
+longer heard.  A host that was held up itself has sent no round, so that messages which
+it has yet to read are not taken for lost."""
 COUNTED_S = 30.0
 """Time for which a host that no longer sends still counts among those that share retry
 budgets.  It is longer than partitions last, after which both sides spend again."""
@@ -43,6 +48,8 @@
         Idle share of its event loop; negative if it is not known.
     offered_at : float
         When it was last sent a version of the configuration that it lacked.
+    confirmed_list_at : float
+        When it last sent a confirmation of its list.
     """
 
     address: tuple[str, int]
@@ -55,6 +62,12 @@
     relay: RelayOffer = RelayOffer.NONE
     idle_share: float = -1.0
     offered_at: float = -1e9
+    confirmed_list_at: float = -1e9
+
+    @property
+    def heard_at(self) -> float:
+        """Return when a message from it last arrived, or when it was found."""
+        return max(self.received_at, self.confirmed_list_at, self.found_at)
 
     def is_alive(self, now: float) -> bool:
         """Return whether a status was received from it recently."""
@@ -76,13 +89,24 @@
 class PeerBook:
     """All other hosts, by id."""
 
-    __slots__ = ("_rng", "_zone", "peer_by_id")
+    __slots__ = ("_rng", "_round_times", "_zone", "peer_by_id")
 
     def __init__(self, zone: str, rng: random.Random):
         self._zone = zone
         self._rng = rng
+        self._round_times: deque[float] = deque(maxlen=UNHEARD_ROUNDS + 1)
         self.peer_by_id: dict[str, Peer] = {}
 
+    def begin_round(self, now: float) -> None:
+        """Record that this host sends its statuses now."""
+        self._round_times.append(now)
+
+    def _is_heard(self, peer: Peer) -> bool:
+        return (
+            len(self._round_times) <= UNHEARD_ROUNDS
+            or peer.heard_at >= self._round_times[0]
+        )
+
     def own_zone_peers(self) -> dict[str, Peer]:
         """Return the hosts of the own zone, by id."""
         return {
@@ -130,7 +154,7 @@
     def zone_hosts(self, now: float) -> list[ZoneHost]:
         """Return the hosts that share the duty of following the store."""
         return [
-            ZoneHost(host_id, peer.watches, peer.silent_s(now))
+            ZoneHost(host_id, peer.watches, peer.silent_s(now), self._is_heard(peer))
             for host_id, peer in self.own_zone_peers().items()
             if peer.is_present(now)
         ]
--- a/radishfield/forwarding/leaving_test.py
+++ b/radishfield/forwarding/leaving_test.py
@@ -6,6 +6,7 @@
 
 import itertools
 
+import pytest
 import trio
 import trio.testing
 
@@ -277,14 +278,14 @@
     assert without_watchers < 40.0
 
 
-async def config_delay_s(scene, acknowledged_at, limit_s=6.0):
-    """Return how long after its acknowledgement a calm host lacked version 2."""
+async def config_delay_s(scene, acknowledged_at, limit_s=6.0, version=2):
+    """Return how long after its acknowledgement a calm host lacked a version."""
     worst = 0.0
     while trio.current_time() < acknowledged_at + limit_s:
         now = trio.current_time()
         for host in scene.zone.hosts:
             calm = now >= scene.calm_at[host.id]
-            if calm and host.view.table.config.version < 2:
+            if calm and host.view.table.config.version < version:
                 worst = now - acknowledged_at
         await trio.sleep(STEP_S)
     return worst
@@ -325,3 +326,33 @@
     cases = itertools.product((4, 40), MOMENTS_S)
     delays = {case: play(monkeypatch, case, scenario) for case in cases}
     assert {case: s for case, s in delays.items() if s > CONFIG_PROMISE_S} == {}
+
+
+@pytest.mark.parametrize("loss", ["killed", "frozen"])
+def test_watchers_that_are_both_lost_between_two_versions_hide_no_configuration(
+    monkeypatch, loss
+):
+    """Guards against hosts that wait for their own view to get old, with no watcher."""
+
+    async def scenario(scene, hosts, lost_after_s, changed_after_s, storm):
+        store = scene.zone.store
+        for version in range(-8, 1) if storm else [0]:
+            store.put("config", "main", config(9 + version))
+            await trio.sleep(0.33)
+        store.put("config", "main", config(10))
+        await trio.sleep(lost_after_s)
+        for host in scene.watchers:
+            scene.calm_at[host.id] = float("inf")
+            if loss == "killed":
+                host.scope.cancel()
+            else:
+                scene.zone.freeze(host)
+        await trio.sleep(changed_after_s)
+        store.put("config", "main", config(11))
+        return await config_delay_s(scene, trio.current_time(), version=11)
+
+    moments = ((0.0, 0.03), (0.15, 0.03), (0.9, 0.4))
+    cases = [(size, *moment, False) for size in (4, 12) for moment in moments]
+    cases += [(4, 0.3, 0.03, True), (12, 0.3, 0.03, True), (40, 0.02, 0.03, False)]
+    delays = {case: play(monkeypatch, case, scenario) for case in cases}
+    assert {case: s for case, s in delays.items() if s > CONFIG_PROMISE_S} == {}
--- a/radishfield/routing/_watch_duty.py
+++ b/radishfield/routing/_watch_duty.py
@@ -16,8 +16,8 @@
 from radishfield.routing._list_freshness import max_unread_age_s
 
 WATCHERS_PER_ZONE = 2
-"""One may be frozen or disconnected from the store.  If both are, the others read the
-store themselves for the second or two until two of them become watchers."""
+"""One may be frozen or disconnected from the store.  If both are, others replace them
+within a second; until then a host reads the store once its own view is old."""
 
 SMALL_ZONE_HOSTS = 3
 """In zones of up to this many hosts, all hosts watch the store."""
@@ -55,11 +55,14 @@
         The host reports that it watches the store.
     silent_s : float
         Seconds since the host had an answer from the store.
+    is_heard : bool
+        A message from it arrived within the last few rounds of statuses.
     """
 
     id: str
     watches: bool
     silent_s: float
+    is_heard: bool = True
 
 
 class WatchDuty(msgspec.Struct):
@@ -103,19 +106,26 @@
 
         The watchers are the first hosts by id, so that hosts that receive each other's
         messages agree without negotiation.  If they do not, a few more hosts watch.
+        The others hear of changes from the watchers alone, so both are replaced as soon
+        as neither is heard; one that is heard is enough.
         """
-        silent_s_by_id = {
-            host.id: host.silent_s
+        candidate_by_id = {
+            host.id: host
             for host in others
             if not (host.watches and host.silent_s >= MAX_WATCHER_SILENCE_S)
         }
-        self.shared = len(silent_s_by_id) >= SMALL_ZONE_HOSTS
+        self.shared = len(candidate_by_id) >= SMALL_ZONE_HOSTS
         before = self.on_duty
-        watchers = sorted([own_id, *silent_s_by_id])[:WATCHERS_PER_ZONE]
+        watchers = _first(own_id, candidate_by_id)
+        if not any(
+            each == own_id or candidate_by_id[each].is_heard for each in watchers
+        ):
+            heard = [each.id for each in candidate_by_id.values() if each.is_heard]
+            watchers = _first(own_id, heard)
         self.on_duty = not self.shared or own_id in watchers
         self.first_answered_at = None
         if self.reports_to_zone and watchers[0] != own_id:
-            self.first_answered_at = now - silent_s_by_id[watchers[0]]
+            self.first_answered_at = now - candidate_by_id[watchers[0]].silent_s
         return self.on_duty != before
 
     def turn_delay_s(self, wait_s: float, now: float) -> float:
@@ -171,3 +181,8 @@
         if version < self.newest_version:
             due_in_s = min(due_in_s, self.newer_heard_at + NEWER_VERSION_WAIT_S - now)
         return due_in_s
+
+
+def _first(own_id: str, other_ids: Iterable[str]) -> list[str]:
+    """Return the ids of the hosts that come first, which watch the store."""
+    return sorted([own_id, *other_ids])[:WATCHERS_PER_ZONE]
--- a/standins/follower_zone.py
+++ b/standins/follower_zone.py
@@ -200,6 +200,13 @@
         for host in self.hosts:
             nursery.start_soon(host.run)
 
+    def freeze(self, host: FollowerHost) -> None:
+        """Stop a host for good: it sends and hears nothing, and its calls hang."""
+        host.link.cut = True
+        others = {each.id for each in self.hosts if each is not host}
+        self.network.lost |= {(host.id, each) for each in others}
+        self.network.lost |= {(each, host.id) for each in others}
+
     def calls(self) -> int:
         """Return the number of calls that all hosts have sent to the store."""
         return sum(sum(host.link.calls.values()) for host in self.hosts)
