Let only hosts with a confirmed version vouch for it after a return

Cause: the wait of a starting host for another one ended with any status, also of a host that had just read the same copy, and it was counted from the process's start. A newer version that another host names was left out if it was heard while a call to the store was under way, which is right only as long as the store loses nothing.

The hosts that live know the newer version.

Why this works: statuses name the era in which the version was confirmed. Only such a status ends the wait early, or the time in which all hosts are heard, counted from the return. While it waits a host sends its status to all hosts, which answer at once. In a later era nothing older than what was heard is confirmed, by the store or by others. In the first era, and long after a return, nothing changes.

--- a/radishfield/forwarding/_era_monitor.py
+++ b/radishfield/forwarding/_era_monitor.py
@@ -35,6 +35,11 @@
         """Return the newest era; 0 if none is known."""
         return self._era.known
 
+    @property
+    def has_returned(self) -> bool:
+        """Return whether the store came back from a copy at least once."""
+        return self.known > 1
+
     @property
     def older_answers(self) -> int:
         """Return how many answers of older eras were left out."""
--- a/radishfield/forwarding/_follower.py
+++ b/radishfield/forwarding/_follower.py
@@ -81,9 +81,6 @@
 """Consecutive failed watches after which a configuration is listed instead.  A watch
 returns every version since the last one read.  Over a slow link this takes longer than
 the limit of a call, and even longer with each new version."""
-PEERS_HEARD_S = 1.5
-"""Time after a start in which the first status of another host arrives, if one lives:
-hosts write their addresses in the store first, and send four statuses a second."""
 MAX_PAUSE_S = 1.0
 """Maximum pause after failures: a recovered store is noticed within a second."""
 
@@ -341,7 +338,7 @@
         share = SHARED_CONFIG_WATCH_SHARE if shared else CONFIG_WATCH_SHARE
         due_share = SHARED_ANSWERED_AGE_SHARE if shared else ANSWERED_AGE_SHARE
         longest_s = freshness.bound_s * share
-        if self._waits_for_peers():
+        if self._view.lacks_witness():
             return MIN_CONFIG_WATCH_S
         age_s = freshness.age_s(now)
         if age_s >= freshness.bound_s:
@@ -403,6 +400,7 @@
         self._view.offers_config = not self._is_stored()
         if self._may_confirm(requested_at):
             self._view.freshness.confirm(requested_at, now)
+            self._view.note_era_confirmed()
         elif self._view.table is not None:
             self._view.freshness.note_answer(now)
 
@@ -413,23 +411,14 @@
 
     def _may_confirm(self, requested_at: float) -> bool:
         """Return whether an answer shows that the version in force is the newest."""
-        duty = self._view.watch_duty
-        if not self._is_stored() or self._waits_for_peers():
+        view, duty = self._view, self._view.watch_duty
+        if not self._is_stored() or view.lacks_witness():
             return False
-        # A newer version that was heard of before the call is missing in the store.
-        heard_before = duty.newer_heard_at < requested_at
-        return not (heard_before and duty.newest_version > self._stored_version)
-
-    def _waits_for_peers(self) -> bool:
-        """Return whether this host has just started and no other one was heard yet.
-
-        The store may have come back from a copy in which a key is not taken away yet,
-        which the other hosts know.
-        """
-        view = self._view
-        if view.started_at is None or view.eras.known <= 1 or view.peers.ever_heard:
-            return False
-        return view.clock.now() - view.started_at < PEERS_HEARD_S
+        if duty.newest_version <= self._stored_version:
+            return True
+        # In the first era no version is lost, so that one which was heard of after the
+        # call was acknowledged after it, too.
+        return not view.eras.has_returned and duty.newer_heard_at >= requested_at
 
     def _apply_peer_config(self, message: PeerConfig) -> None:
         """Adopt a version that another host forwards; it does not confirm freshness."""
--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -72,6 +72,8 @@
 lease."""
 OFFER_INTERVAL_S = 1.0
 """Interval in which a host is sent a version of the configuration again."""
+ANSWER_INTERVAL_S = 0.5
+"""Interval in which the statuses of a host without a confirmed version are answered."""
 MAX_REPORTED_UNREACHABLE = 4
 """A host that reports more unreachable targets at once than this is itself partitioned.
 If its report were applied, neighbours would exclude targets that they can reach."""
@@ -138,6 +140,7 @@
         self._relay_offered = RelayOffer.NONE
         self._round = 0
         self._started_at = view.clock.now()
+        view.peers.found_at = math.inf
         view.find_relays = lambda: self._book.relays(view.clock.now())
         self._socket: DatagramSocket | None = None
         self.malformed = 0
@@ -361,6 +364,7 @@
                 fit_demands(self._view.own_demands(), MAX_DEMAND_BYTES),
                 self._view.plain_use(),
                 self._view.eras.known,
+                self._view.confirmed_era,
             )
         )
 
@@ -426,6 +430,9 @@
 
     def _recipients(self) -> list[Peer]:
         now = self._view.clock.now()
+        if self._view.lacks_witness():
+            # Each one may be the only host that knows a newer version.
+            return list(self._book.peer_by_id.values())
         return self._book.recipients(self._round, now, bool(self._duties()))
 
     async def _receive(self) -> None:
@@ -497,7 +504,12 @@
         self._view.eras.hear(status.store_era, status.host_id)
         if self._view.watch_duty.record_peer_version(status.config_version, now):
             self._view.wake_followers()
+        view_of_peers = self._view.peers
+        view_of_peers.confirmed_era = max(
+            view_of_peers.confirmed_era, status.confirmed_era
+        )
         self._offer_config(status.config_version, peer, now)
+        self._answer_status(status, peer, now)
         echoed_at = self._echoed_at(status.echoes, now)
         if echoed_at is not None:
             self._merge_freshness(status, echoed_at)
@@ -555,6 +567,18 @@
             log_event("config.offered", version=update.version, peer=peer.address[0])
             self._send(data, [peer])
 
+    def _answer_status(self, status: PeerStatus, peer: Peer, now: float) -> None:
+        """Tell a host that may have read an older version which one is in force here.
+
+        Hosts of other zones would wait up to a second for the next status.
+        """
+        confirmed = 0 <= status.config_age_s < self._view.freshness.bound_s
+        if confirmed or not self._view.eras.has_returned or not self._version():
+            return
+        if now - peer.answered_at >= ANSWER_INTERVAL_S:
+            peer.answered_at = now
+            self._send(self._status(), [peer])
+
     def _apply_list_confirmation(self, message: PeerListConfirmation) -> None:
         """Date a watcher's confirmation of its list by this host's own status.
 
@@ -600,12 +624,18 @@
         """Apply another host's confirmation that the active version is the newest."""
         if status.config_age_s < 0 or not self._version():
             return
+        view = self._view
+        if view.eras.has_returned and view.watch_duty.newest_version > self._version():
+            # The store may have lost the newer version that this host has heard of.
+            return
         confirmation = PeerConfirmation(
             status.config_version, status.config_age_s, echoed_at
         )
         confirmed_at = confirmed_by_peer_at(confirmation, self._version())
         if confirmed_at is not None:
-            self._view.freshness.record_confirmation(confirmed_at)
+            view.freshness.record_confirmation(confirmed_at)
+            if status.confirmed_era == view.eras.known:
+                view.confirmed_era = status.confirmed_era
 
     def _update_peer_summary(self) -> None:
         """Record how many hosts are alive, and how recently one reached the store."""
--- a/radishfield/forwarding/_peer_finder.py
+++ b/radishfield/forwarding/_peer_finder.py
@@ -66,6 +66,7 @@
         for value in listing.ok.values:
             with self._view.boundary.contain("peer.add", value.name):
                 self.add_listed(value.name, value.spec)
+        self._view.peers.found_at = self._view.clock.now()
         self._view.hosts = self._book.count_hosts(self._view.clock.now())
         log_event(
             "peers.found",
--- a/radishfield/forwarding/_peer_messages.py
+++ b/radishfield/forwarding/_peer_messages.py
@@ -239,6 +239,9 @@
         Answer times of plain targets to the sender; not sent by older hosts.
     store_era : int
         Newest era of the store that the sender knows; not sent by older hosts.
+    confirmed_era : int
+        Newest era of the store in which the sender's version was confirmed; not sent
+        by older hosts.
     """
 
     host_id: str
@@ -268,6 +271,7 @@
     demand: list[ServiceDemand] = []
     plain_use: list[PlainTargetUse] = []
     store_era: Annotated[int, msgspec.Meta(ge=0, le=MAX_ERA)] = 0
+    confirmed_era: Annotated[int, msgspec.Meta(ge=0, le=MAX_ERA)] = 0
 
 
 encoder = msgspec.msgpack.Encoder()
--- a/radishfield/forwarding/_peers.py
+++ b/radishfield/forwarding/_peers.py
@@ -48,6 +48,8 @@
         Idle share of its event loop; negative if it is not known.
     offered_at : float
         When it was last sent a version of the configuration that it lacked.
+    answered_at : float
+        When it was last sent a status in answer to its own.
     confirmed_list_at : float
         When it last sent a confirmation of its list.
     """
@@ -62,6 +64,7 @@
     relay: RelayOffer = RelayOffer.NONE
     idle_share: float = -1.0
     offered_at: float = -1e9
+    answered_at: float = -1e9
     confirmed_list_at: float = -1e9
 
     @property
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -86,6 +86,12 @@
 """Known streams for each host below which the known work is not meaningful: a fleet
 under load runs two or more."""
 
+PEERS_HEARD_S = 1.5
+"""Time in which the versions of the other hosts arrive once their addresses are known:
+they answer the first status of a host that has none confirmed, and send four a second."""
+MAX_PEERS_WAIT_S = 4.0
+"""The same if their addresses are not found."""
+
 MAX_HOSTS_HEARD = 24
 """Hosts up to which each hears most of the others' statuses itself: twelve of its own
 zone, and some of each other one.  Beyond, sums tell of their work, later."""
@@ -114,6 +120,11 @@
         Seconds since the store answered one of them, the shortest such time.
     ever_heard : bool
         Some host has sent a status since the start.
+    found_at : float
+        When their addresses were read from the store; infinite before, and minus
+        infinity for a host that exchanges no statuses.
+    confirmed_era : int
+        Newest era of the store in which one of them had its version confirmed.
     idle_shares : list of float
         Idle shares of the event loops of the zone's other hosts, as far as known.
     """
@@ -121,6 +132,8 @@
     heard: int = 0
     freshest_s: float = math.inf
     ever_heard: bool = False
+    found_at: float = -math.inf
+    confirmed_era: int = 0
     idle_shares: list[float] = msgspec.field(default_factory=list)
     use_by_service_by_host: dict[str, dict[str, RetryUse]] = msgspec.field(
         default_factory=dict
@@ -205,6 +218,9 @@
         The version in force, as it was read.
     offers_config : bool
         The store does not hold that version, so that other hosts may lack it.
+    confirmed_era : int
+        Newest era of the store in which the version in force was confirmed, some time
+        after the era's begin; 0 if it was not.
     crash_updates : UpdateBuffer
         Traits whose crashes are to be reported to other hosts.
     host_load : HostLoad
@@ -292,6 +308,7 @@
     eras: EraMonitor | None = None
     active_config: ConfigUpdate | None = None
     offers_config: bool = False
+    confirmed_era: int = 0
     list_confirmations: UpdateBuffer[float] = msgspec.field(
         default_factory=UpdateBuffer
     )
@@ -354,6 +371,33 @@
         """Return the seconds since the list of targets was last known to be current."""
         return self.clock.now() - self.watch_duty.list_confirmed_at
 
+    def lacks_witness(self) -> bool:
+        """Return whether the store may hold an older version than another host knows.
+
+        It may have come back from a copy, and this host has no recent view of its own.
+        Hosts that started after the return know no more than the copy.  So only one
+        whose version was confirmed some time later counts as a witness, or none does
+        within the time in which all that live are heard.
+        """
+        now = self.clock.now()
+        if self.started_at is None or not self.eras.has_returned:
+            return False
+        if self.freshness.age_s(now) < self.freshness.bound_s:
+            return False
+        if self.peers.confirmed_era >= self.eras.known:
+            return False
+        known_for_s = self.eras.changed_s()
+        heard_for_s = min(known_for_s, now - self.peers.found_at)
+        return heard_for_s < PEERS_HEARD_S and known_for_s < MAX_PEERS_WAIT_S
+
+    def note_era_confirmed(self) -> None:
+        """Record that the store confirmed the version in force in its newest era.
+
+        Hosts whose versions differ may not have heard each other right after a return.
+        """
+        if self.eras.changed_s() >= PEERS_HEARD_S:
+            self.confirmed_era = self.eras.known
+
     def sends_callers_away(self) -> bool:
         """Return whether callers are better served by other hosts."""
         now, peers = self.clock.now(), self.peers
--- a/radishfield/forwarding/era_test.py
+++ b/radishfield/forwarding/era_test.py
@@ -13,8 +13,8 @@
 from hypothesis import strategies as st
 
 from radishfield.forwarding import _gossip
-from radishfield.forwarding._follower import PEERS_HEARD_S
 from radishfield.forwarding._peer_finder import HOSTS_KIND
+from radishfield.forwarding._view import PEERS_HEARD_S
 from radishfield.routing._directory import RETURN_REGISTRATION_S, STORE_CALM_S
 from radishfield.web import ERA_SPREAD_S
 from standins.follower_zone import FollowerHost, FollowerZone
@@ -78,10 +78,10 @@
         self.nursery.start_soon(target.live)
         return target
 
-    def start_host(self):
+    def start_host(self, zone_name="a"):
         """Start another host of the zone."""
         self.started += 1
-        host = FollowerHost(self.started, self.zone)
+        host = FollowerHost(self.started, self.zone, zone_name)
         ip, _, port = host.address.rpartition(":")
         self.zone.network.host_by_address[(ip, int(port))] = host.id
         self.zone.hosts.append(host)
@@ -120,11 +120,11 @@
     return [host.view.table.config.version for host in hosts]
 
 
-def play(scenario, hosts=3, targets=3, seed=1):
+def play(scenario, hosts=3, targets=3, seed=1, zone_names=""):
     """Run a scenario in a calm zone."""
 
     async def main():
-        zone = FollowerZone(hosts, seed)
+        zone = FollowerZone(hosts, seed, zone_names)
         with pytest.MonkeyPatch.context() as patch:
             patch.setattr(_gossip, "DatagramSocket", zone.open_socket)
             async with trio.open_nursery() as nursery:
@@ -236,6 +236,74 @@
     play(scenario)
 
 
+ZONE_NAMES = "aaaabbbcc"
+
+
+@pytest.mark.parametrize("killed", ["aaaa", "bbbcc", "all but one"])
+@pytest.mark.parametrize("killed_after_s", [-0.5, 0.2])
+def test_hosts_that_start_beside_a_return_do_not_vouch_for_each_other(
+    killed, killed_after_s
+):
+    """Guards against a key that is admitted by the word of hosts that read the copy."""
+
+    async def scenario(scene):
+        store = scene.zone.store
+        copy = store.copy()
+        await trio.sleep(0.5)
+        scene.write_config(2, WITHOUT_KEY)
+        scene.taken_at = trio.current_time()
+        await trio.sleep(5.5 + min(0.0, killed_after_s))
+        lost = [
+            host
+            for host, name in zip(scene.zone.hosts, ZONE_NAMES, strict=True)
+            if name in killed
+        ]
+        if killed == "all but one":
+            lost = scene.zone.hosts[:-1]
+
+        async def restart():
+            await trio.sleep(max(0.0, killed_after_s))
+            for host in lost:
+                host.scope.cancel()
+                scene.zone.hosts.remove(host)
+            await trio.sleep(0.6)
+            for host in lost:
+                scene.start_host(host.view.zone)
+
+        scene.nursery.start_soon(restart)
+        await trio.sleep(-min(0.0, killed_after_s))
+        store.switches.status = 503
+        await trio.sleep(1.0)
+        store.switches.status = 0
+        store.restore(copy)
+        await trio.sleep(2.5)
+        store.put("config", "main", scene.written)
+        await trio.sleep(2.0)
+        assert scene.admitted_late == []
+        assert set(versions(scene)) == {2}
+        assert all(admits(host, KEY) for host in scene.zone.hosts)
+
+    for seed in range(4):
+        play(scenario, hosts=9, seed=seed, zone_names=ZONE_NAMES)
+
+
+def test_host_that_starts_long_after_a_return_does_not_wait():
+    """Guards against a start that takes longer for as long as the store is not new."""
+
+    async def scenario(scene):
+        scene.zone.store.restore(scene.zone.store.copy())
+        await trio.sleep(10.0)
+        for host in list(scene.zone.hosts):
+            host.scope.cancel()
+            scene.zone.hosts.remove(host)
+            started = scene.start_host()
+            await trio.sleep(1.0)
+            assert admits(started, KEY)
+            await trio.sleep(4.0)
+
+    play(scenario)
+
+
 def test_host_that_starts_alone_after_a_return_serves_soon():
     async def scenario(scene):
         scene.zone.store.restore(scene.zone.store.copy())
--- a/standins/follower_zone.py
+++ b/standins/follower_zone.py
@@ -69,7 +69,7 @@
             status, answer = await self._answer(call)
             if self.cut or (epoch, era) != (self._epoch, self._store.era):
                 await trio.sleep_forever()
-            if not accepts(self._store.answer_headers()):
+            if self._store.switches.status or not accepts(self._store.answer_headers()):
                 return Error(fault(ResultCode.PLATFORM_UNAVAILABLE))
             code = _CODE_BY_STATUS.get(status)
             if code is not None:
@@ -156,12 +156,16 @@
 class FollowerHost:
     """The followers and the gossip of one host."""
 
-    def __init__(self, number: int, zone: "FollowerZone"):
+    def __init__(self, number: int, zone: "FollowerZone", zone_name: str = "a"):
         self.id = f"h{number:02}"
         self.address = f"10.0.0.{number + 1}:{PORT}"
         self.link = StoreLink(zone.store)
         self.view = RouterView(
-            "a", TrioClock(), RetryAllowance(), Freshness(REVOKE_S), host_id=self.id
+            zone_name,
+            TrioClock(),
+            RetryAllowance(),
+            Freshness(REVOKE_S),
+            host_id=self.id,
         )
         self._store = ObjectStore(self.link, self.view.eras)
         self.scope = trio.CancelScope()
@@ -185,12 +189,16 @@
 
 
 class FollowerZone:
-    """A zone of hosts that share one store."""
+    """Hosts that share one store, of one zone or with the zone names that are given."""
 
-    def __init__(self, hosts: int, seed: int = 1):
+    def __init__(self, hosts: int, seed: int = 1, zone_names: str = ""):
         self.store = ObjectStoreApp()
         self.network = DatagramNetwork(random.Random(seed))
-        self.hosts = [FollowerHost(number, self) for number in range(hosts)]
+        self.zone_names = zone_names or "a" * hosts
+        self.hosts = [
+            FollowerHost(number, self, self.zone_names[number])
+            for number in range(hosts)
+        ]
         for host in self.hosts:
             ip, _, port = host.address.rpartition(":")
             self.network.host_by_address[(ip, int(port))] = host.id
