--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -87,8 +87,8 @@
 under load runs two or more."""
 
 PEERS_HEARD_S = 1.5
-"""Time in which the versions of the other hosts arrive once their addresses are known:
-they answer the first status of a host that has none confirmed, and send four a second."""
+"""Time in which the versions of the other hosts arrive once their addresses are known.
+Hosts answer the first status of one that has no version confirmed."""
 MAX_PEERS_WAIT_S = 4.0
 """The same if their addresses are not found."""
 
