Take a lifted refusal back in the store, and try one that only it knows

Cause: the record of a blamed part stays in the store when a survival lifts the refusal. A router that starts reads it, and nothing that it serves can contradict it, since it serves no request with the part.

Evidence: request.blocked and request.unblocked 0.1 s apart before the restart, then crashes.told by the store. A record that is put into the store by hand, without a crash, has the same effect, so the verdict itself is not the cause; all hosts lift it, so the reports are not either.

Why this works: a survival removes the record, by its writer or, if that one ended, by the others, until the store answers; a record with later crashes stays. Where nobody lives who saw the survival, the refusal is in doubt, and one request at a time over all hosts is a trial, claimed by a conditional write of the record: a survival lifts the refusal, a crash proves it for good. Crashes known from records alone are told as such.

Cost: a part that does crash targets costs one more target once all hosts that saw it have ended, over all restarts; before it cost none.

--- a/radishfield/crashes/_book.py
+++ b/radishfield/crashes/_book.py
@@ -62,6 +62,12 @@
     ends: tuple[TargetCrash, ...]
     until: float
 
+    @property
+    def is_doubtful(self) -> bool:
+        """Return whether it rests on records that no live host has vouched for."""
+        vouched = sum(not crash.from_record for crash in self.ends)
+        return vouched < REFUSAL_THRESHOLD
+
 
 class CrashBook(msgspec.Struct):
     """The target crashes under each suspected trait, and the survivals of traits."""
@@ -98,7 +104,11 @@
             crashes = self._crashes_by_trait[trait] = {}
         known_width = self._width_by_trait.get(trait, width)
         self._width_by_trait[trait] = min(width, known_width) or max(width, known_width)
-        if crash.target in crashes or len(crashes) >= MAX_CRASHES_PER_TRAIT:
+        known = crashes.get(crash.target)
+        if known is not None:
+            if crash.from_record or not known.from_record:
+                return False
+        elif len(crashes) >= MAX_CRASHES_PER_TRAIT:
             return False
         crashes[crash.target] = crash
         self._note_change()
@@ -134,18 +144,44 @@
             return True
         return False
 
+    def is_cleared(self, trait: str, crashed_at: float) -> bool:
+        """Return whether a survival of the trait makes an earlier crash void."""
+        return self._is_immune(trait, crashed_at)
+
+    def vouch(self, trait: str) -> None:
+        """Count the crashes that records named as if they had been seen here."""
+        crashes = self._crashes_by_trait.get(trait, {})
+        for key, crash in crashes.items():
+            crashes[key] = msgspec.structs.replace(crash, from_record=False)
+        self._note_change()
+
+    def forget_recorded(self, trait: str) -> None:
+        """Drop the crashes under a trait that only a record named."""
+        crashes = self._crashes_by_trait.get(trait)
+        if crashes is None:
+            return
+        seen = {key: crash for key, crash in crashes.items() if not crash.from_record}
+        if seen:
+            self._crashes_by_trait[trait] = seen
+        else:
+            self._drop(trait)
+        self._note_change()
+
     def verdict(self, trait: str, now: float) -> Verdict | None:
         """Return why a request with only one trait is refused; None if it is not."""
         return self.verdict_of((trait,), now)
 
     def verdict_of(self, traits: Collection[str], now: float) -> Verdict | None:
         """Return why a request with these traits is refused; None if it is not."""
+        return next(iter(self.verdicts_of(traits, now)), None)
+
+    def verdicts_of(self, traits: Collection[str], now: float) -> list[Verdict]:
+        """Return all verdicts by which a request with these traits is refused."""
         if not self._has_suspect(traits):
-            return None
-        for verdict in self.verdicts(now):
-            if verdict.traits.issubset(traits):
-                return verdict
-        return None
+            return []
+        return [
+            verdict for verdict in self.verdicts(now) if verdict.traits.issubset(traits)
+        ]
 
     def verdicts(self, now: float) -> list[Verdict]:
         """Return why requests are refused."""
@@ -203,7 +239,11 @@
             trait,
             [
                 TargetCrashEntry(
-                    crash.target_id, crash.started_ms, crash.told_by, now - crash.at
+                    crash.target_id,
+                    crash.started_ms,
+                    crash.told_by,
+                    now - crash.at,
+                    crash.from_record,
                 )
                 for crash in crashes
             ],
@@ -219,7 +259,9 @@
             changed = self.add_survival(trait, now - report.survived_age_s)
         for entry in report.ends:
             at = now - max(0.0, entry.age_s)
-            crash = TargetCrash(entry.target_id, entry.started_ms, entry.told_by, at)
+            crash = TargetCrash(
+                entry.target_id, entry.started_ms, entry.told_by, at, entry.from_record
+            )
             changed |= self.add_crash(trait, crash, report.width)
         return changed
 
@@ -255,8 +297,11 @@
         if self._checksum is None:
             self._checksum = 0
             for trait in self.repeated_traits():
-                for target_id, started_ms in self._crashes_by_trait[trait]:
-                    text = f"{trait} {target_id} {started_ms}"
+                for crash in self._crashes_by_trait[trait].values():
+                    text = f"{trait} {crash.target_id} {crash.started_ms}"
+                    if crash.from_record:
+                        # Hosts that saw it tell those that only read of it.
+                        text += " recorded"
                     self._checksum ^= zlib.crc32(text.encode())
         return self._checksum
 
--- a/radishfield/crashes/_guard.py
+++ b/radishfield/crashes/_guard.py
@@ -11,6 +11,7 @@
 from radishfield.crashes._book import CrashBook, Verdict
 from radishfield.crashes._records import CrashReport, TargetCrash
 from radishfield.crashes._traits import RequestTraits
+from radishfield.crashes._trials import Trials
 from radishfield.kernel import WorkBoundary
 from radishfield.telemetry import log_event
 
@@ -22,6 +23,15 @@
 delay is over.  It is shorter than the time for which a verdict waits."""
 
 
+TRIAL_DELAY_S = 2.0
+"""Time for which a refusal by records alone stands before a trial: the hosts that live
+report within it whether they saw the crashes, or a survival."""
+
+TRIAL_S = 5.0
+"""Time within which the request of a trial has to begin and to show its outcome, and
+after which callers whose requests are refused meanwhile are told to come back."""
+
+
 class _Run(msgspec.Struct, frozen=True, eq=False):
     """A run of a request, or a wait for one, and how it is stopped."""
 
@@ -29,6 +39,13 @@
     stop: Callable[[], None]
 
 
+class _Refusal(msgspec.Struct, frozen=True):
+    """When requests began to be refused, and when the last target crashed."""
+
+    began_at: float
+    crashed_at: float
+
+
 class CrashGuard:
     """Records which requests crash targets, and refuses these requests at one host.
 
@@ -38,6 +55,10 @@
         Crashes seen by all hosts, as far as their reports have reached this host.
     announce : callable
         Reports the state of a trait to the other hosts.
+    ask_for_trial : callable
+        Asks for the grant of a trial of a verdict that rests on records alone.
+    record_proof : callable
+        Records that a target crashed in a trial of these traits.
     counted : int
         Number of crashes that this host detected itself.
     """
@@ -48,12 +69,15 @@
         "_clock",
         "_contradict_at_by_trait",
         "_host_id",
-        "_refused",
+        "_refusal_by_traits",
         "_rng",
         "_runs_by_trait",
+        "_trials",
         "book",
         "counted",
         "announce",
+        "ask_for_trial",
+        "record_proof",
     )
 
     def __init__(
@@ -64,15 +88,20 @@
         self._clock = clock
         self._changed = trio.Event()
         self._contradict_at_by_trait: dict[str, float] = {}
-        self._refused: set[frozenset[str]] = set()
+        self._refusal_by_traits: dict[frozenset[str], _Refusal] = {}
         self._rng = random.Random()
         self._runs_by_trait: dict[str, set[_Run]] = {}
         self.book = CrashBook()
+        self._trials = Trials()
         self.announce: Callable[[str], None] = lambda trait: None
+        self.ask_for_trial: Callable[[Verdict], None] = lambda verdict: None
+        self.record_proof: Callable[[frozenset[str]], None] = lambda traits: None
         self.counted = 0
 
     async def watch(
-        self, on_refused: Callable[[str, Verdict], None] = lambda trait, verdict: None
+        self,
+        on_refused: Callable[[str, Verdict], None] = lambda trait, verdict: None,
+        on_lifted: Callable[[str], None] = lambda trait: None,
     ) -> None:
         """Check which requests are refused, until cancelled.
 
@@ -80,17 +109,24 @@
         ----------
         on_refused : callable
             Called with each trait and the verdict when a refusal starts.
+        on_lifted : callable
+            Called with each trait that a survival has cleared of a refusal.
         """
         while True:
             await self._boundary.complete(
-                "crashes.watch", "", self._check_and_wait, on_refused
+                "crashes.watch", "", self._check_and_wait, on_refused, on_lifted
             )
 
-    async def _check_and_wait(self, on_refused: Callable[[str, Verdict], None]) -> None:
+    async def _check_and_wait(
+        self,
+        on_refused: Callable[[str, Verdict], None],
+        on_lifted: Callable[[str], None],
+    ) -> None:
         changed = self._changed
         now = self._clock.now()
         self.book.forget(now)
-        self._look(on_refused)
+        self._trials.forget(now)
+        self._look(on_refused, on_lifted)
         self._contradict(now)
         with trio.move_on_after(self._pause_s(now)):
             await changed.wait()
@@ -100,25 +136,44 @@
         due_at = min(self._contradict_at_by_trait.values(), default=now + settled_in_s)
         return max(0.0, min(settled_in_s, due_at - now))
 
-    def _look(self, on_refused: Callable[[str, Verdict], None]) -> None:
+    def _look(
+        self,
+        on_refused: Callable[[str, Verdict], None],
+        on_lifted: Callable[[str], None] = lambda trait: None,
+    ) -> None:
         now = self._clock.now()
+        before = self._refusal_by_traits
         verdict_by_traits = {item.traits: item for item in self.book.verdicts(now)}
-        refused = set(verdict_by_traits)
-        for traits in refused - self._refused:
-            verdict = verdict_by_traits[traits]
+        for traits, verdict in verdict_by_traits.items():
+            if traits in before:
+                continue
             log_event(
                 "request.blocked",
                 digest=format_traits(traits),
                 ends=format_crashes(verdict, now),
+                doubtful=verdict.is_doubtful,
                 until_s=round(verdict.until - now),
             )
             for run in self._runs_with(traits):
                 run.stop()
             for trait in traits:
                 on_refused(trait, verdict)
-        for traits in self._refused - refused:
+        self._refusal_by_traits = {
+            traits: _Refusal(
+                before[traits].began_at if traits in before else now,
+                max(crash.at for crash in verdict.ends),
+            )
+            for traits, verdict in verdict_by_traits.items()
+        }
+        for traits in before.keys() - verdict_by_traits.keys():
             log_event("request.unblocked", digest=format_traits(traits))
-        self._refused = refused
+            for trait in traits:
+                if self.is_cleared(trait, before[traits].crashed_at):
+                    on_lifted(trait)
+
+    def is_cleared(self, trait: str, crashed_at: float) -> bool:
+        """Return whether requests with a trait have survived since a crash."""
+        return self.book.is_cleared(trait, crashed_at)
 
     def _runs_with(self, traits: frozenset[str]) -> list[_Run]:
         """Return the runs of requests that have all of some traits."""
@@ -131,6 +186,7 @@
     ) -> Iterator[None]:
         """Stop a run, or a wait for one, if its request is refused in this context."""
         run = _Run(traits, stop)
+        self._trials.begin(traits.all)
         for trait in traits.all:
             self._runs_by_trait.setdefault(trait, set()).add(run)
         try:
@@ -166,9 +222,14 @@
     ) -> Fault | None:
         """Return why a request is not sent to another target; None if it may be."""
         now = self._clock.now()
-        verdict = self.book.verdict_of(traits.all, now)
-        if verdict is None:
+        verdicts = self.book.verdicts_of(traits.all, now)
+        if not verdicts:
             return None
+        doubtful = [verdict for verdict in verdicts if verdict.is_doubtful]
+        is_doubtful = len(doubtful) == len(verdicts)
+        if is_doubtful and self._is_trial(doubtful, request_id, now):
+            return None
+        verdict = verdicts[0]
         log_event(
             "request.refused",
             request=request_id,
@@ -180,10 +241,40 @@
         return Fault(
             ResultCode.CRASHES_TARGETS,
             f"{len(verdict.ends)} targets crashed under {_subject(traits, verdict)}",
-            verdict.until - now,
+            TRIAL_S if is_doubtful else verdict.until - now,
             Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN,
         )
 
+    def _is_trial(self, verdicts: list[Verdict], request_id: str, now: float) -> bool:
+        """Return whether a request is a trial; if not, ask for those that it needs."""
+        if self._trials.admit([each.traits for each in verdicts], request_id, now):
+            return True
+        for verdict in verdicts:
+            refusal = self._refusal_by_traits.get(verdict.traits)
+            granted = self._trials.is_granted(verdict.traits, now)
+            if refusal is None or granted:
+                continue
+            if now - refusal.began_at >= TRIAL_DELAY_S:
+                self.ask_for_trial(verdict)
+        return False
+
+    def grant_trial(self, traits: frozenset[str]) -> None:
+        """Let one request with traits through that are refused by records alone."""
+        log_event("request.trial", digest=format_traits(traits))
+        self._trials.grant(traits, self._clock.now() + TRIAL_S)
+
+    def forget_recorded(self, trait: str) -> None:
+        """Drop what only the record of a trait said, since that is gone."""
+        self.book.forget_recorded(trait)
+        self._wake()
+
+    def vouch(self, traits: Iterable[str]) -> None:
+        """Refuse requests without further trials, and tell the other hosts."""
+        for trait in traits:
+            self.book.vouch(trait)
+            self.announce(trait)
+        self._wake()
+
     def count(self, traits: RequestTraits, target_id: str, started_ms: int) -> bool:
         """Record that a target crashed under a request; return whether it counts."""
         crash = TargetCrash(target_id, started_ms, self._host_id, self._clock.now())
@@ -194,6 +285,9 @@
         if not new:
             return False
         self.counted += 1
+        for refused in self._trials.under_way(traits.all, self._clock.now()):
+            self.vouch(refused)
+            self.record_proof(refused)
         for trait in new:
             self.announce(trait)
         self._wake()
--- a/radishfield/crashes/_records.py
+++ b/radishfield/crashes/_records.py
@@ -15,12 +15,16 @@
         Host that sent the request to the target and detected the crash.
     at : float
         Time of the detection, in seconds of this host's clock.
+    from_record : bool
+        Known only from a record in the store.  Requests may have survived since, as
+        nobody can tell who was not there.
     """
 
     target_id: str
     started_ms: int
     told_by: str
     at: float
+    from_record: bool = False
 
     @property
     def target(self) -> TargetKey:
@@ -38,6 +42,7 @@
     started_ms: int
     told_by: str
     age_s: float
+    from_record: bool = False
 
 
 class CrashReport(msgspec.Struct, array_like=True):
--- a/radishfield/forwarding/_crash_watch.py
+++ b/radishfield/forwarding/_crash_watch.py
@@ -5,7 +5,7 @@
 from radishfield.core import Fault, ResultCode
 from radishfield.crashes import Verdict
 from radishfield.forwarding._call import Call
-from radishfield.forwarding._crash_records import CrashRecords
+from radishfield.forwarding._crash_records import CrashRecords, TrialClaim
 from radishfield.forwarding._target_ends import TargetProbe, TargetState
 from radishfield.forwarding._view import RouterView
 from radishfield.routing import TargetRecord
@@ -16,6 +16,12 @@
 """Maximum wait of the next attempt for the check of the last one's target."""
 READ_FROM_CRASHES = 2
 """Crashes under a trait from which on other hosts' records are read in the store."""
+CLAIM_INTERVAL_S = 1.0
+"""Minimum interval between two claims of a trial of the same refusal by one host."""
+MIN_REMOVAL_DELAY_S, MAX_REMOVAL_DELAY_S = 0.5, 3.0
+"""Delay after which hosts that did not write a record remove it, if it still stands."""
+LATE_WRITE_S = 3.0
+"""Time within which a write whose answer was lost takes effect, if it does."""
 MAX_LOGGED_PARTS = 8
 BROKEN_CODES = frozenset({ResultCode.STREAM_BROKEN, ResultCode.ANSWER_TRUNCATED})
 """Failures of an attempt that a crash of its target may have caused."""
@@ -24,7 +30,17 @@
 class CrashWatch:
     """Counts crashes of targets under calls, and keeps the store's records of them."""
 
-    __slots__ = ("_host_id", "_nursery", "_records", "_target_probe", "_view")
+    __slots__ = (
+        "_claimed_at_by_traits",
+        "_host_id",
+        "_lock_by_trait",
+        "_nursery",
+        "_records",
+        "_target_probe",
+        "_unanswered",
+        "_view",
+        "_written",
+    )
 
     def __init__(
         self, host_id: str, probe: TargetProbe, records: CrashRecords, view: RouterView
@@ -34,30 +50,42 @@
         self._records = records
         self._view = view
         self._nursery: trio.Nursery | None = None
+        self._claimed_at_by_traits: dict[frozenset[str], float] = {}
+        self._lock_by_trait: dict[str, trio.Lock] = {}
+        self._unanswered: set[str] = set()
+        self._written: set[str] = set()
+        view.crashes.ask_for_trial = self._claim_trial_soon
+        view.crashes.record_proof = self._write_proof
 
     async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED):
         """Check targets and record refused requests until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self._read_at_start)
-            nursery.start_soon(self._view.crashes.watch, self._write_refused)
+            nursery.start_soon(self._read_until_answered)
+            nursery.start_soon(
+                self._view.crashes.watch, self._write_refused, self._remove_lifted
+            )
             nursery.start_soon(self._write_again)
             task_status.started()
 
-    async def _read_at_start(self) -> None:
+    async def _read_until_answered(self) -> None:
         failures = 0
         while not await self._read():
             failures += 1
             await trio.sleep(backoff_s(failures, self._view.rng))
 
     async def _write_again(self) -> None:
-        """Record what is refused again when the store came back from a copy."""
+        """Record what is refused again when the store came back from a copy.
+
+        The copy may hold records of requests that have survived since.
+        """
         while True:
             await self._view.eras.changed.wait()
             await trio.sleep(self._view.rng.uniform(0.0, ERA_SPREAD_S))
             await self._view.boundary.complete(
                 "crashes.write_again", "", self._write_all
             )
+            await self._read_until_answered()
 
     async def _write_all(self) -> None:
         for verdict in self._view.crashes.book.verdicts(self._view.clock.now()):
@@ -153,14 +181,80 @@
     def _write_refused(self, trait: str, verdict: Verdict) -> None:
         """Record a trait to blame, on the host that saw the last crash under it."""
         newest = max(verdict.ends, key=lambda end: end.at)
-        if newest.told_by == self._host_id:
+        if newest.told_by == self._host_id and not newest.from_record:
+            self._nursery.start_soon(self._write, trait)
+
+    def _write_proof(self, traits: frozenset[str]) -> None:
+        """Record that a target has crashed in a trial."""
+        for trait in traits:
             self._nursery.start_soon(self._write, trait)
 
     async def _write(self, trait: str) -> None:
+        self._written.add(trait)
         failures = 0
         while self._view.crashes.is_blamed(trait):
             with self._view.boundary.contain("crashes.write", trait):
-                if await self._records.write(trait):
+                async with self._lock(trait):
+                    written = await self._records.write(trait)
+                if written:
                     return
+            # It may have taken effect all the same, or may yet.
+            self._unanswered.add(trait)
             failures += 1
             await trio.sleep(backoff_s(failures, self._view.rng))
+
+    def _lock(self, trait: str) -> trio.Lock:
+        """Return the lock that keeps a record's write and removal in order."""
+        return self._lock_by_trait.setdefault(trait, trio.Lock())
+
+    def _remove_lifted(self, trait: str) -> None:
+        """Remove the record of a trait that is no longer refused."""
+        self._nursery.start_soon(self._remove, trait)
+
+    async def _remove(self, trait: str) -> None:
+        """Remove a record; its writer does so at once, and the others if it can't."""
+        if trait not in self._written:
+            delay_s = self._view.rng.uniform(MIN_REMOVAL_DELAY_S, MAX_REMOVAL_DELAY_S)
+            await trio.sleep(delay_s)
+        await self._remove_until_done(trait)
+        if trait in self._unanswered:
+            await trio.sleep(LATE_WRITE_S)
+            await self._remove_until_done(trait)
+        if not self._view.crashes.is_blamed(trait):
+            self._written.discard(trait)
+            self._unanswered.discard(trait)
+            self._lock_by_trait.pop(trait, None)
+
+    async def _remove_until_done(self, trait: str) -> None:
+        failures = 0
+        while not self._view.crashes.is_blamed(trait):
+            with self._view.boundary.contain("crashes.remove", trait):
+                async with self._lock(trait):
+                    removed = await self._records.remove(trait)
+                if removed:
+                    return
+            failures += 1
+            await trio.sleep(backoff_s(failures, self._view.rng))
+
+    def _claim_trial_soon(self, verdict: Verdict) -> None:
+        """Claim a trial of a refusal that this host knows from its record alone."""
+        now = self._view.clock.now()
+        claimed_at = self._claimed_at_by_traits.get(verdict.traits, -CLAIM_INTERVAL_S)
+        if now - claimed_at >= CLAIM_INTERVAL_S and self._nursery is not None:
+            self._claimed_at_by_traits[verdict.traits] = now
+            self._nursery.start_soon(self._claim_trial, verdict.traits)
+
+    async def _claim_trial(self, traits: frozenset[str]) -> None:
+        crashes, trait = self._view.crashes, min(traits)
+        with self._view.boundary.contain("crashes.trial", trait):
+            match await self._records.claim_trial(trait):
+                case TrialClaim.GRANTED:
+                    crashes.grant_trial(traits)
+                case TrialClaim.LIFTED:
+                    crashes.forget_recorded(trait)
+                case TrialClaim.PROVEN:
+                    crashes.vouch(traits)
+                case TrialClaim.LATER:
+                    pass
+        if not crashes.is_blamed(trait):
+            self._claimed_at_by_traits.pop(traits, None)
