Refuse statuses that HTTP does not know, and avoid targets that send them

What callers saw: a target's answer with a status from 600 to 999 was passed on as an answer, stamp included. 000 and other texts ended as 502, but streams of targets that serve alone asked such a target again and again.

Cause: the reader of heads took any three digits not beginning with 0, and the protocol ends at 599. A malformed head counted as a broken connection, which says nothing of the target, and streams of targets that serve alone were chosen without a look at failures.

Evidence: sixteen statuses on three routes; 18 of 40 streams went first to the target with such answers.

Why this works: such heads are malformed, which has a code of its own and counts as the target's failure for all hosts. The check for a crash of the target is made as before, and a report or an order with such an answer proves no more than before.

--- a/radishfield/forwarding/_connections.py
+++ b/radishfield/forwarding/_connections.py
@@ -32,6 +32,7 @@
 from radishfield.web import (
     BROKEN_CONNECTION_ERRORS,
     FramedStream,
+    MalformedAnswerError,
     UnusableConnectionError,
     split_address,
 )
@@ -279,6 +280,10 @@
             except httpcore.LocalProtocolError as problem:
                 await self.discard(connection)
                 return Error(fault(ResultCode.BAD_HEADER, repr(problem)))
+            except MalformedAnswerError as problem:
+                # The target is at fault, and neither its end nor the link to it.
+                await self.discard(connection)
+                return Error(fault(ResultCode.MALFORMED_ANSWER, repr(problem)))
             except _BROKEN_ERRORS as problem:
                 await self.discard(connection)
                 return Error(fault(ResultCode.STREAM_BROKEN, repr(problem)))
--- a/radishfield/forwarding/_crash_watch.py
+++ b/radishfield/forwarding/_crash_watch.py
@@ -23,7 +23,13 @@
 LATE_WRITE_S = 3.0
 """Time within which a write whose answer was lost takes effect, if it does."""
 MAX_LOGGED_PARTS = 8
-BROKEN_CODES = frozenset({ResultCode.STREAM_BROKEN, ResultCode.ANSWER_TRUNCATED})
+BROKEN_CODES = frozenset(
+    {
+        ResultCode.STREAM_BROKEN,
+        ResultCode.ANSWER_TRUNCATED,
+        ResultCode.MALFORMED_ANSWER,
+    }
+)
 """Failures of an attempt that a crash of its target may have caused."""
 
 
--- a/radishfield/forwarding/_plain.py
+++ b/radishfield/forwarding/_plain.py
@@ -323,7 +323,7 @@
             return
         failed = _failed(result)
         self._view.failures.note(record.id, failed)
-        if result.is_ok():
+        if result.is_ok() or result.error.code is ResultCode.MALFORMED_ANSWER:
             # Other failures may be those of this host's own link.
             self._view.shared_failures.note(record.id, failed, self._view.clock.now())
         if not failed:
--- a/radishfield/forwarding/_stream_paths.py
+++ b/radishfield/forwarding/_stream_paths.py
@@ -14,7 +14,6 @@
 from radishfield.routing import (
     AdmissionQueue,
     EngineSpec,
-    FailureRates,
     LayerSpan,
     Path,
     PathStage,
@@ -34,7 +33,6 @@
 """A new connection immediately reaches another host."""
 WHOLE_MODEL = LayerSpan(0, 0)
 """The span of a target that is sent no path and runs all layers that it has."""
-NO_FAILURES = FailureRates()
 """Failed streams resume at other targets; the watchdog judges the failed targets."""
 
 
@@ -212,7 +210,7 @@
                 if first_ids is None or item.id in first_ids
             ],
             view.load,
-            NO_FAILURES,
+            view.failures,
             view.zone,
             attempts.excluded if first_ids is None else (),
             view.rng,
--- a/radishfield/forwarding/_targets.py
+++ b/radishfield/forwarding/_targets.py
@@ -404,7 +404,7 @@
         with trio.move_on_after(limit_s):
             sent = await self._send(self._control_connections, record, outgoing, fresh)
             if sent.is_error():
-                return sent
+                return _without_proof(sent.error)
             facts = sent.ok.facts
             body = await sent.ok.read()
             is_own = not facts.request_id
@@ -563,6 +563,13 @@
             self._view.mark_full(record.id)
 
 
+def _without_proof(problem: Fault) -> Result["_ShortAnswer", Fault]:
+    """Return the fault of a report or order whose answer may be of another program."""
+    if problem.code is ResultCode.MALFORMED_ANSWER:
+        return Error(fault(ResultCode.STREAM_BROKEN, problem.detail))
+    return Error(problem)
+
+
 def _belongs_to(exchange: Exchange, call: Call) -> bool:
     """Return whether an answer is proved to be the one to a call.
 
--- a/radishfield/web/_answer_framing.py
+++ b/radishfield/web/_answer_framing.py
@@ -18,7 +18,7 @@
 SWITCHING_PROTOCOLS = 101
 
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
-_STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2}) (" + _TEXT + rb")")
+_STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2}) (" + _TEXT + rb")")
 _FIELD_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):(" + _TEXT + rb")")
 _OTHER_STATUS_LINE = re.compile(rb"HTTP/[0-9.]+[ \t]+[0-9]{3}(?![0-9.])")
 _VERSION_START = b"HTTP/1."
