Bound the small chunks that a target's answer may have

Memory stays small: it is the event loop that has no time.

Cause: bytes, lines and fields of an answer are bounded, the number of its chunks was not, and each chunk costs the same to read, whatever its size.

Evidence: with one such target of four behind streams, a test that calls 100 times in 4 s got to 33 calls, since its loop is the router's.

Why this works: an answer has 1,024 chunks below 64 bytes and 500 a second more; beyond that it is malformed before the HTTP library reads them. That counts as the target's failure, so that others are used first. Streams have one chunk an event.

Test: tiny_chunks_test; its case of streams failed before, the plain one passed before too. Both pass now.

--- a/radishfield/forwarding/_connections.py
+++ b/radishfield/forwarding/_connections.py
@@ -89,7 +89,9 @@
             async for chunk in self._response.stream:
                 yield chunk
         except _BROKEN_ERRORS as problem:
-            raise BrokenAnswerError(repr(problem)) from problem
+            raise BrokenAnswerError(
+                repr(problem), isinstance(problem, MalformedAnswerError)
+            ) from problem
 
     def call_before_reads(self, call: Callable[[], Awaitable[None]] | None) -> None:
         """Set what is called whenever the body's next bytes have to be waited for."""
@@ -120,7 +122,10 @@
                             return Error(fault(ResultCode.ANSWER_TOO_LARGE, detail))
                         held = len(body)
         except BrokenAnswerError as problem:
-            return Error(fault(ResultCode.ANSWER_TRUNCATED, str(problem)))
+            code = ResultCode.ANSWER_TRUNCATED
+            if problem.is_malformed:
+                code = ResultCode.MALFORMED_ANSWER
+            return Error(fault(code, str(problem)))
         return Ok(bytes(body))
 
     async def close(self, reusable: bool) -> None:
@@ -150,7 +155,17 @@
 
 
 class BrokenAnswerError(Exception):
-    """A body ended before it was complete."""
+    """A body ended before it was complete.
+
+    Attributes
+    ----------
+    is_malformed : bool
+        Its bytes are not of the strict form, which is the target's fault.
+    """
+
+    def __init__(self, detail: str, is_malformed: bool = False):
+        super().__init__(detail)
+        self.is_malformed = is_malformed
 
 
 class _DialedNetwork(httpcore.AsyncNetworkBackend):
--- a/radishfield/forwarding/_streams.py
+++ b/radishfield/forwarding/_streams.py
@@ -357,7 +357,10 @@
                         return Error(fault(ResultCode.ANSWER_TOO_LARGE, detail))
         except BrokenAnswerError as problem:
             await forward_waiting()
-            return Error(fault(ResultCode.STREAM_BROKEN, str(problem)))
+            code = ResultCode.STREAM_BROKEN
+            if problem.is_malformed:
+                code = ResultCode.MALFORMED_ANSWER
+            return Error(fault(code, str(problem)))
         await forward_waiting()
         if splitter.has_incomplete_event:
             return Error(fault(ResultCode.ANSWER_TRUNCATED, "ended within an event"))
--- a/radishfield/forwarding/_targets.py
+++ b/radishfield/forwarding/_targets.py
@@ -412,7 +412,9 @@
             if not is_own:
                 detail = "the answer belongs to a request"
                 return Error(fault(ResultCode.STREAM_BROKEN, detail))
-            return body.map(lambda content: _ShortAnswer(facts, content, sent_at))
+            if body.is_error():
+                return _without_proof(body.error)
+            return Ok(_ShortAnswer(facts, body.ok, sent_at))
         return Error(fault(ResultCode.STREAM_SILENT, f"no answer within {limit_s} s"))
 
     def _note_short_answer(self, record: TargetRecord, answer: "_ShortAnswer") -> None:
--- a/radishfield/web/_answer_framing.py
+++ b/radishfield/web/_answer_framing.py
@@ -15,6 +15,10 @@
 """Informational answers that may precede an answer."""
 MAX_SIZE_DIGITS = 16
 MAX_LENGTH_DIGITS = 18
+SMALL_CHUNK_BYTES = 64
+"""Chunks below this size cost more processor time to read than their bytes do."""
+SMALL_CHUNKS = 1024
+"""Small chunks that an answer may have at once.  A stream has one for each event."""
 SWITCHING_PROTOCOLS = 101
 
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
@@ -54,11 +58,14 @@
         Bytes that were received after the end of the answer.
     problem : str
         Why the bytes are not an answer of the strict form; empty if they are.
+    small_chunks_left : int
+        Small chunks that the answer may still have.
     """
 
     __slots__ = (
         "complete",
         "problem",
+        "small_chunks_left",
         "status",
         "surplus",
         "_fields",
@@ -84,6 +91,7 @@
         """
         self.complete = False
         self.problem = ""
+        self.small_chunks_left = SMALL_CHUNKS
         self.status = 0
         self.surplus = 0
         self._fields: dict[bytes, bytes] = {}
@@ -176,6 +184,11 @@
             return position
         self._left = int(line[:-2], 16)
         self._part = _Part.CHUNK if self._left else _Part.TRAILERS
+        if 0 < self._left < SMALL_CHUNK_BYTES:
+            self.small_chunks_left -= 1
+            if self.small_chunks_left < 0:
+                self.problem = "it has too many small chunks"
+                return position
         return end + 1
 
     def _advance_chunk_end(self, data: bytes, position: int) -> int:
--- a/radishfield/web/_framed_stream.py
+++ b/radishfield/web/_framed_stream.py
@@ -1,12 +1,16 @@
 """Streams that pass only the bytes of the answer to the request just written."""
 
 import httpcore
+import trio
 
-from radishfield.web._answer_framing import AnswerFraming
+from radishfield.web._answer_framing import SMALL_CHUNKS, AnswerFraming
 
 UNREQUESTED_READ_S = 0.01
 """Time limit for reading bytes that have arrived already."""
 READ_BYTES = 64 << 10
+SMALL_CHUNKS_PER_S = 500.0
+"""Rate at which an answer may go on with small chunks; a fast stream has some fifty
+events a second."""
 
 
 class MalformedAnswerError(httpcore.RemoteProtocolError):
@@ -45,6 +49,7 @@
         single_fields: frozenset[bytes] = frozenset(),
     ):
         self._framing: AnswerFraming | None = None
+        self._read_at = 0.0
         self._single_fields = single_fields
         self._stream = stream
         self.problem = ""
@@ -83,12 +88,22 @@
             if not data:
                 framing.feed_end()
                 return b""
+            self._refill_chunks(framing)
             passed = framing.feed(data)
             self.surplus += framing.surplus
             if passed:
                 return passed
         return b""
 
+    def _refill_chunks(self, framing: AnswerFraming) -> None:
+        """Allow the answer the small chunks of the time since the last read."""
+        now = trio.current_time()
+        more = int(SMALL_CHUNKS_PER_S * (now - self._read_at))
+        if more:
+            self._read_at = now
+            left = framing.small_chunks_left + more
+            framing.small_chunks_left = min(SMALL_CHUNKS, left)
+
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Send bytes; the first ones after a complete answer begin the next request.
 
@@ -112,6 +127,7 @@
         if self.requests and (self.is_spoiled or ended):
             raise UnusableConnectionError("unrequested bytes" if self.surplus else "")
         self.requests += 1
+        self._read_at = trio.current_time()
         self._framing = AnswerFraming(start.partition(b" ")[0], self._single_fields)
 
     async def _receive_unrequested(self) -> bool:
