--- a/radishfield/forwarding/conftest.py
+++ b/radishfield/forwarding/conftest.py
@@ -69,6 +69,8 @@
     crashed_ids: list[str] = field(default_factory=list)
     router: Router | None = None
     stop: trio.Event = field(default_factory=trio.Event)
+    stops: list[trio.Event] = field(default_factory=list)
+    """Events that stop the routers of a zone; those beyond stop with ``stop``."""
     scopes: list[trio.CancelScope] = field(default_factory=list)
     link: BlockableLink = field(default_factory=BlockableLink)
     more_settings: str = ""
@@ -171,7 +173,8 @@
             self.gossips.append(self.gossip)
             last_listeners.append(self.metrics)
             self.scopes.append(trio.CancelScope())
-            self.nursery.start_soon(self._run_in, self.scopes[-1], router)
+            stop = self.stops[number] if number < len(self.stops) else self.stop
+            self.nursery.start_soon(self._run_in, self.scopes[-1], router, stop)
             routers.append(router)
         self.routers += routers
         for router in routers:
@@ -180,10 +183,12 @@
             await self.until_listening(address)
         return routers
 
-    async def _run_in(self, scope: trio.CancelScope, router: Router) -> None:
+    async def _run_in(
+        self, scope: trio.CancelScope, router: Router, stop: trio.Event
+    ) -> None:
         current_host.set(router.view.host_id)
         with scope:
-            await router.run(self.stop)
+            await router.run(stop)
 
     def has_config_and_targets(self, router: Router) -> bool:
         """Return whether a router has a configuration and lists exactly all targets."""
