Answer statuses only of hosts that have an older version

What happened: in an outage of the store after a return, no host has a recent confirmation, so hosts with the same version answered each other's statuses, and the answers, twice a second for each pair.

Why this works: an answer is owed to a host that may have read an older version, or none. Of two hosts at most one has an older one.

--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -573,7 +573,10 @@
         Hosts of other zones would wait up to a second for the next status.
         """
         confirmed = 0 <= status.config_age_s < self._view.freshness.bound_s
-        if confirmed or not self._view.eras.has_returned or not self._version():
+        if confirmed or not self._view.eras.has_returned:
+            return
+        if status.config_version >= self._version():
+            # Hosts that have the same version would answer each other's answers.
             return
         if now - peer.answered_at >= ANSWER_INTERVAL_S:
             peer.answered_at = now
--- a/radishfield/forwarding/era_test.py
+++ b/radishfield/forwarding/era_test.py
@@ -287,6 +287,26 @@
         play(scenario, hosts=9, seed=seed, zone_names=ZONE_NAMES)
 
 
+def test_outage_after_a_return_costs_no_more_statuses():
+    """Guards against hosts that answer each other on and on while none is confirmed."""
+
+    async def scenario(scene):
+        network, store = scene.zone.network, scene.zone.store
+        store.restore(store.copy())
+        await trio.sleep(6.0)
+        before = network.sent
+        await trio.sleep(8.0)
+        calm = network.sent - before
+        store.switches.status = 503
+        await trio.sleep(REVOKE_S + 1.0)
+        before = network.sent
+        await trio.sleep(8.0)
+        assert not any(admits(host, KEY) for host in scene.zone.hosts)
+        assert network.sent - before <= calm
+
+    play(scenario, hosts=9, zone_names=ZONE_NAMES)
+
+
 def test_host_that_starts_long_after_a_return_does_not_wait():
     """Guards against a start that takes longer for as long as the store is not new."""
 
