End the time of a leaving host's requests before its process exits

Cause: a request is accepted if its time ends before the process exits, and both could be the same moment. The answer that its time is over is due at the exit then, and a busy host is somewhat later.

Why this works: the time of an accepted request ends a quarter of a second before the exit at least.

Test: small_test, requests whose time ends as the process exits: three cases failed before.

--- a/radishfield/routing/_leaving.py
+++ b/radishfield/routing/_leaving.py
@@ -14,6 +14,10 @@
 END_MARGIN_S = 0.5
 """Time reserved for the process to exit before the supervisor kills it."""
 
+LAST_ANSWER_S = 0.25
+"""Time that the answer to a request which takes all of its time has until the process
+exits.  A busy host finds the end of that time, and writes the answer, somewhat late."""
+
 FINAL_REFUSAL_S = 0.3
 """Time before its exit in which a host refuses requests that are still waiting."""
 
@@ -32,7 +36,8 @@
     """
     if leaving_for_s is None or leaving_for_s < NOTICE_S:
         return True
-    return leaving_for_s + max_duration_s <= grace_s - END_MARGIN_S
+    answered_s = leaving_for_s + max_duration_s + LAST_ANSWER_S
+    return answered_s <= grace_s - END_MARGIN_S
 
 
 def ends_waits(leaving_for_s: float | None, grace_s: float) -> bool:
--- a/radishfield/routing/small_test.py
+++ b/radishfield/routing/small_test.py
@@ -8,6 +8,7 @@
 
 from radishfield.limits import RetryAllowance, RetryBudget, RetryUse
 from radishfield.routing import (
+    END_MARGIN_S,
     MAX_EVENT_BYTES,
     Ask,
     EventSplitter,
@@ -255,6 +256,15 @@
     assert not takes_work(6.5, 8.0, 1.5)
 
 
+@pytest.mark.parametrize("duration_s", [0.3, 1.5, 4.0])
+def test_request_whose_time_ends_as_the_process_exits_is_refused(duration_s):
+    """Guards against a request that runs and is cut, since its answer is late."""
+    exit_s = 8.0 - END_MARGIN_S
+    assert not takes_work(exit_s - duration_s, 8.0, duration_s)
+    assert not takes_work(exit_s - duration_s - 0.2, 8.0, duration_s)
+    assert takes_work(exit_s - duration_s - 0.3, 8.0, duration_s)
+
+
 def event(number):
     return b"id: %d\ndata: x\n\n" % number
 
