Spare hosts that hear each other the wait after a long absence

Cause: the wait asked only whether the own view is old. Hosts that ran and heard each other all the while know each other's versions.

Why this works: a host that has heard another one for the time of the wait knows what the others know, and does not wait. A host that starts, or was cut off, hears nobody at first.

A function is named for what it returns.

--- a/radishfield/forwarding/_gossip.py
+++ b/radishfield/forwarding/_gossip.py
@@ -648,6 +648,10 @@
         self._view.hosts = self._book.count_hosts(now)
         self._assign_duty(now)
         view_of_peers.heard = len(alive)
+        if not alive:
+            view_of_peers.heard_since = math.inf
+        elif math.isinf(view_of_peers.heard_since):
+            view_of_peers.heard_since = now
         view_of_peers.idle_shares = self._book.idle_shares(now)
         view_of_peers.ever_heard = view_of_peers.ever_heard or bool(alive)
         view_of_peers.freshest_s = min(
--- a/radishfield/forwarding/_view.py
+++ b/radishfield/forwarding/_view.py
@@ -120,6 +120,8 @@
         Seconds since the store answered one of them, the shortest such time.
     ever_heard : bool
         Some host has sent a status since the start.
+    heard_since : float
+        Since when at least one of them is heard all the time; infinite if none is.
     found_at : float
         When their addresses were read from the store; infinite before, and minus
         infinity for a host that exchanges no statuses.
@@ -132,6 +134,7 @@
     heard: int = 0
     freshest_s: float = math.inf
     ever_heard: bool = False
+    heard_since: float = math.inf
     found_at: float = -math.inf
     confirmed_era: int = 0
     idle_shares: list[float] = msgspec.field(default_factory=list)
@@ -386,9 +389,11 @@
             return False
         if self.peers.confirmed_era >= self.eras.known:
             return False
+        if now - self.peers.heard_since >= PEERS_HEARD_S:
+            return False
         known_for_s = self.eras.changed_s()
-        heard_for_s = min(known_for_s, now - self.peers.found_at)
-        return heard_for_s < PEERS_HEARD_S and known_for_s < MAX_PEERS_WAIT_S
+        waited_s = min(known_for_s, now - self.peers.found_at)
+        return waited_s < PEERS_HEARD_S and known_for_s < MAX_PEERS_WAIT_S
 
     def note_era_confirmed(self) -> None:
         """Record that the store confirmed the version in force in its newest era.
--- a/radishfield/forwarding/era_test.py
+++ b/radishfield/forwarding/era_test.py
@@ -287,6 +287,24 @@
         play(scenario, hosts=9, seed=seed, zone_names=ZONE_NAMES)
 
 
+def test_long_absence_before_a_return_costs_no_wait_for_others():
+    """Guards against keys that running hosts refuse though they hear each other."""
+
+    async def scenario(scene):
+        store = scene.zone.store
+        for host in scene.zone.hosts:
+            host.view.started_at = 0.0
+        copy = store.copy()
+        store.switches.status = 503
+        await trio.sleep(REVOKE_S + 2.0)
+        store.switches.status = 0
+        store.restore(copy)
+        await trio.sleep(1.2)
+        assert all(admits(host, KEY) for host in scene.zone.hosts)
+
+    play(scenario, hosts=9, zone_names=ZONE_NAMES)
+
+
 def test_outage_after_a_return_costs_no_more_statuses():
     """Guards against hosts that answer each other on and on while none is confirmed."""
 
--- a/radishfield/routing/_watch_duty.py
+++ b/radishfield/routing/_watch_duty.py
@@ -116,12 +116,12 @@
         }
         self.shared = len(candidate_by_id) >= SMALL_ZONE_HOSTS
         before = self.on_duty
-        watchers = _first(own_id, candidate_by_id)
+        watchers = _first_hosts(own_id, candidate_by_id)
         if not any(
             each == own_id or candidate_by_id[each].is_heard for each in watchers
         ):
             heard = [each.id for each in candidate_by_id.values() if each.is_heard]
-            watchers = _first(own_id, heard)
+            watchers = _first_hosts(own_id, heard)
         self.on_duty = not self.shared or own_id in watchers
         self.first_answered_at = None
         if self.reports_to_zone and watchers[0] != own_id:
@@ -183,6 +183,6 @@
         return due_in_s
 
 
-def _first(own_id: str, other_ids: Iterable[str]) -> list[str]:
+def _first_hosts(own_id: str, other_ids: Iterable[str]) -> list[str]:
     """Return the ids of the hosts that come first, which watch the store."""
     return sorted([own_id, *other_ids])[:WATCHERS_PER_ZONE]
