Count only chunks that are shorter than events

What callers saw: since the number of small chunks is bounded, a stream whose target sends some thousand events at once was cut within its first second, and its target counted as failed.

Cause: chunks below 64 bytes counted as small, 1,024 of them at once. Events of a sound stream have 20 to 60 bytes and one chunk each.

Why this works: a chunk counts below 16 bytes, and an answer may have 4,096 of these at once. Reading a chunk takes some 5 microseconds in the framing and in the HTTP library, so a refused flood costs 0.02 s.

--- a/radishfield/forwarding/tiny_chunks_test.py
+++ b/radishfield/forwarding/tiny_chunks_test.py
@@ -14,6 +14,8 @@
 EVENT = b"id: 1\ndata: token 1\n\n"
 INTERVAL_S, SECONDS = 0.04, 4.0
 MIN_SERVED = 0.95
+EVENTS = 5_000
+PIECES = 4_000
 
 
 def sound(request):
@@ -77,3 +79,38 @@
     body = large * (4 * SMALL_CHUNKS) + b"2\r\nxx\r\n" * SMALL_CHUNKS + b"0\r\n\r\n"
     framing.feed(HEAD + b"\r\n" + body)
     assert framing.complete and not framing.problem
+
+
+def test_events_that_a_target_sends_all_at_once_are_delivered(tmp_path):
+    """Guards against a fast stream that is cut for the number of its events."""
+    events = [b"id: %d\ndata: t\n\n" % number for number in range(1, EVENTS + 1)]
+    body = b"".join(b"%X\r\n%s\r\n" % (len(event), event) for event in events)
+
+    def answer(request):
+        if request.path == "/report":
+            return answer_bytes(200, b"{}")
+        request_id = request.headers[b"x-request-id"]
+        own = b"X-Request-Id: %s\r\nX-Server-Stamp: s1\r\n\r\n" % request_id
+        return HEAD + own + body + b"0\r\n\r\n"
+
+    async def scenario(testbed):
+        settings = config()
+        for rule in settings["services"]:
+            rule.pop("engine", None)
+        testbed.store.put("config", "main", settings)
+        target = ScriptedTarget("pool-0", answer)
+        await testbed.nursery.start(target.serve)
+        testbed.store.put("servers", target.id, target_entry("pool", target.address))
+        testbed.plain.append(target)
+        await testbed.start_router()
+        reply = await testbed.request("/stream/x", "POST", "r1", body=b"{}")
+        assert (reply.status, reply.body) == (200, b"".join(events))
+
+    play(tmp_path, scenario, limit_s=40.0)
+
+
+def test_answer_that_is_sent_in_tokens_is_whole():
+    """Guards against a sound answer that is refused for the sizes of its chunks."""
+    framing = AnswerFraming(b"GET")
+    framing.feed(HEAD + b"\r\n" + b"3\r\n1, \r\n" * PIECES + b"0\r\n\r\n")
+    assert framing.complete and not framing.problem
--- a/radishfield/web/_answer_framing.py
+++ b/radishfield/web/_answer_framing.py
@@ -15,10 +15,11 @@
 """Informational answers that may precede an answer."""
 MAX_SIZE_DIGITS = 16
 MAX_LENGTH_DIGITS = 18
-SMALL_CHUNK_BYTES = 64
-"""Chunks below this size cost more processor time to read than their bytes do."""
-SMALL_CHUNKS = 1024
-"""Small chunks that an answer may have at once.  A stream has one for each event."""
+SMALL_CHUNK_BYTES = 16
+"""Chunks below this size cost more processor time to read than their bytes do.  Few
+events are that short."""
+SMALL_CHUNKS = 4096
+"""Small chunks that an answer may have at once, as of a text that is sent in tokens."""
 SWITCHING_PROTOCOLS = 101
 
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
--- a/radishfield/web/_framed_stream.py
+++ b/radishfield/web/_framed_stream.py
@@ -9,7 +9,7 @@
 """Time limit for reading bytes that have arrived already."""
 READ_BYTES = 64 << 10
 SMALL_CHUNKS_PER_S = 500.0
-"""Rate at which an answer may go on with small chunks, above that of any stream."""
+"""Rate at which an answer may go on with small chunks."""
 
 
 class MalformedAnswerError(httpcore.RemoteProtocolError):
