Make the receive buffer small before a connection opens

What callers saw: nothing. The account of a host was too low: the kernel held 33 to 34 KB unread of a stream whose caller does not read, where 32 KiB are charged for a call.

Cause: the buffer was made small after connecting. The kernel had offered the window of the usual buffer by then.

Why this works: the window follows from the buffer at the time of the first segment. The other options are still set once the connection is open, since one of them would end an unanswered connect earlier.

Test: unread_answers_test, unchanged, failed before; six runs of six pass.

--- a/radishfield/relay/_dialer.py
+++ b/radishfield/relay/_dialer.py
@@ -23,9 +23,9 @@
     BROKEN_STREAM_ERRORS,
     RelayedStream,
     TargetStream,
+    connect,
     open_direct,
     receive_exactly,
-    set_socket_options,
 )
 from radishfield.routing import (
     MAX_DELIVERY_S,
@@ -224,8 +224,7 @@
         opened = Error(fault(ResultCode.PEER_UNREACHABLE, f"{relay.id}: no answer"))
         try:
             with trio.move_on_after(limit_s):
-                stream = await trio.open_tcp_stream(*relay.address)
-                set_socket_options(stream)
+                stream = await connect(*relay.address)
                 opened = await self._request(stream, relay, address)
         except BROKEN_STREAM_ERRORS as problem:
             detail = f"{relay.id}: {problem!r}"
--- a/radishfield/relay/_streams.py
+++ b/radishfield/relay/_streams.py
@@ -46,6 +46,29 @@
         stream.setsockopt(*option)
 
 
+async def connect(host: str, port: int) -> trio.SocketStream:
+    """Connect to an IPv4 address.
+
+    The receive buffer is made small first, since it determines the window that the
+    kernel offers when the connection opens.
+
+    Raises
+    ------
+    OSError
+        The connection was refused, or there is no way to the address.
+    """
+    opened = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        await opened.connect((host, port))
+        stream = trio.SocketStream(opened)
+        set_socket_options(stream)
+    except BaseException:
+        opened.close()
+        raise
+    return stream
+
+
 async def open_direct(
     address: str, limit_s: float = math.inf
 ) -> Result[trio.SocketStream, Fault]:
@@ -56,9 +79,7 @@
     """
     try:
         with trio.move_on_after(limit_s):
-            stream = await trio.open_tcp_stream(*split_address(address))
-            set_socket_options(stream)
-            return Ok(stream)
+            return Ok(await connect(*split_address(address)))
     except OSError as problem:
         return Error(fault(ResultCode.CONNECT_FAILED, repr(problem)))
     return Error(fault(ResultCode.STREAM_SILENT, f"no connection in {limit_s} s"))
