Give the relays' listeners the small receive buffer too

What callers saw: nothing. A relaying host's kernel held up to 33.6 KB unread of a connection that is sent in small pieces, where 32 KiB are counted.

Why this works: accepted connections take the listener's buffer, as those of callers do.

--- a/radishfield/relay/_server.py
+++ b/radishfield/relay/_server.py
@@ -25,6 +25,7 @@
 from radishfield.relay._streams import (
     BROKEN_STREAM_ERRORS,
     RESET_ON_CLOSE,
+    limit_receive_buffer,
     open_direct,
     receive_exactly,
     set_socket_options,
@@ -140,6 +141,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_suspension)
             for listener in listeners:
+                limit_receive_buffer(listener.socket)
                 nursery.start_soon(self._accept, listener, nursery)
             task_status.started()
 
--- a/radishfield/relay/_streams.py
+++ b/radishfield/relay/_streams.py
@@ -27,7 +27,6 @@
 """``struct linger`` with a time of 0: closing the socket resets the connection."""
 
 _SOCKET_OPTIONS = [
-    (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SEND_TIMEOUT_MS),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -40,8 +39,17 @@
 BROKEN_STREAM_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
 
 
+def limit_receive_buffer(opened: trio.socket.SocketType) -> None:
+    """Let the kernel hold little of a connection, or of those that are accepted.
+
+    It determines the window that the kernel offers when a connection opens, so it is
+    set before that.
+    """
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
+
 def set_socket_options(stream: trio.SocketStream) -> None:
-    """Let the kernel hold little, and close a connection whose other end is gone."""
+    """Let the kernel close a connection whose other end is gone."""
     for option in _SOCKET_OPTIONS:
         stream.setsockopt(*option)
 
@@ -49,9 +57,6 @@
 async def connect(host: str, port: int) -> trio.SocketStream:
     """Connect to an IPv4 address.
 
-    The receive buffer is made small first, since it determines the window that the
-    kernel offers when the connection opens.
-
     Raises
     ------
     OSError
@@ -59,7 +64,7 @@
     """
     opened = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
-        opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        limit_receive_buffer(opened)
         await opened.connect((host, port))
         stream = trio.SocketStream(opened)
         set_socket_options(stream)
--- a/radishfield/relay/relay_test.py
+++ b/radishfield/relay/relay_test.py
@@ -500,13 +500,15 @@
     play(scenario, account=account)
 
 
-def test_little_waits_unread_at_a_relay_whose_target_does_not_read():
+@pytest.mark.parametrize("piece_bytes", [LARGE_REQUEST_BYTES, 41])
+def test_little_waits_unread_at_a_relay_whose_target_does_not_read(piece_bytes):
     """Guards against memory of a host for requests that are not its own callers'."""
 
     async def scenario(scene):
         stream = await scene.dial()
         with trio.move_on_after(1.0):
-            await stream.write(bytes(LARGE_REQUEST_BYTES))
+            for _ in range(LARGE_REQUEST_BYTES // piece_bytes):
+                await stream.write(bytes(piece_bytes))
         waiting = unread_bytes(int(scene.address.rpartition(":")[2]))
         # The kernel allows for twice of what it is asked for.
         assert 0 < waiting <= 2 * RECEIVE_BUFFER_BYTES
