Test that targets that send without end leave the process its memory

Another operator saw a machine that kept all that a faulty worker sent, until it ran out of memory. It does not happen here: with all four targets of a service sending no head, a field or fields without end, a body over the limit, one that stops a byte before its end, whole ones of 7 MiB or chunks without end, to 200 calls in 2 s, a router process of 128 MiB peaks at 45 to 114 MiB, goes on, and answers an ordinary call.

--- a/Makefile
+++ b/Makefile
@@ -25,8 +25,9 @@
 	$(RUN) -m black --check --quiet .
 	$(RUN) -m ruff check --quiet .
 
-# Crowds of callers load a process for its memory; nothing else runs beside them.
-CROWD_TESTS := proofs/caller_crowds_test.py proofs/entry_crowds_test.py
+# Crowds and endless answers load a process for its memory; nothing else runs beside them.
+CROWD_TESTS := proofs/caller_crowds_test.py proofs/endless_answers_test.py \
+	proofs/entry_crowds_test.py
 
 unit: install
 	$(MAKE) --no-print-directory --jobs=3 --output-sync=target \
