Test the remaining endless forms: informational answers, sizes, trailers

Four forms more of targets that send without end: informational answers, the size of a chunk, its extension, and trailers.

--- a/proofs/endless_answers_test.py
+++ b/proofs/endless_answers_test.py
@@ -31,6 +31,10 @@
     "one-byte-short": counted(7 * MIB, 7 * MIB - 1),
     "whole": counted(7 * MIB, 7 * MIB),
     "chunks": (CHUNKED, LARGE_CHUNK * 256),
+    "informational-answers": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * (MIB // 2)),
+    "size-of-a-chunk": (CHUNKED, b"0" * (16 * MIB)),
+    "extension-of-a-chunk": (CHUNKED, b"1;" + FILLER),
+    "trailers": (CHUNKED, b"0\r\n" + b"X-Filler: x\r\n" * MIB),
 }
 
 
