Keep room for connections and small bodies beside large ones

What callers saw: beside a crowd with large bodies an ordinary request of 300 bytes got 503, 3016; beside targets that send answers of 7 MiB an ordinary caller's connection was closed before anything of it was read.

Cause: large bodies may use three quarters of the room and connections the rest. Nothing gave way to a small body, and answers could be held until no room was left.

Why this works: larger bodies and answers leave a tenth of the room. To a small body the slowest larger one gives way, or a connection without a call. Small bodies and calls give way to none, as before.

--- a/radishfield/limits/_account.py
+++ b/radishfield/limits/_account.py
@@ -6,8 +6,9 @@
 of it is read, so that what has been admitted can be finished.
 
 When the room is used up, whoever makes the least progress gives way: a caller that
-stops short of a body's end holds nothing against one that goes on.  A part of the room
-is kept for small bodies, so that large ones never keep ordinary callers out.
+stops short of a body's end holds nothing against one that goes on.  Large bodies may
+use a part of the room only, and give way to small ones, so that they never keep
+ordinary callers out.
 """
 
 import enum
@@ -36,6 +37,9 @@
 """Bodies up to this size may use the whole room."""
 LARGE_BODIES_SHARE = 0.75
 """Share of the room that larger bodies may use together."""
+KEPT_SHARE = 0.1
+"""Share of the room that larger bodies, and answers that are held, leave to connections
+and small bodies."""
 PROGRESS_GRACE_S = 1.0
 """Time after which a body may have to give way to another one."""
 UNREAD_GRACE_S = 2.0
@@ -267,15 +271,11 @@
         if large:
             charge += BODY_RECEIVE_BYTES
         while not self._fits(holding, charge, large):
-            victim = self._slowest(now, PROGRESS_GRACE_S, math.inf, holding)
-            if victim is None or not large:
+            if not self._make_room(holding, large, now):
                 # What was read of it is dropped at once, and makes room for others.
                 self._free_body(holding)
                 self.refused += 1
                 return False
-            self.given_way += 1
-            self.end_request(victim)
-            victim.owner.refuse_body()
         self._free_body(holding)
         self._charge(holding, holding.charge + charge)
         holding.body_bytes = charge
@@ -288,7 +288,7 @@
 
         Answers that their callers don't read give way to it.
         """
-        while self.used_bytes + added > self.limits.room_bytes:
+        while self.used_bytes + added > self._shared_bytes:
             victim = self._least_read(now)
             if victim is None or victim is holding:
                 self.refused += 1
@@ -300,12 +300,38 @@
 
     def _fits(self, holding: Holding, charge: int, large: bool) -> bool:
         room = self.limits.room_bytes
-        added = charge - holding.body_bytes
-        if self.used_bytes + added > room:
-            return False
+        used_bytes = self.used_bytes + charge - holding.body_bytes
         others = self.large_bytes - self._large_part(holding)
-        # A body that is alone may use what is free, however large it is.
-        return not large or not others or others + charge <= room * LARGE_BODIES_SHARE
+        if not large or not others:
+            # A body that is alone may use what is free, however large it is.
+            return used_bytes <= room
+        fits_share = others + charge <= room * LARGE_BODIES_SHARE
+        return fits_share and used_bytes <= self._shared_bytes
+
+    @property
+    def _shared_bytes(self) -> float:
+        """Return the room beyond which large bodies and answers are not held."""
+        return self.limits.room_bytes * (1.0 - KEPT_SHARE)
+
+    def _make_room(self, newcomer: Holding, large: bool, now: float) -> bool:
+        """Let another connection give way to a body; return whether one did.
+
+        A larger body that has just begun, and a connection without a call, give way to
+        a small body only.  A small body gives way to none.
+        """
+        body = self._slowest(now, PROGRESS_GRACE_S, math.inf, newcomer)
+        if body is None and not large:
+            body = self._slowest(now, 0.0, math.inf, newcomer)
+        if body is not None:
+            self.given_way += 1
+            self.end_request(body)
+            body.owner.refuse_body()
+            return True
+        unused = None if large else self._least_used(now)
+        if unused is None or unused is newcomer:
+            return False
+        self._cut(unused)
+        return True
 
     def _cut(self, victim: Holding) -> None:
         self.given_way += 1
@@ -334,13 +360,18 @@
         do so as long as others can give way.
         """
         return (
-            self._oldest(now, 0.0, Phase.CLOSING)
-            or self._oldest(now, PROGRESS_GRACE_S, Phase.IDLE, Phase.HEAD)
+            self._least_used(now)
             or self._slowest(now, 0.0, PROGRESS_GRACE_S)
             or self._least_read(now)
             or self._oldest(now, 0.0, Phase.IDLE, Phase.HEAD)
         )
 
+    def _least_used(self, now: float) -> Holding | None:
+        """Return a connection that was answered, or has not sent a request in time."""
+        return self._oldest(now, 0.0, Phase.CLOSING) or self._oldest(
+            now, PROGRESS_GRACE_S, Phase.IDLE, Phase.HEAD
+        )
+
     def _oldest(self, now: float, min_age_s: float, *phases: Phase) -> Holding | None:
         """Return the holding that has been in one of the phases for longest."""
         for holding in self._holdings:
--- a/radishfield/limits/account_test.py
+++ b/radishfield/limits/account_test.py
@@ -60,6 +60,82 @@
     assert all(open_body(account, 4000)[1] for _ in range(20))
 
 
+def fill_up(account, phase):
+    """Use up the room with large bodies and idle connections; return the bodies."""
+    bodies = []
+    while not bodies or bodies[-1].body_bytes:
+        bodies.append(open_body(account, MIB)[0])
+    account.close(bodies.pop())
+    for holding in bodies:
+        account.begin(holding, phase, 0.0)
+        holding.received = MIB // 2
+    while account.used_bytes + CONNECTION_BYTES <= ROOM:
+        account.open(Owner(), 0.0)
+    account.note_head(bodies[0], (ROOM - account.used_bytes) // HEAD_FACTOR)
+    return bodies
+
+
+@pytest.mark.parametrize("now", [0.1, 2.0])
+def test_slowest_large_body_gives_way_to_a_small_one(now):
+    """Guards against ordinary callers for whom connections leave no room."""
+    account = open_account(connections=1000)
+    first, *others = fill_up(account, Phase.BODY)
+    first.received = 0
+    caller = list(account._holdings)[-1]
+    account.begin(caller, Phase.BODY, 0.1)
+    assert account.admit(caller, 300, now)
+    assert first.owner.refused and first.phase is Phase.CLOSING
+    assert not any(holding.owner.refused for holding in others)
+
+
+def test_idle_connection_gives_way_to_a_small_body_beside_calls():
+    """Guards against ordinary callers who find the room used up by calls."""
+    account = open_account(connections=1000)
+    calls = fill_up(account, Phase.CALL)
+    caller, *idle = [
+        holding for holding in account._holdings if holding.phase is Phase.IDLE
+    ]
+    account.begin(caller, Phase.BODY, 0.0)
+    assert not account.admit(caller, 300, 0.5)
+    assert account.admit(caller, 300, 2.0)
+    assert [holding.owner.was_cut for holding in idle].count(True) == 1
+    assert not any(holding.owner.refused for holding in calls)
+    assert not any(holding.owner.was_cut for holding in calls)
+
+
+def test_small_bodies_do_not_give_way_to_each_other():
+    """Guards against a crowd of small bodies that keeps pushing out earlier ones."""
+    account = CallerAccount(AccountLimits(MIB, 1000))
+    small = []
+    while not small or small[-1].body_bytes:
+        small.append(open_body(account, 16_000, 0.0)[0])
+    assert not account.admit(small[-1], 16_000, 5.0)
+    assert not any(holding.owner.refused for holding in small)
+
+
+def test_answers_that_are_held_leave_room_for_new_callers():
+    """Guards against callers that are closed unread while targets send too much."""
+    account = open_account(connections=1000)
+    for _ in range(4):
+        call = account.open(Owner(), 0.0)
+        account.begin(call, Phase.CALL, 0.0)
+        while account.hold_answer(call, 16_000, 0.0):
+            pass
+    assert all(open_body(account, 300)[1] for _ in range(10))
+    assert account.given_way == 0
+
+
+def test_large_bodies_leave_room_for_new_callers():
+    """Guards against callers that are cut for bodies beside many connections."""
+    account = open_account(connections=1000)
+    for _ in range(150):
+        account.open(Owner(), 0.0)
+    while open_body(account, MIB)[1]:
+        pass
+    assert all(open_body(account, 300)[1] for _ in range(10))
+    assert account.given_way == 0
+
+
 def test_body_that_is_larger_than_its_share_is_admitted_alone():
     account = open_account()
     assert open_body(account, 13 * MIB)[1]
