--- a/radishfield/forwarding/leaving_test.py
+++ b/radishfield/forwarding/leaving_test.py
@@ -356,3 +356,24 @@
     cases += [(4, 0.3, 0.03, True), (12, 0.3, 0.03, True), (40, 0.02, 0.03, False)]
     delays = {case: play(monkeypatch, case, scenario) for case in cases}
     assert {case: s for case, s in delays.items() if s > CONFIG_PROMISE_S} == {}
+
+
+def test_watchers_that_are_both_cut_off_from_the_store_hide_no_configuration(
+    monkeypatch,
+):
+    """Guards against hosts that wait for watchers which live and read nothing."""
+
+    async def scenario(scene, hosts, cut_after_s, changed_after_s):
+        scene.zone.store.put("config", "main", config(2))
+        await trio.sleep(cut_after_s)
+        for host in scene.watchers:
+            host.link.cut = True
+            scene.calm_at[host.id] = float("inf")
+        await trio.sleep(changed_after_s)
+        scene.zone.store.put("config", "main", config(3))
+        return await config_delay_s(scene, trio.current_time(), version=3)
+
+    moments = itertools.product((0.05, 0.4, 0.7, 1.0, 1.4), (0.03, 0.4))
+    cases = [(size, *moment) for size in (4, 12) for moment in moments]
+    delays = {case: play(monkeypatch, case, scenario) for case in cases}
+    assert {case: s for case, s in delays.items() if s > CONFIG_PROMISE_S} == {}
