Test statuses behind a relaying host, and lost watchers in three zones

Both are shown not to happen: a caller behind a relaying host gets 502 or 503 where a target answers with 000, 600 or 1000, and a version is in force within two seconds where the watchers of one of three zones are killed, frozen or cut off from the store, with zones of four hosts and of six, three and three.

--- a/radishfield/forwarding/leaving_test.py
+++ b/radishfield/forwarding/leaving_test.py
@@ -78,17 +78,19 @@
         return worst
 
 
-def play(monkeypatch, case, scenario):
+def play(monkeypatch, case, scenario, zone_names=""):
     """Run a scenario in a calm zone, in virtual time; return its result.
 
     Parameters
     ----------
     case : tuple
-        Number of hosts of the zone, then the further arguments of the scenario.
+        Number of hosts, then the further arguments of the scenario.
+    zone_names : str, optional
+        The zone of each host, a letter each; all are in one without it.
     """
 
     async def main():
-        zone = FollowerZone(case[0])
+        zone = FollowerZone(case[0], zone_names=zone_names)
         monkeypatch.setattr(_gossip, "DatagramSocket", zone.open_socket)
         zone.store.put("config", "main", config())
         zone.store.put("servers", "p1", target_entry(SERVICE, ADDRESS))
@@ -358,6 +360,36 @@
     assert {case: s for case, s in delays.items() if s > CONFIG_PROMISE_S} == {}
 
 
+@pytest.mark.parametrize("loss", ["killed", "frozen", "cut off from the store"])
+@pytest.mark.parametrize("zone_names", ["aaaabbbbcccc", "aaaaaabbbccc"])
+def test_watchers_of_one_of_three_zones_that_are_lost_hide_no_configuration(
+    monkeypatch, zone_names, loss
+):
+    """Guards against a zone that waits for its watchers while the others know."""
+
+    async def scenario(scene, hosts, lost_after_s, changed_after_s):
+        scene.zone.store.put("config", "main", config(2))
+        await trio.sleep(lost_after_s)
+        in_zone = scene.zone.hosts[: zone_names.count("a")]
+        for host in [each for each in scene.watchers if each in in_zone]:
+            scene.calm_at[host.id] = float("inf")
+            match loss:
+                case "killed":
+                    host.scope.cancel()
+                case "frozen":
+                    scene.zone.freeze(host)
+                case _:
+                    host.link.cut = True
+        await trio.sleep(changed_after_s)
+        scene.zone.store.put("config", "main", config(3))
+        return await config_delay_s(scene, trio.current_time(), version=3)
+
+    moments = ((0.0, 0.03), (0.05, 0.03), (0.15, 0.03), (0.4, 0.4), (0.9, 0.4))
+    cases = [(12, *moment) for moment in moments]
+    delays = {case: play(monkeypatch, case, scenario, zone_names) for case in cases}
+    assert {case: s for case, s in delays.items() if s > CONFIG_PROMISE_S} == {}
+
+
 def test_watchers_that_are_both_cut_off_from_the_store_hide_no_configuration(
     monkeypatch,
 ):
--- a/radishfield/forwarding/odd_statuses_test.py
+++ b/radishfield/forwarding/odd_statuses_test.py
@@ -4,8 +4,10 @@
 import trio
 
 from radishfield.core import SystemClock
-from radishfield.forwarding.conftest import play
+from radishfield.forwarding.conftest import open_testbed, play
+from radishfield.relay import RelayServer
 from radishfield.web import ApiAddress, ApiCall, ApiCaller, CallBudget
+from standins.link_cuts import LinkCuts, NewConnections, OpenConnections
 from standins.routed_config import config, target_entry
 from standins.scripted_targets import ScriptedTarget
 
@@ -30,6 +32,8 @@
 ROUTES = [("/read/x", "GET"), ("/post/x", "POST"), ("/stream/x", "POST")]
 EVENT = b"id: 1\ndata: token 1\n\n"
 REQUESTS = 40
+RELAY_KNOWN_S = 2.5
+"""Time in which two hosts know the key by which one relays for the other."""
 
 
 def answer_with(status, body=b"answer"):
@@ -49,8 +53,8 @@
     return answer
 
 
-async def start(testbed, *answers, services=("portal", "pool")):
-    """Start a router and one target with each of the scripts for each service."""
+async def start(testbed, *answers, services=("portal", "pool"), hosts=1):
+    """Start routers and one target with each of the scripts for each service."""
     settings = config()
     for rule in settings["services"]:
         rule.pop("engine", None)
@@ -64,7 +68,10 @@
             testbed.store.put("servers", target.id, entry)
             targets.append(target)
     testbed.plain.extend(targets)
-    await testbed.start_router()
+    if hosts > 1:
+        await testbed.start_zone(hosts)
+    else:
+        await testbed.start_router()
     return targets
 
 
@@ -107,6 +114,35 @@
     play(tmp_path, scenario)
 
 
+@pytest.mark.parametrize("status", ["000", "600", "1000"])
+def test_no_caller_behind_a_relaying_host_gets_such_a_status(tmp_path, status):
+    """Guards against an answer that only the relaying host could tell from one."""
+    cuts = LinkCuts()
+
+    async def scenario(testbed):
+        targets = await start(testbed, answer_with(status, EVENT), hosts=2)
+        first, second = testbed.routers
+        await testbed.until(lambda: first.view.peers.heard == 1)
+        ports = [int(each.address.rpartition(":")[2]) for each in targets]
+        cuts.cut(["host-0"], ports, NewConnections.REFUSED, OpenConnections.RESET)
+        await trio.sleep(RELAY_KNOWN_S)
+        testbed.front = testbed.fronts[0]
+        for number, (path, method) in enumerate(ROUTES):
+            body = b"{}" if method == "POST" else b""
+            reply = await testbed.request(path, method, f"r{number}", body=body)
+            assert reply.status in (502, 503)
+            assert "x-server-stamp" not in reply.headers
+        assert second._kernel.find("relay", RelayServer).served > 0
+        assert any(each.received for each in targets)
+
+    async def main():
+        with trio.fail_after(60.0), cuts.installed():
+            async with open_testbed(tmp_path) as testbed:
+                await scenario(testbed)
+
+    trio.run(main)
+
+
 @pytest.mark.parametrize("status", ["000", "600"])
 def test_resumed_stream_does_not_end_with_such_a_status(tmp_path, status):
     """Guards against a begun stream that such an answer ends as if it were whole."""
