Test that answers without end to reports and orders are given up

The endless forms had been played as answers to callers' requests only. Nine forms each as answers to a report and to an order: each is given up within five seconds, with at most 12 MiB held.

--- a/radishfield/forwarding/reports_and_orders_test.py
+++ b/radishfield/forwarding/reports_and_orders_test.py
@@ -1,7 +1,10 @@
 """Answers to reports and orders, which carry no id, beside bytes of other answers."""
 
+import tracemalloc
+
 import msgspec
 import pytest
+import trio
 
 from radishfield.core import ResultCode
 from radishfield.forwarding._connections import Outgoing, TargetConnections
@@ -218,3 +221,50 @@
         assert len(set(orders)) == 3 and not set(orders) & set(reports)
 
     play(tmp_path, scenario)
+
+
+FILLER = b"x" * (16 << 20)
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+ENDLESS_BY_NAME = {
+    "no-head": FILLER,
+    "one-field": HEAD + b"X-Filler: " + FILLER,
+    "fields": HEAD + b"X-Filler: x\r\n" * (1 << 20),
+    "informational-answers": b"HTTP/1.1 103 Early Hints\r\n\r\n" * (1 << 19),
+    "announced": HEAD + b"Content-Length: %d\r\n\r\n" % (64 << 20) + FILLER,
+    "chunks": CHUNKED + (b"10000\r\n" + bytes(64 << 10) + b"\r\n") * 256,
+    "chunks-of-two-bytes": CHUNKED + b"2\r\nxx\r\n" * (1 << 20),
+    "size-of-a-chunk": CHUNKED + b"0" * (16 << 20),
+    "trailers": CHUNKED + b"0\r\n" + b"X-Filler: x\r\n" * (1 << 20),
+}
+MAX_HELD_BYTES = 12 << 20
+"""An answer of 8 MiB, and what the libraries take beside it."""
+GIVEN_UP_S = 5.0
+
+
+@pytest.mark.parametrize("name", ENDLESS_BY_NAME)
+@pytest.mark.parametrize("path", ["/report", "/order"])
+def test_answer_without_end_to_a_report_or_an_order_is_given_up(tmp_path, path, name):
+    """Guards against a host that keeps all that a faulty target sends."""
+
+    def answer(request):
+        if request.path == path:
+            return ENDLESS_BY_NAME[name]
+        return own_answer(request)
+
+    async def scenario(testbed):
+        client = await TargetClient.start(testbed, answer)
+        tracemalloc.start()
+        try:
+            with trio.fail_after(GIVEN_UP_S):
+                if path == "/order":
+                    asked = await client.targets.order(client.record, ORDER)
+                else:
+                    asked = await client.targets.report(client.record)
+            _, held_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert asked.is_error()
+        assert held_bytes <= MAX_HELD_BYTES
+
+    play(tmp_path, scenario)
